--- /dev/null
+++ b/src/config/configcontroller.h
@@ -0,0 +1,58 @@
+#ifndef FILBERTGW_CONFIG_CONFIGCONTROLLER_H
+#define FILBERTGW_CONFIG_CONFIGCONTROLLER_H
+
+#include "blackboard/blackboard.h"
+#include "config/configsection.h"
+#include "core/failure.h"
+#include "journal/logtypes.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace filbertgw {
+
+/** \brief What a ConfigController needs from outside. */
+struct ConfigHooks
+{
+    Clock now_;
+    RandomSource random_;
+    LogAccess log_;
+    std::function<void()> changed_; ///< The section has changed.
+    /** \brief Asks a peer for entries from an offset; answered by ConfigController::onPeerEntries(). */
+    std::function<void(const NodeId &peer, Offset from)> fetchFromPeer_;
+    std::function<std::uint32_t()> rank_; ///< This node's rank among the live members, from 0; for re-appending.
+};
+
+/** \brief Tails the configuration stream and keeps the ConfigSection in force. */
+class ConfigController
+{
+public:
+    class Builder;
+
+    ~ConfigController();
+
+    void start();
+    void tick();
+    /** \brief A peer has a higher offset in force. */
+    void onPeerOffset(const NodeId &peer, Offset offset);
+    /** \brief Entries that a peer was asked for. */
+    void onPeerEntries(const std::vector<LogEntry> &entries);
+    /** \brief Entries from an offset, for a peer that can't reach the log; at most `limit`. */
+    std::vector<LogEntry> entriesFrom(Offset from, std::size_t limit) const;
+    /** \brief True once a configuration is in force. */
+    bool isReady() const;
+
+private:
+    struct Private;
+    explicit ConfigController(std::unique_ptr<Private> d);
+    std::unique_ptr<Private> d_;
+};
+
+/** \brief Checks one configuration record as `check` and the fold do. \return every error found; empty if valid. */
+std::vector<Failure> validateRecord(const nlohmann::json &record);
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/membership/membershipsection.h
@@ -0,0 +1,51 @@
+#ifndef FILBERTGW_MEMBERSHIP_MEMBERSHIPSECTION_H
+#define FILBERTGW_MEMBERSHIP_MEMBERSHIPSECTION_H
+
+#include "core/ids.h"
+#include "core/nametable.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace filbertgw {
+
+enum class MemberState : std::uint8_t { Alive, Suspected, Leaving, Dead };
+
+template<>
+struct NameTable<MemberState>
+{
+    static constexpr std::array<std::pair<MemberState, std::string_view>, 4> entries{ {
+        { MemberState::Alive, "alive" },
+        { MemberState::Suspected, "suspected" },
+        { MemberState::Leaving, "leaving" },
+        { MemberState::Dead, "dead" },
+    } };
+};
+
+/** \brief One entry node as membership sees it. */
+struct Member
+{
+    NodeId id_;
+    FailureDomain domain_;
+    std::string udpAddress_; ///< host:port of heartbeats.
+    std::string peerAddress_; ///< host:port of the peer link.
+    std::string httpAddress_; ///< host:port towards callers and operators.
+    MemberState state_ = MemberState::Alive;
+    std::uint64_t incarnation_ = 0;
+    std::uint64_t configOffset_ = 0; ///< Configuration that it has in force, as last heard.
+};
+
+/** \brief Blackboard section of the entry nodes; written by MembershipController. */
+struct MembershipSection
+{
+    NodeId self_;
+    std::map<NodeId, Member> members_; ///< This node included.
+    std::uint64_t version_ = 0; ///< Grows with each change.
+    bool massLoss_ = false; ///< More than a third went at once; programs move on demand only.
+};
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/net/httpserver.h
@@ -0,0 +1,33 @@
+#ifndef FILBERTGW_NET_HTTPSERVER_H
+#define FILBERTGW_NET_HTTPSERVER_H
+
+#include "core/failure.h"
+#include "net/httptypes.h"
+#include "net/ioloop.h"
+
+namespace filbertgw {
+
+/** \brief HTTP/1.1 server over Boost.Beast with bounded memory for each connection. */
+class HttpServer
+{
+public:
+    /** \brief Listens on host:port; port 0 picks a free one. \return a Conflict failure if the address can't be had. */
+    static Result<std::unique_ptr<HttpServer>>
+    listen(IoLoop &loop, const std::string &address, const HttpLimits &limits, HttpHandler handler);
+    ~HttpServer();
+
+    std::uint16_t port() const;
+    /** \brief Closes the listening socket and idle connections; requests in progress go on. */
+    void stopAccepting();
+    /** \brief Requests whose answer has not ended. */
+    std::size_t openRequests() const;
+
+private:
+    struct Private;
+    explicit HttpServer(std::shared_ptr<Private> d);
+    std::shared_ptr<Private> d_;
+};
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/standin/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 2;
+}
