--- a/src/config/configsection.h
+++ b/src/config/configsection.h
@@ -38,7 +38,7 @@
     std::string name_;
     Spend budget_;
     std::uint32_t maxTurns_ = 200;
-    Duration deadline_{ 0 }; ///< 0 for none.
+    Duration deadline_{0}; ///< 0 for none.
 };
 
 /** \brief A call of a tool or plain service. */
--- a/src/core/failure.h
+++ b/src/core/failure.h
@@ -37,26 +37,26 @@
 template<>
 struct NameTable<FailureType>
 {
-    static constexpr std::array<std::pair<FailureType, std::string_view>, 18> entries{ {
-        { FailureType::NotRun, "not_run" },
-        { FailureType::OutcomeUnknown, "outcome_unknown" },
-        { FailureType::BudgetExceeded, "budget_exceeded" },
-        { FailureType::DeadlinePassed, "deadline_passed" },
-        { FailureType::Quarantined, "quarantined" },
-        { FailureType::Unauthenticated, "unauthenticated" },
-        { FailureType::Forbidden, "forbidden" },
-        { FailureType::NotFound, "not_found" },
-        { FailureType::InvalidRequest, "invalid_request" },
-        { FailureType::TooLarge, "too_large" },
-        { FailureType::RateLimited, "rate_limited" },
-        { FailureType::Overloaded, "overloaded" },
-        { FailureType::StoreUnavailable, "store_unavailable" },
-        { FailureType::OwnerUnavailable, "owner_unavailable" },
-        { FailureType::EndpointFailed, "endpoint_failed" },
-        { FailureType::LoopDetected, "loop_detected" },
-        { FailureType::Conflict, "conflict" },
-        { FailureType::ProgramEnded, "program_ended" },
-    } };
+    static constexpr std::array<std::pair<FailureType, std::string_view>, 18> entries{{
+        {FailureType::NotRun, "not_run"},
+        {FailureType::OutcomeUnknown, "outcome_unknown"},
+        {FailureType::BudgetExceeded, "budget_exceeded"},
+        {FailureType::DeadlinePassed, "deadline_passed"},
+        {FailureType::Quarantined, "quarantined"},
+        {FailureType::Unauthenticated, "unauthenticated"},
+        {FailureType::Forbidden, "forbidden"},
+        {FailureType::NotFound, "not_found"},
+        {FailureType::InvalidRequest, "invalid_request"},
+        {FailureType::TooLarge, "too_large"},
+        {FailureType::RateLimited, "rate_limited"},
+        {FailureType::Overloaded, "overloaded"},
+        {FailureType::StoreUnavailable, "store_unavailable"},
+        {FailureType::OwnerUnavailable, "owner_unavailable"},
+        {FailureType::EndpointFailed, "endpoint_failed"},
+        {FailureType::LoopDetected, "loop_detected"},
+        {FailureType::Conflict, "conflict"},
+        {FailureType::ProgramEnded, "program_ended"},
+    }};
 };
 
 /** \brief A typed failure; the error object of every Result. */
@@ -65,7 +65,7 @@
     FailureType type_ = FailureType::NotRun;
     bool notRun_ = false; ///< True only if it is certain that the request had no effect.
     std::string detail_; ///< For people; never parsed.
-    Duration retryAfter_{ 0 }; ///< When to try again; 0 means that a retry doesn't help.
+    Duration retryAfter_{0}; ///< When to try again; 0 means that a retry doesn't help.
 };
 
 /** \brief A value or a failure. \sa Failure */
--- a/src/journal/logtypes.h
+++ b/src/journal/logtypes.h
@@ -17,7 +17,7 @@
 struct LogEntry
 {
     Offset offset_ = 0;
-    Time time_{ 0 }; ///< When the log took it, by the log's clock.
+    Time time_{0}; ///< When the log took it, by the log's clock.
     nlohmann::json body_; ///< The record as JSON object; unknown fields included.
 };
 
--- a/src/membership/membershipsection.h
+++ b/src/membership/membershipsection.h
@@ -16,12 +16,12 @@
 template<>
 struct NameTable<MemberState>
 {
-    static constexpr std::array<std::pair<MemberState, std::string_view>, 4> entries{ {
-        { MemberState::Alive, "alive" },
-        { MemberState::Suspected, "suspected" },
-        { MemberState::Leaving, "leaving" },
-        { MemberState::Dead, "dead" },
-    } };
+    static constexpr std::array<std::pair<MemberState, std::string_view>, 4> entries{{
+        {MemberState::Alive, "alive"},
+        {MemberState::Suspected, "suspected"},
+        {MemberState::Leaving, "leaving"},
+        {MemberState::Dead, "dead"},
+    }};
 };
 
 /** \brief One entry node as membership sees it. */
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -12,8 +12,8 @@
 {
     std::string address_; ///< host:port
     HttpRequest request_;
-    Duration connectTimeout_{ 1'000'000 };
-    Duration timeout_{ 60'000'000 }; ///< For the whole exchange.
+    Duration connectTimeout_{1'000'000};
+    Duration timeout_{60'000'000}; ///< For the whole exchange.
     std::size_t answerBytes_ = 16 * 1024 * 1024; ///< A longer answer is Interrupted.
     bool mayReuse_ = true; ///< False for calls that may be sent once only: a fresh connection is used.
     std::function<void(int status, const std::string &part)> onPart_; ///< If set, the body is passed on in parts.
--- a/src/policy/schedulertypes.h
+++ b/src/policy/schedulertypes.h
@@ -36,7 +36,7 @@
 struct LoadReport
 {
     EndpointId endpoint_;
-    Time measuredAt_{ 0 }; ///< When the engine measured it, by this node's clock less the known lag.
+    Time measuredAt_{0}; ///< When the engine measured it, by this node's clock less the known lag.
     std::int32_t running_ = 0; ///< Streams that decode.
     std::int32_t waiting_ = 0; ///< Requests in its queue.
     std::int64_t waitingPromptTokens_ = 0; ///< Prompt tokens not yet computed.
@@ -76,8 +76,8 @@
     std::int64_t maxTokens_ = 0;
     EndpointId homeEngine_; ///< From the journal; after a takeover the only hint.
     std::uint32_t turn_ = 0; ///< Turns of the program before this one.
-    Time programStarted_{ 0 };
-    Time deadline_{ 0 }; ///< 0 for none.
+    Time programStarted_{0};
+    Time deadline_{0}; ///< 0 for none.
     Offset fencing_ = 0;
 };
 
@@ -100,15 +100,15 @@
 template<>
 struct NameTable<AttemptStatus>
 {
-    static constexpr std::array<std::pair<AttemptStatus, std::string_view>, 7> entries{ {
-        { AttemptStatus::Answered, "answered" },
-        { AttemptStatus::NotSent, "not_sent" },
-        { AttemptStatus::Rejected, "rejected" },
-        { AttemptStatus::TimedOut, "timed_out" },
-        { AttemptStatus::ConnectionLost, "connection_lost" },
-        { AttemptStatus::Crashed, "crashed" },
-        { AttemptStatus::Cancelled, "cancelled" },
-    } };
+    static constexpr std::array<std::pair<AttemptStatus, std::string_view>, 7> entries{{
+        {AttemptStatus::Answered, "answered"},
+        {AttemptStatus::NotSent, "not_sent"},
+        {AttemptStatus::Rejected, "rejected"},
+        {AttemptStatus::TimedOut, "timed_out"},
+        {AttemptStatus::ConnectionLost, "connection_lost"},
+        {AttemptStatus::Crashed, "crashed"},
+        {AttemptStatus::Cancelled, "cancelled"},
+    }};
 };
 
 /** \brief Result of one attempt; reported exactly once for each StartOrder. */
@@ -122,8 +122,8 @@
     std::int64_t promptTokens_ = 0;
     std::int64_t cachedTokens_ = 0; ///< Prompt tokens that the engine had in its cache.
     std::int64_t generatedTokens_ = 0;
-    Duration latency_{ 0 };
-    Duration firstToken_{ 0 }; ///< From sending to the first token.
+    Duration latency_{0};
+    Duration firstToken_{0}; ///< From sending to the first token.
 };
 
 /** \brief What an order to an engine's memory or models asks for; always a wanted state, never a step. */
@@ -132,16 +132,16 @@
 template<>
 struct NameTable<OrderKind>
 {
-    static constexpr std::array<std::pair<OrderKind, std::string_view>, 8> entries{ {
-        { OrderKind::Pin, "pin" },
-        { OrderKind::Release, "release" },
-        { OrderKind::Export, "export" },
-        { OrderKind::Import, "import" },
-        { OrderKind::LoadModel, "load_model" },
-        { OrderKind::LoadAdapter, "load_adapter" },
-        { OrderKind::SetRole, "set_role" },
-        { OrderKind::Cancel, "cancel" },
-    } };
+    static constexpr std::array<std::pair<OrderKind, std::string_view>, 8> entries{{
+        {OrderKind::Pin, "pin"},
+        {OrderKind::Release, "release"},
+        {OrderKind::Export, "export"},
+        {OrderKind::Import, "import"},
+        {OrderKind::LoadModel, "load_model"},
+        {OrderKind::LoadAdapter, "load_adapter"},
+        {OrderKind::SetRole, "set_role"},
+        {OrderKind::Cancel, "cancel"},
+    }};
 };
 
 /** \brief An order to an engine; repeated until it is observed. */
--- a/src/program/programtypes.h
+++ b/src/program/programtypes.h
@@ -19,12 +19,12 @@
 template<>
 struct NameTable<CallKind>
 {
-    static constexpr std::array<std::pair<CallKind, std::string_view>, 4> entries{ {
-        { CallKind::Model, "model" },
-        { CallKind::Tool, "tool" },
-        { CallKind::Service, "service" },
-        { CallKind::SubAgent, "subagent" },
-    } };
+    static constexpr std::array<std::pair<CallKind, std::string_view>, 4> entries{{
+        {CallKind::Model, "model"},
+        {CallKind::Tool, "tool"},
+        {CallKind::Service, "service"},
+        {CallKind::SubAgent, "subagent"},
+    }};
 };
 
 /** \brief An amount of what a budget limits; also used for usage and reservations. */
@@ -42,7 +42,7 @@
     AccountId account_;
     ProgramId parent_; ///< Empty for the root of a tree.
     Spend budget_; ///< Of the whole tree; ignored for a sub-agent, which spends its root's budget.
-    Time deadline_{ 0 }; ///< 0 for none.
+    Time deadline_{0}; ///< 0 for none.
     std::uint32_t maxTurns_ = 200;
 };
 
@@ -58,7 +58,7 @@
     std::int64_t maxTokens_ = 0; ///< Most tokens to generate; 0 for the model's default.
     bool idempotent_ = true; ///< From configuration, not from the caller.
     std::int64_t priceMicros_ = 0; ///< Worst-case price of the call.
-    Time deadline_{ 0 }; ///< When the call is given up; 0 for the program's deadline.
+    Time deadline_{0}; ///< When the call is given up; 0 for the program's deadline.
 };
 
 /** \brief The final answer to a call; recorded, so that a repeated request id gets the same bytes. */
@@ -96,12 +96,12 @@
 template<>
 struct NameTable<DispatchStatus>
 {
-    static constexpr std::array<std::pair<DispatchStatus, std::string_view>, 4> entries{ {
-        { DispatchStatus::Answered, "answered" },
-        { DispatchStatus::NotSent, "not_sent" },
-        { DispatchStatus::Failed, "failed" },
-        { DispatchStatus::Unknown, "unknown" },
-    } };
+    static constexpr std::array<std::pair<DispatchStatus, std::string_view>, 4> entries{{
+        {DispatchStatus::Answered, "answered"},
+        {DispatchStatus::NotSent, "not_sent"},
+        {DispatchStatus::Failed, "failed"},
+        {DispatchStatus::Unknown, "unknown"},
+    }};
 };
 
 /** \brief Outcome of a Dispatch, reported exactly once for each. */
