--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -17,13 +17,22 @@
     ~HttpServer();
 
     std::uint16_t port() const;
-    /** \brief Closes the listening socket and idle connections; requests in progress go on. */
+    /**
+     * \brief Closes the listening socket and idle connections; requests in progress go on.
+     *
+     * Every answer from now on asks the caller to close. Idle connections are kept for one more second, because a
+     * request may be on its way on them. \sa openConnections()
+     */
     void stopAccepting();
     /** \brief Requests whose answer has not ended. */
     std::size_t openRequests() const;
+    /** \brief Connections that are not closed yet, idle ones included. */
+    std::size_t openConnections() const;
 
-private:
+    /** \brief The listening socket and its connections; only for the net module. */
     struct Private;
+
+private:
     explicit HttpServer(std::shared_ptr<Private> d);
     std::shared_ptr<Private> d_;
 };
