--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -20,7 +20,12 @@
     std::function<void(const HttpResult &)> onDone_; ///< Exactly once.
 };
 
-/** \brief HTTP/1.1 client over Boost.Beast that keeps connections open. It never sends a request twice by itself. */
+/**
+ * \brief HTTP/1.1 client over Boost.Beast that keeps connections open. It never sends a request twice by itself.
+ *
+ * A call whose address, method, target or headers could not be sent as one request ends as NotConnected. Hooks are
+ * called from the loop, never from within start() or cancel(), and not after the client's destruction.
+ */
 class HttpClient
 {
 public:
--- /dev/null
+++ b/test/net/loopfixture.h
@@ -0,0 +1,63 @@
+#ifndef FILBERTGW_TEST_NET_LOOPFIXTURE_H
+#define FILBERTGW_TEST_NET_LOOPFIXTURE_H
+
+#include "net/ioloop.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace filbertgw::testing {
+
+/** \brief Runs a loop until a condition holds. */
+class LoopFixture : public ::testing::Test
+{
+public:
+    /** \brief Runs the loop until done() returns true. The long limit ends a hung test; nothing else depends on it. */
+    void runUntil(const std::function<bool()> &done)
+    {
+        bool gaveUp = false;
+        const std::uint64_t limit = loop_.after(std::chrono::seconds(60), [this, &gaveUp] {
+            gaveUp = true;
+            loop_.stop();
+        });
+        const std::uint64_t check = loop_.every(std::chrono::milliseconds(1), [this, &done] {
+            if (done()) {
+                loop_.stop();
+            }
+        });
+        if (!done()) {
+            loop_.run();
+        }
+        loop_.cancel(limit);
+        loop_.cancel(check);
+        ASSERT_FALSE(gaveUp) << "the condition was not reached";
+    }
+
+    IoLoop loop_;
+};
+
+/** \brief A blocking socket of a test's own, for what no well-behaved client would send. */
+class RawSocket
+{
+public:
+    /** \param receiveBytes size of the receive buffer, 0 for the default. */
+    explicit RawSocket(std::uint16_t port, int receiveBytes = 0);
+    RawSocket(const RawSocket &) = delete;
+    RawSocket &operator=(const RawSocket &) = delete;
+    ~RawSocket();
+
+    void send(const std::string &bytes);
+    /** \brief Takes what has arrived, without waiting. \return false once the peer has closed. */
+    bool receive();
+    void close();
+
+    std::string received_;
+
+private:
+    int descriptor_;
+};
+
+} // namespace filbertgw::testing
+
+#endif
