--- a/cmake/FilbertgwOptions.cmake
+++ b/cmake/FilbertgwOptions.cmake
@@ -28,6 +28,8 @@
     Boost::log Boost::thread Boost::system OpenSSL::SSL OpenSSL::Crypto TBB::tbb
     nlohmann_json::nlohmann_json Threads::Threads)
 if(FILBERTGW_SANITIZE)
-    target_compile_options(filbertgw_options INTERFACE -fsanitize=${FILBERTGW_SANITIZE} -fno-omit-frame-pointer -g)
+    # GCC's -Wmaybe-uninitialized has false positives in Beast's headers when sanitizers instrument them.
+    target_compile_options(filbertgw_options INTERFACE
+        -fsanitize=${FILBERTGW_SANITIZE} -fno-omit-frame-pointer -g -Wno-maybe-uninitialized)
     target_link_options(filbertgw_options INTERFACE -fsanitize=${FILBERTGW_SANITIZE})
 endif()
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -121,7 +121,7 @@
     }
 };
 
-class Connection;
+class HttpConnection;
 
 } // namespace internal
 
@@ -144,7 +144,7 @@
     const HttpLimits limits_;
     HttpHandler handler_;
     internal::Tcp::acceptor acceptor_;
-    std::unordered_set<std::shared_ptr<internal::Connection>> connections_;
+    std::unordered_set<std::shared_ptr<internal::HttpConnection>> connections_;
     std::size_t openRequests_ = 0;
     std::uint64_t sweepTimer_ = 0;
     std::uint64_t acceptTimer_ = 0;
@@ -161,10 +161,10 @@
  * caller has sent more than one read ahead. Answers collect in pending_ while a write is in progress: parts of a
  * stream that come faster than the socket takes them go out in one system call.
  */
-class Connection : public std::enable_shared_from_this<Connection>
+class HttpConnection : public std::enable_shared_from_this<HttpConnection>
 {
 public:
-    Connection(std::shared_ptr<HttpServer::Private> server, Tcp::socket socket)
+    HttpConnection(std::shared_ptr<HttpServer::Private> server, Tcp::socket socket)
         : server_(std::move(server))
         , socket_(std::move(socket))
         , input_(std::max(readBytes, server_->limits_.headerBytes_))
@@ -225,17 +225,17 @@
     std::function<void()> closed_;
 };
 
-class Reply : public HttpReply
+class HttpServerReply : public HttpReply
 {
 public:
-    Reply(std::shared_ptr<Connection> connection, std::uint64_t request)
+    HttpServerReply(std::shared_ptr<HttpConnection> connection, std::uint64_t request)
         : connection_(std::move(connection))
         , request_(request)
     {
     }
-    Reply(const Reply &) = delete;
-    Reply &operator=(const Reply &) = delete;
-    ~Reply() override
+    HttpServerReply(const HttpServerReply &) = delete;
+    HttpServerReply &operator=(const HttpServerReply &) = delete;
+    ~HttpServerReply() override
     {
         connection_->abort(request_);
     }
@@ -266,11 +266,11 @@
     }
 
 private:
-    std::shared_ptr<Connection> connection_;
+    std::shared_ptr<HttpConnection> connection_;
     std::uint64_t request_;
 };
 
-void Connection::start()
+void HttpConnection::start()
 {
     error_code ignored;
     socket_.set_option(Tcp::no_delay(true), ignored);
@@ -279,18 +279,18 @@
     read();
 }
 
-void Connection::setDeadline(std::uint32_t seconds)
+void HttpConnection::setDeadline(std::uint32_t seconds)
 {
     hasDeadline_ = true;
     deadline_ = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
 }
 
-bool Connection::isOpen(std::uint64_t request) const
+bool HttpConnection::isOpen(std::uint64_t request) const
 {
     return request == request_ && (state_ == State::Handling || state_ == State::Streaming);
 }
 
-void Connection::read()
+void HttpConnection::read()
 {
     if (state_ == State::Draining) {
         input_.clear();
@@ -316,7 +316,7 @@
     socket_.async_read_some(input_.prepare(room), handler);
 }
 
-void Connection::parse()
+void HttpConnection::parse()
 {
     // A handler that answers at once comes back here through answerEnded(); the loop below goes on in its place.
     if (parsing_) {
@@ -363,7 +363,7 @@
     read();
 }
 
-void Connection::handle()
+void HttpConnection::handle()
 {
     state_ = State::Handling;
     hasDeadline_ = false;
@@ -373,10 +373,10 @@
     ++request_;
     ++server_->openRequests_;
     const std::unique_ptr<RequestParser> parser = std::move(parser_);
-    server_->handler_(parser->request_, std::make_shared<Reply>(shared_from_this(), request_));
+    server_->handler_(parser->request_, std::make_shared<HttpServerReply>(shared_from_this(), request_));
 }
 
-void Connection::refuse(int status, const std::string &type, const std::string &message)
+void HttpConnection::refuse(int status, const std::string &type, const std::string &message)
 {
     keepAlive_ = false;
     headOnly_ = false;
@@ -391,7 +391,7 @@
     flush();
 }
 
-void Connection::appendHead(int status, const std::string &contentType)
+void HttpConnection::appendHead(int status, const std::string &contentType)
 {
     const beast::string_view reason = http::obsolete_reason(static_cast<http::status>(status));
     pending_ += chunked_ ? "HTTP/1.1 " : "HTTP/1.0 ";
@@ -411,7 +411,7 @@
     }
 }
 
-void Connection::send(std::uint64_t request, int status, const std::string &contentType, const std::string &body)
+void HttpConnection::send(std::uint64_t request, int status, const std::string &contentType, const std::string &body)
 {
     if (!isOpen(request) || state_ != State::Handling) {
         return;
@@ -424,7 +424,7 @@
     answerEnded();
 }
 
-void Connection::startStream(std::uint64_t request, int status, const std::string &contentType)
+void HttpConnection::startStream(std::uint64_t request, int status, const std::string &contentType)
 {
     if (!isOpen(request) || state_ != State::Handling) {
         return;
@@ -438,7 +438,7 @@
     flush();
 }
 
-void Connection::write(std::uint64_t request, const std::string &part)
+void HttpConnection::write(std::uint64_t request, const std::string &part)
 {
     if (!isOpen(request) || state_ != State::Streaming || part.empty() || headOnly_) {
         return;
@@ -459,7 +459,7 @@
     flush();
 }
 
-void Connection::finish(std::uint64_t request)
+void HttpConnection::finish(std::uint64_t request)
 {
     if (!isOpen(request) || state_ != State::Streaming) {
         return;
@@ -470,7 +470,7 @@
     answerEnded();
 }
 
-void Connection::abort(std::uint64_t request)
+void HttpConnection::abort(std::uint64_t request)
 {
     if (isOpen(request)) {
         closed_ = nullptr; // The caller of abort() knows.
@@ -478,7 +478,7 @@
     }
 }
 
-void Connection::onClosed(std::uint64_t request, std::function<void()> closed)
+void HttpConnection::onClosed(std::uint64_t request, std::function<void()> closed)
 {
     if (isOpen(request)) {
         closed_ = std::move(closed);
@@ -490,7 +490,7 @@
     }
 }
 
-void Connection::answerEnded()
+void HttpConnection::answerEnded()
 {
     --server_->openRequests_;
     const std::function<void()> dropped = std::move(closed_);
@@ -508,7 +508,7 @@
     read();
 }
 
-void Connection::flush()
+void HttpConnection::flush()
 {
     if (writeInProgress_ || state_ == State::Closed) {
         return;
@@ -531,7 +531,7 @@
                       [self = shared_from_this()](const error_code &error, std::size_t) { self->written(error); });
 }
 
-void Connection::written(const error_code &error)
+void HttpConnection::written(const error_code &error)
 {
     writeInProgress_ = false;
     if (error) {
@@ -541,12 +541,12 @@
     flush();
 }
 
-void Connection::close()
+void HttpConnection::close()
 {
     if (state_ == State::Closed) {
         return;
     }
-    const std::shared_ptr<Connection> self = shared_from_this();
+    const std::shared_ptr<HttpConnection> self = shared_from_this();
     if (state_ == State::Handling || state_ == State::Streaming) {
         --server_->openRequests_;
     }
@@ -562,14 +562,14 @@
     }
 }
 
-void Connection::closeSoonIfIdle()
+void HttpConnection::closeSoonIfIdle()
 {
     if (state_ == State::Idle) {
         deadline_ = std::min(deadline_, std::chrono::steady_clock::now() + stopGrace);
     }
 }
 
-void Connection::closeIfExpired(SteadyTime now)
+void HttpConnection::closeIfExpired(SteadyTime now)
 {
     const bool late = hasDeadline_ && now >= deadline_;
     const bool stuck = writeInProgress_ && now >= writeDeadline_;
@@ -632,8 +632,8 @@
         socket.write_some(boost::asio::buffer(full), ignored);
         return;
     }
-    const std::shared_ptr<internal::Connection> connection =
-        std::make_shared<internal::Connection>(shared_from_this(), std::move(socket));
+    const std::shared_ptr<internal::HttpConnection> connection =
+        std::make_shared<internal::HttpConnection>(shared_from_this(), std::move(socket));
     connections_.insert(connection);
     connection->start();
 }
@@ -641,8 +641,8 @@
 void HttpServer::Private::sweep()
 {
     const internal::SteadyTime now = std::chrono::steady_clock::now();
-    const std::vector<std::shared_ptr<internal::Connection>> all(connections_.begin(), connections_.end());
-    for (const std::shared_ptr<internal::Connection> &connection : all) {
+    const std::vector<std::shared_ptr<internal::HttpConnection>> all(connections_.begin(), connections_.end());
+    for (const std::shared_ptr<internal::HttpConnection> &connection : all) {
         connection->closeIfExpired(now);
     }
 }
@@ -698,8 +698,8 @@
     d_->acceptor_.close(ignored);
     d_->loop_.cancel(d_->sweepTimer_);
     d_->loop_.cancel(d_->acceptTimer_);
-    const std::vector<std::shared_ptr<internal::Connection>> all(d_->connections_.begin(), d_->connections_.end());
-    for (const std::shared_ptr<internal::Connection> &connection : all) {
+    const std::vector<std::shared_ptr<internal::HttpConnection>> all(d_->connections_.begin(), d_->connections_.end());
+    for (const std::shared_ptr<internal::HttpConnection> &connection : all) {
         connection->close();
     }
 }
@@ -718,8 +718,8 @@
     d_->acceptWaiting();
     boost::system::error_code ignored;
     d_->acceptor_.close(ignored);
-    const std::vector<std::shared_ptr<internal::Connection>> all(d_->connections_.begin(), d_->connections_.end());
-    for (const std::shared_ptr<internal::Connection> &connection : all) {
+    const std::vector<std::shared_ptr<internal::HttpConnection>> all(d_->connections_.begin(), d_->connections_.end());
+    for (const std::shared_ptr<internal::HttpConnection> &connection : all) {
         connection->closeSoonIfIdle();
     }
 }
