--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -149,6 +149,7 @@
     std::uint64_t sweepTimer_ = 0;
     std::uint64_t acceptTimer_ = 0;
     std::uint16_t port_ = 0;
+    bool destroyed_ = false;
     bool stopping_ = false; ///< Answers are the last on their connection.
 };
 
@@ -203,6 +204,7 @@
     void written(const error_code &error);
     void appendHead(int status, const std::string &contentType);
     void setDeadline(std::uint32_t seconds);
+    void reportClosed(std::function<void()> closed);
     bool isOpen(std::uint64_t request) const;
 
     std::shared_ptr<HttpServer::Private> server_;
@@ -486,7 +488,7 @@
     }
     // The connection may be gone before the handler gets here; an answer that has ended is never reported.
     if (request == request_ && state_ == State::Closed) {
-        server_->loop_.post(std::move(closed));
+        reportClosed(std::move(closed));
     }
 }
 
@@ -556,12 +558,21 @@
     pending_ = std::string();
     server_->connections_.erase(self);
     if (closed_) {
-        // Not called from within, so that a handler that writes doesn't meet its own end.
-        server_->loop_.post(std::move(closed_));
+        reportClosed(std::move(closed_));
         closed_ = nullptr;
     }
 }
 
+void HttpConnection::reportClosed(std::function<void()> closed)
+{
+    // Not called from within, so that a handler that writes doesn't meet its own end.
+    server_->loop_.post([server = server_, closed = std::move(closed)] {
+        if (!server->destroyed_) {
+            closed();
+        }
+    });
+}
+
 void HttpConnection::closeSoonIfIdle()
 {
     if (state_ == State::Idle) {
@@ -695,6 +706,7 @@
 HttpServer::~HttpServer()
 {
     boost::system::error_code ignored;
+    d_->destroyed_ = true;
     d_->acceptor_.close(ignored);
     d_->loop_.cancel(d_->sweepTimer_);
     d_->loop_.cancel(d_->acceptTimer_);
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -34,7 +34,7 @@
     virtual void finish() = 0;
     /** \brief Closes the connection without an end of the answer. */
     virtual void abort() = 0;
-    /** \brief Called once if the peer closes before the answer has ended. */
+    /** \brief Called once from the loop if the peer closes before the answer has ended; an empty function clears it. */
     virtual void onClosed(std::function<void()> closed) = 0;
 };
 
