--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -588,7 +588,13 @@
         close();
     } else if (late && state_ == State::Reading) {
         refuse(408, "invalid_request", "the request did not arrive in time");
-    } else if (late && !(state_ == State::Idle && writeInProgress_)) {
+    } else if (late && state_ == State::Idle) {
+        // A request that has arrived is read first.
+        error_code ignored;
+        if (!writeInProgress_ && socket_.available(ignored) == 0) {
+            close();
+        }
+    } else if (late) {
         close();
     }
 }
--- a/test/net/http.cpp
+++ b/test/net/http.cpp
@@ -6,6 +6,7 @@
 
 using namespace filbertgw;
 using filbertgw::testing::LoopFixture;
+using filbertgw::testing::RawListener;
 using filbertgw::testing::RawSocket;
 
 namespace {
@@ -158,3 +159,296 @@
         BadRequestCase{"BadVersion", "GET / HTTP/9.9\r\n\r\n", "HTTP/1.1 400"},
         BadRequestCase{"NulInHeader", std::string("GET / HTTP/1.1\r\nA: b\0c\r\n\r\n", 26), "HTTP/1.1 400"}),
     [](const ::testing::TestParamInfo<BadRequestCase> &info) { return std::string(info.param.name_); });
+
+// Guards against a connection whose request came in pieces, or several in one, that is misread.
+TEST_F(HttpFixture, ReadsRequestsInAnyPieces)
+{
+    listen(echo);
+    const std::string one = "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc";
+    const std::string two = "POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n1\r\nf\r\n0\r\n\r\n";
+    const std::string end = "GET /c HTTP/1.1\r\nConnection: close\r\n\r\n";
+    RawSocket whole(server_->port());
+    whole.send(one + two + end);
+    RawSocket pieces(server_->port());
+    std::size_t sent = 0;
+    const std::string all = one + two + end;
+    runUntil([&whole, &pieces, &sent, &all] {
+        if (sent < all.size()) {
+            pieces.send(all.substr(sent++, 1));
+        }
+        const bool isWholeOpen = whole.receive();
+        return !pieces.receive() && !isWholeOpen;
+    });
+    EXPECT_EQ(whole.received_, pieces.received_);
+    for (const char *answer : {"POST /a abc", "POST /b def", "GET /c "}) {
+        EXPECT_NE(whole.received_.find(answer), std::string::npos) << answer;
+    }
+}
+
+// Guards against memory that grows while a caller does not read its stream.
+TEST_F(HttpFixture, DisconnectsACallerThatReadsTooSlowly)
+{
+    limits_.writeBufferBytes_ = 100'000;
+    bool closed = false;
+    std::size_t written = 0;
+    std::shared_ptr<HttpReply> kept;
+    listen([&closed, &kept](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+        reply->onClosed([&closed] { closed = true; });
+        reply->startStream(200, "text/event-stream");
+        kept = reply;
+    });
+    RawSocket socket(server_->port(), 4096);
+    socket.send("GET / HTTP/1.1\r\n\r\n");
+    runUntil([&kept] { return kept != nullptr; });
+    runUntil([&closed, &kept, &written] {
+        kept->write(std::string(10'000, 'x'));
+        written += 10'000;
+        return closed;
+    });
+    EXPECT_EQ(server_->openConnections(), 0U);
+    EXPECT_EQ(server_->openRequests(), 0U);
+    EXPECT_GT(written, limits_.writeBufferBytes_);
+}
+
+// Guards against a caller that stops reading for good and keeps a connection that has an answer to write.
+TEST_F(HttpFixture, DisconnectsACallerThatStopsReading)
+{
+    limits_.idleSeconds_ = 1;
+    listen([](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+        reply->send(200, "text/plain", std::string(20'000'000, 'x'));
+    });
+    RawSocket socket(server_->port(), 4096);
+    socket.send("GET / HTTP/1.1\r\n\r\n");
+    runUntil([this] { return server_->openConnections() == 1; });
+    runUntil([this] { return server_->openConnections() == 0; });
+}
+
+// Guards against work that goes on for a caller that has left.
+TEST_F(HttpFixture, ReportsACallerThatLeaves)
+{
+    int closed = 0;
+    std::vector<std::shared_ptr<HttpReply>> kept;
+    listen([&closed, &kept](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+        reply->onClosed([&closed] { ++closed; });
+        kept.push_back(reply);
+    });
+    const std::uint64_t first = client_.start(call("GET", "/"));
+    RawSocket second(server_->port());
+    second.send("GET / HTTP/1.1\r\n\r\n");
+    runUntil([&kept] { return kept.size() == 2; });
+    client_.cancel(first);
+    second.close();
+    runUntil([&closed] { return closed == 2; });
+    ASSERT_EQ(results_.size(), 1U);
+    EXPECT_EQ(results_[0].outcome_, HttpOutcome::Cancelled);
+    kept[0]->send(200, "text/plain", "too late");
+    EXPECT_EQ(server_->openRequests(), 0U);
+}
+
+// Guards against connections beyond the limit, and against a refusal that a caller can't tell from a crash.
+TEST_F(HttpFixture, RefusesConnectionsBeyondTheLimit)
+{
+    limits_.connections_ = 2;
+    listen(echo);
+    const RawSocket first(server_->port());
+    const RawSocket second(server_->port());
+    runUntil([this] { return server_->openConnections() == 2; });
+    RawSocket third(server_->port());
+    runUntil([&third] { return !third.receive(); });
+    EXPECT_EQ(third.received_.substr(0, 12), "HTTP/1.1 503");
+    EXPECT_NE(third.received_.find("not_run"), std::string::npos);
+    EXPECT_EQ(server_->openConnections(), 2U);
+}
+
+// Guards against a planned stop that cuts requests: those in progress, those in the kernel's queue and those that
+// arrive on open connections.
+TEST_F(HttpFixture, PlannedStopCutsNoRequest)
+{
+    std::vector<std::shared_ptr<HttpReply>> kept;
+    listen([&kept](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
+        if (request.target_ == "/slow") {
+            kept.push_back(reply);
+        } else {
+            echo(request, reply);
+        }
+    });
+    client_.start(call("GET", "/slow"));
+    client_.start(call("GET", "/quick"));
+    runUntil([this, &kept] { return kept.size() == 1 && results_.size() == 1; });
+    RawSocket queued(server_->port());
+    server_->stopAccepting();
+    queued.send("GET /queued HTTP/1.1\r\n\r\n");
+    client_.start(call("GET", "/on-an-idle-connection"));
+    runUntil([this, &queued] { return results_.size() == 2 && !queued.receive(); });
+    EXPECT_NE(queued.received_.find("GET /queued"), std::string::npos);
+    EXPECT_EQ(server_->openRequests(), 1U);
+    kept[0]->send(200, "text/plain", "slow");
+    kept.clear();
+    runUntil([this] { return results_.size() == 3 && server_->openConnections() == 0; });
+    for (const HttpResult &result : results_) {
+        EXPECT_EQ(result.outcome_, HttpOutcome::Complete);
+    }
+    client_.start(call("GET", "/"));
+    runUntil([this] { return results_.size() == 4; });
+    EXPECT_EQ(results_[3].outcome_, HttpOutcome::NotConnected);
+}
+
+// Guards against a call that may be sent once only and meets a pooled connection that the server is closing.
+TEST_F(HttpFixture, UsesAFreshConnectionIfAsked)
+{
+    listen(echo);
+    for (const bool mayReuse : {true, true, false}) {
+        HttpCall next = call("GET", "/");
+        next.mayReuse_ = mayReuse;
+        const std::size_t before = results_.size();
+        client_.start(std::move(next));
+        runUntil([this, before] { return results_.size() > before; });
+    }
+    EXPECT_EQ(server_->openConnections(), 2U);
+}
+
+// Guards against a hook that cancels its own call, which destroys the hook while it runs.
+TEST_F(HttpFixture, MayBeCancelledFromItsOwnHook)
+{
+    listen([](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+        reply->startStream(200, "text/plain");
+        reply->write("one");
+        reply->onClosed([reply] {});
+    });
+    std::uint64_t id = 0;
+    const std::shared_ptr<std::string> held = std::make_shared<std::string>("alive");
+    HttpCall next = call("GET", "/");
+    next.onPart_ = [this, &id, held](int, const std::string &) {
+        client_.cancel(id);
+        EXPECT_EQ(*held, "alive");
+    };
+    id = client_.start(std::move(next));
+    runUntil([this] { return !results_.empty(); });
+    EXPECT_EQ(results_[0].outcome_, HttpOutcome::Cancelled);
+}
+
+struct AnswerCase
+{
+    const char *name_;
+    std::string answer_; ///< Sent as it is, then the connection closes if closes_ is set.
+    bool closes_;
+    HttpOutcome outcome_;
+    int status_;
+    std::string body_;
+};
+
+class ServerAnswer : public HttpFixture, public ::testing::WithParamInterface<AnswerCase>
+{
+};
+
+// Guards against an answer that is cut, malformed or too long and taken for whole, and a request that is sent twice.
+TEST_P(ServerAnswer, GivesItsOutcome)
+{
+    RawListener listener;
+    address_ = "127.0.0.1:" + std::to_string(listener.port());
+    HttpCall next = call("POST", "/", "body");
+    next.answerBytes_ = 1000;
+    next.timeout_ = Duration{GetParam().outcome_ == HttpOutcome::TimedOut ? 200'000 : 30'000'000};
+    client_.start(std::move(next));
+    runUntil([this, &listener] {
+        listener.serve(GetParam().answer_, GetParam().closes_);
+        return !results_.empty();
+    });
+    EXPECT_EQ(results_[0].outcome_, GetParam().outcome_);
+    EXPECT_EQ(results_[0].status_, GetParam().status_);
+    EXPECT_EQ(results_[0].body_, GetParam().body_);
+    listener.serve("", true);
+    EXPECT_EQ(listener.requests(), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ServerAnswer,
+    ::testing::Values(
+        AnswerCase{"Whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false, HttpOutcome::Complete, 200, "hi"},
+        AnswerCase{"UntilClose", "HTTP/1.1 200 OK\r\n\r\nhi", true, HttpOutcome::Complete, 200, "hi"},
+        AnswerCase{"AfterInterim",
+                   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 409 No\r\nContent-Length: 2\r\n\r\nhi",
+                   false,
+                   HttpOutcome::Complete,
+                   409,
+                   "hi"},
+        AnswerCase{"NoContent", "HTTP/1.1 204 No Content\r\n\r\n", false, HttpOutcome::Complete, 204, ""},
+        AnswerCase{"Nothing", "", true, HttpOutcome::Interrupted, 0, ""},
+        AnswerCase{"HalfAHeader", "HTTP/1.1 200 OK\r\nConte", true, HttpOutcome::Interrupted, 200, ""},
+        AnswerCase{
+            "HalfABody", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", true, HttpOutcome::Interrupted, 200, "hi"},
+        AnswerCase{"NoLastChunk",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n",
+                   true,
+                   HttpOutcome::Interrupted,
+                   200,
+                   "hi"},
+        AnswerCase{"NotHttp", "220 mail.example ESMTP\r\n", false, HttpOutcome::Interrupted, 0, ""},
+        AnswerCase{"EndlessHeader",
+                   "HTTP/1.1 200 OK\r\nX: " + std::string(100'000, 'x'),
+                   false,
+                   HttpOutcome::Interrupted,
+                   200,
+                   ""},
+        AnswerCase{"TooLong",
+                   "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'x'),
+                   false,
+                   HttpOutcome::Interrupted,
+                   200,
+                   std::string(1001, 'x')},
+        AnswerCase{
+            "NeverEnds", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", false, HttpOutcome::TimedOut, 200, "hi"}),
+    [](const ::testing::TestParamInfo<AnswerCase> &info) { return std::string(info.param.name_); });
+
+struct UnsentCase
+{
+    const char *name_;
+    const char *address_; ///< Empty for a port that nothing listens on.
+    HttpRequest request_;
+};
+
+class UnsentCall : public HttpFixture, public ::testing::WithParamInterface<UnsentCase>
+{
+};
+
+// Guards against a request that is split or forged by what a caller put into it, and "not sent" that is not true.
+TEST_P(UnsentCall, IsNotConnected)
+{
+    int handled = 0;
+    listen([&handled](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
+        ++handled;
+        echo(request, reply);
+    });
+    HttpCall next = call("GET", "/");
+    next.request_ = GetParam().request_;
+    if (*GetParam().address_ != '\0') {
+        next.address_ = GetParam().address_;
+    }
+    client_.start(std::move(next));
+    EXPECT_TRUE(results_.empty());
+    runUntil([this] { return !results_.empty(); });
+    EXPECT_EQ(results_[0].outcome_, HttpOutcome::NotConnected);
+    EXPECT_EQ(handled, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    UnsentCall,
+    ::testing::Values(UnsentCase{"NoSuchPort", "127.0.0.1:1", {"GET", "/", {}, {}}},
+                      UnsentCase{"NoPort", "127.0.0.1", {"GET", "/", {}, {}}},
+                      UnsentCase{"PortTooLarge", "127.0.0.1:65536", {"GET", "/", {}, {}}},
+                      UnsentCase{"LineEndInHeader", "", {"GET", "/", {{"x-request-id", "a\r\nx: b"}}, {}}},
+                      UnsentCase{"LineEndInName", "", {"GET", "/", {{"x\r\ny", "b"}}, {}}},
+                      UnsentCase{"LineEndInTarget", "", {"GET", "/ HTTP/1.1\r\nx: b\r\n\r\n", {}, {}}},
+                      UnsentCase{"SpaceInMethod", "", {"GET /", "/", {}, {}}},
+                      UnsentCase{"NoTarget", "", {"GET", "", {}, {}}}),
+    [](const ::testing::TestParamInfo<UnsentCase> &info) { return std::string(info.param.name_); });
+
+// Guards against an address that can't be had and is reported as listening.
+TEST_F(HttpFixture, ReportsAnAddressInUse)
+{
+    listen(echo);
+    EXPECT_FALSE(HttpServer::listen(loop_, address_, limits_, echo));
+    EXPECT_FALSE(HttpServer::listen(loop_, "nonsense", limits_, echo));
+}
--- a/test/net/loopfixture.cpp
+++ b/test/net/loopfixture.cpp
@@ -56,4 +56,66 @@
     }
 }
 
+RawListener::RawListener()
+    : descriptor_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    constexpr int backlog = 16;
+    if (::bind(descriptor_, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0
+        || ::listen(descriptor_, backlog) != 0) {
+        ADD_FAILURE() << "cannot listen";
+    }
+}
+
+RawListener::~RawListener()
+{
+    for (const std::pair<const int, std::string> &connection : connections_) {
+        ::close(connection.first);
+    }
+    ::close(descriptor_);
+}
+
+std::uint16_t RawListener::port() const
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    ::getsockname(descriptor_, reinterpret_cast<sockaddr *>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+void RawListener::serve(const std::string &answer, bool closes)
+{
+    for (int next = ::accept(descriptor_, nullptr, nullptr); next >= 0;
+         next = ::accept(descriptor_, nullptr, nullptr)) {
+        connections_[next] = {};
+    }
+    for (auto connection = connections_.begin(); connection != connections_.end();) {
+        const int descriptor = connection->first;
+        std::array<char, 4096> buffer{};
+        const ssize_t size = ::recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        connection->second.append(buffer.data(), size > 0 ? static_cast<std::size_t>(size) : 0);
+        const std::size_t end = connection->second.find("\r\n\r\nbody");
+        if (end == std::string::npos) {
+            ++connection;
+            continue;
+        }
+        ++requests_;
+        connection->second.clear();
+        (void)!::send(descriptor, answer.data(), answer.size(), MSG_NOSIGNAL);
+        if (closes) {
+            ::close(descriptor);
+            connection = connections_.erase(connection);
+        } else {
+            ++connection;
+        }
+    }
+}
+
+int RawListener::requests() const
+{
+    return requests_;
+}
+
 } // namespace filbertgw::testing
--- a/test/net/loopfixture.h
+++ b/test/net/loopfixture.h
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
 
 namespace filbertgw::testing {
@@ -58,6 +59,27 @@
     int descriptor_;
 };
 
+/** \brief A listening socket of a test's own, for answers that no well-behaved server would send. */
+class RawListener
+{
+public:
+    RawListener();
+    RawListener(const RawListener &) = delete;
+    RawListener &operator=(const RawListener &) = delete;
+    ~RawListener();
+
+    std::uint16_t port() const;
+    /** \brief Takes waiting connections and answers each request that has arrived on them. */
+    void serve(const std::string &answer, bool closes);
+    /** \brief Requests that have arrived. */
+    int requests() const;
+
+private:
+    int descriptor_;
+    int requests_ = 0;
+    std::map<int, std::string> connections_; ///< Bytes received, by descriptor.
+};
+
 } // namespace filbertgw::testing
 
 #endif
