Compute the preferred node of each slot

Programs need one node that every member agrees on for each slot. A rebuild with the same live members is skipped.

--- a/src/membership/slotmap.h
+++ b/src/membership/slotmap.h
@@ -35,8 +35,12 @@
 
 private:
     std::vector<NodeId> preferred_ = std::vector<NodeId>(slotCount);
+    std::vector<std::uint64_t> liveHashes_; ///< Of the live members of the last rebuild, which is skipped if equal.
 };
 
+/** \brief A 64-bit hash of a string; stable across processes, versions and machines. */
+std::uint64_t stableHash(const std::string &text);
+
 /** \brief Rendezvous weight of a node for a key; the highest weight wins. Stable across processes and versions. */
 std::uint64_t rendezvousWeight(const std::string &node, const std::string &key);
 
