Fold configuration records and tail the stream

A node must reach the same configuration from the stream, from what the log still keeps of it, and from a peer. ConfigFold decides by offset order; ConfigController reads by long poll, asks peers that are ahead when the log does not deliver, and re-appends records before they expire.

A copy names the version that it proves. With the whole history at hand a copy changes nothing, so it cannot revert; after a gap the newest proof of a key is the base for later records. The age of a key is now that of the oldest entry that proves it.

--- /dev/null
+++ b/src/config/configfold.cpp
@@ -0,0 +1,454 @@
+#include "config/configfold.h"
+
+#include "config/configcontroller.h"
+#include "config/recordparsing.h"
+#include "membership/slotmap.h"
+
+#include <algorithm>
+
+namespace filbertgw {
+
+namespace internal {
+
+Offset offsetOf(const nlohmann::json &record, const char *field)
+{
+    const auto value = record.find(field);
+    return value == record.end() ? 0 : value->get<Offset>();
+}
+
+bool isCopy(const nlohmann::json &record)
+{
+    return record.count("origin") != 0;
+}
+
+/** \brief True if the copied record is of a schema or kind that the copying node doesn't know; it proves nothing. */
+bool isRetainedCopy(const nlohmann::json &record)
+{
+    const auto retained = record.find("retained");
+    return isCopy(record) && retained != record.end() && *retained == true;
+}
+
+std::string joinDetails(const std::vector<Failure> &failures)
+{
+    std::string joined;
+    for (const Failure &failure : failures) {
+        joined += (joined.empty() ? "" : "; ") + failure.detail_;
+    }
+    constexpr std::size_t maxDetailBytes = 512;
+    return joined.substr(0, maxDetailBytes);
+}
+
+std::string textOr(const nlohmann::json &record, const char *field)
+{
+    constexpr std::size_t maxShownBytes = 128;
+    if (!record.is_object() || record.count(field) == 0 || !record[field].is_string()) {
+        return "";
+    }
+    return record[field].get<std::string>().substr(0, maxShownBytes);
+}
+
+} // namespace internal
+
+PackedEntry packEntry(const LogEntry &entry)
+{
+    return PackedEntry{entry.offset_, entry.time_, internal::pack(entry.body_)};
+}
+
+LogEntry unpackEntry(const PackedEntry &entry)
+{
+    return LogEntry{entry.offset_, entry.time_, internal::unpack(entry.packed_)};
+}
+
+ConfigFold::ConfigFold(ConfigSection &section)
+    : section_(section)
+{
+}
+
+FoldVerdict ConfigFold::fold(const LogEntry &entry)
+{
+    if (entry.offset_ <= section_.offset_) {
+        return FoldVerdict::Stale;
+    }
+    section_.offset_ = entry.offset_;
+    const FoldVerdict verdict = judge(entry);
+    rememberEntry(entry);
+    return verdict;
+}
+
+FoldVerdict ConfigFold::judge(const LogEntry &entry)
+{
+    const std::vector<Failure> header = validateHeader(entry.body_);
+    if (!header.empty()) {
+        return hold(entry, FoldVerdict::Invalid, internal::joinDetails(header));
+    }
+    if (internal::isCopy(entry.body_)) {
+        return judgeCopy(entry);
+    }
+    const RecordKey key = keyOf(entry.body_);
+    const std::uint64_t idHash = stableHash(entry.body_.at("id").get_ref<const std::string &>());
+    if (isKnownId(idHash, key)) {
+        return FoldVerdict::Duplicate;
+    }
+    rememberId(idHash, entry.offset_);
+    if (!isKnownSchema(entry.body_)) {
+        retain(entry);
+        return hold(entry, FoldVerdict::UnknownSchema, "schema " + entry.body_.at("schema").dump());
+    }
+    if (!isKnownKind(entry.body_)) {
+        retain(entry);
+        return hold(entry, FoldVerdict::UnknownKind, "kind " + key.first);
+    }
+    const std::vector<Failure> failures = validateRecord(entry.body_);
+    if (!failures.empty()) {
+        return hold(entry, FoldVerdict::Invalid, internal::joinDetails(failures));
+    }
+    const auto current = versions_.find(key);
+    const Offset inForce = current == versions_.end() ? 0 : current->second.offset_;
+    const Offset replaces = internal::offsetOf(entry.body_, "replaces");
+    if (replaces != inForce) {
+        return hold(entry,
+                    FoldVerdict::Superseded,
+                    "replaces " + std::to_string(replaces) + ", in force is " + std::to_string(inForce));
+    }
+    // The first record of a key proves itself. A later one needs the one it replaces, so its proof is as old.
+    install(key, entry.offset_, current == versions_.end() ? entry.time_ : current->second.anchor_, entry.body_);
+    return FoldVerdict::Accepted;
+}
+
+FoldVerdict ConfigFold::judgeCopy(const LogEntry &entry)
+{
+    // With the whole history at hand a copy decides nothing; it only shows that the record needs no other copy.
+    const Offset origin = internal::offsetOf(entry.body_, "origin");
+    if (internal::isRetainedCopy(entry.body_)) {
+        const auto kept = retained_.find(origin);
+        if (kept != retained_.end()) {
+            kept->second.anchor_ = std::max(kept->second.anchor_, entry.time_);
+        }
+        return FoldVerdict::Copy;
+    }
+    const auto current = versions_.find(keyOf(entry.body_));
+    if (current != versions_.end() && current->second.offset_ == origin) {
+        current->second.anchor_ = std::max(current->second.anchor_, entry.time_);
+        return FoldVerdict::Copy;
+    }
+    if (current == versions_.end() || origin > current->second.offset_) {
+        return hold(entry, FoldVerdict::Invalid, "origin " + std::to_string(origin) + " is no accepted record");
+    }
+    return FoldVerdict::Copy;
+}
+
+FoldVerdict ConfigFold::hold(const LogEntry &entry, FoldVerdict verdict, const std::string &detail)
+{
+    if (section_.held_.size() >= maxHeldRecords) {
+        section_.held_.erase(section_.held_.begin());
+    }
+    section_.held_.push_back(HeldRecord{entry.offset_,
+                                        internal::textOr(entry.body_, "kind"),
+                                        internal::textOr(entry.body_, "name"),
+                                        std::string(nameOf(verdict)),
+                                        detail});
+    return verdict;
+}
+
+void ConfigFold::retain(const LogEntry &entry)
+{
+    if (retained_.size() >= maxRetainedRecords) {
+        retained_.erase(retained_.begin());
+    }
+    retained_[entry.offset_] = Version{entry.offset_, entry.time_, 0, internal::pack(entry.body_)};
+}
+
+ConfigFold::Proofs ConfigFold::proofsIn(const std::vector<PackedEntry> &entries) const
+{
+    Proofs proofs;
+    for (const PackedEntry &packed : entries) {
+        const LogEntry entry = unpackEntry(packed);
+        if (!validateRecord(entry.body_).empty() || !internal::isCopy(entry.body_)
+            || internal::isRetainedCopy(entry.body_)) {
+            continue;
+        }
+        const Offset origin = internal::offsetOf(entry.body_, "origin");
+        std::pair<Offset, const PackedEntry *> &best = proofs[keyOf(entry.body_)];
+        if (origin < entry.offset_ && origin >= best.first) {
+            best = {origin, &packed};
+        }
+    }
+    return proofs;
+}
+
+void ConfigFold::foldAfterGap(const std::vector<PackedEntry> &entries)
+{
+    if (entries.empty()) {
+        return;
+    }
+    for (const std::pair<const RecordKey, std::pair<Offset, const PackedEntry *>> &proof : proofsIn(entries)) {
+        if (proof.second.second != nullptr) {
+            const LogEntry copy = unpackEntry(*proof.second.second);
+            install(proof.first, proof.second.first, copy.time_, copy.body_);
+        }
+    }
+    recent_.clear();
+    recentBytes_ = 0;
+    const Offset covered = section_.offset_;
+    section_.offset_ = std::max(covered, entries.back().offset_);
+    // Copies of retained records take the place of the original, so that a version that knows them judges them there.
+    std::vector<std::pair<Offset, const PackedEntry *>> order;
+    for (const PackedEntry &packed : entries) {
+        const nlohmann::json record = internal::unpack(packed.packed_);
+        const bool retained = validateHeader(record).empty() && internal::isRetainedCopy(record);
+        order.emplace_back(retained ? internal::offsetOf(record, "origin") : packed.offset_, &packed);
+    }
+    std::stable_sort(order.begin(), order.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
+    for (const std::pair<Offset, const PackedEntry *> &item : order) {
+        LogEntry entry = unpackEntry(*item.second);
+        rememberEntry(entry);
+        if (item.first != entry.offset_) {
+            entry.offset_ = item.first;
+            entry.body_.erase("origin");
+            entry.body_.erase("retained");
+        }
+        if (entry.offset_ > covered && !internal::isCopy(entry.body_)) {
+            foldUnlessProven(entry);
+        }
+    }
+}
+
+void ConfigFold::foldUnlessProven(const LogEntry &entry)
+{
+    if (validateHeader(entry.body_).empty()) {
+        const auto current = versions_.find(keyOf(entry.body_));
+        if (current != versions_.end() && current->second.offset_ >= entry.offset_) {
+            rememberId(stableHash(entry.body_.at("id").get<std::string>()), entry.offset_);
+            return;
+        }
+    }
+    judge(entry);
+}
+
+void ConfigFold::adopt(const std::vector<PackedEntry> &versions, Offset upTo)
+{
+    if (upTo <= section_.offset_) {
+        return;
+    }
+    for (const PackedEntry &packed : versions) {
+        const nlohmann::json record = internal::unpack(packed.packed_);
+        if (validateRecord(record).empty()) {
+            install(keyOf(record), packed.offset_, packed.time_, record);
+        }
+    }
+    section_.offset_ = upTo;
+    recent_.clear();
+    recentBytes_ = 0;
+}
+
+void ConfigFold::install(const RecordKey &key, Offset offset, Time anchor, nlohmann::json record)
+{
+    Version &version = versions_[key];
+    if (offset < version.offset_) {
+        return;
+    }
+    version.anchor_ = std::max(version.anchor_, anchor);
+    if (offset == version.offset_) {
+        return;
+    }
+    record.erase("origin");
+    version.offset_ = offset;
+    version.idHash_ = stableHash(record.at("id").get_ref<const std::string &>());
+    version.packed_ = internal::pack(record);
+    section_.inForce_[key] = offset;
+    if (key.first != nameOf(RecordKind::Account)) {
+        section_.records_[key] = record;
+    }
+    apply(key, isRemoval(record) ? nullptr : &record);
+}
+
+namespace internal {
+
+template<typename Id, typename Value>
+void assign(std::map<Id, Value> &values,
+            const std::string &name,
+            const nlohmann::json *record,
+            Value (*parse)(const nlohmann::json &))
+{
+    if (record == nullptr) {
+        values.erase(Id(name));
+        return;
+    }
+    values[Id(name)] = parse(*record);
+}
+
+} // namespace internal
+
+void ConfigFold::apply(const RecordKey &key, const nlohmann::json *record)
+{
+    switch (*valueOf<RecordKind>(key.first)) {
+    case RecordKind::Endpoint:
+    case RecordKind::Drain:
+        applyEndpoint(key.second);
+        break;
+    case RecordKind::Model:
+        internal::assign(section_.models_, key.second, record, internal::modelOf);
+        break;
+    case RecordKind::Account:
+        internal::assign(section_.accounts_, key.second, record, internal::accountOf);
+        break;
+    case RecordKind::Template:
+        internal::assign(section_.templates_, key.second, record, internal::templateOf);
+        break;
+    case RecordKind::Weights:
+        section_.weights_ = record == nullptr ? WeightsConfig() : internal::weightsOf(*record);
+        break;
+    }
+}
+
+const nlohmann::json *ConfigFold::present(RecordKind kind, const std::string &name) const
+{
+    const auto found = section_.records_.find(RecordKey(nameOf(kind), name));
+    return found == section_.records_.end() || isRemoval(found->second) ? nullptr : &found->second;
+}
+
+void ConfigFold::applyEndpoint(const std::string &name)
+{
+    internal::assign(section_.endpoints_, name, present(RecordKind::Endpoint, name), internal::endpointOf);
+    const auto endpoint = section_.endpoints_.find(EndpointId(name));
+    const nlohmann::json *drain = present(RecordKind::Drain, name);
+    if (endpoint != section_.endpoints_.end()) {
+        endpoint->second.leaving_ = drain != nullptr && drain->at("body").at("draining").get<bool>();
+    }
+    applyOperations();
+}
+
+void ConfigFold::applyOperations()
+{
+    section_.operations_.clear();
+    for (const std::pair<const RecordKey, nlohmann::json> &entry : section_.records_) {
+        if (entry.first.first != nameOf(RecordKind::Endpoint) || isRemoval(entry.second)) {
+            continue;
+        }
+        for (const std::pair<const std::string, OperationConfig> &operation : internal::operationsOf(entry.second)) {
+            const auto inserted = section_.operations_.insert(operation);
+            OperationConfig &merged = inserted.first->second;
+            // Endpoints that disagree about an operation: the reading that can't run it twice or overspend counts.
+            merged.idempotent_ = merged.idempotent_ && operation.second.idempotent_;
+            merged.priceMicros_ = std::max(merged.priceMicros_, operation.second.priceMicros_);
+        }
+    }
+}
+
+bool ConfigFold::isKnownId(std::uint64_t idHash, const RecordKey &key) const
+{
+    const auto current = versions_.find(key);
+    return recentIdSet_.count(idHash) != 0 || (current != versions_.end() && current->second.idHash_ == idHash);
+}
+
+void ConfigFold::rememberId(std::uint64_t idHash, Offset offset)
+{
+    while (!recentIds_.empty() && recentIds_.front().first + idWindow < offset) {
+        recentIdSet_.erase(recentIds_.front().second);
+        recentIds_.pop_front();
+    }
+    if (recentIdSet_.insert(idHash).second) {
+        recentIds_.emplace_back(offset, idHash);
+    }
+}
+
+void ConfigFold::rememberEntry(const LogEntry &entry)
+{
+    recent_.push_back(packEntry(entry));
+    recentBytes_ += recent_.back().packed_.size() + sizeof(PackedEntry);
+    while (recentBytes_ > maxRecentBytes && recent_.size() > 1) {
+        recentBytes_ -= recent_.front().packed_.size() + sizeof(PackedEntry);
+        recent_.pop_front();
+    }
+}
+
+std::vector<LogEntry> ConfigFold::entriesFrom(Offset from, std::size_t limit, std::uint64_t source) const
+{
+    const bool continues = (from & snapshotContinuation) != 0;
+    const Offset first = from & ~snapshotContinuation;
+    if (continues || recent_.empty() || recent_.front().offset_ > first) {
+        return first > section_.offset_ && !continues ? std::vector<LogEntry>()
+                                                      : snapshotFrom(first, limit, !continues, source);
+    }
+    std::vector<LogEntry> entries;
+    for (const PackedEntry &packed : recent_) {
+        if (packed.offset_ >= first && entries.size() < limit) {
+            entries.push_back(unpackEntry(packed));
+        }
+    }
+    return entries;
+}
+
+std::vector<LogEntry> ConfigFold::snapshotFrom(Offset from, std::size_t limit, bool first, std::uint64_t source) const
+{
+    std::vector<std::pair<Offset, const Version *>> order;
+    for (const std::pair<const RecordKey, Version> &entry : versions_) {
+        if (entry.second.offset_ >= from) {
+            order.emplace_back(entry.second.offset_, &entry.second);
+        }
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<LogEntry> entries;
+    const auto add = [&](Offset offset, Time time, nlohmann::json body) {
+        const nlohmann::json mark{{"source", source}, {"first", first && entries.empty()}, {"last", body.empty()}};
+        body[snapshotField] = mark;
+        entries.push_back(LogEntry{offset, time, std::move(body)});
+    };
+    for (const std::pair<Offset, const Version *> &item : order) {
+        if (entries.size() == limit) {
+            return entries;
+        }
+        add(item.first, item.second->anchor_, {{"record", internal::unpack(item.second->packed_)}});
+    }
+    if (entries.size() < limit) {
+        add(section_.offset_, Time(0), nlohmann::json::object());
+    }
+    return entries;
+}
+
+std::optional<nlohmann::json> ConfigFold::record(const RecordKey &key) const
+{
+    const auto found = versions_.find(key);
+    if (found == versions_.end()) {
+        return std::nullopt;
+    }
+    return internal::unpack(found->second.packed_);
+}
+
+std::vector<nlohmann::json> ConfigFold::dueCopies(Time now, Duration age, std::size_t scan, std::size_t limit)
+{
+    std::vector<nlohmann::json> copies;
+    const auto addIfDue = [&](const Version &version, bool retained) {
+        if (copies.size() >= limit || version.anchor_ + age > now) {
+            return;
+        }
+        nlohmann::json copy = internal::unpack(version.packed_);
+        copy["origin"] = version.offset_;
+        if (retained) {
+            copy["retained"] = true;
+        }
+        copies.push_back(std::move(copy));
+    };
+    auto next = versions_.upper_bound(scanCursor_);
+    for (std::size_t i = 0; i < scan && next != versions_.end() && copies.size() < limit; ++i, ++next) {
+        addIfDue(next->second, false);
+        scanCursor_ = next->first;
+    }
+    if (next == versions_.end()) {
+        scanCursor_ = RecordKey();
+        for (const std::pair<const Offset, Version> &entry : retained_) {
+            addIfDue(entry.second, true);
+        }
+    }
+    return copies;
+}
+
+std::optional<HeldRecord> ConfigFold::heldAt(Offset offset) const
+{
+    const auto found = std::find_if(section_.held_.rbegin(), section_.held_.rend(), [offset](const HeldRecord &held) {
+        return held.offset_ == offset;
+    });
+    return found == section_.held_.rend() ? std::nullopt : std::optional<HeldRecord>(*found);
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/config/configfold.h
@@ -0,0 +1,164 @@
+#ifndef FILBERTGW_CONFIG_CONFIGFOLD_H
+#define FILBERTGW_CONFIG_CONFIGFOLD_H
+
+#include "config/configrecord.h"
+#include "config/configsection.h"
+#include "journal/logtypes.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_set>
+#include <vector>
+
+namespace filbertgw {
+
+/** \brief What the fold decided about an entry of the configuration stream. */
+enum class FoldVerdict : std::uint8_t {
+    Accepted,
+    Duplicate, ///< Its id was seen before; ignored.
+    Superseded, ///< `replaces` is not the offset in force: another record was earlier.
+    Invalid,
+    UnknownSchema,
+    UnknownKind,
+    Copy, ///< A re-append; `origin` names the record.
+    Stale, ///< Its offset is folded in already.
+};
+
+template<>
+struct NameTable<FoldVerdict>
+{
+    static constexpr std::array<std::pair<FoldVerdict, std::string_view>, 8> entries{{
+        {FoldVerdict::Accepted, "accepted"},
+        {FoldVerdict::Duplicate, "duplicate"},
+        {FoldVerdict::Superseded, "superseded"},
+        {FoldVerdict::Invalid, "invalid"},
+        {FoldVerdict::UnknownSchema, "unknown_schema"},
+        {FoldVerdict::UnknownKind, "unknown_kind"},
+        {FoldVerdict::Copy, "copy"},
+        {FoldVerdict::Stale, "stale"},
+    }};
+};
+
+/** \brief An entry whose record is packed as CBOR, to be kept in memory. */
+struct PackedEntry
+{
+    Offset offset_ = 0;
+    Time time_{0};
+    std::string packed_;
+};
+
+PackedEntry packEntry(const LogEntry &entry);
+LogEntry unpackEntry(const PackedEntry &entry);
+
+/** \brief Most held records that are shown; the oldest goes first. */
+constexpr std::size_t maxHeldRecords = 256;
+
+/** \brief Most bytes of recent entries that are kept for peers that lag by a little. */
+constexpr std::size_t maxRecentBytes = 1024 * 1024;
+
+/** \brief Most records of an unknown schema or kind that are kept until a version that knows them runs. */
+constexpr std::size_t maxRetainedRecords = 256;
+
+/** \brief An id counts as seen for this many offsets; after that `replaces` alone refuses a repeated record. */
+constexpr Offset idWindow = 4096;
+
+/** \brief Set in the `from` of a request that goes on with a snapshot. \sa ConfigFold::entriesFrom */
+constexpr Offset snapshotContinuation = 1ULL << 63U;
+
+/** \brief Member of an entry that belongs to a snapshot; no record of the stream is valid with it alone. */
+constexpr const char *snapshotField = "snapshot";
+
+/**
+ * \brief The pure function from the entries of the configuration stream to the ConfigSection.
+ *
+ * Two folds that were fed the same stream have the same configuration in force, also if one of them was started from
+ * a snapshot or from a stream whose old entries are gone.
+ */
+class ConfigFold
+{
+public:
+    /** \brief Writes `section`, which must outlive the fold. */
+    explicit ConfigFold(ConfigSection &section);
+
+    /** \brief Folds the next entry in. An entry at or before the section's offset changes nothing. */
+    FoldVerdict fold(const LogEntry &entry);
+
+    /**
+     * \brief Folds all entries that the log still keeps, up to its end, when older ones are gone.
+     *
+     * Copies prove which record was accepted before the gap, wherever in the stream they stand. A key whose
+     * oldest entry nears its expiry gets a copy, so the newest proof of a key is the base for the records after it.
+     */
+    void foldAfterGap(const std::vector<PackedEntry> &entries);
+
+    /** \brief Adopts the versions in force at a peer whose offset is `upTo`; older versions than own ones are skipped.
+     */
+    void adopt(const std::vector<PackedEntry> &versions, Offset upTo);
+
+    /**
+     * \brief Entries for a peer, at most `limit`: the stream's own if `from` is recent, else a snapshot.
+     *
+     * A snapshot's entries are `{"snapshot":{"source":S,"first":bool,"last":bool},"record":R}`: the versions in force
+     * from `from` on in offset order; the last one has no record and this fold's offset. Its next part starts at the
+     * offset after the last one received, with snapshotContinuation set.
+     */
+    std::vector<LogEntry> entriesFrom(Offset from, std::size_t limit, std::uint64_t source) const;
+
+    /** \brief Whole record in force, unknown fields included; also of kinds that ConfigSection::records_ leaves out. */
+    std::optional<nlohmann::json> record(const RecordKey &key) const;
+
+    /**
+     * \brief Copies to append for records that only entries older than `age` prove.
+     * \param scan number of records to look at, going on where the last call ended.
+     */
+    std::vector<nlohmann::json> dueCopies(Time now, Duration age, std::size_t scan, std::size_t limit);
+
+    /** \brief True if the next dueCopies() looks at the first record again. */
+    bool isScanAtStart() const
+    {
+        return scanCursor_ == RecordKey();
+    }
+
+    /** \brief Why the record at this offset is not in force; nothing if it isn't among the held records. */
+    std::optional<HeldRecord> heldAt(Offset offset) const;
+
+private:
+    struct Version
+    {
+        Offset offset_ = 0;
+        Time anchor_{0}; ///< Age of the oldest entry that a reader of the stream needs to find this version.
+        std::uint64_t idHash_ = 0;
+        std::string packed_;
+    };
+    using Proofs = std::map<RecordKey, std::pair<Offset, const PackedEntry *>>;
+
+    FoldVerdict judge(const LogEntry &entry);
+    FoldVerdict judgeCopy(const LogEntry &entry);
+    FoldVerdict hold(const LogEntry &entry, FoldVerdict verdict, const std::string &detail);
+    void retain(const LogEntry &entry);
+    Proofs proofsIn(const std::vector<PackedEntry> &entries) const;
+    void foldUnlessProven(const LogEntry &entry);
+    void install(const RecordKey &key, Offset offset, Time anchor, nlohmann::json record);
+    void apply(const RecordKey &key, const nlohmann::json *record);
+    void applyEndpoint(const std::string &name);
+    const nlohmann::json *present(RecordKind kind, const std::string &name) const;
+    void applyOperations();
+    bool isKnownId(std::uint64_t idHash, const RecordKey &key) const;
+    void rememberId(std::uint64_t idHash, Offset offset);
+    void rememberEntry(const LogEntry &entry);
+    std::vector<LogEntry> snapshotFrom(Offset from, std::size_t limit, bool first, std::uint64_t source) const;
+
+    ConfigSection &section_;
+    std::map<RecordKey, Version> versions_;
+    std::map<Offset, Version> retained_; ///< Of unknown schemas and kinds.
+    std::deque<PackedEntry> recent_;
+    std::size_t recentBytes_ = 0;
+    std::deque<std::pair<Offset, std::uint64_t>> recentIds_;
+    std::unordered_set<std::uint64_t> recentIdSet_;
+    RecordKey scanCursor_;
+};
+
+} // namespace filbertgw
+
+#endif
--- a/src/config/configsection.h
+++ b/src/config/configsection.h
@@ -70,7 +70,8 @@
 {
     Offset offset_ = 0; ///< Last offset of the stream that is folded in.
     std::map<std::pair<std::string, std::string>, Offset> inForce_; ///< By kind and name.
-    std::map<std::pair<std::string, std::string>, nlohmann::json> records_; ///< Whole record, unknown fields included.
+    std::map<std::pair<std::string, std::string>, nlohmann::json>
+        records_; ///< Whole record; not of accounts, see ConfigController::record().
     std::map<EndpointId, EndpointInfo> endpoints_; ///< Drained ones have leaving_ set.
     std::map<std::string, OperationConfig> operations_; ///< By name of a tool's or service's call.
     std::map<ModelId, ModelConfig> models_;
