--- /dev/null
+++ b/src/journal/journalfold.h
@@ -0,0 +1,208 @@
+#ifndef FILBERTGW_JOURNAL_JOURNALFOLD_H
+#define FILBERTGW_JOURNAL_JOURNALFOLD_H
+
+#include "journal/logtypes.h"
+#include "journal/treestate.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace filbertgw {
+
+/** \brief What the fold did with an entry. */
+enum class FoldVerdict : std::uint8_t {
+    Accepted,
+    Duplicate, ///< Its record id is known.
+    Fenced, ///< Its writer isn't the owner at this offset.
+    Refused, ///< Not valid in this state: wrong sequence number, program ended, or known already.
+    UnknownProgram, ///< Kept until a checkpoint of the program arrives.
+    Deferred, ///< Kept until an idle program has been read back.
+    Retained, ///< Of a newer schema; kept without being applied.
+    Malformed,
+};
+
+template<>
+struct NameTable<FoldVerdict>
+{
+    static constexpr std::array<std::pair<FoldVerdict, std::string_view>, 8> entries{{
+        {FoldVerdict::Accepted, "accepted"},
+        {FoldVerdict::Duplicate, "duplicate"},
+        {FoldVerdict::Fenced, "fenced"},
+        {FoldVerdict::Refused, "refused"},
+        {FoldVerdict::UnknownProgram, "unknown_program"},
+        {FoldVerdict::Deferred, "deferred"},
+        {FoldVerdict::Retained, "retained"},
+        {FoldVerdict::Malformed, "malformed"},
+    }};
+};
+
+/** \brief Result of folding one entry. */
+struct FoldResult
+{
+    FoldVerdict verdict_ = FoldVerdict::Malformed;
+    Record record_;
+    Offset offset_ = 0; ///< Of the entry.
+    ProgramId root_; ///< Tree that it concerns; empty if unknown.
+    NodeId formerOwner_; ///< For an accepted claim.
+    ProgramId existing_; ///< For a refused create: the program of the same account and request id.
+    std::string error_;
+};
+
+/** \brief Content hash that crashed endpoints. */
+struct SuspectState
+{
+    bool convicted_ = false; ///< Quarantined.
+    Time time_{0};
+};
+
+/** \brief Lengths of time that all readers must share, because the fold depends on them. */
+struct FoldSettings
+{
+    Duration endedKept_ = std::chrono::minutes(10); ///< How long answers of ended programs can be asked for.
+    Duration quarantineKept_ = std::chrono::hours(24);
+    bool checkFencing_ = true; ///< Off only to show that the checkers notice.
+    bool checkDuplicates_ = true; ///< Off only to show that the checkers notice.
+};
+
+/** \brief An idle program in memory: where its checkpoint is, and what decides ownership. */
+struct IdleProgram
+{
+    std::uint64_t random_ = 0; ///< Random part of the id.
+    Offset checkpoint_ = 0;
+    Offset fencing_ = 0;
+    std::uint32_t idleSinceS_ = 0; ///< Log time of its last record, in seconds.
+    std::uint32_t checkpointS_ = 0; ///< Log time of the checkpoint, in seconds.
+    std::uint32_t deadlineS_ = 0; ///< 0 for none.
+    std::uint16_t slot_ = 0;
+    std::uint16_t owner_ = 0; ///< Index into JournalFold's table of node names.
+};
+
+/**
+ * \brief The pure function from journal entries to program states that every reader runs.
+ *
+ * Entries are applied in offset order; the result depends on the entries and their log times only.
+ */
+class JournalFold
+{
+public:
+    explicit JournalFold(FoldSettings settings = {});
+
+    /** \brief Folds the next entry. An entry at or below offset() is ignored as a duplicate. */
+    FoldResult apply(const LogEntry &entry);
+    /** \brief Offset of the last folded entry, 0 for none. */
+    Offset offset() const
+    {
+        return offset_;
+    }
+    /** \brief Log time of the last folded entry. */
+    Time time() const
+    {
+        return time_;
+    }
+
+    /** \brief The tree that a program belongs to; null if it is unknown or idle. */
+    const TreeState *treeOf(const ProgramId &program) const;
+    const TreeState *tree(const ProgramId &root) const;
+    const ChainState *chain(const ProgramId &program) const;
+    const std::unordered_map<ProgramId, std::unique_ptr<TreeState>> &trees() const
+    {
+        return trees_;
+    }
+    /** \brief Program that was created by an account with a request id; empty if none. */
+    ProgramId createdBy(const AccountId &account, const RequestId &request) const;
+    /** \brief Crashes counted against a content hash; null if there are none. */
+    const SuspectState *suspect(const std::string &contentHash) const;
+    /** \brief Records of a newer schema, bounded, newest last. */
+    const std::deque<LogEntry> &retained() const
+    {
+        return retained_;
+    }
+    std::uint64_t malformedCount() const
+    {
+        return malformed_;
+    }
+
+    /** \brief The idle program with this id; null if it isn't idle. */
+    const IdleProgram *idle(const ProgramId &program) const;
+    const std::vector<IdleProgram> &idlePrograms() const
+    {
+        return idle_;
+    }
+    NodeId ownerOfIdle(const IdleProgram &idle) const;
+    /** \brief Offsets of checkpoints that are to be read back, for records that wait for them. */
+    std::vector<Offset> wantedCheckpoints() const;
+    /**
+     * \brief Takes an idle program back into memory from its checkpoint entry.
+     * \return results of the records that waited for it, in offset order.
+     */
+    std::vector<FoldResult> restore(const LogEntry &checkpoint);
+
+private:
+    struct Writer
+    {
+        std::uint64_t number_ = 0; ///< Highest record number seen.
+    };
+
+    bool isKnownId(const RecordId &id);
+    void expire();
+    struct Placed
+    {
+        Record record_;
+        Offset offset_ = 0;
+        Time time_{0};
+    };
+
+    FoldResult applyRecord(Record record, Offset offset, Time time);
+    FoldVerdict dispatch(const Record &record, Offset offset, Time time, FoldResult &result);
+    FoldVerdict applyToIdle(IdleProgram &idle, const Record &record, Offset offset, Time time, FoldResult &result);
+    FoldVerdict applyUnknown(const Record &record, Offset offset, Time time);
+    bool isBeforeStart(Offset fencing) const;
+    FoldVerdict applyCreate(const Record &record, Offset offset, Time time, FoldResult &result);
+    FoldVerdict applyRoot(const Record &record, const CreateBody &body, Offset offset, Time time);
+    FoldVerdict applySubAgent(TreeState &tree, const Record &record, const CreateBody &body);
+    FoldVerdict applyClaim(TreeState &tree, const Record &record, Offset offset, FoldResult &result);
+    FoldVerdict applyOwned(TreeState &tree, const Record &record, Offset offset, Time time);
+    FoldVerdict applyIntent(TreeState &tree, ChainState &chain, const IntentBody &intent);
+    FoldVerdict applyTurn(TreeState &tree, ChainState &chain, const TurnBody &turn, bool closesIntent);
+    FoldVerdict applyEnd(TreeState &tree, const ProgramId &program, FailureType reason, Time time);
+    FoldVerdict applyCheckpoint(TreeState &tree, const Record &record, Offset offset, Time time);
+    FoldVerdict applyQuarantine(const QuarantineBody &body, Time time);
+    FoldVerdict adopt(const Record &record, Offset offset, Time time);
+    TreeState &insert(TreeState state);
+    IdleProgram *findIdle(const ProgramId &program);
+    void compact(const ProgramId &root, Offset offset, Time time);
+    void forget(const ProgramId &root);
+    std::uint16_t ownerIndex(const NodeId &node);
+
+    FoldSettings settings_;
+    Offset offset_ = 0;
+    Offset start_ = 0; ///< First offset that was folded; claims before it were not seen.
+    Time time_{0};
+    std::uint64_t malformed_ = 0;
+    std::unordered_map<ProgramId, std::unique_ptr<TreeState>> trees_;
+    std::unordered_map<ProgramId, ProgramId> rootOf_; ///< Of sub-agents.
+    std::map<std::pair<AccountId, RequestId>, ProgramId> createdBy_;
+    std::deque<std::pair<Time, ProgramId>> ended_; ///< In order of their end.
+    std::map<std::string, SuspectState> suspects_;
+    std::unordered_map<std::string, Writer> writers_;
+    std::set<RecordId> otherIds_; ///< Ids that are not of the form writer#number.
+    std::deque<RecordId> otherIdOrder_;
+    std::deque<LogEntry> retained_;
+    std::map<ProgramId, std::vector<Placed>> orphans_; ///< Records of programs older than the first entry, by root.
+    std::vector<IdleProgram> idle_; ///< Sorted by slot and random part.
+    std::map<ProgramId, std::vector<Placed>> deferred_; ///< Records that wait for an idle program, by its id.
+    std::vector<NodeId> ownerNames_;
+};
+
+/** \brief History of a program as text; a pure function of the journal, so every node prints the same bytes. */
+std::string historyText(const ChainState &chain);
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/journal/record.cpp
@@ -0,0 +1,510 @@
+#include "journal/record.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace filbertgw {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t maxIdBytes = 256;
+constexpr std::int64_t maxAmount = std::int64_t{1} << 50; // Sums of any two amounts stay far from overflow.
+
+/** \brief Reads the known fields of an object with checks and keeps the others. */
+class Fields
+{
+public:
+    explicit Fields(const json &object)
+        : rest_(object)
+        , valid_(object.is_object())
+    {
+    }
+
+    void text(const char *name, std::string &out, std::size_t limit = maxRecordBytes, bool required = true)
+    {
+        const json *value = take(name, required);
+        if (value == nullptr) {
+            return;
+        }
+        if (!value->is_string() || value->get_ref<const std::string &>().size() > limit) {
+            return fail(name);
+        }
+        out = value->get<std::string>();
+        rest_.erase(name);
+    }
+    template<typename Tag>
+    void id(const char *name, StrongId<Tag> &out, bool required = true)
+    {
+        std::string value;
+        text(name, value, maxIdBytes, required);
+        out = StrongId<Tag>(std::move(value));
+    }
+    template<typename Number>
+    void number(const char *name, Number &out, bool required = true)
+    {
+        const json *value = take(name, required);
+        if (value == nullptr) {
+            return;
+        }
+        if (!value->is_number_unsigned() || value->get<std::uint64_t>() > std::numeric_limits<Number>::max()) {
+            return fail(name);
+        }
+        out = value->get<Number>();
+        rest_.erase(name);
+    }
+    void time(const char *name, Time &out)
+    {
+        std::uint64_t value = 0;
+        number(name, value, false);
+        if (value > static_cast<std::uint64_t>(maxAmount) * 1024) {
+            return fail(name);
+        }
+        out = Time(static_cast<std::int64_t>(value));
+    }
+    void flag(const char *name, bool &out)
+    {
+        const json *value = take(name, false);
+        if (value == nullptr) {
+            return;
+        }
+        if (!value->is_boolean()) {
+            return fail(name);
+        }
+        out = value->get<bool>();
+        rest_.erase(name);
+    }
+    template<typename Enum>
+    void name(const char *field, Enum &out)
+    {
+        std::string value;
+        text(field, value, maxIdBytes);
+        if (const std::optional<Enum> known = valueOf<Enum>(value)) {
+            out = *known;
+        } else {
+            fail(field);
+        }
+    }
+    void spend(const char *name, Spend &out)
+    {
+        const json *value = take(name, false);
+        if (value == nullptr) {
+            return;
+        }
+        if (!spendFromJson(*value, out)) {
+            return fail(name);
+        }
+        rest_.erase(name);
+    }
+    void any(const char *name, json &out)
+    {
+        const json *value = take(name, true);
+        if (value != nullptr) {
+            out = *value;
+            rest_.erase(name);
+        }
+    }
+    void fail(const char *name)
+    {
+        valid_ = false;
+        if (error_.empty()) {
+            error_ = std::string("field ") + name + " is missing or has a wrong type or size";
+        }
+    }
+    bool isValid() const
+    {
+        return valid_;
+    }
+    const std::string &error() const
+    {
+        return error_;
+    }
+    json takeRest()
+    {
+        return std::move(rest_);
+    }
+
+private:
+    const json *take(const char *name, bool required)
+    {
+        if (!valid_) {
+            return nullptr;
+        }
+        const json::const_iterator found = rest_.find(name);
+        if (found == rest_.end()) {
+            if (required) {
+                fail(name);
+            }
+            return nullptr;
+        }
+        return &*found;
+    }
+
+    json rest_;
+    bool valid_;
+    std::string error_;
+};
+
+bool isBoundedAt(const json &value, std::size_t depth, std::size_t &bytes)
+{
+    if (depth > maxRecordDepth) {
+        return false;
+    }
+    bytes += 8;
+    if (value.is_string()) {
+        bytes += value.get_ref<const std::string &>().size();
+    } else if (value.is_structured()) {
+        for (const auto &entry : value.items()) {
+            if (value.is_object()) {
+                bytes += entry.key().size();
+            }
+            if (!isBoundedAt(entry.value(), depth + 1, bytes)) {
+                return false;
+            }
+        }
+    }
+    return bytes <= maxRecordBytes;
+}
+
+json bodyJson(const ClaimBody &body)
+{
+    return {{"supersedes", body.supersedes_}, {"reserved_ahead", spendToJson(body.reserved_)}};
+}
+json bodyJson(const CreateBody &body)
+{
+    json result = {{"request_id", body.requestId_.value()},
+                   {"account", body.account_.value()},
+                   {"budget", spendToJson(body.budget_)},
+                   {"deadline_us", static_cast<std::uint64_t>(body.deadline_.count())},
+                   {"max_turns", body.maxTurns_},
+                   {"reserved_ahead", spendToJson(body.reserved_)}};
+    if (!body.parent_.isEmpty()) {
+        result["spent"] = spendToJson(body.spent_);
+        result["parent"] = body.parent_.value();
+    }
+    return result;
+}
+json bodyJson(const ReserveBody &body)
+{
+    return {{"reserved", spendToJson(body.reserved_)}, {"spent", spendToJson(body.spent_)}};
+}
+json bodyJson(const IntentBody &body)
+{
+    return {{"request_id", body.requestId_.value()},
+            {"request_hash", body.requestHash_},
+            {"kind", nameOf(body.kind_)},
+            {"target", body.target_},
+            {"input", body.input_},
+            {"reserved", spendToJson(body.reserved_)},
+            {"spent", spendToJson(body.spent_)}};
+}
+json bodyJson(const TurnBody &body)
+{
+    return turnToJson(body);
+}
+json bodyJson(const CheckpointBody &body)
+{
+    return {{"covers", body.covers_}, {"idle", body.idle_}, {"state", body.state_}};
+}
+json bodyJson(const ReleaseBody & /*body*/)
+{
+    return json::object();
+}
+json bodyJson(const EndBody &body)
+{
+    return {{"reason", nameOf(body.reason_)}};
+}
+json bodyJson(const QuarantineBody &body)
+{
+    return {{"content_hash", body.contentHash_}, {"convicted", body.convicted_}};
+}
+
+RecordBody parseBody(RecordType type, Fields &fields)
+{
+    switch (type) {
+    case RecordType::Claim: {
+        ClaimBody body;
+        fields.number("supersedes", body.supersedes_);
+        fields.spend("reserved_ahead", body.reserved_);
+        return body;
+    }
+    case RecordType::Create: {
+        CreateBody body;
+        fields.id("request_id", body.requestId_);
+        fields.id("account", body.account_);
+        fields.id("parent", body.parent_, false);
+        fields.spend("budget", body.budget_);
+        fields.time("deadline_us", body.deadline_);
+        fields.number("max_turns", body.maxTurns_);
+        fields.spend("reserved_ahead", body.reserved_);
+        fields.spend("spent", body.spent_);
+        return body;
+    }
+    case RecordType::Reserve: {
+        ReserveBody body;
+        fields.spend("reserved", body.reserved_);
+        fields.spend("spent", body.spent_);
+        return body;
+    }
+    case RecordType::Intent: {
+        IntentBody body;
+        fields.id("request_id", body.requestId_);
+        fields.text("request_hash", body.requestHash_, maxIdBytes);
+        fields.name("kind", body.kind_);
+        fields.text("target", body.target_, maxIdBytes);
+        fields.text("input", body.input_);
+        fields.spend("reserved", body.reserved_);
+        fields.spend("spent", body.spent_);
+        return body;
+    }
+    case RecordType::Outcome:
+    case RecordType::Turn: {
+        TurnBody body;
+        json unknown;
+        const json whole = fields.takeRest();
+        const bool valid = turnFromJson(whole, body, unknown);
+        fields = Fields(unknown);
+        if (!valid) {
+            fields.fail("turn");
+        }
+        return body;
+    }
+    case RecordType::Checkpoint: {
+        CheckpointBody body;
+        fields.number("covers", body.covers_);
+        fields.flag("idle", body.idle_);
+        fields.any("state", body.state_);
+        return body;
+    }
+    case RecordType::Release:
+        return ReleaseBody{};
+    case RecordType::End: {
+        EndBody body;
+        fields.name("reason", body.reason_);
+        return body;
+    }
+    case RecordType::Quarantine: {
+        QuarantineBody body;
+        fields.text("content_hash", body.contentHash_, maxIdBytes);
+        fields.flag("convicted", body.convicted_);
+        return body;
+    }
+    }
+    return ReleaseBody{};
+}
+
+/** \brief Refuses deep nesting before the parser builds a value whose destruction would recurse as deep. */
+bool isShallow(std::string_view text)
+{
+    std::size_t depth = 0;
+    bool inString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (inString) {
+            if (c == '\\') {
+                ++i;
+            } else if (c == '"') {
+                inString = false;
+            }
+        } else if (c == '"') {
+            inString = true;
+        } else if (c == '[' || c == '{') {
+            if (++depth > maxRecordDepth) {
+                return false;
+            }
+        } else if ((c == ']' || c == '}') && depth > 0) {
+            --depth;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+json spendToJson(const Spend &spend)
+{
+    return {{"tokens", spend.tokens_}, {"calls", spend.calls_}, {"money_micros", spend.moneyMicros_}};
+}
+
+bool spendFromJson(const json &value, Spend &spend)
+{
+    if (!value.is_object()) {
+        return false;
+    }
+    const std::array<std::pair<const char *, std::int64_t *>, 3> amounts{
+        {{"tokens", &spend.tokens_}, {"calls", &spend.calls_}, {"money_micros", &spend.moneyMicros_}}};
+    for (const std::pair<const char *, std::int64_t *> &amount : amounts) {
+        const json::const_iterator found = value.find(amount.first);
+        if (found == value.end() || !found->is_number_integer()) {
+            return false;
+        }
+        if (found->is_number_unsigned() && found->get<std::uint64_t>() > static_cast<std::uint64_t>(maxAmount)) {
+            return false;
+        }
+        *amount.second = found->get<std::int64_t>();
+        if (*amount.second < 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+json turnToJson(const TurnBody &turn)
+{
+    return {{"sequence", turn.sequence_},
+            {"status", nameOf(turn.status_)},
+            {"request_id", turn.requestId_.value()},
+            {"request_hash", turn.requestHash_},
+            {"content_hash", turn.contentHash_},
+            {"kind", nameOf(turn.kind_)},
+            {"target", turn.target_},
+            {"input", turn.input_},
+            {"answer", turn.answer_},
+            {"usage", spendToJson(turn.usage_)},
+            {"endpoint", turn.endpoint_.value()},
+            {"reserved_ahead", spendToJson(turn.reserved_)},
+            {"spent", spendToJson(turn.spent_)}};
+}
+
+bool turnFromJson(const json &value, TurnBody &turn, json &unknown)
+{
+    Fields fields(value);
+    fields.number("sequence", turn.sequence_);
+    fields.name("status", turn.status_);
+    fields.id("request_id", turn.requestId_);
+    fields.text("request_hash", turn.requestHash_, maxIdBytes);
+    fields.text("content_hash", turn.contentHash_, maxIdBytes);
+    fields.name("kind", turn.kind_);
+    fields.text("target", turn.target_, maxIdBytes);
+    fields.text("input", turn.input_);
+    fields.text("answer", turn.answer_);
+    fields.spend("usage", turn.usage_);
+    fields.id("endpoint", turn.endpoint_, false);
+    fields.spend("reserved_ahead", turn.reserved_);
+    fields.spend("spent", turn.spent_);
+    unknown = fields.takeRest();
+    return fields.isValid();
+}
+
+json toJson(const Record &record)
+{
+    json body = std::visit([](const auto &typed) { return bodyJson(typed); }, record.body_);
+    if (record.bodyExtra_.is_object()) {
+        body.update(record.bodyExtra_);
+    }
+    json result = record.extra_.is_object() ? record.extra_ : json::object();
+    result["id"] = record.id_.value();
+    result["schema"] = record.schema_;
+    result["type"] = nameOf(record.type_);
+    result["program"] = record.program_.value();
+    if (record.root_ != record.program_ && !record.root_.isEmpty()) {
+        result["root"] = record.root_.value();
+    }
+    result["node"] = record.node_.value();
+    result["fencing"] = record.fencing_;
+    result["body"] = std::move(body);
+    return result;
+}
+
+bool isBounded(const json &value)
+{
+    std::size_t bytes = 0;
+    return isBoundedAt(value, 0, bytes);
+}
+
+std::optional<Record> parseRecord(const json &value, std::string &error)
+{
+    if (!isBounded(value)) {
+        error = "record is too large or too deeply nested";
+        return std::nullopt;
+    }
+    if (!value.is_object()) {
+        error = "record is not an object";
+        return std::nullopt;
+    }
+    Record record;
+    Fields head(value);
+    head.id("id", record.id_);
+    head.number("schema", record.schema_);
+    if (head.isValid() && record.schema_ > recordSchema) {
+        head.id("program", record.program_, false);
+        record.extra_ = head.takeRest();
+        return record;
+    }
+    json body;
+    head.name("type", record.type_);
+    head.id("program", record.program_);
+    head.id("root", record.root_, false);
+    head.id("node", record.node_);
+    head.number("fencing", record.fencing_);
+    head.any("body", body);
+    if (!head.isValid() || record.id_.isEmpty()) {
+        error = head.error().empty() ? "field id is empty" : head.error();
+        return std::nullopt;
+    }
+    if (record.root_.isEmpty()) {
+        record.root_ = record.program_;
+    }
+    Fields fields(body);
+    if (!fields.isValid()) {
+        error = "body is not an object";
+        return std::nullopt;
+    }
+    record.body_ = parseBody(record.type_, fields);
+    if (!fields.isValid()) {
+        error = fields.error();
+        return std::nullopt;
+    }
+    record.extra_ = head.takeRest();
+    record.bodyExtra_ = fields.takeRest();
+    return record;
+}
+
+std::optional<Record> parseRecordText(std::string_view text, std::string &error)
+{
+    if (text.size() > maxRecordBytes || !isShallow(text)) {
+        error = "record is too large or too deeply nested";
+        return std::nullopt;
+    }
+    const json value = json::parse(text, nullptr, false);
+    if (value.is_discarded()) {
+        error = "record is not JSON";
+        return std::nullopt;
+    }
+    return parseRecord(value, error);
+}
+
+Spend operator+(const Spend &a, const Spend &b)
+{
+    return {a.tokens_ + b.tokens_, a.calls_ + b.calls_, a.moneyMicros_ + b.moneyMicros_};
+}
+
+Spend operator-(const Spend &a, const Spend &b)
+{
+    return {a.tokens_ - b.tokens_, a.calls_ - b.calls_, a.moneyMicros_ - b.moneyMicros_};
+}
+
+bool operator==(const Spend &a, const Spend &b)
+{
+    return a.tokens_ == b.tokens_ && a.calls_ == b.calls_ && a.moneyMicros_ == b.moneyMicros_;
+}
+
+bool fitsIn(const Spend &a, const Spend &b)
+{
+    return a.tokens_ <= b.tokens_ && a.calls_ <= b.calls_ && a.moneyMicros_ <= b.moneyMicros_;
+}
+
+Spend minimum(const Spend &a, const Spend &b)
+{
+    return {std::min(a.tokens_, b.tokens_), std::min(a.calls_, b.calls_), std::min(a.moneyMicros_, b.moneyMicros_)};
+}
+
+Spend clampedToZero(const Spend &spend)
+{
+    return {std::max<std::int64_t>(spend.tokens_, 0),
+            std::max<std::int64_t>(spend.calls_, 0),
+            std::max<std::int64_t>(spend.moneyMicros_, 0)};
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/journal/record.h
@@ -0,0 +1,217 @@
+#ifndef FILBERTGW_JOURNAL_RECORD_H
+#define FILBERTGW_JOURNAL_RECORD_H
+
+#include "core/failure.h"
+#include "core/ids.h"
+#include "core/nametable.h"
+#include "program/programtypes.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace filbertgw {
+
+/** \brief Newest schema of program records that this version applies. */
+constexpr std::uint32_t recordSchema = 1;
+
+/** \brief Largest record that is parsed, in bytes of JSON text. */
+constexpr std::size_t maxRecordBytes = 4U << 20U;
+
+/** \brief Deepest nesting of arrays and objects in a record. */
+constexpr std::size_t maxRecordDepth = 24;
+
+enum class RecordType : std::uint8_t {
+    Claim,
+    Create,
+    Reserve,
+    Intent,
+    Outcome,
+    Turn,
+    Checkpoint,
+    Release,
+    End,
+    Quarantine,
+};
+
+template<>
+struct NameTable<RecordType>
+{
+    static constexpr std::array<std::pair<RecordType, std::string_view>, 10> entries{{
+        {RecordType::Claim, "claim"},
+        {RecordType::Create, "create"},
+        {RecordType::Reserve, "reserve"},
+        {RecordType::Intent, "intent"},
+        {RecordType::Outcome, "outcome"},
+        {RecordType::Turn, "turn"},
+        {RecordType::Checkpoint, "checkpoint"},
+        {RecordType::Release, "release"},
+        {RecordType::End, "end"},
+        {RecordType::Quarantine, "quarantine"},
+    }};
+};
+
+/** \brief Takes ownership of a program tree; its own offset becomes the tree's fencing token. */
+struct ClaimBody
+{
+    Offset supersedes_ = 0; ///< Fencing token that the claimant saw last.
+    Spend reserved_; ///< Reserved ahead for calls of the new owner.
+};
+
+/** \brief Creates a program; a root's fencing token is the offset of this record until the first claim. */
+struct CreateBody
+{
+    RequestId requestId_;
+    AccountId account_;
+    ProgramId parent_; ///< Empty for a root.
+    Spend budget_; ///< Of the whole tree; meaningless for a sub-agent.
+    Time deadline_{0};
+    std::uint32_t maxTurns_ = 0;
+    Spend reserved_; ///< Reserved ahead; for a sub-agent the tree's outstanding total.
+    Spend spent_; ///< For a sub-agent, spent in the tree outside of turns since the last record.
+};
+
+/** \brief Sets the outstanding reservations of a tree. */
+struct ReserveBody
+{
+    Spend reserved_; ///< Outstanding total of the tree from here on.
+    Spend spent_; ///< Part of the earlier total that is spent and not part of any turn.
+};
+
+/** \brief Announces a non-idempotent call, before it is sent. */
+struct IntentBody
+{
+    RequestId requestId_;
+    std::string requestHash_; ///< Of kind, target and input.
+    CallKind kind_ = CallKind::Tool;
+    std::string target_;
+    std::string input_;
+    Spend reserved_; ///< Outstanding total of the tree, this call included.
+    Spend spent_;
+};
+
+/** \brief How a recorded call ended. */
+enum class TurnStatus : std::uint8_t {
+    Answered,
+    Unknown, ///< Non-idempotent, sent, outcome unknown; never sent again.
+    Abandoned, ///< Intent given up before the call was sent, or the endpoint says that it did not run.
+};
+
+template<>
+struct NameTable<TurnStatus>
+{
+    static constexpr std::array<std::pair<TurnStatus, std::string_view>, 3> entries{{
+        {TurnStatus::Answered, "answered"},
+        {TurnStatus::Unknown, "unknown"},
+        {TurnStatus::Abandoned, "abandoned"},
+    }};
+};
+
+/** \brief One finished call; body of `turn` and of `outcome` (the latter closes an intent). */
+struct TurnBody
+{
+    std::uint64_t sequence_ = 0; ///< Position in the chain, from 0.
+    TurnStatus status_ = TurnStatus::Answered;
+    RequestId requestId_;
+    std::string requestHash_;
+    std::string contentHash_; ///< Clears suspicion of the same content after an answered call.
+    CallKind kind_ = CallKind::Model;
+    std::string target_;
+    std::string input_;
+    std::string answer_;
+    Spend usage_;
+    EndpointId endpoint_;
+    Spend reserved_; ///< Outstanding total of the tree after this call.
+    Spend spent_; ///< Spent outside of turns since the last record.
+};
+
+/** \brief Whole state of a program tree, so that older entries may expire. */
+struct CheckpointBody
+{
+    Offset covers_ = 0; ///< Every record of the tree up to this offset is included.
+    bool idle_ = false; ///< Readers keep only the offset of this record in memory.
+    nlohmann::json state_;
+};
+
+struct ReleaseBody
+{
+};
+
+/** \brief Ends a program and its sub-agents. */
+struct EndBody
+{
+    FailureType reason_ = FailureType::ProgramEnded; ///< What later calls are told.
+};
+
+/** \brief Counts a crash against a content hash; two attributable ones quarantine it. */
+struct QuarantineBody
+{
+    std::string contentHash_;
+    bool convicted_ = false; ///< False for a first crash, which makes it a suspect that runs alone.
+};
+
+using RecordBody = std::variant<ClaimBody,
+                                CreateBody,
+                                ReserveBody,
+                                IntentBody,
+                                TurnBody,
+                                CheckpointBody,
+                                ReleaseBody,
+                                EndBody,
+                                QuarantineBody>;
+
+/** \brief One record of the journal. */
+struct Record
+{
+    RecordId id_; ///< `writer#number`; numbers of one writer grow in the order of appending.
+    std::uint32_t schema_ = recordSchema;
+    RecordType type_ = RecordType::Claim;
+    ProgramId program_;
+    ProgramId root_; ///< Root of the program's tree; the program itself for a root.
+    NodeId node_;
+    Offset fencing_ = 0; ///< Offset of the claim that the writer holds; 0 in claims and in creates of a root.
+    RecordBody body_;
+    nlohmann::json extra_ = nlohmann::json::object(); ///< Unknown fields of the record.
+    nlohmann::json bodyExtra_ = nlohmann::json::object(); ///< Unknown fields of its body.
+};
+
+/** \brief The record as JSON, unknown fields included. */
+nlohmann::json toJson(const Record &record);
+
+/**
+ * \brief Parses a record with checks of types, sizes and depth.
+ * \return nothing if it is malformed; `error` then says why. A record of a newer schema is not malformed, but only its
+ * head is parsed.
+ */
+std::optional<Record> parseRecord(const nlohmann::json &json, std::string &error);
+
+/** \brief As parseRecord(), from text. */
+std::optional<Record> parseRecordText(std::string_view text, std::string &error);
+
+nlohmann::json spendToJson(const Spend &spend);
+/** \brief Parses three non-negative amounts. */
+bool spendFromJson(const nlohmann::json &json, Spend &spend);
+
+nlohmann::json turnToJson(const TurnBody &turn);
+bool turnFromJson(const nlohmann::json &json, TurnBody &turn, nlohmann::json &unknown);
+
+/** \brief True if the value nests no deeper than maxRecordDepth and its strings and keys stay in maxRecordBytes. */
+bool isBounded(const nlohmann::json &json);
+
+Spend operator+(const Spend &a, const Spend &b);
+Spend operator-(const Spend &a, const Spend &b);
+bool operator==(const Spend &a, const Spend &b);
+/** \brief True if every amount of `a` is at most that of `b`. */
+bool fitsIn(const Spend &a, const Spend &b);
+Spend minimum(const Spend &a, const Spend &b);
+/** \brief Negative amounts become 0. */
+Spend clampedToZero(const Spend &spend);
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/journal/treestate.h
@@ -0,0 +1,62 @@
+#ifndef FILBERTGW_JOURNAL_TREESTATE_H
+#define FILBERTGW_JOURNAL_TREESTATE_H
+
+#include "journal/record.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace filbertgw {
+
+/** \brief State of one program (a chain of calls) by the journal. */
+struct ChainState
+{
+    ProgramId id_;
+    ProgramId parent_; ///< Empty for a root.
+    Time deadline_{0}; ///< 0 for none.
+    std::uint32_t maxTurns_ = 0;
+    std::uint64_t nextSequence_ = 0;
+    std::vector<TurnBody> turns_; ///< In order of sequence.
+    std::optional<IntentBody> intent_; ///< Non-idempotent call that is announced and not yet closed.
+    std::optional<FailureType> endReason_; ///< Set once the program has ended.
+    std::uint32_t repeats_ = 0; ///< Turns at the end of the history that are equal to each other.
+    EndpointId homeEngine_; ///< Engine of the last model call.
+};
+
+/** \brief State of a program tree by the journal: its owner, its budget and its programs. */
+struct TreeState
+{
+    ProgramId root_;
+    AccountId account_;
+    RequestId createRequest_;
+    NodeId owner_; ///< Empty after a release.
+    Offset fencing_ = 0;
+    Spend budget_;
+    Spend spent_; ///< Settled, or reserved by a former owner.
+    Spend reserved_; ///< Outstanding reservations of the owner; spent plus reserved never exceeds the budget.
+    Time lastTime_{0}; ///< Log time of the last record, checkpoints excluded.
+    Offset lastOffset_ = 0; ///< Offset of the last record, checkpoints excluded.
+    Time neededTime_{0}; ///< Log time of the oldest entry that a new reader needs.
+    Offset neededOffset_ = 0;
+    std::map<ProgramId, ChainState> chains_; ///< The root's own included.
+
+    const ChainState *chain(const ProgramId &program) const;
+    bool isEnded() const; ///< True once the root has ended.
+};
+
+/** \brief The recorded turn of a request, or null. */
+const TurnBody *findTurn(const ChainState &chain, const RequestId &request);
+
+nlohmann::json toJson(const TreeState &tree);
+/** \brief The state in a checkpoint; nothing if it is malformed. */
+std::optional<TreeState> treeFromJson(const nlohmann::json &json);
+
+/** \brief The recorded answer as its caller gets it. */
+CallAnswer answerOf(const ProgramId &program, const TurnBody &turn);
+
+} // namespace filbertgw
+
+#endif
--- a/src/program/programcontroller.h
+++ b/src/program/programcontroller.h
@@ -5,6 +5,9 @@
 #include "journal/logtypes.h"
 #include "program/programtypes.h"
 
+#include <boost/leaf/capture.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -39,6 +42,35 @@
     NodeId node_; ///< The owner, if it is known.
 };
 
+/** \brief Settings of a ProgramController; the defaults are those of the settings table. */
+struct ProgramSettings
+{
+    Duration retention_ = std::chrono::hours(24); ///< How long the log keeps entries.
+    Duration idleAfter_ = std::chrono::minutes(10); ///< Idle programs are kept in the compact form.
+    Duration idleEnd_ = std::chrono::hours(24 * 30); ///< Programs that are idle for so long are ended.
+    Duration parkLimit_ = std::chrono::seconds(10); ///< How long a request waits for a takeover or the store.
+    Duration longPoll_ = std::chrono::seconds(10);
+    Duration slowStore_ = std::chrono::seconds(2); ///< A record that waits longer means that the store is down.
+    Duration massLossPause_ = std::chrono::seconds(10); ///< After a mass loss programs move on demand only.
+    std::uint32_t massLossClaims_ = 50; ///< Claims a second without demand after that.
+    std::uint32_t loopRepeats_ = 8; ///< Equal turns in a row that end a program.
+    std::size_t maxQueuedCalls_ = 64; ///< Of one program.
+    std::size_t maxRequestBytes_ = 1U << 20U;
+    std::size_t backlogBytes_ = 8U << 20U;
+    std::int64_t defaultMaxTokens_ = 1024; ///< Of a call that names no limit.
+    Spend ahead_{8192, 2, 0}; ///< Reserved ahead besides the history's own tokens.
+};
+
+/** \brief Safeguards that the promises bench switches off one at a time; all are on in `serve`. */
+struct ProgramSafeguards
+{
+    bool fencing_ = true;
+    bool intent_ = true;
+    bool readBack_ = true;
+    bool budget_ = true;
+    bool dedup_ = true;
+};
+
 /**
  * \brief Runs the programs that this node owns: order, budget, at-most-once, takeover, checkpoints, quarantine.
  *
@@ -56,6 +88,9 @@
     /** \brief Builds a controller; defaults are those of the settings table. */
     class Builder;
 
+    ProgramController(const ProgramController &) = delete;
+    ProgramController &operator=(const ProgramController &) = delete;
+
     ~ProgramController();
 
     /** \brief Starts tailing the journal. */
@@ -97,13 +132,56 @@
     nlohmann::json explain(const ProgramId &program) const;
     /** \brief History of a program as text; byte for byte the same on every node. */
     std::string history(const ProgramId &program) const;
+    /** \brief True if a program exists and hasn't ended; what engines hold for others may be released. */
+    bool isLive(const ProgramId &program) const;
+    /** \brief Offset up to which the journal is folded. */
+    Offset journalOffset() const;
+    /** \brief Counters and the journal's state, for `state` and `metrics`. */
+    nlohmann::json dump() const;
 
 private:
     struct Private;
-    explicit ProgramController(std::unique_ptr<Private> d);
-    std::unique_ptr<Private> d_;
+    explicit ProgramController(std::shared_ptr<Private> d);
+    std::shared_ptr<Private> d_; ///< Shared with callbacks that are under way; they hold it weakly.
 };
 
+class ProgramController::Builder
+{
+public:
+    /** \brief `blackboard` supplies MembershipSection::massLoss_ and has to outlive the controller. */
+    Builder(NodeId self, const Blackboard &blackboard, ProgramHooks hooks);
+
+    Builder &setSettings(const ProgramSettings &settings);
+    Builder &setSafeguards(const ProgramSafeguards &safeguards);
+    std::unique_ptr<ProgramController> build();
+
+private:
+    NodeId self_;
+    const Blackboard &blackboard_;
+    ProgramHooks hooks_;
+    ProgramSettings settings_;
+    ProgramSafeguards safeguards_;
+};
+
+/** \brief A failed Result whose Failure is carried along, so that it outlives the call that made it. */
+template<typename T>
+Result<T> failedResult(const Failure &failure)
+{
+    return boost::leaf::capture(boost::leaf::make_shared_context([](const Failure & /*carried*/) {}),
+                                [&failure]() -> Result<T> { return boost::leaf::new_error(failure); });
+}
+
+/** \brief The Failure of a failed Result. */
+template<typename T>
+Failure failureOf(const Result<T> &result)
+{
+    return boost::leaf::try_handle_all(
+        // Results can be read only once by LEAF's interface, which is why it has no const access.
+        [&result]() -> Result<Failure> { return const_cast<Result<T> &>(result).error(); },
+        [](const Failure &failure) { return failure; },
+        []() { return Failure(); });
+}
+
 } // namespace filbertgw
 
 #endif
