Add a first version of the scheduler

Change: endpoint and program trackers, cost-based engine choice, retention, admission, retries, ejection, limits and isolation behind the Scheduler.

--- a/bench/policy/nodepolicy.h
+++ b/bench/policy/nodepolicy.h
@@ -32,7 +32,7 @@
 
 /**
  * \brief Makes a policy by name: a baseline, `default`, or `default-no-X` with mechanism X switched off.
- * \return nothing if the name is unknown.
+ * \throws std::invalid_argument if the name is unknown.
  */
 std::unique_ptr<NodePolicy> makePolicy(const std::string &name, const SchedulerHooks &hooks);
 
--- /dev/null
+++ b/src/policy/outlierejector.cpp
@@ -0,0 +1,78 @@
+#include "policy/outlierejector.h"
+
+#include <algorithm>
+
+namespace filbertgw {
+
+namespace internal {
+
+constexpr std::uint32_t failuresToEject = 2;
+constexpr Duration firstEjection = std::chrono::seconds(5);
+constexpr std::uint32_t maxDoublings = 4;
+constexpr double usableFloor = 0.5;
+
+} // namespace internal
+
+OutlierEjector::OutlierEjector(Blackboard &blackboard, bool enabled, Clock now)
+    : section_(blackboard.write<HealthSection>())
+    , endpoints_(blackboard.read<EndpointSection>())
+    , enabled_(enabled)
+    , now_(std::move(now))
+{
+}
+
+void OutlierEjector::onSuccess(const EndpointId &endpoint)
+{
+    const std::unordered_map<EndpointId, HealthSection::Record>::iterator it = section_.records_.find(endpoint);
+    if (it != section_.records_.end()) {
+        section_.records_.erase(it);
+    }
+}
+
+std::size_t OutlierEjector::ejectedCount() const
+{
+    const Time now = now_();
+    return static_cast<std::size_t>(
+        std::count_if(section_.records_.begin(),
+                      section_.records_.end(),
+                      [now](const std::pair<const EndpointId, HealthSection::Record> &entry) {
+                          return entry.second.ejectedUntil_ > now;
+                      }));
+}
+
+void OutlierEjector::onFailure(const EndpointId &endpoint)
+{
+    if (!enabled_ || endpoints_.endpoints_.count(endpoint) == 0) {
+        return;
+    }
+    HealthSection::Record &record = section_.records_[endpoint];
+    ++record.failuresInRow_;
+    if (record.failuresInRow_ < internal::failuresToEject || record.ejectedUntil_ > now_()) {
+        return;
+    }
+    const double allowed = static_cast<double>(endpoints_.endpoints_.size()) * (1 - internal::usableFloor);
+    if (static_cast<double>(ejectedCount() + 1) > allowed) {
+        return;
+    }
+    record.ejectedUntil_ =
+        now_() + internal::firstEjection * (1 << std::min(record.ejections_, internal::maxDoublings));
+    ++record.ejections_;
+    // One more failure after the ejection ejects again.
+    record.failuresInRow_ = internal::failuresToEject - 1;
+}
+
+void OutlierEjector::onDown(const EndpointId &endpoint)
+{
+    if (enabled_ && !isEjected(endpoint)) {
+        section_.records_[endpoint].failuresInRow_ = internal::failuresToEject;
+        onFailure(endpoint);
+    }
+}
+
+bool OutlierEjector::isEjected(const EndpointId &endpoint) const
+{
+    const std::unordered_map<EndpointId, HealthSection::Record>::const_iterator it = section_.records_.find(endpoint);
+    return it != section_.records_.end() && it->second.ejectedUntil_ > now_();
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/policy/pauselearner.cpp
@@ -0,0 +1,64 @@
+#include "policy/pauselearner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace filbertgw {
+
+namespace internal {
+
+/** \brief Tool names come from callers, so their number is bounded; further tools share one histogram. */
+constexpr std::size_t maxTools = 1000;
+constexpr double smallestSeconds = 0.05;
+/** \brief Counts are halved here, so that the histogram follows changes. */
+constexpr double maxCount = 2000;
+
+} // namespace internal
+
+std::size_t PauseLearner::bucketOf(double seconds)
+{
+    const double position = 2 * std::log2(std::max(seconds, internal::smallestSeconds) / internal::smallestSeconds);
+    return std::min(bucketCount - 1, static_cast<std::size_t>(position));
+}
+
+double PauseLearner::secondsOf(std::size_t bucket)
+{
+    return internal::smallestSeconds * std::exp2((static_cast<double>(bucket) + 0.5) / 2);
+}
+
+void PauseLearner::onPauseEnded(const std::string &tool, Duration pause)
+{
+    const bool full = tools_.size() >= internal::maxTools && tools_.count(tool) == 0;
+    Histogram &histogram = tools_[full ? std::string() : tool];
+    histogram.counts_[bucketOf(toSeconds(pause))] += 1;
+    histogram.total_ += 1;
+    if (histogram.total_ > internal::maxCount) {
+        for (double &count : histogram.counts_) {
+            count /= 2;
+        }
+        histogram.total_ /= 2;
+    }
+}
+
+Duration PauseLearner::expectedRest(const std::string &tool, Duration elapsed) const
+{
+    const double seconds = toSeconds(elapsed);
+    // Heavy-tailed pauses are expected to last for as long again; this counts as one observation.
+    const double prior = seconds + 5;
+    const std::map<std::string, Histogram>::const_iterator it = tools_.find(tool);
+    if (it == tools_.end()) {
+        return fromSeconds(prior);
+    }
+    double count = 1;
+    double sum = prior;
+    for (std::size_t bucket = bucketOf(seconds); bucket < bucketCount; ++bucket) {
+        const double rest = secondsOf(bucket) - seconds;
+        if (rest > 0) {
+            count += it->second.counts_[bucket];
+            sum += it->second.counts_[bucket] * rest;
+        }
+    }
+    return fromSeconds(sum / count);
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/policy/pauselearner.h
@@ -0,0 +1,35 @@
+#ifndef FILBERTGW_POLICY_PAUSELEARNER_H
+#define FILBERTGW_POLICY_PAUSELEARNER_H
+
+#include "core/time.h"
+
+#include <array>
+#include <map>
+#include <string>
+
+namespace filbertgw {
+
+/** \brief Learns how long each tool keeps a program waiting; pauses are counted in half octaves of a second. */
+class PauseLearner
+{
+public:
+    void onPauseEnded(const std::string &tool, Duration pause);
+    /** \brief Expected rest of a pause that has lasted for `elapsed`. */
+    Duration expectedRest(const std::string &tool, Duration elapsed) const;
+
+private:
+    static constexpr std::size_t bucketCount = 40;
+    struct Histogram
+    {
+        std::array<double, bucketCount> counts_{};
+        double total_ = 0;
+    };
+    static std::size_t bucketOf(double seconds);
+    static double secondsOf(std::size_t bucket);
+
+    std::map<std::string, Histogram> tools_;
+};
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/policy/retentioncontroller.cpp
@@ -0,0 +1,141 @@
+#include "policy/retentioncontroller.h"
+
+#include <cmath>
+
+namespace filbertgw {
+
+namespace internal {
+
+constexpr Duration checkInterval = std::chrono::milliseconds(500);
+/** \brief Below this share of the KV memory every paused program stays. */
+constexpr double relaxedShare = 0.6;
+/** \brief Reports are 1 to 2 s old, so exports must begin before the memory is full. */
+constexpr double tightShare = 0.95;
+constexpr double relaxedSeconds = 120;
+constexpr double tightSeconds = 3;
+
+} // namespace internal
+
+RetentionController::RetentionController(EndpointTracker &endpoints,
+                                         ProgramTracker &programs,
+                                         const ProgramSection &section,
+                                         DisabledMechanisms disabled,
+                                         Clock now,
+                                         std::function<void(const EndpointOrder &)> order)
+    : endpoints_(endpoints)
+    , programs_(programs)
+    , section_(section)
+    , disabled_(std::move(disabled))
+    , now_(std::move(now))
+    , order_(std::move(order))
+{
+}
+
+void RetentionController::release(const EndpointId &endpoint,
+                                  const ProgramId &program,
+                                  std::int64_t tokens,
+                                  const char *reason)
+{
+    if (disabled_.count(Mechanism::Release) > 0 || endpoint.isEmpty()) {
+        return;
+    }
+    EndpointOrder order;
+    order.kind_ = OrderKind::Release;
+    order.endpoint_ = endpoint;
+    order.program_ = program;
+    order.reason_ = reason;
+    endpoints_.onMemoryChange(endpoint, -tokens);
+    order_(order);
+}
+
+void RetentionController::onResumed(const ProgramState &program)
+{
+    if (program.paused_) {
+        pauses_.onPauseEnded(program.tool_, now_() - program.pausedAt_);
+    }
+}
+
+void RetentionController::onMoved(const ProgramId &program, const EndpointId &engine)
+{
+    const ProgramState *state = programs_.find(program);
+    if (state == nullptr) {
+        return;
+    }
+    const std::set<EndpointId> visited = state->visited_;
+    for (const EndpointId &other : visited) {
+        if (other != engine) {
+            release(other, program, state->homeTokens_ - state->sharedTokens_, "moved");
+            programs_.onLeft(program, other);
+        }
+    }
+}
+
+void RetentionController::onEnded(const ProgramId &program)
+{
+    const ProgramState *state = programs_.find(program);
+    if (state == nullptr) {
+        return;
+    }
+    for (const EndpointId &endpoint : state->visited_) {
+        const bool inCache = endpoint == state->home_ && state->exportedAt_.isEmpty();
+        release(endpoint, program, inCache ? state->homeTokens_ - state->sharedTokens_ : 0, "ended");
+    }
+}
+
+void RetentionController::onHeld(const EndpointId &endpoint, const std::vector<ProgramId> &held)
+{
+    for (const ProgramId &program : held) {
+        const ProgramState *state = programs_.find(program);
+        const bool elsewhere =
+            state != nullptr && state->calls_ == 0 && state->home_ != endpoint && !state->home_.isEmpty();
+        if (state == nullptr || elsewhere) {
+            release(endpoint, program, 0, "held for nothing");
+        }
+    }
+}
+
+Duration RetentionController::longestKeptRest(const EndpointState &endpoint) const
+{
+    const double share = endpoints_.usedTokens(endpoint) / static_cast<double>(endpoint.info_.cacheTokens_);
+    if (share < internal::relaxedShare) {
+        return Duration::max();
+    }
+    const double position = (share - internal::relaxedShare) / (internal::tightShare - internal::relaxedShare);
+    return fromSeconds(internal::relaxedSeconds
+                       * std::pow(internal::tightSeconds / internal::relaxedSeconds, position));
+}
+
+void RetentionController::exportPaused(const ProgramId &program, const ProgramState &state, const EndpointState &home)
+{
+    EndpointOrder order;
+    order.kind_ = OrderKind::Export;
+    order.endpoint_ = home.info_.id_;
+    order.program_ = program;
+    order.reason_ = "paused";
+    endpoints_.onMemoryChange(home.info_.id_, state.sharedTokens_ - state.homeTokens_);
+    programs_.onExported(program);
+    order_(order);
+}
+
+void RetentionController::tick()
+{
+    if (now_() < nextCheck_ || disabled_.count(Mechanism::Export) > 0) {
+        return;
+    }
+    nextCheck_ = now_() + internal::checkInterval;
+    for (const std::pair<const ProgramId, ProgramState> &entry : section_.programs_) {
+        const ProgramState &state = entry.second;
+        const bool candidate = state.paused_ && state.calls_ == 0 && state.exportedAt_.isEmpty()
+            && state.homeTokens_ > state.sharedTokens_;
+        const EndpointState *home = candidate ? endpoints_.find(state.home_) : nullptr;
+        if (home == nullptr || !home->healthy_) {
+            continue;
+        }
+        const Duration kept = longestKeptRest(*home);
+        if (kept != Duration::max() && pauses_.expectedRest(state.tool_, now_() - state.pausedAt_) > kept) {
+            exportPaused(entry.first, state, *home);
+        }
+    }
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/policy/scheduler.cpp
@@ -0,0 +1,676 @@
+#include "policy/scheduler.h"
+
+#include "policy/admissioncontroller.h"
+#include "policy/concurrencylimiter.h"
+#include "policy/endpointtracker.h"
+#include "policy/enginechooser.h"
+#include "policy/outlierejector.h"
+#include "policy/programtracker.h"
+#include "policy/retentioncontroller.h"
+#include "policy/retrypolicy.h"
+#include "policy/servicechooser.h"
+#include "policy/suspectisolation.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace filbertgw {
+
+namespace internal {
+
+/** \brief Bound of the queue of one node. */
+constexpr std::size_t maxQueuedCalls = 20'000;
+/** \brief Longest wait for an endpoint that serves the call; longer than a restart of an engine. */
+constexpr Duration maxEndpointWait = std::chrono::seconds(60);
+/** \brief Calls that can't be placed before a dispatch gives up; the next report may change the answer. */
+constexpr std::size_t maxUnplaced = 6;
+constexpr std::size_t maxDecisions = 256;
+/** \brief Time to first token below this is no sign of a queue. */
+constexpr double firstTokenAllowance = 1.0;
+constexpr std::int32_t alonePriority = -1'000'000'000;
+/** \brief Streams that an engine may have queued before calls wait here, where they can still go elsewhere. */
+constexpr double engineQueueShare = 0.5;
+
+using CallKey = std::pair<ProgramId, RequestId>;
+
+/** \brief One submitted call. */
+struct Call
+{
+    ScheduleRequest request_;
+    Time submittedAt_{0};
+    Time notBefore_{0};
+    std::uint64_t sequence_ = 0;
+    std::uint32_t attempts_ = 0;
+    bool running_ = false;
+    bool held_ = false; ///< First call of a program that has not started.
+    bool mayHaveRun_ = false; ///< Some attempt reached an endpoint.
+    bool rejected_ = false;
+    std::set<EndpointId> failedAt_;
+    Suspicion suspicion_;
+    std::int64_t newTokens_ = 0; ///< Prompt tokens beyond the program's prefix at submission.
+    double urgency_ = 0;
+    double share_ = 0;
+};
+
+/** \brief One attempt that was ordered and has not ended. */
+struct Attempt
+{
+    EndpointId endpoint_;
+    std::uint64_t commitment_ = 0;
+    EndpointId importFrom_;
+    std::int64_t missingTokens_ = 0;
+    double load_ = 0; ///< Streams or calls when it was sent.
+    bool firstToken_ = false;
+    bool alone_ = false;
+};
+
+} // namespace internal
+
+using internal::Attempt;
+using internal::Call;
+using internal::CallKey;
+
+struct Scheduler::Private
+{
+    Private(SchedulerHooks hooks, Blackboard *blackboard, const EngineCosts &costs, const DisabledMechanisms &disabled);
+
+    void dispatch();
+    void sortQueue(std::vector<Call *> &queue);
+    bool tryStart(Call &call);
+    bool tryStartModel(Call &call);
+    bool tryStartService(Call &call);
+    ChoiceRules rulesFor(const Call &call) const;
+    void start(Call &call, const EngineChoice &choice);
+    void order(Call &call, Attempt attempt, StartOrder order);
+    void endAttempt(const AttemptResult &result, const Attempt &attempt);
+    void learnLatency(const AttemptResult &result, const Attempt &attempt);
+    void retryOrFail(Call &call, const AttemptResult &result);
+    void finish(const CallKey &key, ScheduleResult result);
+    void fail(const CallKey &key, FailureType type, const std::string &detail, Duration retryAfter);
+    void expireQueued();
+    void noteDecision(const ProgramId &program, const std::string &text);
+    bool enabled(Mechanism mechanism) const
+    {
+        return disabled_.count(mechanism) == 0;
+    }
+    static LimitBounds engineBounds(const EndpointState &endpoint);
+
+    SchedulerHooks hooks_;
+    DisabledMechanisms disabled_;
+    EngineCosts costs_;
+    std::unique_ptr<Blackboard> ownBlackboard_;
+    Blackboard *blackboard_;
+    EndpointTracker endpoints_;
+    ProgramTracker programs_;
+    OutlierEjector ejector_;
+    ConcurrencyLimiter limiter_;
+    EngineChooser engineChooser_;
+    ServiceChooser serviceChooser_;
+    AdmissionController admission_;
+    RetentionController retention_;
+    RetryPolicy retries_;
+    SuspectIsolation isolation_;
+    std::map<CallKey, Call> calls_;
+    std::map<std::pair<CallKey, std::uint32_t>, Attempt> attempts_;
+    std::set<CallKey> queued_;
+    std::uint64_t sequence_ = 0;
+    bool dispatching_ = false;
+    bool dispatchAgain_ = false;
+};
+
+Scheduler::Private::Private(SchedulerHooks hooks,
+                            Blackboard *blackboard,
+                            const EngineCosts &costs,
+                            const DisabledMechanisms &disabled)
+    : hooks_(std::move(hooks))
+    , disabled_(disabled)
+    , costs_(costs)
+    , ownBlackboard_(blackboard == nullptr ? std::make_unique<Blackboard>() : nullptr)
+    , blackboard_(blackboard == nullptr ? ownBlackboard_.get() : blackboard)
+    , endpoints_(*blackboard_, costs, enabled(Mechanism::Commitments), hooks_.now_)
+    , programs_(*blackboard_, costs, hooks_.now_)
+    , ejector_(*blackboard_, enabled(Mechanism::Ejection), hooks_.now_)
+    , limiter_(enabled(Mechanism::Limits))
+    , engineChooser_(*blackboard_, endpoints_, programs_, ejector_, costs, disabled, hooks_.random_)
+    , serviceChooser_(*blackboard_, ejector_, limiter_, hooks_.random_)
+    , admission_(*blackboard_, endpoints_, programs_, disabled, hooks_.now_, hooks_.random_, hooks_.liveNodes_)
+    , retention_(endpoints_, programs_, blackboard_->read<ProgramSection>(), disabled, hooks_.now_, hooks_.order_)
+    , retries_(enabled(Mechanism::Backoff), hooks_.random_)
+    , isolation_(enabled(Mechanism::Isolation))
+{
+}
+
+LimitBounds Scheduler::Private::engineBounds(const EndpointState &endpoint)
+{
+    const double streams = endpoint.info_.maxStreams_;
+    return LimitBounds{streams, streams * (1 + internal::engineQueueShare)};
+}
+
+void Scheduler::Private::sortQueue(std::vector<Call *> &queue)
+{
+    Time oldestHeld = hooks_.now_();
+    for (Call *call : queue) {
+        call->urgency_ =
+            enabled(Mechanism::Priority) ? programs_.projectedSlowdown(call->request_, call->submittedAt_) : 0;
+        call->share_ = call->held_ ? admission_.shareOf(call->request_.account_) : 0;
+        oldestHeld = call->held_ ? std::min(oldestHeld, call->submittedAt_) : oldestHeld;
+    }
+    admission_.setOldestHeld(oldestHeld);
+    std::sort(queue.begin(), queue.end(), [](const Call *a, const Call *b) {
+        if (a->held_ != b->held_) {
+            return b->held_;
+        }
+        if (a->share_ != b->share_) {
+            return a->share_ < b->share_;
+        }
+        return a->urgency_ != b->urgency_ ? a->urgency_ > b->urgency_ : a->sequence_ < b->sequence_;
+    });
+}
+
+void Scheduler::Private::dispatch()
+{
+    if (dispatching_) {
+        dispatchAgain_ = true;
+        return;
+    }
+    dispatching_ = true;
+    do {
+        dispatchAgain_ = false;
+        std::vector<Call *> queue;
+        for (const CallKey &key : queued_) {
+            Call &call = calls_.at(key);
+            if (call.notBefore_ <= hooks_.now_()) {
+                queue.push_back(&call);
+            }
+        }
+        sortQueue(queue);
+        std::size_t unplaced = 0;
+        for (Call *call : queue) {
+            const CallKey key{call->request_.program_, call->request_.requestId_};
+            // A start may have finished or cancelled other calls through the hooks.
+            if (queued_.count(key) == 0) {
+                continue;
+            }
+            if (tryStart(*call)) {
+                continue;
+            }
+            if (++unplaced >= internal::maxUnplaced) {
+                break;
+            }
+        }
+    } while (dispatchAgain_);
+    dispatching_ = false;
+}
+
+bool Scheduler::Private::tryStart(Call &call)
+{
+    return call.request_.kind_ == CallKind::Model ? tryStartModel(call) : tryStartService(call);
+}
+
+ChoiceRules Scheduler::Private::rulesFor(const Call &call) const
+{
+    ChoiceRules rules;
+    rules.excluded_ = &call.failedAt_;
+    rules.allowed_ = [this, &call](const EndpointState &endpoint) {
+        if (call.suspicion_.runAlone_) {
+            return isolation_.isPlaceFor(call.suspicion_, endpoint, blackboard_->read<EndpointSection>());
+        }
+        if (isolation_.isReserved(endpoint.info_.id_)) {
+            return false;
+        }
+        if (call.held_) {
+            const std::int64_t tokens = call.request_.promptTokens_ - call.request_.sharedTokens_;
+            return admission_.hasRoom(endpoint, call.request_.account_, tokens);
+        }
+        return endpoints_.streams(endpoint) < limiter_.limit(endpoint.info_.id_, engineBounds(endpoint));
+    };
+    return rules;
+}
+
+bool Scheduler::Private::tryStartModel(Call &call)
+{
+    const std::optional<EngineChoice> choice = engineChooser_.choose(call.request_, rulesFor(call));
+    if (!choice) {
+        return false;
+    }
+    start(call, *choice);
+    return true;
+}
+
+void Scheduler::Private::start(Call &call, const EngineChoice &choice)
+{
+    const ProgramState *program = programs_.find(call.request_.program_);
+    const bool home = program != nullptr && program->home_ == choice.endpoint_ && program->exportedAt_.isEmpty();
+    const EndpointState *endpoint = endpoints_.find(choice.endpoint_);
+    Attempt attempt;
+    attempt.endpoint_ = choice.endpoint_;
+    attempt.importFrom_ = choice.importFrom_;
+    attempt.missingTokens_ = choice.missingTokens_;
+    attempt.load_ = endpoints_.streams(*endpoint);
+    attempt.alone_ = call.suspicion_.runAlone_;
+    StartOrder startOrder;
+    startOrder.endpoint_ = choice.endpoint_;
+    startOrder.importFrom_ = choice.importFrom_;
+    startOrder.alone_ = attempt.alone_;
+    startOrder.reason_ = choice.reason_;
+    const double slowdown = enabled(Mechanism::Priority) ? call.urgency_ : 0;
+    constexpr double priorityScale = 10'000;
+    startOrder.priority_ = attempt.alone_ ? internal::alonePriority
+                                          : -static_cast<std::int32_t>(std::min(slowdown, 10'000.0) * priorityScale);
+    const std::int64_t growth =
+        home ? choice.missingTokens_ : call.request_.promptTokens_ - call.request_.sharedTokens_;
+    endpoints_.onMemoryChange(choice.endpoint_, growth + static_cast<std::int64_t>(programs_.expectedGenerated()));
+    programs_.onVisited(call.request_.program_, choice.endpoint_);
+    if (call.held_) {
+        call.held_ = false;
+        admission_.onStarted(call.request_.account_, choice.endpoint_);
+        programs_.onAdmitted(call.request_.program_);
+    }
+    order(call, attempt, startOrder);
+}
+
+void Scheduler::Private::order(Call &call, Attempt attempt, StartOrder startOrder)
+{
+    const CallKey key{call.request_.program_, call.request_.requestId_};
+    queued_.erase(key);
+    call.running_ = true;
+    attempt.commitment_ = ++sequence_;
+    startOrder.requestId_ = call.request_.requestId_;
+    startOrder.program_ = call.request_.program_;
+    startOrder.attempt_ = ++call.attempts_;
+    endpoints_.onSent(attempt.endpoint_, attempt.commitment_, attempt.missingTokens_);
+    if (attempt.alone_) {
+        isolation_.onStarted(attempt.endpoint_);
+    }
+    attempts_[{key, startOrder.attempt_}] = attempt;
+    noteDecision(call.request_.program_,
+                 "start " + call.request_.requestId_.value() + " at " + attempt.endpoint_.value() + " "
+                     + startOrder.reason_);
+    hooks_.start_(startOrder);
+}
+
+bool Scheduler::Private::tryStartService(Call &call)
+{
+    const std::optional<EndpointId> endpoint = serviceChooser_.choose(call.request_, call.failedAt_);
+    if (!endpoint) {
+        return false;
+    }
+    Attempt attempt;
+    attempt.endpoint_ = *endpoint;
+    attempt.load_ = endpoints_.find(*endpoint)->inFlight_;
+    StartOrder startOrder;
+    startOrder.endpoint_ = *endpoint;
+    startOrder.reason_ = "fewest calls of two";
+    order(call, attempt, startOrder);
+    return true;
+}
+
+void Scheduler::Private::noteDecision(const ProgramId &program, const std::string &text)
+{
+    std::deque<Decision> &last = blackboard_->write<DecisionSection>().last_;
+    last.push_back(Decision{hooks_.now_(), program, text});
+    if (last.size() > internal::maxDecisions) {
+        last.pop_front();
+    }
+}
+
+void Scheduler::Private::learnLatency(const AttemptResult &result, const Attempt &attempt)
+{
+    const EndpointState *endpoint = endpoints_.find(result.endpoint_);
+    if (endpoint == nullptr) {
+        return;
+    }
+    if (endpoint->info_.kind_ != CallKind::Model) {
+        limiter_.onSample(result.endpoint_, LimitBounds{}, attempt.load_, toSeconds(result.latency_), 0);
+        return;
+    }
+    const double chunks = static_cast<double>(attempt.missingTokens_) / costs_.chunkTokens_ + 1;
+    const double chunkSeconds =
+        costs_.chunkTokens_ / costs_.prefillTokensPerSecond_ + costs_.step(endpoint->info_.maxStreams_);
+    const double expected = chunks * chunkSeconds + internal::firstTokenAllowance;
+    limiter_.onSample(
+        result.endpoint_, engineBounds(*endpoint), attempt.load_, toSeconds(result.firstToken_), expected);
+}
+
+void Scheduler::Private::endAttempt(const AttemptResult &result, const Attempt &attempt)
+{
+    endpoints_.onEnded(attempt.endpoint_, attempt.commitment_);
+    if (attempt.alone_) {
+        isolation_.onEnded(attempt.endpoint_);
+    }
+    switch (result.status_) {
+    case AttemptStatus::Answered:
+        ejector_.onSuccess(result.endpoint_);
+        learnLatency(result, attempt);
+        break;
+    case AttemptStatus::Crashed:
+    case AttemptStatus::NotSent:
+        // The endpoint is down: health checks, which are late, bring it back.
+        ejector_.onDown(result.endpoint_);
+        programs_.onCacheLost(result.endpoint_);
+        endpoints_.onHealth(result.endpoint_, false);
+        break;
+    case AttemptStatus::Rejected:
+    case AttemptStatus::TimedOut:
+    case AttemptStatus::ConnectionLost:
+        ejector_.onFailure(result.endpoint_);
+        break;
+    case AttemptStatus::Cancelled:
+        break;
+    }
+}
+
+void Scheduler::Private::retryOrFail(Call &call, const AttemptResult &result)
+{
+    const CallKey key{call.request_.program_, call.request_.requestId_};
+    call.failedAt_.insert(result.endpoint_);
+    call.rejected_ = result.status_ == AttemptStatus::Rejected;
+    const std::optional<Duration> delay =
+        call.suspicion_.isConvicted() ? std::nullopt : retries_.retryAfter(call.request_, result, call.attempts_);
+    if (delay) {
+        call.running_ = false;
+        call.notBefore_ = hooks_.now_() + *delay;
+        queued_.insert(key);
+        return;
+    }
+    const bool convicted = call.suspicion_.isConvicted();
+    fail(key,
+         FailureType::EndpointFailed,
+         convicted ? "the request crashes endpoints" : "the attempt failed: " + std::string(nameOf(result.status_)),
+         convicted ? Duration{0} : Duration(std::chrono::seconds(1)));
+}
+
+void Scheduler::Private::fail(const CallKey &key, FailureType type, const std::string &detail, Duration retryAfter)
+{
+    const Call &call = calls_.at(key);
+    ScheduleResult result;
+    Failure failure;
+    failure.type_ = type;
+    failure.notRun_ = !call.mayHaveRun_;
+    failure.detail_ = detail;
+    failure.retryAfter_ = retryAfter;
+    result.failure_ = failure;
+    result.status_ = !call.mayHaveRun_ ? DispatchStatus::NotSent
+        : call.rejected_               ? DispatchStatus::Failed
+                                       : DispatchStatus::Unknown;
+    result.crashes_ = call.suspicion_.isConvicted() ? call.suspicion_.crashes_ : 0;
+    finish(key, result);
+}
+
+void Scheduler::Private::finish(const CallKey &key, ScheduleResult result)
+{
+    const std::map<CallKey, Call>::iterator it = calls_.find(key);
+    const Call &call = it->second;
+    result.program_ = key.first;
+    result.requestId_ = key.second;
+    const double seconds = toSeconds(hooks_.now_() - call.submittedAt_);
+    programs_.onCallEnded(call.request_, seconds, costs_.idealSeconds(call.newTokens_, programs_.expectedGenerated()));
+    if (call.held_) {
+        admission_.onHeldEnded(call.request_.account_);
+    }
+    queued_.erase(key);
+    calls_.erase(it);
+    hooks_.finished_(result);
+}
+
+void Scheduler::Private::expireQueued()
+{
+    std::vector<CallKey> expired;
+    for (const CallKey &key : queued_) {
+        const Call &call = calls_.at(key);
+        if (!call.held_ && hooks_.now_() - call.submittedAt_ > internal::maxEndpointWait) {
+            expired.push_back(key);
+        }
+    }
+    for (const CallKey &key : expired) {
+        fail(key, FailureType::Overloaded, "no endpoint could take the call in time", std::chrono::seconds(2));
+    }
+}
+
+Scheduler::Scheduler(std::unique_ptr<Private> d)
+    : d_(std::move(d))
+{
+}
+
+Scheduler::~Scheduler() = default;
+
+std::unique_ptr<Scheduler> Scheduler::Builder::build()
+{
+    return std::unique_ptr<Scheduler>(new Scheduler(std::make_unique<Private>(hooks_, blackboard_, costs_, disabled_)));
+}
+
+void Scheduler::setEndpoints(const std::vector<EndpointInfo> &endpoints)
+{
+    d_->endpoints_.setEndpoints(endpoints);
+    d_->dispatch();
+}
+
+void Scheduler::onLoadReport(const LoadReport &report)
+{
+    d_->endpoints_.onLoadReport(report);
+    d_->admission_.onReport(report.endpoint_);
+    d_->dispatch();
+}
+
+void Scheduler::onCacheEvent(const CacheEvent &event)
+{
+    d_->programs_.onCacheEvent(event);
+}
+
+void Scheduler::onEndpointHealth(const EndpointId &endpoint, bool healthy)
+{
+    if (!healthy) {
+        d_->programs_.onCacheLost(endpoint);
+    }
+    d_->endpoints_.onHealth(endpoint, healthy);
+}
+
+std::optional<Failure> Scheduler::admitProgram(const ProgramId & /*program*/,
+                                               const AccountId &account,
+                                               std::int64_t /*promptTokens*/,
+                                               Time deadline)
+{
+    return d_->admission_.admit(account, deadline);
+}
+
+void Scheduler::submit(const ScheduleRequest &request)
+{
+    const CallKey key{request.program_, request.requestId_};
+    if (d_->calls_.count(key) > 0) {
+        return;
+    }
+    if (const ProgramState *known = d_->programs_.find(request.program_)) {
+        d_->retention_.onResumed(*known);
+    }
+    const ProgramState &program = d_->programs_.onSubmit(request);
+    Call &call = d_->calls_[key];
+    call.request_ = request;
+    call.submittedAt_ = d_->hooks_.now_();
+    call.sequence_ = ++d_->sequence_;
+    const std::int64_t prefix = std::max(program.homeTokens_, request.sharedTokens_);
+    call.newTokens_ = std::max<std::int64_t>(1, request.promptTokens_ - prefix);
+    call.suspicion_.runAlone_ = request.runAlone_ && d_->enabled(Mechanism::Isolation);
+    call.suspicion_.crashes_ = request.runAlone_ ? 1 : 0;
+    const bool root = request.root_.isEmpty() || request.root_ == request.program_;
+    call.held_ = root && request.kind_ == CallKind::Model && !program.admitted_ && request.turn_ == 0;
+    if (call.held_) {
+        d_->admission_.onHeld(request.account_);
+    }
+    d_->retries_.onCall();
+    d_->queued_.insert(key);
+    if (d_->queued_.size() > internal::maxQueuedCalls) {
+        d_->fail(key, FailureType::Overloaded, "the queue is full", std::chrono::seconds(5));
+        return;
+    }
+    d_->dispatch();
+}
+
+void Scheduler::cancel(const ProgramId &program, const RequestId &request)
+{
+    const CallKey key{program, request};
+    const std::map<CallKey, Call>::iterator it = d_->calls_.find(key);
+    if (it == d_->calls_.end()) {
+        return;
+    }
+    const std::map<std::pair<CallKey, std::uint32_t>, Attempt>::const_iterator attempt =
+        d_->attempts_.find({key, it->second.attempts_});
+    if (it->second.running_ && attempt != d_->attempts_.end()) {
+        it->second.mayHaveRun_ = true;
+        EndpointOrder order;
+        order.kind_ = OrderKind::Cancel;
+        order.endpoint_ = attempt->second.endpoint_;
+        order.program_ = program;
+        order.requestId_ = request;
+        order.reason_ = "cancelled";
+        d_->fail(key, FailureType::EndpointFailed, "the call was cancelled", Duration{0});
+        d_->hooks_.order_(order);
+        return;
+    }
+    d_->fail(key, FailureType::NotRun, "the call was cancelled", Duration{0});
+}
+
+void Scheduler::onFirstToken(const ProgramId &program, const RequestId &request, std::uint32_t attempt)
+{
+    const CallKey key{program, request};
+    const std::map<std::pair<CallKey, std::uint32_t>, Attempt>::iterator it = d_->attempts_.find({key, attempt});
+    const std::map<CallKey, Call>::const_iterator call = d_->calls_.find(key);
+    if (it == d_->attempts_.end()) {
+        return;
+    }
+    it->second.firstToken_ = true;
+    d_->endpoints_.onFirstToken(it->second.endpoint_, it->second.commitment_);
+    if (call != d_->calls_.end()) {
+        d_->programs_.onMoved(program, it->second.endpoint_, call->second.request_.promptTokens_);
+        d_->retention_.onMoved(program, it->second.endpoint_);
+    }
+}
+
+void Scheduler::onAttemptEnded(const AttemptResult &result)
+{
+    const CallKey key{result.program_, result.requestId_};
+    const std::map<std::pair<CallKey, std::uint32_t>, Attempt>::iterator it =
+        d_->attempts_.find({key, result.attempt_});
+    if (it == d_->attempts_.end()) {
+        return;
+    }
+    const Attempt attempt = it->second;
+    d_->attempts_.erase(it);
+    d_->endAttempt(result, attempt);
+    const std::map<CallKey, Call>::iterator call = d_->calls_.find(key);
+    if (call == d_->calls_.end()) {
+        d_->dispatch();
+        return;
+    }
+    call->second.mayHaveRun_ = call->second.mayHaveRun_ || result.status_ != AttemptStatus::NotSent;
+    if (result.status_ == AttemptStatus::Answered) {
+        d_->programs_.onAnswered(call->second.request_, result);
+        ScheduleResult done;
+        done.endpoint_ = result.endpoint_;
+        d_->finish(key, done);
+    } else {
+        if (result.status_ == AttemptStatus::Crashed) {
+            d_->isolation_.onCrash(call->second.suspicion_, result.endpoint_, attempt.firstToken_, attempt.alone_);
+        }
+        d_->retryOrFail(call->second, result);
+    }
+    d_->dispatch();
+}
+
+void Scheduler::onProgramPaused(const ProgramId &program, const std::string &tool)
+{
+    d_->programs_.onPaused(program, tool);
+}
+
+void Scheduler::onProgramEnded(const ProgramId &program)
+{
+    const ProgramState *state = d_->programs_.find(program);
+    if (state == nullptr) {
+        return;
+    }
+    std::vector<RequestId> open;
+    for (std::map<CallKey, Call>::const_iterator it = d_->calls_.lower_bound({program, RequestId()});
+         it != d_->calls_.end() && it->first.first == program;
+         ++it) {
+        open.push_back(it->first.second);
+    }
+    for (const RequestId &request : open) {
+        cancel(program, request);
+    }
+    if (state->admitted_) {
+        d_->admission_.onEnded(state->account_);
+    }
+    d_->retention_.onEnded(program);
+    d_->programs_.onEnded(program);
+    d_->dispatch();
+}
+
+void Scheduler::onHeldPrograms(const EndpointId &endpoint, const std::vector<ProgramId> &programs)
+{
+    d_->retention_.onHeld(endpoint, programs);
+}
+
+void Scheduler::tick()
+{
+    d_->retention_.tick();
+    d_->expireQueued();
+    if (!d_->queued_.empty()) {
+        d_->dispatch();
+    }
+}
+
+std::size_t Scheduler::pendingCalls() const
+{
+    return d_->calls_.size();
+}
+
+nlohmann::json Scheduler::dump() const
+{
+    nlohmann::json result;
+    for (const std::pair<const EndpointId, EndpointState> &entry :
+         d_->blackboard_->read<EndpointSection>().endpoints_) {
+        const EndpointState &state = entry.second;
+        result["endpoints"][entry.first.value()] = {{"healthy", state.healthy_},
+                                                    {"ejected", d_->ejector_.isEjected(entry.first)},
+                                                    {"leaving", state.info_.leaving_ || state.report_.leaving_},
+                                                    {"streams", d_->endpoints_.streams(state)},
+                                                    {"used_tokens", d_->endpoints_.usedTokens(state)},
+                                                    {"in_flight", state.inFlight_}};
+    }
+    result["programs"] = d_->blackboard_->read<ProgramSection>().programs_.size();
+    result["queued"] = d_->queued_.size();
+    result["running"] = d_->attempts_.size();
+    const AccountSection &accounts = d_->blackboard_->read<AccountSection>();
+    result["programs_live"] = accounts.live_;
+    result["programs_held"] = accounts.held_;
+    result["decisions"] = nlohmann::json::array();
+    for (const Decision &decision : d_->blackboard_->read<DecisionSection>().last_) {
+        result["decisions"].push_back(
+            {{"at_us", decision.at_.count()}, {"program", decision.program_.value()}, {"decision", decision.text_}});
+    }
+    return result;
+}
+
+nlohmann::json Scheduler::explain(const ProgramId &program) const
+{
+    nlohmann::json result;
+    const ProgramState *state = d_->programs_.find(program);
+    if (state == nullptr) {
+        return result;
+    }
+    result["home"] = state->home_.value();
+    result["prefix_tokens"] = state->homeTokens_;
+    result["exported_at"] = state->exportedAt_.value();
+    result["paused"] = state->paused_;
+    result["late_s"] = state->lateSeconds_;
+    result["decisions"] = nlohmann::json::array();
+    for (const Decision &decision : d_->blackboard_->read<DecisionSection>().last_) {
+        if (decision.program_ == program) {
+            result["decisions"].push_back({{"at_us", decision.at_.count()}, {"decision", decision.text_}});
+        }
+    }
+    return result;
+}
+
+} // namespace filbertgw
--- a/src/policy/scheduler.h
+++ b/src/policy/scheduler.h
@@ -2,6 +2,8 @@
 #define FILBERTGW_POLICY_SCHEDULER_H
 
 #include "blackboard/blackboard.h"
+#include "policy/enginecosts.h"
+#include "policy/mechanism.h"
 #include "policy/schedulertypes.h"
 
 #include <nlohmann/json_fwd.hpp>
@@ -58,7 +60,10 @@
     void onProgramPaused(const ProgramId &program, const std::string &tool);
     /** \brief A program is gone; whatever it holds on engines is released. */
     void onProgramEnded(const ProgramId &program);
-    /** \brief What an engine reports as pinned or held; the sweep releases what belongs to no live program. */
+    /**
+     * \brief What an engine reports as pinned or held; the sweep releases what belongs to no live program.
+     * \param programs only those whose slot this node is preferred for, because it doesn't know the others' programs.
+     */
     void onHeldPrograms(const EndpointId &endpoint, const std::vector<ProgramId> &programs);
     void tick();
 
@@ -75,6 +80,41 @@
     std::unique_ptr<Private> d_;
 };
 
+/** \brief Builds a Scheduler; hooks are required, everything else has a default. */
+class Scheduler::Builder
+{
+public:
+    Builder &hooks(SchedulerHooks hooks)
+    {
+        hooks_ = std::move(hooks);
+        return *this;
+    }
+    /** \brief The node's blackboard; without one, the scheduler has its own. */
+    Builder &blackboard(Blackboard *blackboard)
+    {
+        blackboard_ = blackboard;
+        return *this;
+    }
+    Builder &costs(const EngineCosts &costs)
+    {
+        costs_ = costs;
+        return *this;
+    }
+    /** \brief Switches a mechanism off. */
+    Builder &disable(Mechanism mechanism)
+    {
+        disabled_.insert(mechanism);
+        return *this;
+    }
+    std::unique_ptr<Scheduler> build();
+
+private:
+    SchedulerHooks hooks_;
+    Blackboard *blackboard_ = nullptr;
+    EngineCosts costs_;
+    DisabledMechanisms disabled_;
+};
+
 } // namespace filbertgw
 
 #endif
--- /dev/null
+++ b/src/policy/suspectisolation.h
@@ -0,0 +1,54 @@
+#ifndef FILBERTGW_POLICY_SUSPECTISOLATION_H
+#define FILBERTGW_POLICY_SUSPECTISOLATION_H
+
+#include "core/ids.h"
+#include "policy/policysections.h"
+
+#include <cstdint>
+#include <map>
+
+namespace filbertgw {
+
+/** \brief What crashes say of one call. */
+struct Suspicion
+{
+    std::uint32_t crashes_ = 0; ///< Endpoints that crashed with it.
+    std::uint32_t aloneCrashes_ = 0; ///< Those where it ran alone.
+    bool runAlone_ = false;
+    EndpointId crashedAt_;
+
+    /** \brief True if the crashes can be due to nothing else. */
+    bool isConvicted() const
+    {
+        return aloneCrashes_ > 0 && crashes_ > 1;
+    }
+};
+
+/**
+ * \brief Keeps the suspects of a crash apart, so that a second crash convicts only the request that caused it.
+ *
+ * A call that had no first token when its endpoint crashed runs alone at its next attempt. One that was already
+ * streaming is retried beside others once and runs alone only after a second crash, because isolating every stream of a
+ * crashed engine would cost an engine for minutes. Nobody is convicted by a crash beside other requests.
+ */
+class SuspectIsolation
+{
+public:
+    explicit SuspectIsolation(bool enabled);
+
+    void onCrash(Suspicion &suspicion, const EndpointId &endpoint, bool hadFirstToken, bool alone) const;
+    void onStarted(const EndpointId &endpoint);
+    void onEnded(const EndpointId &endpoint);
+    /** \brief True if this node has a request that runs alone on the endpoint. */
+    bool isReserved(const EndpointId &endpoint) const;
+    /** \brief True if the suspect has to run there; every node picks the same endpoint for the same crash. */
+    bool isPlaceFor(const Suspicion &suspicion, const EndpointState &endpoint, const EndpointSection &all) const;
+
+private:
+    bool enabled_;
+    std::map<EndpointId, std::int32_t> reserved_;
+};
+
+} // namespace filbertgw
+
+#endif
