--- a/bench/fakes/fakeengine.cpp
+++ b/bench/fakes/fakeengine.cpp
@@ -40,6 +40,7 @@
 
 void FakeEngine::submit(const EngineJob &job)
 {
+    exporting_.erase(job.program_);
     waiting_.emplace(QueueKey{job.priority_, ++sequence_}, job);
     if (stepping_) {
         interruptSteps();
@@ -70,14 +71,18 @@
         return;
     }
     importing_.insert(job.id_);
+    source.exporting_.erase(key);
     const Time end = reserveTransfer(source, *this, tokens);
     events_.at(end, [this, &source, job, key, tokens, fromStore, life = life_, sourceLife = source.life_] {
         if (life != life_ || importing_.erase(job.id_) == 0) {
             return;
         }
         const bool intact = sourceLife == source.life_ && (fromStore || source.cachedTokens(key) >= tokens);
-        if (intact && makeRoom(tokens)) {
+        if (intact && makeRoom(tokens + job.sharedTokens_)) {
+            Entry &shared = touch(job.shared_);
+            setTokens(shared, std::max(shared.tokens_, job.sharedTokens_));
             setTokens(touch(key), tokens);
+            setParent(key, job.shared_);
         }
         if (fromStore && sourceLife == source.life_ && source.exported_.erase(key) > 0) {
             source.exportedTokens_ -= tokens;
@@ -130,11 +135,13 @@
     if (tokens == 0 || cache_.at(program).locks_ > 0) {
         return;
     }
+    exporting_.insert(program);
     std::vector<Time>::iterator out = std::min_element(transferOut_.begin(), transferOut_.end());
     *out =
         std::max(events_.now(), *out) + fromSeconds(static_cast<double>(tokens) / settings_.transferTokensPerSecond_);
     events_.at(*out, [this, program, tokens, life = life_] {
-        if (life != life_ || cachedTokens(program) != tokens || cache_.at(program).locks_ > 0) {
+        const bool wanted = life == life_ && exporting_.erase(program) > 0;
+        if (!wanted || cachedTokens(program) != tokens || cache_.at(program).locks_ > 0) {
             return;
         }
         erase(program);
@@ -170,6 +177,7 @@
         jobs.push_back(running.job_.id_);
     }
     importing_.clear();
+    exporting_.clear();
     waiting_.clear();
     running_.clear();
     cache_.clear();
@@ -254,6 +262,15 @@
     return entry;
 }
 
+void FakeEngine::setParent(CacheKey key, CacheKey parent)
+{
+    Entry &entry = cache_.at(key);
+    if (entry.parent_ == 0) {
+        entry.parent_ = parent;
+        ++cache_.at(parent).children_;
+    }
+}
+
 void FakeEngine::setTokens(Entry &entry, std::int64_t tokens)
 {
     settleIdle();
@@ -268,6 +285,9 @@
 {
     const std::unordered_map<CacheKey, Entry>::iterator entry = cache_.find(key);
     setTokens(entry->second, 0);
+    if (entry->second.parent_ != 0) {
+        --cache_.at(entry->second.parent_).children_;
+    }
     order_.erase(entry->second.position_);
     cache_.erase(entry);
 }
@@ -301,10 +321,14 @@
     }
     std::list<CacheKey>::iterator candidate = order_.begin();
     while (used_ + tokens > settings_.cacheTokens_) {
-        while (cache_.at(*candidate).locks_ > 0) {
+        const Entry &looked = cache_.at(*candidate);
+        if (looked.locks_ > 0 || looked.children_ > 0) {
             ++candidate;
+            candidate = candidate == order_.end() ? order_.begin() : candidate;
+            continue;
         }
         const CacheKey key = *candidate++;
+        candidate = candidate == order_.end() ? order_.begin() : candidate;
         Entry &entry = cache_.at(key);
         const std::int64_t excess = used_ + tokens - settings_.cacheTokens_;
         const std::int64_t blocks = (excess + settings_.blockTokens_ - 1) / settings_.blockTokens_;
@@ -312,6 +336,7 @@
         hooks_.cacheChanged_(key, left, true);
         if (left == 0) {
             erase(key);
+            candidate = order_.begin();
         } else {
             setTokens(entry, left);
         }
@@ -324,6 +349,7 @@
     const std::int64_t own = job.promptTokens_ - job.sharedTokens_ + job.generate_;
     lock(job.shared_);
     lock(job.program_);
+    setParent(job.program_, job.shared_);
     const std::int64_t sharedCached = std::min(cachedTokens(job.shared_), job.sharedTokens_);
     std::int64_t ownCached = std::min(cachedTokens(job.program_), job.promptTokens_ - job.sharedTokens_);
     const std::int64_t growth =
--- a/bench/fakes/fakeengine.h
+++ b/bench/fakes/fakeengine.h
@@ -104,6 +104,8 @@
     {
         std::int64_t tokens_ = 0;
         int locks_ = 0;
+        int children_ = 0; ///< Programs whose prefix continues this shared one; it is kept as long as they are.
+        CacheKey parent_ = 0;
         bool released_ = false;
         std::list<CacheKey>::iterator position_;
     };
@@ -131,6 +133,7 @@
     Time reserveTransfer(FakeEngine &source, FakeEngine &target, std::int64_t tokens);
     void storeExport(CacheKey key, std::int64_t tokens);
     Entry &touch(CacheKey key);
+    void setParent(CacheKey key, CacheKey parent);
 
     EventQueue &events_;
     const EngineSettings settings_;
@@ -141,6 +144,7 @@
     std::uint64_t sequence_ = 0;
     std::map<QueueKey, EngineJob> waiting_;
     std::set<std::uint64_t> importing_;
+    std::set<CacheKey> exporting_; ///< A request for the program, or an import of it, stops its export.
     std::vector<Running> running_;
     std::unordered_map<CacheKey, Entry> cache_;
     std::list<CacheKey> order_; ///< Least recently used first.
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -419,7 +419,11 @@
     Program &program = programs_[attempt.program_];
     attempt.firstToken_ = events_.now();
     attempt.cached_ = cached;
-    program.wastedTokens_ += std::clamp<std::int64_t>(program.computed_ - cached, 0, computed);
+    const std::int64_t wasted = std::clamp<std::int64_t>(program.computed_ - cached, 0, computed);
+    program.wastedTokens_ += wasted;
+    const bool moved = program.home_ != attempt.order_.endpoint_;
+    const char *cause = attempt.order_.importFrom_.isEmpty() ? (moved ? "moved" : "evicted") : "import_failed";
+    wastedBy_[cause] += wasted;
     program.computed_ = std::max(program.computed_, program.prompt_);
     NodePolicy &node = *nodes_[static_cast<std::size_t>(program.spec_->node_)];
     node.onFirstToken(program.id_, attempt.order_.requestId_, attempt.order_.attempt_);
@@ -693,6 +697,7 @@
                                           {"slowdown_p95", internal::quantile(entry.second, 0.95)},
                                           {"wasted", wasted[entry.first]}};
     }
+    result["details"]["wasted_by"] = wastedBy_;
     result["details"]["full_rate"] = workload_.fullRate();
 }
 
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -126,6 +126,7 @@
     std::vector<std::pair<Time, Time>> logOutages_;
     std::vector<EndpointInfo> published_;
     std::vector<std::string> violations_;
+    std::map<std::string, std::int64_t> wastedBy_; ///< Wasted tokens of the whole run by cause.
     std::int64_t refusedPolicy_ = 0;
     std::int64_t refusedStore_ = 0;
     std::int64_t arrivals_ = 0;
