Share the room of stale reports between the nodes for starts and moves

Change: RoomLedger gives each node its part of the room of each report, and a move needs a gain of eight streams.

--- a/src/policy/admissioncontroller.cpp
+++ b/src/policy/admissioncontroller.cpp
@@ -23,16 +23,14 @@
                                          const EndpointTracker &endpoints,
                                          const ProgramTracker &programs,
                                          DisabledMechanisms disabled,
-                                         Clock now,
-                                         RandomSource random,
-                                         std::function<std::int32_t()> liveNodes)
+                                         RoomLedger &rooms,
+                                         Clock now)
     : section_(blackboard.write<AccountSection>())
     , endpoints_(endpoints)
     , programs_(programs)
     , disabled_(std::move(disabled))
+    , rooms_(rooms)
     , now_(std::move(now))
-    , random_(std::move(random))
-    , liveNodes_(std::move(liveNodes))
 {
 }
 
@@ -65,20 +63,6 @@
     return failure;
 }
 
-void AdmissionController::onReport(const EndpointId &endpoint)
-{
-    const EndpointState *state = endpoints_.find(endpoint);
-    if (state == nullptr) {
-        return;
-    }
-    const double room = state->info_.maxStreams_ - endpoints_.streams(*state);
-    const double part = std::max(0.0, room / std::max(1, liveNodes_()));
-    const double whole = std::floor(part);
-    constexpr double scale = 1 << 20U;
-    const bool roundUp = static_cast<double>(random_() % (1U << 20U)) / scale < part - whole;
-    grants_[endpoint] = static_cast<std::int32_t>(whole) + (roundUp ? 1 : 0);
-}
-
 bool AdmissionController::isOverShare(const AccountId &account) const
 {
     const std::map<AccountId, AccountSection::Account>::const_iterator it = section_.accounts_.find(account);
@@ -94,8 +78,7 @@
     if (disabled_.count(Mechanism::Admission) > 0) {
         return true;
     }
-    const std::unordered_map<EndpointId, std::int32_t>::const_iterator grant = grants_.find(endpoint.info_.id_);
-    if (endpoint.reported_ && (grant == grants_.end() || grant->second <= 0)) {
+    if (!rooms_.hasStart(endpoint)) {
         return false;
     }
     const double streams = endpoints_.streams(endpoint);
@@ -122,10 +105,7 @@
     onHeldEnded(account);
     ++section_.accounts_[account].live_;
     ++section_.live_;
-    const std::unordered_map<EndpointId, std::int32_t>::iterator grant = grants_.find(endpoint);
-    if (grant != grants_.end()) {
-        --grant->second;
-    }
+    rooms_.takeStart(endpoint);
     const double elapsed = toSeconds(now_() - lastStart_);
     startRate_ = startRate_ * std::exp(-elapsed / internal::startRateSeconds) + 1 / internal::startRateSeconds;
     lastStart_ = now_();
--- a/src/policy/admissioncontroller.h
+++ b/src/policy/admissioncontroller.h
@@ -3,6 +3,7 @@
 
 #include "policy/endpointtracker.h"
 #include "policy/programtracker.h"
+#include "policy/roomledger.h"
 
 #include <optional>
 
@@ -21,13 +22,11 @@
                         const EndpointTracker &endpoints,
                         const ProgramTracker &programs,
                         DisabledMechanisms disabled,
-                        Clock now,
-                        RandomSource random,
-                        std::function<std::int32_t()> liveNodes);
+                        RoomLedger &rooms,
+                        Clock now);
 
     /** \return why the program can't start in time, or nothing. */
     std::optional<Failure> admit(const AccountId &account, Time deadline) const;
-    void onReport(const EndpointId &endpoint);
     bool hasRoom(const EndpointState &endpoint, const AccountId &account, std::int64_t tokens) const;
     void onHeld(const AccountId &account);
     void onStarted(const AccountId &account, const EndpointId &endpoint);
@@ -49,10 +48,8 @@
     const EndpointTracker &endpoints_;
     const ProgramTracker &programs_;
     DisabledMechanisms disabled_;
+    RoomLedger &rooms_;
     Clock now_;
-    RandomSource random_;
-    std::function<std::int32_t()> liveNodes_;
-    std::unordered_map<EndpointId, std::int32_t> grants_; ///< Starts left until the engine's next report.
     Time oldestHeld_{0};
     double startRate_ = 0; ///< Starts a second, smoothed.
     Time lastStart_{0};
--- a/src/policy/enginechooser.cpp
+++ b/src/policy/enginechooser.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t leastLoadedCandidates = 6;
 constexpr std::size_t randomCandidates = 3;
 /** \brief Streams by which the prediction of an engine's load is typically wrong (arrivals during a report's age). */
-constexpr double streamsError = 2;
+constexpr double streamsError = 8;
 /** \brief Share of the KV memory above which an engine starts to evict what is still needed. */
 constexpr double fullShare = 0.97;
 
@@ -21,6 +21,7 @@
                              const EndpointTracker &endpoints,
                              const ProgramTracker &programs,
                              const OutlierEjector &ejector,
+                             const RoomLedger &rooms,
                              const EngineCosts &costs,
                              DisabledMechanisms disabled,
                              RandomSource random)
@@ -28,6 +29,7 @@
     , endpoints_(endpoints)
     , programs_(programs)
     , ejector_(ejector)
+    , rooms_(rooms)
     , costs_(costs)
     , disabled_(std::move(disabled))
     , random_(std::move(random))
@@ -49,8 +51,12 @@
     if (index == section_.byLoad_.end()) {
         return result;
     }
-    const auto add = [this, &result, &rules](const EndpointState *endpoint) {
+    bool homeUsable = false;
+    const auto add = [this, &result, &rules, &homeUsable](const EndpointState *endpoint) {
         const bool excluded = rules.excluded_ != nullptr && rules.excluded_->count(endpoint->info_.id_) > 0;
+        if (homeUsable && !rooms_.hasMove(*endpoint)) {
+            return;
+        }
         if (excluded || !isUsable(*endpoint) || (rules.allowed_ && !rules.allowed_(*endpoint))) {
             return;
         }
@@ -62,6 +68,7 @@
     if (home != nullptr && !home->indexed_.empty()) {
         add(home);
     }
+    homeUsable = !result.empty();
     // Unusable endpoints in front of the index are skipped, up to a bound that keeps the decision short.
     std::size_t looked = 0;
     for (const std::pair<double, std::size_t> &entry : index->second) {
--- a/src/policy/enginechooser.h
+++ b/src/policy/enginechooser.h
@@ -5,6 +5,7 @@
 #include "policy/mechanism.h"
 #include "policy/outlierejector.h"
 #include "policy/programtracker.h"
+#include "policy/roomledger.h"
 
 #include <optional>
 
@@ -41,6 +42,7 @@
                   const EndpointTracker &endpoints,
                   const ProgramTracker &programs,
                   const OutlierEjector &ejector,
+                  const RoomLedger &rooms,
                   const EngineCosts &costs,
                   DisabledMechanisms disabled,
                   RandomSource random);
@@ -76,6 +78,7 @@
     const EndpointTracker &endpoints_;
     const ProgramTracker &programs_;
     const OutlierEjector &ejector_;
+    const RoomLedger &rooms_;
     EngineCosts costs_;
     DisabledMechanisms disabled_;
     RandomSource random_;
--- /dev/null
+++ b/src/policy/roomledger.h
@@ -0,0 +1,44 @@
+#ifndef FILBERTGW_POLICY_ROOMLEDGER_H
+#define FILBERTGW_POLICY_ROOMLEDGER_H
+
+#include "policy/endpointtracker.h"
+
+namespace filbertgw {
+
+/**
+ * \brief This node's part of the room that engines' reports show.
+ *
+ * All nodes see the same late report. If each used all the room in it, they would together send many times too much to
+ * the engine that looks emptiest. So each node takes its part only, rounded at random, until the next report.
+ */
+class RoomLedger
+{
+public:
+    RoomLedger(const EndpointTracker &endpoints, RandomSource random, std::function<std::int32_t()> liveNodes);
+
+    void onReport(const EndpointId &endpoint);
+    /** \brief True if this node may start one more new program on the engine. */
+    bool hasStart(const EndpointState &endpoint) const;
+    /** \brief True if this node may move one more program in progress to the engine. */
+    bool hasMove(const EndpointState &endpoint) const;
+    void takeStart(const EndpointId &endpoint);
+    void takeMove(const EndpointId &endpoint);
+
+private:
+    struct Room
+    {
+        std::int32_t starts_ = 0;
+        std::int32_t moves_ = 0;
+    };
+    std::int32_t partOf(double room);
+
+    const EndpointTracker &endpoints_;
+    RandomSource random_;
+    std::function<std::int32_t()> liveNodes_;
+    std::unordered_map<EndpointId, Room> rooms_;
+    double meanStreams_ = 0; ///< Over the reports of the last seconds.
+};
+
+} // namespace filbertgw
+
+#endif
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -8,6 +8,7 @@
 #include "policy/programtracker.h"
 #include "policy/retentioncontroller.h"
 #include "policy/retrypolicy.h"
+#include "policy/roomledger.h"
 #include "policy/servicechooser.h"
 #include "policy/suspectisolation.h"
 
@@ -106,6 +107,7 @@
     ProgramTracker programs_;
     OutlierEjector ejector_;
     ConcurrencyLimiter limiter_;
+    RoomLedger rooms_;
     EngineChooser engineChooser_;
     ServiceChooser serviceChooser_;
     AdmissionController admission_;
@@ -133,9 +135,10 @@
     , programs_(*blackboard_, costs, hooks_.now_)
     , ejector_(*blackboard_, enabled(Mechanism::Ejection), hooks_.now_)
     , limiter_(enabled(Mechanism::Limits))
-    , engineChooser_(*blackboard_, endpoints_, programs_, ejector_, costs, disabled, hooks_.random_)
+    , rooms_(endpoints_, hooks_.random_, hooks_.liveNodes_)
+    , engineChooser_(*blackboard_, endpoints_, programs_, ejector_, rooms_, costs, disabled, hooks_.random_)
     , serviceChooser_(*blackboard_, ejector_, limiter_, hooks_.random_)
-    , admission_(*blackboard_, endpoints_, programs_, disabled, hooks_.now_, hooks_.random_, hooks_.liveNodes_)
+    , admission_(*blackboard_, endpoints_, programs_, disabled, rooms_, hooks_.now_)
     , retention_(endpoints_, programs_, blackboard_->read<ProgramSection>(), disabled, hooks_.now_, hooks_.order_)
     , retries_(enabled(Mechanism::Backoff), hooks_.random_)
     , isolation_(enabled(Mechanism::Isolation))
@@ -261,6 +264,9 @@
                                           : -static_cast<std::int32_t>(std::min(slowdown, 10'000.0) * priorityScale);
     const std::int64_t growth =
         home ? choice.missingTokens_ : call.request_.promptTokens_ - call.request_.sharedTokens_;
+    if (program != nullptr && !program->home_.isEmpty() && program->home_ != choice.endpoint_) {
+        rooms_.takeMove(choice.endpoint_);
+    }
     endpoints_.onMemoryChange(choice.endpoint_, growth + static_cast<std::int64_t>(programs_.expectedGenerated()));
     programs_.onVisited(call.request_.program_, choice.endpoint_);
     if (call.held_) {
@@ -450,7 +456,7 @@
 void Scheduler::onLoadReport(const LoadReport &report)
 {
     d_->endpoints_.onLoadReport(report);
-    d_->admission_.onReport(report.endpoint_);
+    d_->rooms_.onReport(report.endpoint_);
     d_->dispatch();
 }
 
