Add settings, logger, metrics and the request path of a node

Cause: serve has no parts between the controllers and the sockets. Change: settings table with getopt_long, key=value log lines over Boost.Log, Prometheus text over Boost.Histogram; engine and tool clients, dispatcher, program API and forwarder written against the interfaces of the other modules, with every socket and timer behind NodeHooks.

--- /dev/null
+++ b/src/core/logger.h
@@ -0,0 +1,50 @@
+#ifndef FILBERTGW_CORE_LOGGER_H
+#define FILBERTGW_CORE_LOGGER_H
+
+#include "core/nametable.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace filbertgw {
+
+enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error };
+
+template<>
+struct NameTable<LogLevel>
+{
+    static constexpr std::array<std::pair<LogLevel, std::string_view>, 4> entries{{
+        {LogLevel::Debug, "debug"},
+        {LogLevel::Info, "info"},
+        {LogLevel::Warning, "warning"},
+        {LogLevel::Error, "error"},
+    }};
+};
+
+/**
+ * \brief Fields as `key=value` pairs: `event` first, then program and request, then the others by name.
+ *
+ * A value with a space, a quote, an equals sign or a control character is quoted and escaped, so that one event is
+ * always one line. Fields whose name says that they hold a key are replaced by `***`.
+ */
+std::string formatLogFields(const std::string &event, const nlohmann::json &fields);
+
+/** \brief One `key=value` line for each event, over Boost.Log, on standard error. */
+class Logger
+{
+public:
+    Logger(std::string node, LogLevel least);
+    void log(LogLevel level, const std::string &event, const nlohmann::json &fields) const;
+
+private:
+    std::string node_;
+    LogLevel least_;
+};
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/node/dispatcher.h
@@ -0,0 +1,104 @@
+#ifndef FILBERTGW_NODE_DISPATCHER_H
+#define FILBERTGW_NODE_DISPATCHER_H
+
+#include "blackboard/blackboard.h"
+#include "core/metrics.h"
+#include "node/answerstreams.h"
+#include "node/engineclient.h"
+#include "node/toolclient.h"
+#include "policy/schedulertypes.h"
+#include "program/programtypes.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace filbertgw {
+
+/** \brief The controllers that a Dispatcher stands between. */
+struct DispatcherHooks
+{
+    std::function<void(const ScheduleRequest &)> submit_; ///< Scheduler::submit
+    std::function<void(const ProgramId &, const RequestId &)> cancel_; ///< Scheduler::cancel
+    std::function<void(const ProgramId &, const RequestId &, std::uint32_t attempt)> firstToken_;
+    std::function<void(const AttemptResult &)> attemptEnded_;
+    std::function<void(const DispatchOutcome &)> outcome_; ///< ProgramController::onOutcome
+    std::function<void(const ProgramId &, const std::string &tool)> paused_; ///< Scheduler::onProgramPaused
+};
+
+/** \brief Runs dispatched calls: asks the Scheduler for endpoints, sends attempts, passes text and outcomes on. */
+class Dispatcher
+{
+public:
+    struct Limits
+    {
+        std::size_t answerBytes_ = 4 * 1024 * 1024;
+        Duration callTimeout_ = std::chrono::minutes(10);
+    };
+
+    Dispatcher(
+        const NodeHooks &hooks, const Blackboard &blackboard, AnswerStreams &streams, Metrics &metrics, Limits limits);
+
+    void setControllers(DispatcherHooks controllers);
+
+    /** \brief From ProgramHooks::dispatch_; sub-agent calls are not taken here. */
+    void dispatch(const Dispatch &dispatch);
+    /** \brief From ProgramHooks::cancel_. */
+    void cancel(const ProgramId &program, const RequestId &request);
+    /** \brief From SchedulerHooks::start_. */
+    void start(const StartOrder &order);
+    /** \brief From SchedulerHooks::finished_. */
+    void finish(const ScheduleResult &result);
+    /** \brief From SchedulerHooks::order_. */
+    void order(const EndpointOrder &order);
+
+    std::size_t runningCalls() const;
+
+private:
+    using Key = std::pair<ProgramId, RequestId>;
+    struct Attempt
+    {
+        StartOrder order_;
+        std::uint64_t http_ = 0;
+        Time startedAt_{0};
+        Time firstTokenAt_{0};
+        std::string text_;
+        EndpointAnswer answer_;
+        bool ended_ = false;
+    };
+    struct Running
+    {
+        Dispatch dispatch_;
+        Time startedAt_{0};
+        std::map<std::uint32_t, Attempt> attempts_;
+        std::uint32_t followed_ = 0; ///< Attempt whose text callers get.
+        bool follows_ = false;
+    };
+
+    Attempt *findAttempt(const Key &key, std::uint32_t attempt);
+    Duration timeoutOf(const Dispatch &dispatch) const;
+    void onText(const Key &key, std::uint32_t attempt, const std::string &text);
+    void onDone(const Key &key, std::uint32_t attempt, const EndpointAnswer &answer);
+    void abandon(const Dispatch &dispatch, const Attempt &attempt);
+    void reportNotSent(const StartOrder &order);
+    Spend usageOf(const Dispatch &dispatch, const EndpointAnswer &answer) const;
+
+    const NodeHooks &hooks_;
+    const Blackboard &blackboard_;
+    AnswerStreams &streams_;
+    Metrics &metrics_;
+    Limits limits_;
+    DispatcherHooks controllers_;
+    EngineClient engines_;
+    ToolClient tools_;
+    std::map<Key, Running> running_;
+};
+
+/** \brief Tokens of a text as far as a node can tell without the model's tokenizer: one for each four bytes. */
+std::int64_t estimateTokens(const std::string &text);
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/node/engineclient.cpp
@@ -0,0 +1,245 @@
+#include "node/engineclient.h"
+
+#include "node/errortable.h"
+#include "node/ssereader.h"
+
+#include <memory>
+
+namespace filbertgw {
+namespace internal {
+
+constexpr Duration controlTimeout = std::chrono::seconds(10);
+constexpr Duration probeTimeout = std::chrono::seconds(1);
+
+/** \brief State of one streamed answer of an engine. */
+struct EngineStream
+{
+    explicit EngineStream(EngineClient::Handlers handlers)
+        : handlers_(std::move(handlers))
+        , reader_([this](const std::string &data) { takeEvent(data); })
+    {
+    }
+
+    void takeEvent(const std::string &data)
+    {
+        if (data == "[DONE]") {
+            ended_ = true;
+            return;
+        }
+        const nlohmann::json event = nlohmann::json::parse(data, nullptr, false);
+        if (!event.is_object()) {
+            malformed_ = true;
+            return;
+        }
+        if (event.contains("error")) {
+            answer_.error_ = jsonText(event["error"]);
+            return;
+        }
+        takeChoices(event);
+        takeUsage(event);
+    }
+
+    void takeChoices(const nlohmann::json &event)
+    {
+        if (!event.contains("choices") || !event["choices"].is_array() || event["choices"].empty()) {
+            return;
+        }
+        const nlohmann::json &choice = event["choices"][0];
+        if (!choice.is_object() || !choice.contains("delta") || !choice["delta"].is_object()) {
+            return;
+        }
+        const nlohmann::json &delta = choice["delta"];
+        if (!delta.contains("content") || !delta["content"].is_string()) {
+            return;
+        }
+        const std::string text = delta["content"].get<std::string>();
+        if (!text.empty()) {
+            answer_.body_ += text;
+            handlers_.text_(text);
+        }
+    }
+
+    static std::int64_t count(const nlohmann::json &object, const char *name)
+    {
+        return object.contains(name) && object[name].is_number_integer() ? object[name].get<std::int64_t>() : 0;
+    }
+
+    void takeUsage(const nlohmann::json &event)
+    {
+        if (!event.contains("usage") || !event["usage"].is_object()) {
+            return;
+        }
+        const nlohmann::json &usage = event["usage"];
+        answer_.promptTokens_ = count(usage, "prompt_tokens");
+        answer_.generatedTokens_ = count(usage, "completion_tokens");
+        answer_.cachedTokens_ = count(usage, "cached_tokens");
+        if (usage.contains("prompt_tokens_details") && usage["prompt_tokens_details"].is_object()) {
+            answer_.cachedTokens_ = count(usage["prompt_tokens_details"], "cached_tokens");
+        }
+    }
+
+    EngineClient::Handlers handlers_;
+    SseReader reader_;
+    EndpointAnswer answer_;
+    std::string errorBody_;
+    bool ended_ = false; ///< `[DONE]` was seen.
+    bool malformed_ = false;
+};
+
+AttemptStatus statusOf(const HttpResult &result, const EngineStream &stream)
+{
+    switch (result.outcome_) {
+    case HttpOutcome::NotConnected:
+        return AttemptStatus::NotSent;
+    case HttpOutcome::TimedOut:
+        return AttemptStatus::TimedOut;
+    case HttpOutcome::Cancelled:
+        return AttemptStatus::Cancelled;
+    case HttpOutcome::Interrupted:
+        return AttemptStatus::ConnectionLost;
+    case HttpOutcome::Complete:
+        break;
+    }
+    if (result.status_ / 100 != 2 || !stream.answer_.error_.empty()) {
+        return AttemptStatus::Rejected;
+    }
+    // A stream that ends without its last event was cut by the engine.
+    return stream.ended_ && !stream.malformed_ ? AttemptStatus::Answered : AttemptStatus::ConnectionLost;
+}
+
+nlohmann::json callBody(const Dispatch &dispatch)
+{
+    nlohmann::json body{{"model", dispatch.call_.target_},
+                        {"messages", {{{"role", "user"}, {"content", dispatch.prompt_}}}},
+                        {"stream", true},
+                        {"stream_options", {{"include_usage", true}}}};
+    if (dispatch.call_.maxTokens_ > 0) {
+        body["max_tokens"] = dispatch.call_.maxTokens_;
+    }
+    return body;
+}
+
+} // namespace internal
+
+std::string endpointRequestId(const ProgramId &program, const RequestId &request)
+{
+    return program.value() + "/" + request.value();
+}
+
+EngineClient::EngineClient(const NodeHooks &hooks, std::size_t answerBytes)
+    : hooks_(hooks)
+    , answerBytes_(answerBytes)
+{
+}
+
+std::uint64_t EngineClient::start(
+    const EndpointInfo &engine, const Dispatch &dispatch, const StartOrder &order, Duration timeout, Handlers handlers)
+{
+    const std::shared_ptr<internal::EngineStream> stream =
+        std::make_shared<internal::EngineStream>(std::move(handlers));
+    HttpCall call;
+    call.address_ = engine.address_;
+    call.request_.method_ = "POST";
+    call.request_.target_ = "/v1/chat/completions";
+    call.request_.headers_ = {{"content-type", "application/json"},
+                              {"x-program", dispatch.call_.program_.value()},
+                              {"x-priority", std::to_string(order.priority_)},
+                              {"x-fencing", std::to_string(dispatch.fencing_)},
+                              {"x-request-id", endpointRequestId(dispatch.call_.program_, dispatch.call_.requestId_)}};
+    call.request_.body_ = jsonText(internal::callBody(dispatch));
+    call.timeout_ = timeout;
+    call.answerBytes_ = answerBytes_;
+    call.onPart_ = [stream](int status, const std::string &part) {
+        if (status / 100 != 2) {
+            stream->errorBody_ += part;
+        } else if (!stream->reader_.add(part)) {
+            stream->malformed_ = true;
+        }
+    };
+    call.onDone_ = [this, stream, engine](const HttpResult &result) {
+        EndpointAnswer answer = stream->answer_;
+        answer.status_ = internal::statusOf(result, *stream);
+        if (answer.status_ == AttemptStatus::Rejected && answer.error_.empty()) {
+            answer.error_ = "status " + std::to_string(result.status_) + " " + stream->errorBody_ + result.body_;
+        }
+        if (answer.status_ == AttemptStatus::ConnectionLost) {
+            probe(engine, answer, stream->handlers_.done_);
+        } else {
+            stream->handlers_.done_(answer);
+        }
+    };
+    return hooks_.startHttp_(std::move(call));
+}
+
+// A cut stream alone doesn't say whether the engine or only the connection is gone; a crash convicts the request.
+void EngineClient::probe(const EndpointInfo &engine,
+                         EndpointAnswer answer,
+                         std::function<void(const EndpointAnswer &)> done)
+{
+    HttpCall call;
+    call.address_ = engine.address_;
+    call.request_.method_ = "GET";
+    call.request_.target_ = "/v1/load";
+    call.connectTimeout_ = internal::probeTimeout;
+    call.timeout_ = internal::probeTimeout;
+    call.mayReuse_ = false;
+    call.onDone_ = [answer = std::move(answer), done = std::move(done)](const HttpResult &result) {
+        EndpointAnswer probed = answer;
+        if (result.outcome_ != HttpOutcome::Complete || result.status_ / 100 != 2) {
+            probed.status_ = AttemptStatus::Crashed;
+            probed.error_ = "the engine stopped while it ran the request";
+        } else {
+            probed.error_ = "the connection to the engine was lost";
+        }
+        done(probed);
+    };
+    hooks_.startHttp_(std::move(call));
+}
+
+void EngineClient::cancelRequest(const EndpointInfo &engine, const ProgramId &program, const RequestId &request)
+{
+    HttpCall call;
+    call.address_ = engine.address_;
+    call.request_.method_ = "POST";
+    call.request_.target_ = "/v1/cancel";
+    call.request_.headers_ = {{"content-type", "application/json"}};
+    call.request_.body_ = jsonText({{"request_id", endpointRequestId(program, request)}});
+    call.timeout_ = internal::controlTimeout;
+    call.onDone_ = [](const HttpResult &) {};
+    hooks_.startHttp_(std::move(call));
+}
+
+void EngineClient::control(const EndpointInfo &engine, const EndpointOrder &order, const std::string &peerAddress)
+{
+    nlohmann::json body{{"action", nameOf(order.kind_)}, {"fencing", order.fencing_}};
+    if (!order.program_.isEmpty()) {
+        body["program"] = order.program_.value();
+    }
+    if (!order.subject_.empty()) {
+        body[order.kind_ == OrderKind::LoadAdapter   ? "adapter"
+                 : order.kind_ == OrderKind::SetRole ? "role"
+                                                     : "model"] = order.subject_;
+    }
+    if (!peerAddress.empty()) {
+        body["from"] = peerAddress;
+    }
+    HttpCall call;
+    call.address_ = engine.address_;
+    call.request_.method_ = "POST";
+    call.request_.target_ = "/v1/control";
+    call.request_.headers_ = {{"content-type", "application/json"}};
+    call.request_.body_ = jsonText(body);
+    call.timeout_ = internal::controlTimeout;
+    call.onDone_ = [this, order](const HttpResult &result) {
+        if (result.outcome_ != HttpOutcome::Complete || result.status_ / 100 != 2) {
+            hooks_.logEvent_("order_failed",
+                             {{"endpoint", order.endpoint_.value()},
+                              {"order", nameOf(order.kind_)},
+                              {"program", order.program_.value()},
+                              {"status", result.status_}});
+        }
+    };
+    hooks_.startHttp_(std::move(call));
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/node/engineclient.h
@@ -0,0 +1,59 @@
+#ifndef FILBERTGW_NODE_ENGINECLIENT_H
+#define FILBERTGW_NODE_ENGINECLIENT_H
+
+#include "node/nodehooks.h"
+#include "policy/schedulertypes.h"
+#include "program/programtypes.h"
+
+#include <functional>
+#include <string>
+
+namespace filbertgw {
+
+/** \brief What came back from one attempt at an endpoint. */
+struct EndpointAnswer
+{
+    AttemptStatus status_ = AttemptStatus::ConnectionLost;
+    std::string body_;
+    std::string error_; ///< For people; empty if answered.
+    std::int64_t promptTokens_ = 0;
+    std::int64_t cachedTokens_ = 0;
+    std::int64_t generatedTokens_ = 0;
+};
+
+/** \brief Speaks the OpenAI-style protocol of model engines. */
+class EngineClient
+{
+public:
+    struct Handlers
+    {
+        std::function<void(const std::string &text)> text_;
+        std::function<void(const EndpointAnswer &)> done_; ///< Exactly once.
+    };
+
+    EngineClient(const NodeHooks &hooks, std::size_t answerBytes);
+
+    /** \brief Sends a model call. \return the id of the HTTP exchange, for NodeHooks::cancelHttp_. */
+    std::uint64_t start(const EndpointInfo &engine,
+                        const Dispatch &dispatch,
+                        const StartOrder &order,
+                        Duration timeout,
+                        Handlers handlers);
+    /** \brief Tells the engine to stop a request; harmless if it is unknown there. */
+    void cancelRequest(const EndpointInfo &engine, const ProgramId &program, const RequestId &request);
+    /** \brief Sends an order to the engine's cache or models. */
+    void control(const EndpointInfo &engine, const EndpointOrder &order, const std::string &peerAddress);
+
+private:
+    void probe(const EndpointInfo &engine, EndpointAnswer answer, std::function<void(const EndpointAnswer &)> done);
+
+    const NodeHooks &hooks_;
+    std::size_t answerBytes_;
+};
+
+/** \brief Name of a request at endpoints: unique in the fleet, the same for every attempt. */
+std::string endpointRequestId(const ProgramId &program, const RequestId &request);
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/node/programforwarder.h
@@ -0,0 +1,74 @@
+#ifndef FILBERTGW_NODE_PROGRAMFORWARDER_H
+#define FILBERTGW_NODE_PROGRAMFORWARDER_H
+
+#include "blackboard/blackboard.h"
+#include "core/metrics.h"
+#include "membership/membershipsection.h"
+#include "membership/slotmap.h"
+#include "node/apitypes.h"
+#include "node/nodehooks.h"
+#include "node/programapi.h"
+
+#include <map>
+#include <memory>
+
+namespace filbertgw {
+
+/**
+ * \brief Brings each request to the owner of its program: here, or at a peer.
+ *
+ * Every request carries a request id by which the owner recognises it, so it is sent again after a broken link without
+ * a risk that it runs twice.
+ */
+class ProgramForwarder
+{
+public:
+    ProgramForwarder(const NodeHooks &hooks,
+                     const Blackboard &blackboard,
+                     ProgramController &programs,
+                     ProgramApi &local,
+                     const SlotMap &slots,
+                     Metrics &metrics);
+    ~ProgramForwarder();
+
+    /** \brief Runs a request of a caller or of a peer. \return what to call if the caller is gone. */
+    ApiCancel run(const ApiRequest &request, const ApiSink &sink);
+    /** \brief A request that a peer has forwarded to this node. */
+    void onPeerRequest(const nlohmann::json &body, const std::shared_ptr<PeerReply> &reply);
+    /** \brief Members have changed: requests at dead nodes are sent to the new owners. */
+    void onMembership();
+    /** \brief This node is leaving: new programs are created elsewhere. */
+    void setLeaving();
+    /** \brief Requests that are not finished. */
+    std::size_t openRequests() const;
+
+private:
+    struct Pending;
+    using PendingPtr = std::shared_ptr<Pending>;
+
+    void route(const PendingPtr &pending);
+    void runHere(const PendingPtr &pending);
+    void runAt(const PendingPtr &pending, const NodeId &node);
+    void wait(const PendingPtr &pending);
+    void sendAgain(const PendingPtr &pending);
+    void finish(const PendingPtr &pending, const ApiResult &result);
+    void onPeerPart(const PendingPtr &pending, const nlohmann::json &part);
+    void onPeerDone(const PendingPtr &pending, PeerOutcome outcome, const nlohmann::json &body);
+    NodeId targetOf(const Pending &pending) const;
+    bool isUsable(const NodeId &node) const;
+    Failure givenUp(const Pending &pending) const;
+
+    const NodeHooks &hooks_;
+    const Blackboard &blackboard_;
+    ProgramController &programs_;
+    ProgramApi &local_;
+    const SlotMap &slots_;
+    Metrics &metrics_;
+    bool leaving_ = false;
+    std::uint64_t nextId_ = 1;
+    std::map<std::uint64_t, PendingPtr> pending_;
+};
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/node/ssereader.cpp
@@ -0,0 +1,45 @@
+#include "node/ssereader.h"
+
+#include <utility>
+
+namespace filbertgw {
+
+SseReader::SseReader(std::function<void(const std::string &)> event)
+    : event_(std::move(event))
+{
+}
+
+bool SseReader::add(const std::string &part)
+{
+    for (const char c : part) {
+        if (c != '\n') {
+            line_ += c;
+            continue;
+        }
+        if (!line_.empty() && line_.back() == '\r') {
+            line_.pop_back();
+        }
+        const std::string line = std::exchange(line_, {});
+        takeLine(line);
+    }
+    return line_.size() + data_.size() <= longestEvent;
+}
+
+void SseReader::takeLine(const std::string &line)
+{
+    const std::string field = "data:";
+    if (line.empty()) {
+        const std::string data = std::exchange(data_, {});
+        if (!data.empty()) {
+            event_(data);
+        }
+        return;
+    }
+    if (line.compare(0, field.size(), field) != 0) {
+        return;
+    }
+    const std::size_t start = line.size() > field.size() && line[field.size()] == ' ' ? field.size() + 1 : field.size();
+    data_ += (data_.empty() ? "" : "\n") + line.substr(start);
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/node/ssereader.h
@@ -0,0 +1,31 @@
+#ifndef FILBERTGW_NODE_SSEREADER_H
+#define FILBERTGW_NODE_SSEREADER_H
+
+#include <cstddef>
+#include <functional>
+#include <string>
+
+namespace filbertgw {
+
+/** \brief Splits a stream of server-sent events into the data of each event. */
+class SseReader
+{
+public:
+    explicit SseReader(std::function<void(const std::string &data)> event);
+
+    /** \brief More bytes of the stream. \return false if an event is longer than the bound. */
+    bool add(const std::string &part);
+
+private:
+    void takeLine(const std::string &line);
+
+    static constexpr std::size_t longestEvent = 1024 * 1024; ///< Bytes.
+
+    std::function<void(const std::string &)> event_;
+    std::string line_; ///< Unfinished line.
+    std::string data_; ///< Data lines of the unfinished event.
+};
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/node/toolclient.cpp
@@ -0,0 +1,80 @@
+#include "node/toolclient.h"
+
+#include "node/errortable.h"
+
+namespace filbertgw {
+namespace internal {
+
+bool saysNotRun(const std::string &body)
+{
+    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object()) {
+        return false;
+    }
+    if (json.contains("not_run") && json["not_run"].is_boolean()) {
+        return json["not_run"].get<bool>();
+    }
+    return json.contains("error") && json["error"].is_object() && json["error"].value("promise", "") == "not_run";
+}
+
+AttemptStatus toolStatus(const HttpResult &result, bool idempotent)
+{
+    switch (result.outcome_) {
+    case HttpOutcome::NotConnected:
+        return AttemptStatus::NotSent;
+    case HttpOutcome::TimedOut:
+        return AttemptStatus::TimedOut;
+    case HttpOutcome::Cancelled:
+        return AttemptStatus::Cancelled;
+    case HttpOutcome::Interrupted:
+        return AttemptStatus::ConnectionLost;
+    case HttpOutcome::Complete:
+        break;
+    }
+    if (result.status_ / 100 == 2) {
+        return AttemptStatus::Answered;
+    }
+    return idempotent || saysNotRun(result.body_) ? AttemptStatus::Rejected : AttemptStatus::ConnectionLost;
+}
+
+} // namespace internal
+
+ToolClient::ToolClient(const NodeHooks &hooks, std::size_t answerBytes)
+    : hooks_(hooks)
+    , answerBytes_(answerBytes)
+{
+}
+
+std::uint64_t ToolClient::start(const EndpointInfo &endpoint,
+                                const Dispatch &dispatch,
+                                Duration timeout,
+                                std::function<void(const EndpointAnswer &)> done)
+{
+    HttpCall call;
+    call.address_ = endpoint.address_;
+    call.request_.method_ = "POST";
+    call.request_.target_ = "/call/" + dispatch.call_.target_;
+    call.request_.headers_ = {
+        {"content-type", "application/json"},
+        {"x-program", dispatch.call_.program_.value()},
+        {"x-fencing", std::to_string(dispatch.fencing_)},
+        {"idempotency-key", endpointRequestId(dispatch.call_.program_, dispatch.call_.requestId_)}};
+    call.request_.body_ = dispatch.call_.input_;
+    call.timeout_ = timeout;
+    call.answerBytes_ = answerBytes_;
+    call.mayReuse_ = dispatch.call_.idempotent_;
+    const bool idempotent = dispatch.call_.idempotent_;
+    call.onDone_ = [done = std::move(done), idempotent](const HttpResult &result) {
+        EndpointAnswer answer;
+        answer.status_ = internal::toolStatus(result, idempotent);
+        if (answer.status_ == AttemptStatus::Answered) {
+            answer.body_ = result.body_;
+        } else {
+            answer.error_ = "status " + std::to_string(result.status_) + " " + result.body_;
+        }
+        done(answer);
+    };
+    return hooks_.startHttp_(std::move(call));
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/node/toolclient.h
@@ -0,0 +1,32 @@
+#ifndef FILBERTGW_NODE_TOOLCLIENT_H
+#define FILBERTGW_NODE_TOOLCLIENT_H
+
+#include "node/engineclient.h"
+
+namespace filbertgw {
+
+/** \brief Speaks the protocol of tools and plain services: `POST /call/NAME` with an Idempotency-Key. */
+class ToolClient
+{
+public:
+    ToolClient(const NodeHooks &hooks, std::size_t answerBytes);
+
+    /**
+     * \brief Sends a call, once. \return the id of the HTTP exchange.
+     *
+     * An error answer counts as Rejected only if the call is idempotent or the answer says `not_run`; for a
+     * non-idempotent call any other error leaves its outcome unknown.
+     */
+    std::uint64_t start(const EndpointInfo &endpoint,
+                        const Dispatch &dispatch,
+                        Duration timeout,
+                        std::function<void(const EndpointAnswer &)> done);
+
+private:
+    const NodeHooks &hooks_;
+    std::size_t answerBytes_;
+};
+
+} // namespace filbertgw
+
+#endif
