--- a/src/program/programcontroller.cpp
+++ b/src/program/programcontroller.cpp
@@ -120,8 +120,8 @@
     }
     void logEvent(const std::string &event, const json &fields) const
     {
-        if (hooks_.log_event_) {
-            hooks_.log_event_(event, fields);
+        if (hooks_.logEvent_) {
+            hooks_.logEvent_(event, fields);
         }
     }
 
--- a/src/program/programcontroller.h
+++ b/src/program/programcontroller.h
@@ -23,7 +23,7 @@
     std::function<void(const Dispatch &)> dispatch_; ///< Runs a call; answered by ProgramController::onOutcome().
     std::function<void(const ProgramId &, const RequestId &)> cancel_; ///< Cancels a dispatched call.
     std::function<void(const ProgramId &)> programEnded_; ///< Engine memory of the program is to be released.
-    std::function<void(const std::string &event, const nlohmann::json &fields)> log_event_; ///< One log line.
+    std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_; ///< One log line.
     std::function<bool(const NodeId &)> isAlive_; ///< Membership's view; a suspected node counts as alive.
     std::function<NodeId(std::uint32_t slot)> preferredNode_; ///< Membership's slot map.
 };
