--- a/test/net/http.cpp
+++ b/test/net/http.cpp
@@ -215,7 +215,9 @@
 {
     limits_.idleSeconds_ = 1;
     listen([](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
-        reply->send(200, "text/plain", std::string(20'000'000, 'x'));
+        std::string body;
+        body.resize(20'000'000, 'x');
+        reply->send(200, "text/plain", body);
     });
     RawSocket socket(server_->port(), 4096);
     socket.send("GET / HTTP/1.1\r\n\r\n");
