Write streams at the end of the loop's round and without an allocation for each part

Change: answers collect until the loop has run the handlers of its round, then are sent without a handler if the socket takes them; the client passes parts on in a string that it keeps. openRequests() counts an answer until the kernel has it, so that a node that waits for 0 before it ends cuts none.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -175,6 +175,7 @@
     Tcp::resolver resolver_;
     std::unique_ptr<AnswerParser> parser_;
     std::string output_;
+    std::string part_;
     std::size_t received_ = 0;
     bool sent_ = false; ///< At least one byte may have been sent.
     bool done_ = false;
@@ -349,12 +350,12 @@
         end(exchange, HttpOutcome::Interrupted);
         return;
     }
-    const auto handler = [self = shared_from_this(), exchange, kept = exchange->wire_](
-                             const boost::system::error_code &error, std::size_t size) {
+    const auto handler = [self = shared_from_this(), exchange](const boost::system::error_code &error,
+                                                               std::size_t size) {
         if (exchange->done_) {
             return;
         }
-        kept->input_.commit(size);
+        exchange->wire_->input_.commit(size);
         if (error && error != boost::asio::error::eof) {
             self->end(exchange, HttpOutcome::Interrupted);
             return;
@@ -408,15 +409,16 @@
     }
     if (call.onPart_ && parser.is_header_done() && !parser.body_.empty()) {
         exchange->received_ += parser.body_.size();
-        const std::string part = std::move(parser.body_);
-        parser.body_ = std::string();
+        // Two strings that take turns: no allocation for a part.
+        exchange->part_.clear();
+        exchange->part_.swap(parser.body_);
         // Taken out for the time of the call, because the hook may cancel the call and so destroy itself.
-        const std::function<void(int, const std::string &)> onPart = std::move(call.onPart_);
-        onPart(parser.status_, part);
+        std::function<void(int, const std::string &)> onPart = std::move(call.onPart_);
+        onPart(parser.status_, exchange->part_);
         if (exchange->done_) {
             return;
         }
-        call.onPart_ = onPart;
+        call.onPart_ = std::move(onPart);
     }
     if (parser.is_done()) {
         end(exchange, HttpOutcome::Complete);
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -4,6 +4,7 @@
 #include "net/ioloopprivate.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -34,6 +35,8 @@
 constexpr std::chrono::seconds lingerTime{2};
 /** How long idle connections stay open after stopAccepting(): a request may be on its way. */
 constexpr std::chrono::seconds stopGrace{1};
+/** An answer of this size is written at once; shorter ones wait for the end of the loop's current round. */
+constexpr std::size_t flushBytes = 64 * 1024;
 
 std::string lowerCase(beast::string_view text)
 {
@@ -139,12 +142,15 @@
     void accepted(internal::Tcp::socket socket);
     void sweep();
     void acceptWaiting();
+    void flushLater(const std::shared_ptr<internal::HttpConnection> &connection);
+    void flushAll();
 
     IoLoop &loop_;
     const HttpLimits limits_;
     HttpHandler handler_;
     internal::Tcp::acceptor acceptor_;
     std::unordered_set<std::shared_ptr<internal::HttpConnection>> connections_;
+    std::vector<std::shared_ptr<internal::HttpConnection>> toFlush_;
     std::size_t openRequests_ = 0;
     std::uint64_t sweepTimer_ = 0;
     std::uint64_t acceptTimer_ = 0;
@@ -159,8 +165,9 @@
  * \brief One caller's connection.
  *
  * A read is always outstanding, so that the close of the peer is seen while a request is handled; it pauses when a
- * caller has sent more than one read ahead. Answers collect in pending_ while a write is in progress: parts of a
- * stream that come faster than the socket takes them go out in one system call.
+ * caller has sent more than one read ahead. Answers collect in pending_ until the loop has run the handlers of its
+ * current round, and while a write is in progress. So a part and the end of its stream go out in one system call, and
+ * the sends of many streams follow one another, which wakes their readers less often.
  */
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
 {
@@ -176,6 +183,7 @@
     void close();
     void closeSoonIfIdle();
     void closeIfExpired(SteadyTime now);
+    void flush();
 
     // The answer side; `request` is the number of the request on this connection.
     void send(std::uint64_t request, int status, const std::string &contentType, const std::string &body);
@@ -200,7 +208,8 @@
     void handle();
     void refuse(int status, const std::string &type, const std::string &message);
     void answerEnded();
-    void flush();
+    void flushSoon();
+    void allWritten();
     void written(const error_code &error);
     void appendHead(int status, const std::string &contentType);
     void setDeadline(std::uint32_t seconds);
@@ -221,9 +230,11 @@
     bool headOnly_ = false;
     bool hasDeadline_ = false;
     bool parsing_ = false;
+    bool flushScheduled_ = false;
     SteadyTime deadline_;
     SteadyTime writeDeadline_;
     std::uint64_t request_ = 0;
+    std::size_t unsentAnswers_ = 0; ///< Ended, but not yet taken by the kernel: they count as open requests.
     std::function<void()> closed_;
 };
 
@@ -277,6 +288,7 @@
     error_code ignored;
     socket_.set_option(Tcp::no_delay(true), ignored);
     socket_.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket_.non_blocking(true, ignored);
     setDeadline(server_->limits_.idleSeconds_);
     read();
 }
@@ -354,7 +366,7 @@
         } else {
             if (!hadHeader && parser_->is_header_done() && parser_->expectsContinue_) {
                 pending_ += "HTTP/1.1 100 Continue\r\n\r\n";
-                flush();
+                flushSoon();
             }
             if (used == 0) {
                 break;
@@ -390,7 +402,7 @@
     state_ = State::Draining;
     deadline_ = std::chrono::steady_clock::now() + lingerTime;
     hasDeadline_ = true;
-    flush();
+    flushSoon();
 }
 
 void HttpConnection::appendHead(int status, const std::string &contentType)
@@ -437,7 +449,7 @@
     }
     appendHead(status, contentType);
     pending_ += chunked_ ? "Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n\r\n" : "\r\n";
-    flush();
+    flushSoon();
 }
 
 void HttpConnection::write(std::uint64_t request, const std::string &part)
@@ -458,7 +470,7 @@
     } else {
         pending_ += part;
     }
-    flush();
+    flushSoon();
 }
 
 void HttpConnection::finish(std::uint64_t request)
@@ -494,48 +506,84 @@
 
 void HttpConnection::answerEnded()
 {
-    --server_->openRequests_;
+    ++unsentAnswers_;
     const std::function<void()> dropped = std::move(closed_);
     closed_ = nullptr;
     if (keepAlive_) {
         state_ = State::Idle;
         setDeadline(server_->limits_.idleSeconds_);
-        flush();
+        flushSoon();
         parse();
         return;
     }
     state_ = State::Draining;
     setDeadline(server_->limits_.idleSeconds_);
-    flush();
+    flushSoon();
     read();
 }
 
+void HttpConnection::flushSoon()
+{
+    if (flushScheduled_ || writeInProgress_ || state_ == State::Closed) {
+        return;
+    }
+    if (pending_.size() >= flushBytes) {
+        flush();
+        return;
+    }
+    flushScheduled_ = true;
+    server_->flushLater(shared_from_this());
+}
+
 void HttpConnection::flush()
 {
+    flushScheduled_ = false;
     if (writeInProgress_ || state_ == State::Closed) {
         return;
     }
-    if (pending_.empty()) {
-        if (state_ == State::Draining) {
-            error_code ignored;
-            socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-            deadline_ = std::min(deadline_, std::chrono::steady_clock::now() + lingerTime);
-            read();
+    std::size_t sent = 0;
+    if (!pending_.empty()) {
+        error_code error;
+        sent = socket_.send(asio::buffer(pending_), 0, error);
+        if (error && error != asio::error::would_block) {
+            close();
+            return;
         }
+    }
+    if (sent == pending_.size()) {
+        allWritten();
         return;
     }
     writeInProgress_ = true;
-    writing_.clear();
-    writing_.swap(pending_);
+    writing_ = pending_.substr(sent);
+    pending_ = std::string();
     writeDeadline_ = std::chrono::steady_clock::now() + std::chrono::seconds(server_->limits_.idleSeconds_);
     asio::async_write(socket_,
                       asio::buffer(writing_),
                       [self = shared_from_this()](const error_code &error, std::size_t) { self->written(error); });
 }
 
+void HttpConnection::allWritten()
+{
+    server_->openRequests_ -= unsentAnswers_;
+    unsentAnswers_ = 0;
+    if (pending_.capacity() > flushBytes) {
+        pending_ = std::string();
+    } else {
+        pending_.clear();
+    }
+    if (state_ == State::Draining) {
+        error_code ignored;
+        socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+        deadline_ = std::min(deadline_, std::chrono::steady_clock::now() + lingerTime);
+        read();
+    }
+}
+
 void HttpConnection::written(const error_code &error)
 {
     writeInProgress_ = false;
+    writing_ = std::string();
     if (error) {
         close();
         return;
@@ -552,6 +600,8 @@
     if (state_ == State::Handling || state_ == State::Streaming) {
         --server_->openRequests_;
     }
+    server_->openRequests_ -= unsentAnswers_;
+    unsentAnswers_ = 0;
     state_ = State::Closed;
     error_code ignored;
     socket_.close(ignored);
@@ -664,6 +714,23 @@
     }
 }
 
+void HttpServer::Private::flushLater(const std::shared_ptr<internal::HttpConnection> &connection)
+{
+    toFlush_.push_back(connection);
+    if (toFlush_.size() == 1) {
+        boost::asio::post(loop_.d().context_, [self = shared_from_this()] { self->flushAll(); });
+    }
+}
+
+void HttpServer::Private::flushAll()
+{
+    std::vector<std::shared_ptr<internal::HttpConnection>> all;
+    all.swap(toFlush_);
+    for (const std::shared_ptr<internal::HttpConnection> &connection : all) {
+        connection->flush();
+    }
+}
+
 void HttpServer::Private::acceptWaiting()
 {
     // Connections that the kernel has already established would be reset with the listening socket.
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -24,7 +24,7 @@
      * request may be on its way on them. \sa openConnections()
      */
     void stopAccepting();
-    /** \brief Requests whose answer has not ended. */
+    /** \brief Requests whose answer has not ended, or not yet been taken by the kernel. */
     std::size_t openRequests() const;
     /** \brief Connections that are not closed yet, idle ones included. */
     std::size_t openConnections() const;
