--- /dev/null
+++ b/bench/promises/process.h
@@ -0,0 +1,75 @@
+#ifndef FILBERTGW_BENCH_PROMISES_PROCESS_H
+#define FILBERTGW_BENCH_PROMISES_PROCESS_H
+
+#include "fakes/fakelog.h"
+#include "program/programcontroller.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace filbertgw::bench {
+
+/** \brief What one node believes of another. */
+struct PeerView
+{
+    bool alive_ = true;
+    bool leaving_ = false;
+};
+
+/** \brief A node's configuration: the fold of the stream `config`, by the rule that the earlier record wins. */
+struct ConfigModel
+{
+    std::map<std::string, Offset> inForce_;
+    std::map<std::string, nlohmann::json> bodies_;
+    std::vector<LogEntry> entries_;
+    Offset offset_ = 0;
+};
+
+/** \brief A connection or peer link that waits for an answer of a process. */
+struct Waiting
+{
+    bool done_ = false;
+    std::function<void()> broken_; ///< The process died.
+};
+
+/** \brief One `serve` process: real ProgramController, models of its neighbours. */
+struct Process
+{
+    std::string name_; ///< Node name; a restarted node keeps it.
+    std::string id_; ///< Unique among processes.
+    bool dead_ = false;
+    bool paused_ = false;
+    bool leaving_ = false;
+    bool offBalancer_ = false;
+    bool cutFromLog_ = false;
+    bool stoppedAsPlanned_ = false;
+    std::vector<std::function<void()>> held_; ///< What happens to it while it is paused.
+    std::vector<std::shared_ptr<Waiting>> waiting_;
+    int open_ = 0; ///< Requests that have no answer yet.
+    std::map<std::string, PeerView> view_;
+    std::vector<std::string> preferred_; ///< By slot, filled on demand.
+    Blackboard blackboard_;
+    std::unique_ptr<ProgramController> controller_;
+    ConfigModel config_;
+    bool readingConfig_ = false;
+    Time readConfigAt_{0};
+    std::set<std::string> ran_; ///< Programs that it sent to engines.
+    std::size_t life_ = 0; ///< Index into Trace::processes_.
+
+    /** \brief Preferred node by rendezvous hashing over the members that it believes in; empty if none. */
+    const std::string &preferred(std::uint32_t slot);
+    /** \brief The same for a name. */
+    std::string preferredFor(const std::string &key) const;
+    void viewChanged();
+};
+
+/** \brief Runs something in a process: at once, when it resumes, or never if it is dead. */
+void runIn(const std::shared_ptr<Process> &process, std::function<void()> run);
+
+} // namespace filbertgw::bench
+
+#endif
--- /dev/null
+++ b/bench/promises/world.cpp
@@ -0,0 +1,1429 @@
+#include "promises/world.h"
+
+#include "membership/membershipsection.h"
+#include "promises/checker.h"
+#include "promises/process.h"
+
+#include <algorithm>
+
+namespace filbertgw::bench {
+
+namespace {
+
+using ProcessPtr = std::shared_ptr<Process>;
+
+constexpr Micros millisecond = 1'000;
+constexpr Micros second = 1'000'000;
+constexpr Micros startOfTime = 1'000 * second;
+constexpr Micros peerOneWay = 500;
+constexpr Micros detection = 3'500 * millisecond; ///< Death to other nodes' views.
+constexpr Micros faultsEnd = 45 * second;
+constexpr Micros longest = 170 * second;
+constexpr Micros callTimeout = 8 * second;
+constexpr Micros callerPatience = 12 * second;
+constexpr Micros nodeTimeout = 4 * second; ///< Of a dispatched call at the node.
+constexpr int maxHops = 8;
+constexpr int slowTries = 40; ///< A caller that was refused so often waits longer between tries.
+
+Micros count(Time time)
+{
+    return time.count();
+}
+
+struct Endpoint
+{
+    std::string name_;
+    bool isEngine_ = true;
+    Micros downUntil_ = 0;
+    bool ownWord_ = false; ///< Refuses new work because it is leaving.
+    bool exclusive_ = false;
+    std::map<std::string, Micros> held_; ///< Programs in memory, since when.
+    std::vector<std::shared_ptr<struct RunHandle>> running_;
+};
+
+/** \brief A dispatched call as the node's side sees it. */
+struct RunHandle
+{
+    ProcessPtr process_;
+    Dispatch order_;
+    Endpoint *endpoint_ = nullptr;
+    std::size_t run_ = SIZE_MAX; ///< Index into Trace::runs_ once it has started.
+    bool over_ = false; ///< The node has its outcome.
+    bool stopped_ = false; ///< The endpoint has ended it.
+};
+
+struct Caller
+{
+    std::size_t plan_ = 0; ///< Index into Trace::programs_.
+    std::size_t next_ = 0; ///< Next planned call.
+    std::size_t parent_ = SIZE_MAX;
+    bool started_ = false;
+    bool skipRest_ = false;
+    bool done_ = false;
+    int tries_ = 0;
+    std::map<std::string, int> open_; ///< Attempts without an answer, by request.
+    std::vector<std::size_t> children_; ///< Indexes of the callers of its sub-agents.
+    std::vector<std::size_t> childAfter_; ///< After which call each child starts.
+};
+
+/** \brief Answer as it travels through the front and the peer links. */
+struct FrontAnswer
+{
+    CallAnswer answer_;
+};
+
+using Reply = std::function<void(const FrontAnswer &)>;
+using Work = std::function<void(const ProcessPtr &, const Reply &)>;
+
+class World
+{
+public:
+    World(const Deployment &deployment, std::uint64_t seed, std::string broken);
+    Trace run();
+
+private:
+    // Time and chance
+    Micros now() const
+    {
+        return count(loop_.now());
+    }
+    Micros sinceStart() const
+    {
+        return now() - startOfTime;
+    }
+    void after(Micros delay, std::function<void()> run)
+    {
+        loop_.after(Duration(delay), std::move(run));
+    }
+    void note(const std::string &what)
+    {
+        trace_.faults_.push_back(std::to_string(sinceStart() / millisecond) + "ms " + what);
+    }
+
+    // Nodes
+    ProcessPtr startProcess(const std::string &name);
+    ProgramHooks hooksOf(const ProcessPtr &process);
+    ProcessPtr processNamed(const std::string &name) const;
+    ProcessPtr pickNode();
+    void tickAll();
+    void kill(const ProcessPtr &process, bool planned);
+    void pause(const ProcessPtr &process, Micros length);
+    void resume(const ProcessPtr &process);
+    void plannedStop(const ProcessPtr &process);
+    void continueStop(const ProcessPtr &process, Micros since);
+    void spreadState(const std::string &name, bool alive, bool leaving, Micros delay, Micros jitter);
+    void watchTakeover(const ProcessPtr &process);
+    void noteMassLoss();
+
+    // Configuration model
+    void tailConfig(const ProcessPtr &process);
+    void applyConfig(const ProcessPtr &process, const LogEntry &entry);
+    void askPeerForConfig(const ProcessPtr &process);
+    Offset publish(const std::string &name, Offset replaces, const nlohmann::json &body);
+    bool isDrainedAt(const Process &process, const std::string &endpoint) const;
+
+    // Front: entry, forwarding
+    void handle(const ProcessPtr &process, const ProgramId &program, int hops, const Work &work, const Reply &reply);
+    void forward(const ProcessPtr &from,
+                 const NodeId &to,
+                 const ProgramId &program,
+                 int hops,
+                 const Work &work,
+                 const Reply &reply);
+    void handleCreate(const ProcessPtr &process, const CreateRequest &request, int hops, const Reply &reply);
+
+    // Endpoints
+    void dispatch(const ProcessPtr &process, const Dispatch &order);
+    Endpoint *chooseEndpoint(const Process &process, const Dispatch &order);
+    void receive(const std::shared_ptr<RunHandle> &handle);
+    void complete(const std::shared_ptr<RunHandle> &handle);
+    void report(const std::shared_ptr<RunHandle> &handle, DispatchStatus status, std::uint32_t crashes = 0);
+    void crashEndpoint(Endpoint &endpoint);
+    void stopRun(const std::shared_ptr<RunHandle> &handle);
+    void cancel(const ProcessPtr &process, const ProgramId &program, const RequestId &request);
+    void release(const ProcessPtr &process, const std::string &program);
+    void sweep();
+
+    // Callers
+    void planCallers();
+    void planCalls(PlannedProgram &program, int calls);
+    void sendCreate(std::size_t caller);
+    void sendCall(std::size_t caller);
+    void sendEnd(std::size_t caller);
+    void send(std::size_t caller, const std::string &request, const Work &work, bool isEnd = false);
+    void onAnswer(std::size_t caller, std::size_t attempt, const CallAnswer *answer, bool isEnd);
+    void onCallAnswer(std::size_t caller, const CallAnswer &answer, bool isLastOpen);
+    void advance(std::size_t caller);
+    void retry(std::size_t caller, Micros delay, std::function<void()> send);
+
+    // Faults
+    void planFaults();
+    void injectFault(bool calm);
+    void heal();
+    void collectEnd();
+
+    Deployment deployment_;
+    std::string broken_;
+    SeededRandom random_;
+    VirtualLoop loop_;
+    FakeLog log_;
+    Trace trace_;
+    std::vector<ProcessPtr> processes_;
+    std::vector<std::unique_ptr<Endpoint>> endpoints_;
+    std::vector<Caller> callers_;
+    std::map<std::string, Micros> watched_; ///< Programs of a dead owner and when it died.
+    std::vector<std::pair<Micros, double>> takeovers_; ///< When the owner died, and how long it took.
+    std::vector<std::pair<Micros, double>> starts_;
+    std::vector<std::pair<Micros, double>> stopStarts_;
+    std::map<std::string, Micros> stoppingPrograms_; ///< Programs owned by a stopping node.
+    std::vector<Micros> crashes_;
+    std::vector<std::pair<Micros, Micros>> disturbances_; ///< Log troubles, pauses, stale views.
+    std::map<std::string, std::pair<Micros, bool>> sentAt_; ///< By program id and request: first sending.
+    std::vector<std::shared_ptr<RunHandle>> handles_;
+    int nodeCount_ = 0;
+    int processCount_ = 0;
+    double lostToolAnswers_ = 0;
+    double toolHangs_ = 0;
+    std::map<std::string, Offset> operatorView_;
+    Micros staleViewsUntil_ = 0;
+};
+
+World::World(const Deployment &deployment, std::uint64_t seed, std::string broken)
+    : deployment_(deployment)
+    , broken_(std::move(broken))
+    , random_(seed * 0x2545f4914f6cdd1dULL + 99)
+    , log_(loop_, seed + 1)
+{
+    loop_.runUntil(Time(startOfTime));
+}
+
+// Nodes
+
+ProgramHooks World::hooksOf(const ProcessPtr &process)
+{
+    const std::weak_ptr<Process> weak = process;
+    Process *raw = process.get();
+    ProgramHooks hooks;
+    hooks.now_ = [this]() { return loop_.now(); };
+    hooks.random_ = [this]() { return random_.next(); };
+    hooks.log_ = log_.access(
+        [weak](std::function<void()> run) {
+            if (const ProcessPtr self = weak.lock()) {
+                runIn(self, std::move(run));
+            }
+        },
+        [raw]() { return !raw->cutFromLog_; });
+    hooks.dispatch_ = [this, weak](const Dispatch &order) {
+        if (const ProcessPtr self = weak.lock()) {
+            dispatch(self, order);
+        }
+    };
+    hooks.cancel_ = [this, weak](const ProgramId &program, const RequestId &request) {
+        if (const ProcessPtr self = weak.lock()) {
+            cancel(self, program, request);
+        }
+    };
+    hooks.programEnded_ = [this, weak](const ProgramId &program) {
+        const ProcessPtr self = weak.lock();
+        if (self && self->ran_.count(program.value()) != 0) {
+            release(self, program.value());
+        }
+    };
+    hooks.isAlive_ = [raw](const NodeId &node) {
+        const std::map<std::string, PeerView>::const_iterator found = raw->view_.find(node.value());
+        return found != raw->view_.end() && found->second.alive_;
+    };
+    hooks.preferredNode_ = [raw](std::uint32_t slot) { return NodeId(raw->preferred(slot)); };
+    return hooks;
+}
+
+ProcessPtr World::startProcess(const std::string &name)
+{
+    const ProcessPtr process = std::make_shared<Process>();
+    process->name_ = name;
+    process->id_ = name + "/" + std::to_string(++processCount_);
+    for (const ProcessPtr &other : processes_) {
+        if (!other->dead_) {
+            process->view_[other->name_] = PeerView{true, other->leaving_};
+        }
+    }
+    process->view_[name] = PeerView();
+    ProgramSafeguards safeguards;
+    safeguards.fencing_ = broken_ != "fencing";
+    safeguards.intent_ = broken_ != "intent";
+    safeguards.readBack_ = broken_ != "read-back";
+    safeguards.budget_ = broken_ != "budget";
+    safeguards.dedup_ = broken_ != "dedup";
+    process->controller_ = ProgramController::Builder(NodeId(name), process->blackboard_, hooksOf(process))
+                               .setSafeguards(safeguards)
+                               .build();
+    process->life_ = trace_.processes_.size();
+    trace_.processes_.push_back({process->id_, now(), 0, {}});
+    processes_.push_back(process);
+    process->controller_->start();
+    tailConfig(process);
+    spreadState(name, true, false, 300 * millisecond, 700 * millisecond);
+    return process;
+}
+
+ProcessPtr World::processNamed(const std::string &name) const
+{
+    for (std::vector<ProcessPtr>::const_reverse_iterator it = processes_.rbegin(); it != processes_.rend(); ++it) {
+        if ((*it)->name_ == name && !(*it)->dead_) {
+            return *it;
+        }
+    }
+    return nullptr;
+}
+
+ProcessPtr World::pickNode()
+{
+    std::vector<ProcessPtr> live;
+    for (const ProcessPtr &process : processes_) {
+        if (!process->dead_ && !process->offBalancer_) {
+            live.push_back(process);
+        }
+    }
+    return live.empty()
+        ? nullptr
+        : live[static_cast<std::size_t>(random_.between(0, static_cast<std::int64_t>(live.size()) - 1))];
+}
+
+void World::tickAll()
+{
+    const std::vector<ProcessPtr> processes = processes_;
+    for (const ProcessPtr &process : processes) {
+        if (process->dead_ || process->paused_) {
+            continue;
+        }
+        process->controller_->tick();
+        if (!process->readingConfig_ && loop_.now() >= process->readConfigAt_) {
+            tailConfig(process);
+        }
+    }
+    after(100 * millisecond, [this]() { tickAll(); });
+}
+
+void World::spreadState(const std::string &name, bool alive, bool leaving, Micros delay, Micros jitter)
+{
+    for (const ProcessPtr &process : processes_) {
+        if (process->dead_ || process->name_ == name) {
+            continue;
+        }
+        Micros late = delay + random_.between(0, jitter);
+        if (now() < staleViewsUntil_ && random_.chance(0.3)) {
+            late += random_.between(0, 5 * second);
+        }
+        const ProcessPtr target = process;
+        after(late, [this, target, name, alive, leaving]() {
+            runIn(target, [this, target, name, alive, leaving]() {
+                // News that the truth has overtaken would be refuted by a higher incarnation.
+                const ProcessPtr truth = processNamed(name);
+                const bool isStale = truth && !alive && !truth->paused_;
+                if (!isStale) {
+                    target->view_[name] = PeerView{alive, leaving};
+                    target->viewChanged();
+                }
+            });
+        });
+    }
+}
+
+void World::watchTakeover(const ProcessPtr &process)
+{
+    for (const Caller &caller : callers_) {
+        const std::string &id = trace_.programs_[caller.plan_].id_;
+        if (id.empty() || caller.done_ || caller.open_.empty()) {
+            continue;
+        }
+        const OwnerView view = process->controller_->ownerOf(ProgramId(id));
+        if (view.ownership_ == Ownership::Own) {
+            watched_[id] = now();
+        }
+    }
+}
+
+void World::kill(const ProcessPtr &process, bool planned)
+{
+    if (process->dead_) {
+        return;
+    }
+    if (!planned) {
+        watchTakeover(process);
+        crashes_.push_back(now());
+    }
+    process->dead_ = true;
+    process->stoppedAsPlanned_ = planned;
+    process->held_.clear();
+    trace_.processes_[process->life_].to_ = now();
+    const std::vector<std::shared_ptr<Waiting>> waiting = std::move(process->waiting_);
+    process->waiting_.clear();
+    for (const std::shared_ptr<Waiting> &entry : waiting) {
+        if (!entry->done_) {
+            entry->done_ = true;
+            entry->broken_();
+        }
+    }
+    // The controller is kept until the end of the schedule: callbacks into it are dropped by runIn().
+    spreadState(process->name_, false, false, planned ? 100 * millisecond : detection, 200 * millisecond);
+}
+
+void World::pause(const ProcessPtr &process, Micros length)
+{
+    process->paused_ = true;
+    trace_.processes_[process->life_].troubles_.push_back({now(), now() + length + second});
+    disturbances_.push_back({now(), now() + length + 2 * second});
+    after(detection, [this, process]() {
+        if (process->paused_ && !process->dead_) {
+            spreadState(process->name_, false, false, 0, 200 * millisecond);
+        }
+    });
+    after(length, [this, process]() { resume(process); });
+}
+
+void World::resume(const ProcessPtr &process)
+{
+    if (process->dead_ || !process->paused_) {
+        return;
+    }
+    process->paused_ = false;
+    const std::vector<std::function<void()>> held = std::move(process->held_);
+    process->held_.clear();
+    for (const std::function<void()> &run : held) {
+        runIn(process, run);
+    }
+    spreadState(process->name_, true, process->leaving_, 500 * millisecond, 500 * millisecond);
+}
+
+void World::plannedStop(const ProcessPtr &process)
+{
+    for (const Caller &caller : callers_) {
+        const std::string &id = trace_.programs_[caller.plan_].id_;
+        if (!id.empty() && process->controller_->ownerOf(ProgramId(id)).ownership_ == Ownership::Own) {
+            stoppingPrograms_[id] = now();
+        }
+    }
+    if (broken_ == "drain") {
+        kill(process, true);
+        return;
+    }
+    process->leaving_ = true;
+    process->view_[process->name_].leaving_ = true;
+    process->preferred_.clear();
+    spreadState(process->name_, true, true, 20 * millisecond, 100 * millisecond);
+    after(second, [process]() { process->offBalancer_ = true; });
+    // The announcement goes first, so that the successors are known when programs are released.
+    after(150 * millisecond, [this, process]() { runIn(process, [process]() { process->controller_->drain(); }); });
+    const Micros since = now();
+    after(500 * millisecond, [this, process, since]() { continueStop(process, since); });
+}
+
+void World::continueStop(const ProcessPtr &process, Micros since)
+{
+    if (process->dead_) {
+        return;
+    }
+    if (!process->paused_ && process->controller_->isDrained() && process->open_ == 0 && now() - since > 2 * second) {
+        note("stopped " + process->id_);
+        kill(process, true);
+        return;
+    }
+    after(100 * millisecond, [this, process, since]() { continueStop(process, since); });
+}
+
+void World::noteMassLoss()
+{
+    for (const ProcessPtr &process : processes_) {
+        if (!process->dead_) {
+            process->blackboard_.write<MembershipSection>().massLoss_ = true;
+            after(15 * second, [process]() { process->blackboard_.write<MembershipSection>().massLoss_ = false; });
+        }
+    }
+}
+
+// Configuration model
+
+void World::tailConfig(const ProcessPtr &process)
+{
+    process->readingConfig_ = true;
+    const std::weak_ptr<Process> weak = process;
+    const LogAccess access = log_.access(
+        [weak](std::function<void()> run) {
+            if (const ProcessPtr self = weak.lock()) {
+                runIn(self, std::move(run));
+            }
+        },
+        [raw = process.get()]() { return !raw->cutFromLog_; });
+    access.read_("config",
+                 process->config_.offset_ + 1,
+                 std::chrono::seconds(10),
+                 [this, weak](bool reached, const LogPage &page) {
+                     const ProcessPtr self = weak.lock();
+                     if (!self) {
+                         return;
+                     }
+                     self->readingConfig_ = false;
+                     if (!reached) {
+                         self->readConfigAt_ = loop_.now() + std::chrono::milliseconds(200);
+                         return;
+                     }
+                     for (const LogEntry &entry : page.entries_) {
+                         applyConfig(self, entry);
+                     }
+                     tailConfig(self);
+                 });
+}
+
+void World::applyConfig(const ProcessPtr &process, const LogEntry &entry)
+{
+    ConfigModel &config = process->config_;
+    if (entry.offset_ != config.offset_ + 1 && broken_ != "config-order") {
+        return; // known already, or behind a gap
+    }
+    config.offset_ = std::max(config.offset_, entry.offset_);
+    config.entries_.push_back(entry);
+    const std::string name = entry.body_.value("name", "");
+    const bool isNext = entry.body_.value("replaces", Offset(0)) == config.inForce_[name];
+    if (entry.body_.value("schema", 0) == 1 && (isNext || broken_ == "config-order")) {
+        config.inForce_[name] = entry.offset_;
+        config.bodies_[name] = entry.body_;
+        trace_.served_.push_back({process->id_, name, entry.offset_, now()});
+    }
+}
+
+void World::askPeerForConfig(const ProcessPtr &process)
+{
+    std::vector<ProcessPtr> peers;
+    for (const ProcessPtr &other : processes_) {
+        if (!other->dead_ && other != process) {
+            peers.push_back(other);
+        }
+    }
+    if (peers.empty()) {
+        return;
+    }
+    const ProcessPtr peer =
+        peers[static_cast<std::size_t>(random_.between(0, static_cast<std::int64_t>(peers.size()) - 1))];
+    const Offset from = process->config_.offset_ + 1;
+    after(peerOneWay, [this, process, peer, from]() {
+        runIn(peer, [this, process, peer, from]() {
+            std::vector<LogEntry> entries;
+            for (const LogEntry &entry : peer->config_.entries_) {
+                if (entry.offset_ >= from) {
+                    entries.push_back(entry);
+                }
+            }
+            after(peerOneWay, [this, process, entries]() {
+                runIn(process, [this, process, entries]() {
+                    for (const LogEntry &entry : entries) {
+                        applyConfig(process, entry);
+                    }
+                });
+            });
+        });
+    });
+}
+
+Offset World::publish(const std::string &name, Offset replaces, const nlohmann::json &body)
+{
+    if (log_.faults().down_) {
+        return 0;
+    }
+    nlohmann::json record = {{"name", name}, {"schema", 1}, {"replaces", replaces}, {"body", body}};
+    const Offset offset = log_.put("config", {record});
+    trace_.config_.push_back({offset, now(), record});
+    if (operatorView_[name] == replaces) {
+        operatorView_[name] = offset;
+    }
+    return offset;
+}
+
+bool World::isDrainedAt(const Process &process, const std::string &endpoint) const
+{
+    const std::map<std::string, nlohmann::json>::const_iterator found =
+        process.config_.bodies_.find("drain-" + endpoint);
+    return found != process.config_.bodies_.end();
+}
+
+// Front
+
+void World::handle(const ProcessPtr &process, const ProgramId &program, int hops, const Work &work, const Reply &reply)
+{
+    const OwnerView view = process->controller_->ownerOf(program);
+    const auto again = [this, process, program, hops, work, reply]() {
+        after(30 * millisecond, [this, process, program, hops, work, reply]() {
+            runIn(process,
+                  [this, process, program, hops, work, reply]() { handle(process, program, hops + 1, work, reply); });
+        });
+    };
+    if (view.ownership_ == Ownership::Own) {
+        work(process, [again, hops, reply](const FrontAnswer &answer) {
+            const std::optional<Failure> &failure = answer.answer_.failure_;
+            if (failure && failure->type_ == FailureType::OwnerUnavailable && hops < maxHops) {
+                again();
+            } else {
+                reply(answer);
+            }
+        });
+        return;
+    }
+    FrontAnswer refused;
+    refused.answer_.failure_ = Failure{};
+    refused.answer_.failure_->retryAfter_ = std::chrono::milliseconds(300);
+    if (view.ownership_ == Ownership::Other && hops < maxHops) {
+        forward(process, view.node_, program, hops, work, reply);
+        return;
+    }
+    refused.answer_.failure_->type_ = view.ownership_ == Ownership::Unknown && !process->controller_->isStoreUp()
+        ? FailureType::StoreUnavailable
+        : FailureType::OwnerUnavailable;
+    reply(refused);
+}
+
+void World::forward(
+    const ProcessPtr &from, const NodeId &to, const ProgramId &program, int hops, const Work &work, const Reply &reply)
+{
+    const ProcessPtr target = processNamed(to.value());
+    const std::shared_ptr<Waiting> link = std::make_shared<Waiting>();
+    const auto finish = [this, from, link, reply](const FrontAnswer &answer) {
+        if (!link->done_) {
+            link->done_ = true;
+            after(peerOneWay, [from, reply, answer]() { runIn(from, [reply, answer]() { reply(answer); }); });
+        }
+    };
+    FrontAnswer broken;
+    broken.answer_.failure_ = Failure{};
+    broken.answer_.failure_->type_ = FailureType::OwnerUnavailable;
+    broken.answer_.failure_->retryAfter_ = std::chrono::milliseconds(300);
+    link->broken_ = [this, from, reply, broken]() {
+        after(peerOneWay, [from, reply, broken]() { runIn(from, [reply, broken]() { reply(broken); }); });
+    };
+    if (!target) {
+        link->broken_();
+        return;
+    }
+    target->waiting_.push_back(link);
+    ++target->open_;
+    after(peerOneWay, [this, target, program, hops, work, finish, link]() {
+        runIn(target, [this, target, program, hops, work, finish]() {
+            handle(target, program, hops + 1, work, [target, finish](const FrontAnswer &answer) {
+                --target->open_;
+                finish(answer);
+            });
+        });
+    });
+    after(callTimeout + second, [finish, broken]() { finish(broken); });
+}
+
+void World::handleCreate(const ProcessPtr &process, const CreateRequest &request, int hops, const Reply &reply)
+{
+    const Work work = [request](const ProcessPtr &owner, const Reply &done) {
+        owner->controller_->create(request, [done](const Result<ProgramId> &result) {
+            FrontAnswer answer;
+            if (result) {
+                answer.answer_.program_ = result.value();
+            } else {
+                answer.answer_.failure_ = failureOf(result);
+            }
+            done(answer);
+        });
+    };
+    if (!request.parent_.isEmpty()) {
+        handle(process, request.parent_, hops, work, reply);
+        return;
+    }
+    work(process, [this, process, request, hops, reply](const FrontAnswer &answer) {
+        const std::optional<Failure> &failure = answer.answer_.failure_;
+        const ProcessPtr other = pickNode();
+        if (failure && failure->type_ == FailureType::OwnerUnavailable && hops < 2 && other && other != process) {
+            const Work again = [this, request, hops](const ProcessPtr &target, const Reply &done) {
+                handleCreate(target, request, hops + 1, done);
+            };
+            // A node that is leaving passes new programs on.
+            after(peerOneWay, [this, other, again, process, reply]() {
+                runIn(other, [this, other, again, process, reply]() {
+                    again(other, [this, process, reply](const FrontAnswer &passed) {
+                        after(peerOneWay,
+                              [process, reply, passed]() { runIn(process, [reply, passed]() { reply(passed); }); });
+                    });
+                });
+            });
+            return;
+        }
+        reply(answer);
+    });
+}
+
+// Endpoints
+
+Endpoint *World::chooseEndpoint(const Process &process, const Dispatch &order)
+{
+    const bool wantsEngine = order.call_.kind_ == CallKind::Model;
+    std::vector<Endpoint *> usable;
+    Endpoint *home = nullptr;
+    for (const std::unique_ptr<Endpoint> &endpoint : endpoints_) {
+        const bool isBusyWithOthers = order.runAlone_ && !endpoint->running_.empty();
+        if (endpoint->isEngine_ != wantsEngine || isDrainedAt(process, endpoint->name_) || endpoint->exclusive_
+            || isBusyWithOthers) {
+            continue;
+        }
+        usable.push_back(endpoint.get());
+        if (endpoint->name_ == order.homeEngine_.value()) {
+            home = endpoint.get();
+        }
+    }
+    if (home != nullptr && !order.runAlone_ && random_.chance(0.7)) {
+        return home;
+    }
+    return usable.empty()
+        ? nullptr
+        : usable[static_cast<std::size_t>(random_.between(0, static_cast<std::int64_t>(usable.size()) - 1))];
+}
+
+void World::dispatch(const ProcessPtr &process, const Dispatch &order)
+{
+    const std::shared_ptr<RunHandle> handle = std::make_shared<RunHandle>();
+    handle->process_ = process;
+    handle->order_ = order;
+    handle->endpoint_ = chooseEndpoint(*process, order);
+    handles_.push_back(handle);
+    if (handle->endpoint_ == nullptr) {
+        report(handle, DispatchStatus::NotSent);
+        return;
+    }
+    process->ran_.insert(order.call_.program_.value());
+    after(peerOneWay, [this, handle]() { receive(handle); });
+    after(nodeTimeout,
+          [this, handle]() { runIn(handle->process_, [this, handle]() { report(handle, DispatchStatus::Unknown); }); });
+}
+
+void World::receive(const std::shared_ptr<RunHandle> &handle)
+{
+    Endpoint &endpoint = *handle->endpoint_;
+    const Dispatch &order = handle->order_;
+    if (handle->process_->dead_ || handle->over_) {
+        return;
+    }
+    const bool isBlocked = endpoint.exclusive_ || (order.runAlone_ && !endpoint.running_.empty());
+    if (endpoint.downUntil_ > now() || endpoint.ownWord_ || isBlocked) {
+        report(handle, DispatchStatus::NotSent);
+        return;
+    }
+    if (!endpoint.isEngine_ && random_.chance(0.01)) {
+        report(handle, DispatchStatus::Failed);
+        return;
+    }
+    Run run;
+    run.endpoint_ = endpoint.name_;
+    run.node_ = handle->process_->id_;
+    run.program_ = order.call_.program_.value();
+    run.request_ = order.call_.requestId_.value();
+    run.prompt_ = endpoint.isEngine_ ? order.prompt_ : order.call_.input_;
+    run.startedAt_ = now();
+    run.money_ = order.call_.priceMicros_;
+    if (endpoint.isEngine_) {
+        // As many tokens as the request allows: the budget must hold for the worst case.
+        run.tokens_ = static_cast<std::int64_t>(order.prompt_.size() / 4) + 1 + order.call_.maxTokens_;
+        endpoint.held_.emplace(run.program_, now());
+    }
+    handle->run_ = trace_.runs_.size();
+    trace_.runs_.push_back(run);
+    endpoint.running_.push_back(handle);
+    endpoint.exclusive_ = order.runAlone_;
+    const std::map<std::string, Micros>::iterator watched = watched_.find(run.program_);
+    if (watched != watched_.end()) {
+        takeovers_.push_back({watched->second, static_cast<double>(now() - watched->second) / second});
+        watched_.erase(watched);
+    }
+    const std::string key = run.program_ + "/" + run.request_;
+    const std::map<std::string, std::pair<Micros, bool>>::iterator sent = sentAt_.find(key);
+    if (sent != sentAt_.end()) {
+        const double waited = static_cast<double>(now() - sent->second.first) / second;
+        (sent->second.second ? stopStarts_ : starts_).push_back({sent->second.first, waited});
+        sentAt_.erase(sent);
+    }
+    if (endpoint.isEngine_ && run.prompt_.find("POISON") != std::string::npos) {
+        after(50 * millisecond, [this, &endpoint]() { crashEndpoint(endpoint); });
+        return;
+    }
+    if (!endpoint.isEngine_ && random_.chance(toolHangs_)) {
+        return;
+    }
+    const Micros length = endpoint.isEngine_ ? random_.between(50, 900) : random_.between(20, 300);
+    after(length * millisecond, [this, handle]() { complete(handle); });
+}
+
+void World::stopRun(const std::shared_ptr<RunHandle> &handle)
+{
+    handle->stopped_ = true;
+    Endpoint &endpoint = *handle->endpoint_;
+    endpoint.running_.erase(std::remove(endpoint.running_.begin(), endpoint.running_.end(), handle),
+                            endpoint.running_.end());
+    if (endpoint.running_.empty()) {
+        endpoint.exclusive_ = false;
+    }
+}
+
+void World::complete(const std::shared_ptr<RunHandle> &handle)
+{
+    if (handle->stopped_) {
+        return;
+    }
+    stopRun(handle);
+    Run &run = trace_.runs_[handle->run_];
+    run.endedAt_ = now();
+    run.answered_ = true;
+    if (random_.chance(lostToolAnswers_)) {
+        return; // The node's timeout ends the call.
+    }
+    after(peerOneWay, [this, handle]() {
+        runIn(handle->process_, [this, handle]() { report(handle, DispatchStatus::Answered); });
+    });
+}
+
+void World::report(const std::shared_ptr<RunHandle> &handle, DispatchStatus status, std::uint32_t crashes)
+{
+    if (handle->over_) {
+        return;
+    }
+    handle->over_ = true;
+    if (handle->run_ != SIZE_MAX && !handle->stopped_ && handle->endpoint_->isEngine_) {
+        stopRun(handle);
+    }
+    DispatchOutcome outcome;
+    outcome.program_ = handle->order_.call_.program_;
+    outcome.requestId_ = handle->order_.call_.requestId_;
+    outcome.status_ = status;
+    outcome.crashes_ = crashes;
+    if (handle->endpoint_ != nullptr) {
+        outcome.endpoint_ = EndpointId(handle->endpoint_->name_);
+    }
+    if (status == DispatchStatus::Answered) {
+        const Run &run = trace_.runs_[handle->run_];
+        outcome.body_ = expectedAnswer(run.request_, run.prompt_);
+        outcome.usage_ = {run.tokens_, 1, run.money_};
+    } else if (status == DispatchStatus::Failed) {
+        outcome.failure_ = Failure{FailureType::EndpointFailed, true, "did not run", std::chrono::milliseconds(100)};
+    }
+    // The outcome comes from a socket, never from within the order itself.
+    after(1, [process = handle->process_, outcome]() {
+        runIn(process, [process, outcome]() { process->controller_->onOutcome(outcome); });
+    });
+}
+
+void World::cancel(const ProcessPtr &process, const ProgramId &program, const RequestId &request)
+{
+    for (const std::shared_ptr<RunHandle> &handle : handles_) {
+        if (handle->process_ == process && !handle->over_ && handle->order_.call_.program_ == program
+            && handle->order_.call_.requestId_ == request) {
+            report(handle, DispatchStatus::Unknown);
+        }
+    }
+}
+
+void World::crashEndpoint(Endpoint &endpoint)
+{
+    endpoint.downUntil_ = now() + random_.between(2, 6) * second;
+    endpoint.held_.clear();
+    const std::vector<std::shared_ptr<RunHandle>> running = endpoint.running_;
+    for (const std::shared_ptr<RunHandle> &handle : running) {
+        trace_.runs_[handle->run_].crashed_ = true;
+        trace_.runs_[handle->run_].endedAt_ = now();
+        stopRun(handle);
+        after(peerOneWay, [this, handle]() {
+            runIn(handle->process_, [this, handle]() { report(handle, DispatchStatus::Unknown, 1); });
+        });
+    }
+}
+
+void World::release(const ProcessPtr &process, const std::string &program)
+{
+    if (broken_ == "release") {
+        return;
+    }
+    for (const std::unique_ptr<Endpoint> &endpoint : endpoints_) {
+        if (endpoint->isEngine_) {
+            after(peerOneWay, [engine = endpoint.get(), program]() { engine->held_.erase(program); });
+        }
+    }
+    (void)process;
+}
+
+void World::sweep()
+{
+    for (const ProcessPtr &process : processes_) {
+        if (process->dead_ || process->paused_ || !process->controller_->isReady() || !process->controller_->isStoreUp()
+            || broken_ == "release") {
+            continue;
+        }
+        for (const std::unique_ptr<Endpoint> &endpoint : endpoints_) {
+            if (!endpoint->isEngine_ || process->preferredFor(endpoint->name_) != process->name_) {
+                continue;
+            }
+            std::vector<std::string> gone;
+            for (const std::pair<const std::string, Micros> &entry : endpoint->held_) {
+                if (entry.second + 5 * second < now() && !process->controller_->isLive(ProgramId(entry.first))) {
+                    gone.push_back(entry.first);
+                }
+            }
+            for (const std::string &program : gone) {
+                endpoint->held_.erase(program);
+            }
+        }
+    }
+    after(5 * second, [this]() { sweep(); });
+}
+
+// Callers
+
+void World::planCalls(PlannedProgram &program, int calls)
+{
+    for (int i = 0; i < calls; ++i) {
+        PlannedCall call;
+        call.program_ = program.name_;
+        call.request_ = program.name_ + "-r" + std::to_string(i);
+        const std::int64_t dice = random_.between(0, 99);
+        call.idempotent_ = dice < 72;
+        call.kind_ = dice < 55 ? "model" : "tool";
+        call.target_ = call.kind_ == "model" ? "model-a" : (call.idempotent_ ? "read_sheet" : "salary_order");
+        call.input_ = "text " + std::to_string(i) + " of " + program.name_;
+        call.poison_ = call.kind_ == "model" && random_.chance(0.01);
+        if (call.poison_) {
+            call.input_ += " POISON";
+        }
+        program.calls_.push_back(call);
+    }
+}
+
+void World::planCallers()
+{
+    const int roots = static_cast<int>(random_.between(8, 12));
+    for (int i = 0; i < roots; ++i) {
+        PlannedProgram program;
+        program.name_ = "prog" + std::to_string(i);
+        program.tree_ = program.name_;
+        const bool tight = random_.chance(0.25);
+        program.budgetTokens_ = tight ? random_.between(300, 4'000) : 200'000;
+        program.budgetCalls_ = tight ? random_.between(3, 12) : 200;
+        program.budgetMoney_ = tight ? random_.between(30, 200) : 100'000;
+        planCalls(program, static_cast<int>(random_.between(3, 7)));
+        const std::size_t plan = trace_.programs_.size();
+        const std::size_t caller = callers_.size();
+        trace_.programs_.push_back(program);
+        callers_.emplace_back();
+        callers_[caller].plan_ = plan;
+        if (random_.chance(0.3)) {
+            PlannedProgram sub;
+            sub.name_ = program.name_ + "s";
+            sub.tree_ = program.name_;
+            planCalls(sub, static_cast<int>(random_.between(1, 4)));
+            callers_[caller].children_.push_back(callers_.size());
+            callers_[caller].childAfter_.push_back(static_cast<std::size_t>(random_.between(0, 2)));
+            callers_.emplace_back();
+            callers_.back().plan_ = trace_.programs_.size();
+            callers_.back().parent_ = caller;
+            trace_.programs_.push_back(sub);
+        }
+        const Micros begin = random_.between(2 * second, 25 * second);
+        after(begin, [this, caller]() { sendCreate(caller); });
+    }
+}
+
+void World::send(std::size_t index, const std::string &request, const Work &work, bool isEnd)
+{
+    Caller &caller = callers_[index];
+    const PlannedProgram &plan = trace_.programs_[caller.plan_];
+    const ProcessPtr process = pickNode();
+    if (!process) {
+        retry(index, second, [this, index, request, work, isEnd]() { send(index, request, work, isEnd); });
+        return;
+    }
+    Attempt attempt;
+    attempt.program_ = plan.name_;
+    attempt.request_ = request;
+    attempt.node_ = process->id_;
+    attempt.sentAt_ = now();
+    const std::size_t number = trace_.attempts_.size();
+    trace_.attempts_.push_back(attempt);
+    ++caller.open_[request];
+    const std::shared_ptr<Waiting> connection = std::make_shared<Waiting>();
+    connection->broken_ = [this, index, number, process, isEnd]() {
+        trace_.attempts_[number].cut_ = true;
+        trace_.attempts_[number].cutByPlannedStop_ = process->stoppedAsPlanned_;
+        after(deployment_.callerOneWay_, [this, index, number, isEnd]() { onAnswer(index, number, nullptr, isEnd); });
+    };
+    process->waiting_.push_back(connection);
+    ++process->open_;
+    const Reply reply = [this, index, number, connection, process, isEnd](const FrontAnswer &answer) {
+        --process->open_;
+        ++trace_.attempts_[number].answers_;
+        if (!connection->done_) {
+            connection->done_ = true; // What has been sent arrives, even if the node ends now.
+            after(deployment_.callerOneWay_,
+                  [this, index, number, answer, isEnd]() { onAnswer(index, number, &answer.answer_, isEnd); });
+        }
+    };
+    after(deployment_.callerOneWay_,
+          [process, work, reply]() { runIn(process, [process, work, reply]() { work(process, reply); }); });
+    after(callerPatience, [this, index, number, connection, isEnd]() {
+        if (!connection->done_) {
+            connection->done_ = true;
+            onAnswer(index, number, nullptr, isEnd);
+        }
+    });
+}
+
+void World::retry(std::size_t index, Micros delay, std::function<void()> send)
+{
+    Caller &caller = callers_[index];
+    ++caller.tries_;
+    const Micros wait = std::max(delay, caller.tries_ > slowTries ? 2 * second : 200 * millisecond);
+    after(wait + random_.between(0, 100) * millisecond, std::move(send));
+}
+
+void World::sendCreate(std::size_t index)
+{
+    const PlannedProgram &plan = trace_.programs_[callers_[index].plan_];
+    CreateRequest request;
+    request.requestId_ = RequestId("create-" + plan.name_);
+    request.account_ = AccountId("account");
+    request.budget_ = {plan.budgetTokens_, plan.budgetCalls_, plan.budgetMoney_};
+    if (callers_[index].parent_ != SIZE_MAX) {
+        request.parent_ = ProgramId(trace_.programs_[callers_[callers_[index].parent_].plan_].id_);
+    }
+    send(index, "create", [this, request](const ProcessPtr &process, const Reply &reply) {
+        handleCreate(process, request, 0, reply);
+    });
+}
+
+void World::sendCall(std::size_t index)
+{
+    Caller &caller = callers_[index];
+    const PlannedProgram &plan = trace_.programs_[caller.plan_];
+    const PlannedCall &planned = plan.calls_[caller.next_];
+    CallRequest request;
+    request.requestId_ = RequestId(planned.request_);
+    request.program_ = ProgramId(plan.id_);
+    request.account_ = AccountId("account");
+    request.kind_ = planned.kind_ == "model" ? CallKind::Model : CallKind::Tool;
+    request.target_ = planned.target_;
+    request.input_ = planned.input_;
+    request.maxTokens_ = request.kind_ == CallKind::Model ? 60 : 0;
+    request.idempotent_ = planned.idempotent_;
+    request.priceMicros_ = 10;
+    if (caller.tries_ == 0) {
+        const std::map<std::string, Micros>::const_iterator stopping = stoppingPrograms_.find(plan.id_);
+        const bool isStopping = stopping != stoppingPrograms_.end() && now() - stopping->second < 2 * second;
+        sentAt_[plan.id_ + "/" + planned.request_] = {now(), isStopping};
+    }
+    const Work work = [this, request](const ProcessPtr &process, const Reply &reply) {
+        CallRequest timed = request;
+        timed.deadline_ = loop_.now() + Duration(callTimeout);
+        handle(
+            process,
+            timed.program_,
+            0,
+            [timed](const ProcessPtr &owner, const Reply &done) {
+                owner->controller_->submit(timed, [done](const CallAnswer &answer) { done(FrontAnswer{answer}); });
+            },
+            reply);
+    };
+    send(index, planned.request_, work);
+    if (random_.chance(0.08)) {
+        send(index, planned.request_, work); // An impatient caller, or a proxy that repeats.
+    }
+}
+
+void World::sendEnd(std::size_t index)
+{
+    const PlannedProgram &plan = trace_.programs_[callers_[index].plan_];
+    const ProgramId program(plan.id_);
+    send(
+        index,
+        "end",
+        [this, program](const ProcessPtr &process, const Reply &reply) {
+            handle(
+                process,
+                program,
+                0,
+                [program](const ProcessPtr &owner, const Reply &done) {
+                    owner->controller_->end(
+                        program, AccountId("account"), [done](const CallAnswer &answer) { done(FrontAnswer{answer}); });
+                },
+                reply);
+        },
+        true);
+}
+
+void World::onAnswer(std::size_t index, std::size_t number, const CallAnswer *answer, bool isEnd)
+{
+    Attempt &attempt = trace_.attempts_[number];
+    Caller &caller = callers_[index];
+    const std::string request = attempt.request_;
+    const bool isLastOpen = --caller.open_[request] == 0;
+    if (isLastOpen) {
+        caller.open_.erase(request);
+    }
+    if (answer != nullptr) {
+        attempt.gotAt_ = now();
+        attempt.body_ = answer->body_;
+        attempt.replayed_ = answer->replayed_;
+        if (answer->failure_) {
+            attempt.failure_ = std::string(nameOf(answer->failure_->type_));
+            attempt.notRun_ = answer->failure_->notRun_;
+        }
+    }
+    if (caller.done_) {
+        return;
+    }
+    PlannedProgram &plan = trace_.programs_[caller.plan_];
+    const bool isFailed = answer == nullptr || answer->failure_;
+    const Micros delay = isFailed && answer != nullptr ? count(answer->failure_->retryAfter_) : 0;
+    if (request == "create") {
+        const bool isHopeless =
+            answer != nullptr && answer->failure_ && answer->failure_->type_ == FailureType::ProgramEnded;
+        if (isHopeless) {
+            caller.done_ = true;
+        } else if (isFailed) {
+            retry(index, delay, [this, index]() { sendCreate(index); });
+        } else {
+            plan.id_ = answer->program_.value();
+            caller.tries_ = 0;
+            advance(index);
+        }
+        return;
+    }
+    if (isEnd) {
+        if (isFailed) {
+            retry(index, delay, [this, index]() { sendEnd(index); });
+        } else {
+            plan.endedAt_ = now();
+            caller.done_ = true;
+        }
+        return;
+    }
+    const bool isCurrent = caller.next_ < plan.calls_.size() && plan.calls_[caller.next_].request_ == request;
+    if (!isCurrent) {
+        return; // the second answer of a request that was sent twice
+    }
+    if (answer == nullptr) {
+        if (isLastOpen) {
+            retry(index, 0, [this, index]() { sendCall(index); });
+        }
+        return;
+    }
+    onCallAnswer(index, *answer, isLastOpen);
+}
+
+void World::onCallAnswer(std::size_t index, const CallAnswer &answer, bool isLastOpen)
+{
+    Caller &caller = callers_[index];
+    bool isDefinite = !answer.failure_;
+    if (answer.failure_) {
+        const FailureType type = answer.failure_->type_;
+        isDefinite = type == FailureType::BudgetExceeded || type == FailureType::Quarantined
+            || (type == FailureType::OutcomeUnknown && answer.replayed_) || type == FailureType::ProgramEnded;
+        caller.skipRest_ = caller.skipRest_ || type == FailureType::BudgetExceeded || type == FailureType::ProgramEnded;
+    }
+    if (isDefinite) {
+        ++caller.next_;
+        caller.tries_ = 0;
+        advance(index);
+    } else if (isLastOpen) {
+        retry(index, count(answer.failure_->retryAfter_), [this, index]() { sendCall(index); });
+    }
+}
+
+void World::advance(std::size_t index)
+{
+    Caller &caller = callers_[index];
+    const PlannedProgram &plan = trace_.programs_[caller.plan_];
+    for (std::size_t i = 0; i < caller.children_.size(); ++i) {
+        Caller &child = callers_[caller.children_[i]];
+        if (!child.started_ && caller.next_ >= caller.childAfter_[i]) {
+            child.started_ = true;
+            sendCreate(caller.children_[i]);
+        }
+    }
+    if (!caller.skipRest_ && caller.next_ < plan.calls_.size()) {
+        const Micros pause = random_.between(0, 1'500) * millisecond;
+        after(pause, [this, index]() { sendCall(index); });
+        return;
+    }
+    if (caller.parent_ != SIZE_MAX) {
+        caller.done_ = true;
+        return;
+    }
+    const bool waits = std::any_of(caller.children_.begin(), caller.children_.end(), [this](std::size_t child) {
+        return callers_[child].started_ && !callers_[child].done_;
+    });
+    if (waits) {
+        after(500 * millisecond, [this, index]() { advance(index); });
+    } else {
+        sendEnd(index);
+    }
+}
+
+// Faults
+
+void World::planFaults()
+{
+    // Every fourth schedule has crashes and planned stops only, so that their times can be measured undisturbed.
+    const bool calm = random_.chance(0.25);
+    const int faults = static_cast<int>(calm ? random_.between(1, 3) : random_.between(3, 9));
+    for (int i = 0; i < faults; ++i) {
+        after(random_.between(4 * second, faultsEnd - 5 * second), [this, calm]() { injectFault(calm); });
+    }
+    lostToolAnswers_ = random_.chance(0.5) ? 0.03 : 0.002;
+    toolHangs_ = random_.chance(0.5) ? 0.04 : 0.003;
+    after(faultsEnd, [this]() { heal(); });
+}
+
+void World::injectFault(bool calm)
+{
+    const ProcessPtr node = pickNode();
+    const std::int64_t kind = calm ? (random_.chance(0.6) ? 0 : 5) : random_.between(0, 17);
+    FakeLogFaults &faults = log_.faults();
+    if (!node) {
+        return;
+    }
+    const auto crash = [this](const ProcessPtr &victim) {
+        note("crash " + victim->id_);
+        kill(victim, false);
+        const bool sameName = random_.chance(0.3);
+        const std::string name = sameName ? victim->name_ : "n" + std::to_string(++nodeCount_);
+        after(random_.between(300 * millisecond, 12 * second), [this, name]() {
+            if (!processNamed(name)) {
+                startProcess(name);
+            }
+        });
+    };
+    if (kind <= 2) {
+        crash(node);
+    } else if (kind <= 4) {
+        const Micros length = random_.between(200, 14'000) * millisecond;
+        note("pause " + node->id_ + " for " + std::to_string(length / millisecond));
+        pause(node, length);
+    } else if (kind <= 6) {
+        note("planned stop " + node->id_);
+        plannedStop(node);
+        const std::string name = "n" + std::to_string(++nodeCount_);
+        after(random_.between(1, 4) * second, [this, name]() { startProcess(name); });
+    } else if (kind == 7) {
+        const Micros length = random_.between(500, 15'000) * millisecond;
+        note("log outage " + std::to_string(length / millisecond));
+        faults.down_ = true;
+        trace_.logTroubles_.push_back({now(), now() + length + 3 * second});
+        disturbances_.push_back({now(), now() + length + 3 * second});
+        after(length, [this]() { log_.faults().down_ = false; });
+    } else if (kind == 8) {
+        const Micros length = random_.between(2, 10) * second;
+        note("slow log");
+        faults.extraDelay_ = std::chrono::milliseconds(random_.between(100, 900));
+        disturbances_.push_back({now(), now() + length + 2 * second});
+        after(length, [this]() { log_.faults().extraDelay_ = Duration(0); });
+    } else if (kind <= 10) {
+        const Micros length = random_.between(3, 15) * second;
+        note("lossy log");
+        faults.lostAnswers_ = 0.25;
+        faults.lostRequests_ = 0.1;
+        faults.lateEffects_ = 0.1;
+        disturbances_.push_back({now(), now() + length + 2 * second});
+        after(length, [this]() {
+            log_.faults().lostAnswers_ = 0;
+            log_.faults().lostRequests_ = 0;
+            log_.faults().lateEffects_ = 0;
+        });
+    } else if (kind == 11) {
+        Endpoint &endpoint = *endpoints_[static_cast<std::size_t>(random_.between(0, deployment_.engines_ - 1))];
+        note("engine crash " + endpoint.name_);
+        crashEndpoint(endpoint);
+    } else if (kind == 12) {
+        const std::size_t index =
+            static_cast<std::size_t>(random_.between(0, static_cast<std::int64_t>(endpoints_.size()) - 1));
+        Endpoint &endpoint = *endpoints_[index];
+        if (publish("drain-" + endpoint.name_, 0, {{"drain", true}}) != 0) {
+            note("leaving " + endpoint.name_);
+            trace_.leaving_.push_back({endpoint.name_, now()});
+            if (random_.chance(0.5)) {
+                after(random_.between(0, 2) * second, [&endpoint]() { endpoint.ownWord_ = true; });
+            }
+        }
+    } else if (kind == 13) {
+        note("racing operators");
+        const Offset base = operatorView_["weights"];
+        for (int i = 0; i < 3; ++i) {
+            after(random_.between(0, 30) * millisecond, [this, base, i]() {
+                publish("weights", base, {{"value", i}});
+            });
+        }
+    } else if (kind == 14) {
+        const Micros length = random_.between(1, 10) * second;
+        note("cut from the log " + node->id_);
+        node->cutFromLog_ = true;
+        trace_.processes_[node->life_].troubles_.push_back({now(), now() + length + 3 * second});
+        disturbances_.push_back({now(), now() + length + 2 * second});
+        after(length, [node]() { node->cutFromLog_ = false; });
+    } else if (kind == 15) {
+        const Micros length = random_.between(2, 15) * second;
+        note("stale membership views");
+        staleViewsUntil_ = now() + length;
+        disturbances_.push_back({now(), now() + length + 5 * second});
+    } else if (kind == 16) {
+        const Micros length = random_.between(2, 20) * second;
+        note("hanging tools");
+        toolHangs_ = 0.2;
+        after(length, [this]() { toolHangs_ = 0.003; });
+    } else {
+        const ProcessPtr victim = pickNode();
+        note("false death of " + victim->id_);
+        disturbances_.push_back({now(), now() + 6 * second});
+        for (const ProcessPtr &process : processes_) {
+            if (!process->dead_ && process != victim && random_.chance(0.6)) {
+                runIn(process, [process, victim]() {
+                    process->view_[victim->name_].alive_ = false;
+                    process->viewChanged();
+                });
+            }
+        }
+        spreadState(victim->name_, true, victim->leaving_, 2 * second, 2 * second);
+        if (random_.chance(0.15)) {
+            note("mass loss");
+            for (int i = 0; i < 4; ++i) {
+                if (const ProcessPtr lost = pickNode()) {
+                    crash(lost);
+                }
+            }
+            noteMassLoss();
+        }
+    }
+}
+
+void World::heal()
+{
+    staleViewsUntil_ = 0;
+    log_.faults() = FakeLogFaults();
+    lostToolAnswers_ = 0;
+    toolHangs_ = 0;
+    for (const ProcessPtr &process : processes_) {
+        process->cutFromLog_ = false;
+        resume(process);
+    }
+    for (const ProcessPtr &process : processes_) {
+        if (!process->dead_) {
+            spreadState(process->name_, true, process->leaving_, 500 * millisecond, 500 * millisecond);
+        }
+    }
+}
+
+Trace World::run()
+{
+    nodeCount_ = static_cast<int>(random_.between(10, 12));
+    for (int i = 0; i < deployment_.engines_ + deployment_.services_; ++i) {
+        endpoints_.push_back(std::make_unique<Endpoint>());
+        endpoints_.back()->isEngine_ = i < deployment_.engines_;
+        endpoints_.back()->name_ = (endpoints_.back()->isEngine_ ? "engine-" : "service-") + std::to_string(i);
+    }
+    for (int i = 1; i <= nodeCount_; ++i) {
+        startProcess("n" + std::to_string(i));
+    }
+    for (const ProcessPtr &process : processes_) {
+        for (const ProcessPtr &other : processes_) {
+            process->view_[other->name_] = PeerView();
+        }
+        process->viewChanged();
+    }
+    publish("weights", 0, {{"value", 0}});
+    tickAll();
+    after(5 * second, [this]() { sweep(); });
+    std::function<void()> askPeers = [this, &askPeers]() {
+        for (const ProcessPtr &process : processes_) {
+            if (!process->dead_ && !process->paused_) {
+                askPeerForConfig(process);
+            }
+        }
+        after(second, askPeers);
+    };
+    after(second, askPeers);
+    planCallers();
+    planFaults();
+    const auto allDone = [this]() {
+        return std::all_of(callers_.begin(), callers_.end(), [](const Caller &caller) {
+            return caller.done_ || (caller.parent_ != SIZE_MAX && !caller.started_);
+        });
+    };
+    Micros until = startOfTime + faultsEnd + 5 * second;
+    loop_.runUntil(Time(until));
+    while (!allDone() && until < startOfTime + longest) {
+        until += second;
+        loop_.runUntil(Time(until));
+    }
+    loop_.runUntil(Time(until + 25 * second)); // The sweep of engine memory has its time.
+    collectEnd();
+    return std::move(trace_);
+}
+
+void World::collectEnd()
+{
+    trace_.endAt_ = now();
+    for (const std::unique_ptr<Endpoint> &endpoint : endpoints_) {
+        for (const std::pair<const std::string, Micros> &entry : endpoint->held_) {
+            trace_.heldAtEnd_.push_back({endpoint->name_, entry.first});
+        }
+    }
+    for (const PlannedProgram &program : trace_.programs_) {
+        for (const ProcessPtr &process : processes_) {
+            if (!program.id_.empty() && !process->dead_) {
+                trace_.histories_[program.id_][process->id_] = process->controller_->history(ProgramId(program.id_));
+            }
+        }
+    }
+    // Times are quoted only where nothing else disturbed them.
+    const auto isClean = [this](Micros at, std::size_t crashesAllowed) {
+        const Micros from = at - 3 * second;
+        const Micros to = at + 9 * second;
+        for (const std::pair<Micros, Micros> &disturbance : disturbances_) {
+            if (disturbance.first < to && disturbance.second > from) {
+                return false;
+            }
+        }
+        const std::ptrdiff_t crashes = std::count_if(
+            crashes_.begin(), crashes_.end(), [from, to](Micros crash) { return crash > from && crash < to; });
+        return static_cast<std::size_t>(crashes) <= crashesAllowed;
+    };
+    for (const std::pair<Micros, double> &takeover : takeovers_) {
+        if (isClean(takeover.first, 1)) {
+            trace_.takeoverSeconds_.push_back(takeover.second);
+        }
+    }
+    for (const std::pair<Micros, double> &start : starts_) {
+        if (isClean(start.first, 0)) {
+            trace_.startSeconds_.push_back(start.second);
+        }
+    }
+    for (const std::pair<Micros, double> &start : stopStarts_) {
+        if (isClean(start.first, 0)) {
+            trace_.stopStartSeconds_.push_back(start.second);
+        }
+    }
+}
+
+} // namespace
+
+Deployment deploymentNamed(const std::string &name)
+{
+    if (name == "kochuveli") {
+        return {name, 14, 8, 1 * millisecond};
+    }
+    if (name == "scalisi") {
+        return {name, 12, 7, 3 * millisecond};
+    }
+    return {};
+}
+
+Trace runSchedule(const Deployment &deployment, std::uint64_t seed, const std::string &broken)
+{
+    return World(deployment, seed, broken).run();
+}
+
+} // namespace filbertgw::bench
--- a/src/journal/journalfold.cpp
+++ b/src/journal/journalfold.cpp
@@ -328,6 +328,7 @@
         break;
     case RecordType::Release:
         tree.owner_ = NodeId();
+        tree.spent_ = tree.spent_ + std::get<ReleaseBody>(record.body_).spent_;
         tree.reserved_ = Spend();
         verdict = FoldVerdict::Accepted;
         break;
@@ -657,6 +658,9 @@
 {
     std::string text;
     for (const TurnBody &turn : chain.turns_) {
+        if (turn.status_ == TurnStatus::Refused) {
+            continue;
+        }
         text += turn.input_;
         text += '\n';
         text += turn.status_ == TurnStatus::Unknown ? std::string("[outcome unknown]") : turn.answer_;
--- a/src/journal/record.cpp
+++ b/src/journal/record.cpp
@@ -207,9 +207,9 @@
 {
     return {{"covers", body.covers_}, {"idle", body.idle_}, {"state", body.state_}};
 }
-json bodyJson(const ReleaseBody & /*body*/)
+json bodyJson(const ReleaseBody &body)
 {
-    return json::object();
+    return {{"spent", spendToJson(body.spent_)}};
 }
 json bodyJson(const EndBody &body)
 {
@@ -277,8 +277,11 @@
         fields.any("state", body.state_);
         return body;
     }
-    case RecordType::Release:
-        return ReleaseBody{};
+    case RecordType::Release: {
+        ReleaseBody body;
+        fields.spend("spent", body.spent_);
+        return body;
+    }
     case RecordType::End: {
         EndBody body;
         fields.name("reason", body.reason_);
@@ -352,19 +355,24 @@
 
 json turnToJson(const TurnBody &turn)
 {
-    return {{"sequence", turn.sequence_},
-            {"status", nameOf(turn.status_)},
-            {"request_id", turn.requestId_.value()},
-            {"request_hash", turn.requestHash_},
-            {"content_hash", turn.contentHash_},
-            {"kind", nameOf(turn.kind_)},
-            {"target", turn.target_},
-            {"input", turn.input_},
-            {"answer", turn.answer_},
-            {"usage", spendToJson(turn.usage_)},
-            {"endpoint", turn.endpoint_.value()},
-            {"reserved_ahead", spendToJson(turn.reserved_)},
-            {"spent", spendToJson(turn.spent_)}};
+    json result = {{"sequence", turn.sequence_},
+                   {"status", nameOf(turn.status_)},
+                   {"request_id", turn.requestId_.value()},
+                   {"request_hash", turn.requestHash_},
+                   {"content_hash", turn.contentHash_},
+                   {"kind", nameOf(turn.kind_)},
+                   {"target", turn.target_},
+                   {"input", turn.input_},
+                   {"answer", turn.answer_},
+                   {"usage", spendToJson(turn.usage_)},
+                   {"endpoint", turn.endpoint_.value()},
+                   {"reserved_ahead", spendToJson(turn.reserved_)},
+                   {"spent", spendToJson(turn.spent_)}};
+    if (turn.status_ == TurnStatus::Refused) {
+        result["refusal"] = nameOf(turn.refusal_);
+        result["not_run"] = turn.refusalNotRun_;
+    }
+    return result;
 }
 
 bool turnFromJson(const json &value, TurnBody &turn, json &unknown)
@@ -379,6 +387,10 @@
     fields.text("target", turn.target_, maxIdBytes);
     fields.text("input", turn.input_);
     fields.text("answer", turn.answer_);
+    if (turn.status_ == TurnStatus::Refused) {
+        fields.name("refusal", turn.refusal_);
+        fields.flag("not_run", turn.refusalNotRun_);
+    }
     fields.spend("usage", turn.usage_);
     fields.id("endpoint", turn.endpoint_, false);
     fields.spend("reserved_ahead", turn.reserved_);
--- a/src/journal/record.h
+++ b/src/journal/record.h
@@ -100,15 +100,17 @@
     Answered,
     Unknown, ///< Non-idempotent, sent, outcome unknown; never sent again.
     Abandoned, ///< Intent given up before the call was sent, or the endpoint says that it did not run.
+    Refused, ///< Never run, for good; a late copy of the request must not run after later calls.
 };
 
 template<>
 struct NameTable<TurnStatus>
 {
-    static constexpr std::array<std::pair<TurnStatus, std::string_view>, 3> entries{{
+    static constexpr std::array<std::pair<TurnStatus, std::string_view>, 4> entries{{
         {TurnStatus::Answered, "answered"},
         {TurnStatus::Unknown, "unknown"},
         {TurnStatus::Abandoned, "abandoned"},
+        {TurnStatus::Refused, "refused"},
     }};
 };
 
@@ -124,6 +126,8 @@
     std::string target_;
     std::string input_;
     std::string answer_;
+    FailureType refusal_ = FailureType::NotRun; ///< For Refused.
+    bool refusalNotRun_ = false; ///< For Refused: certain that no earlier sending was run either.
     Spend usage_;
     EndpointId endpoint_;
     Spend reserved_; ///< Outstanding total of the tree after this call.
@@ -138,8 +142,10 @@
     nlohmann::json state_;
 };
 
+/** \brief Gives a tree up, so that another node may claim it without waiting. */
 struct ReleaseBody
 {
+    Spend spent_; ///< Spent outside of turns since the last record.
 };
 
 /** \brief Ends a program and its sub-agents. */
--- a/src/journal/treestate.cpp
+++ b/src/journal/treestate.cpp
@@ -165,6 +165,13 @@
         failure.type_ = FailureType::OutcomeUnknown;
         failure.detail_ = "the call was sent, or may have been sent, and its outcome is unknown";
         answer.failure_ = failure;
+    } else if (turn.status_ == TurnStatus::Refused) {
+        Failure failure;
+        failure.type_ = turn.refusal_;
+        failure.notRun_ = turn.refusalNotRun_;
+        failure.detail_ = turn.answer_;
+        answer.body_.clear();
+        answer.failure_ = failure;
     }
     return answer;
 }
--- a/src/program/programcontroller.cpp
+++ b/src/program/programcontroller.cpp
@@ -25,7 +25,6 @@
 constexpr Duration tailRetry = std::chrono::milliseconds(200);
 constexpr Duration scanPeriod = std::chrono::seconds(1);
 constexpr Duration idleScanPeriod = std::chrono::seconds(10);
-constexpr Duration unknownProgramLimit = std::chrono::seconds(1); // A create may be folded here a little later.
 constexpr Duration retrySoon = std::chrono::milliseconds(100);
 constexpr Duration retryStore = std::chrono::seconds(2);
 constexpr int slotTries = 1024; // Finds a preferred slot among 390 nodes in 93 of 100 cases, among 12 always.
@@ -44,7 +43,7 @@
 {
     ProgramId program_;
     Time giveUpAt_{0};
-    bool unknownProgram_ = false;
+    bool unknownProgram_ = false; ///< Waits until the journal is proven to hold no such program.
     std::function<void()> retry_;
     std::function<void(const Failure &)> fail_;
 };
@@ -153,6 +152,8 @@
               bool unknownProgram,
               std::function<void()> retry,
               std::function<void(const Failure &)> fail);
+    void probeEnd(const ProgramId &program);
+    void onProbe(const ProgramId &program, const LogPage &page);
     void resume(const ProgramId &root);
     void expireParked();
     void retryParked();
@@ -177,6 +178,7 @@
     void reserveFor(const ProgramId &root, const std::shared_ptr<Call> &call);
     void announce(const ProgramId &root, const std::shared_ptr<Call> &call);
     void abandon(const ProgramId &root, const std::shared_ptr<Call> &call, const Failure &why, const Spend &cost);
+    void refuse(const ProgramId &root, const std::shared_ptr<Call> &call, const Failure &why);
     void dispatch(const ProgramId &root, const std::shared_ptr<Call> &call);
     void dropUnsent(const ProgramId &root, const std::shared_ptr<Call> &call);
     void recordTurn(const ProgramId &root,
@@ -201,6 +203,7 @@
     void giveUpLate(const ProgramId &root);
     void giveUp(const ProgramId &root, const std::shared_ptr<Call> &call);
     void checkpoint(const ProgramId &root, bool idle);
+    void settle(const ProgramId &root);
     void maybeRelease(const ProgramId &root);
 };
 
@@ -391,7 +394,8 @@
     if (!isGone(owner)) {
         return {Ownership::Other, owner};
     }
-    const NodeId preferred = preferredFor(root);
+    // Peers may not have noticed that this node's process restarted, and go on sending its programs' calls here.
+    const NodeId preferred = owner == self_ ? self_ : preferredFor(root);
     if (!preferred.isEmpty() && preferred != self_) {
         return {Ownership::Other, preferred};
     }
@@ -416,11 +420,11 @@
     if (draining_ || !ready_ || !isStoreUp() || claiming_.count(root) != 0 || mine(root)) {
         return;
     }
-    if ((tree == nullptr && idle == nullptr) || (tree != nullptr && tree->isEnded()) || preferredFor(root) != self_) {
+    if ((tree == nullptr && idle == nullptr) || (tree != nullptr && tree->isEnded())) {
         return;
     }
     const NodeId owner = tree != nullptr ? tree->owner_ : fold_->ownerOfIdle(*idle);
-    if (!isGone(owner)) {
+    if (!isGone(owner) || (owner != self_ && preferredFor(root) != self_)) {
         return;
     }
     ClaimBody body;
@@ -436,7 +440,7 @@
         claiming_.erase(root);
         if (result.verdict_ == FoldVerdict::Accepted) {
             logEvent("program_claimed", {{"program", root.value()}, {"former_owner", result.formerOwner_.value()}});
-            own(root, result.offset_, !result.formerOwner_.isEmpty());
+            own(root, result.offset_, true);
         }
         resume(root);
     });
@@ -561,11 +565,52 @@
                                       std::function<void()> retry,
                                       std::function<void(const Failure &)> fail)
 {
-    Time giveUpAt = deadline;
+    parked_.push_back({program, deadline, unknownProgram, std::move(retry), std::move(fail)});
     if (unknownProgram) {
-        giveUpAt = std::min(giveUpAt, now() + unknownProgramLimit);
+        probeEnd(program);
+    }
+}
+
+void ProgramController::Private::probeEnd(const ProgramId &program)
+{
+    // The tail may lag behind, after a pause even by more than one long poll; only a read that begins now can prove
+    // that the program doesn't exist.
+    const std::weak_ptr<Private> weak = weak_from_this();
+    hooks_.log_.read_("journal", fold_->offset() + 1, Duration(0), [weak, program](bool reached, const LogPage &page) {
+        const std::shared_ptr<Private> self = weak.lock();
+        if (self && reached) {
+            self->onProbe(program, page);
+        }
+    });
+}
+
+void ProgramController::Private::onProbe(const ProgramId &program, const LogPage &page)
+{
+    for (const LogEntry &entry : page.entries_) {
+        if (entry.offset_ == fold_->offset() + 1) {
+            handle(fold_->apply(entry));
+        }
+    }
+    if (fold_->treeOf(program) != nullptr || fold_->idle(program) != nullptr) {
+        resume(rootOf(program));
+        return;
+    }
+    if (!page.entries_.empty()) {
+        probeEnd(program);
+        return;
+    }
+    std::vector<Parked> unknown;
+    for (std::size_t i = 0; i < parked_.size();) {
+        if (parked_[i].program_ == program && parked_[i].unknownProgram_) {
+            unknown.push_back(std::move(parked_[i]));
+            parked_.erase(parked_.begin() + static_cast<std::ptrdiff_t>(i));
+        } else {
+            ++i;
+        }
+    }
+    for (const Parked &entry : unknown) {
+        entry.fail_(makeFailure(FailureType::NotFound, true, "no such program"));
     }
-    parked_.push_back({program, giveUpAt, unknownProgram, std::move(retry), std::move(fail)});
 }
 
 void ProgramController::Private::resume(const ProgramId &root)
@@ -611,8 +656,6 @@
     for (const Parked &entry : late) {
         if (!isStoreUp() || !ready_) {
             entry.fail_(makeFailure(FailureType::StoreUnavailable, false, "the log can't be reached", retryStore));
-        } else if (entry.unknownProgram_) {
-            entry.fail_(makeFailure(FailureType::NotFound, true, "no such program"));
         } else {
             entry.fail_(makeFailure(FailureType::OwnerUnavailable, false, "the takeover takes too long", retrySoon));
         }
@@ -1029,6 +1072,12 @@
         if (turn != nullptr) {
             answer(*call, answerOf(program, *turn));
         } else if (refuseFront(root, *tree, *chain, *call, why)) {
+            const bool isFinal = why.type_ == FailureType::BudgetExceeded || why.type_ == FailureType::Quarantined;
+            if (isFinal && !chain->intent_) {
+                calls.current_ = call;
+                refuse(root, call, why);
+                return;
+            }
             answerFailure(*call, why);
         } else {
             calls.current_ = call;
@@ -1153,6 +1202,14 @@
     recordTurn(root, call, TurnStatus::Abandoned, outcome, why);
 }
 
+void ProgramController::Private::refuse(const ProgramId &root, const std::shared_ptr<Call> &call, const Failure &why)
+{
+    DispatchOutcome outcome;
+    outcome.body_ = why.detail_;
+    call->worst_ = Spend();
+    recordTurn(root, call, TurnStatus::Refused, outcome, why);
+}
+
 void ProgramController::Private::recordTurn(const ProgramId &root,
                                             const std::shared_ptr<Call> &call,
                                             TurnStatus status,
@@ -1174,10 +1231,12 @@
     turn.answer_ = outcome.body_;
     turn.usage_ = outcome.usage_;
     turn.endpoint_ = outcome.endpoint_;
+    turn.refusal_ = failure.type_;
+    turn.refusalNotRun_ = failure.notRun_;
     const BudgetEntry entry = prepareBudget(root, request.program_, turn.usage_, call->worst_);
     turn.reserved_ = entry.reserved_;
     turn.spent_ = entry.spent_;
-    const bool closesIntent = !request.idempotent_ && safeguards_.intent_;
+    const bool closesIntent = !request.idempotent_ && safeguards_.intent_ && status != TurnStatus::Refused;
     Record record =
         recordFor(closesIntent ? RecordType::Outcome : RecordType::Turn, request.program_, root, std::move(turn));
     write(std::move(record), [this, root, work, call, status, failure](const FoldResult &result) {
@@ -1189,7 +1248,7 @@
         work->chains_[program].attempts_.erase(call->request_.requestId_);
         if (result.verdict_ != FoldVerdict::Accepted) {
             answerFailure(*call, makeFailure(FailureType::OwnerUnavailable, false, "the turn was refused", retrySoon));
-        } else if (status == TurnStatus::Abandoned) {
+        } else if (status == TurnStatus::Abandoned || status == TurnStatus::Refused) {
             answerFailure(*call, failure);
         } else {
             CallAnswer recorded = answerOf(program, std::get<TurnBody>(result.record_.body_));
@@ -1397,6 +1456,14 @@
     });
 }
 
+void ProgramController::Private::settle(const ProgramId &root)
+{
+    const std::shared_ptr<TreeWork> work = mine(root);
+    const BudgetEntry entry = prepareBudget(root, root, Spend(), Spend());
+    Record record = recordFor(RecordType::Reserve, root, root, ReserveBody{entry.reserved_, entry.spent_});
+    write(std::move(record), [work](const FoldResult & /*result*/) { work->book_.onFolded(); });
+}
+
 void ProgramController::Private::maybeRelease(const ProgramId &root)
 {
     const std::shared_ptr<TreeWork> work = mine(root);
@@ -1404,7 +1471,10 @@
         return;
     }
     work->releasing_ = true;
-    Record record = recordFor(RecordType::Release, root, root, ReleaseBody{});
+    // Nothing runs, so that only costs outside of turns are left to settle; the successor counts no reservation.
+    const TreeState &tree = *fold_->tree(root);
+    const BudgetEntry entry = work->book_.prepare(tree.budget_, tree.spent_, Spend(), Spend(), Spend());
+    Record record = recordFor(RecordType::Release, root, root, ReleaseBody{entry.spent_});
     write(std::move(record), [this, root, work](const FoldResult & /*result*/) {
         if (mine(root) == work) {
             dropTree(root);
@@ -1442,7 +1512,12 @@
     if (!over.empty() || work->checkpointing_ || work->book_.hasUnderWay() || !work->ending_.empty() || !isStoreUp()) {
         return;
     }
-    const bool isIdle = isQuiet && tree->lastTime_ + settings_.idleAfter_ < now() && tree->chains_.size() == 1;
+    const bool isDue = tree->lastTime_ + settings_.idleAfter_ < now() && tree->chains_.size() == 1;
+    if (isDue && !work->isBusy() && !work->book_.isClear()) {
+        settle(root);
+        return;
+    }
+    const bool isIdle = isQuiet && isDue;
     const bool isOld = tree->neededTime_ + settings_.retention_ / 3 < now();
     if (isIdle) {
         checkpoint(root, true);
--- a/src/program/treework.h
+++ b/src/program/treework.h
@@ -63,7 +63,7 @@
 struct TreeWork
 {
     Offset fencing_ = 0;
-    bool takenOver_ = false; ///< Claimed after another owner's death, whose idempotent calls left no trace.
+    bool takenOver_ = false; ///< Claimed from an earlier owner, whose failed idempotent calls left no trace.
     bool releasing_ = false;
     bool checkpointing_ = false;
     bool idling_ = false; ///< A checkpoint is under way after which only the compact form is kept.
