Let a draining node serve a tree whose sub-agent still runs

A call of a tree waited for the release until a sibling call ended, up to 2.4 s with a hanging tool. The tree goes on for up to 20 s instead.

--- a/bench/promises/main.cpp
+++ b/bench/promises/main.cpp
@@ -45,6 +45,8 @@
     std::vector<double> takeovers_;
     std::vector<double> starts_;
     std::vector<double> stopStarts_;
+    std::pair<double, std::uint64_t> slowestTakeover_; ///< Seconds and seed.
+    std::pair<double, std::uint64_t> slowestStopStart_;
 };
 
 int usage(const char *problem)
@@ -101,6 +103,12 @@
     summary.starts_.insert(summary.starts_.end(), trace.startSeconds_.begin(), trace.startSeconds_.end());
     summary.stopStarts_.insert(
         summary.stopStarts_.end(), trace.stopStartSeconds_.begin(), trace.stopStartSeconds_.end());
+    for (const double takeover : trace.takeoverSeconds_) {
+        summary.slowestTakeover_ = std::max(summary.slowestTakeover_, {takeover, seed});
+    }
+    for (const double start : trace.stopStartSeconds_) {
+        summary.slowestStopStart_ = std::max(summary.slowestStopStart_, {start, seed});
+    }
     if (violations.empty()) {
         return;
     }
@@ -197,10 +205,13 @@
         {"takeovers", summary.takeovers_.size()},
         {"takeover_p50_s", quantile(summary.takeovers_, 0.5)},
         {"takeover_p99_s", quantile(summary.takeovers_, 0.99)},
+        {"takeover_max_s", summary.slowestTakeover_.first},
+        {"takeover_max_seed", summary.slowestTakeover_.second},
         {"cut_by_planned_stops", summary.cutByStops_},
         {"planned_stop_starts", summary.stopStarts_.size()},
         {"planned_stop_added_p99_s", std::max(0.0, quantile(summary.stopStarts_, 0.99) - normal)},
         {"planned_stop_added_max_s", std::max(0.0, quantile(summary.stopStarts_, 1.0) - normal)},
+        {"planned_stop_max_seed", summary.slowestStopStart_.second},
         {"normal_start_p50_s", normal},
         {"normal_start_p99_s", quantile(summary.starts_, 0.99)},
         {"wall_s", seconds},
--- a/bench/promises/world.cpp
+++ b/bench/promises/world.cpp
@@ -1126,6 +1126,11 @@
         caller.skipRest_ = caller.skipRest_ || type == FailureType::BudgetExceeded || type == FailureType::ProgramEnded;
     }
     if (isDefinite) {
+        const std::map<std::string, Micros>::iterator watched = watched_.find(trace_.programs_[caller.plan_].id_);
+        if (watched != watched_.end()) {
+            takeovers_.push_back({watched->second, static_cast<double>(now() - watched->second) / second});
+            watched_.erase(watched);
+        }
         ++caller.next_;
         caller.tries_ = 0;
         advance(index);
--- a/src/program/programcontroller.cpp
+++ b/src/program/programcontroller.cpp
@@ -112,6 +112,7 @@
     Time massLossAt_{0};
     bool massLoss_ = false;
     bool draining_ = false;
+    Time drainStart_{0};
 
     Time now() const
     {
@@ -1061,7 +1062,11 @@
             return;
         }
         ChainWork &calls = work->chains_[program];
-        if (calls.current_ || calls.queue_.empty() || draining_ || work->releasing_) {
+        if (calls.current_ || calls.queue_.empty() || work->releasing_) {
+            return;
+        }
+        if (draining_ && !(work->isRunning() && now() < drainStart_ + settings_.drainServe_)) {
+            maybeRelease(root);
             return;
         }
         const std::shared_ptr<Call> call = calls.queue_.front();
@@ -1348,10 +1353,9 @@
         return;
     }
     work->chains_[program].current_.reset();
+    pump(root, program);
     if (draining_) {
         maybeRelease(root);
-    } else {
-        pump(root, program);
     }
 }
 
@@ -1644,6 +1648,9 @@
 
 void ProgramController::drain()
 {
+    if (!d_->draining_) {
+        d_->drainStart_ = d_->now();
+    }
     d_->draining_ = true;
     d_->logEvent("drain_started", {{"programs", d_->work_.size()}});
     tick();
--- a/src/program/programcontroller.h
+++ b/src/program/programcontroller.h
@@ -53,6 +53,7 @@
     Duration slowStore_ = std::chrono::seconds(2); ///< A record that waits longer means that the store is down.
     Duration massLossPause_ = std::chrono::seconds(10); ///< After a mass loss programs move on demand only.
     std::uint32_t massLossClaims_ = 50; ///< Claims a second without demand after that.
+    Duration drainServe_ = std::chrono::seconds(20); ///< While draining, a tree with a running call goes on so long.
     std::uint32_t loopRepeats_ = 8; ///< Equal turns in a row that end a program.
     std::size_t maxQueuedCalls_ = 64; ///< Of one program.
     std::size_t maxRequestBytes_ = 1U << 20U;
