--- a/bench/promises/world.cpp
+++ b/bench/promises/world.cpp
@@ -413,7 +413,7 @@
     spreadState(process->name_, true, true, 20 * millisecond, 100 * millisecond);
     after(second, [process]() { process->offBalancer_ = true; });
     // The announcement goes first, so that the successors are known when programs are released.
-    after(150 * millisecond, [this, process]() { runIn(process, [process]() { process->controller_->drain(); }); });
+    after(150 * millisecond, [process]() { runIn(process, [process]() { process->controller_->drain(); }); });
     const Micros since = now();
     after(500 * millisecond, [this, process, since]() { continueStop(process, since); });
 }
--- a/src/journal/journalfold.cpp
+++ b/src/journal/journalfold.cpp
@@ -69,11 +69,11 @@
 {
 }
 
-FoldResult JournalFold::apply(const LogEntry &entry)
+JournalFoldResult JournalFold::apply(const LogEntry &entry)
 {
-    FoldResult result;
+    JournalFoldResult result;
     if (entry.offset_ <= offset_) {
-        result.verdict_ = FoldVerdict::Duplicate;
+        result.verdict_ = JournalVerdict::Duplicate;
         return result;
     }
     if (start_ == 0) {
@@ -92,12 +92,12 @@
         if (retained_.size() > maxRetained) {
             retained_.pop_front();
         }
-        result.verdict_ = FoldVerdict::Retained;
+        result.verdict_ = JournalVerdict::Retained;
         result.record_ = std::move(*record);
         return result;
     }
     if (isKnownId(record->id_) && settings_.checkDuplicates_) {
-        result.verdict_ = FoldVerdict::Duplicate;
+        result.verdict_ = JournalVerdict::Duplicate;
         result.record_ = std::move(*record);
         return result;
     }
@@ -145,9 +145,9 @@
     }
 }
 
-FoldResult JournalFold::applyRecord(Record record, Offset offset, Time time)
+JournalFoldResult JournalFold::applyRecord(Record record, Offset offset, Time time)
 {
-    FoldResult result;
+    JournalFoldResult result;
     result.offset_ = offset;
     result.root_ = record.root_;
     result.verdict_ = dispatch(record, offset, time, result);
@@ -155,7 +155,7 @@
     return result;
 }
 
-FoldVerdict JournalFold::dispatch(const Record &record, Offset offset, Time time, FoldResult &result)
+JournalVerdict JournalFold::dispatch(const Record &record, Offset offset, Time time, JournalFoldResult &result)
 {
     if (record.type_ == RecordType::Quarantine) {
         return applyQuarantine(std::get<QuarantineBody>(record.body_), time);
@@ -178,7 +178,7 @@
     const bool isOwner = record.fencing_ == tree.fencing_ && !tree.owner_.isEmpty();
     if (!isOwner && settings_.checkFencing_) {
         if (record.fencing_ <= tree.fencing_ || !isBeforeStart(record.fencing_)) {
-            return FoldVerdict::Fenced;
+            return JournalVerdict::Fenced;
         }
         // The tree came from a former owner's checkpoint; the claim that superseded it has expired.
         return record.type_ == RecordType::Checkpoint ? adopt(record, offset, time)
@@ -192,35 +192,35 @@
     return fencing != 0 && fencing < start_;
 }
 
-FoldVerdict JournalFold::applyUnknown(const Record &record, Offset offset, Time time)
+JournalVerdict JournalFold::applyUnknown(const Record &record, Offset offset, Time time)
 {
     const bool isClaim = record.type_ == RecordType::Claim;
     const Offset basis = isClaim ? std::get<ClaimBody>(record.body_).supersedes_ : record.fencing_;
     const std::map<ProgramId, std::vector<Placed>>::iterator known = orphans_.find(record.root_);
     // A program that began after the first entry and is unknown has ended and was forgotten.
     if (known == orphans_.end() && !isBeforeStart(basis)) {
-        return FoldVerdict::UnknownProgram;
+        return JournalVerdict::UnknownProgram;
     }
     orphans_[record.root_].push_back({record, offset, time});
-    return FoldVerdict::UnknownProgram;
+    return JournalVerdict::UnknownProgram;
 }
 
-FoldVerdict JournalFold::applyCreate(const Record &record, Offset offset, Time time, FoldResult &result)
+JournalVerdict JournalFold::applyCreate(const Record &record, Offset offset, Time time, JournalFoldResult &result)
 {
     const CreateBody &body = std::get<CreateBody>(record.body_);
     const std::map<std::pair<AccountId, RequestId>, ProgramId>::const_iterator known =
         createdBy_.find({body.account_, body.requestId_});
     if (known != createdBy_.end()) {
         result.existing_ = known->second;
-        return FoldVerdict::Refused;
+        return JournalVerdict::Refused;
     }
     if (trees_.count(record.program_) != 0) {
-        return FoldVerdict::Refused;
+        return JournalVerdict::Refused;
     }
     return applyRoot(record, body, offset, time);
 }
 
-FoldVerdict JournalFold::applyRoot(const Record &record, const CreateBody &body, Offset offset, Time time)
+JournalVerdict JournalFold::applyRoot(const Record &record, const CreateBody &body, Offset offset, Time time)
 {
     TreeState tree;
     tree.root_ = record.program_;
@@ -240,7 +240,7 @@
     chain.maxTurns_ = body.maxTurns_;
     tree.chains_[chain.id_] = std::move(chain);
     insert(std::move(tree));
-    return FoldVerdict::Accepted;
+    return JournalVerdict::Accepted;
 }
 
 TreeState &JournalFold::insert(TreeState state)
@@ -256,11 +256,11 @@
     return *place;
 }
 
-FoldVerdict JournalFold::applySubAgent(TreeState &tree, const Record &record, const CreateBody &body)
+JournalVerdict JournalFold::applySubAgent(TreeState &tree, const Record &record, const CreateBody &body)
 {
     const std::map<ProgramId, ChainState>::const_iterator parent = tree.chains_.find(body.parent_);
     if (parent == tree.chains_.end() || parent->second.endReason_ || tree.chains_.count(record.program_) != 0) {
-        return FoldVerdict::Refused;
+        return JournalVerdict::Refused;
     }
     ChainState chain;
     chain.id_ = record.program_;
@@ -272,13 +272,13 @@
     rootOf_[record.program_] = tree.root_;
     tree.spent_ = tree.spent_ + body.spent_;
     setReserved(tree, body.reserved_);
-    return FoldVerdict::Accepted;
+    return JournalVerdict::Accepted;
 }
 
-FoldVerdict JournalFold::applyClaim(TreeState &tree, const Record &record, Offset offset, FoldResult &result)
+JournalVerdict JournalFold::applyClaim(TreeState &tree, const Record &record, Offset offset, JournalFoldResult &result)
 {
     if (tree.isEnded()) {
-        return FoldVerdict::Refused;
+        return JournalVerdict::Refused;
     }
     result.formerOwner_ = tree.owner_;
     for (std::pair<const ProgramId, ChainState> &entry : tree.chains_) {
@@ -289,15 +289,15 @@
     tree.lastOffset_ = offset;
     tree.spent_ = tree.spent_ + tree.reserved_;
     setReserved(tree, std::get<ClaimBody>(record.body_).reserved_);
-    return FoldVerdict::Accepted;
+    return JournalVerdict::Accepted;
 }
 
-FoldVerdict JournalFold::applyOwned(TreeState &tree, const Record &record, Offset offset, Time time)
+JournalVerdict JournalFold::applyOwned(TreeState &tree, const Record &record, Offset offset, Time time)
 {
     if (record.type_ == RecordType::Checkpoint) {
         return applyCheckpoint(tree, record, offset, time);
     }
-    FoldVerdict verdict = FoldVerdict::Refused;
+    JournalVerdict verdict = JournalVerdict::Refused;
     const std::map<ProgramId, ChainState>::iterator found = tree.chains_.find(record.program_);
     const bool isLive = found != tree.chains_.end() && !found->second.endReason_;
     if (tree.isEnded()) {
@@ -311,7 +311,7 @@
         const ReserveBody &body = std::get<ReserveBody>(record.body_);
         tree.spent_ = tree.spent_ + body.spent_;
         setReserved(tree, body.reserved_);
-        verdict = FoldVerdict::Accepted;
+        verdict = JournalVerdict::Accepted;
         break;
     }
     case RecordType::Intent:
@@ -330,7 +330,7 @@
         tree.owner_ = NodeId();
         tree.spent_ = tree.spent_ + std::get<ReleaseBody>(record.body_).spent_;
         tree.reserved_ = Spend();
-        verdict = FoldVerdict::Accepted;
+        verdict = JournalVerdict::Accepted;
         break;
     case RecordType::End:
         if (isLive) {
@@ -340,28 +340,28 @@
     default:
         break;
     }
-    if (verdict == FoldVerdict::Accepted) {
+    if (verdict == JournalVerdict::Accepted) {
         tree.lastOffset_ = offset;
         tree.lastTime_ = time;
     }
     return verdict;
 }
 
-FoldVerdict JournalFold::applyIntent(TreeState &tree, ChainState &chain, const IntentBody &intent)
+JournalVerdict JournalFold::applyIntent(TreeState &tree, ChainState &chain, const IntentBody &intent)
 {
     if (settings_.checkDuplicates_ && (chain.intent_ || findTurn(chain, intent.requestId_) != nullptr)) {
-        return FoldVerdict::Refused;
+        return JournalVerdict::Refused;
     }
     chain.intent_ = intent;
     tree.spent_ = tree.spent_ + intent.spent_;
     setReserved(tree, intent.reserved_);
-    return FoldVerdict::Accepted;
+    return JournalVerdict::Accepted;
 }
 
-FoldVerdict JournalFold::applyTurn(TreeState &tree, ChainState &chain, const TurnBody &turn, bool closesIntent)
+JournalVerdict JournalFold::applyTurn(TreeState &tree, ChainState &chain, const TurnBody &turn, bool closesIntent)
 {
     if (turn.sequence_ != chain.nextSequence_ || (closesIntent && !chain.intent_) || (!closesIntent && chain.intent_)) {
-        return FoldVerdict::Refused;
+        return JournalVerdict::Refused;
     }
     if (closesIntent) {
         chain.intent_.reset();
@@ -377,10 +377,10 @@
     if (turn.status_ != TurnStatus::Abandoned) {
         appendTurn(chain, turn);
     }
-    return FoldVerdict::Accepted;
+    return JournalVerdict::Accepted;
 }
 
-FoldVerdict JournalFold::applyEnd(TreeState &tree, const ProgramId &program, FailureType reason, Time time)
+JournalVerdict JournalFold::applyEnd(TreeState &tree, const ProgramId &program, FailureType reason, Time time)
 {
     // Parents are not ordered before their sub-agents by id, so descend until nothing changes.
     std::set<ProgramId> ending{program};
@@ -404,43 +404,46 @@
         tree.reserved_ = Spend();
         ended_.push_back({time, program});
     }
-    return FoldVerdict::Accepted;
+    return JournalVerdict::Accepted;
 }
 
-FoldVerdict JournalFold::applyCheckpoint(TreeState &tree, const Record &record, Offset offset, Time time)
+JournalVerdict JournalFold::applyCheckpoint(TreeState &tree, const Record &record, Offset offset, Time time)
 {
     const CheckpointBody &body = std::get<CheckpointBody>(record.body_);
     if (tree.lastOffset_ > body.covers_) {
         // A record of the tree came between; a new reader would miss it if older entries were given up.
-        return FoldVerdict::Refused;
+        return JournalVerdict::Refused;
     }
     tree.neededTime_ = time;
     tree.neededOffset_ = offset;
     if (body.idle_) {
         compact(tree.root_, offset, time);
     }
-    return FoldVerdict::Accepted;
+    return JournalVerdict::Accepted;
 }
 
-FoldVerdict JournalFold::adopt(const Record &record, Offset offset, Time time)
+JournalVerdict JournalFold::adopt(const Record &record, Offset offset, Time time)
 {
     const CheckpointBody &body = std::get<CheckpointBody>(record.body_);
-    if (!isBeforeStart(record.fencing_)) {
-        return FoldVerdict::UnknownProgram;
+    const std::map<ProgramId, std::vector<Placed>>::iterator found = orphans_.find(record.root_);
+    Offset newestClaim = 0;
+    if (found != orphans_.end()) {
+        for (const Placed &orphan : found->second) {
+            newestClaim = orphan.record_.type_ == RecordType::Claim ? orphan.offset_ : newestClaim;
+        }
+    }
+    if (newestClaim > record.fencing_) {
+        return JournalVerdict::Fenced; // A former owner's checkpoint; the new owner writes its own.
+    }
+    if (!isBeforeStart(record.fencing_) && newestClaim != record.fencing_) {
+        return JournalVerdict::UnknownProgram;
     }
     std::optional<TreeState> state = treeFromJson(body.state_);
     if (!state || state->root_ != record.root_ || state->fencing_ != record.fencing_) {
-        return FoldVerdict::Refused;
+        return JournalVerdict::Refused;
     }
     std::vector<Placed> waiting;
-    const std::map<ProgramId, std::vector<Placed>>::iterator found = orphans_.find(record.root_);
     if (found != orphans_.end()) {
-        for (const Placed &orphan : found->second) {
-            if (orphan.record_.type_ == RecordType::Claim && orphan.offset_ < offset) {
-                // A former owner's checkpoint; the new owner writes its own.
-                return FoldVerdict::Fenced;
-            }
-        }
         waiting = std::move(found->second);
         orphans_.erase(found);
     }
@@ -452,26 +455,26 @@
     insert(std::move(*state));
     for (const Placed &orphan : waiting) {
         if (orphan.offset_ > body.covers_) {
-            FoldResult ignored;
+            JournalFoldResult ignored;
             dispatch(orphan.record_, orphan.offset_, orphan.time_, ignored);
         }
     }
     if (body.idle_) {
         compact(record.root_, offset, time);
     }
-    return FoldVerdict::Accepted;
+    return JournalVerdict::Accepted;
 }
 
-FoldVerdict JournalFold::applyQuarantine(const QuarantineBody &body, Time time)
+JournalVerdict JournalFold::applyQuarantine(const QuarantineBody &body, Time time)
 {
     SuspectState &state = suspects_[body.contentHash_];
     state.convicted_ = state.convicted_ || body.convicted_;
     state.time_ = time;
-    return FoldVerdict::Accepted;
+    return JournalVerdict::Accepted;
 }
 
-FoldVerdict
-JournalFold::applyToIdle(IdleProgram &idle, const Record &record, Offset offset, Time time, FoldResult &result)
+JournalVerdict
+JournalFold::applyToIdle(IdleProgram &idle, const Record &record, Offset offset, Time time, JournalFoldResult &result)
 {
     const std::map<ProgramId, std::vector<Placed>>::iterator waiting = deferred_.find(record.root_);
     const bool isSimple = waiting == deferred_.end();
@@ -479,24 +482,24 @@
         result.formerOwner_ = ownerOfIdle(idle);
         idle.owner_ = ownerIndex(record.node_);
         idle.fencing_ = offset;
-        return FoldVerdict::Accepted;
+        return JournalVerdict::Accepted;
     }
     if (isSimple && record.fencing_ != idle.fencing_) {
-        return FoldVerdict::Fenced;
+        return JournalVerdict::Fenced;
     }
     if (isSimple && record.type_ == RecordType::Release) {
         idle.owner_ = ownerIndex(NodeId());
-        return FoldVerdict::Accepted;
+        return JournalVerdict::Accepted;
     }
     const bool isIdleCheckpoint =
         record.type_ == RecordType::Checkpoint && std::get<CheckpointBody>(record.body_).idle_;
     if (isSimple && isIdleCheckpoint && std::get<CheckpointBody>(record.body_).covers_ >= idle.fencing_) {
         idle.checkpoint_ = offset;
         idle.checkpointS_ = wholeSeconds(time);
-        return FoldVerdict::Accepted;
+        return JournalVerdict::Accepted;
     }
     deferred_[record.root_].push_back({record, offset, time});
-    return FoldVerdict::Deferred;
+    return JournalVerdict::Deferred;
 }
 
 void JournalFold::compact(const ProgramId &root, Offset offset, Time time)
@@ -536,9 +539,9 @@
     return result;
 }
 
-std::vector<FoldResult> JournalFold::restore(const LogEntry &checkpoint)
+std::vector<JournalFoldResult> JournalFold::restore(const LogEntry &checkpoint)
 {
-    std::vector<FoldResult> results;
+    std::vector<JournalFoldResult> results;
     std::string error;
     const std::optional<Record> record = parseRecord(checkpoint.body_, error);
     if (!record || record->type_ != RecordType::Checkpoint) {
--- a/src/journal/journalfold.h
+++ b/src/journal/journalfold.h
@@ -16,7 +16,7 @@
 namespace filbertgw {
 
 /** \brief What the fold did with an entry. */
-enum class FoldVerdict : std::uint8_t {
+enum class JournalVerdict : std::uint8_t {
     Accepted,
     Duplicate, ///< Its record id is known.
     Fenced, ///< Its writer isn't the owner at this offset.
@@ -28,24 +28,24 @@
 };
 
 template<>
-struct NameTable<FoldVerdict>
+struct NameTable<JournalVerdict>
 {
-    static constexpr std::array<std::pair<FoldVerdict, std::string_view>, 8> entries{{
-        {FoldVerdict::Accepted, "accepted"},
-        {FoldVerdict::Duplicate, "duplicate"},
-        {FoldVerdict::Fenced, "fenced"},
-        {FoldVerdict::Refused, "refused"},
-        {FoldVerdict::UnknownProgram, "unknown_program"},
-        {FoldVerdict::Deferred, "deferred"},
-        {FoldVerdict::Retained, "retained"},
-        {FoldVerdict::Malformed, "malformed"},
+    static constexpr std::array<std::pair<JournalVerdict, std::string_view>, 8> entries{{
+        {JournalVerdict::Accepted, "accepted"},
+        {JournalVerdict::Duplicate, "duplicate"},
+        {JournalVerdict::Fenced, "fenced"},
+        {JournalVerdict::Refused, "refused"},
+        {JournalVerdict::UnknownProgram, "unknown_program"},
+        {JournalVerdict::Deferred, "deferred"},
+        {JournalVerdict::Retained, "retained"},
+        {JournalVerdict::Malformed, "malformed"},
     }};
 };
 
 /** \brief Result of folding one entry. */
-struct FoldResult
+struct JournalFoldResult
 {
-    FoldVerdict verdict_ = FoldVerdict::Malformed;
+    JournalVerdict verdict_ = JournalVerdict::Malformed;
     Record record_;
     Offset offset_ = 0; ///< Of the entry.
     ProgramId root_; ///< Tree that it concerns; empty if unknown.
@@ -94,7 +94,7 @@
     explicit JournalFold(FoldSettings settings = {});
 
     /** \brief Folds the next entry. An entry at or below offset() is ignored as a duplicate. */
-    FoldResult apply(const LogEntry &entry);
+    JournalFoldResult apply(const LogEntry &entry);
     /** \brief Offset of the last folded entry, 0 for none. */
     Offset offset() const
     {
@@ -141,7 +141,7 @@
      * \brief Takes an idle program back into memory from its checkpoint entry.
      * \return results of the records that waited for it, in offset order.
      */
-    std::vector<FoldResult> restore(const LogEntry &checkpoint);
+    std::vector<JournalFoldResult> restore(const LogEntry &checkpoint);
 
 private:
     struct Writer
@@ -158,22 +158,23 @@
         Time time_{0};
     };
 
-    FoldResult applyRecord(Record record, Offset offset, Time time);
-    FoldVerdict dispatch(const Record &record, Offset offset, Time time, FoldResult &result);
-    FoldVerdict applyToIdle(IdleProgram &idle, const Record &record, Offset offset, Time time, FoldResult &result);
-    FoldVerdict applyUnknown(const Record &record, Offset offset, Time time);
+    JournalFoldResult applyRecord(Record record, Offset offset, Time time);
+    JournalVerdict dispatch(const Record &record, Offset offset, Time time, JournalFoldResult &result);
+    JournalVerdict
+    applyToIdle(IdleProgram &idle, const Record &record, Offset offset, Time time, JournalFoldResult &result);
+    JournalVerdict applyUnknown(const Record &record, Offset offset, Time time);
     bool isBeforeStart(Offset fencing) const;
-    FoldVerdict applyCreate(const Record &record, Offset offset, Time time, FoldResult &result);
-    FoldVerdict applyRoot(const Record &record, const CreateBody &body, Offset offset, Time time);
-    FoldVerdict applySubAgent(TreeState &tree, const Record &record, const CreateBody &body);
-    FoldVerdict applyClaim(TreeState &tree, const Record &record, Offset offset, FoldResult &result);
-    FoldVerdict applyOwned(TreeState &tree, const Record &record, Offset offset, Time time);
-    FoldVerdict applyIntent(TreeState &tree, ChainState &chain, const IntentBody &intent);
-    FoldVerdict applyTurn(TreeState &tree, ChainState &chain, const TurnBody &turn, bool closesIntent);
-    FoldVerdict applyEnd(TreeState &tree, const ProgramId &program, FailureType reason, Time time);
-    FoldVerdict applyCheckpoint(TreeState &tree, const Record &record, Offset offset, Time time);
-    FoldVerdict applyQuarantine(const QuarantineBody &body, Time time);
-    FoldVerdict adopt(const Record &record, Offset offset, Time time);
+    JournalVerdict applyCreate(const Record &record, Offset offset, Time time, JournalFoldResult &result);
+    JournalVerdict applyRoot(const Record &record, const CreateBody &body, Offset offset, Time time);
+    JournalVerdict applySubAgent(TreeState &tree, const Record &record, const CreateBody &body);
+    JournalVerdict applyClaim(TreeState &tree, const Record &record, Offset offset, JournalFoldResult &result);
+    JournalVerdict applyOwned(TreeState &tree, const Record &record, Offset offset, Time time);
+    JournalVerdict applyIntent(TreeState &tree, ChainState &chain, const IntentBody &intent);
+    JournalVerdict applyTurn(TreeState &tree, ChainState &chain, const TurnBody &turn, bool closesIntent);
+    JournalVerdict applyEnd(TreeState &tree, const ProgramId &program, FailureType reason, Time time);
+    JournalVerdict applyCheckpoint(TreeState &tree, const Record &record, Offset offset, Time time);
+    JournalVerdict applyQuarantine(const QuarantineBody &body, Time time);
+    JournalVerdict adopt(const Record &record, Offset offset, Time time);
     TreeState &insert(TreeState state);
     IdleProgram *findIdle(const ProgramId &program);
     void compact(const ProgramId &root, Offset offset, Time time);
--- a/src/journal/record.cpp
+++ b/src/journal/record.cpp
@@ -48,7 +48,10 @@
         if (value == nullptr) {
             return;
         }
-        if (!value->is_number_unsigned() || value->get<std::uint64_t>() > std::numeric_limits<Number>::max()) {
+        const bool isNegative =
+            value->is_number_integer() && !value->is_number_unsigned() && value->get<std::int64_t>() < 0;
+        if (!value->is_number_integer() || isNegative
+            || value->get<std::uint64_t>() > std::numeric_limits<Number>::max()) {
             return fail(name);
         }
         out = value->get<Number>();
--- a/src/program/programcontroller.cpp
+++ b/src/program/programcontroller.cpp
@@ -30,7 +30,7 @@
 constexpr int slotTries = 1024; // Finds a preferred slot among 390 nodes in 93 of 100 cases, among 12 always.
 constexpr std::int64_t promptOverheadTokens = 16; // Tokens that a chat template adds.
 
-using FoldedHook = std::function<void(const FoldResult &)>;
+using FoldedHook = std::function<void(const JournalFoldResult &)>;
 
 struct PendingRecord
 {
@@ -128,8 +128,8 @@
     void readTail();
     void onTail(Offset from, bool reached, const LogPage &page);
     void resetFold(Offset firstOffset);
-    void handle(const FoldResult &result);
-    void notifyWriterOf(const FoldResult &result);
+    void handle(const JournalFoldResult &result);
+    void notifyWriterOf(const JournalFoldResult &result);
     std::uint64_t write(Record record, FoldedHook folded);
     Record recordFor(RecordType type, const ProgramId &program, const ProgramId &root, RecordBody body) const;
 
@@ -271,15 +271,15 @@
     ready_ = false;
 }
 
-void ProgramController::Private::handle(const FoldResult &result)
+void ProgramController::Private::handle(const JournalFoldResult &result)
 {
     const Record &record = result.record_;
-    if (result.verdict_ == FoldVerdict::Retained || result.verdict_ == FoldVerdict::Malformed) {
+    if (result.verdict_ == JournalVerdict::Retained || result.verdict_ == JournalVerdict::Malformed) {
         logEvent("record_not_applied",
                  {{"verdict", nameOf(result.verdict_)}, {"id", record.id_.value()}, {"error", result.error_}});
     }
     const bool isOwn = record.id_.value().compare(0, writerName_.size() + 1, writerName_ + '#') == 0;
-    if (result.verdict_ == FoldVerdict::Accepted) {
+    if (result.verdict_ == JournalVerdict::Accepted) {
         const std::unordered_map<ProgramId, std::shared_ptr<TreeWork>>::const_iterator held = work_.find(result.root_);
         if (record.type_ == RecordType::Claim && held != work_.end()) {
             dropTree(result.root_);
@@ -301,14 +301,14 @@
     }
     const bool isNews = record.type_ == RecordType::Claim || record.type_ == RecordType::Create
         || record.type_ == RecordType::Release || record.type_ == RecordType::End;
-    if (result.verdict_ == FoldVerdict::Accepted && isNews) {
+    if (result.verdict_ == JournalVerdict::Accepted && isNews) {
         resume(result.root_);
     }
 }
 
-void ProgramController::Private::notifyWriterOf(const FoldResult &result)
+void ProgramController::Private::notifyWriterOf(const JournalFoldResult &result)
 {
-    if (result.verdict_ == FoldVerdict::Duplicate || result.verdict_ == FoldVerdict::Deferred) {
+    if (result.verdict_ == JournalVerdict::Duplicate || result.verdict_ == JournalVerdict::Deferred) {
         return;
     }
     const std::uint64_t number = std::stoull(result.record_.id_.value().substr(writerName_.size() + 1));
@@ -437,9 +437,9 @@
     }
     claiming_.insert(root);
     Record record = recordFor(RecordType::Claim, root, root, body);
-    write(std::move(record), [this, root](const FoldResult &result) {
+    write(std::move(record), [this, root](const JournalFoldResult &result) {
         claiming_.erase(root);
-        if (result.verdict_ == FoldVerdict::Accepted) {
+        if (result.verdict_ == JournalVerdict::Accepted) {
             logEvent("program_claimed", {{"program", root.value()}, {"former_owner", result.formerOwner_.value()}});
             own(root, result.offset_, true);
         }
@@ -543,7 +543,7 @@
         if (!reached || page.entries_.empty()) {
             return;
         }
-        for (const FoldResult &result : self->fold_->restore(page.entries_.front())) {
+        for (const JournalFoldResult &result : self->fold_->restore(page.entries_.front())) {
             self->handle(result);
         }
         std::string error;
@@ -734,11 +734,11 @@
         body.spent_ = entry.spent_;
     }
     Record record = recordFor(RecordType::Create, program, isRoot ? program : root, body);
-    write(std::move(record), [this, key, program, root, isRoot](const FoldResult &result) {
+    write(std::move(record), [this, key, program, root, isRoot](const JournalFoldResult &result) {
         if (!isRoot && mine(root)) {
             mine(root)->book_.onFolded();
         }
-        if (result.verdict_ == FoldVerdict::Accepted) {
+        if (result.verdict_ == JournalVerdict::Accepted) {
             if (isRoot) {
                 own(program, result.offset_, false);
             }
@@ -822,10 +822,10 @@
     const std::shared_ptr<TreeWork> work = mine(root);
     work->ending_[program] = true;
     Record record = recordFor(RecordType::End, program, root, EndBody{reason});
-    write(std::move(record), [this, root, program, work, done = std::move(done)](const FoldResult &result) {
+    write(std::move(record), [this, root, program, work, done = std::move(done)](const JournalFoldResult &result) {
         work->ending_.erase(program);
         const TreeState *tree = fold_->tree(root);
-        if (result.verdict_ == FoldVerdict::Accepted && mine(root) == work && tree != nullptr) {
+        if (result.verdict_ == JournalVerdict::Accepted && mine(root) == work && tree != nullptr) {
             std::vector<ProgramId> ended;
             for (const std::pair<const ProgramId, ChainState> &entry : tree->chains_) {
                 if (entry.second.endReason_) {
@@ -1130,12 +1130,12 @@
     const BudgetEntry entry = prepareBudget(root, call->request_.program_, Spend(), Spend());
     ReserveBody body{entry.reserved_, entry.spent_};
     Record record = recordFor(RecordType::Reserve, call->request_.program_, root, body);
-    write(std::move(record), [this, root, work, call](const FoldResult &result) {
+    write(std::move(record), [this, root, work, call](const JournalFoldResult &result) {
         work->book_.onFolded();
         if (mine(root) != work || work->chains_[call->request_.program_].current_ != call) {
             return;
         }
-        if (result.verdict_ == FoldVerdict::Accepted && !call->givenUp_) {
+        if (result.verdict_ == JournalVerdict::Accepted && !call->givenUp_) {
             dispatch(root, call);
             return;
         }
@@ -1166,12 +1166,12 @@
     body.reserved_ = entry.reserved_;
     body.spent_ = entry.spent_;
     Record record = recordFor(RecordType::Intent, request.program_, root, body);
-    write(std::move(record), [this, root, work, call](const FoldResult &result) {
+    write(std::move(record), [this, root, work, call](const JournalFoldResult &result) {
         work->book_.onFolded();
         if (mine(root) != work || work->chains_[call->request_.program_].current_ != call) {
             return;
         }
-        if (result.verdict_ != FoldVerdict::Accepted) {
+        if (result.verdict_ != JournalVerdict::Accepted) {
             dropUnsent(root, call);
         } else if (call->givenUp_) {
             abandon(root, call, makeFailure(FailureType::DeadlinePassed, true, "given up before it was sent"), Spend());
@@ -1244,14 +1244,14 @@
     const bool closesIntent = !request.idempotent_ && safeguards_.intent_ && status != TurnStatus::Refused;
     Record record =
         recordFor(closesIntent ? RecordType::Outcome : RecordType::Turn, request.program_, root, std::move(turn));
-    write(std::move(record), [this, root, work, call, status, failure](const FoldResult &result) {
+    write(std::move(record), [this, root, work, call, status, failure](const JournalFoldResult &result) {
         work->book_.onFolded();
         const ProgramId program = call->request_.program_;
         if (mine(root) != work || work->chains_[program].current_ != call) {
             return;
         }
         work->chains_[program].attempts_.erase(call->request_.requestId_);
-        if (result.verdict_ != FoldVerdict::Accepted) {
+        if (result.verdict_ != JournalVerdict::Accepted) {
             answerFailure(*call, makeFailure(FailureType::OwnerUnavailable, false, "the turn was refused", retrySoon));
         } else if (status == TurnStatus::Abandoned || status == TurnStatus::Refused) {
             answerFailure(*call, failure);
@@ -1450,7 +1450,7 @@
     body.idle_ = idle;
     body.state_ = toJson(state);
     Record record = recordFor(RecordType::Checkpoint, root, root, std::move(body));
-    write(std::move(record), [this, root, work](const FoldResult & /*result*/) {
+    write(std::move(record), [this, root, work](const JournalFoldResult & /*result*/) {
         work->checkpointing_ = false;
         work->idling_ = false;
         if (fold_->tree(root) == nullptr && mine(root) == work) {
@@ -1465,7 +1465,7 @@
     const std::shared_ptr<TreeWork> work = mine(root);
     const BudgetEntry entry = prepareBudget(root, root, Spend(), Spend());
     Record record = recordFor(RecordType::Reserve, root, root, ReserveBody{entry.reserved_, entry.spent_});
-    write(std::move(record), [work](const FoldResult & /*result*/) { work->book_.onFolded(); });
+    write(std::move(record), [work](const JournalFoldResult & /*result*/) { work->book_.onFolded(); });
 }
 
 void ProgramController::Private::maybeRelease(const ProgramId &root)
@@ -1479,7 +1479,7 @@
     const TreeState &tree = *fold_->tree(root);
     const BudgetEntry entry = work->book_.prepare(tree.budget_, tree.spent_, Spend(), Spend(), Spend());
     Record record = recordFor(RecordType::Release, root, root, ReleaseBody{entry.spent_});
-    write(std::move(record), [this, root, work](const FoldResult & /*result*/) {
+    write(std::move(record), [this, root, work](const JournalFoldResult & /*result*/) {
         if (mine(root) == work) {
             dropTree(root);
         }
--- /dev/null
+++ b/test/journal/fold.cpp
@@ -0,0 +1,377 @@
+#include "journal/journalfold.h"
+#include "journal/programid.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+using namespace filbertgw;
+
+namespace {
+
+const ProgramId root("p0010000000000000001");
+
+/** \brief Builds entries as nodes would write them; offsets count up from a first one. */
+class Journal
+{
+public:
+    explicit Journal(Offset first = 1)
+        : next_(first)
+    {
+    }
+
+    JournalFoldResult add(JournalFold &fold, Record record)
+    {
+        const LogEntry entry{next_++, time_, toJson(record)};
+        entries_.push_back(entry);
+        return fold.apply(entry);
+    }
+    JournalFoldResult add(JournalFold &fold,
+                          RecordType type,
+                          const std::string &node,
+                          Offset fencing,
+                          RecordBody body,
+                          std::string id = "")
+    {
+        Record record;
+        record.id_ = RecordId(id.empty() ? node + "#" + std::to_string(++numbers_[node]) : id);
+        record.type_ = type;
+        record.program_ = root;
+        record.root_ = root;
+        record.node_ = NodeId(node);
+        record.fencing_ = fencing;
+        record.body_ = std::move(body);
+        return add(fold, std::move(record));
+    }
+    JournalFoldResult create(JournalFold &fold, const std::string &node, Spend budget = {1000, 100, 100})
+    {
+        CreateBody body;
+        body.requestId_ = RequestId("create");
+        body.account_ = AccountId("office");
+        body.budget_ = budget;
+        body.maxTurns_ = 200;
+        body.reserved_ = {100, 2, 10};
+        return add(fold, RecordType::Create, node, 0, body);
+    }
+    JournalFoldResult claim(JournalFold &fold, const std::string &node, Offset supersedes)
+    {
+        return add(fold, RecordType::Claim, node, 0, ClaimBody{supersedes, {100, 2, 10}});
+    }
+    JournalFoldResult
+    turn(JournalFold &fold, const std::string &node, Offset fencing, std::uint64_t sequence, const std::string &answer)
+    {
+        TurnBody body;
+        body.sequence_ = sequence;
+        body.requestId_ = RequestId("r" + std::to_string(sequence));
+        body.input_ = "in";
+        body.answer_ = answer;
+        body.usage_ = {30, 1, 1};
+        body.reserved_ = {100, 2, 10};
+        return add(fold, RecordType::Turn, node, fencing, body);
+    }
+    JournalFoldResult intent(JournalFold &fold, const std::string &node, Offset fencing, const std::string &request)
+    {
+        IntentBody body;
+        body.requestId_ = RequestId(request);
+        body.input_ = "pay";
+        body.reserved_ = {100, 2, 10};
+        return add(fold, RecordType::Intent, node, fencing, body);
+    }
+
+    Offset next_;
+    Time time_{std::chrono::hours(1)};
+    std::map<std::string, int> numbers_;
+    std::vector<LogEntry> entries_;
+};
+
+} // namespace
+
+// Guards against two owners at once: of two claims the later offset wins, and only its records count.
+TEST(Fold, LaterOfTwoClaimsWins)
+{
+    JournalFold fold;
+    Journal journal;
+    journal.create(fold, "a");
+    EXPECT_EQ(journal.claim(fold, "b", 1).verdict_, JournalVerdict::Accepted);
+    EXPECT_EQ(journal.claim(fold, "c", 1).verdict_, JournalVerdict::Accepted);
+    EXPECT_EQ(fold.tree(root)->owner_, NodeId("c"));
+    EXPECT_EQ(journal.turn(fold, "b", 2, 0, "b's").verdict_, JournalVerdict::Fenced);
+    EXPECT_EQ(journal.turn(fold, "c", 3, 0, "c's").verdict_, JournalVerdict::Accepted);
+    EXPECT_EQ(historyText(*fold.chain(root)), "in\nc's\n");
+}
+
+struct FormerOwnerCase
+{
+    const char *name_;
+    RecordType type_;
+    RecordBody body_;
+};
+
+class FormerOwner : public testing::TestWithParam<FormerOwnerCase>
+{
+};
+
+// Guards against any record of a paused former owner that changes the program after another node's claim.
+TEST_P(FormerOwner, RecordIsIgnored)
+{
+    JournalFold fold;
+    Journal journal;
+    journal.create(fold, "a");
+    journal.claim(fold, "b", 1);
+    const nlohmann::json before = toJson(*fold.tree(root));
+    EXPECT_EQ(journal.add(fold, GetParam().type_, "a", 1, GetParam().body_).verdict_, JournalVerdict::Fenced);
+    EXPECT_EQ(toJson(*fold.tree(root)), before);
+}
+
+INSTANTIATE_TEST_SUITE_P(Types,
+                         FormerOwner,
+                         testing::Values(FormerOwnerCase{"Turn", RecordType::Turn, TurnBody{}},
+                                         FormerOwnerCase{"Outcome", RecordType::Outcome, TurnBody{}},
+                                         FormerOwnerCase{"Intent", RecordType::Intent, IntentBody{}},
+                                         FormerOwnerCase{"Reserve", RecordType::Reserve, ReserveBody{}},
+                                         FormerOwnerCase{"Release", RecordType::Release, ReleaseBody{}},
+                                         FormerOwnerCase{"End", RecordType::End, EndBody{}},
+                                         FormerOwnerCase{"Checkpoint", RecordType::Checkpoint, CheckpointBody{}}),
+                         [](const testing::TestParamInfo<FormerOwnerCase> &info) {
+                             return std::string(info.param.name_);
+                         });
+
+// Guards against a group that was appended twice after a lost answer and counts twice.
+TEST(Fold, RepeatedGroupCountsOnce)
+{
+    JournalFold fold;
+    Journal journal;
+    journal.create(fold, "a");
+    journal.turn(fold, "a", 1, 0, "one");
+    journal.turn(fold, "a", 1, 1, "two");
+    const Spend spent = fold.tree(root)->spent_;
+    for (const LogEntry &entry : std::vector<LogEntry>(journal.entries_)) {
+        EXPECT_EQ(fold.apply({journal.next_++, journal.time_, entry.body_}).verdict_, JournalVerdict::Duplicate);
+    }
+    EXPECT_EQ(fold.tree(root)->spent_, spent);
+    EXPECT_EQ(fold.chain(root)->turns_.size(), 2U);
+}
+
+// Guards against a repeated claim that takes the program back from a later claimant.
+TEST(Fold, RepeatedClaimDoesNotTakeBack)
+{
+    JournalFold fold;
+    Journal journal;
+    journal.create(fold, "a");
+    journal.claim(fold, "b", 1);
+    const nlohmann::json late = journal.entries_.back().body_;
+    journal.claim(fold, "c", 2);
+    EXPECT_EQ(fold.apply({journal.next_++, journal.time_, late}).verdict_, JournalVerdict::Duplicate);
+    EXPECT_EQ(fold.tree(root)->owner_, NodeId("c"));
+}
+
+// Guards against a gap or a repetition in a chain's turns.
+TEST(Fold, OnlyTheNextSequenceNumberCounts)
+{
+    JournalFold fold;
+    Journal journal;
+    journal.create(fold, "a");
+    EXPECT_EQ(journal.turn(fold, "a", 1, 1, "early").verdict_, JournalVerdict::Refused);
+    EXPECT_EQ(journal.turn(fold, "a", 1, 0, "first").verdict_, JournalVerdict::Accepted);
+    EXPECT_EQ(journal.turn(fold, "a", 1, 0, "again").verdict_, JournalVerdict::Refused);
+    EXPECT_EQ(historyText(*fold.chain(root)), "in\nfirst\n");
+}
+
+// Guards against a second run of a non-idempotent call: a takeover closes its intent for good.
+TEST(Fold, ClaimTurnsOpenIntentIntoUnknownOutcome)
+{
+    JournalFold fold;
+    Journal journal;
+    journal.create(fold, "a");
+    EXPECT_EQ(journal.intent(fold, "a", 1, "pay-1").verdict_, JournalVerdict::Accepted);
+    EXPECT_EQ(journal.intent(fold, "a", 1, "pay-2").verdict_, JournalVerdict::Refused);
+    journal.claim(fold, "b", 1);
+    const TurnBody *turn = findTurn(*fold.chain(root), RequestId("pay-1"));
+    ASSERT_NE(turn, nullptr);
+    EXPECT_EQ(turn->status_, TurnStatus::Unknown);
+    EXPECT_EQ(journal.intent(fold, "b", 3 + 1, "pay-1").verdict_, JournalVerdict::Refused);
+}
+
+// Guards against a budget that a takeover makes larger: what was reserved and not settled counts as spent.
+TEST(Fold, TakeoverCountsReservationsAsSpent)
+{
+    JournalFold fold;
+    Journal journal;
+    journal.create(fold, "a", {250, 100, 100});
+    journal.turn(fold, "a", 1, 0, "one");
+    EXPECT_EQ(fold.tree(root)->spent_.tokens_, 30);
+    journal.claim(fold, "b", 1);
+    EXPECT_EQ(fold.tree(root)->spent_.tokens_, 130);
+    EXPECT_EQ(fold.tree(root)->reserved_.tokens_, 100);
+    journal.claim(fold, "c", 3);
+    EXPECT_EQ(fold.tree(root)->spent_.tokens_, 230);
+    EXPECT_EQ(fold.tree(root)->reserved_.tokens_, 20) << "reservations stay within the budget";
+}
+
+// Guards against costs that a planned handover forgets (found by bench/promises, scalisi, seed 442).
+TEST(Fold, ReleaseCarriesCostsOutsideOfTurns)
+{
+    JournalFold fold;
+    Journal journal;
+    journal.create(fold, "a");
+    journal.add(fold, RecordType::Release, "a", 1, ReleaseBody{{40, 1, 3}});
+    EXPECT_EQ(fold.tree(root)->spent_.tokens_, 40);
+    EXPECT_EQ(fold.tree(root)->reserved_, Spend());
+    EXPECT_TRUE(fold.tree(root)->owner_.isEmpty());
+    EXPECT_EQ(journal.turn(fold, "a", 1, 0, "late").verdict_, JournalVerdict::Fenced);
+}
+
+// Guards against a repeated create that makes a second program.
+TEST(Fold, RepeatedCreateNamesTheFirstProgram)
+{
+    JournalFold fold;
+    Journal journal;
+    journal.create(fold, "a");
+    Record second;
+    second.id_ = RecordId("b#1");
+    second.type_ = RecordType::Create;
+    second.program_ = ProgramId("p0010000000000000002");
+    second.root_ = second.program_;
+    second.node_ = NodeId("b");
+    CreateBody body;
+    body.requestId_ = RequestId("create");
+    body.account_ = AccountId("office");
+    second.body_ = body;
+    const JournalFoldResult result = journal.add(fold, second);
+    EXPECT_EQ(result.verdict_, JournalVerdict::Refused);
+    EXPECT_EQ(result.existing_, root);
+}
+
+// Guards against a record of a newer version that is dropped, or applied without being understood.
+TEST(Fold, NewerSchemaIsRetainedAndChangesNothing)
+{
+    JournalFold fold;
+    Journal journal;
+    journal.create(fold, "a");
+    nlohmann::json newer = journal.entries_.front().body_;
+    newer["schema"] = recordSchema + 1;
+    newer["id"] = "z#1";
+    const nlohmann::json before = toJson(*fold.tree(root));
+    EXPECT_EQ(fold.apply({journal.next_++, journal.time_, newer}).verdict_, JournalVerdict::Retained);
+    EXPECT_EQ(fold.apply({journal.next_++, journal.time_, {{"id", 5}}}).verdict_, JournalVerdict::Malformed);
+    ASSERT_EQ(fold.retained().size(), 1U);
+    EXPECT_EQ(fold.retained().front().body_, newer);
+    EXPECT_EQ(toJson(*fold.tree(root)), before);
+}
+
+// Guards against history that is lost when the entries before a checkpoint expire.
+TEST(Fold, CheckpointReplacesExpiredEntries)
+{
+    JournalFold whole;
+    Journal journal;
+    journal.create(whole, "a");
+    journal.turn(whole, "a", 1, 0, "one");
+    journal.intent(whole, "a", 1, "pay");
+    CheckpointBody body;
+    body.covers_ = whole.offset();
+    body.state_ = toJson(*whole.tree(root));
+    // A record that is written while the checkpoint is under way comes before it and isn't covered.
+    EXPECT_EQ(journal.add(whole, RecordType::Checkpoint, "a", 1, body).verdict_, JournalVerdict::Accepted);
+    TurnBody paid;
+    paid.sequence_ = 1;
+    paid.requestId_ = RequestId("pay");
+    paid.answer_ = "paid";
+    journal.add(whole, RecordType::Outcome, "a", 1, paid);
+    journal.claim(whole, "b", 1);
+    journal.turn(whole, "b", 6, 2, "three");
+    JournalFold late;
+    for (std::size_t i = 2; i < journal.entries_.size(); ++i) {
+        late.apply(journal.entries_[i]);
+    }
+    ASSERT_NE(late.tree(root), nullptr);
+    EXPECT_EQ(toJson(*late.tree(root)), toJson(*whole.tree(root)));
+    EXPECT_EQ(historyText(*late.chain(root)), "in\none\n\npaid\nin\nthree\n");
+}
+
+// Guards against a former owner's checkpoint that a new reader takes for the newest state.
+TEST(Fold, FormerOwnersCheckpointIsNotAdopted)
+{
+    JournalFold whole;
+    Journal journal;
+    journal.create(whole, "a");
+    CheckpointBody stale;
+    stale.covers_ = 1;
+    stale.state_ = toJson(*whole.tree(root));
+    journal.claim(whole, "b", 1);
+    journal.turn(whole, "b", 2, 0, "one");
+    journal.add(whole, RecordType::Checkpoint, "a", 1, stale);
+    CheckpointBody good;
+    good.covers_ = whole.offset();
+    good.state_ = toJson(*whole.tree(root));
+    journal.add(whole, RecordType::Checkpoint, "b", 2, good);
+    for (const std::size_t first : {1U, 2U, 3U}) {
+        JournalFold late;
+        for (std::size_t i = first; i < journal.entries_.size(); ++i) {
+            late.apply(journal.entries_[i]);
+        }
+        ASSERT_NE(late.tree(root), nullptr) << first;
+        EXPECT_EQ(late.tree(root)->owner_, NodeId("b")) << first;
+        EXPECT_EQ(historyText(*late.chain(root)), "in\none\n") << first;
+    }
+}
+
+// Guards against an idle program that costs more than 64 bytes, or comes back different from what it was.
+TEST(Fold, IdleProgramIsKeptByOffsetAndRestored)
+{
+    EXPECT_LE(sizeof(IdleProgram), 64U);
+    JournalFold fold;
+    Journal journal;
+    journal.create(fold, "a");
+    journal.turn(fold, "a", 1, 0, "one");
+    CheckpointBody body;
+    body.covers_ = fold.offset();
+    body.idle_ = true;
+    TreeState state = *fold.tree(root);
+    state.reserved_ = Spend();
+    body.state_ = toJson(state);
+    journal.add(fold, RecordType::Checkpoint, "a", 1, body);
+    const LogEntry checkpoint = journal.entries_.back();
+    EXPECT_EQ(fold.tree(root), nullptr);
+    ASSERT_NE(fold.idle(root), nullptr);
+    EXPECT_EQ(journal.turn(fold, "z", 9, 1, "stale").verdict_, JournalVerdict::Fenced);
+    EXPECT_EQ(journal.claim(fold, "b", 1).verdict_, JournalVerdict::Accepted);
+    EXPECT_EQ(journal.turn(fold, "b", 5, 1, "two").verdict_, JournalVerdict::Deferred);
+    ASSERT_EQ(fold.wantedCheckpoints(), std::vector<Offset>{3});
+    const std::vector<JournalFoldResult> results = fold.restore(checkpoint);
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results.front().verdict_, JournalVerdict::Accepted);
+    EXPECT_EQ(fold.tree(root)->owner_, NodeId("b"));
+    EXPECT_EQ(historyText(*fold.chain(root)), "in\none\nin\ntwo\n");
+    EXPECT_EQ(fold.idle(root), nullptr);
+}
+
+// Guards against memory that ended programs hold for ever, and against a stale checkpoint that brings one back.
+TEST(Fold, EndedProgramIsForgottenAfterItsTime)
+{
+    JournalFold fold;
+    Journal journal;
+    journal.create(fold, "a");
+    CheckpointBody stale;
+    stale.covers_ = 1;
+    stale.state_ = toJson(*fold.tree(root));
+    journal.add(fold, RecordType::End, "a", 1, EndBody{});
+    EXPECT_TRUE(fold.tree(root)->isEnded());
+    EXPECT_EQ(journal.claim(fold, "b", 1).verdict_, JournalVerdict::Refused);
+    journal.time_ += FoldSettings().endedKept_ + std::chrono::seconds(1);
+    journal.add(fold, RecordType::Checkpoint, "a", 1, stale);
+    EXPECT_EQ(fold.tree(root), nullptr);
+    EXPECT_TRUE(fold.createdBy(AccountId("office"), RequestId("create")).isEmpty());
+}
+
+// Guards against program ids that the compact form changes.
+TEST(ProgramIds, SplitAndJoin)
+{
+    const std::optional<ProgramIdParts> parts = splitProgramId(ProgramId("pabc00ff00000000beef"));
+    ASSERT_TRUE(parts.has_value());
+    EXPECT_EQ(joinProgramId(*parts), ProgramId("pabc00ff00000000beef"));
+    for (const char *other :
+         {"", "x", "pabc", "pABC00ff00000000beef", "qabc00ff00000000beef", "pabc00ff00000000beef0"}) {
+        EXPECT_FALSE(splitProgramId(ProgramId(other)).has_value()) << other;
+    }
+}
