--- a/bench/promises/world.cpp
+++ b/bench/promises/world.cpp
@@ -159,6 +159,7 @@
     // Faults
     void planFaults();
     void injectFault(bool calm);
+    void falseDeath(const ProcessPtr &victim);
     void heal();
     void collectEnd();
 
@@ -319,7 +320,7 @@
             runIn(target, [this, target, name, alive, leaving]() {
                 // News that the truth has overtaken would be refuted by a higher incarnation.
                 const ProcessPtr truth = processNamed(name);
-                const bool isStale = truth && !alive && !truth->paused_;
+                const bool isStale = truth ? !alive && !truth->paused_ : alive;
                 if (!isStale) {
                     target->view_[name] = PeerView{alive, leaving};
                     target->viewChanged();
@@ -1187,7 +1188,7 @@
 void World::injectFault(bool calm)
 {
     const ProcessPtr node = pickNode();
-    const std::int64_t kind = calm ? (random_.chance(0.6) ? 0 : 5) : random_.between(0, 17);
+    const std::int64_t kind = calm ? (random_.chance(0.6) ? 0 : 5) : random_.between(0, 19);
     FakeLogFaults &faults = log_.faults();
     if (!node) {
         return;
@@ -1279,19 +1280,17 @@
         note("hanging tools");
         toolHangs_ = 0.2;
         after(length, [this]() { toolHangs_ = 0.003; });
-    } else {
-        const ProcessPtr victim = pickNode();
-        note("false death of " + victim->id_);
-        disturbances_.push_back({now(), now() + 6 * second});
-        for (const ProcessPtr &process : processes_) {
-            if (!process->dead_ && process != victim && random_.chance(0.6)) {
-                runIn(process, [process, victim]() {
-                    process->view_[victim->name_].alive_ = false;
-                    process->viewChanged();
-                });
-            }
+    } else if (kind <= 18) {
+        // The claims are seen late, so that former owners go on for a while.
+        note("disputed owners");
+        faults.extraDelay_ = std::chrono::milliseconds(random_.between(300, 900));
+        disturbances_.push_back({now(), now() + 10 * second});
+        for (int i = 0; i < 4; ++i) {
+            after(random_.between(0, 4) * second, [this]() { falseDeath(pickNode()); });
         }
-        spreadState(victim->name_, true, victim->leaving_, 2 * second, 2 * second);
+        after(6 * second, [this]() { log_.faults().extraDelay_ = Duration(0); });
+    } else {
+        falseDeath(node);
         if (random_.chance(0.15)) {
             note("mass loss");
             for (int i = 0; i < 4; ++i) {
@@ -1304,6 +1303,24 @@
     }
 }
 
+void World::falseDeath(const ProcessPtr &victim)
+{
+    if (!victim) {
+        return;
+    }
+    note("false death of " + victim->id_);
+    disturbances_.push_back({now(), now() + 6 * second});
+    for (const ProcessPtr &process : processes_) {
+        if (!process->dead_ && process != victim && random_.chance(0.6)) {
+            runIn(process, [process, victim]() {
+                process->view_[victim->name_].alive_ = false;
+                process->viewChanged();
+            });
+        }
+    }
+    spreadState(victim->name_, true, victim->leaving_, 2 * second, 2 * second);
+}
+
 void World::heal()
 {
     staleViewsUntil_ = 0;
--- a/src/program/programcontroller.cpp
+++ b/src/program/programcontroller.cpp
@@ -389,9 +389,12 @@
 
 OwnerView ProgramController::Private::viewOf(const ProgramId &root, const NodeId &owner) const
 {
-    if (mine(root) || claiming_.count(root) != 0) {
+    if (mine(root) || (claiming_.count(root) != 0 && isStoreUp())) {
         return {Ownership::Own, self_};
     }
+    if (claiming_.count(root) != 0) {
+        return {Ownership::Unknown, NodeId()};
+    }
     if (!isGone(owner)) {
         return {Ownership::Other, owner};
     }
