--- a/bench/promises/checker.cpp
+++ b/bench/promises/checker.cpp
@@ -362,10 +362,9 @@
         std::map<std::string, std::uint64_t> inForce;
         std::map<std::string, std::vector<std::pair<std::uint64_t, Micros>>> accepted;
         for (const ConfigEntry &entry : trace_.config_) {
-            const std::string name = entry.body_.value("name", "");
-            if (entry.body_.value("schema", 0) == 1 && entry.body_.value("replaces", 0ULL) == inForce[name]) {
-                inForce[name] = entry.offset_;
-                accepted[name].push_back({entry.offset_, entry.at_});
+            if (entry.valid_ && entry.replaces_ == inForce[entry.name_]) {
+                inForce[entry.name_] = entry.offset_;
+                accepted[entry.name_].push_back({entry.offset_, entry.at_});
             }
         }
         std::map<std::pair<std::string, std::string>, std::uint64_t> serving;
--- a/bench/promises/main.cpp
+++ b/bench/promises/main.cpp
@@ -1,6 +1,8 @@
 #include "promises/checker.h"
 #include "promises/world.h"
 
+#include <nlohmann/json.hpp>
+
 #include <tbb/global_control.h>
 #include <tbb/parallel_for.h>
 
@@ -192,9 +194,8 @@
         {"seed", options.seed_},
         {"runs", options.runs_},
         {"break", options.broken_},
-        {"real", {"ProgramController", "JournalFold", "JournalWriter"}},
-        {"modelled",
-         {"scheduler", "configuration", "membership", "front and peer links", "endpoints", "log", "callers"}},
+        {"real", {"ProgramController", "JournalFold", "JournalWriter", "ConfigController", "ConfigFold"}},
+        {"modelled", {"scheduler", "membership", "front and peer links", "endpoints", "log", "callers"}},
         {"violations", summary.violations_},
         {"schedules_with_violations", summary.badSchedules_},
         {"first_bad_seed", summary.firstBadSeed_},
--- a/bench/promises/process.h
+++ b/bench/promises/process.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_BENCH_PROMISES_PROCESS_H
 #define FILBERTGW_BENCH_PROMISES_PROCESS_H
 
+#include "config/configcontroller.h"
 #include "fakes/fakelog.h"
 #include "program/programcontroller.h"
 
@@ -20,15 +21,6 @@
     bool leaving_ = false;
 };
 
-/** \brief A node's configuration: the fold of the stream `config`, by the rule that the earlier record wins. */
-struct ConfigModel
-{
-    std::map<std::string, Offset> inForce_;
-    std::map<std::string, nlohmann::json> bodies_;
-    std::vector<LogEntry> entries_;
-    Offset offset_ = 0;
-};
-
 /** \brief A connection or peer link that waits for an answer of a process. */
 struct Waiting
 {
@@ -36,7 +28,7 @@
     std::function<void()> broken_; ///< The process died.
 };
 
-/** \brief One `serve` process: real ProgramController, models of its neighbours. */
+/** \brief One `serve` process: real ProgramController and ConfigController, models of their neighbours. */
 struct Process
 {
     std::string name_; ///< Node name; a restarted node keeps it.
@@ -54,9 +46,8 @@
     std::vector<std::string> preferred_; ///< By slot, filled on demand.
     Blackboard blackboard_;
     std::unique_ptr<ProgramController> controller_;
-    ConfigModel config_;
-    bool readingConfig_ = false;
-    Time readConfigAt_{0};
+    std::unique_ptr<ConfigController> config_;
+    std::map<std::string, Offset> served_; ///< Versions in force as last noted, by kind and name.
     std::set<std::string> ran_; ///< Programs that it sent to engines.
     std::size_t life_ = 0; ///< Index into Trace::processes_.
 
--- a/bench/promises/trace.h
+++ b/bench/promises/trace.h
@@ -1,8 +1,6 @@
 #ifndef FILBERTGW_BENCH_PROMISES_TRACE_H
 #define FILBERTGW_BENCH_PROMISES_TRACE_H
 
-#include <nlohmann/json.hpp>
-
 #include <cstdint>
 #include <map>
 #include <string>
@@ -91,7 +89,9 @@
 {
     std::uint64_t offset_ = 0;
     Micros at_ = 0;
-    nlohmann::json body_;
+    std::string name_; ///< Kind and name.
+    std::uint64_t replaces_ = 0;
+    bool valid_ = true; ///< Of a known schema and well-formed, as the operator meant it.
 };
 
 struct Leaving
--- a/bench/promises/world.cpp
+++ b/bench/promises/world.cpp
@@ -12,6 +12,11 @@
 
 using ProcessPtr = std::shared_ptr<Process>;
 
+std::string keyOf(const nlohmann::json &record)
+{
+    return record.value("kind", "") + "/" + record.value("name", "");
+}
+
 constexpr Micros millisecond = 1'000;
 constexpr Micros second = 1'000'000;
 constexpr Micros startOfTime = 1'000 * second;
@@ -115,11 +120,16 @@
     void watchTakeover(const ProcessPtr &process);
     void noteMassLoss();
 
-    // Configuration model
-    void tailConfig(const ProcessPtr &process);
-    void applyConfig(const ProcessPtr &process, const LogEntry &entry);
-    void askPeerForConfig(const ProcessPtr &process);
-    Offset publish(const std::string &name, Offset replaces, const nlohmann::json &body);
+    // Configuration
+    ConfigHooks configHooksOf(const ProcessPtr &process);
+    static std::function<void(const std::string &, Offset, Duration, LogAccess::ReadDone)>
+    withoutOrder(std::function<void(const std::string &, Offset, Duration, LogAccess::ReadDone)> read);
+    void noteServed(Process &process);
+    void fetchConfig(const ProcessPtr &process, const ProcessPtr &peer, Offset from);
+    void heartbeats();
+    Offset publish(const std::string &kind, const std::string &name, Offset replaces, const nlohmann::json &body);
+    Offset publishRecord(const nlohmann::json &record, bool valid);
+    void publishEndpoints();
     bool isDrainedAt(const Process &process, const std::string &endpoint) const;
 
     // Front: entry, forwarding
@@ -185,7 +195,8 @@
     int processCount_ = 0;
     double lostToolAnswers_ = 0;
     double toolHangs_ = 0;
-    std::map<std::string, Offset> operatorView_;
+    std::map<std::string, Offset> operatorView_; ///< Versions that operators know, by kind and name.
+    int records_ = 0;
     Micros staleViewsUntil_ = 0;
 };
 
@@ -261,8 +272,9 @@
     process->life_ = trace_.processes_.size();
     trace_.processes_.push_back({process->id_, now(), 0, {}});
     processes_.push_back(process);
+    process->config_ = ConfigController::Builder(process->blackboard_, configHooksOf(process)).build();
     process->controller_->start();
-    tailConfig(process);
+    process->config_->start();
     spreadState(name, true, false, 300 * millisecond, 700 * millisecond);
     return process;
 }
@@ -298,9 +310,7 @@
             continue;
         }
         process->controller_->tick();
-        if (!process->readingConfig_ && loop_.now() >= process->readConfigAt_) {
-            tailConfig(process);
-        }
+        process->config_->tick();
     }
     after(100 * millisecond, [this]() { tickAll(); });
 }
@@ -442,108 +452,143 @@
     }
 }
 
-// Configuration model
+// Configuration
 
-void World::tailConfig(const ProcessPtr &process)
+ConfigHooks World::configHooksOf(const ProcessPtr &process)
 {
-    process->readingConfig_ = true;
     const std::weak_ptr<Process> weak = process;
-    const LogAccess access = log_.access(
+    Process *raw = process.get();
+    ConfigHooks hooks;
+    hooks.now_ = [this]() { return loop_.now(); };
+    hooks.random_ = [this]() { return random_.next(); };
+    hooks.log_ = log_.access(
         [weak](std::function<void()> run) {
             if (const ProcessPtr self = weak.lock()) {
                 runIn(self, std::move(run));
             }
         },
-        [raw = process.get()]() { return !raw->cutFromLog_; });
-    access.read_("config",
-                 process->config_.offset_ + 1,
-                 std::chrono::seconds(10),
-                 [this, weak](bool reached, const LogPage &page) {
-                     const ProcessPtr self = weak.lock();
-                     if (!self) {
-                         return;
-                     }
-                     self->readingConfig_ = false;
-                     if (!reached) {
-                         self->readConfigAt_ = loop_.now() + std::chrono::milliseconds(200);
-                         return;
-                     }
-                     for (const LogEntry &entry : page.entries_) {
-                         applyConfig(self, entry);
-                     }
-                     tailConfig(self);
-                 });
+        [raw]() { return !raw->cutFromLog_; });
+    if (broken_ == "config-order") {
+        hooks.log_.read_ = withoutOrder(hooks.log_.read_);
+    }
+    hooks.changed_ = [this, raw]() { noteServed(*raw); };
+    hooks.rank_ = [raw]() {
+        return static_cast<std::uint32_t>(std::distance(raw->view_.begin(), raw->view_.find(raw->name_)));
+    };
+    hooks.fetchFromPeer_ = [this, weak](const NodeId &peer, Offset from) {
+        const ProcessPtr self = weak.lock();
+        const ProcessPtr target = processNamed(peer.value());
+        if (self && target) {
+            fetchConfig(self, target, from);
+        }
+    };
+    return hooks;
 }
 
-void World::applyConfig(const ProcessPtr &process, const LogEntry &entry)
+std::function<void(const std::string &, Offset, Duration, LogAccess::ReadDone)>
+World::withoutOrder(std::function<void(const std::string &, Offset, Duration, LogAccess::ReadDone)> read)
 {
-    ConfigModel &config = process->config_;
-    if (entry.offset_ != config.offset_ + 1 && broken_ != "config-order") {
-        return; // known already, or behind a gap
-    }
-    config.offset_ = std::max(config.offset_, entry.offset_);
-    config.entries_.push_back(entry);
-    const std::string name = entry.body_.value("name", "");
-    const bool isNext = entry.body_.value("replaces", Offset(0)) == config.inForce_[name];
-    if (entry.body_.value("schema", 0) == 1 && (isNext || broken_ == "config-order")) {
-        config.inForce_[name] = entry.offset_;
-        config.bodies_[name] = entry.body_;
-        trace_.served_.push_back({process->id_, name, entry.offset_, now()});
-    }
+    // Each record seems to replace the one before it, so that the fold can't tell which of two was the earlier.
+    const std::shared_ptr<std::map<std::string, Offset>> last = std::make_shared<std::map<std::string, Offset>>();
+    return [read, last](const std::string &stream, Offset from, Duration wait, LogAccess::ReadDone done) {
+        read(stream, from, wait, [last, done](bool reached, LogPage page) {
+            for (LogEntry &entry : page.entries_) {
+                Offset &before = (*last)[keyOf(entry.body_)];
+                entry.body_["replaces"] = before;
+                before = entry.offset_;
+            }
+            done(reached, page);
+        });
+    };
 }
 
-void World::askPeerForConfig(const ProcessPtr &process)
+void World::noteServed(Process &process)
 {
-    std::vector<ProcessPtr> peers;
-    for (const ProcessPtr &other : processes_) {
-        if (!other->dead_ && other != process) {
-            peers.push_back(other);
+    for (const std::pair<const std::pair<std::string, std::string>, Offset> &entry :
+         process.blackboard_.read<ConfigSection>().inForce_) {
+        const std::string key = entry.first.first + "/" + entry.first.second;
+        Offset &noted = process.served_[key];
+        if (noted != entry.second) {
+            noted = entry.second;
+            trace_.served_.push_back({process.id_, key, entry.second, now()});
         }
     }
-    if (peers.empty()) {
-        return;
-    }
-    const ProcessPtr peer =
-        peers[static_cast<std::size_t>(random_.between(0, static_cast<std::int64_t>(peers.size()) - 1))];
-    const Offset from = process->config_.offset_ + 1;
+}
+
+void World::fetchConfig(const ProcessPtr &process, const ProcessPtr &peer, Offset from)
+{
+    constexpr std::size_t limit = 256;
     after(peerOneWay, [this, process, peer, from]() {
         runIn(peer, [this, process, peer, from]() {
-            std::vector<LogEntry> entries;
-            for (const LogEntry &entry : peer->config_.entries_) {
-                if (entry.offset_ >= from) {
-                    entries.push_back(entry);
-                }
-            }
-            after(peerOneWay, [this, process, entries]() {
-                runIn(process, [this, process, entries]() {
-                    for (const LogEntry &entry : entries) {
-                        applyConfig(process, entry);
-                    }
-                });
+            const std::vector<LogEntry> entries = peer->config_->entriesFrom(from, limit);
+            after(peerOneWay, [process, entries]() {
+                runIn(process, [process, entries]() { process->config_->onPeerEntries(entries); });
             });
         });
     });
 }
 
-Offset World::publish(const std::string &name, Offset replaces, const nlohmann::json &body)
+void World::heartbeats()
+{
+    for (const ProcessPtr &process : processes_) {
+        const ProcessPtr peer = process->dead_ || process->paused_ ? nullptr : pickNode();
+        if (peer && peer != process) {
+            const Offset offset = process->blackboard_.read<ConfigSection>().offset_;
+            after(peerOneWay, [process, peer, offset]() {
+                runIn(peer, [process, peer, offset]() { peer->config_->onPeerOffset(NodeId(process->name_), offset); });
+            });
+        }
+    }
+    after(250 * millisecond, [this]() { heartbeats(); });
+}
+
+Offset World::publish(const std::string &kind, const std::string &name, Offset replaces, const nlohmann::json &body)
+{
+    return publishRecord({{"kind", kind},
+                          {"name", name},
+                          {"schema", 1},
+                          {"id", "operator-" + std::to_string(++records_)},
+                          {"replaces", replaces},
+                          {"body", body}},
+                         true);
+}
+
+Offset World::publishRecord(const nlohmann::json &record, bool valid)
 {
     if (log_.faults().down_) {
         return 0;
     }
-    nlohmann::json record = {{"name", name}, {"schema", 1}, {"replaces", replaces}, {"body", body}};
     const Offset offset = log_.put("config", {record});
-    trace_.config_.push_back({offset, now(), record});
-    if (operatorView_[name] == replaces) {
-        operatorView_[name] = offset;
+    const std::string key = keyOf(record);
+    trace_.config_.push_back({offset, now(), key, record.value("replaces", Offset(0)), valid});
+    if (valid && operatorView_[key] == record.value("replaces", Offset(0))) {
+        operatorView_[key] = offset;
     }
     return offset;
 }
 
+void World::publishEndpoints()
+{
+    for (const std::unique_ptr<Endpoint> &endpoint : endpoints_) {
+        nlohmann::json body = {{"address", "10.0.0.1:80"}, {"domain", "domain-a"}};
+        if (endpoint->isEngine_) {
+            body["kind"] = "model";
+            body["models"] = {"model-a"};
+        } else {
+            body["kind"] = "tool";
+            body["operations"] = {"read_sheet", "salary_order"};
+            body["non_idempotent"] = {"salary_order"};
+        }
+        publish("endpoint", endpoint->name_, 0, body);
+    }
+    publish("weights", "default", 0, {{"latency", 1}, {"wasted_cache", 1}});
+}
+
 bool World::isDrainedAt(const Process &process, const std::string &endpoint) const
 {
-    const std::map<std::string, nlohmann::json>::const_iterator found =
-        process.config_.bodies_.find("drain-" + endpoint);
-    return found != process.config_.bodies_.end();
+    const ConfigSection &section = process.blackboard_.read<ConfigSection>();
+    const std::map<EndpointId, EndpointInfo>::const_iterator found = section.endpoints_.find(EndpointId(endpoint));
+    return found == section.endpoints_.end() || found->second.leaving_;
 }
 
 // Front
@@ -1248,7 +1293,8 @@
         const std::size_t index =
             static_cast<std::size_t>(random_.between(0, static_cast<std::int64_t>(endpoints_.size()) - 1));
         Endpoint &endpoint = *endpoints_[index];
-        if (publish("drain-" + endpoint.name_, 0, {{"drain", true}}) != 0) {
+        const Offset base = operatorView_["drain/" + endpoint.name_];
+        if (base == 0 && publish("drain", endpoint.name_, base, {{"draining", true}}) != 0) {
             note("leaving " + endpoint.name_);
             trace_.leaving_.push_back({endpoint.name_, now()});
             if (random_.chance(0.5)) {
@@ -1257,12 +1303,19 @@
         }
     } else if (kind == 13) {
         note("racing operators");
-        const Offset base = operatorView_["weights"];
+        const Offset base = operatorView_["weights/default"];
         for (int i = 0; i < 3; ++i) {
             after(random_.between(0, 30) * millisecond, [this, base, i]() {
-                publish("weights", base, {{"value", i}});
+                publish("weights", "default", base, {{"latency", i}, {"wasted_cache", 1}});
             });
         }
+        const nlohmann::json other = {{"kind", "weights"},
+                                      {"name", "default"},
+                                      {"schema", random_.chance(0.5) ? 9 : 1},
+                                      {"id", "operator-" + std::to_string(++records_)},
+                                      {"replaces", base},
+                                      {"body", {{"latency", "much"}}}};
+        publishRecord(other, false); // a newer schema or an invalid body
     } else if (kind == 14) {
         const Micros length = random_.between(1, 10) * second;
         note("cut from the log " + node->id_);
@@ -1355,18 +1408,10 @@
         }
         process->viewChanged();
     }
-    publish("weights", 0, {{"value", 0}});
+    publishEndpoints();
     tickAll();
     after(5 * second, [this]() { sweep(); });
-    std::function<void()> askPeers = [this, &askPeers]() {
-        for (const ProcessPtr &process : processes_) {
-            if (!process->dead_ && !process->paused_) {
-                askPeerForConfig(process);
-            }
-        }
-        after(second, askPeers);
-    };
-    after(second, askPeers);
+    heartbeats();
     planCallers();
     planFaults();
     const auto allDone = [this]() {
