--- a/src/program/programcontroller.cpp
+++ b/src/program/programcontroller.cpp
@@ -25,13 +25,12 @@
 constexpr Duration tailRetry = std::chrono::milliseconds(200);
 constexpr Duration scanPeriod = std::chrono::seconds(1);
 constexpr Duration idleScanPeriod = std::chrono::seconds(10);
-constexpr Duration unknownProgramLimit = std::chrono::seconds(1); // A create may be folded here a little later.
 constexpr Duration retrySoon = std::chrono::milliseconds(100);
 constexpr Duration retryStore = std::chrono::seconds(2);
 constexpr int slotTries = 1024; // Finds a preferred slot among 390 nodes in 93 of 100 cases, among 12 always.
 constexpr std::int64_t promptOverheadTokens = 16; // Tokens that a chat template adds.
 
-using FoldedHook = std::function<void(const FoldResult &)>;
+using FoldedHook = std::function<void(const JournalFoldResult &)>;
 
 struct PendingRecord
 {
@@ -44,7 +43,7 @@
 {
     ProgramId program_;
     Time giveUpAt_{0};
-    bool unknownProgram_ = false;
+    bool unknownProgram_ = false; ///< Waits until the journal is proven to hold no such program.
     std::function<void()> retry_;
     std::function<void(const Failure &)> fail_;
 };
@@ -113,6 +112,7 @@
     Time massLossAt_{0};
     bool massLoss_ = false;
     bool draining_ = false;
+    Time drainStart_{0};
 
     Time now() const
     {
@@ -128,8 +128,8 @@
     void readTail();
     void onTail(Offset from, bool reached, const LogPage &page);
     void resetFold(Offset firstOffset);
-    void handle(const FoldResult &result);
-    void notifyWriterOf(const FoldResult &result);
+    void handle(const JournalFoldResult &result);
+    void notifyWriterOf(const JournalFoldResult &result);
     std::uint64_t write(Record record, FoldedHook folded);
     Record recordFor(RecordType type, const ProgramId &program, const ProgramId &root, RecordBody body) const;
 
@@ -153,6 +153,8 @@
               bool unknownProgram,
               std::function<void()> retry,
               std::function<void(const Failure &)> fail);
+    void probeEnd(const ProgramId &program);
+    void onProbe(const ProgramId &program, const LogPage &page);
     void resume(const ProgramId &root);
     void expireParked();
     void retryParked();
@@ -177,6 +179,7 @@
     void reserveFor(const ProgramId &root, const std::shared_ptr<Call> &call);
     void announce(const ProgramId &root, const std::shared_ptr<Call> &call);
     void abandon(const ProgramId &root, const std::shared_ptr<Call> &call, const Failure &why, const Spend &cost);
+    void refuse(const ProgramId &root, const std::shared_ptr<Call> &call, const Failure &why);
     void dispatch(const ProgramId &root, const std::shared_ptr<Call> &call);
     void dropUnsent(const ProgramId &root, const std::shared_ptr<Call> &call);
     void recordTurn(const ProgramId &root,
@@ -201,6 +204,7 @@
     void giveUpLate(const ProgramId &root);
     void giveUp(const ProgramId &root, const std::shared_ptr<Call> &call);
     void checkpoint(const ProgramId &root, bool idle);
+    void settle(const ProgramId &root);
     void maybeRelease(const ProgramId &root);
 };
 
@@ -267,15 +271,15 @@
     ready_ = false;
 }
 
-void ProgramController::Private::handle(const FoldResult &result)
+void ProgramController::Private::handle(const JournalFoldResult &result)
 {
     const Record &record = result.record_;
-    if (result.verdict_ == FoldVerdict::Retained || result.verdict_ == FoldVerdict::Malformed) {
+    if (result.verdict_ == JournalVerdict::Retained || result.verdict_ == JournalVerdict::Malformed) {
         logEvent("record_not_applied",
                  {{"verdict", nameOf(result.verdict_)}, {"id", record.id_.value()}, {"error", result.error_}});
     }
     const bool isOwn = record.id_.value().compare(0, writerName_.size() + 1, writerName_ + '#') == 0;
-    if (result.verdict_ == FoldVerdict::Accepted) {
+    if (result.verdict_ == JournalVerdict::Accepted) {
         const std::unordered_map<ProgramId, std::shared_ptr<TreeWork>>::const_iterator held = work_.find(result.root_);
         if (record.type_ == RecordType::Claim && held != work_.end()) {
             dropTree(result.root_);
@@ -297,14 +301,14 @@
     }
     const bool isNews = record.type_ == RecordType::Claim || record.type_ == RecordType::Create
         || record.type_ == RecordType::Release || record.type_ == RecordType::End;
-    if (result.verdict_ == FoldVerdict::Accepted && isNews) {
+    if (result.verdict_ == JournalVerdict::Accepted && isNews) {
         resume(result.root_);
     }
 }
 
-void ProgramController::Private::notifyWriterOf(const FoldResult &result)
+void ProgramController::Private::notifyWriterOf(const JournalFoldResult &result)
 {
-    if (result.verdict_ == FoldVerdict::Duplicate || result.verdict_ == FoldVerdict::Deferred) {
+    if (result.verdict_ == JournalVerdict::Duplicate || result.verdict_ == JournalVerdict::Deferred) {
         return;
     }
     const std::uint64_t number = std::stoull(result.record_.id_.value().substr(writerName_.size() + 1));
@@ -385,13 +389,17 @@
 
 OwnerView ProgramController::Private::viewOf(const ProgramId &root, const NodeId &owner) const
 {
-    if (mine(root) || claiming_.count(root) != 0) {
+    if (mine(root) || (claiming_.count(root) != 0 && isStoreUp())) {
         return {Ownership::Own, self_};
     }
+    if (claiming_.count(root) != 0) {
+        return {Ownership::Unknown, NodeId()};
+    }
     if (!isGone(owner)) {
         return {Ownership::Other, owner};
     }
-    const NodeId preferred = preferredFor(root);
+    // Peers may not have noticed that this node's process restarted, and go on sending its programs' calls here.
+    const NodeId preferred = owner == self_ ? self_ : preferredFor(root);
     if (!preferred.isEmpty() && preferred != self_) {
         return {Ownership::Other, preferred};
     }
@@ -416,11 +424,11 @@
     if (draining_ || !ready_ || !isStoreUp() || claiming_.count(root) != 0 || mine(root)) {
         return;
     }
-    if ((tree == nullptr && idle == nullptr) || (tree != nullptr && tree->isEnded()) || preferredFor(root) != self_) {
+    if ((tree == nullptr && idle == nullptr) || (tree != nullptr && tree->isEnded())) {
         return;
     }
     const NodeId owner = tree != nullptr ? tree->owner_ : fold_->ownerOfIdle(*idle);
-    if (!isGone(owner)) {
+    if (!isGone(owner) || (owner != self_ && preferredFor(root) != self_)) {
         return;
     }
     ClaimBody body;
@@ -432,11 +440,11 @@
     }
     claiming_.insert(root);
     Record record = recordFor(RecordType::Claim, root, root, body);
-    write(std::move(record), [this, root](const FoldResult &result) {
+    write(std::move(record), [this, root](const JournalFoldResult &result) {
         claiming_.erase(root);
-        if (result.verdict_ == FoldVerdict::Accepted) {
+        if (result.verdict_ == JournalVerdict::Accepted) {
             logEvent("program_claimed", {{"program", root.value()}, {"former_owner", result.formerOwner_.value()}});
-            own(root, result.offset_, !result.formerOwner_.isEmpty());
+            own(root, result.offset_, true);
         }
         resume(root);
     });
@@ -538,7 +546,7 @@
         if (!reached || page.entries_.empty()) {
             return;
         }
-        for (const FoldResult &result : self->fold_->restore(page.entries_.front())) {
+        for (const JournalFoldResult &result : self->fold_->restore(page.entries_.front())) {
             self->handle(result);
         }
         std::string error;
@@ -561,11 +569,52 @@
                                       std::function<void()> retry,
                                       std::function<void(const Failure &)> fail)
 {
-    Time giveUpAt = deadline;
+    parked_.push_back({program, deadline, unknownProgram, std::move(retry), std::move(fail)});
     if (unknownProgram) {
-        giveUpAt = std::min(giveUpAt, now() + unknownProgramLimit);
+        probeEnd(program);
+    }
+}
+
+void ProgramController::Private::probeEnd(const ProgramId &program)
+{
+    // The tail may lag behind, after a pause even by more than one long poll; only a read that begins now can prove
+    // that the program doesn't exist.
+    const std::weak_ptr<Private> weak = weak_from_this();
+    hooks_.log_.read_("journal", fold_->offset() + 1, Duration(0), [weak, program](bool reached, const LogPage &page) {
+        const std::shared_ptr<Private> self = weak.lock();
+        if (self && reached) {
+            self->onProbe(program, page);
+        }
+    });
+}
+
+void ProgramController::Private::onProbe(const ProgramId &program, const LogPage &page)
+{
+    for (const LogEntry &entry : page.entries_) {
+        if (entry.offset_ == fold_->offset() + 1) {
+            handle(fold_->apply(entry));
+        }
+    }
+    if (fold_->treeOf(program) != nullptr || fold_->idle(program) != nullptr) {
+        resume(rootOf(program));
+        return;
+    }
+    if (!page.entries_.empty()) {
+        probeEnd(program);
+        return;
+    }
+    std::vector<Parked> unknown;
+    for (std::size_t i = 0; i < parked_.size();) {
+        if (parked_[i].program_ == program && parked_[i].unknownProgram_) {
+            unknown.push_back(std::move(parked_[i]));
+            parked_.erase(parked_.begin() + static_cast<std::ptrdiff_t>(i));
+        } else {
+            ++i;
+        }
+    }
+    for (const Parked &entry : unknown) {
+        entry.fail_(makeFailure(FailureType::NotFound, true, "no such program"));
     }
-    parked_.push_back({program, giveUpAt, unknownProgram, std::move(retry), std::move(fail)});
 }
 
 void ProgramController::Private::resume(const ProgramId &root)
@@ -611,8 +660,6 @@
     for (const Parked &entry : late) {
         if (!isStoreUp() || !ready_) {
             entry.fail_(makeFailure(FailureType::StoreUnavailable, false, "the log can't be reached", retryStore));
-        } else if (entry.unknownProgram_) {
-            entry.fail_(makeFailure(FailureType::NotFound, true, "no such program"));
         } else {
             entry.fail_(makeFailure(FailureType::OwnerUnavailable, false, "the takeover takes too long", retrySoon));
         }
@@ -690,11 +737,11 @@
         body.spent_ = entry.spent_;
     }
     Record record = recordFor(RecordType::Create, program, isRoot ? program : root, body);
-    write(std::move(record), [this, key, program, root, isRoot](const FoldResult &result) {
+    write(std::move(record), [this, key, program, root, isRoot](const JournalFoldResult &result) {
         if (!isRoot && mine(root)) {
             mine(root)->book_.onFolded();
         }
-        if (result.verdict_ == FoldVerdict::Accepted) {
+        if (result.verdict_ == JournalVerdict::Accepted) {
             if (isRoot) {
                 own(program, result.offset_, false);
             }
@@ -778,10 +825,10 @@
     const std::shared_ptr<TreeWork> work = mine(root);
     work->ending_[program] = true;
     Record record = recordFor(RecordType::End, program, root, EndBody{reason});
-    write(std::move(record), [this, root, program, work, done = std::move(done)](const FoldResult &result) {
+    write(std::move(record), [this, root, program, work, done = std::move(done)](const JournalFoldResult &result) {
         work->ending_.erase(program);
         const TreeState *tree = fold_->tree(root);
-        if (result.verdict_ == FoldVerdict::Accepted && mine(root) == work && tree != nullptr) {
+        if (result.verdict_ == JournalVerdict::Accepted && mine(root) == work && tree != nullptr) {
             std::vector<ProgramId> ended;
             for (const std::pair<const ProgramId, ChainState> &entry : tree->chains_) {
                 if (entry.second.endReason_) {
@@ -1018,7 +1065,11 @@
             return;
         }
         ChainWork &calls = work->chains_[program];
-        if (calls.current_ || calls.queue_.empty() || draining_ || work->releasing_) {
+        if (calls.current_ || calls.queue_.empty() || work->releasing_) {
+            return;
+        }
+        if (draining_ && !(work->isRunning() && now() < drainStart_ + settings_.drainServe_)) {
+            maybeRelease(root);
             return;
         }
         const std::shared_ptr<Call> call = calls.queue_.front();
@@ -1029,6 +1080,12 @@
         if (turn != nullptr) {
             answer(*call, answerOf(program, *turn));
         } else if (refuseFront(root, *tree, *chain, *call, why)) {
+            const bool isFinal = why.type_ == FailureType::BudgetExceeded || why.type_ == FailureType::Quarantined;
+            if (isFinal && !chain->intent_) {
+                calls.current_ = call;
+                refuse(root, call, why);
+                return;
+            }
             answerFailure(*call, why);
         } else {
             calls.current_ = call;
@@ -1076,12 +1133,12 @@
     const BudgetEntry entry = prepareBudget(root, call->request_.program_, Spend(), Spend());
     ReserveBody body{entry.reserved_, entry.spent_};
     Record record = recordFor(RecordType::Reserve, call->request_.program_, root, body);
-    write(std::move(record), [this, root, work, call](const FoldResult &result) {
+    write(std::move(record), [this, root, work, call](const JournalFoldResult &result) {
         work->book_.onFolded();
         if (mine(root) != work || work->chains_[call->request_.program_].current_ != call) {
             return;
         }
-        if (result.verdict_ == FoldVerdict::Accepted && !call->givenUp_) {
+        if (result.verdict_ == JournalVerdict::Accepted && !call->givenUp_) {
             dispatch(root, call);
             return;
         }
@@ -1112,12 +1169,12 @@
     body.reserved_ = entry.reserved_;
     body.spent_ = entry.spent_;
     Record record = recordFor(RecordType::Intent, request.program_, root, body);
-    write(std::move(record), [this, root, work, call](const FoldResult &result) {
+    write(std::move(record), [this, root, work, call](const JournalFoldResult &result) {
         work->book_.onFolded();
         if (mine(root) != work || work->chains_[call->request_.program_].current_ != call) {
             return;
         }
-        if (result.verdict_ != FoldVerdict::Accepted) {
+        if (result.verdict_ != JournalVerdict::Accepted) {
             dropUnsent(root, call);
         } else if (call->givenUp_) {
             abandon(root, call, makeFailure(FailureType::DeadlinePassed, true, "given up before it was sent"), Spend());
@@ -1153,6 +1210,14 @@
     recordTurn(root, call, TurnStatus::Abandoned, outcome, why);
 }
 
+void ProgramController::Private::refuse(const ProgramId &root, const std::shared_ptr<Call> &call, const Failure &why)
+{
+    DispatchOutcome outcome;
+    outcome.body_ = why.detail_;
+    call->worst_ = Spend();
+    recordTurn(root, call, TurnStatus::Refused, outcome, why);
+}
+
 void ProgramController::Private::recordTurn(const ProgramId &root,
                                             const std::shared_ptr<Call> &call,
                                             TurnStatus status,
@@ -1174,22 +1239,24 @@
     turn.answer_ = outcome.body_;
     turn.usage_ = outcome.usage_;
     turn.endpoint_ = outcome.endpoint_;
+    turn.refusal_ = failure.type_;
+    turn.refusalNotRun_ = failure.notRun_;
     const BudgetEntry entry = prepareBudget(root, request.program_, turn.usage_, call->worst_);
     turn.reserved_ = entry.reserved_;
     turn.spent_ = entry.spent_;
-    const bool closesIntent = !request.idempotent_ && safeguards_.intent_;
+    const bool closesIntent = !request.idempotent_ && safeguards_.intent_ && status != TurnStatus::Refused;
     Record record =
         recordFor(closesIntent ? RecordType::Outcome : RecordType::Turn, request.program_, root, std::move(turn));
-    write(std::move(record), [this, root, work, call, status, failure](const FoldResult &result) {
+    write(std::move(record), [this, root, work, call, status, failure](const JournalFoldResult &result) {
         work->book_.onFolded();
         const ProgramId program = call->request_.program_;
         if (mine(root) != work || work->chains_[program].current_ != call) {
             return;
         }
         work->chains_[program].attempts_.erase(call->request_.requestId_);
-        if (result.verdict_ != FoldVerdict::Accepted) {
+        if (result.verdict_ != JournalVerdict::Accepted) {
             answerFailure(*call, makeFailure(FailureType::OwnerUnavailable, false, "the turn was refused", retrySoon));
-        } else if (status == TurnStatus::Abandoned) {
+        } else if (status == TurnStatus::Abandoned || status == TurnStatus::Refused) {
             answerFailure(*call, failure);
         } else {
             CallAnswer recorded = answerOf(program, std::get<TurnBody>(result.record_.body_));
@@ -1289,10 +1356,9 @@
         return;
     }
     work->chains_[program].current_.reset();
+    pump(root, program);
     if (draining_) {
         maybeRelease(root);
-    } else {
-        pump(root, program);
     }
 }
 
@@ -1387,7 +1453,7 @@
     body.idle_ = idle;
     body.state_ = toJson(state);
     Record record = recordFor(RecordType::Checkpoint, root, root, std::move(body));
-    write(std::move(record), [this, root, work](const FoldResult & /*result*/) {
+    write(std::move(record), [this, root, work](const JournalFoldResult & /*result*/) {
         work->checkpointing_ = false;
         work->idling_ = false;
         if (fold_->tree(root) == nullptr && mine(root) == work) {
@@ -1397,6 +1463,14 @@
     });
 }
 
+void ProgramController::Private::settle(const ProgramId &root)
+{
+    const std::shared_ptr<TreeWork> work = mine(root);
+    const BudgetEntry entry = prepareBudget(root, root, Spend(), Spend());
+    Record record = recordFor(RecordType::Reserve, root, root, ReserveBody{entry.reserved_, entry.spent_});
+    write(std::move(record), [work](const JournalFoldResult & /*result*/) { work->book_.onFolded(); });
+}
+
 void ProgramController::Private::maybeRelease(const ProgramId &root)
 {
     const std::shared_ptr<TreeWork> work = mine(root);
@@ -1404,8 +1478,11 @@
         return;
     }
     work->releasing_ = true;
-    Record record = recordFor(RecordType::Release, root, root, ReleaseBody{});
-    write(std::move(record), [this, root, work](const FoldResult & /*result*/) {
+    // Nothing runs, so that only costs outside of turns are left to settle; the successor counts no reservation.
+    const TreeState &tree = *fold_->tree(root);
+    const BudgetEntry entry = work->book_.prepare(tree.budget_, tree.spent_, Spend(), Spend(), Spend());
+    Record record = recordFor(RecordType::Release, root, root, ReleaseBody{entry.spent_});
+    write(std::move(record), [this, root, work](const JournalFoldResult & /*result*/) {
         if (mine(root) == work) {
             dropTree(root);
         }
@@ -1442,7 +1519,12 @@
     if (!over.empty() || work->checkpointing_ || work->book_.hasUnderWay() || !work->ending_.empty() || !isStoreUp()) {
         return;
     }
-    const bool isIdle = isQuiet && tree->lastTime_ + settings_.idleAfter_ < now() && tree->chains_.size() == 1;
+    const bool isDue = tree->lastTime_ + settings_.idleAfter_ < now() && tree->chains_.size() == 1;
+    if (isDue && !work->isBusy() && !work->book_.isClear()) {
+        settle(root);
+        return;
+    }
+    const bool isIdle = isQuiet && isDue;
     const bool isOld = tree->neededTime_ + settings_.retention_ / 3 < now();
     if (isIdle) {
         checkpoint(root, true);
@@ -1569,6 +1651,9 @@
 
 void ProgramController::drain()
 {
+    if (!d_->draining_) {
+        d_->drainStart_ = d_->now();
+    }
     d_->draining_ = true;
     d_->logEvent("drain_started", {{"programs", d_->work_.size()}});
     tick();
