--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -56,6 +56,11 @@
 
 Simulation::~Simulation() = default;
 
+std::size_t Simulation::nodeOf(const ProgramSpec &spec) const
+{
+    return static_cast<std::size_t>(spec.node_) % nodes_.size();
+}
+
 double Simulation::uniform()
 {
     return static_cast<double>(random_() >> 11U) * 0x1.0p-53;
@@ -186,7 +191,7 @@
             std::vector<std::vector<ProgramId>> held(nodes_.size());
             for (CacheKey key : engine.fake_->heldPrograms()) {
                 const Program &program = programs_[key];
-                held[static_cast<std::size_t>(program.spec_->node_)].push_back(program.id_);
+                held[nodeOf(*program.spec_)].push_back(program.id_);
             }
             for (std::size_t i = 0; i < nodes_.size(); ++i) {
                 nodes_[i]->onHeldPrograms(engine.info_.id_, held[i]);
@@ -320,7 +325,7 @@
     programs_[index].parent_ = index;
     const Time deadline = spec.deadline_.count() > 0 ? events_.now() + spec.deadline_ : Time{0};
     const AccountId account("a" + std::to_string(spec.account_));
-    NodePolicy &node = *nodes_[static_cast<std::size_t>(spec.node_)];
+    NodePolicy &node = *nodes_[nodeOf(spec)];
     const std::optional<Failure> refusal =
         node.admitProgram(programs_[index].id_, account, programs_[index].prompt_, deadline);
     if (refusal) {
@@ -359,14 +364,14 @@
     request.runAlone_ = program.crashes_ > 0;
     program.calling_ = true;
     program.promptTokens_ += program.resubmits_ == 0 ? program.prompt_ : 0;
-    nodes_[static_cast<std::size_t>(spec.node_)]->submit(request);
+    nodes_[nodeOf(spec)]->submit(request);
 }
 
 void Simulation::onStart(std::size_t node, const StartOrder &order)
 {
     const std::size_t index = indexOf(order.program_);
     Program &program = programs_[index];
-    if (!program.calling_ || static_cast<std::size_t>(program.spec_->node_) != node) {
+    if (!program.calling_ || nodeOf(*program.spec_) != node) {
         violations_.push_back("start without a call: " + order.program_.value());
         return;
     }
@@ -425,7 +430,7 @@
     const char *cause = attempt.order_.importFrom_.isEmpty() ? (moved ? "moved" : "evicted") : "import_failed";
     wastedBy_[cause] += wasted;
     program.computed_ = std::max(program.computed_, program.prompt_);
-    NodePolicy &node = *nodes_[static_cast<std::size_t>(program.spec_->node_)];
+    NodePolicy &node = *nodes_[nodeOf(*program.spec_)];
     node.onFirstToken(program.id_, attempt.order_.requestId_, attempt.order_.attempt_);
 }
 
@@ -453,7 +458,7 @@
     result.generatedTokens_ = generated;
     result.latency_ = events_.now() - attempt.sent_;
     result.firstToken_ = attempt.firstToken_.count() > 0 ? attempt.firstToken_ - attempt.sent_ : result.latency_;
-    const std::size_t node = static_cast<std::size_t>(program.spec_->node_);
+    const std::size_t node = nodeOf(*program.spec_);
     const Duration latency = fromSeconds(workload_.json().at("domain_latency_ms").get<double>() / 1000);
     events_.after(latency, [this, node, result] { nodes_[node]->onAttemptEnded(result); });
 }
@@ -505,7 +510,7 @@
         endProgram(index);
         return;
     }
-    NodePolicy &node = *nodes_[static_cast<std::size_t>(spec.node_)];
+    NodePolicy &node = *nodes_[nodeOf(spec)];
     node.onProgramPaused(program.id_, turn.tool_);
     if (turn.subAgent_ < 0) {
         const Duration caller = fromSeconds(workload_.json().at("caller_latency_ms").get<double>() / 1000);
@@ -531,7 +536,7 @@
 {
     Program &program = programs_[index];
     program.ended_ = events_.now();
-    nodes_[static_cast<std::size_t>(program.spec_->node_)]->onProgramEnded(program.id_);
+    nodes_[nodeOf(*program.spec_)]->onProgramEnded(program.id_);
     if (program.parent_ != index) {
         resume(program.parent_);
     }
@@ -585,7 +590,7 @@
     }
     event.program_ = programs_[key].id_;
     // Other nodes ignore events of programs that they do not own.
-    const std::size_t node = static_cast<std::size_t>(programs_[key].spec_->node_);
+    const std::size_t node = nodeOf(*programs_[key].spec_);
     if (evicted) {
         event.tokens_ += workload_.sharedTokens();
         events_.after(delay, [this, event, node] { nodes_[node]->onCacheEvent(event); });
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -101,6 +101,7 @@
     void onPrefilled(std::size_t attempt, std::int64_t computed, std::int64_t cached);
     Time logUpAt(Time time) const;
     double uniform();
+    std::size_t nodeOf(const ProgramSpec &spec) const;
     nlohmann::json figures();
     void addSlowdowns(nlohmann::json &result) const;
     void addExperiments(nlohmann::json &result) const;
--- a/src/policy/enginechooser.h
+++ b/src/policy/enginechooser.h
@@ -43,6 +43,7 @@
                   const ProgramTracker &programs,
                   const OutlierEjector &ejector,
                   const RoomLedger &rooms,
+                  const PoolPlanner &pools,
                   const EngineCosts &costs,
                   DisabledMechanisms disabled,
                   RandomSource random);
@@ -79,6 +80,7 @@
     const ProgramTracker &programs_;
     const OutlierEjector &ejector_;
     const RoomLedger &rooms_;
+    const PoolPlanner &pools_;
     EngineCosts costs_;
     DisabledMechanisms disabled_;
     RandomSource random_;
--- a/src/policy/roomledger.cpp
+++ b/src/policy/roomledger.cpp
@@ -5,14 +5,12 @@
 
 namespace filbertgw {
 
-namespace internal {
-
-constexpr double meanSmoothing = 0.03;
-
-} // namespace internal
-
-RoomLedger::RoomLedger(const EndpointTracker &endpoints, RandomSource random, std::function<std::int32_t()> liveNodes)
+RoomLedger::RoomLedger(const EndpointTracker &endpoints,
+                       const PoolPlanner &pools,
+                       RandomSource random,
+                       std::function<std::int32_t()> liveNodes)
     : endpoints_(endpoints)
+    , pools_(pools)
     , random_(std::move(random))
     , liveNodes_(std::move(liveNodes))
 {
@@ -34,8 +32,8 @@
         return;
     }
     const double streams = endpoints_.streams(*state);
-    meanStreams_ += internal::meanSmoothing * (streams - meanStreams_);
-    rooms_[endpoint] = Room{partOf(state->info_.maxStreams_ - streams), partOf(meanStreams_ - streams)};
+    const double mean = pools_.meanStreams(endpoint);
+    rooms_[endpoint] = Room{partOf(state->info_.maxStreams_ - streams), partOf(mean - streams)};
 }
 
 bool RoomLedger::hasStart(const EndpointState &endpoint) const
