Drop the engine pools; order prefills by delay cost over their length

Change: calls are ordered at the engine by (1 / program length) / prefill time; PoolPlanner is removed.

--- a/src/policy/admissioncontroller.cpp
+++ b/src/policy/admissioncontroller.cpp
@@ -10,7 +10,7 @@
 /** \brief Share of the KV memory that new programs may fill; the rest is for the growth of those in progress. */
 constexpr double admissionShare = 0.92;
 /** \brief Longest wait for a start. Backlog that is admitted lengthens every program until it is worked off. */
-constexpr double maxWaitSeconds = 20;
+constexpr double maxWaitSeconds = 8;
 /** \brief Share of an engine's streams that accounts over their fair share may use. */
 constexpr double overShareStreams = 0.6;
 constexpr double overShareFactor = 3;
--- a/src/policy/enginechooser.cpp
+++ b/src/policy/enginechooser.cpp
@@ -22,7 +22,6 @@
                              const ProgramTracker &programs,
                              const OutlierEjector &ejector,
                              const RoomLedger &rooms,
-                             const PoolPlanner &pools,
                              const EngineCosts &costs,
                              DisabledMechanisms disabled,
                              RandomSource random)
@@ -31,7 +30,6 @@
     , programs_(programs)
     , ejector_(ejector)
     , rooms_(rooms)
-    , pools_(pools)
     , costs_(costs)
     , disabled_(std::move(disabled))
     , random_(std::move(random))
@@ -148,11 +146,7 @@
     const double growth =
         static_cast<double>(home ? candidate.missingTokens_ : request.promptTokens_ - request.sharedTokens_)
         + generated;
-    // A second of delay weighs more for a short program, so the others' seconds are scaled by the programs' lengths.
-    const double length = program == nullptr ? 1 : pools_.programSeconds(*program);
-    const bool scaled = program != nullptr && enabled(Mechanism::Pools);
-    const double scale = scaled ? length / pools_.poolSeconds(endpoint.info_.id_) : 1;
-    candidate.seconds_ = own + scale * (others + evictionSeconds(endpoint, growth, streams));
+    candidate.seconds_ = own + others + evictionSeconds(endpoint, growth, streams);
     return candidate;
 }
 
--- a/src/policy/enginechooser.h
+++ b/src/policy/enginechooser.h
@@ -43,7 +43,6 @@
                   const ProgramTracker &programs,
                   const OutlierEjector &ejector,
                   const RoomLedger &rooms,
-                  const PoolPlanner &pools,
                   const EngineCosts &costs,
                   DisabledMechanisms disabled,
                   RandomSource random);
@@ -80,7 +79,6 @@
     const ProgramTracker &programs_;
     const OutlierEjector &ejector_;
     const RoomLedger &rooms_;
-    const PoolPlanner &pools_;
     EngineCosts costs_;
     DisabledMechanisms disabled_;
     RandomSource random_;
--- a/src/policy/mechanism.h
+++ b/src/policy/mechanism.h
@@ -13,7 +13,6 @@
 enum class Mechanism : std::uint8_t {
     CostRouting, ///< Off: an engine with the longest cached prefix, then the least loaded.
     Moves, ///< Off: a program stays at its home engine while that one is usable.
-    Pools, ///< Off: all engines take all programs.
     Spread, ///< Off: always the cheapest engine instead of a random one among near-equals.
     Commitments, ///< Off: load reports are not corrected by what this node sent since.
     Priority, ///< Off: calls run in the order of arrival.
@@ -30,10 +29,9 @@
 template<>
 struct NameTable<Mechanism>
 {
-    static constexpr std::array<std::pair<Mechanism, std::string_view>, 14> entries{{
+    static constexpr std::array<std::pair<Mechanism, std::string_view>, 13> entries{{
         {Mechanism::CostRouting, "cost-routing"},
         {Mechanism::Moves, "moves"},
-        {Mechanism::Pools, "pools"},
         {Mechanism::Spread, "spread"},
         {Mechanism::Commitments, "commitments"},
         {Mechanism::Priority, "priority"},
--- a/src/policy/policysections.h
+++ b/src/policy/policysections.h
@@ -84,7 +84,6 @@
     std::int32_t calls_ = 0; ///< Queued or running.
     std::uint32_t turns_ = 0;
     std::int64_t classKey_ = 0; ///< Groups programs of similar length. \sa ProgramTracker
-    double decodeSeconds_ = 0; ///< Root only: decoding of the tree's calls on an idle engine.
     double lateSeconds_ = 0; ///< Root only: latency of the tree's calls beyond their lower bounds.
 };
 
@@ -94,9 +93,7 @@
     struct ClassMeans
     {
         double seconds_ = 60; ///< Lower bound of a whole program.
-        double decodeSeconds_ = 0; ///< Part of it that is decoding on an idle engine.
         double weight_ = 0; ///< Programs seen, bounded.
-        double rate_ = 0; ///< Programs that ended lately, weighted by age.
     };
     std::unordered_map<ProgramId, ProgramState> programs_;
     std::map<std::int64_t, ClassMeans> classes_;
--- a/src/policy/programtracker.cpp
+++ b/src/policy/programtracker.cpp
@@ -82,9 +82,6 @@
 {
     const double share = 1 / internal::generatedMemory;
     section_.generated_ += share * (static_cast<double>(result.generatedTokens_) - section_.generated_);
-    if (ProgramState *state = findState(request.program_)) {
-        rootOf(*state).decodeSeconds_ += static_cast<double>(result.generatedTokens_) * costs_.step(1);
-    }
     onMoved(request.program_, result.endpoint_, result.promptTokens_ + result.generatedTokens_);
 }
 
@@ -154,11 +151,6 @@
         means.weight_ = std::min(means.weight_ + 1, internal::classMemory);
         const double seconds = std::max(0.0, toSeconds(now_() - state.started_) - state.lateSeconds_);
         means.seconds_ += (seconds - means.seconds_) / means.weight_;
-        means.decodeSeconds_ += (state.decodeSeconds_ - means.decodeSeconds_) / means.weight_;
-        for (std::pair<const std::int64_t, ProgramSection::ClassMeans> &entry : section_.classes_) {
-            entry.second.rate_ *= 1 - 1 / internal::classMemory;
-        }
-        means.rate_ += 1 / internal::classMemory;
     }
     section_.programs_.erase(it);
 }
@@ -196,6 +188,14 @@
     return it == section_.classes_.end() ? ProgramSection::ClassMeans{}.seconds_ : it->second.seconds_;
 }
 
+double ProgramTracker::expectedSeconds(const ProgramState &program) const
+{
+    const ProgramState *root = find(program.root_);
+    const std::map<std::int64_t, ProgramSection::ClassMeans>::const_iterator it =
+        section_.classes_.find(root == nullptr ? program.classKey_ : root->classKey_);
+    return it == section_.classes_.end() ? ProgramSection::ClassMeans{}.seconds_ : it->second.seconds_;
+}
+
 double ProgramTracker::projectedSlowdown(const ScheduleRequest &request, Time submittedAt) const
 {
     const ProgramState *state = find(request.program_);
--- a/src/policy/programtracker.h
+++ b/src/policy/programtracker.h
@@ -40,6 +40,8 @@
     double projectedSlowdown(const ScheduleRequest &request, Time submittedAt) const;
     /** \brief Expected lower bound of a whole program that has this long until its deadline. */
     double expectedSeconds(Duration untilDeadline) const;
+    /** \brief Expected lower bound of the program's tree. */
+    double expectedSeconds(const ProgramState &program) const;
     double expectedGenerated() const
     {
         return section_.generated_;
--- a/src/policy/roomledger.cpp
+++ b/src/policy/roomledger.cpp
@@ -5,12 +5,14 @@
 
 namespace filbertgw {
 
-RoomLedger::RoomLedger(const EndpointTracker &endpoints,
-                       const PoolPlanner &pools,
-                       RandomSource random,
-                       std::function<std::int32_t()> liveNodes)
+namespace internal {
+
+constexpr double meanSmoothing = 0.03;
+
+} // namespace internal
+
+RoomLedger::RoomLedger(const EndpointTracker &endpoints, RandomSource random, std::function<std::int32_t()> liveNodes)
     : endpoints_(endpoints)
-    , pools_(pools)
     , random_(std::move(random))
     , liveNodes_(std::move(liveNodes))
 {
@@ -32,8 +34,8 @@
         return;
     }
     const double streams = endpoints_.streams(*state);
-    const double mean = pools_.meanStreams(endpoint);
-    rooms_[endpoint] = Room{partOf(state->info_.maxStreams_ - streams), partOf(mean - streams)};
+    meanStreams_ += internal::meanSmoothing * (streams - meanStreams_);
+    rooms_[endpoint] = Room{partOf(state->info_.maxStreams_ - streams), partOf(meanStreams_ - streams)};
 }
 
 bool RoomLedger::hasStart(const EndpointState &endpoint) const
--- a/src/policy/roomledger.h
+++ b/src/policy/roomledger.h
@@ -1,7 +1,7 @@
 #ifndef FILBERTGW_POLICY_ROOMLEDGER_H
 #define FILBERTGW_POLICY_ROOMLEDGER_H
 
-#include "policy/poolplanner.h"
+#include "policy/endpointtracker.h"
 
 namespace filbertgw {
 
@@ -14,10 +14,7 @@
 class RoomLedger
 {
 public:
-    RoomLedger(const EndpointTracker &endpoints,
-               const PoolPlanner &pools,
-               RandomSource random,
-               std::function<std::int32_t()> liveNodes);
+    RoomLedger(const EndpointTracker &endpoints, RandomSource random, std::function<std::int32_t()> liveNodes);
 
     void onReport(const EndpointId &endpoint);
     /** \brief True if this node may start one more new program on the engine. */
@@ -36,10 +33,10 @@
     std::int32_t partOf(double room);
 
     const EndpointTracker &endpoints_;
-    const PoolPlanner &pools_;
     RandomSource random_;
     std::function<std::int32_t()> liveNodes_;
     std::unordered_map<EndpointId, Room> rooms_;
+    double meanStreams_ = 0; ///< Over the reports of the last seconds.
 };
 
 } // namespace filbertgw
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -5,7 +5,6 @@
 #include "policy/endpointtracker.h"
 #include "policy/enginechooser.h"
 #include "policy/outlierejector.h"
-#include "policy/poolplanner.h"
 #include "policy/programtracker.h"
 #include "policy/retentioncontroller.h"
 #include "policy/retrypolicy.h"
@@ -32,9 +31,9 @@
 /** \brief Time to first token below this is no sign of a queue. */
 constexpr double firstTokenAllowance = 1.0;
 /** \brief How strongly a program that is late already goes before others. */
-constexpr double urgencyPower = 12;
+constexpr double urgencyPower = 1;
 /** \brief Prefills shorter than this gain nothing from going first. */
-constexpr double prefillFloorSeconds = 0.05;
+constexpr double prefillFloorSeconds = 0.5;
 constexpr double priorityScale = 10'000;
 constexpr std::int32_t alonePriority = -1'000'000'000;
 /** \brief Streams that an engine may have queued before calls wait here, where they can still go elsewhere. */
@@ -114,7 +113,6 @@
     ProgramTracker programs_;
     OutlierEjector ejector_;
     ConcurrencyLimiter limiter_;
-    PoolPlanner pools_;
     RoomLedger rooms_;
     EngineChooser engineChooser_;
     ServiceChooser serviceChooser_;
@@ -143,9 +141,8 @@
     , programs_(*blackboard_, costs, hooks_.now_)
     , ejector_(*blackboard_, enabled(Mechanism::Ejection), hooks_.now_)
     , limiter_(enabled(Mechanism::Limits))
-    , pools_(*blackboard_, endpoints_, programs_, enabled(Mechanism::Pools), costs, hooks_.now_, hooks_.liveNodes_)
-    , rooms_(endpoints_, pools_, hooks_.random_, hooks_.liveNodes_)
-    , engineChooser_(*blackboard_, endpoints_, programs_, ejector_, rooms_, pools_, costs, disabled, hooks_.random_)
+    , rooms_(endpoints_, hooks_.random_, hooks_.liveNodes_)
+    , engineChooser_(*blackboard_, endpoints_, programs_, ejector_, rooms_, costs, disabled, hooks_.random_)
     , serviceChooser_(*blackboard_, ejector_, limiter_, hooks_.random_)
     , admission_(*blackboard_, endpoints_, programs_, disabled, rooms_, hooks_.now_)
     , retention_(endpoints_, programs_, blackboard_->read<ProgramSection>(), disabled, hooks_.now_, hooks_.order_)
@@ -259,7 +256,7 @@
     }
     const double prefill = static_cast<double>(missingTokens) / costs_.prefillTokensPerSecond_;
     const double index = std::pow(call.urgency_, internal::urgencyPower)
-        / (pools_.programSeconds(*program) * (prefill + internal::prefillFloorSeconds));
+        / (programs_.expectedSeconds(*program) * (prefill + internal::prefillFloorSeconds));
     return -static_cast<std::int32_t>(internal::priorityScale * std::log(index));
 }
 
@@ -283,8 +280,8 @@
     if (program != nullptr && !program->home_.isEmpty() && program->home_ != choice.endpoint_) {
         rooms_.takeMove(choice.endpoint_);
     }
-    const std::int64_t growth
-        = home ? choice.missingTokens_ : call.request_.promptTokens_ - call.request_.sharedTokens_;
+    const std::int64_t growth =
+        home ? choice.missingTokens_ : call.request_.promptTokens_ - call.request_.sharedTokens_;
     endpoints_.onMemoryChange(choice.endpoint_, growth + static_cast<std::int64_t>(programs_.expectedGenerated()));
     programs_.onVisited(call.request_.program_, choice.endpoint_);
     if (call.held_) {
@@ -468,14 +465,12 @@
 void Scheduler::setEndpoints(const std::vector<EndpointInfo> &endpoints)
 {
     d_->endpoints_.setEndpoints(endpoints);
-    d_->pools_.onEndpoints();
     d_->dispatch();
 }
 
 void Scheduler::onLoadReport(const LoadReport &report)
 {
     d_->endpoints_.onLoadReport(report);
-    d_->pools_.onReport(report.endpoint_);
     d_->rooms_.onReport(report.endpoint_);
     d_->dispatch();
 }
@@ -640,7 +635,6 @@
 void Scheduler::tick()
 {
     d_->retention_.tick();
-    d_->pools_.tick();
     d_->expireQueued();
     if (!d_->queued_.empty()) {
         d_->dispatch();
