Export earlier, and let imports wait for memory at the target

Cause: an import that found the target's memory locked by running jobs was dropped and the whole prefix computed again; the export store lost the programs with the longest pauses. Change: the fake engine's import waits for room as a job does; paused programs are exported from 70% of the KV memory.

--- a/bench/fakes/fakeengine.cpp
+++ b/bench/fakes/fakeengine.cpp
@@ -73,23 +73,39 @@
     importing_.insert(job.id_);
     source.exporting_.erase(key);
     const Time end = reserveTransfer(source, *this, tokens);
-    events_.at(end, [this, &source, job, key, tokens, fromStore, life = life_, sourceLife = source.life_] {
-        if (life != life_ || importing_.erase(job.id_) == 0) {
-            return;
-        }
-        const bool intact = sourceLife == source.life_ && (fromStore || source.cachedTokens(key) >= tokens);
-        if (intact && makeRoom(tokens + job.sharedTokens_)) {
-            Entry &shared = touch(job.shared_);
-            setTokens(shared, std::max(shared.tokens_, job.sharedTokens_));
-            setTokens(touch(key), tokens);
-            setParent(key, job.shared_);
-        }
-        if (fromStore && sourceLife == source.life_ && source.exported_.erase(key) > 0) {
-            source.exportedTokens_ -= tokens;
-            source.exportOrder_.remove(key);
-        }
-        submit(job);
-    });
+    Import import{job, &source, source.life_, life_, tokens, fromStore};
+    events_.at(end, [this, import] { finishImport(import); });
+}
+
+void FakeEngine::finishImport(const Import &import)
+{
+    const CacheKey key = import.job_.program_;
+    if (import.life_ != life_ || importing_.count(import.job_.id_) == 0) {
+        return;
+    }
+    FakeEngine &source = *import.source_;
+    const bool sameLife = import.sourceLife_ == source.life_;
+    const bool intact = sameLife && (import.fromStore_ || source.cachedTokens(key) >= import.tokens_);
+    if (intact && !makeRoom(import.tokens_ + import.job_.sharedTokens_)) {
+        // Running jobs hold all the memory; the import waits for one of them.
+        constexpr Duration retryInterval = std::chrono::milliseconds(100);
+        events_.after(retryInterval, [this, import] { finishImport(import); });
+        return;
+    }
+    importing_.erase(import.job_.id_);
+    if (intact) {
+        Entry &shared = touch(import.job_.shared_);
+        setTokens(shared, std::max(shared.tokens_, import.job_.sharedTokens_));
+        setTokens(touch(key), import.tokens_);
+        setParent(key, import.job_.shared_);
+    }
+    const std::unordered_map<CacheKey, std::int64_t>::iterator stored = source.exported_.find(key);
+    if (import.fromStore_ && sameLife && stored != source.exported_.end()) {
+        source.exportedTokens_ -= stored->second;
+        source.exportOrder_.remove(key);
+        source.exported_.erase(stored);
+    }
+    submit(import.job_);
 }
 
 void FakeEngine::cancel(std::uint64_t job)
--- a/bench/fakes/fakeengine.h
+++ b/bench/fakes/fakeengine.h
@@ -96,6 +96,10 @@
     EngineLoad load() const;
     std::vector<CacheKey> heldPrograms() const;
     std::int64_t cachedTokens(CacheKey key) const;
+    std::int64_t exportedTokens() const
+    {
+        return exportedTokens_;
+    }
     /** \brief Integral over time of cached tokens that no running job uses. */
     double idleTokenSeconds();
 
@@ -117,8 +121,18 @@
         std::int64_t cached_ = 0;
         std::int64_t decodeLeft_ = 0;
     };
+    struct Import
+    {
+        EngineJob job_;
+        FakeEngine *source_ = nullptr;
+        std::uint64_t sourceLife_ = 0;
+        std::uint64_t life_ = 0;
+        std::int64_t tokens_ = 0;
+        bool fromStore_ = false;
+    };
     using QueueKey = std::pair<std::int32_t, std::uint64_t>;
 
+    void finishImport(const Import &import);
     void admitWaiting();
     bool admit(const EngineJob &job);
     void lock(CacheKey key);
--- a/src/policy/retentioncontroller.cpp
+++ b/src/policy/retentioncontroller.cpp
@@ -8,7 +8,7 @@
 
 constexpr Duration checkInterval = std::chrono::milliseconds(500);
 /** \brief Below this share of the KV memory every paused program stays. */
-constexpr double relaxedShare = 0.8;
+constexpr double relaxedShare = 0.7;
 /** \brief Reports are 1 to 2 s old, so exports must begin before the memory is full. */
 constexpr double tightShare = 0.95;
 constexpr double relaxedSeconds = 120;
