--- a/src/policy/programtracker.cpp
+++ b/src/policy/programtracker.cpp
@@ -188,6 +188,14 @@
     return it == section_.classes_.end() ? ProgramSection::ClassMeans{}.seconds_ : it->second.seconds_;
 }
 
+double ProgramTracker::expectedSeconds(const ProgramState &program) const
+{
+    const ProgramState *root = find(program.root_);
+    const std::map<std::int64_t, ProgramSection::ClassMeans>::const_iterator it =
+        section_.classes_.find(root == nullptr ? program.classKey_ : root->classKey_);
+    return it == section_.classes_.end() ? ProgramSection::ClassMeans{}.seconds_ : it->second.seconds_;
+}
+
 double ProgramTracker::projectedSlowdown(const ScheduleRequest &request, Time submittedAt) const
 {
     const ProgramState *state = find(request.program_);
