--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,7 +1,6 @@
-#include <cstdio>
+#include "cli/commands.h"
 
-int main()
+int main(int argc, char **argv)
 {
-    std::puts("filbertgw 0.1.0");
-    return 0;
+    return filbertgw::runCommand(std::vector<std::string>(argv + 1, argv + argc));
 }
--- /dev/null
+++ b/src/cli/syncclient.cpp
@@ -0,0 +1,113 @@
+#include "cli/syncclient.h"
+
+namespace filbertgw {
+namespace internal {
+
+constexpr Duration checkPeriod = std::chrono::milliseconds(10);
+
+} // namespace internal
+
+SyncClient::SyncClient(Duration timeout)
+    : http_(loop_)
+    , timeout_(timeout)
+{
+}
+
+IoLoop &SyncClient::loop()
+{
+    return loop_;
+}
+
+HttpClient &SyncClient::http()
+{
+    return http_;
+}
+
+bool SyncClient::runUntil(const std::function<bool()> &condition, Duration patience)
+{
+    const Time end = loop_.now() + patience;
+    bool held = condition();
+    if (held) {
+        return true;
+    }
+    const std::uint64_t timer = loop_.every(internal::checkPeriod, [&] {
+        held = condition();
+        if (held || loop_.now() >= end) {
+            loop_.stop();
+        }
+    });
+    loop_.run();
+    loop_.cancel(timer);
+    return held;
+}
+
+HttpResult SyncClient::get(const std::string &address, const std::string &target, const std::string &key)
+{
+    HttpResult result;
+    bool done = false;
+    HttpCall call;
+    call.address_ = address;
+    call.request_.method_ = "GET";
+    call.request_.target_ = target;
+    if (!key.empty()) {
+        call.request_.headers_["authorization"] = "Bearer " + key;
+    }
+    call.timeout_ = timeout_;
+    call.onDone_ = [&](const HttpResult &answer) {
+        result = answer;
+        done = true;
+        loop_.stop();
+    };
+    http_.start(std::move(call));
+    while (!done) {
+        loop_.run();
+    }
+    return result;
+}
+
+bool SyncClient::readAll(const std::string &log,
+                         const std::string &stream,
+                         std::vector<LogEntry> &entries,
+                         Offset &next)
+{
+    LogClient client(loop_, http_, log, timeout_);
+    const LogAccess access = client.access();
+    Offset from = 1;
+    bool reached = true;
+    bool more = true;
+    while (reached && more) {
+        bool done = false;
+        access.read_(stream, from, Duration(0), [&](bool ok, const LogPage &page) {
+            reached = ok;
+            more = ok && !page.entries_.empty();
+            entries.insert(entries.end(), page.entries_.begin(), page.entries_.end());
+            from = page.nextOffset_;
+            done = true;
+            loop_.stop();
+        });
+        while (!done) {
+            loop_.run();
+        }
+    }
+    next = from;
+    return reached;
+}
+
+AppendResult
+SyncClient::append(const std::string &log, const std::string &stream, const std::vector<nlohmann::json> &entries)
+{
+    LogClient client(loop_, http_, log, timeout_);
+    AppendResult result;
+    bool done = false;
+    client.access().append_(stream, entries, [&](const AppendResult &answer) {
+        result = answer;
+        done = true;
+        loop_.stop();
+    });
+    while (!done) {
+        loop_.run();
+    }
+    return result;
+}
+
+} // namespace filbertgw
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -24,6 +24,8 @@
 {
 public:
     virtual ~HttpReply() = default;
+    /** \brief Adds a header to the answer; only before send() or startStream(). */
+    virtual void setHeader(const std::string &name, const std::string &value) = 0;
     /** \brief Sends a whole answer. */
     virtual void send(int status, const std::string &contentType, const std::string &body) = 0;
     /** \brief Starts a chunked answer. */
--- /dev/null
+++ b/src/node/callerapi.h
@@ -0,0 +1,72 @@
+#ifndef FILBERTGW_NODE_CALLERAPI_H
+#define FILBERTGW_NODE_CALLERAPI_H
+
+#include "blackboard/blackboard.h"
+#include "core/metrics.h"
+#include "net/httptypes.h"
+#include "node/apitypes.h"
+#include "node/authenticator.h"
+#include "node/callerstream.h"
+#include "node/nodehooks.h"
+#include "node/programforwarder.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace filbertgw {
+
+/** \brief Limits of accounts as CallerApi uses them. */
+struct AccountGate
+{
+    std::function<std::optional<Failure>(const AccountId &)> beginCall_;
+    std::function<void(const AccountId &)> endCall_;
+};
+
+/** \brief The HTTP interface to callers: authentication, limits, parsing, answers; see docs/design.md, section 12. */
+class CallerApi
+{
+public:
+    CallerApi(const NodeHooks &hooks,
+              const Blackboard &blackboard,
+              Authenticator &authenticator,
+              AccountGate gate,
+              ProgramForwarder &forwarder,
+              Metrics &metrics);
+
+    /** \brief Answers a request under `/v1/`. */
+    void handle(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
+
+private:
+    struct Route
+    {
+        ApiRequest request_;
+        AnswerFormat format_ = AnswerFormat::Native;
+        bool streamed_ = false;
+        std::optional<Failure> failure_;
+    };
+
+    Route routeOf(const HttpRequest &request, const AccountId &account) const;
+    Route programRoute(const HttpRequest &request, const AccountId &account) const;
+    void run(const Route &route, const std::shared_ptr<HttpReply> &reply);
+    void runCall(const Route &route, const std::shared_ptr<HttpReply> &reply);
+    void chat(const HttpRequest &request, const AccountId &account, const std::shared_ptr<HttpReply> &reply);
+    void chatIn(const ProgramId &program,
+                const HttpRequest &request,
+                const nlohmann::json &body,
+                const AccountId &account,
+                const std::shared_ptr<HttpReply> &reply);
+    RequestId randomRequestId() const;
+
+    const NodeHooks &hooks_;
+    const Blackboard &blackboard_;
+    Authenticator &authenticator_;
+    AccountGate gate_;
+    ProgramForwarder &forwarder_;
+    Metrics &metrics_;
+};
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/node/endpointpoller.h
@@ -0,0 +1,57 @@
+#ifndef FILBERTGW_NODE_ENDPOINTPOLLER_H
+#define FILBERTGW_NODE_ENDPOINTPOLLER_H
+
+#include "blackboard/blackboard.h"
+#include "node/nodehooks.h"
+#include "policy/scheduler.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+namespace filbertgw {
+
+/** \brief Fetches load reports, cache events and held programs of the engines that this node watches. */
+class EndpointPoller
+{
+public:
+    EndpointPoller(const NodeHooks &hooks, const Blackboard &blackboard, Scheduler &scheduler, Duration period);
+
+    /** \brief Polls what is due. */
+    void tick();
+    /** \brief Engines that say that they leave. */
+    const std::set<EndpointId> &leaving() const;
+
+private:
+    struct Engine
+    {
+        Time nextLoad_{0};
+        Time nextHeld_{0};
+        std::uint64_t nextEvent_ = 1;
+        bool loadRunning_ = false;
+        bool eventsRunning_ = false;
+        bool heldRunning_ = false;
+        bool healthy_ = true;
+    };
+
+    void get(const EndpointId &id, const std::string &target, std::function<void(bool, const nlohmann::json &)> done);
+    void pollLoad(const EndpointId &id);
+    void pollEvents(const EndpointId &id);
+    void pollHeld(const EndpointId &id);
+    void takeLoad(const EndpointId &id, const nlohmann::json &body);
+    void takeEvents(const EndpointId &id, const nlohmann::json &body);
+    void setHealthy(const EndpointId &id, bool healthy);
+    std::set<EndpointId> watched() const;
+
+    const NodeHooks &hooks_;
+    const Blackboard &blackboard_;
+    Scheduler &scheduler_;
+    Duration period_;
+    std::map<EndpointId, Engine> engines_;
+    std::set<EndpointId> leaving_;
+};
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/test/node/streamedtext.cpp
@@ -0,0 +1,103 @@
+#include "node/streamedtext.h"
+
+#include "node/ssereader.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+using namespace filbertgw;
+
+namespace {
+
+/** \brief One stream: runs of a call with their parts, the final text, and what the caller gets. */
+struct StreamCase
+{
+    const char *name_;
+    std::vector<std::vector<std::string>> runs_;
+    std::string final_;
+    std::string sent_; ///< `|` stands for a restart event.
+};
+
+class StreamedTextTest : public testing::TestWithParam<StreamCase>
+{
+};
+
+std::string shown(const StreamedText::Step &step)
+{
+    return (step.restart_ ? "|" : "") + step.text_;
+}
+
+} // namespace
+
+// Guards against text that a caller gets twice, or never, when a call is run again.
+TEST_P(StreamedTextTest, CallerEndsWithWholeAnswer)
+{
+    StreamedText text;
+    std::string sent;
+    for (const std::vector<std::string> &run : GetParam().runs_) {
+        text.rerun();
+        for (const std::string &part : run) {
+            sent += shown(text.add(part));
+        }
+    }
+    sent += shown(text.complete(GetParam().final_));
+    EXPECT_EQ(sent, GetParam().sent_);
+    EXPECT_EQ(sent.substr(sent.rfind('|') + 1), GetParam().final_);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows,
+                         StreamedTextTest,
+                         testing::Values(StreamCase{"OneRun", {{"ab", "cd"}}, "abcd", "abcd"},
+                                         StreamCase{"SamePrefix", {{"ab"}, {"a", "bcd"}}, "abcd", "abcd"},
+                                         StreamCase{"RerunShorterSoFar", {{"abc"}, {"a"}}, "abcd", "abcd"},
+                                         StreamCase{"OtherPrefix", {{"ab"}, {"a", "x", "y"}}, "axy", "ab|axy"},
+                                         StreamCase{"OtherFinal", {{"ab"}}, "xy", "ab|xy"},
+                                         StreamCase{"FinalShorter", {{"abcd"}}, "ab", "abcd|ab"},
+                                         StreamCase{"FinalOnly", {}, "abcd", "abcd"},
+                                         StreamCase{"TwoRestarts", {{"a"}, {"b"}, {"c"}}, "cd", "a|b|cd"}),
+                         [](const testing::TestParamInfo<StreamCase> &info) { return info.param.name_; });
+
+namespace {
+
+struct SseCase
+{
+    const char *name_;
+    std::vector<std::string> parts_;
+    std::vector<std::string> events_;
+};
+
+class SseReaderTest : public testing::TestWithParam<SseCase>
+{
+};
+
+} // namespace
+
+// Guards against events that are lost or merged where the network cuts the stream.
+TEST_P(SseReaderTest, SplitsEvents)
+{
+    std::vector<std::string> events;
+    SseReader reader([&events](const std::string &data) { events.push_back(data); });
+    for (const std::string &part : GetParam().parts_) {
+        EXPECT_TRUE(reader.add(part));
+    }
+    EXPECT_EQ(events, GetParam().events_);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows,
+                         SseReaderTest,
+                         testing::Values(SseCase{"Two", {"data: a\n\ndata: b\n\n"}, {"a", "b"}},
+                                         SseCase{"CutAnywhere", {"da", "ta: a", "b\n", "\nda"}, {"ab"}},
+                                         SseCase{"CarriageReturns", {"data:a\r\n\r\n"}, {"a"}},
+                                         SseCase{"OtherFields", {": ping\n\nevent: x\nid: 1\ndata: a\n\n"}, {"a"}},
+                                         SseCase{"TwoLines", {"data: a\ndata: b\n\n"}, {"a\nb"}},
+                                         SseCase{"Unfinished", {"data: a\n"}, {}}),
+                         [](const testing::TestParamInfo<SseCase> &info) { return info.param.name_; });
+
+// Guards against an endpoint that fills the memory of a node with one endless event.
+TEST(SseReader, RefusesEndlessEvent)
+{
+    SseReader reader([](const std::string &) {});
+    EXPECT_FALSE(reader.add(std::string(2 * 1024 * 1024, 'x')));
+}
