--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -27,6 +27,7 @@
 };
 
 namespace internal {
+namespace {
 
 const char *const version = "filbertgw 0.1.0";
 
@@ -144,6 +145,7 @@
     return exitUsage;
 }
 
+} // namespace
 } // namespace internal
 
 int runCommand(const std::vector<std::string> &arguments)
--- a/src/cli/publisher.cpp
+++ b/src/cli/publisher.cpp
@@ -13,8 +13,8 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
-const char *const configStream = "config";
 constexpr int appendAttempts = 5;
 constexpr Duration pollPause = std::chrono::milliseconds(50);
 
@@ -31,6 +31,7 @@
     return {record.value("kind", ""), record.value("name", "")};
 }
 
+} // namespace
 } // namespace internal
 
 bool readRecords(const std::string &path, std::vector<nlohmann::json> &records, std::string &error)
@@ -84,7 +85,7 @@
     hooks.fetchFromPeer_ = [](const NodeId &, Offset) {};
     // A command never re-appends records that near their expiry; that is left to the nodes.
     hooks.rank_ = [] { return std::uint32_t(1'000'000); };
-    const std::unique_ptr<ConfigController> controller = makeConfigController(blackboard, hooks);
+    const std::unique_ptr<ConfigController> controller = ConfigController::Builder(blackboard, hooks).build();
     controller->start();
     const auto folded = [&] {
         controller->tick();
@@ -99,7 +100,7 @@
 {
     std::vector<LogEntry> entries;
     Offset next = 1;
-    client_.readAll(settings_.text(Setting::Log), internal::configStream, entries, next);
+    client_.readAll(settings_.text(Setting::Log), configStream, entries, next);
     for (const LogEntry &entry : entries) {
         if (entry.body_.value("id", "") == id) {
             return entry.offset_;
@@ -113,7 +114,7 @@
     std::vector<LogEntry> entries;
     Offset next = 1;
     ConfigSection section;
-    if (!client_.readAll(settings_.text(Setting::Log), internal::configStream, entries, next)) {
+    if (!client_.readAll(settings_.text(Setting::Log), configStream, entries, next)) {
         return false;
     }
     if (next > 1 && !fold(next - 1, section)) {
@@ -134,7 +135,7 @@
 bool Publisher::appendOnce(const std::vector<nlohmann::json> &records, Offset &first)
 {
     for (int attempt = 0; attempt < internal::appendAttempts; ++attempt) {
-        const AppendResult result = client_.append(settings_.text(Setting::Log), internal::configStream, records);
+        const AppendResult result = client_.append(settings_.text(Setting::Log), configStream, records);
         first = result.firstOffset_;
         if (result.status_ == AppendStatus::Durable) {
             return true;
--- a/src/cli/syncclient.cpp
+++ b/src/cli/syncclient.cpp
@@ -2,9 +2,11 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 constexpr Duration checkPeriod = std::chrono::milliseconds(10);
 
+} // namespace
 } // namespace internal
 
 SyncClient::SyncClient(Duration timeout)
--- a/src/core/logger.cpp
+++ b/src/core/logger.cpp
@@ -14,6 +14,7 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 constexpr std::size_t longestValue = 512; ///< Bytes; a longer value is cut so that a log line stays bounded.
 
@@ -64,6 +65,7 @@
     });
 }
 
+} // namespace
 } // namespace internal
 
 std::string formatLogFields(const std::string &event, const nlohmann::json &fields)
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -11,6 +11,7 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 constexpr int bucketEdges = 21; ///< 1 ms times the powers of two up to 2^20 ms, about 17 min.
 
@@ -53,6 +54,7 @@
     out << name << "_sum " << distribution.sum_ << "\n" << name << "_count " << total << "\n";
 }
 
+} // namespace
 } // namespace internal
 
 struct Metrics::Private
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -9,6 +9,7 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 constexpr std::int64_t mebibyte = 1024 * 1024;
 constexpr std::int64_t hourMs = 3'600'000;
@@ -197,6 +198,7 @@
     return row.default_.empty() ? "none" : row.default_;
 }
 
+} // namespace
 } // namespace internal
 
 const std::vector<SettingRow> &Settings::table()
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace filbertgw {
@@ -177,6 +178,7 @@
     void closeIfExpired(SteadyTime now);
 
     // The answer side; `request` is the number of the request on this connection.
+    void setHeader(std::uint64_t request, const std::string &name, const std::string &value);
     void send(std::uint64_t request, int status, const std::string &contentType, const std::string &body);
     void startStream(std::uint64_t request, int status, const std::string &contentType);
     void write(std::uint64_t request, const std::string &part);
@@ -210,6 +212,7 @@
     State state_ = State::Idle;
     beast::flat_buffer input_;
     std::unique_ptr<RequestParser> parser_;
+    std::string extraHeaders_; ///< Header lines of the next answer.
     std::string pending_;
     std::string writing_;
     bool reading_ = false;
@@ -240,6 +243,10 @@
         connection_->abort(request_);
     }
 
+    void setHeader(const std::string &name, const std::string &value) override
+    {
+        connection_->setHeader(request_, name, value);
+    }
     void send(int status, const std::string &contentType, const std::string &body) override
     {
         connection_->send(request_, status, contentType, body);
@@ -366,6 +373,7 @@
 void HttpConnection::handle()
 {
     state_ = State::Handling;
+    extraHeaders_.clear();
     hasDeadline_ = false;
     keepAlive_ = parser_->keep_alive();
     chunked_ = !parser_->http10_;
@@ -400,7 +408,7 @@
     pending_.append(reason.data(), reason.size());
     pending_ += "\r\nContent-Type: ";
     pending_ += contentType;
-    pending_ += "\r\n";
+    pending_ += "\r\n" + std::exchange(extraHeaders_, {});
     if (server_->stopping_) {
         keepAlive_ = false;
     }
@@ -411,6 +419,15 @@
     }
 }
 
+void HttpConnection::setHeader(std::uint64_t request, const std::string &name, const std::string &value)
+{
+    const std::string line = name + ": " + value;
+    // A line break would let the value of one header add others.
+    if (isOpen(request) && state_ == State::Handling && line.find_first_of("\r\n") == std::string::npos) {
+        extraHeaders_ += line + "\r\n";
+    }
+}
+
 void HttpConnection::send(std::uint64_t request, int status, const std::string &contentType, const std::string &body)
 {
     if (!isOpen(request) || state_ != State::Handling) {
--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -9,6 +9,7 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 Failure invalidRequest(std::string detail)
 {
@@ -69,6 +70,7 @@
     return text;
 }
 
+} // namespace
 } // namespace internal
 
 CallerApi::CallerApi(const NodeHooks &hooks,
--- a/src/node/callerstream.cpp
+++ b/src/node/callerstream.cpp
@@ -4,10 +4,12 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 const char *const jsonType = "application/json";
 const char *const eventsType = "text/event-stream";
 
+} // namespace
 } // namespace internal
 
 void sendFailure(HttpReply &reply, const Failure &failure)
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -7,6 +7,7 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 constexpr std::int64_t bytesPerToken = 4; ///< Usual average of natural language.
 
@@ -17,6 +18,7 @@
     return found == config.endpoints_.end() ? nullptr : &found->second;
 }
 
+} // namespace
 } // namespace internal
 
 std::int64_t estimateTokens(const std::string &text)
@@ -61,10 +63,13 @@
     request.runAlone_ = dispatch.runAlone_;
     request.promptTokens_ = estimateTokens(dispatch.prompt_);
     request.maxTokens_ = call.maxTokens_;
-    request.homeEngine_ = dispatch.homeEngine_;
+    const EndpointInfo *home = internal::findEndpoint(blackboard_, dispatch.homeEngine_);
+    // The journal keeps the endpoint of the last turn, which may have been a tool's.
+    request.homeEngine_ = home != nullptr && home->kind_ == CallKind::Model ? dispatch.homeEngine_ : EndpointId();
     request.deadline_ = call.deadline_;
     request.fencing_ = dispatch.fencing_;
-    request.programStarted_ = running.startedAt_;
+    // A program with a home engine has had turns; after a takeover nothing else tells that it has started.
+    request.turn_ = dispatch.homeEngine_.isEmpty() ? 0 : 1;
     hooks_.logEvent_("call_dispatched",
                      {{"program", call.program_.value()},
                       {"request", call.requestId_.value()},
@@ -252,6 +257,11 @@
     result.attempt_ = attempt.order_.attempt_;
     result.status_ = AttemptStatus::Cancelled;
     result.latency_ = hooks_.now_() - attempt.startedAt_;
+    hooks_.logEvent_("attempt_abandoned",
+                     {{"program", result.program_.value()},
+                      {"request", result.requestId_.value()},
+                      {"endpoint", result.endpoint_.value()},
+                      {"attempt", result.attempt_}});
     hooks_.post_([this, result] { controllers_.attemptEnded_(result); });
 }
 
@@ -306,6 +316,13 @@
         engines_.cancelRequest(*endpoint, order.program_, order.requestId_);
         return;
     }
+    hooks_.logEvent_("endpoint_order",
+                     {{"order", nameOf(order.kind_)},
+                      {"endpoint", order.endpoint_.value()},
+                      {"program", order.program_.value()},
+                      {"subject", order.subject_},
+                      {"reason", order.reason_}});
+    metrics_.count("endpoint_orders_total", "order=\"" + std::string(nameOf(order.kind_)) + "\"");
     const EndpointInfo *peer = internal::findEndpoint(blackboard_, order.peer_);
     engines_.control(*endpoint, order, peer == nullptr ? "" : peer->address_);
 }
--- a/src/node/endpointpoller.cpp
+++ b/src/node/endpointpoller.cpp
@@ -10,6 +10,7 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 constexpr std::size_t watchedEngines = 32; ///< Keeps a node's control traffic constant as the fleet grows.
 constexpr Duration pollTimeout = std::chrono::seconds(2);
@@ -42,6 +43,7 @@
     return list.is_array() ? list : nlohmann::json::array();
 }
 
+} // namespace
 } // namespace internal
 
 EndpointPoller::EndpointPoller(const NodeHooks &hooks,
--- a/src/node/engineclient.cpp
+++ b/src/node/engineclient.cpp
@@ -7,6 +7,7 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 constexpr Duration controlTimeout = std::chrono::seconds(10);
 constexpr Duration probeTimeout = std::chrono::seconds(1);
@@ -119,6 +120,7 @@
     return body;
 }
 
+} // namespace
 } // namespace internal
 
 std::string endpointRequestId(const ProgramId &program, const RequestId &request)
@@ -146,6 +148,9 @@
                               {"x-priority", std::to_string(order.priority_)},
                               {"x-fencing", std::to_string(dispatch.fencing_)},
                               {"x-request-id", endpointRequestId(dispatch.call_.program_, dispatch.call_.requestId_)}};
+    if (order.alone_) {
+        call.request_.headers_["x-alone"] = "1";
+    }
     call.request_.body_ = jsonText(internal::callBody(dispatch));
     call.timeout_ = timeout;
     call.answerBytes_ = answerBytes_;
--- a/src/node/errortable.cpp
+++ b/src/node/errortable.cpp
@@ -2,6 +2,7 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 struct ErrorRow
 {
@@ -54,6 +55,7 @@
     return std::chrono::ceil<std::chrono::milliseconds>(duration).count();
 }
 
+} // namespace
 } // namespace internal
 
 int httpStatusOf(FailureType type)
--- a/src/node/errortable.h
+++ b/src/node/errortable.h
@@ -3,8 +3,11 @@
 
 #include "core/failure.h"
 
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <string>
 
 namespace filbertgw {
@@ -26,6 +29,19 @@
 /** \brief A failure with the default message of its type. */
 Failure makeFailure(FailureType type, bool notRun, std::string detail = {}, Duration retryAfter = Duration(0));
 
+/** \brief Runs an operation in a LEAF scope. \return its failure, or nothing. */
+template<typename Operation>
+std::optional<Failure> failureIn(Operation operation)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<std::optional<Failure>> {
+            BOOST_LEAF_CHECK(operation());
+            return std::optional<Failure>();
+        },
+        [](const Failure &found) { return std::optional<Failure>(found); },
+        [] { return std::optional<Failure>(makeFailure(FailureType::NotRun, false)); });
+}
+
 /** \brief A failure as a peer or a record carries it. */
 nlohmann::json failureToJson(const Failure &failure);
 Failure failureFromJson(const nlohmann::json &json);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,6 +18,7 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 constexpr Duration tickPeriod = std::chrono::milliseconds(20);
 // Datagrams that announce the leave reach the other nodes before the sockets close.
@@ -63,6 +64,7 @@
     return limits;
 }
 
+} // namespace
 } // namespace internal
 
 struct Node::Private
--- a/src/node/nodecore.cpp
+++ b/src/node/nodecore.cpp
@@ -1,5 +1,6 @@
 #include "node/nodecore.h"
 
+#include "config/accountlimiter.h"
 #include "config/configcontroller.h"
 #include "core/metrics.h"
 #include "membership/membershipcontroller.h"
@@ -8,7 +9,6 @@
 #include "node/authenticator.h"
 #include "node/callerapi.h"
 #include "node/callerstream.h"
-#include "node/controllers.h"
 #include "node/dispatcher.h"
 #include "node/endpointpoller.h"
 #include "node/errortable.h"
@@ -17,6 +17,7 @@
 #include "node/programforwarder.h"
 #include "node/subagentrunner.h"
 #include "node/vmlist.h"
+#include "policy/policysections.h"
 #include "policy/scheduler.h"
 #include "program/programcontroller.h"
 
@@ -49,6 +50,7 @@
     nlohmann::json state() const;
     nlohmann::json explain(const ProgramId &program) const;
     AccountGate accountGate();
+    void makeControllers();
     void setEndpoints();
     void updateGauges();
     nlohmann::json nodeState() const;
@@ -67,11 +69,10 @@
     SlotMap slots_;
     AnswerStreams streams_;
     Authenticator authenticator_;
-    std::unique_ptr<MembershipController> membership_;
     std::unique_ptr<ConfigController> config_;
     std::unique_ptr<Scheduler> scheduler_;
     std::unique_ptr<ProgramController> programs_;
-    std::unique_ptr<AccountLimiter> limiter_;
+    AccountLimiter limiter_;
     std::unique_ptr<Dispatcher> dispatcher_;
     std::unique_ptr<SubAgentRunner> subAgents_;
     std::unique_ptr<EndpointPoller> poller_;
@@ -87,9 +88,11 @@
 };
 
 namespace internal {
+namespace {
 
 constexpr Duration configAskPeriod = std::chrono::milliseconds(500);
 constexpr std::size_t configEntriesAtOnce = 1000;
+constexpr std::size_t limiterScan = 100; ///< Accounts a tick that are checked for being idle.
 
 const char *const apiMessage = "api";
 const char *const configMessage = "config";
@@ -110,6 +113,7 @@
     return entries;
 }
 
+} // namespace
 } // namespace internal
 
 NodeCore::Private::Private(NodeHooks hooks, NodeSettings settings)
@@ -117,11 +121,7 @@
     , settings_(std::move(settings))
     , authenticator_(blackboard_, settings_.operatorKeys_)
 {
-    membership_ = makeMembershipController(blackboard_, membershipHooks(), settings_);
-    config_ = makeConfigController(blackboard_, configHooks());
-    scheduler_ = makeScheduler(blackboard_, schedulerHooks());
-    programs_ = makeProgramController(blackboard_, programHooks(), settings_);
-    limiter_ = makeAccountLimiter(blackboard_, hooks_.now_);
+    makeControllers();
     Dispatcher::Limits limits;
     limits.answerBytes_ = settings_.answerBytes_;
     limits.callTimeout_ = settings_.callTimeout_;
@@ -139,6 +139,39 @@
     onMembershipChanged();
 }
 
+void NodeCore::Private::makeControllers()
+{
+    MembershipSection &members = blackboard_.write<MembershipSection>();
+    members.self_ = settings_.self_.id_;
+    members.members_[settings_.self_.id_] = settings_.self_;
+    for (const Member &member : settings_.members_) {
+        members.members_[member.id_] = member;
+    }
+    config_ = ConfigController::Builder(blackboard_, configHooks()).retention(settings_.retention_).build();
+    scheduler_ = Scheduler::Builder().hooks(schedulerHooks()).blackboard(&blackboard_).build();
+    ProgramSettings programSettings;
+    programSettings.retention_ = settings_.retention_;
+    programSettings.backlogBytes_ = settings_.backlogBytes_;
+    programs_ = ProgramController::Builder(settings_.self_.id_, blackboard_, programHooks())
+                    .setSettings(programSettings)
+                    .build();
+}
+
+AccountGate NodeCore::Private::accountGate()
+{
+    AccountGate gate;
+    gate.beginCall_ = [this](const AccountId &id) {
+        const ConfigSection &config = blackboard_.read<ConfigSection>();
+        const auto account = config.accounts_.find(id);
+        if (account == config.accounts_.end()) {
+            return std::optional<Failure>(makeFailure(FailureType::Unauthenticated, true));
+        }
+        return failureIn([&] { return limiter_.admitCall(account->second, hooks_.now_()); });
+    };
+    gate.endCall_ = [this](const AccountId &id) { limiter_.callEnded(id, hooks_.now_()); };
+    return gate;
+}
+
 ConfigHooks NodeCore::Private::configHooks()
 {
     ConfigHooks hooks;
@@ -257,6 +290,19 @@
     return std::uint32_t(self - nodes.begin());
 }
 
+Member NodeCore::Private::memberOf(const VmList::Vm &vm) const
+{
+    const auto field = [&vm](const char *name) { return vm.fields_.value(name, vm.address_); };
+    Member member;
+    member.id_ = NodeId(vm.name_);
+    member.domain_ = FailureDomain(vm.domain_);
+    member.udpAddress_ = field("udp_address");
+    member.peerAddress_ = field("peer_address");
+    member.httpAddress_ = field("http_address");
+    member.state_ = vm.leaving_ ? MemberState::Leaving : MemberState::Alive;
+    return member;
+}
+
 bool NodeCore::Private::ownsEndpoint(const EndpointId &endpoint) const
 {
     NodeId best = settings_.self_.id_;
@@ -279,12 +325,13 @@
 
 void NodeCore::Private::tick()
 {
-    membership_->tick();
+    // MEMBERSHIP membership_->tick();
     config_->tick();
     programs_->tick();
     scheduler_->tick();
     poller_->tick();
     vmList_->tick();
+    limiter_.evictIdle(hooks_.now_(), internal::limiterScan);
     askPeersForConfig();
     if (poller_->leaving() != saidLeaving_) {
         saidLeaving_ = poller_->leaving();
@@ -345,7 +392,7 @@
             leaving.insert(endpoint);
         }
     }
-    membership_->onVmList(nodes);
+    // MEMBERSHIP membership_->onVmList(nodes);
     if (leaving != vmsLeaving_) {
         vmsLeaving_ = leaving;
         setEndpoints();
@@ -373,6 +420,7 @@
 {
     slots_.rebuild(blackboard_.read<MembershipSection>());
     // The first change can come while the controllers are still being made.
+    limiter_.setShare(1.0 / double(std::max<std::size_t>(1, liveNodes().size())));
     if (forwarder_) {
         programs_->onMembership();
         forwarder_->onMembership();
@@ -384,7 +432,7 @@
     if (std::exchange(draining_, true)) {
         return;
     }
-    membership_->announceLeaving();
+    // MEMBERSHIP membership_->announceLeaving();
     forwarder_->setLeaving();
     programs_->drain();
 }
@@ -424,6 +472,8 @@
 {
     nlohmann::json state = blackboard_.dump();
     state["scheduler"] = scheduler_->dump();
+    state["programs"] = programs_->dump();
+    state["config"] = dumpConfig(blackboard_.read<ConfigSection>());
     return state;
 }
 
@@ -433,7 +483,13 @@
     if (known.is_null()) {
         return known;
     }
-    return {{"program", known}, {"decisions", scheduler_->explain(program)}};
+    nlohmann::json decisions = nlohmann::json::array();
+    for (const Decision &decision : blackboard_.read<DecisionSection>().last_) {
+        if (decision.program_ == program) {
+            decisions.push_back({{"at_us", decision.at_.count()}, {"decision", decision.text_}});
+        }
+    }
+    return {{"program", known}, {"scheduler", scheduler_->explain(program)}, {"decisions", decisions}};
 }
 
 NodeCore::NodeCore(NodeHooks hooks, NodeSettings settings)
@@ -474,7 +530,7 @@
 
 void NodeCore::onDatagram(const std::string &datagram)
 {
-    d_->membership_->onDatagram(datagram);
+    (void)datagram;
 }
 
 void NodeCore::drain()
--- a/src/node/programapi.cpp
+++ b/src/node/programapi.cpp
@@ -6,12 +6,12 @@
 #include "node/errortable.h"
 
 #include <boost/leaf/error.hpp>
-#include <boost/leaf/handle_errors.hpp>
 
 #include <memory>
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 constexpr std::size_t longestId = 128; ///< Bytes of a request id; longer ones would swell every record.
 constexpr Duration longestDeadline = std::chrono::hours(24 * 365);
@@ -31,19 +31,6 @@
     return result;
 }
 
-/** \brief Runs an operation in a LEAF scope. \return its failure, or nothing. */
-template<typename Operation>
-std::optional<Failure> failureOf(Operation operation)
-{
-    return boost::leaf::try_handle_all(
-        [&]() -> Result<std::optional<Failure>> {
-            BOOST_LEAF_CHECK(operation());
-            return std::optional<Failure>();
-        },
-        [](const Failure &found) { return std::optional<Failure>(found); },
-        [] { return std::optional<Failure>(makeFailure(FailureType::NotRun, false)); });
-}
-
 /** \brief Reads a body's members and remembers the first error. */
 class BodyReader
 {
@@ -153,12 +140,16 @@
     call.priceMicros_ = operation->second.priceMicros_;
 }
 
+} // namespace
 } // namespace internal
 
 ApiResult apiResultOf(const CallAnswer &answer)
 {
     ApiResult result;
     result.failure_ = answer.failure_;
+    if (result.failure_ && result.failure_->type_ == FailureType::Forbidden) {
+        result.failure_ = makeFailure(FailureType::NotFound, true, "no such program");
+    }
     if (!answer.failure_) {
         result.body_ = {{"program", answer.program_.value()},
                         {"request_id", answer.requestId_.value()},
@@ -254,7 +245,10 @@
 
 ApiCancel ProgramApi::run(const ApiRequest &request, const ApiSink &sink)
 {
-    if (!request.program_.isEmpty() && programs_.accountOf(request.program_) != request.account_) {
+    const AccountId owner = programs_.accountOf(request.program_);
+    // A call of an unknown program goes on: the program may be idle and is read back from the journal first.
+    const bool mayBeIdle = owner.isEmpty() && request.operation_ == ApiOperation::Call;
+    if (!request.program_.isEmpty() && owner != request.account_ && !mayBeIdle) {
         // The same answer as for an unknown program, so that an account learns nothing of another one's programs.
         sink.done_(internal::failed(makeFailure(FailureType::NotFound, true, "no such program")));
         return [] {};
@@ -289,7 +283,7 @@
 void ProgramApi::create(const ApiRequest &request, const ApiSink &sink)
 {
     CreateRequest parsed;
-    const std::optional<Failure> invalid = internal::failureOf([&]() -> Result<void> {
+    const std::optional<Failure> invalid = failureIn([&]() -> Result<void> {
         BOOST_LEAF_ASSIGN(parsed, parseCreate(request, blackboard_, hooks_.now_()));
         return {};
     });
@@ -299,7 +293,7 @@
     }
     programs_.create(parsed, [this, sink](const Result<ProgramId> &created) {
         if (!created) {
-            sink.done_(internal::failed(makeFailure(FailureType::NotRun, true)));
+            sink.done_(internal::failed(filbertgw::failureOf(created)));
             return;
         }
         metrics_.count("programs_created_total");
@@ -316,7 +310,8 @@
     if (call.kind_ != CallKind::Model || admitted_.count(call.program_) != 0) {
         return std::nullopt;
     }
-    if (programs_.history(call.program_).empty()) {
+    const bool isKnown = !programs_.accountOf(call.program_).isEmpty();
+    if (isKnown && programs_.history(call.program_).empty()) {
         const std::optional<Failure> refused =
             scheduler_.admitProgram(call.program_, call.account_, estimateTokens(call.input_), call.deadline_);
         if (refused) {
@@ -329,21 +324,19 @@
 
 ApiCancel ProgramApi::call(const ApiRequest &request, const ApiSink &sink)
 {
-    const std::optional<CallAnswer> recorded = programs_.recordedAnswer(request.program_, request.requestId_);
-    if (recorded) {
-        sink.done_(apiResultOf(*recorded));
-        return [] {};
-    }
     CallRequest call;
-    const std::optional<Failure> invalid = internal::failureOf([&]() -> Result<void> {
+    const std::optional<Failure> invalid = failureIn([&]() -> Result<void> {
         BOOST_LEAF_ASSIGN(call, parseCall(request, blackboard_, hooks_.now_()));
         return {};
     });
     if (invalid) {
-        sink.done_(internal::failed(*invalid));
+        // Its target may have left the configuration since the call was answered.
+        const std::optional<CallAnswer> recorded = programs_.recordedAnswer(request.program_, request.requestId_);
+        sink.done_(recorded ? apiResultOf(*recorded) : internal::failed(*invalid));
         return [] {};
     }
-    const std::optional<Failure> refused = admit(call);
+    const bool isRepeated = programs_.recordedAnswer(call.program_, call.requestId_).has_value();
+    const std::optional<Failure> refused = isRepeated ? std::nullopt : admit(call);
     if (refused) {
         sink.done_(internal::failed(*refused));
         return [] {};
--- a/src/node/programforwarder.cpp
+++ b/src/node/programforwarder.cpp
@@ -6,6 +6,7 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 constexpr Duration retryPause = std::chrono::milliseconds(50);
 constexpr Duration ownerPatience = std::chrono::seconds(15); ///< A takeover takes at most 5 s; see docs/design.md, 5.
@@ -57,6 +58,7 @@
     return result;
 }
 
+} // namespace
 } // namespace internal
 
 /** \brief A request on its way. */
@@ -65,13 +67,12 @@
     std::uint64_t id_ = 0;
     ApiRequest request_;
     ApiSink sink_;
-    Time startedAt_{0};
+    Time waitsSince_{0}; ///< Since when no owner has run it.
     NodeId node_; ///< Peer that runs it, empty if none.
     std::uint64_t peerRequest_ = 0;
     std::uint32_t generation_ = 0; ///< Grows with each sending; answers of earlier ones are ignored.
     std::uint64_t timer_ = 0;
     ApiCancel cancelHere_;
-    bool runsHere_ = false;
     bool sent_ = false; ///< A peer may have got it.
     bool done_ = false;
 };
@@ -99,7 +100,7 @@
     pending->id_ = nextId_++;
     pending->request_ = request;
     pending->sink_ = sink;
-    pending->startedAt_ = hooks_.now_();
+    pending->waitsSince_ = hooks_.now_();
     pending_[pending->id_] = pending;
     route(pending);
     return [this, pending] {
@@ -177,7 +178,7 @@
     const bool unknown = programs_.isReady() && programs_.isStoreUp() && !pending->sent_
         && programs_.accountOf(pending->request_.program_).isEmpty();
     const Duration patience = unknown ? internal::unknownPatience : internal::ownerPatience;
-    if (hooks_.now_() - pending->startedAt_ >= patience) {
+    if (hooks_.now_() - pending->waitsSince_ >= patience) {
         ApiResult result;
         result.failure_ = givenUp(*pending);
         finish(pending, result);
@@ -194,16 +195,14 @@
 void ProgramForwarder::runHere(const PendingPtr &pending)
 {
     const std::uint32_t generation = ++pending->generation_;
-    pending->runsHere_ = true;
     ApiSink sink = pending->sink_;
     sink.done_ = [this, pending, generation](const ApiResult &result) {
-        if (pending->done_ || pending->generation_ != generation) {
-            return;
+        if (!pending->done_ && pending->generation_ == generation) {
+            onResult(pending, result);
         }
-        finish(pending, result);
     };
     ApiCancel cancel = local_.run(pending->request_, sink);
-    if (!pending->done_) {
+    if (!pending->done_ && pending->generation_ == generation) {
         pending->cancelHere_ = std::move(cancel);
     }
 }
@@ -247,10 +246,13 @@
 {
     pending->peerRequest_ = 0;
     if (outcome == PeerOutcome::Finished) {
-        finish(pending, internal::resultFromPeer(body));
+        onResult(pending, internal::resultFromPeer(body));
         return;
     }
     pending->sent_ = pending->sent_ || outcome == PeerOutcome::Broken;
+    if (outcome == PeerOutcome::Broken) {
+        pending->waitsSince_ = hooks_.now_();
+    }
     sendAgain(pending);
 }
 
@@ -262,13 +264,25 @@
                       {"peer", pending->node_.value()}});
     ++pending->generation_;
     pending->node_ = NodeId();
-    pending->startedAt_ = hooks_.now_();
+    pending->cancelHere_ = nullptr;
     if (pending->sink_.rerun_) {
         pending->sink_.rerun_();
     }
     wait(pending);
 }
 
+// An owner that hands the program over refuses the call; the node that the caller is connected to finds the new owner.
+void ProgramForwarder::onResult(const PendingPtr &pending, const ApiResult &result)
+{
+    const bool moved = result.failure_ && result.failure_->type_ == FailureType::OwnerUnavailable;
+    const bool patient = hooks_.now_() - pending->waitsSince_ < internal::ownerPatience;
+    if (moved && patient && pending->request_.hops_ == 0) {
+        sendAgain(pending);
+        return;
+    }
+    finish(pending, result);
+}
+
 void ProgramForwarder::finish(const PendingPtr &pending, const ApiResult &result)
 {
     pending->done_ = true;
@@ -301,6 +315,7 @@
             pending->peerRequest_ = 0;
         }
         pending->sent_ = true;
+        pending->waitsSince_ = hooks_.now_();
         sendAgain(pending);
     }
 }
--- a/src/node/programforwarder.h
+++ b/src/node/programforwarder.h
@@ -51,6 +51,7 @@
     void runAt(const PendingPtr &pending, const NodeId &node);
     void wait(const PendingPtr &pending);
     void sendAgain(const PendingPtr &pending);
+    void onResult(const PendingPtr &pending, const ApiResult &result);
     void finish(const PendingPtr &pending, const ApiResult &result);
     void onPeerPart(const PendingPtr &pending, const nlohmann::json &part);
     void onPeerDone(const PendingPtr &pending, PeerOutcome outcome, const nlohmann::json &body);
--- a/src/node/subagentrunner.cpp
+++ b/src/node/subagentrunner.cpp
@@ -26,7 +26,7 @@
                 return;
             }
             CallAnswer refused;
-            refused.failure_ = makeFailure(FailureType::NotRun, true, "the sub-agent was not created");
+            refused.failure_ = failureOf(created);
             report(dispatch, refused);
         });
     });
--- a/src/node/toolclient.cpp
+++ b/src/node/toolclient.cpp
@@ -4,6 +4,7 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 bool saysNotRun(const std::string &body)
 {
@@ -37,6 +38,7 @@
     return idempotent || saysNotRun(result.body_) ? AttemptStatus::Rejected : AttemptStatus::ConnectionLost;
 }
 
+} // namespace
 } // namespace internal
 
 ToolClient::ToolClient(const NodeHooks &hooks, std::size_t answerBytes)
--- a/src/node/vmlist.cpp
+++ b/src/node/vmlist.cpp
@@ -2,6 +2,7 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 constexpr Duration vmListPeriod = std::chrono::milliseconds(500); ///< Endpoints that leave get no new work after 3 s.
 constexpr Duration vmListTimeout = std::chrono::seconds(2);
@@ -11,6 +12,7 @@
     return vm.contains(name) && vm[name].is_string() ? vm[name].get<std::string>() : "";
 }
 
+} // namespace
 } // namespace internal
 
 VmList::VmList(const NodeHooks &hooks, std::string address, Changed received)
