--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -63,9 +63,7 @@
     request.runAlone_ = dispatch.runAlone_;
     request.promptTokens_ = estimateTokens(dispatch.prompt_);
     request.maxTokens_ = call.maxTokens_;
-    const EndpointInfo *home = internal::findEndpoint(blackboard_, dispatch.homeEngine_);
-    // The journal keeps the endpoint of the last turn, which may have been a tool's.
-    request.homeEngine_ = home != nullptr && home->kind_ == CallKind::Model ? dispatch.homeEngine_ : EndpointId();
+    request.homeEngine_ = dispatch.homeEngine_;
     request.deadline_ = call.deadline_;
     request.fencing_ = dispatch.fencing_;
     // A program with a home engine has had turns; after a takeover nothing else tells that it has started.
--- a/src/node/nodecore.cpp
+++ b/src/node/nodecore.cpp
@@ -215,7 +215,7 @@
         programApi_->forget(program);
         hooks_.post_([this, program] { scheduler_->onProgramEnded(program); });
     };
-    hooks.log_event_ = [this](const std::string &event, const nlohmann::json &fields) {
+    hooks.logEvent_ = [this](const std::string &event, const nlohmann::json &fields) {
         hooks_.logEvent_(event, fields);
     };
     hooks.isAlive_ = [this](const NodeId &node) { return isAlive(node); };
--- a/src/policy/programtracker.cpp
+++ b/src/policy/programtracker.cpp
@@ -80,6 +80,9 @@
 
 void ProgramTracker::onAnswered(const ScheduleRequest &request, const AttemptResult &result)
 {
+    if (request.kind_ != CallKind::Model) {
+        return; // A tool or plain service holds no prefix and doesn't become the program's home.
+    }
     const double share = 1 / internal::generatedMemory;
     section_.generated_ += share * (static_cast<double>(result.generatedTokens_) - section_.generated_);
     onMoved(request.program_, result.endpoint_, result.promptTokens_ + result.generatedTokens_);
