--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -1,6 +1,5 @@
 #include "node/callerapi.h"
 
-#include "config/configsection.h"
 #include "node/errortable.h"
 
 #include <sstream>
@@ -74,13 +73,11 @@
 } // namespace internal
 
 CallerApi::CallerApi(const NodeHooks &hooks,
-                     const Blackboard &blackboard,
                      Authenticator &authenticator,
                      AccountGate gate,
                      ProgramForwarder &forwarder,
                      Metrics &metrics)
     : hooks_(hooks)
-    , blackboard_(blackboard)
     , authenticator_(authenticator)
     , gate_(std::move(gate))
     , forwarder_(forwarder)
--- a/src/node/callerapi.h
+++ b/src/node/callerapi.h
@@ -29,7 +29,6 @@
 {
 public:
     CallerApi(const NodeHooks &hooks,
-              const Blackboard &blackboard,
               Authenticator &authenticator,
               AccountGate gate,
               ProgramForwarder &forwarder,
@@ -60,7 +59,6 @@
     RequestId randomRequestId() const;
 
     const NodeHooks &hooks_;
-    const Blackboard &blackboard_;
     Authenticator &authenticator_;
     AccountGate gate_;
     ProgramForwarder &forwarder_;
--- a/src/node/nodecore.cpp
+++ b/src/node/nodecore.cpp
@@ -131,7 +131,7 @@
     poller_ = std::make_unique<EndpointPoller>(hooks_, blackboard_, *scheduler_, settings_.pollPeriod_);
     programApi_ = std::make_unique<ProgramApi>(hooks_, blackboard_, *programs_, *scheduler_, streams_, metrics_);
     forwarder_ = std::make_unique<ProgramForwarder>(hooks_, blackboard_, *programs_, *programApi_, slots_, metrics_);
-    callers_ = std::make_unique<CallerApi>(hooks_, blackboard_, authenticator_, accountGate(), *forwarder_, metrics_);
+    callers_ = std::make_unique<CallerApi>(hooks_, authenticator_, accountGate(), *forwarder_, metrics_);
     operators_ = std::make_unique<OperatorApi>(authenticator_, metrics_, operatorHooks());
     vmList_ =
         std::make_unique<VmList>(hooks_, settings_.vmList_, [this](const std::vector<VmList::Vm> &vms) { onVms(vms); });
