Record a quarantined request and the reasons of failures in the golden sessions

Cause: the session of decisions had no crash of two engines and no reasons of refusals. Change: one log line for each ended call and each failed request, with its reason; a poison request. Conclusion: decisions.golden shows start, retry, release, quarantine, budget, deadline, loop, conflict, outage, unknown outcome, leaving engine and drain with their reasons.

--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -193,12 +193,24 @@
     reply->onClosed(forwarder_.run(route.request_, sink));
 }
 
+void CallerApi::logFailure(const ApiRequest &request, const Failure &failure) const
+{
+    hooks_.logEvent_("request_failed",
+                     {{"program", request.program_.value()},
+                      {"request", request.requestId_.value()},
+                      {"account", request.account_.value()},
+                      {"type", nameOf(failure.type_)},
+                      {"not_run", failure.notRun_},
+                      {"reason", failure.detail_}});
+}
+
 void CallerApi::runCall(const Route &route, const std::shared_ptr<HttpReply> &reply)
 {
     const AccountId account = route.request_.account_;
     const std::optional<Failure> refused = gate_.beginCall_(account);
     if (refused) {
         metrics_.count("refused_requests_total", "type=\"" + std::string(nameOf(refused->type_)) + "\"");
+        logFailure(route.request_, *refused);
         sendFailure(*reply, *refused);
         return;
     }
@@ -214,8 +226,12 @@
     const std::shared_ptr<CallerStream> stream =
         std::make_shared<CallerStream>(reply, route.format_, route.streamed_, model);
     ApiSink sink = stream->sink();
-    sink.done_ = [this, endCall, startedAt, stream](const ApiResult &result) {
+    const ApiRequest request = route.request_;
+    sink.done_ = [this, endCall, startedAt, stream, request](const ApiResult &result) {
         endCall();
+        if (result.failure_) {
+            logFailure(request, *result.failure_);
+        }
         metrics_.observe("caller_seconds", hooks_.now_() - startedAt);
         metrics_.count("answers_total",
                        "type=\"" + (result.failure_ ? std::string(nameOf(result.failure_->type_)) : "answered") + "\"");
--- a/src/node/callerapi.h
+++ b/src/node/callerapi.h
@@ -56,6 +56,7 @@
                 const nlohmann::json &body,
                 const AccountId &account,
                 const std::shared_ptr<HttpReply> &reply);
+    void logFailure(const ApiRequest &request, const Failure &failure) const;
     RequestId randomRequestId() const;
 
     const NodeHooks &hooks_;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -291,6 +291,13 @@
     if (outcome.status_ != DispatchStatus::Answered && !outcome.failure_) {
         outcome.failure_ = makeFailure(FailureType::EndpointFailed, outcome.status_ == DispatchStatus::NotSent);
     }
+    hooks_.logEvent_("call_ended",
+                     {{"program", key.first.value()},
+                      {"request", key.second.value()},
+                      {"status", nameOf(outcome.status_)},
+                      {"endpoint", outcome.endpoint_.value()},
+                      {"crashes", outcome.crashes_},
+                      {"reason", outcome.failure_ ? outcome.failure_->detail_ : ""}});
     metrics_.observe("call_seconds", hooks_.now_() - running.startedAt_);
     streams_.end(key.first, key.second);
     hooks_.post_([this, outcome] { controllers_.outcome_(outcome); });
--- a/test/golden/sessions.cpp
+++ b/test/golden/sessions.cpp
@@ -105,6 +105,8 @@
         } else if (what == "delay") {
             fleet_.endpoints_.toolDelays_[step.at("call").get<std::string>()] =
                 std::chrono::milliseconds(step.at("ms").get<std::int64_t>());
+        } else if (what == "poison") {
+            fleet_.endpoints_.poison_ = step.at("text").get<std::string>();
         } else if (what == "hang") {
             fleet_.endpoints_.hanging_.insert(step.at("call").get<std::string>());
         } else if (what == "publish") {
--- a/test/golden/virtualworld.cpp
+++ b/test/golden/virtualworld.cpp
@@ -13,6 +13,7 @@
 constexpr Duration networkLatency = std::chrono::microseconds(500);
 constexpr Duration tokenPeriod = std::chrono::milliseconds(15);
 constexpr Duration toolDelay = std::chrono::milliseconds(20);
+constexpr Duration engineRestart = std::chrono::seconds(3);
 constexpr double prefillTokensPerSecond = 20'000;
 
 std::string withoutQuery(const std::string &target)
@@ -221,6 +222,12 @@
     Engine &engine = engines_[exchange.call_.address_];
     const nlohmann::json body = nlohmann::json::parse(exchange.call_.request_.body_);
     const std::string prompt = body["messages"][0]["content"].get<std::string>();
+    if (!poison_.empty() && prompt.find(poison_) != std::string::npos) {
+        const std::string address = exchange.call_.address_;
+        crash(address);
+        clock_.after(engineRestart, [this, address] { restart(address); });
+        return;
+    }
     const std::string program = exchange.call_.request_.headers_["x-program"];
     exchange.words_ = answerWords(prompt, body.value("max_tokens", std::int64_t(0)));
     exchange.promptTokens_ = estimateTokens(prompt);
--- a/test/golden/virtualworld.h
+++ b/test/golden/virtualworld.h
@@ -78,6 +78,7 @@
 
     std::map<std::string, Duration> toolDelays_; ///< By name of the call; 20 ms if absent.
     std::set<std::string> hanging_; ///< Names of calls that never answer.
+    std::string poison_; ///< A prompt with this text crashes its engine, which restarts after 3 s; empty for none.
     std::set<std::string> leaving_; ///< Addresses of engines that say that they leave.
 
 private:
