--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -7,6 +7,7 @@
 
 namespace filbertgw {
 namespace internal {
+namespace {
 
 constexpr std::int64_t bytesPerToken = 4; ///< Usual average of natural language.
 
@@ -17,6 +18,7 @@
     return found == config.endpoints_.end() ? nullptr : &found->second;
 }
 
+} // namespace
 } // namespace internal
 
 std::int64_t estimateTokens(const std::string &text)
@@ -64,7 +66,8 @@
     request.homeEngine_ = dispatch.homeEngine_;
     request.deadline_ = call.deadline_;
     request.fencing_ = dispatch.fencing_;
-    request.programStarted_ = running.startedAt_;
+    // A program with a home engine has had turns; after a takeover nothing else tells that it has started.
+    request.turn_ = dispatch.homeEngine_.isEmpty() ? 0 : 1;
     hooks_.logEvent_("call_dispatched",
                      {{"program", call.program_.value()},
                       {"request", call.requestId_.value()},
@@ -252,6 +255,11 @@
     result.attempt_ = attempt.order_.attempt_;
     result.status_ = AttemptStatus::Cancelled;
     result.latency_ = hooks_.now_() - attempt.startedAt_;
+    hooks_.logEvent_("attempt_abandoned",
+                     {{"program", result.program_.value()},
+                      {"request", result.requestId_.value()},
+                      {"endpoint", result.endpoint_.value()},
+                      {"attempt", result.attempt_}});
     hooks_.post_([this, result] { controllers_.attemptEnded_(result); });
 }
 
@@ -283,6 +291,13 @@
     if (outcome.status_ != DispatchStatus::Answered && !outcome.failure_) {
         outcome.failure_ = makeFailure(FailureType::EndpointFailed, outcome.status_ == DispatchStatus::NotSent);
     }
+    hooks_.logEvent_("call_ended",
+                     {{"program", key.first.value()},
+                      {"request", key.second.value()},
+                      {"status", nameOf(outcome.status_)},
+                      {"endpoint", outcome.endpoint_.value()},
+                      {"crashes", outcome.crashes_},
+                      {"reason", outcome.failure_ ? outcome.failure_->detail_ : ""}});
     metrics_.observe("call_seconds", hooks_.now_() - running.startedAt_);
     streams_.end(key.first, key.second);
     hooks_.post_([this, outcome] { controllers_.outcome_(outcome); });
@@ -306,6 +321,13 @@
         engines_.cancelRequest(*endpoint, order.program_, order.requestId_);
         return;
     }
+    hooks_.logEvent_("endpoint_order",
+                     {{"order", nameOf(order.kind_)},
+                      {"endpoint", order.endpoint_.value()},
+                      {"program", order.program_.value()},
+                      {"subject", order.subject_},
+                      {"reason", order.reason_}});
+    metrics_.count("endpoint_orders_total", "order=\"" + std::string(nameOf(order.kind_)) + "\"");
     const EndpointInfo *peer = internal::findEndpoint(blackboard_, order.peer_);
     engines_.control(*endpoint, order, peer == nullptr ? "" : peer->address_);
 }
