--- a/standin/engine.h
+++ b/standin/engine.h
@@ -39,8 +39,8 @@
 /**
  * \brief A model engine with streamed OpenAI-style answers and a prefix cache by program.
  *
- * A prompt is the text of its messages, each as `ROLE\nCONTENT\n`; a token is four bytes of it. The answer is a
- * function of the prompt only, see answerText(), so that a test finds a history that lacks a turn or mixes two.
+ * A prompt is the text of its messages, one after the other; a token is four bytes of it. The answer is a function of
+ * the prompt only, see answerText(), so that a test finds a history that lacks a turn or mixes two.
  */
 class Engine
 {
@@ -97,7 +97,7 @@
     void remember(const Stream &stream);
     void evict();
     std::uint64_t cacheTokens() const;
-    void addEvent(const std::string &event, const std::string &program, std::uint64_t tokens);
+    void addEvent(const std::string &kind, const std::string &program, std::uint64_t tokens);
     void sendEvents(std::uint64_t from, const std::shared_ptr<HttpReply> &reply) const;
     nlohmann::json loadReport() const;
     void sendLoad(const std::shared_ptr<HttpReply> &reply);
