--- a/src/membership/datagram.cpp
+++ b/src/membership/datagram.cpp
@@ -23,6 +23,16 @@
     return mac;
 }
 
+nlohmann::json parse(const std::string &message)
+{
+    // nlohmann::json 3.11 throws for an array or object of excessive size even if told not to.
+    try {
+        return nlohmann::json::from_cbor(message, true, false);
+    } catch (const nlohmann::json::exception &) {
+        return nlohmann::json(nlohmann::json::value_t::discarded);
+    }
+}
+
 const nlohmann::json &nullJson()
 {
     static const nlohmann::json null;
@@ -33,10 +43,14 @@
 
 std::string sealDatagram(const nlohmann::json &message, const std::string &key)
 {
-    std::string datagram;
-    nlohmann::json::to_cbor(message, datagram);
-    datagram += internal::macOf(datagram, key);
-    return datagram;
+    std::string bytes;
+    nlohmann::json::to_cbor(message, bytes);
+    return sealBytes(bytes, key);
+}
+
+std::string sealBytes(const std::string &bytes, const std::string &key)
+{
+    return bytes + internal::macOf(bytes, key);
 }
 
 std::optional<nlohmann::json> openDatagram(const std::string &datagram, const std::vector<std::string> &keys)
@@ -52,7 +66,7 @@
     if (!authentic) {
         return std::nullopt;
     }
-    nlohmann::json parsed = nlohmann::json::from_cbor(message, true, false);
+    nlohmann::json parsed = internal::parse(message);
     if (!parsed.is_array() || parsed.empty() || !parsed[0].is_number_unsigned()
         || parsed[0].get<std::uint64_t>() > lastDatagramType) {
         return std::nullopt;
--- a/src/membership/datagram.h
+++ b/src/membership/datagram.h
@@ -39,6 +39,9 @@
 /** \brief A message as CBOR followed by its truncated MAC. */
 std::string sealDatagram(const nlohmann::json &message, const std::string &key);
 
+/** \brief Bytes that need not be a message, followed by their truncated MAC. */
+std::string sealBytes(const std::string &bytes, const std::string &key);
+
 /**
  * \brief The message of a datagram: a non-empty CBOR array whose first element is a DatagramType.
  * \param keys every accepted key.
