--- a/src/config/configfold.cpp
+++ b/src/config/configfold.cpp
@@ -64,6 +64,25 @@
 {
 }
 
+ConfigFold::Version *ConfigFold::find(const RecordKey &key)
+{
+    const auto current = section_.inForce_.find(key);
+    return current == section_.inForce_.end() ? nullptr : &versions_.at(&current->first);
+}
+
+const ConfigFold::Version *ConfigFold::find(const RecordKey &key) const
+{
+    return const_cast<ConfigFold *>(this)->find(key);
+}
+
+nlohmann::json ConfigFold::unpackVersion(const RecordKey &key, const Version &version)
+{
+    nlohmann::json record = internal::unpack(version.packed_);
+    record["kind"] = key.first;
+    record["name"] = key.second;
+    return record;
+}
+
 FoldVerdict ConfigFold::fold(const LogEntry &entry)
 {
     if (entry.offset_ <= section_.offset_) {
@@ -102,8 +121,8 @@
     if (!failures.empty()) {
         return hold(entry, FoldVerdict::Invalid, internal::joinDetails(failures));
     }
-    const auto current = versions_.find(key);
-    const Offset inForce = current == versions_.end() ? 0 : current->second.offset_;
+    const Version *current = find(key);
+    const Offset inForce = current == nullptr ? 0 : current->offset_;
     const Offset replaces = internal::offsetOf(entry.body_, "replaces");
     if (replaces != inForce) {
         return hold(entry,
@@ -111,7 +130,7 @@
                     "replaces " + std::to_string(replaces) + ", in force is " + std::to_string(inForce));
     }
     // The first record of a key proves itself. A later one needs the one it replaces, so its proof is as old.
-    install(key, entry.offset_, current == versions_.end() ? entry.time_ : current->second.anchor_, entry.body_);
+    install(key, entry.offset_, current == nullptr ? entry.time_ : current->anchor_, entry.body_);
     return FoldVerdict::Accepted;
 }
 
@@ -126,12 +145,12 @@
         }
         return FoldVerdict::Copy;
     }
-    const auto current = versions_.find(keyOf(entry.body_));
-    if (current != versions_.end() && current->second.offset_ == origin) {
-        current->second.anchor_ = std::max(current->second.anchor_, entry.time_);
+    Version *current = find(keyOf(entry.body_));
+    if (current != nullptr && current->offset_ == origin) {
+        current->anchor_ = std::max(current->anchor_, entry.time_);
         return FoldVerdict::Copy;
     }
-    if (current == versions_.end() || origin > current->second.offset_) {
+    if (current == nullptr || origin > current->offset_) {
         return hold(entry, FoldVerdict::Invalid, "origin " + std::to_string(origin) + " is no accepted record");
     }
     return FoldVerdict::Copy;
@@ -216,8 +235,8 @@
 void ConfigFold::foldUnlessProven(const LogEntry &entry)
 {
     if (validateHeader(entry.body_).empty()) {
-        const auto current = versions_.find(keyOf(entry.body_));
-        if (current != versions_.end() && current->second.offset_ >= entry.offset_) {
+        const Version *current = find(keyOf(entry.body_));
+        if (current != nullptr && current->offset_ >= entry.offset_) {
             rememberId(stableHash(entry.body_.at("id").get<std::string>()), entry.offset_);
             return;
         }
@@ -243,7 +262,8 @@
 
 void ConfigFold::install(const RecordKey &key, Offset offset, Time anchor, nlohmann::json record)
 {
-    Version &version = versions_[key];
+    const auto inForce = section_.inForce_.emplace(key, 0).first;
+    Version &version = versions_[&inForce->first];
     if (offset < version.offset_) {
         return;
     }
@@ -254,12 +274,14 @@
     record.erase("origin");
     version.offset_ = offset;
     version.idHash_ = stableHash(record.at("id").get_ref<const std::string &>());
-    version.packed_ = internal::pack(record);
-    section_.inForce_[key] = offset;
+    inForce->second = offset;
     if (key.first != nameOf(RecordKind::Account)) {
         section_.records_[key] = record;
     }
     apply(key, isRemoval(record) ? nullptr : &record);
+    record.erase("kind");
+    record.erase("name");
+    version.packed_ = internal::pack(record);
 }
 
 namespace internal {
@@ -337,8 +359,8 @@
 
 bool ConfigFold::isKnownId(std::uint64_t idHash, const RecordKey &key) const
 {
-    const auto current = versions_.find(key);
-    return recentIdSet_.count(idHash) != 0 || (current != versions_.end() && current->second.idHash_ == idHash);
+    const Version *current = find(key);
+    return recentIdSet_.count(idHash) != 0 || (current != nullptr && current->idHash_ == idHash);
 }
 
 void ConfigFold::rememberId(std::uint64_t idHash, Offset offset)
@@ -381,10 +403,10 @@
 
 std::vector<LogEntry> ConfigFold::snapshotFrom(Offset from, std::size_t limit, bool first, std::uint64_t source) const
 {
-    std::vector<std::pair<Offset, const Version *>> order;
-    for (const std::pair<const RecordKey, Version> &entry : versions_) {
-        if (entry.second.offset_ >= from) {
-            order.emplace_back(entry.second.offset_, &entry.second);
+    std::vector<std::pair<Offset, const RecordKey *>> order;
+    for (const std::pair<const RecordKey, Offset> &entry : section_.inForce_) {
+        if (entry.second >= from) {
+            order.emplace_back(entry.second, &entry.first);
         }
     }
     std::sort(order.begin(), order.end());
@@ -394,11 +416,12 @@
         body[snapshotField] = mark;
         entries.push_back(LogEntry{offset, time, std::move(body)});
     };
-    for (const std::pair<Offset, const Version *> &item : order) {
+    for (const std::pair<Offset, const RecordKey *> &item : order) {
         if (entries.size() == limit) {
             return entries;
         }
-        add(item.first, item.second->anchor_, {{"record", internal::unpack(item.second->packed_)}});
+        const Version &version = versions_.at(item.second);
+        add(item.first, version.anchor_, {{"record", unpackVersion(*item.second, version)}});
     }
     if (entries.size() < limit) {
         add(section_.offset_, Time(0), nlohmann::json::object());
@@ -408,36 +431,32 @@
 
 std::optional<nlohmann::json> ConfigFold::record(const RecordKey &key) const
 {
-    const auto found = versions_.find(key);
-    if (found == versions_.end()) {
-        return std::nullopt;
-    }
-    return internal::unpack(found->second.packed_);
+    const Version *found = find(key);
+    return found == nullptr ? std::nullopt : std::optional<nlohmann::json>(unpackVersion(key, *found));
 }
 
 std::vector<nlohmann::json> ConfigFold::dueCopies(Time now, Duration age, std::size_t scan, std::size_t limit)
 {
     std::vector<nlohmann::json> copies;
-    const auto addIfDue = [&](const Version &version, bool retained) {
-        if (copies.size() >= limit || version.anchor_ + age > now) {
-            return;
-        }
-        nlohmann::json copy = internal::unpack(version.packed_);
-        copy["origin"] = version.offset_;
-        if (retained) {
-            copy["retained"] = true;
+    const auto isDue = [&](const Version &version) { return copies.size() < limit && version.anchor_ + age <= now; };
+    auto next = section_.inForce_.upper_bound(scanCursor_);
+    for (std::size_t i = 0; i < scan && next != section_.inForce_.end() && copies.size() < limit; ++i, ++next) {
+        const Version &version = versions_.at(&next->first);
+        if (isDue(version)) {
+            copies.push_back(unpackVersion(next->first, version));
+            copies.back()["origin"] = version.offset_;
         }
-        copies.push_back(std::move(copy));
-    };
-    auto next = versions_.upper_bound(scanCursor_);
-    for (std::size_t i = 0; i < scan && next != versions_.end() && copies.size() < limit; ++i, ++next) {
-        addIfDue(next->second, false);
         scanCursor_ = next->first;
     }
-    if (next == versions_.end()) {
-        scanCursor_ = RecordKey();
-        for (const std::pair<const Offset, Version> &entry : retained_) {
-            addIfDue(entry.second, true);
+    if (next != section_.inForce_.end()) {
+        return copies;
+    }
+    scanCursor_ = RecordKey();
+    for (const std::pair<const Offset, Version> &entry : retained_) {
+        if (isDue(entry.second)) {
+            copies.push_back(internal::unpack(entry.second.packed_));
+            copies.back()["origin"] = entry.first;
+            copies.back()["retained"] = true;
         }
     }
     return copies;
--- a/src/config/configfold.h
+++ b/src/config/configfold.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -129,10 +130,13 @@
         Offset offset_ = 0;
         Time anchor_{0}; ///< Age of the oldest entry that a reader of the stream needs to find this version.
         std::uint64_t idHash_ = 0;
-        std::string packed_;
+        std::string packed_; ///< Without kind and name, which the key has; 21,000 accounts are kept.
     };
     using Proofs = std::map<RecordKey, std::pair<Offset, const PackedEntry *>>;
 
+    Version *find(const RecordKey &key);
+    const Version *find(const RecordKey &key) const;
+    static nlohmann::json unpackVersion(const RecordKey &key, const Version &version);
     FoldVerdict judge(const LogEntry &entry);
     FoldVerdict judgeCopy(const LogEntry &entry);
     FoldVerdict hold(const LogEntry &entry, FoldVerdict verdict, const std::string &detail);
@@ -150,7 +154,7 @@
     std::vector<LogEntry> snapshotFrom(Offset from, std::size_t limit, bool first, std::uint64_t source) const;
 
     ConfigSection &section_;
-    std::map<RecordKey, Version> versions_;
+    std::unordered_map<const RecordKey *, Version> versions_; ///< By the keys of ConfigSection::inForce_.
     std::map<Offset, Version> retained_; ///< Of unknown schemas and kinds.
     std::deque<PackedEntry> recent_;
     std::size_t recentBytes_ = 0;
