Refuse copies made by hand, and start with an empty member list

A record with origin that an operator wrote was ignored by running nodes and believed by nodes that start later. validateRecord(), which check and publish use, now refuses it; the fold accepts it from the stream as before.

MemberView clears its section: a node that was filled in from a setting and never answered stayed alive forever.

--- a/src/config/configcontroller.h
+++ b/src/config/configcontroller.h
@@ -81,7 +81,12 @@
 /** \brief The section as JSON for `state`; accounts are counted, not listed. */
 nlohmann::json dumpConfig(const ConfigSection &section);
 
-/** \brief Checks one configuration record as `check` and the fold do. \return every error found; empty if valid. */
+/**
+ * \brief Checks one configuration record of an operator, as `check` and the fold do.
+ *
+ * A copy made by hand would be ignored by running nodes and believed by nodes that start later, so it is an error.
+ * \return every error found; empty if valid.
+ */
 std::vector<Failure> validateRecord(const nlohmann::json &record);
 
 } // namespace filbertgw
--- a/src/config/configfold.cpp
+++ b/src/config/configfold.cpp
@@ -117,7 +117,7 @@
         retain(entry);
         return hold(entry, FoldVerdict::UnknownKind, "kind " + key.first);
     }
-    const std::vector<Failure> failures = validateRecord(entry.body_);
+    const std::vector<Failure> failures = validateStored(entry.body_);
     if (!failures.empty()) {
         return hold(entry, FoldVerdict::Invalid, internal::joinDetails(failures));
     }
@@ -182,7 +182,7 @@
     Proofs proofs;
     for (const PackedEntry &packed : entries) {
         const LogEntry entry = unpackEntry(packed);
-        if (!validateRecord(entry.body_).empty() || !internal::isCopy(entry.body_)
+        if (!validateStored(entry.body_).empty() || !internal::isCopy(entry.body_)
             || internal::isRetainedCopy(entry.body_)) {
             continue;
         }
@@ -251,7 +251,7 @@
     }
     for (const PackedEntry &packed : versions) {
         const nlohmann::json record = internal::unpack(packed.packed_);
-        if (validateRecord(record).empty()) {
+        if (validateStored(record).empty()) {
             install(keyOf(record), packed.offset_, packed.time_, record);
         }
     }
--- a/src/config/configfold.h
+++ b/src/config/configfold.h
@@ -67,9 +67,6 @@
 /** \brief Set in the `from` of a request that goes on with a snapshot. \sa ConfigFold::entriesFrom */
 constexpr Offset snapshotContinuation = 1ULL << 63U;
 
-/** \brief Member of an entry that belongs to a snapshot; no record of the stream is valid with it alone. */
-constexpr const char *snapshotField = "snapshot";
-
 /**
  * \brief The pure function from the entries of the configuration stream to the ConfigSection.
  *
--- a/src/config/configrecord.h
+++ b/src/config/configrecord.h
@@ -46,6 +46,9 @@
 /** \brief The only name of a record of kind `weights`. */
 constexpr const char *weightsName = "default";
 
+/** \brief Member of an entry that belongs to a peer's snapshot; a record that has it is invalid. */
+constexpr const char *snapshotField = "snapshot";
+
 /** \brief Largest record, as JSON text in bytes. Keeps a record well below the frame and datagram buffers of a node. */
 constexpr std::size_t maxRecordBytes = 64 * 1024;
 
@@ -58,6 +61,9 @@
 /** \brief Errors in the fields that every schema has; the record may be of an unknown schema or kind. */
 std::vector<Failure> validateHeader(const nlohmann::json &record);
 
+/** \brief As validateRecord(), but also for copies that nodes append. */
+std::vector<Failure> validateStored(const nlohmann::json &record);
+
 /** \brief True if this version applies the record's schema. */
 bool isKnownSchema(const nlohmann::json &record);
 
--- a/src/config/publication.cpp
+++ b/src/config/publication.cpp
@@ -85,12 +85,6 @@
         draft.emplace("replaces", inForceAt(section_, draft));
     }
     prepared.errors_ = validateRecord(draft);
-    for (const char *field : {"origin", "retained", snapshotField}) {
-        if (draft.is_object() && draft.contains(field)) {
-            const std::string detail = std::string(field) + " is set by nodes only";
-            prepared.errors_.push_back(Failure{FailureType::InvalidRequest, true, detail, Duration(0)});
-        }
-    }
     prepared.record_ = std::move(draft);
     return prepared;
 }
--- a/src/config/recordvalidation.cpp
+++ b/src/config/recordvalidation.cpp
@@ -343,6 +343,7 @@
                        {"replaces", internal::FieldType::Integer, true, 0, internal::noUpperBound},
                        {"origin", internal::FieldType::Integer, false, 1, internal::noUpperBound},
                        {"removed", internal::FieldType::Flag, false, 0, 0}});
+    check.require(record.count(snapshotField) == 0, std::string(snapshotField) + " is set by nodes only");
     // The packed size is what nodes keep and send; it needs no copy of the text.
     check.require(internal::pack(record).size() <= maxRecordBytes,
                   "the record is larger than " + std::to_string(maxRecordBytes) + " bytes");
@@ -359,7 +360,7 @@
     return valueOf<RecordKind>(record.at("kind").get_ref<const std::string &>()).has_value();
 }
 
-std::vector<Failure> validateRecord(const nlohmann::json &record)
+std::vector<Failure> validateStored(const nlohmann::json &record)
 {
     std::vector<Failure> header = validateHeader(record);
     if (!record.is_object() || !internal::isNestedAtMost(record, maxRecordDepth)) {
@@ -382,4 +383,16 @@
     return header;
 }
 
+std::vector<Failure> validateRecord(const nlohmann::json &record)
+{
+    std::vector<Failure> failures = validateStored(record);
+    for (const char *field : {"origin", "retained"}) {
+        if (record.is_object() && record.contains(field)) {
+            const std::string detail = std::string(field) + " is set by nodes only";
+            failures.push_back(Failure{FailureType::InvalidRequest, true, detail, Duration(0)});
+        }
+    }
+    return failures;
+}
+
 } // namespace filbertgw
--- a/src/membership/memberview.cpp
+++ b/src/membership/memberview.cpp
@@ -39,6 +39,7 @@
     , now_(std::move(now))
     , self_(stableHash(self.id_.value()))
 {
+    section_ = MembershipSection();
     section_.self_ = self.id_;
     section_.members_[section_.self_] = std::move(self);
     ++section_.version_;
--- a/test/config/configfold.cpp
+++ b/test/config/configfold.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-nlohmann::json with(nlohmann::json record, const std::string &field, const nlohmann::json &value)
-{
-    record[field] = value;
-    return record;
-}
-
 struct FoldCase
 {
     const char *name_;
--- a/test/config/configtestkit.h
+++ b/test/config/configtestkit.h
@@ -21,6 +21,12 @@
             {"body", {{"default_max_tokens", maxTokens}}}};
 }
 
+inline nlohmann::json with(nlohmann::json record, const std::string &field, const nlohmann::json &value)
+{
+    record[field] = value;
+    return record;
+}
+
 /** \brief A node's view that must be equal everywhere: versions and content in force. */
 inline nlohmann::json viewOf(const ConfigSection &section)
 {
--- a/test/config/validation.cpp
+++ b/test/config/validation.cpp
@@ -91,6 +91,7 @@
     {"Weights",
      recordOf("weights", 1, {{"latency", "1"}, {"wasted_cache", -1}}),
      {"body.latency is not", "body.wasted_cache is not"}},
+    {"CopyMadeByHand", with(recordOf("model", 1, {{"x", 1}}), "origin", 1), {"origin is set by nodes only"}},
     {"Drain", recordOf("drain", 1, nlohmann::json::object()), {"body.draining is missing"}},
 };
 
