--- a/bench/fakes/fakelog.cpp
+++ b/bench/fakes/fakelog.cpp
@@ -106,6 +106,7 @@
     Stream &stream = streams_[name];
     while (stream.firstOffset_ < offset && !stream.entries_.empty()) {
         stream.entries_.erase(stream.entries_.begin());
+        stream.page_.reset();
         ++stream.firstOffset_;
     }
 }
@@ -191,18 +192,22 @@
     }
     waiting->answered_ = true;
     stream.waiting_.erase(std::remove(stream.waiting_.begin(), stream.waiting_.end(), waiting), stream.waiting_.end());
-    LogPage result;
-    if (reached) {
-        result = page(stream, waiting->from_);
-    }
-    loop_.after(faults_.oneWay_ + faults_.extraDelay_, [waiting, reached, result = std::move(result)]() {
-        waiting->deliver_([waiting, reached, result]() { waiting->done_(reached, result); });
+    const std::shared_ptr<const LogPage> result =
+        reached ? page(stream, waiting->from_) : std::make_shared<const LogPage>();
+    loop_.after(faults_.oneWay_ + faults_.extraDelay_, [waiting, reached, result]() {
+        waiting->deliver_([waiting, reached, result]() { waiting->done_(reached, *result); });
     });
 }
 
-LogPage FakeLog::page(const Stream &stream, Offset from) const
+std::shared_ptr<const LogPage> FakeLog::page(Stream &stream, Offset from) const
 {
-    LogPage result;
+    // Most readers wait at the end and get the same page.
+    const Offset next = stream.firstOffset_ + stream.entries_.size();
+    if (stream.page_ && stream.pageFrom_ == from && stream.pageNext_ == next) {
+        return stream.page_;
+    }
+    const std::shared_ptr<LogPage> shared = std::make_shared<LogPage>();
+    LogPage &result = *shared;
     result.firstOffset_ = stream.firstOffset_;
     const Offset start = std::max(from, stream.firstOffset_);
     const std::size_t index = std::min<std::size_t>(start - stream.firstOffset_, stream.entries_.size());
@@ -210,7 +215,10 @@
     const std::vector<LogEntry>::const_iterator first = stream.entries_.begin() + static_cast<std::ptrdiff_t>(index);
     result.entries_.assign(first, first + static_cast<std::ptrdiff_t>(count));
     result.nextOffset_ = start + count;
-    return result;
+    stream.page_ = shared;
+    stream.pageFrom_ = from;
+    stream.pageNext_ = next;
+    return shared;
 }
 
 } // namespace filbertgw::bench
--- a/bench/fakes/fakelog.h
+++ b/bench/fakes/fakelog.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <queue>
 #include <string>
 #include <vector>
@@ -114,6 +115,9 @@
         std::vector<LogEntry> entries_;
         Offset firstOffset_ = 1;
         std::vector<std::shared_ptr<Waiting>> waiting_;
+        std::shared_ptr<const LogPage> page_; ///< The last page that was read, and what it was read for.
+        Offset pageFrom_ = 0;
+        Offset pageNext_ = 0;
     };
 
     void append(const std::string &stream,
@@ -128,7 +132,7 @@
               const Deliver &deliver,
               bool reachable);
     void answerRead(Stream &stream, const std::shared_ptr<Waiting> &waiting, bool reached);
-    LogPage page(const Stream &stream, Offset from) const;
+    std::shared_ptr<const LogPage> page(Stream &stream, Offset from) const;
 
     VirtualLoop &loop_;
     SeededRandom random_;
--- a/src/journal/record.cpp
+++ b/src/journal/record.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <vector>
 
 namespace filbertgw {
 
@@ -12,12 +13,12 @@
 constexpr std::size_t maxIdBytes = 256;
 constexpr std::int64_t maxAmount = std::int64_t{1} << 50; // Sums of any two amounts stay far from overflow.
 
-/** \brief Reads the known fields of an object with checks and keeps the others. */
+/** \brief Reads the known fields of an object with checks and keeps the others. The object has to outlive it. */
 class Fields
 {
 public:
     explicit Fields(const json &object)
-        : rest_(object)
+        : object_(&object)
         , valid_(object.is_object())
     {
     }
@@ -31,8 +32,7 @@
         if (!value->is_string() || value->get_ref<const std::string &>().size() > limit) {
             return fail(name);
         }
-        out = value->get<std::string>();
-        rest_.erase(name);
+        out = value->get_ref<const std::string &>();
     }
     template<typename Tag>
     void id(const char *name, StrongId<Tag> &out, bool required = true)
@@ -55,7 +55,6 @@
             return fail(name);
         }
         out = value->get<Number>();
-        rest_.erase(name);
     }
     void time(const char *name, Time &out)
     {
@@ -76,7 +75,6 @@
             return fail(name);
         }
         out = value->get<bool>();
-        rest_.erase(name);
     }
     template<typename Enum>
     void name(const char *field, Enum &out)
@@ -96,17 +94,14 @@
             return;
         }
         if (!spendFromJson(*value, out)) {
-            return fail(name);
+            fail(name);
         }
-        rest_.erase(name);
     }
-    void any(const char *name, json &out)
+    const json &any(const char *name)
     {
+        static const json none;
         const json *value = take(name, true);
-        if (value != nullptr) {
-            out = *value;
-            rest_.erase(name);
-        }
+        return value == nullptr ? none : *value;
     }
     void fail(const char *name)
     {
@@ -123,9 +118,16 @@
     {
         return error_;
     }
-    json takeRest()
+    /** \brief The fields that nobody asked for. */
+    json rest() const
     {
-        return std::move(rest_);
+        json result = json::object();
+        for (const auto &entry : object_->items()) {
+            if (std::find(known_.begin(), known_.end(), entry.key()) == known_.end()) {
+                result[entry.key()] = entry.value();
+            }
+        }
+        return result;
     }
 
 private:
@@ -134,8 +136,9 @@
         if (!valid_) {
             return nullptr;
         }
-        const json::const_iterator found = rest_.find(name);
-        if (found == rest_.end()) {
+        known_.push_back(name);
+        const json::const_iterator found = object_->find(name);
+        if (found == object_->end()) {
             if (required) {
                 fail(name);
             }
@@ -144,11 +147,35 @@
         return &*found;
     }
 
-    json rest_;
+    const json *object_;
+    std::vector<std::string_view> known_;
     bool valid_;
     std::string error_;
 };
 
+TurnBody readTurn(Fields &fields)
+{
+    TurnBody turn;
+    fields.number("sequence", turn.sequence_);
+    fields.name("status", turn.status_);
+    fields.id("request_id", turn.requestId_);
+    fields.text("request_hash", turn.requestHash_, maxIdBytes);
+    fields.text("content_hash", turn.contentHash_, maxIdBytes);
+    fields.name("kind", turn.kind_);
+    fields.text("target", turn.target_, maxIdBytes);
+    fields.text("input", turn.input_);
+    fields.text("answer", turn.answer_);
+    if (turn.status_ == TurnStatus::Refused) {
+        fields.name("refusal", turn.refusal_);
+        fields.flag("not_run", turn.refusalNotRun_);
+    }
+    fields.spend("usage", turn.usage_);
+    fields.id("endpoint", turn.endpoint_, false);
+    fields.spend("reserved_ahead", turn.reserved_);
+    fields.spend("spent", turn.spent_);
+    return turn;
+}
+
 bool isBoundedAt(const json &value, std::size_t depth, std::size_t &bytes)
 {
     if (depth > maxRecordDepth) {
@@ -262,22 +289,13 @@
         return body;
     }
     case RecordType::Outcome:
-    case RecordType::Turn: {
-        TurnBody body;
-        json unknown;
-        const json whole = fields.takeRest();
-        const bool valid = turnFromJson(whole, body, unknown);
-        fields = Fields(unknown);
-        if (!valid) {
-            fields.fail("turn");
-        }
-        return body;
-    }
+    case RecordType::Turn:
+        return readTurn(fields);
     case RecordType::Checkpoint: {
         CheckpointBody body;
         fields.number("covers", body.covers_);
         fields.flag("idle", body.idle_);
-        fields.any("state", body.state_);
+        body.state_ = fields.any("state");
         return body;
     }
     case RecordType::Release: {
@@ -378,27 +396,10 @@
     return result;
 }
 
-bool turnFromJson(const json &value, TurnBody &turn, json &unknown)
+bool turnFromJson(const json &value, TurnBody &turn)
 {
     Fields fields(value);
-    fields.number("sequence", turn.sequence_);
-    fields.name("status", turn.status_);
-    fields.id("request_id", turn.requestId_);
-    fields.text("request_hash", turn.requestHash_, maxIdBytes);
-    fields.text("content_hash", turn.contentHash_, maxIdBytes);
-    fields.name("kind", turn.kind_);
-    fields.text("target", turn.target_, maxIdBytes);
-    fields.text("input", turn.input_);
-    fields.text("answer", turn.answer_);
-    if (turn.status_ == TurnStatus::Refused) {
-        fields.name("refusal", turn.refusal_);
-        fields.flag("not_run", turn.refusalNotRun_);
-    }
-    fields.spend("usage", turn.usage_);
-    fields.id("endpoint", turn.endpoint_, false);
-    fields.spend("reserved_ahead", turn.reserved_);
-    fields.spend("spent", turn.spent_);
-    unknown = fields.takeRest();
+    turn = readTurn(fields);
     return fields.isValid();
 }
 
@@ -444,16 +445,15 @@
     head.number("schema", record.schema_);
     if (head.isValid() && record.schema_ > recordSchema) {
         head.id("program", record.program_, false);
-        record.extra_ = head.takeRest();
+        record.extra_ = head.rest();
         return record;
     }
-    json body;
     head.name("type", record.type_);
     head.id("program", record.program_);
     head.id("root", record.root_, false);
     head.id("node", record.node_);
     head.number("fencing", record.fencing_);
-    head.any("body", body);
+    const json &body = head.any("body");
     if (!head.isValid() || record.id_.isEmpty()) {
         error = head.error().empty() ? "field id is empty" : head.error();
         return std::nullopt;
@@ -471,8 +471,8 @@
         error = fields.error();
         return std::nullopt;
     }
-    record.extra_ = head.takeRest();
-    record.bodyExtra_ = fields.takeRest();
+    record.extra_ = head.rest();
+    record.bodyExtra_ = fields.rest();
     return record;
 }
 
--- a/src/journal/record.h
+++ b/src/journal/record.h
@@ -204,7 +204,7 @@
 bool spendFromJson(const nlohmann::json &json, Spend &spend);
 
 nlohmann::json turnToJson(const TurnBody &turn);
-bool turnFromJson(const nlohmann::json &json, TurnBody &turn, nlohmann::json &unknown);
+bool turnFromJson(const nlohmann::json &json, TurnBody &turn);
 
 /** \brief True if the value nests no deeper than maxRecordDepth and its strings and keys stay in maxRecordBytes. */
 bool isBounded(const nlohmann::json &json);
--- a/src/journal/treestate.cpp
+++ b/src/journal/treestate.cpp
@@ -56,8 +56,7 @@
     chain.homeEngine_ = EndpointId(value.at("home_engine").get<std::string>());
     for (const json &entry : value.at("turns")) {
         TurnBody turn;
-        json unknown;
-        if (!turnFromJson(entry, turn, unknown)) {
+        if (!turnFromJson(entry, turn)) {
             return false;
         }
         chain.turns_.push_back(std::move(turn));
