--- a/bench/promises/process.h
+++ b/bench/promises/process.h
@@ -3,6 +3,7 @@
 
 #include "config/configcontroller.h"
 #include "fakes/fakelog.h"
+#include "policy/scheduler.h"
 #include "program/programcontroller.h"
 
 #include <functional>
@@ -28,7 +29,7 @@
     std::function<void()> broken_; ///< The process died.
 };
 
-/** \brief One `serve` process: real ProgramController and ConfigController, models of their neighbours. */
+/** \brief One `serve` process: real ProgramController, ConfigController and Scheduler, models of their neighbours. */
 struct Process
 {
     std::string name_; ///< Node name; a restarted node keeps it.
@@ -47,8 +48,11 @@
     Blackboard blackboard_;
     std::unique_ptr<ProgramController> controller_;
     std::unique_ptr<ConfigController> config_;
+    std::unique_ptr<Scheduler> scheduler_;
+    using CallName = std::pair<ProgramId, RequestId>;
+    std::map<CallName, Dispatch> dispatches_; ///< Calls that the scheduler has.
+    std::map<CallName, DispatchOutcome> answers_; ///< Body and usage of an attempt that was answered.
     std::map<std::string, Offset> served_; ///< Versions in force as last noted, by kind and name.
-    std::set<std::string> ran_; ///< Programs that it sent to engines.
     std::size_t life_ = 0; ///< Index into Trace::processes_.
 
     /** \brief Preferred node by rendezvous hashing over the members that it believes in; empty if none. */
--- a/bench/promises/world.cpp
+++ b/bench/promises/world.cpp
@@ -41,7 +41,6 @@
     bool isEngine_ = true;
     Micros downUntil_ = 0;
     bool ownWord_ = false; ///< Refuses new work because it is leaving.
-    bool exclusive_ = false;
     std::map<std::string, Micros> held_; ///< Programs in memory, since when.
     std::vector<std::shared_ptr<struct RunHandle>> running_;
 };
@@ -51,6 +50,7 @@
 {
     ProcessPtr process_;
     Dispatch order_;
+    std::uint32_t attempt_ = 0;
     Endpoint *endpoint_ = nullptr;
     std::size_t run_ = SIZE_MAX; ///< Index into Trace::runs_ once it has started.
     bool over_ = false; ///< The node has its outcome.
@@ -130,7 +130,6 @@
     Offset publish(const std::string &kind, const std::string &name, Offset replaces, const nlohmann::json &body);
     Offset publishRecord(const nlohmann::json &record, bool valid);
     void publishEndpoints();
-    bool isDrainedAt(const Process &process, const std::string &endpoint) const;
 
     // Front: entry, forwarding
     void handle(const ProcessPtr &process, const ProgramId &program, int hops, const Work &work, const Reply &reply);
@@ -144,14 +143,17 @@
 
     // Endpoints
     void dispatch(const ProcessPtr &process, const Dispatch &order);
-    Endpoint *chooseEndpoint(const Process &process, const Dispatch &order);
+    SchedulerHooks schedulerHooksOf(const ProcessPtr &process);
+    void startAttempt(const ProcessPtr &process, const StartOrder &order);
+    void onOrder(const ProcessPtr &process, const EndpointOrder &order);
+    void finishCall(const ProcessPtr &process, const ScheduleResult &result);
+    void healthChecks();
     void receive(const std::shared_ptr<RunHandle> &handle);
     void complete(const std::shared_ptr<RunHandle> &handle);
-    void report(const std::shared_ptr<RunHandle> &handle, DispatchStatus status, std::uint32_t crashes = 0);
+    void report(const std::shared_ptr<RunHandle> &handle, AttemptStatus status);
     void crashEndpoint(Endpoint &endpoint);
     void stopRun(const std::shared_ptr<RunHandle> &handle);
     void cancel(const ProcessPtr &process, const ProgramId &program, const RequestId &request);
-    void release(const ProcessPtr &process, const std::string &program);
     void sweep();
 
     // Callers
@@ -236,9 +238,10 @@
         }
     };
     hooks.programEnded_ = [this, weak](const ProgramId &program) {
-        const ProcessPtr self = weak.lock();
-        if (self && self->ran_.count(program.value()) != 0) {
-            release(self, program.value());
+        if (const ProcessPtr self = weak.lock()) {
+            after(1, [self, program]() {
+                runIn(self, [self, program]() { self->scheduler_->onProgramEnded(program); });
+            });
         }
     };
     hooks.isAlive_ = [raw](const NodeId &node) {
@@ -273,6 +276,8 @@
     trace_.processes_.push_back({process->id_, now(), 0, {}});
     processes_.push_back(process);
     process->config_ = ConfigController::Builder(process->blackboard_, configHooksOf(process)).build();
+    process->scheduler_ =
+        Scheduler::Builder().hooks(schedulerHooksOf(process)).blackboard(&process->blackboard_).build();
     process->controller_->start();
     process->config_->start();
     spreadState(name, true, false, 300 * millisecond, 700 * millisecond);
@@ -311,6 +316,7 @@
         }
         process->controller_->tick();
         process->config_->tick();
+        process->scheduler_->tick();
     }
     after(100 * millisecond, [this]() { tickAll(); });
 }
@@ -471,7 +477,15 @@
     if (broken_ == "config-order") {
         hooks.log_.read_ = withoutOrder(hooks.log_.read_);
     }
-    hooks.changed_ = [this, raw]() { noteServed(*raw); };
+    hooks.changed_ = [this, raw]() {
+        noteServed(*raw);
+        std::vector<EndpointInfo> endpoints;
+        for (const std::pair<const EndpointId, EndpointInfo> &entry :
+             raw->blackboard_.read<ConfigSection>().endpoints_) {
+            endpoints.push_back(entry.second);
+        }
+        raw->scheduler_->setEndpoints(endpoints);
+    };
     hooks.rank_ = [raw]() {
         return static_cast<std::uint32_t>(std::distance(raw->view_.begin(), raw->view_.find(raw->name_)));
     };
@@ -584,13 +598,6 @@
     publish("weights", "default", 0, {{"latency", 1}, {"wasted_cache", 1}});
 }
 
-bool World::isDrainedAt(const Process &process, const std::string &endpoint) const
-{
-    const ConfigSection &section = process.blackboard_.read<ConfigSection>();
-    const std::map<EndpointId, EndpointInfo>::const_iterator found = section.endpoints_.find(EndpointId(endpoint));
-    return found == section.endpoints_.end() || found->second.leaving_;
-}
-
 // Front
 
 void World::handle(const ProcessPtr &process, const ProgramId &program, int hops, const Work &work, const Reply &reply)
@@ -702,45 +709,140 @@
 
 // Endpoints
 
-Endpoint *World::chooseEndpoint(const Process &process, const Dispatch &order)
+SchedulerHooks World::schedulerHooksOf(const ProcessPtr &process)
 {
-    const bool wantsEngine = order.call_.kind_ == CallKind::Model;
-    std::vector<Endpoint *> usable;
-    Endpoint *home = nullptr;
-    for (const std::unique_ptr<Endpoint> &endpoint : endpoints_) {
-        const bool isBusyWithOthers = order.runAlone_ && !endpoint->running_.empty();
-        if (endpoint->isEngine_ != wantsEngine || isDrainedAt(process, endpoint->name_) || endpoint->exclusive_
-            || isBusyWithOthers) {
-            continue;
+    const std::weak_ptr<Process> weak = process;
+    Process *raw = process.get();
+    SchedulerHooks hooks;
+    hooks.now_ = [this]() { return loop_.now(); };
+    hooks.random_ = [this]() { return random_.next(); };
+    hooks.start_ = [this, weak](const StartOrder &order) {
+        if (const ProcessPtr self = weak.lock()) {
+            startAttempt(self, order);
         }
-        usable.push_back(endpoint.get());
-        if (endpoint->name_ == order.homeEngine_.value()) {
-            home = endpoint.get();
+    };
+    hooks.finished_ = [this, weak](const ScheduleResult &result) {
+        if (const ProcessPtr self = weak.lock()) {
+            finishCall(self, result);
         }
-    }
-    if (home != nullptr && !order.runAlone_ && random_.chance(0.7)) {
-        return home;
-    }
-    return usable.empty()
-        ? nullptr
-        : usable[static_cast<std::size_t>(random_.between(0, static_cast<std::int64_t>(usable.size()) - 1))];
+    };
+    hooks.order_ = [this, weak](const EndpointOrder &order) {
+        if (const ProcessPtr self = weak.lock()) {
+            onOrder(self, order);
+        }
+    };
+    hooks.liveNodes_ = [raw]() { return static_cast<std::int32_t>(raw->view_.size()); };
+    hooks.ownsEndpoint_ = [raw](const EndpointId &endpoint) {
+        return raw->preferredFor(endpoint.value()) == raw->name_;
+    };
+    return hooks;
 }
 
 void World::dispatch(const ProcessPtr &process, const Dispatch &order)
 {
+    const CallRequest &call = order.call_;
+    process->dispatches_[{call.program_, call.requestId_}] = order;
+    ScheduleRequest request;
+    request.requestId_ = call.requestId_;
+    request.program_ = call.program_;
+    request.root_ = order.root_;
+    request.account_ = call.account_;
+    request.kind_ = call.kind_;
+    request.target_ = call.target_;
+    request.idempotent_ = call.idempotent_;
+    request.runAlone_ = order.runAlone_;
+    request.promptTokens_ = static_cast<std::int64_t>(order.prompt_.size() / 4) + 1;
+    request.maxTokens_ = call.maxTokens_;
+    request.homeEngine_ = order.homeEngine_;
+    request.deadline_ = call.deadline_;
+    request.fencing_ = order.fencing_;
+    request.programStarted_ = loop_.now();
+    after(1, [process, request]() {
+        runIn(process, [process, request]() {
+            if (process->dispatches_.count({request.program_, request.requestId_}) != 0) {
+                process->scheduler_->submit(request);
+            }
+        });
+    });
+}
+
+void World::startAttempt(const ProcessPtr &process, const StartOrder &order)
+{
+    const std::map<Process::CallName, Dispatch>::const_iterator call =
+        process->dispatches_.find({order.program_, order.requestId_});
+    if (call == process->dispatches_.end()) {
+        return;
+    }
     const std::shared_ptr<RunHandle> handle = std::make_shared<RunHandle>();
     handle->process_ = process;
-    handle->order_ = order;
-    handle->endpoint_ = chooseEndpoint(*process, order);
+    handle->order_ = call->second;
+    handle->attempt_ = order.attempt_;
+    for (const std::unique_ptr<Endpoint> &endpoint : endpoints_) {
+        if (endpoint->name_ == order.endpoint_.value()) {
+            handle->endpoint_ = endpoint.get();
+        }
+    }
     handles_.push_back(handle);
-    if (handle->endpoint_ == nullptr) {
-        report(handle, DispatchStatus::NotSent);
+    after(peerOneWay, [this, handle]() { receive(handle); });
+    after(nodeTimeout, [this, handle]() {
+        runIn(handle->process_, [this, handle]() { report(handle, AttemptStatus::TimedOut); });
+    });
+}
+
+void World::onOrder(const ProcessPtr &process, const EndpointOrder &order)
+{
+    if (order.kind_ == OrderKind::Cancel) {
+        for (const std::shared_ptr<RunHandle> &handle : handles_) {
+            if (handle->process_ == process && !handle->over_ && handle->order_.call_.program_ == order.program_
+                && handle->order_.call_.requestId_ == order.requestId_) {
+                report(handle, AttemptStatus::Cancelled);
+            }
+        }
+    }
+    if (order.kind_ != OrderKind::Release || broken_ == "release") {
         return;
     }
-    process->ran_.insert(order.call_.program_.value());
-    after(peerOneWay, [this, handle]() { receive(handle); });
-    after(nodeTimeout,
-          [this, handle]() { runIn(handle->process_, [this, handle]() { report(handle, DispatchStatus::Unknown); }); });
+    for (const std::unique_ptr<Endpoint> &endpoint : endpoints_) {
+        if (endpoint->name_ == order.endpoint_.value()) {
+            after(peerOneWay, [engine = endpoint.get(), program = order.program_.value()]() {
+                engine->held_.erase(program);
+            });
+        }
+    }
+}
+
+void World::finishCall(const ProcessPtr &process, const ScheduleResult &result)
+{
+    const Process::CallName key(result.program_, result.requestId_);
+    DispatchOutcome outcome;
+    const std::map<Process::CallName, DispatchOutcome>::iterator answer = process->answers_.find(key);
+    if (result.status_ == DispatchStatus::Answered && answer != process->answers_.end()) {
+        outcome = answer->second;
+    }
+    outcome.program_ = result.program_;
+    outcome.requestId_ = result.requestId_;
+    outcome.status_ = result.status_;
+    outcome.failure_ = result.failure_;
+    outcome.endpoint_ = result.endpoint_;
+    outcome.crashes_ = result.crashes_;
+    process->answers_.erase(key);
+    process->dispatches_.erase(key);
+    after(1, [process, outcome]() {
+        runIn(process, [process, outcome]() { process->controller_->onOutcome(outcome); });
+    });
+}
+
+void World::healthChecks()
+{
+    for (const std::unique_ptr<Endpoint> &endpoint : endpoints_) {
+        const bool isHealthy = endpoint->downUntil_ <= now();
+        for (const ProcessPtr &process : processes_) {
+            if (!process->dead_ && !process->paused_) {
+                process->scheduler_->onEndpointHealth(EndpointId(endpoint->name_), isHealthy);
+            }
+        }
+    }
+    after(second, [this]() { healthChecks(); });
 }
 
 void World::receive(const std::shared_ptr<RunHandle> &handle)
@@ -750,13 +852,12 @@
     if (handle->process_->dead_ || handle->over_) {
         return;
     }
-    const bool isBlocked = endpoint.exclusive_ || (order.runAlone_ && !endpoint.running_.empty());
-    if (endpoint.downUntil_ > now() || endpoint.ownWord_ || isBlocked) {
-        report(handle, DispatchStatus::NotSent);
+    if (endpoint.downUntil_ > now() || endpoint.ownWord_) {
+        report(handle, AttemptStatus::NotSent);
         return;
     }
     if (!endpoint.isEngine_ && random_.chance(0.01)) {
-        report(handle, DispatchStatus::Failed);
+        report(handle, AttemptStatus::Rejected);
         return;
     }
     Run run;
@@ -775,7 +876,6 @@
     handle->run_ = trace_.runs_.size();
     trace_.runs_.push_back(run);
     endpoint.running_.push_back(handle);
-    endpoint.exclusive_ = order.runAlone_;
     const std::map<std::string, Micros>::iterator watched = watched_.find(run.program_);
     if (watched != watched_.end()) {
         takeovers_.push_back({watched->second, static_cast<double>(now() - watched->second) / second});
@@ -805,9 +905,6 @@
     Endpoint &endpoint = *handle->endpoint_;
     endpoint.running_.erase(std::remove(endpoint.running_.begin(), endpoint.running_.end(), handle),
                             endpoint.running_.end());
-    if (endpoint.running_.empty()) {
-        endpoint.exclusive_ = false;
-    }
 }
 
 void World::complete(const std::shared_ptr<RunHandle> &handle)
@@ -823,11 +920,11 @@
         return; // The node's timeout ends the call.
     }
     after(peerOneWay, [this, handle]() {
-        runIn(handle->process_, [this, handle]() { report(handle, DispatchStatus::Answered); });
+        runIn(handle->process_, [this, handle]() { report(handle, AttemptStatus::Answered); });
     });
 }
 
-void World::report(const std::shared_ptr<RunHandle> &handle, DispatchStatus status, std::uint32_t crashes)
+void World::report(const std::shared_ptr<RunHandle> &handle, AttemptStatus status)
 {
     if (handle->over_) {
         return;
@@ -836,35 +933,38 @@
     if (handle->run_ != SIZE_MAX && !handle->stopped_ && handle->endpoint_->isEngine_) {
         stopRun(handle);
     }
-    DispatchOutcome outcome;
-    outcome.program_ = handle->order_.call_.program_;
-    outcome.requestId_ = handle->order_.call_.requestId_;
-    outcome.status_ = status;
-    outcome.crashes_ = crashes;
-    if (handle->endpoint_ != nullptr) {
-        outcome.endpoint_ = EndpointId(handle->endpoint_->name_);
-    }
-    if (status == DispatchStatus::Answered) {
+    const ProcessPtr process = handle->process_;
+    AttemptResult result;
+    result.program_ = handle->order_.call_.program_;
+    result.requestId_ = handle->order_.call_.requestId_;
+    result.endpoint_ = EndpointId(handle->endpoint_->name_);
+    result.attempt_ = handle->attempt_;
+    result.status_ = status;
+    DispatchOutcome answer;
+    if (status == AttemptStatus::Answered) {
         const Run &run = trace_.runs_[handle->run_];
-        outcome.body_ = expectedAnswer(run.request_, run.prompt_);
-        outcome.usage_ = {run.tokens_, 1, run.money_};
-    } else if (status == DispatchStatus::Failed) {
-        outcome.failure_ = Failure{FailureType::EndpointFailed, true, "did not run", std::chrono::milliseconds(100)};
-    }
-    // The outcome comes from a socket, never from within the order itself.
-    after(1, [process = handle->process_, outcome]() {
-        runIn(process, [process, outcome]() { process->controller_->onOutcome(outcome); });
+        answer.body_ = expectedAnswer(run.request_, run.prompt_);
+        answer.usage_ = {run.tokens_, 1, run.money_};
+        result.promptTokens_ = run.tokens_;
+        result.latency_ = Duration(now() - run.startedAt_);
+    }
+    // The result comes from a socket, never from within the order itself.
+    after(1, [process, result, answer]() {
+        runIn(process, [process, result, answer]() {
+            const Process::CallName key(result.program_, result.requestId_);
+            if (result.status_ == AttemptStatus::Answered && process->dispatches_.count(key) != 0) {
+                process->answers_[key] = answer;
+            }
+            process->scheduler_->onAttemptEnded(result);
+        });
     });
 }
 
 void World::cancel(const ProcessPtr &process, const ProgramId &program, const RequestId &request)
 {
-    for (const std::shared_ptr<RunHandle> &handle : handles_) {
-        if (handle->process_ == process && !handle->over_ && handle->order_.call_.program_ == program
-            && handle->order_.call_.requestId_ == request) {
-            report(handle, DispatchStatus::Unknown);
-        }
-    }
+    after(1, [process, program, request]() {
+        runIn(process, [process, program, request]() { process->scheduler_->cancel(program, request); });
+    });
 }
 
 void World::crashEndpoint(Endpoint &endpoint)
@@ -877,24 +977,11 @@
         trace_.runs_[handle->run_].endedAt_ = now();
         stopRun(handle);
         after(peerOneWay, [this, handle]() {
-            runIn(handle->process_, [this, handle]() { report(handle, DispatchStatus::Unknown, 1); });
+            runIn(handle->process_, [this, handle]() { report(handle, AttemptStatus::Crashed); });
         });
     }
 }
 
-void World::release(const ProcessPtr &process, const std::string &program)
-{
-    if (broken_ == "release") {
-        return;
-    }
-    for (const std::unique_ptr<Endpoint> &endpoint : endpoints_) {
-        if (endpoint->isEngine_) {
-            after(peerOneWay, [engine = endpoint.get(), program]() { engine->held_.erase(program); });
-        }
-    }
-    (void)process;
-}
-
 void World::sweep()
 {
     for (const ProcessPtr &process : processes_) {
@@ -906,15 +993,13 @@
             if (!endpoint->isEngine_ || process->preferredFor(endpoint->name_) != process->name_) {
                 continue;
             }
-            std::vector<std::string> gone;
+            std::vector<ProgramId> gone;
             for (const std::pair<const std::string, Micros> &entry : endpoint->held_) {
                 if (entry.second + 5 * second < now() && !process->controller_->isLive(ProgramId(entry.first))) {
-                    gone.push_back(entry.first);
+                    gone.push_back(ProgramId(entry.first));
                 }
             }
-            for (const std::string &program : gone) {
-                endpoint->held_.erase(program);
-            }
+            process->scheduler_->onHeldPrograms(EndpointId(endpoint->name_), gone);
         }
     }
     after(5 * second, [this]() { sweep(); });
@@ -1412,6 +1497,7 @@
     tickAll();
     after(5 * second, [this]() { sweep(); });
     heartbeats();
+    healthChecks();
     planCallers();
     planFaults();
     const auto allDone = [this]() {
