--- a/src/policy/programtracker.cpp
+++ b/src/policy/programtracker.cpp
@@ -80,6 +80,9 @@
 
 void ProgramTracker::onAnswered(const ScheduleRequest &request, const AttemptResult &result)
 {
+    if (request.kind_ != CallKind::Model) {
+        return; // A tool or plain service holds no prefix and doesn't become the program's home.
+    }
     const double share = 1 / internal::generatedMemory;
     section_.generated_ += share * (static_cast<double>(result.generatedTokens_) - section_.generated_);
     onMoved(request.program_, result.endpoint_, result.promptTokens_ + result.generatedTokens_);
@@ -188,6 +191,14 @@
     return it == section_.classes_.end() ? ProgramSection::ClassMeans{}.seconds_ : it->second.seconds_;
 }
 
+double ProgramTracker::expectedSeconds(const ProgramState &program) const
+{
+    const ProgramState *root = find(program.root_);
+    const std::map<std::int64_t, ProgramSection::ClassMeans>::const_iterator it =
+        section_.classes_.find(root == nullptr ? program.classKey_ : root->classKey_);
+    return it == section_.classes_.end() ? ProgramSection::ClassMeans{}.seconds_ : it->second.seconds_;
+}
+
 double ProgramTracker::projectedSlowdown(const ScheduleRequest &request, Time submittedAt) const
 {
     const ProgramState *state = find(request.program_);
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -30,6 +30,11 @@
 constexpr std::size_t maxDecisions = 256;
 /** \brief Time to first token below this is no sign of a queue. */
 constexpr double firstTokenAllowance = 1.0;
+/** \brief How strongly a program that is late already goes before others. */
+constexpr double urgencyPower = 1;
+/** \brief Prefills shorter than this gain nothing from going first. */
+constexpr double prefillFloorSeconds = 0.5;
+constexpr double priorityScale = 10'000;
 constexpr std::int32_t alonePriority = -1'000'000'000;
 /** \brief Streams that an engine may have queued before calls wait here, where they can still go elsewhere. */
 constexpr double engineQueueShare = 0.5;
@@ -83,6 +88,7 @@
     bool tryStartModel(Call &call);
     bool tryStartService(Call &call);
     ChoiceRules rulesFor(const Call &call) const;
+    std::int32_t priorityOf(const Call &call, std::int64_t missingTokens) const;
     void start(Call &call, const EngineChoice &choice);
     void order(Call &call, Attempt attempt, StartOrder order);
     void endAttempt(const AttemptResult &result, const Attempt &attempt);
@@ -242,6 +248,18 @@
     return true;
 }
 
+std::int32_t Scheduler::Private::priorityOf(const Call &call, std::int64_t missingTokens) const
+{
+    const ProgramState *program = programs_.find(call.request_.program_);
+    if (!enabled(Mechanism::Priority) || program == nullptr) {
+        return 0;
+    }
+    const double prefill = static_cast<double>(missingTokens) / costs_.prefillTokensPerSecond_;
+    const double index = std::pow(call.urgency_, internal::urgencyPower)
+        / (programs_.expectedSeconds(*program) * (prefill + internal::prefillFloorSeconds));
+    return -static_cast<std::int32_t>(internal::priorityScale * std::log(index));
+}
+
 void Scheduler::Private::start(Call &call, const EngineChoice &choice)
 {
     const ProgramState *program = programs_.find(call.request_.program_);
@@ -258,15 +276,12 @@
     startOrder.importFrom_ = choice.importFrom_;
     startOrder.alone_ = attempt.alone_;
     startOrder.reason_ = choice.reason_;
-    const double slowdown = enabled(Mechanism::Priority) ? call.urgency_ : 0;
-    constexpr double priorityScale = 10'000;
-    startOrder.priority_ = attempt.alone_ ? internal::alonePriority
-                                          : -static_cast<std::int32_t>(std::min(slowdown, 10'000.0) * priorityScale);
-    const std::int64_t growth =
-        home ? choice.missingTokens_ : call.request_.promptTokens_ - call.request_.sharedTokens_;
+    startOrder.priority_ = attempt.alone_ ? internal::alonePriority : priorityOf(call, choice.missingTokens_);
     if (program != nullptr && !program->home_.isEmpty() && program->home_ != choice.endpoint_) {
         rooms_.takeMove(choice.endpoint_);
     }
+    const std::int64_t growth =
+        home ? choice.missingTokens_ : call.request_.promptTokens_ - call.request_.sharedTokens_;
     endpoints_.onMemoryChange(choice.endpoint_, growth + static_cast<std::int64_t>(programs_.expectedGenerated()));
     programs_.onVisited(call.request_.program_, choice.endpoint_);
     if (call.held_) {
