Cover the scheduler's retries by reservations; withdraw late intents

ProgramController::coverRetry() is asked before each further run.

A node that was paused while its intent was under way sent the call after other nodes had declared its outcome unknown. An intent that took longer than the lease (3 s) is withdrawn.

--- a/bench/promises/process.h
+++ b/bench/promises/process.h
@@ -51,6 +51,7 @@
     std::unique_ptr<Scheduler> scheduler_;
     using CallName = std::pair<ProgramId, RequestId>;
     std::map<CallName, Dispatch> dispatches_; ///< Calls that the scheduler has.
+    std::set<CallName> crashed_; ///< Calls of which an attempt crashed its endpoint.
     std::map<CallName, DispatchOutcome> answers_; ///< Body and usage of an attempt that was answered.
     std::map<std::string, Offset> served_; ///< Versions in force as last noted, by kind and name.
     std::size_t life_ = 0; ///< Index into Trace::processes_.
--- a/src/journal/record.cpp
+++ b/src/journal/record.cpp
@@ -515,6 +515,11 @@
     return {std::min(a.tokens_, b.tokens_), std::min(a.calls_, b.calls_), std::min(a.moneyMicros_, b.moneyMicros_)};
 }
 
+Spend maximum(const Spend &a, const Spend &b)
+{
+    return {std::max(a.tokens_, b.tokens_), std::max(a.calls_, b.calls_), std::max(a.moneyMicros_, b.moneyMicros_)};
+}
+
 Spend clampedToZero(const Spend &spend)
 {
     return {std::max<std::int64_t>(spend.tokens_, 0),
--- a/src/journal/record.h
+++ b/src/journal/record.h
@@ -215,6 +215,7 @@
 /** \brief True if every amount of `a` is at most that of `b`. */
 bool fitsIn(const Spend &a, const Spend &b);
 Spend minimum(const Spend &a, const Spend &b);
+Spend maximum(const Spend &a, const Spend &b);
 /** \brief Negative amounts become 0. */
 Spend clampedToZero(const Spend &spend);
 
--- a/src/program/programcontroller.cpp
+++ b/src/program/programcontroller.cpp
@@ -193,7 +193,7 @@
     void finishCurrent(const ProgramId &root, const ProgramId &program);
     BudgetEntry
     prepareBudget(const ProgramId &root, const ProgramId &program, const Spend &usage, const Spend &worst) const;
-    Spend aheadFor(const ChainState &chain) const;
+    Spend aheadFor(const ChainState &chain, const Spend &largest) const;
     bool isCertainlyNotRun(const TreeWork &work, const Call &call) const;
     void answer(Call &call, const CallAnswer &answer) const;
     void answerFailure(Call &call, const Failure &failure) const;
@@ -436,7 +436,7 @@
     if (tree != nullptr) {
         // What the former owner had reserved counts as spent.
         const Spend room = clampedToZero(tree->budget_ - tree->spent_ - tree->reserved_);
-        body.reserved_ = minimum(aheadFor(*tree->chain(root)), room);
+        body.reserved_ = minimum(aheadFor(*tree->chain(root), Spend()), room);
     }
     claiming_.insert(root);
     Record record = recordFor(RecordType::Claim, root, root, body);
@@ -1019,6 +1019,7 @@
         call.worst_.tokens_ = promptTokensAtMost(chain) + byteCount(request.input_) + generated;
         call.prompt_ = historyText(chain) + request.input_;
     }
+    call.worstOfRun_ = call.worst_;
     const std::string &content = request.kind_ == CallKind::Model ? call.prompt_ : request.input_;
     call.contentHash_ = sha256(std::string(nameOf(request.kind_)) + '\n' + request.target_ + '\n' + content);
     const SuspectState *suspect = fold_->suspect(call.contentHash_);
@@ -1101,6 +1102,7 @@
     const bool announced = !call->request_.idempotent_ && safeguards_.intent_;
     const bool covered = !safeguards_.budget_ || work->book_.fitsReserved(call->worst_, fold_->tree(root)->reserved_);
     work->book_.start(call->worst_);
+    work->largest_ = maximum(work->largest_, call->worst_);
     if (announced) {
         announce(root, call);
     } else if (covered) {
@@ -1110,10 +1112,12 @@
     }
 }
 
-Spend ProgramController::Private::aheadFor(const ChainState &chain) const
+Spend ProgramController::Private::aheadFor(const ChainState &chain, const Spend &largest) const
 {
+    // Covers the next call and one retry of it, if they are like the earlier ones.
     Spend ahead = settings_.ahead_;
-    ahead.tokens_ += promptTokensAtMost(chain);
+    ahead.tokens_ += std::max(promptTokensAtMost(chain), 2 * largest.tokens_);
+    ahead.moneyMicros_ += 2 * largest.moneyMicros_;
     return ahead;
 }
 
@@ -1123,7 +1127,8 @@
                                                       const Spend &worst) const
 {
     const TreeState &tree = *fold_->tree(root);
-    return mine(root)->book_.prepare(tree.budget_, tree.spent_, usage, worst, aheadFor(*tree.chain(program)));
+    return mine(root)->book_.prepare(
+        tree.budget_, tree.spent_, usage, worst, aheadFor(*tree.chain(program), mine(root)->largest_));
 }
 
 void ProgramController::Private::reserveFor(const ProgramId &root, const std::shared_ptr<Call> &call)
@@ -1169,7 +1174,8 @@
     body.reserved_ = entry.reserved_;
     body.spent_ = entry.spent_;
     Record record = recordFor(RecordType::Intent, request.program_, root, body);
-    write(std::move(record), [this, root, work, call](const JournalFoldResult &result) {
+    const Time writtenAt = now();
+    write(std::move(record), [this, root, work, call, writtenAt](const JournalFoldResult &result) {
         work->book_.onFolded();
         if (mine(root) != work || work->chains_[call->request_.program_].current_ != call) {
             return;
@@ -1178,6 +1184,8 @@
             dropUnsent(root, call);
         } else if (call->givenUp_) {
             abandon(root, call, makeFailure(FailureType::DeadlinePassed, true, "given up before it was sent"), Spend());
+        } else if (writtenAt + settings_.lease_ < now()) {
+            abandon(root, call, makeFailure(FailureType::NotRun, true, "recorded too late", retrySoon), Spend());
         } else {
             dispatch(root, call);
         }
@@ -1301,10 +1309,12 @@
     if (known.usage_.calls_ == 0 && outcome.status_ == DispatchStatus::Answered) {
         known.usage_.calls_ = 1;
     }
+    // What the earlier runs of the dispatch cost is not known.
+    known.usage_ = known.usage_ + (call->worst_ - call->worstOfRun_);
     if (outcome.status_ == DispatchStatus::Answered) {
         recordTurn(root, call, TurnStatus::Answered, known, Failure());
     } else if (call->request_.idempotent_) {
-        failIdempotent(root, call, outcome);
+        failIdempotent(root, call, known);
     } else if (outcome.status_ == DispatchStatus::Unknown) {
         known.usage_ = call->worst_;
         known.body_.clear();
@@ -1341,8 +1351,8 @@
         }
         failure.notRun_ = isCertainlyNotRun(*work, *call);
     } else {
-        const bool isKnown = outcome.status_ == DispatchStatus::Failed && outcome.usage_.calls_ > 0;
-        work->book_.burn(call->worst_, isKnown ? outcome.usage_ : call->worst_);
+        // An endpoint's error says nothing of what the run cost.
+        work->book_.burn(call->worst_, call->worst_);
         failure.notRun_ = false;
     }
     answerFailure(*call, failure);
@@ -1632,6 +1642,27 @@
     d_->onOutcome(outcome);
 }
 
+bool ProgramController::coverRetry(const ProgramId &program, const RequestId &request)
+{
+    const ProgramId root = d_->rootOf(program);
+    const std::shared_ptr<TreeWork> work = d_->mine(root);
+    const TreeState *tree = d_->fold_->tree(root);
+    if (!work || tree == nullptr) {
+        return false;
+    }
+    const std::shared_ptr<Call> call = work->chains_[program].current_;
+    const bool isRunning = call && call->phase_ == CallPhase::Running && call->request_.requestId_ == request;
+    if (!isRunning || !call->request_.idempotent_) {
+        return false;
+    }
+    if (d_->safeguards_.budget_ && !work->book_.fitsReserved(call->worstOfRun_, tree->reserved_)) {
+        return false;
+    }
+    work->book_.start(call->worstOfRun_);
+    call->worst_ = call->worst_ + call->worstOfRun_;
+    return true;
+}
+
 OwnerView ProgramController::ownerOf(const ProgramId &program) const
 {
     if (const TreeState *tree = d_->fold_->treeOf(program)) {
--- a/src/program/programcontroller.h
+++ b/src/program/programcontroller.h
@@ -53,6 +53,8 @@
     Duration slowStore_ = std::chrono::seconds(2); ///< A record that waits longer means that the store is down.
     Duration massLossPause_ = std::chrono::seconds(10); ///< After a mass loss programs move on demand only.
     std::uint32_t massLossClaims_ = 50; ///< Claims a second without demand after that.
+    Duration lease_ =
+        std::chrono::seconds(3); ///< An intent that took longer is withdrawn: another node may own by now.
     Duration drainServe_ = std::chrono::seconds(20); ///< While draining, a tree with a running call goes on so long.
     std::uint32_t loopRepeats_ = 8; ///< Equal turns in a row that end a program.
     std::size_t maxQueuedCalls_ = 64; ///< Of one program.
@@ -114,6 +116,13 @@
 
     /** \brief A dispatched call has ended. */
     void onOutcome(const DispatchOutcome &outcome);
+    /**
+     * \brief Asks whether a dispatched call may be sent once more within the same dispatch.
+     *
+     * To be asked before each attempt that follows one that may have run, because every run costs. If the answer is
+     * false, the dispatch has to end as Unknown; a repeated request then gets a reservation of its own.
+     */
+    bool coverRetry(const ProgramId &program, const RequestId &request);
 
     /** \brief Who owns a program, by the journal as far as it was read. */
     OwnerView ownerOf(const ProgramId &program) const;
--- a/src/program/treework.h
+++ b/src/program/treework.h
@@ -44,7 +44,8 @@
     std::string contentHash_;
     std::vector<ProgramController::AnswerDone> waiters_; ///< Empty once answered.
     CallPhase phase_ = CallPhase::Queued;
-    Spend worst_;
+    Spend worst_; ///< In use: the worst case of each run that was allowed.
+    Spend worstOfRun_;
     std::string prompt_;
     bool runAlone_ = false;
     bool givenUp_ = false; ///< Its callers have their final answer.
@@ -68,6 +69,7 @@
     bool checkpointing_ = false;
     bool idling_ = false; ///< A checkpoint is under way after which only the compact form is kept.
     BudgetBook book_;
+    Spend largest_; ///< Largest worst case of a call so far, amount by amount.
     std::map<ProgramId, ChainWork> chains_;
     std::map<ProgramId, bool> ending_; ///< Programs whose end is under way.
 
--- a/test/program/calls.cpp
+++ b/test/program/calls.cpp
@@ -338,3 +338,43 @@
     const Answers third = cluster.submit(0, Cluster::call(sub, "r2"));
     EXPECT_EQ(typeOf(third), FailureType::BudgetExceeded);
 }
+
+// Guards against a retry within a dispatch that no reservation covers (found by bench/promises, kochuveli, seed 5).
+TEST(Budget, RetryNeedsAReservationOfItsOwn)
+{
+    Cluster cluster(1);
+    const ProgramId program = cluster.create(0, {100'000, 2, 1'000});
+    const Answers answers = cluster.submit(0, Cluster::call(program, "r1"));
+    ASSERT_EQ(cluster.node(0).dispatches_.size(), 1U);
+    EXPECT_FALSE(cluster.at(0).coverRetry(program, RequestId("r2")));
+    EXPECT_TRUE(cluster.at(0).coverRetry(program, RequestId("r1")));
+    EXPECT_FALSE(cluster.at(0).coverRetry(program, RequestId("r1"))) << "a third run exceeds the budget of calls";
+    cluster.node(0).finish(DispatchStatus::Answered, "one");
+    cluster.run(0.5);
+    ASSERT_EQ(answers->size(), 1U);
+    EXPECT_EQ(cluster.at(0).explain(program).at("spent").at("calls"), 2);
+    EXPECT_EQ(typeOf(cluster.submit(0, Cluster::call(program, "r2"))), FailureType::BudgetExceeded);
+}
+
+// Guards against a non-idempotent call that a resumed node sends long after others declared its outcome unknown
+// (found by bench/promises, kochuveli, seed 5513).
+TEST(AtMostOnce, IntentThatWasRecordedTooLateIsWithdrawn)
+{
+    Cluster cluster(1);
+    const ProgramId program = cluster.create(0);
+    cluster.log_.faults().extraDelay_ = std::chrono::milliseconds(500);
+    std::vector<CallAnswer> answers;
+    cluster.at(0).submit(Cluster::call(program, "pay", false),
+                         [&answers](const CallAnswer &answer) { answers.push_back(answer); });
+    cluster.pause(0);
+    cluster.run(6);
+    cluster.resume(0);
+    cluster.run(3);
+    EXPECT_TRUE(cluster.node(0).dispatches_.empty());
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].failure_->type_, FailureType::NotRun);
+    EXPECT_TRUE(answers[0].failure_->notRun_);
+    cluster.submit(0, Cluster::call(program, "pay", false));
+    cluster.run(3);
+    EXPECT_EQ(cluster.node(0).dispatches_.size(), 1U) << "the intent was withdrawn, so the request may run";
+}
