--- a/src/program/programcontroller.cpp
+++ b/src/program/programcontroller.cpp
@@ -110,6 +110,9 @@
     Time scanAt_{0};
     Time idleScanAt_{0};
     Time massLossAt_{0};
+    Time lastTick_{0};
+    bool confirming_ = false; ///< After a pause, until the journal has been read to its end.
+    bool confirmDue_ = false; ///< The log couldn't be reached for that.
     bool massLoss_ = false;
     bool draining_ = false;
     Time drainStart_{0};
@@ -153,6 +156,10 @@
               bool unknownProgram,
               std::function<void()> retry,
               std::function<void(const Failure &)> fail);
+    bool isConfirming();
+    void confirm();
+    void onConfirm(bool reached, const LogPage &page);
+    void applyProbe(const LogPage &page);
     void probeEnd(const ProgramId &program);
     void onProbe(const ProgramId &program, const LogPage &page);
     void resume(const ProgramId &root);
@@ -588,13 +595,64 @@
     });
 }
 
-void ProgramController::Private::onProbe(const ProgramId &program, const LogPage &page)
+bool ProgramController::Private::isConfirming()
+{
+    // A node that was paused doesn't know whether others have claimed its programs meanwhile.
+    if (!confirming_ && lastTick_.count() != 0 && lastTick_ + settings_.lease_ < now()) {
+        logEvent("pause_noticed", {{"seconds", toSeconds(now() - lastTick_)}});
+        confirming_ = true;
+        confirm();
+    }
+    return confirming_;
+}
+
+void ProgramController::Private::confirm()
+{
+    confirmDue_ = false;
+    const std::weak_ptr<Private> weak = weak_from_this();
+    hooks_.log_.read_("journal", fold_->offset() + 1, Duration(0), [weak](bool reached, const LogPage &page) {
+        if (const std::shared_ptr<Private> self = weak.lock()) {
+            self->onConfirm(reached, page);
+        }
+    });
+}
+
+void ProgramController::Private::onConfirm(bool reached, const LogPage &page)
+{
+    if (!reached) {
+        confirmDue_ = true;
+        return;
+    }
+    applyProbe(page);
+    if (!page.entries_.empty()) {
+        confirm();
+        return;
+    }
+    confirming_ = false;
+    std::vector<std::pair<ProgramId, ProgramId>> chains;
+    for (const std::pair<const ProgramId, std::shared_ptr<TreeWork>> &entry : work_) {
+        for (const std::pair<const ProgramId, ChainWork> &chain : entry.second->chains_) {
+            chains.push_back({entry.first, chain.first});
+        }
+    }
+    std::sort(chains.begin(), chains.end());
+    for (const std::pair<ProgramId, ProgramId> &chain : chains) {
+        pump(chain.first, chain.second);
+    }
+}
+
+void ProgramController::Private::applyProbe(const LogPage &page)
 {
     for (const LogEntry &entry : page.entries_) {
         if (entry.offset_ == fold_->offset() + 1) {
             handle(fold_->apply(entry));
         }
     }
+}
+
+void ProgramController::Private::onProbe(const ProgramId &program, const LogPage &page)
+{
+    applyProbe(page);
     if (fold_->treeOf(program) != nullptr || fold_->idle(program) != nullptr) {
         resume(rootOf(program));
         return;
@@ -1066,7 +1124,7 @@
             return;
         }
         ChainWork &calls = work->chains_[program];
-        if (calls.current_ || calls.queue_.empty() || work->releasing_) {
+        if (calls.current_ || calls.queue_.empty() || work->releasing_ || isConfirming()) {
             return;
         }
         if (draining_ && !(work->isRunning() && now() < drainStart_ + settings_.drainServe_)) {
@@ -1138,12 +1196,13 @@
     const BudgetEntry entry = prepareBudget(root, call->request_.program_, Spend(), Spend());
     ReserveBody body{entry.reserved_, entry.spent_};
     Record record = recordFor(RecordType::Reserve, call->request_.program_, root, body);
-    write(std::move(record), [this, root, work, call](const JournalFoldResult &result) {
+    const Time writtenAt = now();
+    write(std::move(record), [this, root, work, call, writtenAt](const JournalFoldResult &result) {
         work->book_.onFolded();
         if (mine(root) != work || work->chains_[call->request_.program_].current_ != call) {
             return;
         }
-        if (result.verdict_ == JournalVerdict::Accepted && !call->givenUp_) {
+        if (result.verdict_ == JournalVerdict::Accepted && !call->givenUp_ && writtenAt + settings_.lease_ >= now()) {
             dispatch(root, call);
             return;
         }
@@ -1155,7 +1214,8 @@
 {
     const std::shared_ptr<TreeWork> work = mine(root);
     work->book_.cancel(call->worst_);
-    answerFailure(*call, makeFailure(FailureType::NotRun, isCertainlyNotRun(*work, *call), "not started", retrySoon));
+    answerFailure(
+        *call, makeFailure(FailureType::StoreUnavailable, isCertainlyNotRun(*work, *call), "not started", retrySoon));
     finishCurrent(root, call->request_.program_);
 }
 
@@ -1185,7 +1245,10 @@
         } else if (call->givenUp_) {
             abandon(root, call, makeFailure(FailureType::DeadlinePassed, true, "given up before it was sent"), Spend());
         } else if (writtenAt + settings_.lease_ < now()) {
-            abandon(root, call, makeFailure(FailureType::NotRun, true, "recorded too late", retrySoon), Spend());
+            abandon(root,
+                    call,
+                    makeFailure(FailureType::StoreUnavailable, true, "the intent was recorded too late", retryStore),
+                    Spend());
         } else {
             dispatch(root, call);
         }
@@ -1545,6 +1608,11 @@
 
 void ProgramController::Private::tick()
 {
+    isConfirming();
+    lastTick_ = now();
+    if (confirmDue_) {
+        confirm();
+    }
     writer_->tick();
     if (!reading_ && now() >= readAt_) {
         readTail();
