Move programs only for a large gain; place new programs by live programs too

Change: a move needs a gain of 17 streams; engines within 8 streams are equal; a new program's engine is judged by half of its streams now and half of those expected from its live programs.

--- a/src/policy/endpointtracker.cpp
+++ b/src/policy/endpointtracker.cpp
@@ -11,6 +11,7 @@
 constexpr Duration commitmentMemory = std::chrono::seconds(4);
 /** \brief Endpoints without a report sort after all others, because nothing is known of their load. */
 constexpr double unreportedScore = 1000;
+constexpr double ratioSmoothing = 0.005;
 
 } // namespace internal
 
@@ -114,6 +115,10 @@
     unindex(*state);
     state->report_ = report;
     state->reported_ = true;
+    if (report.livePrograms_ > 0) {
+        const double ratio = static_cast<double>(report.running_ + report.waiting_) / report.livePrograms_;
+        streamsPerProgram_ += internal::ratioSmoothing * (ratio - streamsPerProgram_);
+    }
     forgetOld(*state);
     index(*state);
 }
@@ -214,6 +219,14 @@
     return std::max(0.0, reported - ownThen) + endpoint.inFlight_;
 }
 
+double EndpointTracker::expectedStreams(const EndpointState &endpoint) const
+{
+    if (!endpoint.reported_) {
+        return endpoint.inFlight_;
+    }
+    return endpoint.report_.livePrograms_ * streamsPerProgram_;
+}
+
 double EndpointTracker::waitingTokens(const EndpointState &endpoint) const
 {
     const Time measured = endpoint.report_.measuredAt_;
--- a/src/policy/endpointtracker.h
+++ b/src/policy/endpointtracker.h
@@ -31,6 +31,8 @@
     const EndpointState *find(const EndpointId &endpoint) const;
     /** \brief Running and waiting streams now. */
     double streams(const EndpointState &endpoint) const;
+    /** \brief Streams to be expected over the next minute, from the programs that live on the engine. */
+    double expectedStreams(const EndpointState &endpoint) const;
     /** \brief Prompt tokens that wait to be computed now. */
     double waitingTokens(const EndpointState &endpoint) const;
     double usedTokens(const EndpointState &endpoint) const;
@@ -46,6 +48,7 @@
     EngineCosts costs_;
     bool useCommitments_;
     Clock now_;
+    double streamsPerProgram_ = 0.5;
 };
 
 } // namespace filbertgw
--- a/src/policy/enginechooser.cpp
+++ b/src/policy/enginechooser.cpp
@@ -10,8 +10,12 @@
 
 constexpr std::size_t leastLoadedCandidates = 6;
 constexpr std::size_t randomCandidates = 3;
-/** \brief Streams by which the prediction of an engine's load is typically wrong (arrivals during a report's age). */
-constexpr double streamsError = 8;
+/** \brief A program moves only for a gain of this many streams: a copy delays it and doubles its memory meanwhile. */
+constexpr double moveStreams = 17;
+/** rief Engines whose cost differs by less than this many streams are equal: a report is wrong by as much. */
+constexpr double nearStreams = 8;
+/** rief Weight of the load expected over the next minute, against that of now, for a program without a home. */
+constexpr double expectedWeight = 0.5;
 /** \brief Share of the KV memory above which an engine starts to evict what is still needed. */
 constexpr double fullShare = 0.97;
 
@@ -130,7 +134,9 @@
     addCache(request, program, candidate);
     const double generated = programs_.expectedGenerated();
     const double maxStreams = endpoint.info_.maxStreams_;
-    const double load = endpoints_.streams(endpoint);
+    const bool fresh = program == nullptr || program->home_.isEmpty();
+    const double now = endpoints_.streams(endpoint);
+    const double load = fresh ? now + internal::expectedWeight * (endpoints_.expectedStreams(endpoint) - now) : now;
     const double streams = std::min(load, maxStreams - 1);
     const double missing = static_cast<double>(candidate.missingTokens_);
     const double chunkStep =
@@ -163,8 +169,9 @@
     if (best == nullptr) {
         return nullptr;
     }
-    // A load error of a few streams is worth this much, for the call itself and for the others.
-    const double margin = 2 * internal::streamsError * programs_.expectedGenerated() * costs_.streamSeconds_;
+    // What one stream more on the engine costs the call itself and the others.
+    const double stream = 2 * programs_.expectedGenerated() * costs_.streamSeconds_;
+    const double margin = stream * internal::moveStreams;
     if (home != nullptr && (!enabled(Mechanism::Moves) || home->seconds_ <= best->seconds_ + margin)) {
         return home;
     }
@@ -173,7 +180,7 @@
     }
     std::vector<const Candidate *> near;
     for (const Candidate &candidate : candidates) {
-        if (candidate.seconds_ <= best->seconds_ + margin / 2) {
+        if (candidate.seconds_ <= best->seconds_ + stream * internal::nearStreams) {
             near.push_back(&candidate);
         }
     }
