Add a harness of real processes and tests of serve

Cause: no test runs the program over TCP. Change: test/node starts stand-ins and nodes on a loopback address of its own and drives them.

--- /dev/null
+++ b/test/node/realfleet.cpp
@@ -0,0 +1,176 @@
+#include "realfleet.h"
+
+#include "config/accountkeys.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace filbertgw::testing {
+namespace {
+
+constexpr int logPort = 7000;
+constexpr int toolPort = 7200;
+constexpr int httpPort = 8000; // Ports of node n are these plus n.
+constexpr int peerPort = 8100;
+constexpr int udpPort = 8200;
+constexpr int engines = 2;
+
+nlohmann::json record(const std::string &kind, const std::string &name, const nlohmann::json &body)
+{
+    return {{"kind", kind}, {"name", name}, {"schema", 2}, {"body", body}};
+}
+
+nlohmann::json account(const std::string &name, const std::string &key)
+{
+    return record("account", name, {{"keys", {saltedKeyHash("0123456789abcdef", key)}}});
+}
+
+} // namespace
+
+RealFleet::RealFleet()
+{
+    const ::testing::TestInfo *info = ::testing::UnitTest::GetInstance()->current_test_info();
+    const std::string name = std::string(info->name()) + "-" + std::to_string(getpid());
+    directory_ = ::testing::TempDir() + "filbertgw-" + name;
+    std::filesystem::create_directories(directory_);
+}
+
+RealFleet::~RealFleet()
+{
+    processes_.clear();
+    if (!::testing::Test::HasFailure()) {
+        std::filesystem::remove_all(directory_);
+    }
+}
+
+void RealFleet::startStandin(const std::string &name,
+                             const std::string &kind,
+                             int port,
+                             const std::vector<std::string> &flags)
+{
+    std::vector<std::string> arguments{kind, "--listen", ownAddress(port)};
+    arguments.insert(arguments.end(), flags.begin(), flags.end());
+    processes_[name] = std::make_unique<Process>("filbertgw-standin", arguments, directory_ + "/" + name + ".err");
+}
+
+std::string RealFleet::nodeName(int number) const
+{
+    return "n" + std::to_string(number);
+}
+
+int RealFleet::numberOf(const std::string &name) const
+{
+    return std::stoi(name.substr(1));
+}
+
+std::string RealFleet::http(int number) const
+{
+    return ownAddress(httpPort + number);
+}
+
+std::vector<std::string> RealFleet::nodeArguments(int number) const
+{
+    std::string members;
+    for (int other = 1; other <= nodes_; ++other) {
+        members += (members.empty() ? "" : ",") + nodeName(other) + "/d" + std::to_string(other) + "/"
+            + ownAddress(udpPort + other) + "/" + ownAddress(peerPort + other) + "/" + http(other);
+    }
+    return {"serve",
+            "--node-name=" + nodeName(number),
+            "--domain=d" + std::to_string(number),
+            "--listen=" + http(number),
+            "--peer-listen=" + ownAddress(peerPort + number),
+            "--udp-listen=" + ownAddress(udpPort + number),
+            "--log=" + ownAddress(logPort),
+            "--members=" + members,
+            "--peer-keys=" + std::string(peerKey),
+            "--operator-keys=" + std::string(operatorKey),
+            "--poll-ms=200"};
+}
+
+void RealFleet::startNode(int number)
+{
+    const std::string name = nodeName(number);
+    processes_[name] = std::make_unique<Process>("filbertgw", nodeArguments(number), directory_ + "/" + name + ".err");
+}
+
+bool RealFleet::isReady(int number) const
+{
+    return ask(http(number), "GET", "/readyz", "").status_ == 200;
+}
+
+std::string RealFleet::writeRecords() const
+{
+    nlohmann::json records = nlohmann::json::array();
+    for (int engine = 1; engine <= engines; ++engine) {
+        records.push_back(record(
+            "endpoint",
+            "engine-" + std::to_string(engine),
+            {{"kind", "model"}, {"domain", "d1"}, {"address", ownAddress(enginePort + engine)}, {"models", {"m"}}}));
+    }
+    const nlohmann::json operations{{"look-up", {{"idempotent", true}}}, {"salary-order", {{"idempotent", false}}}};
+    records.push_back(
+        record("endpoint",
+               "finance",
+               {{"kind", "tool"}, {"domain", "d1"}, {"address", ownAddress(toolPort)}, {"operations", operations}}));
+    records.push_back(record("model", "m", {{"default_max_tokens", 64}}));
+    records.push_back(account("office", callerKey));
+    records.push_back(account("other", otherKey));
+    const std::string path = directory_ + "/records.json";
+    std::ofstream(path) << records.dump(1);
+    return path;
+}
+
+void RealFleet::start(int nodes)
+{
+    nodes_ = nodes;
+    startStandin("log", "log", logPort, {});
+    for (int engine = 1; engine <= engines; ++engine) {
+        std::vector<std::string> flags = engineFlags_;
+        flags.insert(flags.end(), {"--models", "m"});
+        startStandin("engine-" + std::to_string(engine), "engine", enginePort + engine, flags);
+    }
+    startStandin("finance", "tool", toolPort, {});
+    const std::string reads = "/streams/config/entries?from=1&max=1&wait_ms=0";
+    ASSERT_TRUE(waitFor([&] { return ask(ownAddress(logPort), "GET", reads, "").status_ == 200; }));
+    for (int number = 1; number <= nodes; ++number) {
+        startNode(number);
+    }
+    Process publish(
+        "filbertgw", {"publish", writeRecords(), "--log=" + ownAddress(logPort)}, directory_ + "/publish.err");
+    ASSERT_EQ(publish.wait(), 0) << readFile(publish.errorFile());
+    for (int number = 1; number <= nodes; ++number) {
+        ASSERT_TRUE(waitFor([&] { return isReady(number); })) << readFile(directory_ + "/" + nodeName(number) + ".err");
+    }
+}
+
+Process &RealFleet::node(int number)
+{
+    return *processes_.at(nodeName(number));
+}
+
+Process &RealFleet::standin(const std::string &name)
+{
+    return *processes_.at(name);
+}
+
+std::string RealFleet::create(int number) const
+{
+    const Answer answer = ask(http(number), "POST", "/v1/programs", callerKey, nlohmann::json::object());
+    EXPECT_EQ(answer.status_, 200) << answer.text_;
+    return answer.status_ == 200 ? answer.json_["program"].get<std::string>() : "";
+}
+
+Answer RealFleet::call(int number, const std::string &program, const nlohmann::json &body) const
+{
+    return ask(http(number), "POST", "/v1/programs/" + program + "/calls", callerKey, body);
+}
+
+nlohmann::json RealFleet::modelCall(const std::string &request, const std::string &input) const
+{
+    return {{"request_id", request}, {"kind", "model"}, {"target", "m"}, {"input", input}};
+}
+
+} // namespace filbertgw::testing
--- /dev/null
+++ b/test/node/serve.cpp
@@ -0,0 +1,141 @@
+#include "realfleet.h"
+
+#include <gtest/gtest.h>
+
+#include <signal.h>
+
+#include <thread>
+
+using namespace filbertgw;
+using namespace filbertgw::testing;
+
+namespace {
+
+/** \brief Text of the parts of a native stream, after the last restart. */
+std::string streamedText(const std::string &events)
+{
+    std::string text;
+    std::istringstream lines(events);
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (line.rfind("event: restart", 0) == 0) {
+            text.clear();
+        }
+        const nlohmann::json data =
+            line.rfind("data: {", 0) == 0 ? nlohmann::json::parse(line.substr(6), nullptr, false) : nlohmann::json();
+        if (data.is_object() && data.contains("text")) {
+            text += data["text"].get<std::string>();
+        }
+    }
+    return text;
+}
+
+/** \brief The last answer object of a native stream. */
+nlohmann::json streamedAnswer(const std::string &events)
+{
+    const std::size_t start = events.rfind("data: {\"answer\":");
+    if (start == std::string::npos) {
+        return nullptr;
+    }
+    const std::string line = events.substr(start + 6, events.find('\n', start) - start - 6);
+    return nlohmann::json::parse(line)["answer"];
+}
+
+} // namespace
+
+// Guards against settings whose errors start a node half configured.
+TEST(Serve, BadSettingsExitWithTwo)
+{
+    const std::string file = ::testing::TempDir() + "filbertgw-bad-settings-" + std::to_string(getpid());
+    Process process("filbertgw", {"serve", "--poll-ms=0", "--listen=nowhere", "--node-name=a", "--log=h:1"}, file);
+    EXPECT_EQ(process.wait(), 2);
+    const std::string text = readFile(file);
+    EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 3) << text;
+    EXPECT_NE(text.find("--poll-ms"), std::string::npos) << text;
+    EXPECT_NE(text.find("--peer-keys"), std::string::npos) << text;
+}
+
+// Guards against a break anywhere between caller, node, owner, engine, tool, journal and back.
+TEST(Serve, RunsASessionThroughEveryNode)
+{
+    RealFleet fleet;
+    fleet.start(3);
+    const std::string program = fleet.create(1);
+    const Answer first = fleet.call(2, program, fleet.modelCall("r1", "First turn."));
+    ASSERT_EQ(first.status_, 200) << first.text_;
+    const Answer again = fleet.call(3, program, fleet.modelCall("r1", "First turn."));
+    EXPECT_EQ(again.text_, first.text_) << "a repeated request id must get the same bytes";
+    const nlohmann::json tool{
+        {"request_id", "r2"}, {"kind", "tool"}, {"target", "salary-order"}, {"input", {{"months", 12}}}};
+    EXPECT_EQ(fleet.call(3, program, tool).status_, 200);
+
+    nlohmann::json streamed = fleet.modelCall("r3", "Second turn.");
+    streamed["stream"] = true;
+    const Answer stream = fleet.call(2, program, streamed);
+    ASSERT_FALSE(streamedAnswer(stream.text_).is_null()) << stream.text_;
+    EXPECT_EQ(streamedText(stream.text_), streamedAnswer(stream.text_)["body"].get<std::string>());
+    EXPECT_EQ(stream.text_.substr(stream.text_.size() - 14), "data: [DONE]\n\n");
+
+    const std::string path = "/v1/programs/" + program;
+    const Answer history = ask(fleet.http(1), "GET", path + "/history", RealFleet::callerKey);
+    EXPECT_EQ(history.text_, ask(fleet.http(3), "GET", path + "/history", RealFleet::callerKey).text_);
+    EXPECT_EQ(ask(fleet.http(1), "GET", path, RealFleet::otherKey).status_, 404);
+    EXPECT_EQ(ask(fleet.http(1), "GET", path, "office.wrong").status_, 401);
+    EXPECT_EQ(ask(fleet.http(1), "GET", "/state", RealFleet::callerKey).status_, 403);
+    const Answer explained = ask(fleet.http(1), "GET", "/state?program=" + program, RealFleet::operatorKey);
+    EXPECT_FALSE(explained.json_["decisions"].empty()) << explained.text_;
+    const Answer metrics = ask(fleet.http(1), "GET", "/metrics", RealFleet::operatorKey);
+    EXPECT_NE(metrics.text_.find("filbertgw_call_seconds_count"), std::string::npos);
+    EXPECT_EQ(ask(fleet.http(2), "DELETE", path, RealFleet::callerKey).status_, 200);
+    EXPECT_EQ(fleet.call(1, program, fleet.modelCall("r4", "After the end.")).status_, 410);
+}
+
+// Guards against a program that ends with its node, and against history that is lost or mixed with another's.
+TEST(Serve, ProgramContinuesAfterItsOwnerIsKilled)
+{
+    RealFleet fleet;
+    fleet.start(3);
+    const std::string program = fleet.create(1);
+    const std::string beside = fleet.create(2);
+    ASSERT_EQ(fleet.call(1, program, fleet.modelCall("r1", "First turn.")).status_, 200);
+    ASSERT_EQ(fleet.call(2, beside, fleet.modelCall("b1", "Another program.")).status_, 200);
+    const std::string path = "/v1/programs/" + program + "/history";
+    const Answer before = ask(fleet.http(2), "GET", path, RealFleet::callerKey);
+    fleet.node(1).signal(SIGKILL);
+    Answer next;
+    EXPECT_TRUE(waitFor([&] {
+        next = fleet.call(2, program, fleet.modelCall("r2", "Second turn."));
+        return next.status_ == 200;
+    })) << next.text_;
+    const Answer after = ask(fleet.http(3), "GET", path, RealFleet::callerKey);
+    const std::string whole = after.json_["history"].get<std::string>();
+    EXPECT_EQ(whole.find(before.json_["history"].get<std::string>()), 0U) << whole;
+    EXPECT_EQ(whole.find("Another program."), std::string::npos);
+    EXPECT_EQ(fleet.call(3, program, fleet.modelCall("r2", "Second turn.")).text_, next.text_);
+}
+
+// Guards against a planned stop that cuts a stream or loses a program.
+TEST(Serve, PlannedStopCutsNoStream)
+{
+    RealFleet fleet;
+    fleet.engineFlags_ = {"--token-ms", "20"};
+    fleet.start(3);
+    const std::string program = fleet.create(1);
+    nlohmann::json body = fleet.modelCall("r1", "A long answer, please.");
+    body["stream"] = true;
+    Answer atOwner;
+    std::thread caller([&] { atOwner = fleet.call(1, program, body); });
+    const std::string running = "/state?section=node";
+    EXPECT_TRUE(waitFor([&] {
+        const Answer state = ask(fleet.http(1), "GET", running, RealFleet::operatorKey);
+        return state.json_.is_object() && state.json_["running_calls"] == 1;
+    }));
+    fleet.node(1).signal(SIGTERM);
+    caller.join();
+    EXPECT_EQ(atOwner.outcome_, HttpOutcome::Complete);
+    ASSERT_FALSE(streamedAnswer(atOwner.text_).is_null()) << atOwner.text_;
+    EXPECT_EQ(streamedText(atOwner.text_), streamedAnswer(atOwner.text_)["body"].get<std::string>());
+    EXPECT_EQ(fleet.node(1).wait(), 0) << readFile(fleet.node(1).errorFile());
+    const Answer next = fleet.call(2, program, fleet.modelCall("r2", "Second turn."));
+    EXPECT_EQ(next.status_, 200) << next.text_;
+}
