--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -3,6 +3,7 @@
 #include "cli/publisher.h"
 #include "cli/syncclient.h"
 #include "config/configcontroller.h"
+#include "config/publication.h"
 #include "core/nametable.h"
 #include "core/settings.h"
 #include "node/errortable.h"
@@ -71,9 +72,7 @@
     }
     int status = exitSuccess;
     for (const nlohmann::json &record : records) {
-        for (const Failure &failure : validateRecord(record)) {
-            std::cerr << record.value("kind", "?") << "/" << record.value("name", "?") << ": " << failure.detail_
-                      << "\n";
+        if (!printErrors(Publication().prepare(record, randomRecordId()))) {
             status = exitFailure;
         }
     }
@@ -89,15 +88,14 @@
         std::cerr << "filbertgw publish: " << error << "\n";
         return exitFailure;
     }
-    return Publisher(settings).publish(std::move(records));
+    return Publisher(settings).publish(records);
 }
 
 int records(const Settings &settings)
 {
     SyncClient client(settings.milliseconds(Setting::LogTimeoutMs));
     std::vector<LogEntry> entries;
-    Offset next = 1;
-    if (!client.readAll(settings.text(Setting::Log), "config", entries, next)) {
+    if (!client.readAll(settings.text(Setting::Log), configStream, entries)) {
         std::cerr << "filbertgw records: the log can't be reached\n";
         return exitFailure;
     }
--- a/src/cli/publisher.cpp
+++ b/src/cli/publisher.cpp
@@ -1,14 +1,11 @@
 #include "cli/publisher.h"
 
-#include "blackboard/blackboard.h"
 #include "config/configcontroller.h"
-#include "node/errortable.h"
 
 #include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <random>
-#include <set>
 #include <sstream>
 
 namespace filbertgw {
@@ -18,22 +15,34 @@
 constexpr int appendAttempts = 5;
 constexpr Duration pollPause = std::chrono::milliseconds(50);
 
-std::string randomRecordId()
+std::string nameOfRecord(const nlohmann::json &record)
+{
+    const auto text = [&record](const char *field) {
+        const bool has = record.contains(field) && record[field].is_string();
+        return has ? record[field].get<std::string>() : std::string("?");
+    };
+    return text("kind") + "/" + text("name");
+}
+
+} // namespace
+} // namespace internal
+
+RecordId randomRecordId()
 {
     std::random_device device;
     std::ostringstream text;
     text << "c" << std::hex << device() << device() << device() << device();
-    return text.str();
+    return RecordId(text.str());
 }
 
-std::pair<std::string, std::string> keyOf(const nlohmann::json &record)
+bool printErrors(const PreparedRecord &prepared)
 {
-    return {record.value("kind", ""), record.value("name", "")};
+    for (const Failure &failure : prepared.errors_) {
+        std::cerr << internal::nameOfRecord(prepared.record_) << ": " << failure.detail_ << "\n";
+    }
+    return prepared.errors_.empty();
 }
 
-} // namespace
-} // namespace internal
-
 bool readRecords(const std::string &path, std::vector<nlohmann::json> &records, std::string &error)
 {
     std::ifstream file(path);
@@ -72,158 +81,108 @@
 {
 }
 
-bool Publisher::fold(Offset upTo, ConfigSection &section)
+bool Publisher::readToEnd()
 {
-    Blackboard blackboard;
-    LogClient log(
-        client_.loop(), client_.http(), settings_.text(Setting::Log), settings_.milliseconds(Setting::LogTimeoutMs));
-    ConfigHooks hooks;
-    hooks.now_ = [this] { return client_.loop().now(); };
-    hooks.random_ = [] { return std::uint64_t(std::random_device()()); };
-    hooks.log_ = log.access();
-    hooks.changed_ = [] {};
-    hooks.fetchFromPeer_ = [](const NodeId &, Offset) {};
-    // A command never re-appends records that near their expiry; that is left to the nodes.
-    hooks.rank_ = [] { return std::uint32_t(1'000'000); };
-    const std::unique_ptr<ConfigController> controller = ConfigController::Builder(blackboard, hooks).build();
-    controller->start();
-    const auto folded = [&] {
-        controller->tick();
-        return blackboard.read<ConfigSection>().offset_ >= upTo;
-    };
-    const bool reached = client_.runUntil(folded, settings_.milliseconds(Setting::LogTimeoutMs) * 2);
-    section = blackboard.read<ConfigSection>();
-    return reached;
+    do {
+        LogPage page;
+        if (!client_.readPage(settings_.text(Setting::Log), configStream, publication_.nextOffset(), page)) {
+            return false;
+        }
+        publication_.onPage(page);
+    } while (!publication_.isAtEnd());
+    return true;
 }
 
-Offset Publisher::findRecord(const std::string &id)
+bool Publisher::prepare(const std::vector<nlohmann::json> &drafts)
 {
-    std::vector<LogEntry> entries;
-    Offset next = 1;
-    client_.readAll(settings_.text(Setting::Log), configStream, entries, next);
-    for (const LogEntry &entry : entries) {
-        if (entry.body_.value("id", "") == id) {
-            return entry.offset_;
-        }
+    bool valid = true;
+    for (const nlohmann::json &draft : drafts) {
+        const PreparedRecord prepared = publication_.prepare(draft, randomRecordId());
+        valid = printErrors(prepared) && valid;
+        records_.push_back(prepared.record_);
     }
-    return 0;
+    return valid;
 }
 
-bool Publisher::fillIn(std::vector<nlohmann::json> &records)
+// An append whose response was lost may have taken effect; the stream tells, and the ids make a second copy harmless.
+bool Publisher::append()
 {
-    std::vector<LogEntry> entries;
-    Offset next = 1;
-    ConfigSection section;
-    if (!client_.readAll(settings_.text(Setting::Log), configStream, entries, next)) {
-        return false;
-    }
-    if (next > 1 && !fold(next - 1, section)) {
-        return false;
-    }
-    for (nlohmann::json &record : records) {
-        if (!record.contains("id")) {
-            record["id"] = internal::randomRecordId();
-        }
-        if (!record.contains("replaces")) {
-            const auto found = section.inForce_.find(internal::keyOf(record));
-            record["replaces"] = found == section.inForce_.end() ? Offset(0) : found->second;
+    for (int attempt = 0; attempt < internal::appendAttempts; ++attempt) {
+        client_.append(settings_.text(Setting::Log), configStream, records_);
+        const RecordId last(records_.back()["id"].get<std::string>());
+        if (readToEnd() && publication_.outcome(last)) {
+            return true;
         }
     }
-    return true;
+    return false;
 }
 
-bool Publisher::appendOnce(const std::vector<nlohmann::json> &records, Offset &first)
+bool Publisher::report()
 {
-    for (int attempt = 0; attempt < internal::appendAttempts; ++attempt) {
-        const AppendResult result = client_.append(settings_.text(Setting::Log), configStream, records);
-        first = result.firstOffset_;
-        if (result.status_ == AppendStatus::Durable) {
-            return true;
-        }
-        // The response may be lost after the append took effect; the record ids tell.
-        first = findRecord(records.front().value("id", ""));
-        if (first != 0) {
-            return true;
+    bool accepted = true;
+    for (const nlohmann::json &record : records_) {
+        const std::optional<PublicationOutcome> outcome =
+            publication_.outcome(RecordId(record["id"].get<std::string>()));
+        if (!outcome) {
+            accepted = false;
+            continue;
         }
+        const bool inForce = outcome->verdict_ == FoldVerdict::Accepted;
+        accepted = accepted && inForce;
+        lastOffset_ = inForce ? std::max(lastOffset_, outcome->offset_) : lastOffset_;
+        std::cout << internal::nameOfRecord(record) << " offset " << outcome->offset_ << " "
+                  << nameOf(outcome->verdict_) << (outcome->detail_.empty() ? "" : ": ") << outcome->detail_ << "\n";
     }
-    return false;
+    return accepted;
 }
 
-int Publisher::publish(std::vector<nlohmann::json> records)
+int Publisher::publish(const std::vector<nlohmann::json> &drafts)
 {
-    if (!fillIn(records)) {
+    if (!readToEnd()) {
         std::cerr << "filbertgw publish: the log can't be reached\n";
         return 1;
     }
-    bool valid = true;
-    for (const nlohmann::json &record : records) {
-        for (const Failure &failure : validateRecord(record)) {
-            std::cerr << record.value("kind", "?") << "/" << record.value("name", "?") << ": " << failure.detail_
-                      << "\n";
-            valid = false;
-        }
-    }
-    if (!valid || records.empty()) {
+    if (!prepare(drafts) || records_.empty()) {
         return 1;
     }
-    Offset first = 0;
-    if (!appendOnce(records, first)) {
+    if (!append()) {
         std::cerr << "filbertgw publish: the log did not confirm the records; run `filbertgw records` to see them\n";
         return 1;
     }
-    const int status = report(records, first);
-    if (status != 0 || !settings_.flag(Setting::Wait)) {
-        return status;
-    }
-    return waitForNodes(first + records.size() - 1);
-}
-
-int Publisher::report(const std::vector<nlohmann::json> &records, Offset first)
-{
-    ConfigSection section;
-    if (!fold(first + records.size() - 1, section)) {
-        std::cerr << "filbertgw publish: the log can't be read back\n";
+    if (!report()) {
         return 1;
     }
-    int status = 0;
-    for (std::size_t index = 0; index < records.size(); ++index) {
-        const Offset offset = first + index;
-        const std::pair<std::string, std::string> key = internal::keyOf(records[index]);
-        const auto inForce = section.inForce_.find(key);
-        std::string outcome = inForce != section.inForce_.end() && inForce->second == offset ? "accepted" : "replaced";
-        for (const HeldRecord &held : section.held_) {
-            if (held.offset_ == offset) {
-                outcome = held.reason_ + (held.detail_.empty() ? "" : ": " + held.detail_);
-                status = 1;
-            }
-        }
-        std::cout << key.first << "/" << key.second << " offset " << offset << " " << outcome << "\n";
-    }
-    return status;
+    return settings_.flag(Setting::Wait) ? waitForNodes() : 0;
 }
 
-int Publisher::waitForNodes(Offset offset)
+int Publisher::waitForNodes()
 {
     const std::vector<std::string> nodes = settings_.list(Setting::Nodes);
     const std::vector<std::string> keys = settings_.list(Setting::OperatorKeys);
     const std::string key = keys.empty() ? "" : keys.front();
     const Time start = client_.loop().now();
-    std::set<std::string> inForce;
-    while (inForce.size() < nodes.size() && client_.loop().now() - start < settings_.milliseconds(Setting::WaitMs)) {
+    FleetWait wait(lastOffset_);
+    do {
         for (const std::string &node : nodes) {
-            const HttpResult result =
-                inForce.count(node) != 0 ? HttpResult() : client_.get(node, "/state?section=node", key);
+            const HttpResult result = client_.get(node, "/state?section=config", key);
             const nlohmann::json state = nlohmann::json::parse(result.body_, nullptr, false);
-            if (state.is_object() && state.value("config_offset", Offset(0)) >= offset) {
-                inForce.insert(node);
+            if (state.is_object()) {
+                wait.onNodeState(node, {{"config", state}});
+            } else {
+                wait.onNodeUnreachable(node);
             }
         }
-        client_.runUntil([] { return false; }, internal::pollPause);
-    }
+        if (!wait.isDone()) {
+            client_.runUntil([] { return false; }, internal::pollPause);
+        }
+    } while (!wait.isDone() && client_.loop().now() - start < settings_.milliseconds(Setting::WaitMs));
     const Duration took = client_.loop().now() - start;
-    std::cout << "in force at " << inForce.size() << " of " << nodes.size() << " nodes after "
+    std::cout << "in force at " << wait.inForce() << " of " << wait.nodes() << " nodes after "
               << std::chrono::duration_cast<std::chrono::milliseconds>(took).count() << " ms\n";
-    return inForce.size() == nodes.size() ? 0 : 1;
+    for (const auto &[node, offset] : wait.behind()) {
+        std::cout << "behind: " << node << " at offset " << offset << "\n";
+    }
+    return wait.isDone() ? 0 : 1;
 }
 
 } // namespace filbertgw
--- a/src/cli/publisher.h
+++ b/src/cli/publisher.h
@@ -2,7 +2,7 @@
 #define FILBERTGW_CLI_PUBLISHER_H
 
 #include "cli/syncclient.h"
-#include "config/configsection.h"
+#include "config/publication.h"
 #include "core/settings.h"
 
 #include <nlohmann/json.hpp>
@@ -19,23 +19,31 @@
     explicit Publisher(const Settings &settings);
 
     /** \brief Publishes records, prints what became of each. \return the exit status. */
-    int publish(std::vector<nlohmann::json> records);
+    int publish(const std::vector<nlohmann::json> &drafts);
 
 private:
-    bool fold(Offset upTo, ConfigSection &section);
-    bool appendOnce(const std::vector<nlohmann::json> &records, Offset &first);
-    Offset findRecord(const std::string &id);
-    bool fillIn(std::vector<nlohmann::json> &records);
-    int report(const std::vector<nlohmann::json> &records, Offset first);
-    int waitForNodes(Offset offset);
+    bool readToEnd();
+    bool prepare(const std::vector<nlohmann::json> &drafts);
+    bool append();
+    bool report();
+    int waitForNodes();
 
     const Settings &settings_;
     SyncClient client_;
+    Publication publication_;
+    std::vector<nlohmann::json> records_;
+    Offset lastOffset_ = 0; ///< Of the records that are in force.
 };
 
 /** \brief Reads records from a file: one JSON object, an array of them, or one object a line. */
 bool readRecords(const std::string &path, std::vector<nlohmann::json> &records, std::string &error);
 
+/** \brief A new record id. */
+RecordId randomRecordId();
+
+/** \brief Prints the errors of a record on standard error. \return true if there are none. */
+bool printErrors(const PreparedRecord &prepared);
+
 } // namespace filbertgw
 
 #endif
--- a/src/cli/syncclient.cpp
+++ b/src/cli/syncclient.cpp
@@ -67,34 +67,36 @@
     return result;
 }
 
-bool SyncClient::readAll(const std::string &log,
-                         const std::string &stream,
-                         std::vector<LogEntry> &entries,
-                         Offset &next)
+bool SyncClient::readPage(const std::string &log, const std::string &stream, Offset from, LogPage &page)
 {
     LogClient client(loop_, http_, log, timeout_);
-    const LogAccess access = client.access();
-    Offset from = 1;
-    bool reached = true;
-    bool more = true;
-    while (reached && more) {
-        bool done = false;
-        access.read_(stream, from, Duration(0), [&](bool ok, const LogPage &page) {
-            reached = ok;
-            more = ok && !page.entries_.empty();
-            entries.insert(entries.end(), page.entries_.begin(), page.entries_.end());
-            from = page.nextOffset_;
-            done = true;
-            loop_.stop();
-        });
-        while (!done) {
-            loop_.run();
-        }
+    bool done = false;
+    bool reached = false;
+    client.access().read_(stream, from, Duration(0), [&](bool ok, const LogPage &read) {
+        reached = ok;
+        page = read;
+        done = true;
+        loop_.stop();
+    });
+    while (!done) {
+        loop_.run();
     }
-    next = from;
     return reached;
 }
 
+bool SyncClient::readAll(const std::string &log, const std::string &stream, std::vector<LogEntry> &entries)
+{
+    LogPage page;
+    do {
+        const Offset from = page.nextOffset_;
+        if (!readPage(log, stream, from, page)) {
+            return false;
+        }
+        entries.insert(entries.end(), page.entries_.begin(), page.entries_.end());
+    } while (!page.entries_.empty());
+    return true;
+}
+
 AppendResult
 SyncClient::append(const std::string &log, const std::string &stream, const std::vector<nlohmann::json> &entries)
 {
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -38,6 +38,7 @@
         {S::Members, "members", T::Text, 0, 65'536, "", "", serve, false, "nodes known at the start: NAME/DOMAIN/UDP/PEER/HTTP, separated by commas, the last three as host:port"},
         {S::PeerKeys, "peer-keys", T::Secret, shortestKey, 1024, "", "", serve, true, "keys of the links between nodes, separated by commas; the first signs, all are accepted"},
         {S::OperatorKeys, "operator-keys", T::Secret, shortestKey, 1024, "", "", serve | publish | state, false, "bearer keys of the operators, separated by commas; a client sends the first; without one a node refuses operators"},
+        {S::OrderKeys, "order-keys", T::Secret, shortestKey, 1024, "", "", serve, false, "keys that sign orders to endpoints that check them, separated by commas; the first signs"},
         {S::LogLevel, "log-level", T::Choice, 0, 0, "debug info warning error", "info", serve, false, "least severity of the lines that are logged"},
         {S::HeaderBytes, "header-bytes", T::Number, 1024, mebibyte, "", "16384", serve, false, "most bytes of the head of a request"},
         {S::BodyBytes, "body-bytes", T::Number, 1024, 64 * mebibyte, "", "4194304", serve, false, "most bytes of the body of a request"},
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -30,6 +30,7 @@
     Members,
     PeerKeys,
     OperatorKeys,
+    OrderKeys,
     LogLevel,
     HeaderBytes,
     BodyBytes,
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -32,9 +32,9 @@
     , blackboard_(blackboard)
     , streams_(streams)
     , metrics_(metrics)
-    , limits_(limits)
-    , engines_(hooks, limits.answerBytes_)
-    , tools_(hooks, limits.answerBytes_)
+    , limits_(std::move(limits))
+    , engines_(hooks, limits_.answerBytes_, limits_.orderKey_)
+    , tools_(hooks, limits_.answerBytes_)
 {
 }
 
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -36,6 +36,7 @@
     {
         std::size_t answerBytes_ = 4 * 1024 * 1024;
         Duration callTimeout_ = std::chrono::minutes(10);
+        std::string orderKey_; ///< Signs orders; empty for none.
     };
 
     Dispatcher(
--- a/src/node/endpointpoller.cpp
+++ b/src/node/endpointpoller.cpp
@@ -28,10 +28,10 @@
 
 std::optional<CacheEvent::Kind> eventKind(const std::string &name)
 {
-    if (name == "stored") {
+    if (name == "stored" || name == "imported") {
         return CacheEvent::Kind::Stored;
     }
-    if (name == "evicted") {
+    if (name == "evicted" || name == "released" || name == "exported") {
         return CacheEvent::Kind::Evicted;
     }
     return name == "cleared" ? std::optional<CacheEvent::Kind>(CacheEvent::Kind::Cleared) : std::nullopt;
@@ -127,6 +127,7 @@
     Engine &engine = engines_[id];
     if (engine.healthy_ != healthy) {
         engine.healthy_ = healthy;
+        engine.nextEvent_ = healthy ? 1 : engine.nextEvent_;
         hooks_.logEvent_("endpoint_health", {{"endpoint", id.value()}, {"healthy", healthy}});
     }
     scheduler_.onEndpointHealth(id, healthy);
@@ -150,19 +151,27 @@
 {
     LoadReport report;
     report.endpoint_ = id;
-    report.measuredAt_ = hooks_.now_() - std::chrono::milliseconds(internal::integer(body, "age_ms"));
+    const Time now = hooks_.now_();
+    // A time of the engine's clock that lies in the future would make the report count for too long.
+    const Time measured = std::chrono::milliseconds(internal::integer(body, "time_ms"));
+    report.measuredAt_ = measured.count() == 0 ? now : std::min(measured, now);
     report.running_ = std::int32_t(internal::integer(body, "running"));
-    report.waiting_ = std::int32_t(internal::integer(body, "waiting"));
-    report.waitingPromptTokens_ = internal::integer(body, "waiting_prompt_tokens");
-    report.cacheUsedTokens_ = internal::integer(body, "cache_used_tokens");
+    report.waiting_ = std::int32_t(internal::integer(body, "queued"));
+    report.waitingPromptTokens_ = internal::integer(body, "queued_prompt_tokens");
+    report.cacheUsedTokens_ = internal::integer(body, "cache_tokens");
     report.pinnedTokens_ = internal::integer(body, "pinned_tokens");
-    report.livePrograms_ = std::int32_t(internal::integer(body, "live_programs"));
+    report.livePrograms_ = std::int32_t(internal::integer(body, "programs"));
     for (const nlohmann::json &model : internal::listOf(body.value("models", nlohmann::json::array()), "")) {
         if (model.is_string()) {
             report.models_.emplace_back(model.get<std::string>());
         }
     }
-    report.leaving_ = body.contains("leaving") && body["leaving"].is_boolean() && body["leaving"].get<bool>();
+    report.leaving_ = internal::string(body, "state") == "leaving";
+    const std::int64_t completed = internal::integer(body, "completed");
+    if (completed < engines_[id].completed_) {
+        onRestart(id);
+    }
+    engines_[id].completed_ = completed;
     if (report.leaving_) {
         leaving_.insert(id);
     } else {
@@ -192,28 +201,29 @@
         if (!item.is_object()) {
             continue;
         }
-        const std::optional<CacheEvent::Kind> kind = internal::eventKind(internal::string(item, "kind"));
+        const std::optional<CacheEvent::Kind> kind = internal::eventKind(internal::string(item, "event"));
         CacheEvent event;
         event.endpoint_ = id;
-        event.sequence_ = std::uint64_t(internal::integer(item, "sequence"));
+        event.sequence_ = std::uint64_t(internal::integer(item, "offset"));
         event.program_ = ProgramId(internal::string(item, "program"));
         event.sharedPrefix_ = std::uint64_t(internal::integer(item, "shared_prefix"));
-        event.tokens_ = internal::integer(item, "tokens");
+        event.tokens_ = kind == CacheEvent::Kind::Stored ? internal::integer(item, "tokens") : 0;
         engine.nextEvent_ = std::max(engine.nextEvent_, event.sequence_ + 1);
         if (kind) {
             event.kind_ = *kind;
             scheduler_.onCacheEvent(event);
         }
     }
-    // An engine that has restarted counts from 1 again.
-    const std::uint64_t next = body.is_object() ? std::uint64_t(internal::integer(body, "next")) : 0;
-    if (next != 0 && next < engine.nextEvent_) {
-        engine.nextEvent_ = 1;
-        CacheEvent cleared;
-        cleared.endpoint_ = id;
-        cleared.kind_ = CacheEvent::Kind::Cleared;
-        scheduler_.onCacheEvent(cleared);
-    }
+}
+
+// A restarted engine counts its events from 1 again and has an empty cache.
+void EndpointPoller::onRestart(const EndpointId &id)
+{
+    engines_[id].nextEvent_ = 1;
+    CacheEvent cleared;
+    cleared.endpoint_ = id;
+    cleared.kind_ = CacheEvent::Kind::Cleared;
+    scheduler_.onCacheEvent(cleared);
 }
 
 void EndpointPoller::pollHeld(const EndpointId &id)
--- a/src/node/endpointpoller.h
+++ b/src/node/endpointpoller.h
@@ -29,6 +29,7 @@
         Time nextLoad_{0};
         Time nextHeld_{0};
         std::uint64_t nextEvent_ = 1;
+        std::int64_t completed_ = 0; ///< Requests that the engine has completed since its start.
         bool loadRunning_ = false;
         bool eventsRunning_ = false;
         bool heldRunning_ = false;
@@ -41,6 +42,7 @@
     void pollHeld(const EndpointId &id);
     void takeLoad(const EndpointId &id, const nlohmann::json &body);
     void takeEvents(const EndpointId &id, const nlohmann::json &body);
+    void onRestart(const EndpointId &id);
     void setHealthy(const EndpointId &id, bool healthy);
     std::set<EndpointId> watched() const;
 
--- a/src/node/engineclient.cpp
+++ b/src/node/engineclient.cpp
@@ -1,5 +1,6 @@
 #include "node/engineclient.h"
 
+#include "net/ordersignature.h"
 #include "node/errortable.h"
 #include "node/ssereader.h"
 
@@ -46,6 +47,8 @@
             return;
         }
         const nlohmann::json &choice = event["choices"][0];
+        isCancelled_ =
+            isCancelled_ || (choice.is_object() && choice.value("finish_reason", nlohmann::json()) == "cancelled");
         if (!choice.is_object() || !choice.contains("delta") || !choice["delta"].is_object()) {
             return;
         }
@@ -85,6 +88,7 @@
     std::string errorBody_;
     bool ended_ = false; ///< `[DONE]` was seen.
     bool malformed_ = false;
+    bool isCancelled_ = false; ///< The engine was told to stop; the text is not the whole answer.
 };
 
 AttemptStatus statusOf(const HttpResult &result, const EngineStream &stream)
@@ -104,6 +108,9 @@
     if (result.status_ / 100 != 2 || !stream.answer_.error_.empty()) {
         return AttemptStatus::Rejected;
     }
+    if (stream.isCancelled_) {
+        return AttemptStatus::Cancelled;
+    }
     // A stream that ends without its last event was cut by the engine.
     return stream.ended_ && !stream.malformed_ ? AttemptStatus::Answered : AttemptStatus::ConnectionLost;
 }
@@ -128,10 +135,26 @@
     return program.value() + "/" + request.value();
 }
 
-EngineClient::EngineClient(const NodeHooks &hooks, std::size_t answerBytes)
+EngineClient::EngineClient(const NodeHooks &hooks, std::size_t answerBytes, std::string orderKey)
     : hooks_(hooks)
     , answerBytes_(answerBytes)
+    , orderKey_(std::move(orderKey))
+{
+}
+
+HttpCall EngineClient::orderCall(const EndpointInfo &engine, const std::string &target, const std::string &body) const
 {
+    HttpCall call;
+    call.address_ = engine.address_;
+    call.request_.method_ = "POST";
+    call.request_.target_ = target;
+    call.request_.headers_ = {{"content-type", "application/json"}};
+    if (!orderKey_.empty()) {
+        call.request_.headers_[orderSignatureHeader] = signOrder(orderKey_, hooks_.now_(), target, body);
+    }
+    call.request_.body_ = body;
+    call.timeout_ = internal::controlTimeout;
+    return call;
 }
 
 std::uint64_t EngineClient::start(
@@ -203,13 +226,8 @@
 
 void EngineClient::cancelRequest(const EndpointInfo &engine, const ProgramId &program, const RequestId &request)
 {
-    HttpCall call;
-    call.address_ = engine.address_;
-    call.request_.method_ = "POST";
-    call.request_.target_ = "/v1/cancel";
-    call.request_.headers_ = {{"content-type", "application/json"}};
-    call.request_.body_ = jsonText({{"request_id", endpointRequestId(program, request)}});
-    call.timeout_ = internal::controlTimeout;
+    const std::string body = jsonText({{"request_id", endpointRequestId(program, request)}});
+    HttpCall call = orderCall(engine, "/v1/cancel", body);
     call.onDone_ = [](const HttpResult &) {};
     hooks_.startHttp_(std::move(call));
 }
@@ -228,13 +246,7 @@
     if (!peerAddress.empty()) {
         body["from"] = peerAddress;
     }
-    HttpCall call;
-    call.address_ = engine.address_;
-    call.request_.method_ = "POST";
-    call.request_.target_ = "/v1/control";
-    call.request_.headers_ = {{"content-type", "application/json"}};
-    call.request_.body_ = jsonText(body);
-    call.timeout_ = internal::controlTimeout;
+    HttpCall call = orderCall(engine, "/v1/control", jsonText(body));
     call.onDone_ = [this, order](const HttpResult &result) {
         if (result.outcome_ != HttpOutcome::Complete || result.status_ / 100 != 2) {
             hooks_.logEvent_("order_failed",
--- a/src/node/engineclient.h
+++ b/src/node/engineclient.h
@@ -31,7 +31,8 @@
         std::function<void(const EndpointAnswer &)> done_; ///< Exactly once.
     };
 
-    EngineClient(const NodeHooks &hooks, std::size_t answerBytes);
+    /** \param orderKey signs orders for engines that check who gives them; empty for no signature. */
+    EngineClient(const NodeHooks &hooks, std::size_t answerBytes, std::string orderKey);
 
     /** \brief Sends a model call. \return the id of the HTTP exchange, for NodeHooks::cancelHttp_. */
     std::uint64_t start(const EndpointInfo &engine,
@@ -47,8 +48,11 @@
 private:
     void probe(const EndpointInfo &engine, EndpointAnswer answer, std::function<void(const EndpointAnswer &)> done);
 
+    HttpCall orderCall(const EndpointInfo &engine, const std::string &target, const std::string &body) const;
+
     const NodeHooks &hooks_;
     std::size_t answerBytes_;
+    std::string orderKey_;
 };
 
 /** \brief Name of a request at endpoints: unique in the fleet, the same for every attempt. */
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -164,6 +164,8 @@
     node.vmList_ = settings_.text(Setting::VmList);
     node.peerKeys_ = settings_.list(Setting::PeerKeys);
     node.operatorKeys_ = settings_.list(Setting::OperatorKeys);
+    const std::vector<std::string> orderKeys = settings_.list(Setting::OrderKeys);
+    node.orderKey_ = orderKeys.empty() ? "" : orderKeys.front();
     node.answerBytes_ = std::size_t(settings_.number(Setting::AnswerBytes));
     node.backlogBytes_ = std::size_t(settings_.number(Setting::BacklogBytes));
     node.callTimeout_ = settings_.milliseconds(Setting::CallTimeoutMs);
--- a/src/node/nodecore.cpp
+++ b/src/node/nodecore.cpp
@@ -69,6 +69,7 @@
     SlotMap slots_;
     AnswerStreams streams_;
     Authenticator authenticator_;
+    std::unique_ptr<MembershipController> membership_;
     std::unique_ptr<ConfigController> config_;
     std::unique_ptr<Scheduler> scheduler_;
     std::unique_ptr<ProgramController> programs_;
@@ -125,6 +126,7 @@
     Dispatcher::Limits limits;
     limits.answerBytes_ = settings_.answerBytes_;
     limits.callTimeout_ = settings_.callTimeout_;
+    limits.orderKey_ = settings_.orderKey_;
     dispatcher_ = std::make_unique<Dispatcher>(hooks_, blackboard_, streams_, metrics_, limits);
     dispatcher_->setControllers(dispatcherHooks());
     subAgents_ = std::make_unique<SubAgentRunner>(*programs_, hooks_.post_);
@@ -141,12 +143,17 @@
 
 void NodeCore::Private::makeControllers()
 {
-    MembershipSection &members = blackboard_.write<MembershipSection>();
-    members.self_ = settings_.self_.id_;
-    members.members_[settings_.self_.id_] = settings_.self_;
+    std::vector<std::string> seeds;
     for (const Member &member : settings_.members_) {
-        members.members_[member.id_] = member;
+        if (member.id_ != settings_.self_.id_) {
+            seeds.push_back(member.udpAddress_);
+        }
     }
+    membership_ = MembershipController::Builder(blackboard_, membershipHooks())
+                      .self(settings_.self_)
+                      .seeds(seeds)
+                      .keys(settings_.peerKeys_)
+                      .build();
     config_ = ConfigController::Builder(blackboard_, configHooks()).retention(settings_.retention_).build();
     scheduler_ = Scheduler::Builder().hooks(schedulerHooks()).blackboard(&blackboard_).build();
     ProgramSettings programSettings;
@@ -325,7 +332,7 @@
 
 void NodeCore::Private::tick()
 {
-    // MEMBERSHIP membership_->tick();
+    membership_->tick();
     config_->tick();
     programs_->tick();
     scheduler_->tick();
@@ -392,7 +399,7 @@
             leaving.insert(endpoint);
         }
     }
-    // MEMBERSHIP membership_->onVmList(nodes);
+    membership_->onVmList(nodes);
     if (leaving != vmsLeaving_) {
         vmsLeaving_ = leaving;
         setEndpoints();
@@ -432,7 +439,7 @@
     if (std::exchange(draining_, true)) {
         return;
     }
-    // MEMBERSHIP membership_->announceLeaving();
+    membership_->announceLeaving();
     forwarder_->setLeaving();
     programs_->drain();
 }
@@ -530,7 +537,7 @@
 
 void NodeCore::onDatagram(const std::string &datagram)
 {
-    (void)datagram;
+    d_->membership_->onDatagram(datagram);
 }
 
 void NodeCore::drain()
--- a/src/node/programforwarder.cpp
+++ b/src/node/programforwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "node/errortable.h"
 
+#include <utility>
 #include <vector>
 
 namespace filbertgw {
@@ -75,6 +76,7 @@
     ApiCancel cancelHere_;
     bool sent_ = false; ///< A peer may have got it.
     bool done_ = false;
+    bool retries_ = false; ///< Already logged; tries come every 50 ms until there is a new owner.
 };
 
 ProgramForwarder::ProgramForwarder(const NodeHooks &hooks,
@@ -232,6 +234,7 @@
 
 void ProgramForwarder::onPeerPart(const PendingPtr &pending, const nlohmann::json &part)
 {
+    pending->retries_ = false;
     if (!pending->sink_.text_) {
         return;
     }
@@ -258,10 +261,12 @@
 
 void ProgramForwarder::sendAgain(const PendingPtr &pending)
 {
-    hooks_.logEvent_("forward_broken",
-                     {{"program", pending->request_.program_.value()},
-                      {"request", pending->request_.requestId_.value()},
-                      {"peer", pending->node_.value()}});
+    if (!std::exchange(pending->retries_, true)) {
+        hooks_.logEvent_("forward_retried",
+                         {{"program", pending->request_.program_.value()},
+                          {"request", pending->request_.requestId_.value()},
+                          {"peer", pending->node_.value()}});
+    }
     ++pending->generation_;
     pending->node_ = NodeId();
     pending->cancelHere_ = nullptr;
--- a/src/node/toolclient.cpp
+++ b/src/node/toolclient.cpp
@@ -15,7 +15,11 @@
     if (json.contains("not_run") && json["not_run"].is_boolean()) {
         return json["not_run"].get<bool>();
     }
-    return json.contains("error") && json["error"].is_object() && json["error"].value("promise", "") == "not_run";
+    if (!json.contains("error") || !json["error"].is_object()) {
+        return false;
+    }
+    const std::string type = json["error"].value("type", "");
+    return json["error"].value("promise", "") == "not_run" || type == "not_run" || type == "overloaded";
 }
 
 AttemptStatus toolStatus(const HttpResult &result, bool idempotent)
--- a/test/node/realfleet.cpp
+++ b/test/node/realfleet.cpp
@@ -50,7 +50,9 @@
                              int port,
                              const std::vector<std::string> &flags)
 {
-    std::vector<std::string> arguments{kind, "--listen", ownAddress(port)};
+    const std::string address = ownAddress(port);
+    const std::string host = address.substr(0, address.find(':'));
+    std::vector<std::string> arguments{kind, "--host", host, "--port", std::to_string(port)};
     arguments.insert(arguments.end(), flags.begin(), flags.end());
     processes_[name] = std::make_unique<Process>("filbertgw-standin", arguments, directory_ + "/" + name + ".err");
 }
@@ -129,7 +131,7 @@
     startStandin("log", "log", logPort, {});
     for (int engine = 1; engine <= engines; ++engine) {
         std::vector<std::string> flags = engineFlags_;
-        flags.insert(flags.end(), {"--models", "m"});
+        flags.insert(flags.end(), {"--model", "m"});
         startStandin("engine-" + std::to_string(engine), "engine", enginePort + engine, flags);
     }
     startStandin("finance", "tool", toolPort, {});
