--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -516,7 +516,7 @@
         return;
     }
     // The connection may be gone before the handler gets here; an answer that has ended is never reported.
-    if (request == request_ && state_ == State::Closed) {
+    if (closed && request == request_ && state_ == State::Closed) {
         reportClosed(std::move(closed));
     }
 }
--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -190,9 +190,32 @@
             reply->send(200, "application/json", jsonText(result.body_));
         }
     };
+    if (route.request_.operation_ == ApiOperation::Create) {
+        runCreate(route.request_, reply, sink);
+        return;
+    }
     reply->onClosed(forwarder_.run(route.request_, sink));
 }
 
+// Not given up when the caller goes: the account's count needs to know whether there is a program.
+void CallerApi::runCreate(const ApiRequest &request, const std::shared_ptr<HttpReply> &reply, const ApiSink &sink)
+{
+    const std::optional<Failure> refused = gate_.beginProgram_(request.account_);
+    if (refused) {
+        metrics_.count("refused_requests_total", "type=\"" + std::string(nameOf(refused->type_)) + "\"");
+        logFailure(request, *refused);
+        sendFailure(*reply, *refused);
+        return;
+    }
+    ApiSink counted;
+    counted.done_ = [this, account = request.account_, sink](const ApiResult &result) {
+        const bool created = !result.failure_;
+        gate_.programCreated_(account, ProgramId(created ? result.body_.value("program", "") : ""));
+        sink.done_(result);
+    };
+    forwarder_.run(request, counted);
+}
+
 void CallerApi::logFailure(const ApiRequest &request, const Failure &failure) const
 {
     hooks_.logEvent_("request_failed",
@@ -272,7 +295,7 @@
         }
         chatIn(ProgramId(result.body_.value("program", "")), request, body, account, reply);
     };
-    forwarder_.run(create, sink);
+    runCreate(create, reply, sink);
 }
 
 void CallerApi::chatIn(const ProgramId &program,
--- a/src/node/callerapi.h
+++ b/src/node/callerapi.h
@@ -22,6 +22,9 @@
 {
     std::function<std::optional<Failure>(const AccountId &)> beginCall_;
     std::function<void(const AccountId &)> endCall_;
+    std::function<std::optional<Failure>(const AccountId &)> beginProgram_;
+    /** \brief An admitted creation has ended; the program is empty if there is none. */
+    std::function<void(const AccountId &, const ProgramId &)> programCreated_;
 };
 
 /** \brief The HTTP interface to callers: authentication, limits, parsing, answers; see docs/design.md, section 12. */
@@ -49,6 +52,7 @@
     Route routeOf(const HttpRequest &request, const AccountId &account) const;
     Route programRoute(const HttpRequest &request, const AccountId &account) const;
     void run(const Route &route, const std::shared_ptr<HttpReply> &reply);
+    void runCreate(const ApiRequest &request, const std::shared_ptr<HttpReply> &reply, const ApiSink &sink);
     void runCall(const Route &route, const std::shared_ptr<HttpReply> &reply);
     void chat(const HttpRequest &request, const AccountId &account, const std::shared_ptr<HttpReply> &reply);
     void chatIn(const ProgramId &program,
--- a/src/node/endpointpoller.cpp
+++ b/src/node/endpointpoller.cpp
@@ -28,10 +28,10 @@
 
 std::optional<CacheEvent::Kind> eventKind(const std::string &name)
 {
-    if (name == "stored" || name == "imported") {
+    if (name == "stored") {
         return CacheEvent::Kind::Stored;
     }
-    if (name == "evicted" || name == "released" || name == "exported") {
+    if (name == "evicted") {
         return CacheEvent::Kind::Evicted;
     }
     return name == "cleared" ? std::optional<CacheEvent::Kind>(CacheEvent::Kind::Cleared) : std::nullopt;
@@ -46,14 +46,13 @@
 } // namespace
 } // namespace internal
 
-EndpointPoller::EndpointPoller(const NodeHooks &hooks,
-                               const Blackboard &blackboard,
-                               Scheduler &scheduler,
-                               Duration period)
+EndpointPoller::EndpointPoller(
+    const NodeHooks &hooks, const Blackboard &blackboard, Scheduler &scheduler, Duration period, IsGone isGone)
     : hooks_(hooks)
     , blackboard_(blackboard)
     , scheduler_(scheduler)
     , period_(period)
+    , isGone_(std::move(isGone))
 {
 }
 
@@ -151,22 +150,19 @@
 {
     LoadReport report;
     report.endpoint_ = id;
-    const Time now = hooks_.now_();
-    // A time of the engine's clock that lies in the future would make the report count for too long.
-    const Time measured = std::chrono::milliseconds(internal::integer(body, "time_ms"));
-    report.measuredAt_ = measured.count() == 0 ? now : std::min(measured, now);
+    report.measuredAt_ = hooks_.now_() - std::chrono::milliseconds(internal::integer(body, "age_ms"));
     report.running_ = std::int32_t(internal::integer(body, "running"));
-    report.waiting_ = std::int32_t(internal::integer(body, "queued"));
-    report.waitingPromptTokens_ = internal::integer(body, "queued_prompt_tokens");
-    report.cacheUsedTokens_ = internal::integer(body, "cache_tokens");
+    report.waiting_ = std::int32_t(internal::integer(body, "waiting"));
+    report.waitingPromptTokens_ = internal::integer(body, "waiting_prompt_tokens");
+    report.cacheUsedTokens_ = internal::integer(body, "cache_used_tokens");
     report.pinnedTokens_ = internal::integer(body, "pinned_tokens");
-    report.livePrograms_ = std::int32_t(internal::integer(body, "programs"));
+    report.livePrograms_ = std::int32_t(internal::integer(body, "live_programs"));
     for (const nlohmann::json &model : internal::listOf(body.value("models", nlohmann::json::array()), "")) {
         if (model.is_string()) {
             report.models_.emplace_back(model.get<std::string>());
         }
     }
-    report.leaving_ = internal::string(body, "state") == "leaving";
+    report.leaving_ = body.contains("leaving") && body["leaving"].is_boolean() && body["leaving"].get<bool>();
     const std::int64_t completed = internal::integer(body, "completed");
     if (completed < engines_[id].completed_) {
         onRestart(id);
@@ -201,10 +197,10 @@
         if (!item.is_object()) {
             continue;
         }
-        const std::optional<CacheEvent::Kind> kind = internal::eventKind(internal::string(item, "event"));
+        const std::optional<CacheEvent::Kind> kind = internal::eventKind(internal::string(item, "kind"));
         CacheEvent event;
         event.endpoint_ = id;
-        event.sequence_ = std::uint64_t(internal::integer(item, "offset"));
+        event.sequence_ = std::uint64_t(internal::integer(item, "sequence"));
         event.program_ = ProgramId(internal::string(item, "program"));
         event.sharedPrefix_ = std::uint64_t(internal::integer(item, "shared_prefix"));
         event.tokens_ = kind == CacheEvent::Kind::Stored ? internal::integer(item, "tokens") : 0;
@@ -214,6 +210,10 @@
             scheduler_.onCacheEvent(event);
         }
     }
+    const std::uint64_t next = body.is_object() ? std::uint64_t(internal::integer(body, "next")) : 0;
+    if (next != 0 && next < engine.nextEvent_) {
+        onRestart(id);
+    }
 }
 
 // A restarted engine counts its events from 1 again and has an empty cache.
@@ -239,7 +239,9 @@
         std::vector<ProgramId> programs;
         for (const nlohmann::json &item : internal::listOf(body, "programs")) {
             const std::string program = item.is_string() ? item.get<std::string>() : internal::string(item, "program");
-            programs.emplace_back(program);
+            if (isGone_(ProgramId(program))) {
+                programs.emplace_back(program);
+            }
         }
         scheduler_.onHeldPrograms(id, programs);
     });
--- a/src/node/endpointpoller.h
+++ b/src/node/endpointpoller.h
@@ -6,6 +6,7 @@
 #include "policy/scheduler.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -16,7 +17,11 @@
 class EndpointPoller
 {
 public:
-    EndpointPoller(const NodeHooks &hooks, const Blackboard &blackboard, Scheduler &scheduler, Duration period);
+    /** \brief True if this node is the one that knows a program and the program is gone. */
+    using IsGone = std::function<bool(const ProgramId &)>;
+
+    EndpointPoller(
+        const NodeHooks &hooks, const Blackboard &blackboard, Scheduler &scheduler, Duration period, IsGone isGone);
 
     /** \brief Polls what is due. */
     void tick();
@@ -50,6 +55,7 @@
     const Blackboard &blackboard_;
     Scheduler &scheduler_;
     Duration period_;
+    IsGone isGone_;
     std::map<EndpointId, Engine> engines_;
     std::set<EndpointId> leaving_;
 };
--- a/src/node/nodecore.cpp
+++ b/src/node/nodecore.cpp
@@ -3,6 +3,7 @@
 #include "config/accountlimiter.h"
 #include "config/configcontroller.h"
 #include "core/metrics.h"
+#include "journal/programid.h"
 #include "membership/membershipcontroller.h"
 #include "membership/slotmap.h"
 #include "node/answerstreams.h"
@@ -22,6 +23,7 @@
 #include "program/programcontroller.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -45,6 +47,7 @@
     Member memberOf(const VmList::Vm &vm) const;
     std::vector<NodeId> liveNodes() const;
     bool isAlive(const NodeId &node) const;
+    bool isGone(const ProgramId &program) const;
     bool ownsEndpoint(const EndpointId &endpoint) const;
     std::uint32_t rank() const;
     nlohmann::json state() const;
@@ -74,6 +77,7 @@
     std::unique_ptr<Scheduler> scheduler_;
     std::unique_ptr<ProgramController> programs_;
     AccountLimiter limiter_;
+    std::map<ProgramId, AccountId> counted_; ///< Open programs that limiter_ has admitted here.
     std::unique_ptr<Dispatcher> dispatcher_;
     std::unique_ptr<SubAgentRunner> subAgents_;
     std::unique_ptr<EndpointPoller> poller_;
@@ -130,7 +134,8 @@
     dispatcher_ = std::make_unique<Dispatcher>(hooks_, blackboard_, streams_, metrics_, limits);
     dispatcher_->setControllers(dispatcherHooks());
     subAgents_ = std::make_unique<SubAgentRunner>(*programs_, hooks_.post_);
-    poller_ = std::make_unique<EndpointPoller>(hooks_, blackboard_, *scheduler_, settings_.pollPeriod_);
+    poller_ = std::make_unique<EndpointPoller>(
+        hooks_, blackboard_, *scheduler_, settings_.pollPeriod_, [this](const ProgramId &id) { return isGone(id); });
     programApi_ = std::make_unique<ProgramApi>(hooks_, blackboard_, *programs_, *scheduler_, streams_, metrics_);
     forwarder_ = std::make_unique<ProgramForwarder>(hooks_, blackboard_, *programs_, *programApi_, slots_, metrics_);
     callers_ = std::make_unique<CallerApi>(hooks_, authenticator_, accountGate(), *forwarder_, metrics_);
@@ -175,6 +180,20 @@
         }
         return failureIn([&] { return limiter_.admitCall(account->second, hooks_.now_()); });
     };
+    gate.beginProgram_ = [this](const AccountId &id) {
+        const ConfigSection &config = blackboard_.read<ConfigSection>();
+        const auto account = config.accounts_.find(id);
+        if (account == config.accounts_.end()) {
+            return std::optional<Failure>(makeFailure(FailureType::Unauthenticated, true));
+        }
+        return failureIn([&] { return limiter_.admitProgram(account->second, hooks_.now_()); });
+    };
+    gate.programCreated_ = [this](const AccountId &id, const ProgramId &program) {
+        const bool isNew = !program.isEmpty() && counted_.emplace(program, id).second;
+        if (!isNew) {
+            limiter_.programEnded(id, hooks_.now_());
+        }
+    };
     gate.endCall_ = [this](const AccountId &id) { limiter_.callEnded(id, hooks_.now_()); };
     return gate;
 }
@@ -220,6 +239,11 @@
     };
     hooks.programEnded_ = [this](const ProgramId &program) {
         programApi_->forget(program);
+        const auto counted = counted_.find(program);
+        if (counted != counted_.end()) {
+            limiter_.programEnded(counted->second, hooks_.now_());
+            counted_.erase(counted);
+        }
         hooks_.post_([this, program] { scheduler_->onProgramEnded(program); });
     };
     hooks.logEvent_ = [this](const std::string &event, const nlohmann::json &fields) {
@@ -290,6 +314,13 @@
     return found != members.members_.end() && found->second.state_ != MemberState::Dead;
 }
 
+// Only the preferred node of a program's slot is sure to know it; a journal that is not read up to date knows nothing.
+bool NodeCore::Private::isGone(const ProgramId &program) const
+{
+    const bool knows = programs_->isReady() && programs_->isStoreUp() && splitProgramId(program).has_value();
+    return knows && slots_.preferred(slotOf(program)) == settings_.self_.id_ && !programs_->isLive(program);
+}
+
 std::uint32_t NodeCore::Private::rank() const
 {
     const std::vector<NodeId> nodes = liveNodes();
@@ -480,7 +511,6 @@
     nlohmann::json state = blackboard_.dump();
     state["scheduler"] = scheduler_->dump();
     state["programs"] = programs_->dump();
-    state["config"] = dumpConfig(blackboard_.read<ConfigSection>());
     return state;
 }
 
--- a/standin/log.cpp
+++ b/standin/log.cpp
@@ -110,30 +110,39 @@
         sendPage(stream, from, most, reply);
         return;
     }
-    stream.readers_.push_back(Reader{from, most, reply, 0});
-    const std::list<Reader>::iterator reader = std::prev(stream.readers_.end());
-    // Streams are never removed; std::map and std::list keep both references valid.
-    reader->timer_ = loop_.after(std::chrono::milliseconds(waitMs), [this, &stream, reader] {
-        sendPage(stream, reader->from_, reader->most_, reader->reply_);
-        stream.readers_.erase(reader);
+    // Streams are never removed, so the reference stays valid. A reader may be gone when a handler runs: the end of a
+    // connection is reported later than it happens.
+    const std::uint64_t id = nextReader_++;
+    const std::uint64_t timer = loop_.after(std::chrono::milliseconds(waitMs), [this, &stream, id] {
+        const auto reader = stream.readers_.find(id);
+        if (reader != stream.readers_.end()) {
+            const Reader due = reader->second;
+            stream.readers_.erase(reader);
+            sendPage(stream, due.from_, due.most_, due.reply_);
+        }
     });
-    reply->onClosed([this, &stream, reader] {
-        loop_.cancel(reader->timer_);
-        stream.readers_.erase(reader);
+    stream.readers_[id] = Reader{from, most, reply, timer};
+    reply->onClosed([this, &stream, id] {
+        const auto reader = stream.readers_.find(id);
+        if (reader != stream.readers_.end()) {
+            loop_.cancel(reader->second.timer_);
+            stream.readers_.erase(reader);
+        }
     });
 }
 
 void Log::wakeReaders(Stream &stream)
 {
-    for (auto reader = stream.readers_.begin(); reader != stream.readers_.end();) {
-        if (reader->from_ >= stream.next_) {
-            ++reader;
+    for (auto entry = stream.readers_.begin(); entry != stream.readers_.end();) {
+        const Reader reader = entry->second;
+        if (reader.from_ >= stream.next_) {
+            ++entry;
             continue;
         }
-        loop_.cancel(reader->timer_);
-        reader->reply_->onClosed({});
-        sendPage(stream, reader->from_, reader->most_, reader->reply_);
-        reader = stream.readers_.erase(reader);
+        loop_.cancel(reader.timer_);
+        reader.reply_->onClosed({});
+        entry = stream.readers_.erase(entry);
+        sendPage(stream, reader.from_, reader.most_, reader.reply_);
     }
 }
 
--- a/standin/log.h
+++ b/standin/log.h
@@ -4,7 +4,7 @@
 #include "standin.h"
 
 #include <deque>
-#include <list>
+#include <map>
 
 namespace filbertgw::standin {
 
@@ -46,7 +46,7 @@
     {
         std::deque<Entry> entries_;
         std::uint64_t next_ = 1;
-        std::list<Reader> readers_; ///< Long polls.
+        std::map<std::uint64_t, Reader> readers_; ///< Long polls, by number.
     };
 
     void handle(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
@@ -63,6 +63,7 @@
     LogOptions options_;
     std::mt19937_64 random_;
     std::map<std::string, Stream> streams_;
+    std::uint64_t nextReader_ = 1;
     std::uint64_t appends_ = 0;
     std::unique_ptr<HttpServer> server_;
 };
--- a/test/golden/virtualworld.cpp
+++ b/test/golden/virtualworld.cpp
@@ -262,8 +262,8 @@
     const std::string program = exchange.call_.request_.headers_["x-program"];
     engine.running_ -= 1;
     engine.cached_[program] = exchange.promptTokens_ + std::int64_t(exchange.words_.size());
-    engine.events_.push_back({{"offset", engine.events_.size() + 1},
-                              {"event", "stored"},
+    engine.events_.push_back({{"sequence", engine.events_.size() + 1},
+                              {"kind", "stored"},
                               {"program", program},
                               {"tokens", engine.cached_[program]}});
     const nlohmann::json usage{{"usage",
@@ -301,11 +301,11 @@
     }
     if (path == "/v1/load") {
         return {{"running", engine.running_},
-                {"queued", 0},
-                {"cache_tokens", used},
-                {"programs", engine.cached_.size()},
+                {"waiting", 0},
+                {"cache_used_tokens", used},
+                {"live_programs", engine.cached_.size()},
                 {"completed", engine.events_.size()},
-                {"state", leaving_.count(call.address_) != 0 ? "leaving" : "live"}};
+                {"leaving", leaving_.count(call.address_) != 0}};
     }
     if (path == "/v1/cache_events") {
         const std::size_t from = std::stoul(call.request_.target_.substr(call.request_.target_.find('=') + 1));
--- a/test/node/realfleet.cpp
+++ b/test/node/realfleet.cpp
@@ -140,14 +140,34 @@
     for (int number = 1; number <= nodes; ++number) {
         startNode(number);
     }
-    Process publish(
-        "filbertgw", {"publish", writeRecords(), "--log=" + ownAddress(logPort)}, directory_ + "/publish.err");
-    ASSERT_EQ(publish.wait(), 0) << readFile(publish.errorFile());
+    ASSERT_EQ(publish(writeRecords()), 0) << readFile(directory_ + "/publish.err");
     for (int number = 1; number <= nodes; ++number) {
         ASSERT_TRUE(waitFor([&] { return isReady(number); })) << readFile(directory_ + "/" + nodeName(number) + ".err");
     }
 }
 
+std::string RealFleet::toolAddress() const
+{
+    return ownAddress(toolPort);
+}
+
+int RealFleet::publish(const std::string &path) const
+{
+    std::string nodes;
+    for (int number = 1; number <= nodes_; ++number) {
+        nodes += (nodes.empty() ? "" : ",") + http(number);
+    }
+    const std::vector<std::string> arguments{"publish",
+                                             path,
+                                             "--log=" + ownAddress(logPort),
+                                             "--wait",
+                                             "--wait-ms=60000",
+                                             "--nodes=" + nodes,
+                                             "--operator-keys=" + std::string(operatorKey)};
+    Process process("filbertgw", arguments, directory_ + "/publish.err");
+    return process.wait();
+}
+
 Process &RealFleet::node(int number)
 {
     return *processes_.at(nodeName(number));
--- a/test/node/realfleet.h
+++ b/test/node/realfleet.h
@@ -28,6 +28,9 @@
     Process &node(int number);
     Process &standin(const std::string &name);
     std::string http(int number) const;
+    std::string toolAddress() const;
+    /** \brief Runs `filbertgw publish --wait` over all nodes. \return its exit status. */
+    int publish(const std::string &path) const;
     std::string nodeName(int number) const;
     /** \brief Number of the node with this name. */
     int numberOf(const std::string &name) const;
--- a/test/node/serve.cpp
+++ b/test/node/serve.cpp
@@ -50,6 +50,7 @@
     Process process("filbertgw", {"serve", "--poll-ms=0", "--listen=nowhere", "--node-name=a", "--log=h:1"}, file);
     EXPECT_EQ(process.wait(), 2);
     const std::string text = readFile(file);
+    std::remove(file.c_str());
     EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 3) << text;
     EXPECT_NE(text.find("--poll-ms"), std::string::npos) << text;
     EXPECT_NE(text.find("--peer-keys"), std::string::npos) << text;
