Send to ready nodes only in the test under faults

In service the balancer stops sending to a node that is unready, at least 300 ms before. Change: callers ask /readyz first, as the balancer does; the test waits until the observer knows the node. The checks are unchanged. Conclusion: a node can't close its listener without this window, so readiness has to be honoured.

--- a/test/node/chaos.cpp
+++ b/test/node/chaos.cpp
@@ -59,8 +59,10 @@
     void pause(int number)
     {
         clean_[std::size_t(number)] = false;
-        fleet_.node(number).signal(SIGSTOP);
         const int other = number % nodeCount + 1;
+        // The observer may have started just now and not know every member yet.
+        EXPECT_TRUE(waitFor([&] { return stateOf(other, number) == "alive"; })) << "the node is not known";
+        fleet_.node(number).signal(SIGSTOP);
         EXPECT_TRUE(waitFor([&] { return stateOf(other, number) == "dead"; })) << "the pause was not noticed";
         fleet_.node(number).signal(SIGCONT);
         EXPECT_TRUE(waitFor([&] { return stateOf(other, number) == "alive"; })) << "the node did not come back";
@@ -144,6 +146,11 @@
 
     Answer send(const std::string &method, const std::string &target, const nlohmann::json &body)
     {
+        // The balancer sends to nodes that are ready. A node that begins a planned stop is unready at once and accepts
+        // connections for at least 300 ms more, so a request that was sent to it then is never cut.
+        for (int tries = 0; tries < nodeCount && !chaos_.fleet_.isReady(node_); ++tries) {
+            node_ = node_ % nodeCount + 1;
+        }
         const int node = node_;
         const bool wasClean = chaos_.isClean(node);
         const Answer answer = ask(chaos_.fleet_.http(node), method, target, RealFleet::callerKey, body);
@@ -152,7 +159,7 @@
             chaos_.seen_.violation("H9: a request was cut by a node that was never killed or paused: " + target);
         }
         if (answer.outcome_ != HttpOutcome::Complete || answer.status_ == 503) {
-            node_ = node_ % nodeCount + 1; // As the balancer does.
+            node_ = node_ % nodeCount + 1;
         }
         return answer;
     }
--- a/test/node/processes.cpp
+++ b/test/node/processes.cpp
@@ -110,7 +110,8 @@
            const std::string &target,
            const std::string &key,
            const nlohmann::json &body,
-           const std::map<std::string, std::string> &headers)
+           const std::map<std::string, std::string> &headers,
+           Duration timeout)
 {
     IoLoop loop;
     HttpClient http(loop);
@@ -125,7 +126,7 @@
         call.request_.headers_["content-type"] = "application/json";
         call.request_.body_ = body.dump();
     }
-    call.timeout_ = std::chrono::seconds(60);
+    call.timeout_ = timeout;
     call.onDone_ = [&](const HttpResult &answer) {
         result = answer;
         loop.stop();
--- a/test/node/processes.h
+++ b/test/node/processes.h
@@ -64,7 +64,8 @@
            const std::string &target,
            const std::string &key,
            const nlohmann::json &body = nullptr,
-           const std::map<std::string, std::string> &headers = {});
+           const std::map<std::string, std::string> &headers = {},
+           Duration timeout = std::chrono::seconds(60));
 
 } // namespace filbertgw::testing
 
--- a/test/node/realfleet.cpp
+++ b/test/node/realfleet.cpp
@@ -100,7 +100,8 @@
 
 bool RealFleet::isReady(int number) const
 {
-    return ask(http(number), "GET", "/readyz", "").status_ == 200;
+    constexpr Duration patience = std::chrono::seconds(1); // A paused node accepts connections but never answers.
+    return ask(http(number), "GET", "/readyz", "", nullptr, {}, patience).status_ == 200;
 }
 
 std::string RealFleet::writeRecords() const
