--- a/src/config/configcontroller.cpp
+++ b/src/config/configcontroller.cpp
@@ -239,7 +239,7 @@
             return;
         }
         if (mark.last_) {
-            fold_.adopt(snapshot_, entry.offset_);
+            fold_.adopt(snapshot_, entry.offset_, entry.body_.value("ids", nlohmann::json()));
             complete_ = true;
             snapshot_.clear();
             snapshot_.shrink_to_fit();
--- a/src/config/configfold.cpp
+++ b/src/config/configfold.cpp
@@ -105,10 +105,11 @@
     }
     const RecordKey key = keyOf(entry.body_);
     const std::uint64_t idHash = stableHash(entry.body_.at("id").get_ref<const std::string &>());
-    if (isKnownId(idHash, key)) {
+    const bool isKnown = isKnownId(idHash, key, entry.time_);
+    rememberId(idHash, entry.time_);
+    if (isKnown) {
         return FoldVerdict::Duplicate;
     }
-    rememberId(idHash, entry.offset_);
     if (!isKnownSchema(entry.body_)) {
         retain(entry);
         return hold(entry, FoldVerdict::UnknownSchema, "schema " + entry.body_.at("schema").dump());
@@ -187,9 +188,10 @@
             continue;
         }
         const Offset origin = internal::offsetOf(entry.body_, "origin");
+        const Offset asOf = std::max(origin, internal::offsetOf(entry.body_, "as_of"));
         std::pair<Offset, const PackedEntry *> &best = proofs[keyOf(entry.body_)];
-        if (origin < entry.offset_ && origin >= best.first) {
-            best = {origin, &packed};
+        if (asOf < entry.offset_ && asOf > section_.offset_ && asOf >= best.first) {
+            best = {asOf, &packed};
         }
     }
     return proofs;
@@ -200,51 +202,60 @@
     if (entries.empty()) {
         return;
     }
-    for (const std::pair<const RecordKey, std::pair<Offset, const PackedEntry *>> &proof : proofsIn(entries)) {
+    const Proofs proofs = proofsIn(entries);
+    for (const std::pair<const RecordKey, std::pair<Offset, const PackedEntry *>> &proof : proofs) {
         if (proof.second.second != nullptr) {
             const LogEntry copy = unpackEntry(*proof.second.second);
-            install(proof.first, proof.second.first, copy.time_, copy.body_);
+            install(proof.first, internal::offsetOf(copy.body_, "origin"), copy.time_, copy.body_);
         }
     }
     recent_.clear();
     recentBytes_ = 0;
     const Offset covered = section_.offset_;
     section_.offset_ = std::max(covered, entries.back().offset_);
-    // Copies of retained records take the place of the original, so that a version that knows them judges them there.
-    std::vector<std::pair<Offset, const PackedEntry *>> order;
     for (const PackedEntry &packed : entries) {
-        const nlohmann::json record = internal::unpack(packed.packed_);
-        const bool retained = validateHeader(record).empty() && internal::isRetainedCopy(record);
-        order.emplace_back(retained ? internal::offsetOf(record, "origin") : packed.offset_, &packed);
-    }
-    std::stable_sort(order.begin(), order.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
-    for (const std::pair<Offset, const PackedEntry *> &item : order) {
-        LogEntry entry = unpackEntry(*item.second);
-        rememberEntry(entry);
-        if (item.first != entry.offset_) {
-            entry.offset_ = item.first;
+        LogEntry entry = unpackEntry(packed);
+        // A record that was retained because of its schema is judged where it stood, by a version that knows it.
+        if (validateHeader(entry.body_).empty() && internal::isRetainedCopy(entry.body_)
+            && internal::offsetOf(entry.body_, "origin") < entries.front().offset_) {
+            entry.offset_ = internal::offsetOf(entry.body_, "origin");
+            entry.time_ = Time(0); // Its id was last seen before all entries that are left.
             entry.body_.erase("origin");
+            entry.body_.erase("as_of");
             entry.body_.erase("retained");
+            foldUnlessProven(entry, proofs);
+            const auto kept = retained_.find(entry.offset_);
+            if (kept != retained_.end()) {
+                kept->second.anchor_ = packed.time_;
+            }
         }
+    }
+    for (const PackedEntry &packed : entries) {
+        const LogEntry entry = unpackEntry(packed);
+        rememberEntry(entry);
         if (entry.offset_ > covered && !internal::isCopy(entry.body_)) {
-            foldUnlessProven(entry);
+            foldUnlessProven(entry, proofs);
         }
     }
 }
 
-void ConfigFold::foldUnlessProven(const LogEntry &entry)
+void ConfigFold::foldUnlessProven(const LogEntry &entry, const Proofs &proofs)
 {
     if (validateHeader(entry.body_).empty()) {
-        const Version *current = find(keyOf(entry.body_));
-        if (current != nullptr && current->offset_ >= entry.offset_) {
-            rememberId(stableHash(entry.body_.at("id").get<std::string>()), entry.offset_);
+        const RecordKey key = keyOf(entry.body_);
+        const auto proof = proofs.find(key);
+        const Version *current = find(key);
+        const bool isJudged = (proof != proofs.end() && proof->second.first >= entry.offset_)
+            || (current != nullptr && current->offset_ >= entry.offset_);
+        if (isJudged) {
+            rememberId(stableHash(entry.body_.at("id").get<std::string>()), entry.time_);
             return;
         }
     }
     judge(entry);
 }
 
-void ConfigFold::adopt(const std::vector<PackedEntry> &versions, Offset upTo)
+void ConfigFold::adopt(const std::vector<PackedEntry> &versions, Offset upTo, const nlohmann::json &recentIds)
 {
     if (upTo <= section_.offset_) {
         return;
@@ -258,6 +269,11 @@
     section_.offset_ = upTo;
     recent_.clear();
     recentBytes_ = 0;
+    for (std::size_t i = 0; recentIds.is_array() && i + 1 < recentIds.size(); i += 2) {
+        if (recentIds[i].is_number_integer() && recentIds[i + 1].is_number_integer()) {
+            rememberId(recentIds[i + 1].get<std::uint64_t>(), Time(recentIds[i].get<std::int64_t>()));
+        }
+    }
 }
 
 void ConfigFold::install(const RecordKey &key, Offset offset, Time anchor, nlohmann::json record)
@@ -272,6 +288,7 @@
         return;
     }
     record.erase("origin");
+    record.erase("as_of");
     version.offset_ = offset;
     version.idHash_ = stableHash(record.at("id").get_ref<const std::string &>());
     inForce->second = offset;
@@ -357,21 +374,26 @@
     }
 }
 
-bool ConfigFold::isKnownId(std::uint64_t idHash, const RecordKey &key) const
+bool ConfigFold::isKnownId(std::uint64_t idHash, const RecordKey &key, Time now) const
 {
     const Version *current = find(key);
-    return recentIdSet_.count(idHash) != 0 || (current != nullptr && current->idHash_ == idHash);
+    const auto lastSeen = lastSeenIds_.find(idHash);
+    return (lastSeen != lastSeenIds_.end() && now <= lastSeen->second + idWindow)
+        || (current != nullptr && current->idHash_ == idHash);
 }
 
-void ConfigFold::rememberId(std::uint64_t idHash, Offset offset)
+void ConfigFold::rememberId(std::uint64_t idHash, Time now)
 {
-    while (!recentIds_.empty() && recentIds_.front().first + idWindow < offset) {
-        recentIdSet_.erase(recentIds_.front().second);
+    Time &lastSeen = lastSeenIds_.emplace(idHash, now).first->second;
+    lastSeen = std::max(lastSeen, now);
+    recentIds_.emplace_back(now, idHash);
+    while (recentIds_.front().first + idWindow < now || recentIds_.size() > maxRecentIds) {
+        const auto oldest = lastSeenIds_.find(recentIds_.front().second);
+        if (oldest != lastSeenIds_.end() && oldest->second == recentIds_.front().first) {
+            lastSeenIds_.erase(oldest);
+        }
         recentIds_.pop_front();
     }
-    if (recentIdSet_.insert(idHash).second) {
-        recentIds_.emplace_back(offset, idHash);
-    }
 }
 
 void ConfigFold::rememberEntry(const LogEntry &entry)
@@ -412,8 +434,8 @@
     std::sort(order.begin(), order.end());
     std::vector<LogEntry> entries;
     const auto add = [&](Offset offset, Time time, nlohmann::json body) {
-        const nlohmann::json mark{{"source", source}, {"first", first && entries.empty()}, {"last", body.empty()}};
-        body[snapshotField] = mark;
+        const bool isLast = !body.contains("record");
+        body[snapshotField] = {{"source", source}, {"first", first && entries.empty()}, {"last", isLast}};
         entries.push_back(LogEntry{offset, time, std::move(body)});
     };
     for (const std::pair<Offset, const RecordKey *> &item : order) {
@@ -424,7 +446,12 @@
         add(item.first, version.anchor_, {{"record", unpackVersion(*item.second, version)}});
     }
     if (entries.size() < limit) {
-        add(section_.offset_, Time(0), nlohmann::json::object());
+        nlohmann::json ids = nlohmann::json::array();
+        for (const std::pair<Time, std::uint64_t> &id : recentIds_) {
+            ids.push_back(id.first.count());
+            ids.push_back(id.second);
+        }
+        add(section_.offset_, Time(0), {{"ids", ids}});
     }
     return entries;
 }
@@ -445,6 +472,7 @@
         if (isDue(version)) {
             copies.push_back(unpackVersion(next->first, version));
             copies.back()["origin"] = version.offset_;
+            copies.back()["as_of"] = section_.offset_;
         }
         scanCursor_ = next->first;
     }
--- a/src/config/configfold.h
+++ b/src/config/configfold.h
@@ -9,7 +9,6 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace filbertgw {
@@ -61,8 +60,18 @@
 /** \brief Most records of an unknown schema or kind that are kept until a version that knows them runs. */
 constexpr std::size_t maxRetainedRecords = 256;
 
-/** \brief An id counts as seen for this many offsets; after that `replaces` alone refuses a repeated record. */
-constexpr Offset idWindow = 4096;
+/**
+ * \brief A record whose id occurred within this time before it, by the log's clock, is a duplicate.
+ *
+ * Covers the retries of a publisher whose answers are lost; later `replaces` refuses a repetition. It is far shorter
+ * than half the retention time, so that a node that starts from what the log still keeps sees the same occurrences. It
+ * does not see those of the hour before the oldest entry: a first record of a name that stands in the hour after it and
+ * was refused for an id that was used before then counts for that node. `publish` uses random ids, which rules it out.
+ */
+constexpr Duration idWindow = std::chrono::hours(1);
+
+/** \brief Most ids that are remembered within idWindow. */
+constexpr std::size_t maxRecentIds = 65'536;
 
 /** \brief Set in the `from` of a request that goes on with a snapshot. \sa ConfigFold::entriesFrom */
 constexpr Offset snapshotContinuation = 1ULL << 63U;
@@ -85,21 +94,22 @@
     /**
      * \brief Folds all entries that the log still keeps, up to its end, when older ones are gone.
      *
-     * Copies prove which record was accepted before the gap, wherever in the stream they stand. A key whose
-     * oldest entry nears its expiry gets a copy, so the newest proof of a key is the base for the records after it.
+     * A copy proves which version was in force when the entries up to its `as_of` were folded, so the records of that
+     * key after the version and up to `as_of` were refused. A key whose oldest entry nears its expiry gets a copy, so
+     * the newest proof of a key is the base for the records after it.
      */
     void foldAfterGap(const std::vector<PackedEntry> &entries);
 
     /** \brief Adopts the versions in force at a peer whose offset is `upTo`; older versions than own ones are skipped.
      */
-    void adopt(const std::vector<PackedEntry> &versions, Offset upTo);
+    void adopt(const std::vector<PackedEntry> &versions, Offset upTo, const nlohmann::json &recentIds);
 
     /**
      * \brief Entries for a peer, at most `limit`: the stream's own if `from` is recent, else a snapshot.
      *
      * A snapshot's entries are `{"snapshot":{"source":S,"first":bool,"last":bool},"record":R}`: the versions in force
-     * from `from` on in offset order; the last one has no record and this fold's offset. Its next part starts at the
-     * offset after the last one received, with snapshotContinuation set.
+     * from `from` on in offset order; the last one has this fold's offset and `ids` in place of a record. Its next part
+     * starts at the offset after the last one received, with snapshotContinuation set.
      */
     std::vector<LogEntry> entriesFrom(Offset from, std::size_t limit, std::uint64_t source) const;
 
@@ -129,6 +139,7 @@
         std::uint64_t idHash_ = 0;
         std::string packed_; ///< Without kind and name, which the key has; 21,000 accounts are kept.
     };
+    /** \brief Of each key the newest `as_of` and its copy; the records up to there are judged. */
     using Proofs = std::map<RecordKey, std::pair<Offset, const PackedEntry *>>;
 
     Version *find(const RecordKey &key);
@@ -139,14 +150,14 @@
     FoldVerdict hold(const LogEntry &entry, FoldVerdict verdict, const std::string &detail);
     void retain(const LogEntry &entry);
     Proofs proofsIn(const std::vector<PackedEntry> &entries) const;
-    void foldUnlessProven(const LogEntry &entry);
+    void foldUnlessProven(const LogEntry &entry, const Proofs &proofs);
     void install(const RecordKey &key, Offset offset, Time anchor, nlohmann::json record);
     void apply(const RecordKey &key, const nlohmann::json *record);
     void applyEndpoint(const std::string &name);
     const nlohmann::json *present(RecordKind kind, const std::string &name) const;
     void applyOperations();
-    bool isKnownId(std::uint64_t idHash, const RecordKey &key) const;
-    void rememberId(std::uint64_t idHash, Offset offset);
+    bool isKnownId(std::uint64_t idHash, const RecordKey &key, Time now) const;
+    void rememberId(std::uint64_t idHash, Time now);
     void rememberEntry(const LogEntry &entry);
     std::vector<LogEntry> snapshotFrom(Offset from, std::size_t limit, bool first, std::uint64_t source) const;
 
@@ -155,8 +166,8 @@
     std::map<Offset, Version> retained_; ///< Of unknown schemas and kinds.
     std::deque<PackedEntry> recent_;
     std::size_t recentBytes_ = 0;
-    std::deque<std::pair<Offset, std::uint64_t>> recentIds_;
-    std::unordered_set<std::uint64_t> recentIdSet_;
+    std::deque<std::pair<Time, std::uint64_t>> recentIds_;
+    std::unordered_map<std::uint64_t, Time> lastSeenIds_;
     RecordKey scanCursor_;
 };
 
--- a/src/config/recordvalidation.cpp
+++ b/src/config/recordvalidation.cpp
@@ -342,6 +342,7 @@
                        {"schema", internal::FieldType::Integer, true, 1, internal::noUpperBound},
                        {"replaces", internal::FieldType::Integer, true, 0, internal::noUpperBound},
                        {"origin", internal::FieldType::Integer, false, 1, internal::noUpperBound},
+                       {"as_of", internal::FieldType::Integer, false, 1, internal::noUpperBound},
                        {"removed", internal::FieldType::Flag, false, 0, 0}});
     check.require(record.count(snapshotField) == 0, std::string(snapshotField) + " is set by nodes only");
     // The packed size is what nodes keep and send; it needs no copy of the text.
@@ -386,7 +387,7 @@
 std::vector<Failure> validateRecord(const nlohmann::json &record)
 {
     std::vector<Failure> failures = validateStored(record);
-    for (const char *field : {"origin", "retained"}) {
+    for (const char *field : {"origin", "as_of", "retained"}) {
         if (record.is_object() && record.contains(field)) {
             const std::string detail = std::string(field) + " is set by nodes only";
             failures.push_back(Failure{FailureType::InvalidRequest, true, detail, Duration(0)});
--- a/test/config/configfold.cpp
+++ b/test/config/configfold.cpp
@@ -119,7 +119,7 @@
     EXPECT_EQ(*fold.record({"model", "m"}), record);
     const std::vector<nlohmann::json> copies = fold.dueCopies(Time(10), Duration(5), 10, 10);
     ASSERT_EQ(copies.size(), 1U);
-    EXPECT_EQ(copies[0], with(record, "origin", 1));
+    EXPECT_EQ(copies[0], with(with(record, "origin", 1), "as_of", 1));
 }
 
 // Guards against unbounded memory: held and retained records, and entries kept for peers.
@@ -179,15 +179,18 @@
 };
 
 // Guards against a node that starts from copies, or from a peer, and disagrees with one that read the whole stream.
-// Copies are appended late, so that some are of versions that have been replaced meanwhile.
+// Copies are appended late, so that some are of versions that have been replaced meanwhile, and ids are used again.
 TEST_P(LostHistory, EveryStartReachesTheSameState)
 {
     std::mt19937_64 random(GetParam());
-    constexpr std::int64_t retention = 1000;
+    constexpr std::int64_t retention = 1000; // In steps of 10 s, so that half of it exceeds idWindow.
+    const auto timeOf = [](std::int64_t step) { return Time(std::chrono::seconds(10 * step)); };
     ConfigSection whole;
     ConfigFold fold(whole);
     ConfigSection laggard;
     ConfigFold lagging(laggard);
+    ConfigSection adopted;
+    ConfigFold adopting(adopted);
     std::vector<LogEntry> stream;
     std::vector<nlohmann::json> lateCopies;
     for (std::int64_t now = 1; now <= 4000; now += static_cast<std::int64_t>(1 + random() % 20)) {
@@ -196,25 +199,40 @@
         const auto current = whole.inForce_.find({"model", name});
         const Offset inForce = current == whole.inForce_.end() ? 0 : current->second;
         if (lateCopies.empty()) {
-            lateCopies = fold.dueCopies(Time(now), Duration(retention / 2), 100, 100);
+            lateCopies = fold.dueCopies(timeOf(now), timeOf(retention / 2), 100, 100);
         }
         if (!lateCopies.empty() && random() % 2 == 0) {
             record = lateCopies.front();
             lateCopies.erase(lateCopies.begin());
         } else {
-            const std::string id = "id" + std::to_string(random() % 100'000);
+            // First records of a name have an id of their own; see idWindow.
+            const std::string id = "id" + (inForce == 0 ? name + std::to_string(now) : std::to_string(random() % 300));
             const Offset replaces = random() % 3 == 0 ? random() % (stream.size() + 1) : inForce;
             record = modelRecord(name, id, replaces, static_cast<int>(1 + random() % 1000));
             record["schema"] = random() % 10 == 0 ? 3 : 1;
             record["body"]["default_max_tokens"] = random() % 10 == 0 ? 0 : static_cast<int>(1 + random() % 1000);
         }
-        stream.push_back(LogEntry{stream.size() + 1, Time(now), record});
+        stream.push_back(LogEntry{stream.size() + 1, timeOf(now), record});
         fold.fold(stream.back());
+        if (random() % 30 == 0) {
+            std::vector<PackedEntry> versions;
+            const std::vector<LogEntry> parts = fold.entriesFrom(snapshotContinuation, stream.size() + 1, 1);
+            for (const LogEntry &entry : parts) {
+                if (entry.body_.contains("record")) {
+                    versions.push_back(packEntry(LogEntry{entry.offset_, entry.time_, entry.body_["record"]}));
+                }
+            }
+            adopting.adopt(versions, whole.offset_, parts.back().body_["ids"]);
+            ASSERT_EQ(viewOf(adopted), viewOf(whole)) << "from a peer, at offset " << stream.size();
+        } else if (adopted.offset_ + 1 == stream.size()) {
+            adopting.fold(stream.back());
+            ASSERT_EQ(viewOf(adopted), viewOf(whole)) << "after a snapshot, at offset " << stream.size();
+        }
         if (random() % 3 == 0) {
             continue;
         }
         Offset first = 1;
-        while (stream[first - 1].time_ < Time(now - retention)) {
+        while (stream[first - 1].time_ < timeOf(now - retention)) {
             ++first;
         }
         std::vector<PackedEntry> kept;
