--- a/src/journal/record.h
+++ b/src/journal/record.h
@@ -204,7 +204,7 @@
 bool spendFromJson(const nlohmann::json &json, Spend &spend);
 
 nlohmann::json turnToJson(const TurnBody &turn);
-bool turnFromJson(const nlohmann::json &json, TurnBody &turn, nlohmann::json &unknown);
+bool turnFromJson(const nlohmann::json &json, TurnBody &turn);
 
 /** \brief True if the value nests no deeper than maxRecordDepth and its strings and keys stay in maxRecordBytes. */
 bool isBounded(const nlohmann::json &json);
@@ -215,6 +215,7 @@
 /** \brief True if every amount of `a` is at most that of `b`. */
 bool fitsIn(const Spend &a, const Spend &b);
 Spend minimum(const Spend &a, const Spend &b);
+Spend maximum(const Spend &a, const Spend &b);
 /** \brief Negative amounts become 0. */
 Spend clampedToZero(const Spend &spend);
 
