Answer a call at once whose record is stuck in a slow log

A non-idempotent call waited up to its deadline for its intent, though an intent older than the lease isn't acted on.

--- a/src/program/programcontroller.cpp
+++ b/src/program/programcontroller.cpp
@@ -1159,6 +1159,7 @@
     const std::shared_ptr<TreeWork> work = mine(root);
     const bool announced = !call->request_.idempotent_ && safeguards_.intent_;
     const bool covered = !safeguards_.budget_ || work->book_.fitsReserved(call->worst_, fold_->tree(root)->reserved_);
+    call->startedAt_ = now();
     work->book_.start(call->worst_);
     work->largest_ = maximum(work->largest_, call->worst_);
     if (announced) {
@@ -1480,6 +1481,11 @@
         return;
     }
     const bool notRun = !wasSent && isCertainlyNotRun(*work, *call);
+    const Time deadline = deadlineOf(root, call->request_);
+    if (deadline.count() == 0 || now() < deadline) {
+        answerFailure(*call, makeFailure(FailureType::StoreUnavailable, notRun, "the log is too slow", retryStore));
+        return;
+    }
     const Duration retryAfter = wasSent || !isStoreUp() ? retryStore : Duration(0);
     answerFailure(*call, makeFailure(FailureType::DeadlinePassed, notRun, "the deadline has passed", retryAfter));
 }
@@ -1500,7 +1506,10 @@
         const std::shared_ptr<Call> &current = entry.second.current_;
         if (current && !current->givenUp_) {
             const Time deadline = deadlineOf(root, current->request_);
-            if (deadline.count() != 0 && now() >= deadline) {
+            const bool isUnsent = current->phase_ < CallPhase::Running;
+            // Its record comes too late to be acted on, so its caller needn't wait for it.
+            const bool isStuck = isUnsent && current->startedAt_ + settings_.lease_ < now();
+            if (isStuck || (deadline.count() != 0 && now() >= deadline)) {
                 late.push_back(current);
             }
         }
--- a/src/program/treework.h
+++ b/src/program/treework.h
@@ -44,6 +44,7 @@
     std::string contentHash_;
     std::vector<ProgramController::AnswerDone> waiters_; ///< Empty once answered.
     CallPhase phase_ = CallPhase::Queued;
+    Time startedAt_{0}; ///< When its reservation or intent was written.
     Spend worst_; ///< In use: the worst case of each run that was allowed.
     Spend worstOfRun_;
     std::string prompt_;
