--- a/src/config/configfold.h
+++ b/src/config/configfold.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -66,9 +67,6 @@
 /** \brief Set in the `from` of a request that goes on with a snapshot. \sa ConfigFold::entriesFrom */
 constexpr Offset snapshotContinuation = 1ULL << 63U;
 
-/** \brief Member of an entry that belongs to a snapshot; no record of the stream is valid with it alone. */
-constexpr const char *snapshotField = "snapshot";
-
 /**
  * \brief The pure function from the entries of the configuration stream to the ConfigSection.
  *
@@ -129,10 +127,13 @@
         Offset offset_ = 0;
         Time anchor_{0}; ///< Age of the oldest entry that a reader of the stream needs to find this version.
         std::uint64_t idHash_ = 0;
-        std::string packed_;
+        std::string packed_; ///< Without kind and name, which the key has; 21,000 accounts are kept.
     };
     using Proofs = std::map<RecordKey, std::pair<Offset, const PackedEntry *>>;
 
+    Version *find(const RecordKey &key);
+    const Version *find(const RecordKey &key) const;
+    static nlohmann::json unpackVersion(const RecordKey &key, const Version &version);
     FoldVerdict judge(const LogEntry &entry);
     FoldVerdict judgeCopy(const LogEntry &entry);
     FoldVerdict hold(const LogEntry &entry, FoldVerdict verdict, const std::string &detail);
@@ -150,7 +151,7 @@
     std::vector<LogEntry> snapshotFrom(Offset from, std::size_t limit, bool first, std::uint64_t source) const;
 
     ConfigSection &section_;
-    std::map<RecordKey, Version> versions_;
+    std::unordered_map<const RecordKey *, Version> versions_; ///< By the keys of ConfigSection::inForce_.
     std::map<Offset, Version> retained_; ///< Of unknown schemas and kinds.
     std::deque<PackedEntry> recent_;
     std::size_t recentBytes_ = 0;
