Admit programs by mean streams and working set; convict only on certain crashes

Cause: at load 1.2 every engine over its limit sent programs elsewhere and computed their prefixes again (Kochuveli finished in deadline 2615 against 7002 at load 1.0); suspects queued behind a poison request were convicted with it; held programs of busy accounts starved. Change: new programs start while the mean streams are below 102% of the most and the working set fits; accounts over their share come last; a second crash alone is needed where the engine was not empty.

--- a/src/policy/admissioncontroller.cpp
+++ b/src/policy/admissioncontroller.cpp
@@ -10,10 +10,21 @@
 /** \brief Share of the KV memory that new programs may fill; the rest is for the growth of those in progress. */
 constexpr double admissionShare = 0.92;
 /** \brief Longest wait for a start. Backlog that is admitted lengthens every program until it is worked off. */
-constexpr double maxWaitSeconds = 8;
-/** \brief Share of an engine's streams that accounts over their fair share may use. */
-constexpr double overShareStreams = 0.6;
-constexpr double overShareFactor = 3;
+constexpr double maxWaitSeconds = 2;
+/** rief New programs start while the engines' mean streams are below this share of the most. */
+constexpr double fullStreams = 1.02;
+/** rief That share falls by this much for each share that the mean of the last minutes is above usualStreams. */
+constexpr double overloadSlope = 0;
+constexpr double usualStreams = 0.75;
+constexpr double memoryRetrySeconds = 30;
+/** rief The same for accounts over their fair share; the others' programs keep the room above it. */
+constexpr double overShareStreams = 0.7;
+/** rief Cache that live programs may need, over the KV memory: what is over it is in the export stores. */
+constexpr double workingSetShare = 2;
+/** \brief Keeps the last of that for small programs, because large ones grow and stay. */
+constexpr double lifeMargin = 4;
+/** rief An account is over its share with this many times the mean of live programs. */
+constexpr double overShareFactor = 2;
 constexpr std::int32_t overShareLeast = 4;
 constexpr double startRateSeconds = 20;
 
@@ -24,19 +35,43 @@
                                          const ProgramTracker &programs,
                                          DisabledMechanisms disabled,
                                          RoomLedger &rooms,
-                                         Clock now)
+                                         Clock now,
+                                         std::function<std::int32_t()> liveNodes)
     : section_(blackboard.write<AccountSection>())
+    , engines_(blackboard.read<EndpointSection>())
     , endpoints_(endpoints)
     , programs_(programs)
     , disabled_(std::move(disabled))
     , rooms_(rooms)
     , now_(std::move(now))
+    , liveNodes_(std::move(liveNodes))
 {
 }
 
+namespace internal {
+
+Failure refusal(const char *detail, double retrySeconds)
+{
+    Failure failure;
+    failure.type_ = FailureType::NotRun;
+    failure.notRun_ = true;
+    failure.detail_ = detail;
+    failure.retryAfter_ = fromSeconds(retrySeconds);
+    return failure;
+}
+
+} // namespace internal
+
 std::optional<Failure> AdmissionController::admit(const AccountId &account, Time deadline) const
 {
-    if (disabled_.count(Mechanism::Admission) > 0 || section_.held_ == 0) {
+    if (disabled_.count(Mechanism::Admission) > 0) {
+        return std::nullopt;
+    }
+    const Duration untilDeadline = deadline.count() > 0 ? deadline - now_() : Duration{0};
+    if (!hasRoomForLife(untilDeadline)) {
+        return internal::refusal("the live programs need all cache memory", internal::memoryRetrySeconds);
+    }
+    if (section_.held_ == 0) {
         return std::nullopt;
     }
     const double oldest = toSeconds(now_() - oldestHeld_);
@@ -55,12 +90,7 @@
     if (wait <= longest) {
         return std::nullopt;
     }
-    Failure failure;
-    failure.type_ = FailureType::NotRun;
-    failure.notRun_ = true;
-    failure.detail_ = "the program could not start in time";
-    failure.retryAfter_ = fromSeconds(std::clamp(wait, 1.0, 60.0));
-    return failure;
+    return internal::refusal("the program could not start in time", std::clamp(wait, 1.0, 60.0));
 }
 
 bool AdmissionController::isOverShare(const AccountId &account) const
@@ -81,13 +111,23 @@
     if (!rooms_.hasStart(endpoint)) {
         return false;
     }
-    const double streams = endpoints_.streams(endpoint);
-    const double mostStreams = endpoint.info_.maxStreams_ * (isOverShare(account) ? internal::overShareStreams : 1.0);
+    const double share = isOverShare(account) ? internal::overShareStreams : internal::fullStreams;
+    const double most = share * endpoint.info_.maxStreams_;
     const double memory = endpoints_.usedTokens(endpoint) + static_cast<double>(tokens);
-    return streams < mostStreams
+    return rooms_.meanStreams() < most && endpoints_.streams(endpoint) < endpoint.info_.maxStreams_
         && memory <= internal::admissionShare * static_cast<double>(endpoint.info_.cacheTokens_);
 }
 
+bool AdmissionController::hasRoomForLife(Duration untilDeadline) const
+{
+    double total = 0;
+    for (const EndpointState *endpoint : engines_.byNumber_) {
+        total += endpoint->info_.kind_ == CallKind::Model ? static_cast<double>(endpoint->info_.cacheTokens_) : 0;
+    }
+    const double part = internal::workingSetShare * total / std::max(1, liveNodes_());
+    return programs_.workingSet() + internal::lifeMargin * programs_.expectedTokens(untilDeadline) <= part;
+}
+
 void AdmissionController::onHeld(const AccountId &account)
 {
     ++section_.accounts_[account].held_;
@@ -124,10 +164,4 @@
     }
 }
 
-double AdmissionController::shareOf(const AccountId &account) const
-{
-    const std::map<AccountId, AccountSection::Account>::const_iterator it = section_.accounts_.find(account);
-    return disabled_.count(Mechanism::FairShares) > 0 || it == section_.accounts_.end() ? 0 : it->second.live_;
-}
-
 } // namespace filbertgw
--- a/src/policy/admissioncontroller.h
+++ b/src/policy/admissioncontroller.h
@@ -23,18 +23,22 @@
                         const ProgramTracker &programs,
                         DisabledMechanisms disabled,
                         RoomLedger &rooms,
-                        Clock now);
+                        Clock now,
+                        std::function<std::int32_t()> liveNodes);
 
     /** \return why the program can't start in time, or nothing. */
     std::optional<Failure> admit(const AccountId &account, Time deadline) const;
+    /** rief True if the engine has room for a new program of the account. */
     bool hasRoom(const EndpointState &endpoint, const AccountId &account, std::int64_t tokens) const;
+    /** rief True if all engines together have room for the program over its whole life. */
+    bool hasRoomForLife(const ProgramState &program) const;
     void onHeld(const AccountId &account);
     void onStarted(const AccountId &account, const EndpointId &endpoint);
     /** \brief A held program ended without a start. */
     void onHeldEnded(const AccountId &account);
     void onEnded(const AccountId &account);
-    /** \brief Held programs with a lower value start first. */
-    double shareOf(const AccountId &account) const;
+    /** \brief True if the account has far more live programs than the mean; its programs start after the others'. */
+    bool isOverShare(const AccountId &account) const;
     /** \brief When the program that is held longest began to wait; set before each dispatch. */
     void setOldestHeld(Time since)
     {
@@ -42,14 +46,16 @@
     }
 
 private:
-    bool isOverShare(const AccountId &account) const;
+    bool hasRoomForLife(Duration untilDeadline) const;
 
     AccountSection &section_;
+    const EndpointSection &engines_;
     const EndpointTracker &endpoints_;
     const ProgramTracker &programs_;
     DisabledMechanisms disabled_;
     RoomLedger &rooms_;
     Clock now_;
+    std::function<std::int32_t()> liveNodes_;
     Time oldestHeld_{0};
     double startRate_ = 0; ///< Starts a second, smoothed.
     Time lastStart_{0};
--- a/src/policy/programtracker.cpp
+++ b/src/policy/programtracker.cpp
@@ -81,6 +81,14 @@
 void ProgramTracker::onAnswered(const ScheduleRequest &request, const AttemptResult &result)
 {
     const double share = 1 / internal::generatedMemory;
+    if (ProgramState *state = findState(request.program_)) {
+        const std::int64_t tokens = result.promptTokens_ + result.generatedTokens_ - request.sharedTokens_;
+        section_.workingSet_ += static_cast<double>(tokens - state->neededTokens_);
+        state->neededTokens_ = tokens;
+        ProgramSection::ClassMeans &means = section_.classes_[rootOf(*state).classKey_];
+        means.tokenSamples_ = std::min(means.tokenSamples_ + 1, internal::generatedMemory);
+        means.tokens_ += (static_cast<double>(tokens) - means.tokens_) / means.tokenSamples_;
+    }
     section_.generated_ += share * (static_cast<double>(result.generatedTokens_) - section_.generated_);
     onMoved(request.program_, result.endpoint_, result.promptTokens_ + result.generatedTokens_);
 }
@@ -152,6 +160,7 @@
         const double seconds = std::max(0.0, toSeconds(now_() - state.started_) - state.lateSeconds_);
         means.seconds_ += (seconds - means.seconds_) / means.weight_;
     }
+    section_.workingSet_ -= static_cast<double>(state.neededTokens_);
     section_.programs_.erase(it);
 }
 
@@ -196,6 +205,13 @@
     return it == section_.classes_.end() ? ProgramSection::ClassMeans{}.seconds_ : it->second.seconds_;
 }
 
+double ProgramTracker::expectedTokens(Duration untilDeadline) const
+{
+    const std::map<std::int64_t, ProgramSection::ClassMeans>::const_iterator it =
+        section_.classes_.find(internal::classKeyOf(untilDeadline));
+    return it == section_.classes_.end() ? 0 : it->second.tokens_;
+}
+
 double ProgramTracker::projectedSlowdown(const ScheduleRequest &request, Time submittedAt) const
 {
     const ProgramState *state = find(request.program_);
--- a/src/policy/programtracker.h
+++ b/src/policy/programtracker.h
@@ -42,6 +42,13 @@
     double expectedSeconds(Duration untilDeadline) const;
     /** \brief Expected lower bound of the program's tree. */
     double expectedSeconds(const ProgramState &program) const;
+    /** \brief Cache that a program needs that has this long until its deadline, in tokens. */
+    double expectedTokens(Duration untilDeadline) const;
+    /** \brief Cache that all live programs of this node need, in tokens. */
+    double workingSet() const
+    {
+        return section_.workingSet_;
+    }
     double expectedGenerated() const
     {
         return section_.generated_;
--- a/src/policy/roomledger.h
+++ b/src/policy/roomledger.h
@@ -21,6 +21,11 @@
     bool hasStart(const EndpointState &endpoint) const;
     /** \brief True if this node may move one more program in progress to the engine. */
     bool hasMove(const EndpointState &endpoint) const;
+    /** \brief Mean streams of the engines, by the reports of the last seconds. */
+    double meanStreams() const
+    {
+        return meanStreams_;
+    }
     void takeStart(const EndpointId &endpoint);
     void takeMove(const EndpointId &endpoint);
 
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -57,7 +57,7 @@
     Suspicion suspicion_;
     std::int64_t newTokens_ = 0; ///< Prompt tokens beyond the program's prefix at submission.
     double urgency_ = 0;
-    double share_ = 0;
+    bool overShare_ = false;
 };
 
 /** \brief One attempt that was ordered and has not ended. */
@@ -144,7 +144,7 @@
     , rooms_(endpoints_, hooks_.random_, hooks_.liveNodes_)
     , engineChooser_(*blackboard_, endpoints_, programs_, ejector_, rooms_, costs, disabled, hooks_.random_)
     , serviceChooser_(*blackboard_, ejector_, limiter_, hooks_.random_)
-    , admission_(*blackboard_, endpoints_, programs_, disabled, rooms_, hooks_.now_)
+    , admission_(*blackboard_, endpoints_, programs_, disabled, rooms_, hooks_.now_, hooks_.liveNodes_)
     , retention_(endpoints_, programs_, blackboard_->read<ProgramSection>(), disabled, hooks_.now_, hooks_.order_)
     , retries_(enabled(Mechanism::Backoff), hooks_.random_)
     , isolation_(enabled(Mechanism::Isolation))
@@ -163,7 +163,7 @@
     for (Call *call : queue) {
         call->urgency_ =
             enabled(Mechanism::Priority) ? programs_.projectedSlowdown(call->request_, call->submittedAt_) : 0;
-        call->share_ = call->held_ ? admission_.shareOf(call->request_.account_) : 0;
+        call->overShare_ = call->held_ && admission_.isOverShare(call->request_.account_);
         oldestHeld = call->held_ ? std::min(oldestHeld, call->submittedAt_) : oldestHeld;
     }
     admission_.setOldestHeld(oldestHeld);
@@ -171,8 +171,8 @@
         if (a->held_ != b->held_) {
             return b->held_;
         }
-        if (a->share_ != b->share_) {
-            return a->share_ < b->share_;
+        if (a->overShare_ != b->overShare_) {
+            return b->overShare_;
         }
         return a->urgency_ != b->urgency_ ? a->urgency_ > b->urgency_ : a->sequence_ < b->sequence_;
     });
@@ -224,7 +224,8 @@
     rules.excluded_ = &call.failedAt_;
     rules.allowed_ = [this, &call](const EndpointState &endpoint) {
         if (call.suspicion_.runAlone_) {
-            return isolation_.isPlaceFor(call.suspicion_, endpoint, blackboard_->read<EndpointSection>());
+            return isolation_.isPlaceFor(
+                call.request_.program_, call.suspicion_, endpoint, blackboard_->read<EndpointSection>());
         }
         if (isolation_.isReserved(endpoint.info_.id_)) {
             return false;
@@ -592,7 +593,8 @@
         d_->finish(key, done);
     } else {
         if (result.status_ == AttemptStatus::Crashed) {
-            d_->isolation_.onCrash(call->second.suspicion_, result.endpoint_, attempt.firstToken_, attempt.alone_);
+            d_->isolation_.onCrash(
+                call->second.suspicion_, result.endpoint_, attempt.firstToken_, attempt.alone_, attempt.load_);
         }
         d_->retryOrFail(call->second, result);
     }
--- a/src/policy/suspectisolation.h
+++ b/src/policy/suspectisolation.h
@@ -13,14 +13,15 @@
 struct Suspicion
 {
     std::uint32_t crashes_ = 0; ///< Endpoints that crashed with it.
-    std::uint32_t aloneCrashes_ = 0; ///< Those where it ran alone.
+    std::uint32_t aloneCrashes_ = 0; ///< Those at which it was to run alone.
+    bool certain_ = false; ///< One of them had no other work when the request was sent there.
     bool runAlone_ = false;
     EndpointId crashedAt_;
 
     /** \brief True if the crashes can be due to nothing else. */
     bool isConvicted() const
     {
-        return aloneCrashes_ > 0 && crashes_ > 1;
+        return crashes_ > 1 && (certain_ || aloneCrashes_ > 1);
     }
 };
 
@@ -36,13 +37,16 @@
 public:
     explicit SuspectIsolation(bool enabled);
 
-    void onCrash(Suspicion &suspicion, const EndpointId &endpoint, bool hadFirstToken, bool alone) const;
+    void onCrash(Suspicion &suspicion, const EndpointId &endpoint, bool hadFirstToken, bool alone, double load) const;
     void onStarted(const EndpointId &endpoint);
     void onEnded(const EndpointId &endpoint);
     /** \brief True if this node has a request that runs alone on the endpoint. */
     bool isReserved(const EndpointId &endpoint) const;
-    /** \brief True if the suspect has to run there; every node picks the same endpoint for the same crash. */
-    bool isPlaceFor(const Suspicion &suspicion, const EndpointState &endpoint, const EndpointSection &all) const;
+    /** \brief True if the suspect has to run there; suspects of one crash get different endpoints. */
+    bool isPlaceFor(const ProgramId &program,
+                    const Suspicion &suspicion,
+                    const EndpointState &endpoint,
+                    const EndpointSection &all) const;
 
 private:
     bool enabled_;
