--- a/src/policy/admissioncontroller.cpp
+++ b/src/policy/admissioncontroller.cpp
@@ -23,9 +23,9 @@
 constexpr double workingSetShare = 2;
 /** \brief Keeps the last of that for small programs, because large ones grow and stay. */
 constexpr double lifeMargin = 4;
-/** rief An account is over its share with this many times the mean of live programs. */
+/** rief An account is over its share with this many times the other accounts' mean of live programs. */
 constexpr double overShareFactor = 2;
-constexpr std::int32_t overShareLeast = 4;
+constexpr std::int32_t overShareLeast = 6;
 constexpr double startRateSeconds = 20;
 
 } // namespace internal
@@ -99,8 +99,10 @@
     if (disabled_.count(Mechanism::FairShares) > 0 || it == section_.accounts_.end()) {
         return false;
     }
-    const double fair = static_cast<double>(section_.live_) / static_cast<double>(section_.accounts_.size());
-    return it->second.live_ >= internal::overShareLeast && it->second.live_ > internal::overShareFactor * fair;
+    const double others = static_cast<double>(section_.accounts_.size()) - 1;
+    const double mean = others < 1 ? 0 : static_cast<double>(section_.live_ - it->second.live_) / others;
+    return others >= 1 && it->second.live_ >= internal::overShareLeast
+        && it->second.live_ > internal::overShareFactor * mean;
 }
 
 bool AdmissionController::hasRoom(const EndpointState &endpoint, const AccountId &account, std::int64_t tokens) const
--- a/src/policy/programtracker.cpp
+++ b/src/policy/programtracker.cpp
@@ -173,7 +173,6 @@
             state.homeTokens_ = 0;
             state.exportedAt_ = EndpointId();
         }
-        state.visited_.erase(endpoint);
     }
 }
 
--- a/src/policy/programtracker.h
+++ b/src/policy/programtracker.h
@@ -24,7 +24,8 @@
     void onPaused(const ProgramId &program, const std::string &tool);
     /** \brief Forgets a program; its tree's length is learned if it is a root. */
     void onEnded(const ProgramId &program);
-    /** \brief The engine has lost everything that it held. */
+    /** \brief The engine has probably lost everything that it held; it still gets release orders, in case it has not.
+     */
     void onCacheLost(const EndpointId &endpoint);
     void onCacheEvent(const CacheEvent &event);
     void onMoved(const ProgramId &program, const EndpointId &endpoint, std::int64_t tokens);
