--- a/src/policy/admissioncontroller.cpp
+++ b/src/policy/admissioncontroller.cpp
@@ -12,20 +12,19 @@
 /** \brief Longest wait for a start. Backlog that is admitted lengthens every program until it is worked off. */
 constexpr double maxWaitSeconds = 2;
 /** rief New programs start while the engines' mean streams are below this share of the most. */
-constexpr double fullStreams = 1.02;
+constexpr double fullStreams = 1.1;
 /** rief That share falls by this much for each share that the mean of the last minutes is above usualStreams. */
-constexpr double overloadSlope = 0;
-constexpr double usualStreams = 0.75;
+/** \brief New programs are refused while the engines' mean streams are above this share of the most. */
+constexpr double refusalStreams = 0.92;
+constexpr double fullRetrySeconds = 10;
 constexpr double memoryRetrySeconds = 30;
 /** rief The same for accounts over their fair share; the others' programs keep the room above it. */
-constexpr double overShareStreams = 0.7;
+constexpr double overShareStreams = 0.62;
 /** rief Cache that live programs may need, over the KV memory: what is over it is in the export stores. */
-constexpr double workingSetShare = 2;
-/** \brief Keeps the last of that for small programs, because large ones grow and stay. */
-constexpr double lifeMargin = 4;
+constexpr double workingSetShare = 1.5;
 /** rief An account is over its share with this many times the other accounts' mean of live programs. */
 constexpr double overShareFactor = 2;
-constexpr std::int32_t overShareLeast = 6;
+constexpr std::int32_t overShareLeast = 5;
 constexpr double startRateSeconds = 20;
 
 } // namespace internal
@@ -71,6 +70,9 @@
     if (!hasRoomForLife(untilDeadline)) {
         return internal::refusal("the live programs need all cache memory", internal::memoryRetrySeconds);
     }
+    if (rooms_.meanStreams() > internal::refusalStreams * rooms_.mostStreams()) {
+        return internal::refusal("the engines are full", internal::fullRetrySeconds);
+    }
     if (section_.held_ == 0) {
         return std::nullopt;
     }
@@ -122,12 +124,21 @@
 
 bool AdmissionController::hasRoomForLife(Duration untilDeadline) const
 {
+    const double need = programs_.expectedTokens(untilDeadline);
     double total = 0;
+    double streams = 0;
+    // Load reports show the KV memory; what all nodes have exported is estimated from this node's part.
+    double used = programs_.exportedTokens() * std::max(1, liveNodes_());
     for (const EndpointState *endpoint : engines_.byNumber_) {
-        total += endpoint->info_.kind_ == CallKind::Model ? static_cast<double>(endpoint->info_.cacheTokens_) : 0;
+        if (endpoint->info_.kind_ == CallKind::Model) {
+            total += static_cast<double>(endpoint->info_.cacheTokens_);
+            used += endpoints_.usedTokens(*endpoint);
+            streams += endpoint->info_.maxStreams_;
+        }
     }
-    const double part = internal::workingSetShare * total / std::max(1, liveNodes_());
-    return programs_.workingSet() + internal::lifeMargin * programs_.expectedTokens(untilDeadline) <= part;
+    // A program that needs no more than a stream's part of the memory soon gives it back; only larger ones add up.
+    const bool small = need * streams <= total;
+    return small || used + need * std::max(1, liveNodes_()) <= internal::workingSetShare * total;
 }
 
 void AdmissionController::onHeld(const AccountId &account)
--- a/src/policy/programtracker.cpp
+++ b/src/policy/programtracker.cpp
@@ -83,8 +83,6 @@
     const double share = 1 / internal::generatedMemory;
     if (ProgramState *state = findState(request.program_)) {
         const std::int64_t tokens = result.promptTokens_ + result.generatedTokens_ - request.sharedTokens_;
-        section_.workingSet_ += static_cast<double>(tokens - state->neededTokens_);
-        state->neededTokens_ = tokens;
         ProgramSection::ClassMeans &means = section_.classes_[rootOf(*state).classKey_];
         means.tokenSamples_ = std::min(means.tokenSamples_ + 1, internal::generatedMemory);
         means.tokens_ += (static_cast<double>(tokens) - means.tokens_) / means.tokenSamples_;
@@ -105,6 +103,16 @@
     state->visited_.insert(endpoint);
 }
 
+void ProgramTracker::tick()
+{
+    section_.exportedTokens_ = 0;
+    for (const std::pair<const ProgramId, ProgramState> &entry : section_.programs_) {
+        const ProgramState &state = entry.second;
+        section_.exportedTokens_ +=
+            state.exportedAt_.isEmpty() ? 0 : static_cast<double>(state.homeTokens_ - state.sharedTokens_);
+    }
+}
+
 void ProgramTracker::onExported(const ProgramId &program)
 {
     ProgramState *state = findState(program);
@@ -160,7 +168,6 @@
         const double seconds = std::max(0.0, toSeconds(now_() - state.started_) - state.lateSeconds_);
         means.seconds_ += (seconds - means.seconds_) / means.weight_;
     }
-    section_.workingSet_ -= static_cast<double>(state.neededTokens_);
     section_.programs_.erase(it);
 }
 
--- a/src/policy/programtracker.h
+++ b/src/policy/programtracker.h
@@ -29,6 +29,7 @@
     void onCacheLost(const EndpointId &endpoint);
     void onCacheEvent(const CacheEvent &event);
     void onMoved(const ProgramId &program, const EndpointId &endpoint, std::int64_t tokens);
+    void tick();
     void onExported(const ProgramId &program);
     /** \brief A call is sent to the engine, which then holds something of the program. */
     void onVisited(const ProgramId &program, const EndpointId &endpoint);
@@ -45,10 +46,10 @@
     double expectedSeconds(const ProgramState &program) const;
     /** \brief Cache that a program needs that has this long until its deadline, in tokens. */
     double expectedTokens(Duration untilDeadline) const;
-    /** \brief Cache that all live programs of this node need, in tokens. */
-    double workingSet() const
+    /** rief Cache of this node's programs that is exported, in tokens. */
+    double exportedTokens() const
     {
-        return section_.workingSet_;
+        return section_.exportedTokens_;
     }
     double expectedGenerated() const
     {
--- a/src/policy/roomledger.cpp
+++ b/src/policy/roomledger.cpp
@@ -34,6 +34,7 @@
         return;
     }
     const double streams = endpoints_.streams(*state);
+    mostStreams_ = state->info_.maxStreams_;
     meanStreams_ += internal::meanSmoothing * (streams - meanStreams_);
     rooms_[endpoint] = Room{partOf(state->info_.maxStreams_ - streams), partOf(meanStreams_ - streams)};
 }
--- a/src/policy/roomledger.h
+++ b/src/policy/roomledger.h
@@ -26,6 +26,11 @@
     {
         return meanStreams_;
     }
+    /** \brief Streams that an engine runs at most. */
+    double mostStreams() const
+    {
+        return mostStreams_;
+    }
     void takeStart(const EndpointId &endpoint);
     void takeMove(const EndpointId &endpoint);
 
@@ -41,6 +46,7 @@
     RandomSource random_;
     std::function<std::int32_t()> liveNodes_;
     std::unordered_map<EndpointId, Room> rooms_;
+    double mostStreams_ = 24;
     double meanStreams_ = 0; ///< Over the reports of the last seconds.
 };
 
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -637,6 +637,7 @@
 void Scheduler::tick()
 {
     d_->retention_.tick();
+    d_->programs_.tick();
     d_->expireQueued();
     if (!d_->queued_.empty()) {
         d_->dispatch();
