--- a/src/policy/admissioncontroller.cpp
+++ b/src/policy/admissioncontroller.cpp
@@ -11,18 +11,18 @@
 constexpr double admissionShare = 0.92;
 /** \brief Longest wait for a start. Backlog that is admitted lengthens every program until it is worked off. */
 constexpr double maxWaitSeconds = 2;
-/** rief New programs start while the engines' mean streams are below this share of the most. */
+/** \brief New programs start while the engines' mean streams are below this share of the most. */
 constexpr double fullStreams = 1.1;
-/** rief That share falls by this much for each share that the mean of the last minutes is above usualStreams. */
+/** \brief That share falls by this much for each share that the mean of the last minutes is above usualStreams. */
 /** \brief New programs are refused while the engines' mean streams are above this share of the most. */
 constexpr double refusalStreams = 0.92;
 constexpr double fullRetrySeconds = 10;
 constexpr double memoryRetrySeconds = 30;
-/** rief The same for accounts over their fair share; the others' programs keep the room above it. */
+/** \brief The same for accounts over their fair share; the others' programs keep the room above it. */
 constexpr double overShareStreams = 0.62;
-/** rief Cache that live programs may need, over the KV memory: what is over it is in the export stores. */
+/** \brief Cache that live programs may need, over the KV memory: what is over it is in the export stores. */
 constexpr double workingSetShare = 1.5;
-/** rief An account is over its share with this many times the other accounts' mean of live programs. */
+/** \brief An account is over its share with this many times the other accounts' mean of live programs. */
 constexpr double overShareFactor = 2;
 constexpr std::int32_t overShareLeast = 5;
 constexpr double startRateSeconds = 20;
--- a/src/policy/admissioncontroller.h
+++ b/src/policy/admissioncontroller.h
@@ -28,9 +28,9 @@
 
     /** \return why the program can't start in time, or nothing. */
     std::optional<Failure> admit(const AccountId &account, Time deadline) const;
-    /** rief True if the engine has room for a new program of the account. */
+    /** \brief True if the engine has room for a new program of the account. */
     bool hasRoom(const EndpointState &endpoint, const AccountId &account, std::int64_t tokens) const;
-    /** rief True if all engines together have room for the program over its whole life. */
+    /** \brief True if all engines together have room for the program over its whole life. */
     bool hasRoomForLife(const ProgramState &program) const;
     void onHeld(const AccountId &account);
     void onStarted(const AccountId &account, const EndpointId &endpoint);
--- a/src/policy/enginechooser.cpp
+++ b/src/policy/enginechooser.cpp
@@ -12,9 +12,9 @@
 constexpr std::size_t randomCandidates = 3;
 /** \brief A program moves only for a gain of this many streams: a copy delays it and doubles its memory meanwhile. */
 constexpr double moveStreams = 17;
-/** rief Engines whose cost differs by less than this many streams are equal: a report is wrong by as much. */
+/** \brief Engines whose cost differs by less than this many streams are equal: a report is wrong by as much. */
 constexpr double nearStreams = 8;
-/** rief Weight of the load expected over the next minute, against that of now, for a program without a home. */
+/** \brief Weight of the load expected over the next minute, against that of now, for a program without a home. */
 constexpr double expectedWeight = 0.5;
 /** \brief Share of the KV memory above which an engine starts to evict what is still needed. */
 constexpr double fullShare = 0.97;
--- a/src/policy/programtracker.h
+++ b/src/policy/programtracker.h
@@ -46,7 +46,7 @@
     double expectedSeconds(const ProgramState &program) const;
     /** \brief Cache that a program needs that has this long until its deadline, in tokens. */
     double expectedTokens(Duration untilDeadline) const;
-    /** rief Cache of this node's programs that is exported, in tokens. */
+    /** \brief Cache of this node's programs that is exported, in tokens. */
     double exportedTokens() const
     {
         return section_.exportedTokens_;
