--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -24,6 +24,8 @@
 {
 public:
     virtual ~HttpReply() = default;
+    /** \brief Adds a header to the answer; only before send() or startStream(). */
+    virtual void setHeader(const std::string &name, const std::string &value) = 0;
     /** \brief Sends a whole answer. */
     virtual void send(int status, const std::string &contentType, const std::string &body) = 0;
     /** \brief Starts a chunked answer. */
@@ -34,7 +36,7 @@
     virtual void finish() = 0;
     /** \brief Closes the connection without an end of the answer. */
     virtual void abort() = 0;
-    /** \brief Called once if the peer closes before the answer has ended. */
+    /** \brief Called once from the loop if the peer closes before the answer has ended; an empty function clears it. */
     virtual void onClosed(std::function<void()> closed) = 0;
 };
 
--- a/src/policy/programtracker.cpp
+++ b/src/policy/programtracker.cpp
@@ -80,6 +80,9 @@
 
 void ProgramTracker::onAnswered(const ScheduleRequest &request, const AttemptResult &result)
 {
+    if (request.kind_ != CallKind::Model) {
+        return; // A tool or plain service holds no prefix and doesn't become the program's home.
+    }
     const double share = 1 / internal::generatedMemory;
     if (ProgramState *state = findState(request.program_)) {
         const std::int64_t tokens = result.promptTokens_ + result.generatedTokens_ - request.sharedTokens_;
