--- a/src/policy/programtracker.cpp
+++ b/src/policy/programtracker.cpp
@@ -84,6 +84,12 @@
         return; // A tool or plain service holds no prefix and doesn't become the program's home.
     }
     const double share = 1 / internal::generatedMemory;
+    if (ProgramState *state = findState(request.program_)) {
+        const std::int64_t tokens = result.promptTokens_ + result.generatedTokens_ - request.sharedTokens_;
+        ProgramSection::ClassMeans &means = section_.classes_[rootOf(*state).classKey_];
+        means.tokenSamples_ = std::min(means.tokenSamples_ + 1, internal::generatedMemory);
+        means.tokens_ += (static_cast<double>(tokens) - means.tokens_) / means.tokenSamples_;
+    }
     section_.generated_ += share * (static_cast<double>(result.generatedTokens_) - section_.generated_);
     onMoved(request.program_, result.endpoint_, result.promptTokens_ + result.generatedTokens_);
 }
@@ -100,6 +106,16 @@
     state->visited_.insert(endpoint);
 }
 
+void ProgramTracker::tick()
+{
+    section_.exportedTokens_ = 0;
+    for (const std::pair<const ProgramId, ProgramState> &entry : section_.programs_) {
+        const ProgramState &state = entry.second;
+        section_.exportedTokens_ +=
+            state.exportedAt_.isEmpty() ? 0 : static_cast<double>(state.homeTokens_ - state.sharedTokens_);
+    }
+}
+
 void ProgramTracker::onExported(const ProgramId &program)
 {
     ProgramState *state = findState(program);
@@ -167,7 +183,6 @@
             state.homeTokens_ = 0;
             state.exportedAt_ = EndpointId();
         }
-        state.visited_.erase(endpoint);
     }
 }
 
@@ -199,6 +214,13 @@
     return it == section_.classes_.end() ? ProgramSection::ClassMeans{}.seconds_ : it->second.seconds_;
 }
 
+double ProgramTracker::expectedTokens(Duration untilDeadline) const
+{
+    const std::map<std::int64_t, ProgramSection::ClassMeans>::const_iterator it =
+        section_.classes_.find(internal::classKeyOf(untilDeadline));
+    return it == section_.classes_.end() ? 0 : it->second.tokens_;
+}
+
 double ProgramTracker::projectedSlowdown(const ScheduleRequest &request, Time submittedAt) const
 {
     const ProgramState *state = find(request.program_);
