Send gossip to the ring successor as well

At 100 members one of 20 deaths was known to 99% only after 6.1 s: gossip to 4 random members misses 2%, and a node that missed both the suspicion and the death learns of it by a digest. With the ring successor as a fifth receiver a miss needs two missed neighbours.

--- a/src/membership/membershipcontroller.cpp
+++ b/src/membership/membershipcontroller.cpp
@@ -96,6 +96,7 @@
     void sendRecords(const std::string &address, const std::vector<MemberHash> &subjects);
     void sendEntries(MemberHash peer, std::uint64_t mask, bool wantAnswer);
     std::vector<MemberHash> randomMembers(std::size_t count, MemberHash except);
+    std::vector<MemberHash> gossipReceivers(MemberHash except);
     void join(const std::string &address);
 
     void onHeartbeat(MessageReader &reader, MemberHash sender);
@@ -180,6 +181,18 @@
     return chosen;
 }
 
+std::vector<MemberHash> MembershipController::Private::gossipReceivers(MemberHash except)
+{
+    // Random receivers alone miss 2% of the members. The ring successor makes a miss need two members that were missed.
+    std::vector<MemberHash> receivers = randomMembers(fanOut, except);
+    const std::vector<MemberHash> &successors = view_.monitors();
+    if (!successors.empty() && successors.front() != except
+        && std::find(receivers.begin(), receivers.end(), successors.front()) == receivers.end()) {
+        receivers.push_back(successors.front());
+    }
+    return receivers;
+}
+
 void MembershipController::Private::sendClaims(MemberHash peer, const std::vector<Claim> &claims)
 {
     for (std::size_t begin = 0; begin < claims.size(); begin += maxClaims) {
@@ -197,7 +210,7 @@
     if (claims.empty()) {
         return;
     }
-    for (MemberHash peer : randomMembers(fanOut, except)) {
+    for (MemberHash peer : gossipReceivers(except)) {
         sendClaims(peer, claims);
     }
 }
@@ -206,7 +219,7 @@
 {
     nlohmann::json message = messageFromSelf(DatagramType::RecordGossip);
     message.push_back(record);
-    for (MemberHash peer : randomMembers(fanOut, except)) {
+    for (MemberHash peer : gossipReceivers(except)) {
         sendTo(peer, message);
     }
 }
