--- a/src/policy/programtracker.h
+++ b/src/policy/programtracker.h
@@ -24,10 +24,12 @@
     void onPaused(const ProgramId &program, const std::string &tool);
     /** \brief Forgets a program; its tree's length is learned if it is a root. */
     void onEnded(const ProgramId &program);
-    /** \brief The engine has lost everything that it held. */
+    /** \brief The engine has probably lost everything that it held; it still gets release orders, in case it has not.
+     */
     void onCacheLost(const EndpointId &endpoint);
     void onCacheEvent(const CacheEvent &event);
     void onMoved(const ProgramId &program, const EndpointId &endpoint, std::int64_t tokens);
+    void tick();
     void onExported(const ProgramId &program);
     /** \brief A call is sent to the engine, which then holds something of the program. */
     void onVisited(const ProgramId &program, const EndpointId &endpoint);
@@ -42,6 +44,13 @@
     double expectedSeconds(Duration untilDeadline) const;
     /** \brief Expected lower bound of the program's tree. */
     double expectedSeconds(const ProgramState &program) const;
+    /** \brief Cache that a program needs that has this long until its deadline, in tokens. */
+    double expectedTokens(Duration untilDeadline) const;
+    /** \brief Cache of this node's programs that is exported, in tokens. */
+    double exportedTokens() const
+    {
+        return section_.exportedTokens_;
+    }
     double expectedGenerated() const
     {
         return section_.generated_;
--- a/src/policy/roomledger.h
+++ b/src/policy/roomledger.h
@@ -21,6 +21,16 @@
     bool hasStart(const EndpointState &endpoint) const;
     /** \brief True if this node may move one more program in progress to the engine. */
     bool hasMove(const EndpointState &endpoint) const;
+    /** \brief Mean streams of the engines, by the reports of the last seconds. */
+    double meanStreams() const
+    {
+        return meanStreams_;
+    }
+    /** \brief Streams that an engine runs at most. */
+    double mostStreams() const
+    {
+        return mostStreams_;
+    }
     void takeStart(const EndpointId &endpoint);
     void takeMove(const EndpointId &endpoint);
 
@@ -36,6 +46,7 @@
     RandomSource random_;
     std::function<std::int32_t()> liveNodes_;
     std::unordered_map<EndpointId, Room> rooms_;
+    double mostStreams_ = 24;
     double meanStreams_ = 0; ///< Over the reports of the last seconds.
 };
 
