--- a/src/policy/admissioncontroller.cpp
+++ b/src/policy/admissioncontroller.cpp
@@ -10,12 +10,11 @@
 /** \brief Share of the KV memory that new programs may fill; the rest is for the growth of those in progress. */
 constexpr double admissionShare = 0.92;
 /** \brief Longest wait for a start. Backlog that is admitted lengthens every program until it is worked off. */
-constexpr double maxWaitSeconds = 2;
+constexpr double maxWaitSeconds = 4;
 /** \brief New programs start while the engines' mean streams are below this share of the most. */
 constexpr double fullStreams = 1.1;
-/** \brief That share falls by this much for each share that the mean of the last minutes is above usualStreams. */
 /** \brief New programs are refused while the engines' mean streams are above this share of the most. */
-constexpr double refusalStreams = 0.92;
+constexpr double refusalStreams = 0.95;
 constexpr double fullRetrySeconds = 10;
 constexpr double memoryRetrySeconds = 30;
 /** \brief The same for accounts over their fair share; the others' programs keep the room above it. */
@@ -23,8 +22,8 @@
 /** \brief Cache that live programs may need, over the KV memory: what is over it is in the export stores. */
 constexpr double workingSetShare = 1.5;
 /** \brief An account is over its share with this many times the other accounts' mean of live programs. */
-constexpr double overShareFactor = 2;
-constexpr std::int32_t overShareLeast = 5;
+constexpr double overShareFactor = 3;
+constexpr std::int32_t overShareLeast = 8;
 constexpr double startRateSeconds = 20;
 
 } // namespace internal
