Refuse only at full batches

Cause: 2.1% of the programs were refused under ordinary faults. Change: refusal starts at full mean streams; accounts over their share start below 52% of the streams.

--- a/src/policy/admissioncontroller.cpp
+++ b/src/policy/admissioncontroller.cpp
@@ -14,11 +14,11 @@
 /** \brief New programs start while the engines' mean streams are below this share of the most. */
 constexpr double fullStreams = 1.1;
 /** \brief New programs are refused while the engines' mean streams are above this share of the most. */
-constexpr double refusalStreams = 0.95;
+constexpr double refusalStreams = 1;
 constexpr double fullRetrySeconds = 10;
 constexpr double memoryRetrySeconds = 30;
 /** \brief The same for accounts over their fair share; the others' programs keep the room above it. */
-constexpr double overShareStreams = 0.62;
+constexpr double overShareStreams = 0.52;
 /** \brief Cache that live programs may need, over the KV memory: what is over it is in the export stores. */
 constexpr double workingSetShare = 1.5;
 /** \brief An account is over its share with this many times the other accounts' mean of live programs. */
