--- a/src/policy/suspectisolation.h
+++ b/src/policy/suspectisolation.h
@@ -21,7 +21,7 @@
     /** \brief True if the crashes can be due to nothing else. */
     bool isConvicted() const
     {
-        return crashes_ > 1 && (certain_ || aloneCrashes_ > 1);
+        return crashes_ > 1 && (certain_ || aloneCrashes_ > 2);
     }
 };
 
