Spend less on each relayed token and on programs without calls

Cause: perf of a node under scripts/overhead showed three costs that grow with the wrong thing: every tick (50 ms) looked at every owned program, the caller's copy of an answer was compared and copied whole for each part, and each part built a JSON object and copied the map of listeners. Change: a tick looks at programs with calls, and once a second at all; a run that is level with the caller only appends; an event's head and tail are built once. Ruled out: the kernel's share (33% of cycles) stays.

--- a/src/node/answerstreams.cpp
+++ b/src/node/answerstreams.cpp
@@ -33,6 +33,12 @@
 {
     Stream &stream = streams_[{program, request}];
     stream.text_ += text;
+    if (stream.listeners_.size() == 1) {
+        const std::shared_ptr<Listener> only = stream.listeners_.begin()->second;
+        only->text_(text);
+        return;
+    }
+    // A listener may stop listening while it is called.
     const std::map<std::uint64_t, std::shared_ptr<Listener>> listeners = stream.listeners_;
     for (const auto &[id, listener] : listeners) {
         listener->text_(text);
--- a/src/node/callerstream.cpp
+++ b/src/node/callerstream.cpp
@@ -39,6 +39,15 @@
     , streamed_(streamed)
     , model_(std::move(model))
 {
+    // Only the text differs between events, so the rest of an event is built once.
+    if (format_ == AnswerFormat::Native) {
+        chunkHead_ = "data: {\"text\":";
+        chunkTail_ = "}\n\n";
+        return;
+    }
+    chunkHead_ = "data: {\"choices\":[{\"delta\":{\"content\":";
+    chunkTail_ = "},\"finish_reason\":null,\"index\":0}],\"model\":" + jsonText(model_)
+        + ",\"object\":\"chat.completion.chunk\"}\n\n";
 }
 
 ApiSink CallerStream::sink()
@@ -66,16 +75,6 @@
     reply_->write("data: " + jsonText(data) + "\n\n");
 }
 
-nlohmann::json CallerStream::chunk(const std::string &text) const
-{
-    if (format_ == AnswerFormat::Native) {
-        return {{"text", text}};
-    }
-    return {{"object", "chat.completion.chunk"},
-            {"model", model_},
-            {"choices", {{{"index", 0}, {"delta", {{"content", text}}}, {"finish_reason", nullptr}}}}};
-}
-
 nlohmann::json CallerStream::lastChunk(const nlohmann::json &body) const
 {
     if (format_ == AnswerFormat::Native) {
@@ -94,7 +93,7 @@
         reply_->write("event: restart\ndata: {}\n\n");
     }
     if (!step.text_.empty()) {
-        writeData(chunk(step.text_));
+        reply_->write(chunkHead_ + jsonText(step.text_) + chunkTail_);
     }
 }
 
--- a/src/node/callerstream.h
+++ b/src/node/callerstream.h
@@ -30,13 +30,14 @@
     void ensureStarted();
     void writeStep(const StreamedText::Step &step);
     void writeData(const nlohmann::json &data);
-    nlohmann::json chunk(const std::string &text) const;
     nlohmann::json lastChunk(const nlohmann::json &body) const;
 
     std::shared_ptr<HttpReply> reply_;
     AnswerFormat format_;
     bool streamed_;
     std::string model_;
+    std::string chunkHead_; ///< Of an event, up to its text as JSON string.
+    std::string chunkTail_;
     bool started_ = false;
     StreamedText text_;
 };
--- a/src/node/ssereader.cpp
+++ b/src/node/ssereader.cpp
@@ -11,17 +11,17 @@
 
 bool SseReader::add(const std::string &part)
 {
-    for (const char c : part) {
-        if (c != '\n') {
-            line_ += c;
-            continue;
-        }
+    std::size_t start = 0;
+    for (std::size_t end = part.find('\n'); end != std::string::npos; end = part.find('\n', start)) {
+        line_.append(part, start, end - start);
+        start = end + 1;
         if (!line_.empty() && line_.back() == '\r') {
             line_.pop_back();
         }
-        const std::string line = std::exchange(line_, {});
-        takeLine(line);
+        takeLine(line_);
+        line_.clear();
     }
+    line_.append(part, start, std::string::npos);
     return line_.size() + data_.size() <= longestEvent;
 }
 
--- a/src/node/streamedtext.cpp
+++ b/src/node/streamedtext.cpp
@@ -5,10 +5,16 @@
 void StreamedText::rerun()
 {
     run_.clear();
+    isLevel_ = sent_.empty();
 }
 
 StreamedText::Step StreamedText::add(const std::string &text)
 {
+    // The common case, a run that is level with the caller, must not touch the text so far: it grows to megabytes.
+    if (isLevel_) {
+        sent_ += text;
+        return {false, text};
+    }
     run_ += text;
     return advance();
 }
@@ -16,9 +22,11 @@
 StreamedText::Step StreamedText::complete(const std::string &whole)
 {
     run_ = whole;
+    isLevel_ = false;
     if (sent_.size() > run_.size()) {
         sent_ = run_;
-        return {true, run_};
+        isLevel_ = true;
+        return {true, sent_};
     }
     return advance();
 }
@@ -31,7 +39,9 @@
     Step step;
     step.restart_ = run_.compare(0, sent_.size(), sent_) != 0;
     step.text_ = step.restart_ ? run_ : run_.substr(sent_.size());
-    sent_ = run_;
+    sent_ = std::move(run_);
+    run_.clear();
+    isLevel_ = true;
     return step;
 }
 
--- a/src/node/streamedtext.h
+++ b/src/node/streamedtext.h
@@ -32,7 +32,8 @@
     Step advance();
 
     std::string sent_; ///< What the caller has.
-    std::string run_; ///< Text of the current run so far.
+    std::string run_; ///< Text of the current run so far; empty while the run is level.
+    bool isLevel_ = true; ///< The current run's text is what the caller has.
 };
 
 } // namespace filbertgw
--- a/src/program/programcontroller.cpp
+++ b/src/program/programcontroller.cpp
@@ -1628,9 +1628,13 @@
     }
     wakeWanted();
     expireParked();
+    const bool isScanDue = now() >= scanAt_;
     std::vector<ProgramId> roots;
     for (const std::pair<const ProgramId, std::shared_ptr<TreeWork>> &entry : work_) {
-        roots.push_back(entry.first);
+        // A program without calls has only deadlines and checkpoints, for which one look a second is enough.
+        if (isScanDue || draining_ || entry.second->isBusy()) {
+            roots.push_back(entry.first);
+        }
     }
     std::sort(roots.begin(), roots.end());
     for (const ProgramId &root : roots) {
@@ -1638,7 +1642,7 @@
             tickTree(root);
         }
     }
-    if (now() >= scanAt_) {
+    if (isScanDue) {
         scanAt_ = now() + scanPeriod;
         claimOrphans();
         retryParked();
