Reserve each retry of a call before it is sent

Cause: the dispatcher sent retries under the reservation of the first run, so a program whose first run had cost something could spend beyond its budget. Change: an attempt after one that may have run asks ProgramController::coverRetry(); if the budget does not cover it the call is cancelled and ends as unknown; a dropped retry after a crash still counts it.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -119,6 +119,33 @@
     hooks_.post_([this, result] { controllers_.attemptEnded_(result); });
 }
 
+bool Dispatcher::mayHaveRun(const Running &running)
+{
+    for (const auto &[number, attempt] : running.attempts_) {
+        if (!attempt.ended_ || attempt.answer_.status_ != AttemptStatus::NotSent) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void Dispatcher::refuseRetry(const StartOrder &order)
+{
+    hooks_.logEvent_(
+        "retry_not_covered",
+        {{"program", order.program_.value()}, {"request", order.requestId_.value()}, {"attempt", order.attempt_}});
+    AttemptResult result;
+    result.requestId_ = order.requestId_;
+    result.program_ = order.program_;
+    result.endpoint_ = order.endpoint_;
+    result.attempt_ = order.attempt_;
+    result.status_ = AttemptStatus::Cancelled;
+    hooks_.post_([this, result] {
+        controllers_.cancel_(result.program_, result.requestId_);
+        controllers_.attemptEnded_(result);
+    });
+}
+
 void Dispatcher::start(const StartOrder &order)
 {
     const Key key{order.program_, order.requestId_};
@@ -128,6 +155,10 @@
         reportNotSent(order);
         return;
     }
+    if (mayHaveRun(found->second) && !controllers_.coverRetry_(order.program_, order.requestId_)) {
+        refuseRetry(order);
+        return;
+    }
     const Dispatch &dispatch = found->second.dispatch_;
     Attempt &attempt = found->second.attempts_[order.attempt_];
     attempt = Attempt();
@@ -286,6 +317,9 @@
             outcome.body_ = attempt.answer_.body_;
             outcome.endpoint_ = attempt.order_.endpoint_;
             outcome.usage_ = usageOf(running.dispatch_, attempt.answer_);
+        } else if (attempt.answer_.status_ == AttemptStatus::Crashed && result.status_ != DispatchStatus::Answered) {
+            // A retry that would have cleared or convicted the request may have been refused.
+            outcome.crashes_ = std::max<std::uint32_t>(outcome.crashes_, 1);
         }
     }
     if (outcome.status_ != DispatchStatus::Answered && !outcome.failure_) {
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -26,6 +26,7 @@
     std::function<void(const AttemptResult &)> attemptEnded_;
     std::function<void(const DispatchOutcome &)> outcome_; ///< ProgramController::onOutcome
     std::function<void(const ProgramId &, const std::string &tool)> paused_; ///< Scheduler::onProgramPaused
+    std::function<bool(const ProgramId &, const RequestId &)> coverRetry_; ///< ProgramController::coverRetry
 };
 
 /** \brief Runs dispatched calls: asks the Scheduler for endpoints, sends attempts, passes text and outcomes on. */
@@ -84,6 +85,8 @@
     void onDone(const Key &key, std::uint32_t attempt, const EndpointAnswer &answer);
     void abandon(const Dispatch &dispatch, const Attempt &attempt);
     void reportNotSent(const StartOrder &order);
+    static bool mayHaveRun(const Running &running);
+    void refuseRetry(const StartOrder &order);
     Spend usageOf(const Dispatch &dispatch, const EndpointAnswer &answer) const;
 
     const NodeHooks &hooks_;
--- a/src/node/nodecore.cpp
+++ b/src/node/nodecore.cpp
@@ -282,6 +282,9 @@
     hooks.paused_ = [this](const ProgramId &program, const std::string &tool) {
         scheduler_->onProgramPaused(program, tool);
     };
+    hooks.coverRetry_ = [this](const ProgramId &program, const RequestId &request) {
+        return programs_->coverRetry(program, request);
+    };
     return hooks;
 }
 
