--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -42,7 +42,7 @@
 using CallKey = std::pair<ProgramId, RequestId>;
 
 /** \brief One submitted call. */
-struct Call
+struct QueuedCall
 {
     ScheduleRequest request_;
     Time submittedAt_{0};
@@ -75,25 +75,25 @@
 } // namespace internal
 
 using internal::Attempt;
-using internal::Call;
 using internal::CallKey;
+using internal::QueuedCall;
 
 struct Scheduler::Private
 {
     Private(SchedulerHooks hooks, Blackboard *blackboard, const EngineCosts &costs, const DisabledMechanisms &disabled);
 
     void dispatch();
-    void sortQueue(std::vector<Call *> &queue);
-    bool tryStart(Call &call);
-    bool tryStartModel(Call &call);
-    bool tryStartService(Call &call);
-    ChoiceRules rulesFor(const Call &call) const;
-    std::int32_t priorityOf(const Call &call, std::int64_t missingTokens) const;
-    void start(Call &call, const EngineChoice &choice);
-    void order(Call &call, Attempt attempt, StartOrder order);
+    void sortQueue(std::vector<QueuedCall *> &queue);
+    bool tryStart(QueuedCall &call);
+    bool tryStartModel(QueuedCall &call);
+    bool tryStartService(QueuedCall &call);
+    ChoiceRules rulesFor(const QueuedCall &call) const;
+    std::int32_t priorityOf(const QueuedCall &call, std::int64_t missingTokens) const;
+    void start(QueuedCall &call, const EngineChoice &choice);
+    void order(QueuedCall &call, Attempt attempt, StartOrder order);
     void endAttempt(const AttemptResult &result, const Attempt &attempt);
     void learnLatency(const AttemptResult &result, const Attempt &attempt);
-    void retryOrFail(Call &call, const AttemptResult &result);
+    void retryOrFail(QueuedCall &call, const AttemptResult &result);
     void finish(const CallKey &key, ScheduleResult result);
     void fail(const CallKey &key, FailureType type, const std::string &detail, Duration retryAfter);
     void expireQueued();
@@ -120,7 +120,7 @@
     RetentionController retention_;
     RetryPolicy retries_;
     SuspectIsolation isolation_;
-    std::map<CallKey, Call> calls_;
+    std::map<CallKey, QueuedCall> calls_;
     std::map<std::pair<CallKey, std::uint32_t>, Attempt> attempts_;
     std::set<CallKey> queued_;
     std::uint64_t sequence_ = 0;
@@ -157,17 +157,17 @@
     return LimitBounds{streams, streams * (1 + internal::engineQueueShare)};
 }
 
-void Scheduler::Private::sortQueue(std::vector<Call *> &queue)
+void Scheduler::Private::sortQueue(std::vector<QueuedCall *> &queue)
 {
     Time oldestHeld = hooks_.now_();
-    for (Call *call : queue) {
+    for (QueuedCall *call : queue) {
         call->urgency_ =
             enabled(Mechanism::Priority) ? programs_.projectedSlowdown(call->request_, call->submittedAt_) : 0;
         call->overShare_ = call->held_ && admission_.isOverShare(call->request_.account_);
         oldestHeld = call->held_ ? std::min(oldestHeld, call->submittedAt_) : oldestHeld;
     }
     admission_.setOldestHeld(oldestHeld);
-    std::sort(queue.begin(), queue.end(), [](const Call *a, const Call *b) {
+    std::sort(queue.begin(), queue.end(), [](const QueuedCall *a, const QueuedCall *b) {
         if (a->held_ != b->held_) {
             return b->held_;
         }
@@ -187,16 +187,16 @@
     dispatching_ = true;
     do {
         dispatchAgain_ = false;
-        std::vector<Call *> queue;
+        std::vector<QueuedCall *> queue;
         for (const CallKey &key : queued_) {
-            Call &call = calls_.at(key);
+            QueuedCall &call = calls_.at(key);
             if (call.notBefore_ <= hooks_.now_()) {
                 queue.push_back(&call);
             }
         }
         sortQueue(queue);
         std::size_t unplaced = 0;
-        for (Call *call : queue) {
+        for (QueuedCall *call : queue) {
             const CallKey key{call->request_.program_, call->request_.requestId_};
             // A start may have finished or cancelled other calls through the hooks.
             if (queued_.count(key) == 0) {
@@ -213,12 +213,12 @@
     dispatching_ = false;
 }
 
-bool Scheduler::Private::tryStart(Call &call)
+bool Scheduler::Private::tryStart(QueuedCall &call)
 {
     return call.request_.kind_ == CallKind::Model ? tryStartModel(call) : tryStartService(call);
 }
 
-ChoiceRules Scheduler::Private::rulesFor(const Call &call) const
+ChoiceRules Scheduler::Private::rulesFor(const QueuedCall &call) const
 {
     ChoiceRules rules;
     rules.excluded_ = &call.failedAt_;
@@ -239,7 +239,7 @@
     return rules;
 }
 
-bool Scheduler::Private::tryStartModel(Call &call)
+bool Scheduler::Private::tryStartModel(QueuedCall &call)
 {
     const std::optional<EngineChoice> choice = engineChooser_.choose(call.request_, rulesFor(call));
     if (!choice) {
@@ -249,7 +249,7 @@
     return true;
 }
 
-std::int32_t Scheduler::Private::priorityOf(const Call &call, std::int64_t missingTokens) const
+std::int32_t Scheduler::Private::priorityOf(const QueuedCall &call, std::int64_t missingTokens) const
 {
     const ProgramState *program = programs_.find(call.request_.program_);
     if (!enabled(Mechanism::Priority) || program == nullptr) {
@@ -261,7 +261,7 @@
     return -static_cast<std::int32_t>(internal::priorityScale * std::log(index));
 }
 
-void Scheduler::Private::start(Call &call, const EngineChoice &choice)
+void Scheduler::Private::start(QueuedCall &call, const EngineChoice &choice)
 {
     const ProgramState *program = programs_.find(call.request_.program_);
     const bool home = program != nullptr && program->home_ == choice.endpoint_ && program->exportedAt_.isEmpty();
@@ -293,7 +293,7 @@
     order(call, attempt, startOrder);
 }
 
-void Scheduler::Private::order(Call &call, Attempt attempt, StartOrder startOrder)
+void Scheduler::Private::order(QueuedCall &call, Attempt attempt, StartOrder startOrder)
 {
     const CallKey key{call.request_.program_, call.request_.requestId_};
     queued_.erase(key);
@@ -313,7 +313,7 @@
     hooks_.start_(startOrder);
 }
 
-bool Scheduler::Private::tryStartService(Call &call)
+bool Scheduler::Private::tryStartService(QueuedCall &call)
 {
     const std::optional<EndpointId> endpoint = serviceChooser_.choose(call.request_, call.failedAt_);
     if (!endpoint) {
@@ -384,7 +384,7 @@
     }
 }
 
-void Scheduler::Private::retryOrFail(Call &call, const AttemptResult &result)
+void Scheduler::Private::retryOrFail(QueuedCall &call, const AttemptResult &result)
 {
     const CallKey key{call.request_.program_, call.request_.requestId_};
     call.failedAt_.insert(result.endpoint_);
@@ -406,7 +406,7 @@
 
 void Scheduler::Private::fail(const CallKey &key, FailureType type, const std::string &detail, Duration retryAfter)
 {
-    const Call &call = calls_.at(key);
+    const QueuedCall &call = calls_.at(key);
     ScheduleResult result;
     Failure failure;
     failure.type_ = type;
@@ -423,8 +423,8 @@
 
 void Scheduler::Private::finish(const CallKey &key, ScheduleResult result)
 {
-    const std::map<CallKey, Call>::iterator it = calls_.find(key);
-    const Call &call = it->second;
+    const std::map<CallKey, QueuedCall>::iterator it = calls_.find(key);
+    const QueuedCall &call = it->second;
     result.program_ = key.first;
     result.requestId_ = key.second;
     const double seconds = toSeconds(hooks_.now_() - call.submittedAt_);
@@ -441,7 +441,7 @@
 {
     std::vector<CallKey> expired;
     for (const CallKey &key : queued_) {
-        const Call &call = calls_.at(key);
+        const QueuedCall &call = calls_.at(key);
         if (!call.held_ && hooks_.now_() - call.submittedAt_ > internal::maxEndpointWait) {
             expired.push_back(key);
         }
@@ -507,7 +507,7 @@
         d_->retention_.onResumed(*known);
     }
     const ProgramState &program = d_->programs_.onSubmit(request);
-    Call &call = d_->calls_[key];
+    QueuedCall &call = d_->calls_[key];
     call.request_ = request;
     call.submittedAt_ = d_->hooks_.now_();
     call.sequence_ = ++d_->sequence_;
@@ -532,7 +532,7 @@
 void Scheduler::cancel(const ProgramId &program, const RequestId &request)
 {
     const CallKey key{program, request};
-    const std::map<CallKey, Call>::iterator it = d_->calls_.find(key);
+    const std::map<CallKey, QueuedCall>::iterator it = d_->calls_.find(key);
     if (it == d_->calls_.end()) {
         return;
     }
@@ -557,7 +557,7 @@
 {
     const CallKey key{program, request};
     const std::map<std::pair<CallKey, std::uint32_t>, Attempt>::iterator it = d_->attempts_.find({key, attempt});
-    const std::map<CallKey, Call>::const_iterator call = d_->calls_.find(key);
+    const std::map<CallKey, QueuedCall>::const_iterator call = d_->calls_.find(key);
     if (it == d_->attempts_.end()) {
         return;
     }
@@ -580,7 +580,7 @@
     const Attempt attempt = it->second;
     d_->attempts_.erase(it);
     d_->endAttempt(result, attempt);
-    const std::map<CallKey, Call>::iterator call = d_->calls_.find(key);
+    const std::map<CallKey, QueuedCall>::iterator call = d_->calls_.find(key);
     if (call == d_->calls_.end()) {
         d_->dispatch();
         return;
@@ -613,7 +613,7 @@
         return;
     }
     std::vector<RequestId> open;
-    for (std::map<CallKey, Call>::const_iterator it = d_->calls_.lower_bound({program, RequestId()});
+    for (std::map<CallKey, QueuedCall>::const_iterator it = d_->calls_.lower_bound({program, RequestId()});
          it != d_->calls_.end() && it->first.first == program;
          ++it) {
         open.push_back(it->first.second);
--- /dev/null
+++ b/src/program/programcreation.cpp
@@ -0,0 +1,223 @@
+#include "program/programcontrollerprivate.h"
+
+#include "journal/programid.h"
+
+namespace filbertgw {
+
+using internal::Call;
+using internal::CallPhase;
+using internal::makeFailure;
+using internal::retrySoon;
+using internal::retryStore;
+using internal::TreeWork;
+
+namespace {
+
+constexpr int slotTries = 1024; // Finds a preferred slot among 390 nodes in 93 of 100 cases, among 12 always.
+
+} // namespace
+
+void ProgramController::Private::create(const CreateRequest &request, CreateDone done)
+{
+    const std::pair<AccountId, RequestId> key(request.account_, request.requestId_);
+    const ProgramId known = fold_->createdBy(request.account_, request.requestId_);
+    if (!known.isEmpty() && safeguards_.dedup_) {
+        done(Result<ProgramId>(known));
+        return;
+    }
+    const std::map<std::pair<AccountId, RequestId>, std::vector<CreateDone>>::iterator running = creating_.find(key);
+    if (running != creating_.end()) {
+        running->second.push_back(std::move(done));
+        return;
+    }
+    if (draining_) {
+        done(failedResult<ProgramId>(makeFailure(FailureType::OwnerUnavailable, true, "this node is leaving")));
+        return;
+    }
+    if (!ready_ || !isStoreUp() || !writer_->hasRoom(settings_.maxRequestBytes_)) {
+        done(failedResult<ProgramId>(
+            makeFailure(FailureType::StoreUnavailable, true, "programs can't be recorded now", retryStore)));
+        return;
+    }
+    creating_[key].push_back(std::move(done));
+    writeCreate(request);
+}
+
+void ProgramController::Private::writeCreate(const CreateRequest &request)
+{
+    const std::pair<AccountId, RequestId> key(request.account_, request.requestId_);
+    const bool isRoot = request.parent_.isEmpty();
+    const ProgramId root = isRoot ? ProgramId() : rootOf(request.parent_);
+    const std::shared_ptr<TreeWork> parentWork = isRoot ? nullptr : mine(root);
+    if (!isRoot && (!parentWork || parentWork->releasing_ || parentWork->idling_)) {
+        finishCreate(key,
+                     failedResult<ProgramId>(
+                         makeFailure(FailureType::OwnerUnavailable, true, "the parent has another owner", retrySoon)));
+        return;
+    }
+    ProgramId program;
+    for (int i = 0; i < slotTries && program.isEmpty(); ++i) {
+        const std::uint64_t bits = hooks_.random_();
+        const std::uint16_t slot = static_cast<std::uint16_t>(bits & 0xfffU);
+        if (!isRoot) {
+            program = joinProgramId({splitProgramId(root).value_or(ProgramIdParts()).slot_, bits});
+        } else if (hooks_.preferredNode_(slot) == self_) {
+            program = joinProgramId({slot, hooks_.random_()});
+        }
+    }
+    if (program.isEmpty()) {
+        finishCreate(key,
+                     failedResult<ProgramId>(makeFailure(
+                         FailureType::OwnerUnavailable, true, "this node is preferred for no slot", retrySoon)));
+        return;
+    }
+    CreateBody body;
+    body.requestId_ = request.requestId_;
+    body.account_ = request.account_;
+    body.parent_ = request.parent_;
+    body.budget_ = request.budget_;
+    body.deadline_ = request.deadline_;
+    body.maxTurns_ = request.maxTurns_;
+    if (isRoot) {
+        body.reserved_ = minimum(settings_.ahead_, request.budget_);
+    } else {
+        const BudgetEntry entry = prepareBudget(root, root, Spend(), Spend());
+        body.reserved_ = entry.reserved_;
+        body.spent_ = entry.spent_;
+    }
+    Record record = recordFor(RecordType::Create, program, isRoot ? program : root, body);
+    write(std::move(record), [this, key, program, root, isRoot](const JournalFoldResult &result) {
+        if (!isRoot && mine(root)) {
+            mine(root)->book_.onFolded();
+        }
+        if (result.verdict_ == JournalVerdict::Accepted) {
+            if (isRoot) {
+                own(program, result.offset_, false);
+            }
+            finishCreate(key, Result<ProgramId>(program));
+        } else if (!result.existing_.isEmpty()) {
+            finishCreate(key, Result<ProgramId>(result.existing_));
+        } else {
+            finishCreate(key,
+                         failedResult<ProgramId>(makeFailure(
+                             FailureType::OwnerUnavailable, true, "another node took over the parent", retrySoon)));
+        }
+    });
+}
+
+void ProgramController::Private::finishCreate(const std::pair<AccountId, RequestId> &key,
+                                              const Result<ProgramId> &result)
+{
+    const std::map<std::pair<AccountId, RequestId>, std::vector<CreateDone>>::iterator found = creating_.find(key);
+    if (found == creating_.end()) {
+        return;
+    }
+    const std::vector<CreateDone> waiting = std::move(found->second);
+    creating_.erase(found);
+    if (result) {
+        for (const CreateDone &done : waiting) {
+            done(result);
+        }
+        return;
+    }
+    const Failure failure = failureOf(result);
+    for (const CreateDone &done : waiting) {
+        done(failedResult<ProgramId>(failure));
+    }
+}
+
+void ProgramController::Private::end(const ProgramId &program,
+                                     const AccountId &account,
+                                     Time parkUntil,
+                                     const AnswerDone &done)
+{
+    const std::function<void(const Failure &)> fail = [program, done](const Failure &failure) {
+        CallAnswer answer;
+        answer.program_ = program;
+        answer.failure_ = failure;
+        done(answer);
+    };
+    const std::function<void()> retry = [this, program, account, parkUntil, done]() {
+        end(program, account, parkUntil, done);
+    };
+    const TreeState *tree = fold_->treeOf(program);
+    if (tree != nullptr && tree->account_ != account) {
+        fail(makeFailure(FailureType::Forbidden, true, "the program belongs to another account"));
+        return;
+    }
+    if (tree != nullptr && tree->chain(program)->endReason_) {
+        CallAnswer answer;
+        answer.program_ = program;
+        done(answer);
+        return;
+    }
+    if (!reach(program, parkUntil, retry, fail)) {
+        return;
+    }
+    writeEnd(fold_->treeOf(program)->root_, program, FailureType::ProgramEnded, [this, program, done, fail]() {
+        const ChainState *chain = fold_->chain(program);
+        if (chain != nullptr && !chain->endReason_) {
+            fail(makeFailure(FailureType::OwnerUnavailable, false, "another node took over", retrySoon));
+            return;
+        }
+        CallAnswer answer;
+        answer.program_ = program;
+        done(answer);
+    });
+}
+
+void ProgramController::Private::writeEnd(const ProgramId &root,
+                                          const ProgramId &program,
+                                          FailureType reason,
+                                          std::function<void()> done)
+{
+    const std::shared_ptr<TreeWork> work = mine(root);
+    work->ending_[program] = true;
+    Record record = recordFor(RecordType::End, program, root, EndBody{reason});
+    write(std::move(record), [this, root, program, work, done = std::move(done)](const JournalFoldResult &result) {
+        work->ending_.erase(program);
+        const TreeState *tree = fold_->tree(root);
+        if (result.verdict_ == JournalVerdict::Accepted && mine(root) == work && tree != nullptr) {
+            std::vector<ProgramId> ended;
+            for (const std::pair<const ProgramId, ChainState> &entry : tree->chains_) {
+                if (entry.second.endReason_) {
+                    ended.push_back(entry.first);
+                }
+            }
+            for (const ProgramId &id : ended) {
+                ChainWork &chain = work->chains_[id];
+                std::deque<std::shared_ptr<Call>> calls = std::move(chain.queue_);
+                chain.queue_.clear();
+                if (chain.current_) {
+                    const CallPhase phase = chain.current_->phase_;
+                    const bool isRunning = phase == CallPhase::Running;
+                    if (isRunning) {
+                        work->book_.burn(chain.current_->worst_, chain.current_->worst_);
+                    } else if (phase != CallPhase::Recording) {
+                        work->book_.cancel(chain.current_->worst_);
+                    }
+                    calls.push_front(chain.current_);
+                    chain.current_.reset();
+                    if (isRunning) {
+                        hooks_.cancel_(id, calls.front()->request_.requestId_);
+                    }
+                }
+                for (const std::shared_ptr<Call> &call : calls) {
+                    const bool wasSent = call->phase_ == CallPhase::Running || call->phase_ == CallPhase::Recording;
+                    const FailureType type = wasSent && !call->request_.idempotent_
+                        ? FailureType::OutcomeUnknown
+                        : tree->chain(id)->endReason_.value_or(FailureType::ProgramEnded);
+                    answerFailure(*call, makeFailure(type, false, "the program has ended"));
+                }
+            }
+            if (tree->isEnded()) {
+                work_.erase(root);
+            }
+        }
+        if (done) {
+            done();
+        }
+    });
+}
+
+} // namespace filbertgw
