Let the deployment's weights decide how full the engines may get

The weights record had no effect. Change: the bound on mean streams falls with the weight of wasted cache.

--- a/bench/policy/nodepolicy.cpp
+++ b/bench/policy/nodepolicy.cpp
@@ -16,6 +16,10 @@
         : scheduler_(std::move(scheduler))
     {
     }
+    void setWeights(double latency, double wastedCache) override
+    {
+        scheduler_->setWeights(latency, wastedCache);
+    }
     void setEndpoints(const std::vector<EndpointInfo> &endpoints) override
     {
         scheduler_->setEndpoints(endpoints);
--- a/bench/policy/nodepolicy.h
+++ b/bench/policy/nodepolicy.h
@@ -13,6 +13,10 @@
 {
 public:
     virtual ~NodePolicy() = default;
+    /** \brief The deployment's weights; baselines have no use for them. */
+    virtual void setWeights(double /*latency*/, double /*wastedCache*/)
+    {
+    }
     virtual void setEndpoints(const std::vector<EndpointInfo> &endpoints) = 0;
     virtual void onLoadReport(const LoadReport &report) = 0;
     virtual void onCacheEvent(const CacheEvent &event) = 0;
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -121,6 +121,8 @@
         hooks.liveNodes_ = [this] { return settings_.nodes_; };
         hooks.ownsEndpoint_ = [this, i](const EndpointId &endpoint) { return indexOf(endpoint) % nodes_.size() == i; };
         nodes_.push_back(makePolicy(settings_.policy_, hooks));
+        const nlohmann::json &weights = workload_.json().at("weights");
+        nodes_.back()->setWeights(weights.at("latency"), weights.at("wasted_cache"));
     }
     publishEndpoints();
 }
--- a/src/node/nodecore.cpp
+++ b/src/node/nodecore.cpp
@@ -455,6 +455,8 @@
         endpoints.back().leaving_ = endpoint.leaving_ || said;
     }
     scheduler_->setEndpoints(endpoints);
+    const WeightsConfig &weights = blackboard_.read<ConfigSection>().weights_;
+    scheduler_->setWeights(weights.latency_, weights.wastedCache_);
 }
 
 void NodeCore::Private::onMembershipChanged()
--- a/src/policy/admissioncontroller.cpp
+++ b/src/policy/admissioncontroller.cpp
@@ -13,8 +13,12 @@
 constexpr double maxWaitSeconds = 4;
 /** \brief New programs start while the engines' mean streams are below this share of the most. */
 constexpr double fullStreams = 1.1;
-/** \brief New programs are refused while the engines' mean streams are above this share of the most. */
-constexpr double refusalStreams = 1;
+/**
+ * \brief How far the bound on the engines' mean streams falls below the most when only wasted cache counts.
+ *
+ * Streams near a full batch lengthen every step and bring live programs beyond it, which press on the caches.
+ */
+constexpr double refusalSlack = 0.1;
 constexpr double fullRetrySeconds = 10;
 constexpr double memoryRetrySeconds = 30;
 /** \brief The same for accounts over their fair share; the others' programs keep the room above it. */
@@ -60,6 +64,13 @@
 
 } // namespace internal
 
+void AdmissionController::setWeights(double latency, double wastedCache)
+{
+    const double sum = latency + wastedCache;
+    const double share = sum > 0 ? wastedCache / sum : 0.5;
+    refusalStreams_ = 1 - internal::refusalSlack * share * share;
+}
+
 std::optional<Failure> AdmissionController::admit(const AccountId &account, Time deadline) const
 {
     if (disabled_.count(Mechanism::Admission) > 0) {
@@ -69,7 +80,7 @@
     if (!hasRoomForLife(untilDeadline)) {
         return internal::refusal("the live programs need all cache memory", internal::memoryRetrySeconds);
     }
-    if (rooms_.meanStreams() > internal::refusalStreams * rooms_.mostStreams()) {
+    if (rooms_.meanStreams() > refusalStreams_ * rooms_.mostStreams()) {
         return internal::refusal("the engines are full", internal::fullRetrySeconds);
     }
     if (section_.held_ == 0) {
--- a/src/policy/admissioncontroller.h
+++ b/src/policy/admissioncontroller.h
@@ -26,6 +26,9 @@
                         Clock now,
                         std::function<std::int32_t()> liveNodes);
 
+    /** \brief The deployment's weights; only their ratio counts. The more wasted cache weighs, the earlier it refuses.
+     */
+    void setWeights(double latency, double wastedCache);
     /** \return why the program can't start in time, or nothing. */
     std::optional<Failure> admit(const AccountId &account, Time deadline) const;
     /** \brief True if the engine has room for a new program of the account. */
@@ -57,6 +60,7 @@
     Clock now_;
     std::function<std::int32_t()> liveNodes_;
     Time oldestHeld_{0};
+    double refusalStreams_ = 0.975; ///< New programs are refused above this share of the most streams.
     double startRate_ = 0; ///< Starts a second, smoothed.
     Time lastStart_{0};
 };
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -463,6 +463,11 @@
     return std::unique_ptr<Scheduler>(new Scheduler(std::make_unique<Private>(hooks_, blackboard_, costs_, disabled_)));
 }
 
+void Scheduler::setWeights(double latency, double wastedCache)
+{
+    d_->admission_.setWeights(latency, wastedCache);
+}
+
 void Scheduler::setEndpoints(const std::vector<EndpointInfo> &endpoints)
 {
     d_->endpoints_.setEndpoints(endpoints);
--- a/src/policy/scheduler.h
+++ b/src/policy/scheduler.h
@@ -40,6 +40,8 @@
 
     /** \brief Replaces the table of endpoints; endpoints that are gone or leaving get no new work. */
     void setEndpoints(const std::vector<EndpointInfo> &endpoints);
+    /** \brief Sets what the deployment weighs: program latency against wasted cache. Only the ratio counts. */
+    void setWeights(double latency, double wastedCache);
     void onLoadReport(const LoadReport &report);
     void onCacheEvent(const CacheEvent &event);
     /** \brief An endpoint was seen to fail, or to work again, outside of an attempt. */
--- a/test/policy/scheduler.cpp
+++ b/test/policy/scheduler.cpp
@@ -240,6 +240,45 @@
     EXPECT_EQ(rig.starts_.size(), 1U);
 }
 
+namespace {
+
+struct WeightCase
+{
+    const char *name_;
+    double latency_;
+    double wastedCache_;
+    bool isRefused_; ///< With mean streams at 0.975 of the most.
+};
+
+class Weights : public testing::TestWithParam<WeightCase>
+{
+};
+
+} // namespace
+
+// Guards against a deployment's weights that change nothing: the more wasted cache weighs, the earlier new programs are
+// refused.
+TEST_P(Weights, DecideHowFullTheEnginesMayGet)
+{
+    PolicyRig rig;
+    rig.setEngines(10);
+    constexpr int reports = 400; // The mean follows the reports with a weight of 0.03.
+    for (int i = 0; i < reports; ++i) {
+        rig.scheduler_->onLoadReport(rig.report("e" + std::to_string(i % 10), i % 10 < 6 ? 23 : 24));
+    }
+    rig.scheduler_->setWeights(GetParam().latency_, GetParam().wastedCache_);
+    const std::optional<Failure> refusal = rig.scheduler_->admitProgram(ProgramId("p"), AccountId("a"), 8000, Time{0});
+    EXPECT_EQ(refusal.has_value(), GetParam().isRefused_);
+}
+
+INSTANTIATE_TEST_SUITE_P(Scheduler,
+                         Weights,
+                         testing::Values(WeightCase{"LatencyOnly", 1, 0, false},
+                                         WeightCase{"MostlyLatency", 1, 0.5, false},
+                                         WeightCase{"MostlyCache", 1, 2, true},
+                                         WeightCase{"CacheOnly", 0, 1, true}),
+                         [](const testing::TestParamInfo<WeightCase> &info) { return std::string(info.param.name_); });
+
 // Guards against an account whose many programs keep the others' from starting.
 TEST(Scheduler, AccountOverItsShareStartsAfterTheOthers)
 {
