Share the status of attempts without an answer; plainer wording

Cause: duplicates listed the same switch in the engine and tool clients, a planned stop logged drain_started twice, and three comments used figurative words. Change: statusWithoutAnswer() serves both clients; one event a stop.

--- a/src/membership/membershipcontroller.h
+++ b/src/membership/membershipcontroller.h
@@ -27,7 +27,7 @@
 };
 
 /**
- * \brief Keeps the list of entry nodes by heartbeats to a few monitors, rumours and the VM list.
+ * \brief Keeps the list of entry nodes by heartbeats to a few monitors, gossip and the VM list.
  *
  * Traffic of a node doesn't depend on the number of members. Writes MembershipSection. This node's own state there
  * becomes Leaving also when the platform's list says so; the node then drains.
@@ -47,7 +47,7 @@
      * leaving is leaving. A dead member that is off the list is removed.
      */
     void onVmList(const std::vector<Member> &vms);
-    /** \brief Heartbeats, probes and rumours that are due. Call at least every 100 ms. */
+    /** \brief Sends heartbeats, probes and gossip that are due. Call at least every 100 ms. */
     void tick();
     /** \brief Tells the others that this node is leaving. */
     void announceLeaving();
--- a/src/node/engineclient.cpp
+++ b/src/node/engineclient.cpp
@@ -1,6 +1,7 @@
 #include "node/engineclient.h"
 
 #include "net/ordersignature.h"
+#include "node/attemptstatus.h"
 #include "node/errortable.h"
 #include "node/ssereader.h"
 
@@ -93,17 +94,8 @@
 
 AttemptStatus statusOf(const HttpResult &result, const EngineStream &stream)
 {
-    switch (result.outcome_) {
-    case HttpOutcome::NotConnected:
-        return AttemptStatus::NotSent;
-    case HttpOutcome::TimedOut:
-        return AttemptStatus::TimedOut;
-    case HttpOutcome::Cancelled:
-        return AttemptStatus::Cancelled;
-    case HttpOutcome::Interrupted:
-        return AttemptStatus::ConnectionLost;
-    case HttpOutcome::Complete:
-        break;
+    if (const std::optional<AttemptStatus> status = statusWithoutAnswer(result.outcome_)) {
+        return *status;
     }
     if (result.status_ / 100 != 2 || !stream.answer_.error_.empty()) {
         return AttemptStatus::Rejected;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -179,7 +179,6 @@
     if (core_->isDraining()) {
         return;
     }
-    logger_.log(LogLevel::Info, "drain_started", nlohmann::json::object());
     core_->drain();
 }
 
--- a/src/node/nodecore.cpp
+++ b/src/node/nodecore.cpp
@@ -86,7 +86,7 @@
     std::unique_ptr<CallerApi> callers_;
     std::unique_ptr<OperatorApi> operators_;
     std::unique_ptr<VmList> vmList_;
-    std::set<EndpointId> saidLeaving_; ///< Engines that are leaving by their own word.
+    std::set<EndpointId> saidLeaving_; ///< Engines that announced that they are leaving.
     std::set<EndpointId> vmsLeaving_; ///< Endpoints that are leaving by the VM list.
     Time nextConfigAsk_{0};
     bool draining_ = false;
--- a/src/node/toolclient.cpp
+++ b/src/node/toolclient.cpp
@@ -1,5 +1,6 @@
 #include "node/toolclient.h"
 
+#include "node/attemptstatus.h"
 #include "node/errortable.h"
 
 namespace filbertgw {
@@ -24,17 +25,8 @@
 
 AttemptStatus toolStatus(const HttpResult &result, bool idempotent)
 {
-    switch (result.outcome_) {
-    case HttpOutcome::NotConnected:
-        return AttemptStatus::NotSent;
-    case HttpOutcome::TimedOut:
-        return AttemptStatus::TimedOut;
-    case HttpOutcome::Cancelled:
-        return AttemptStatus::Cancelled;
-    case HttpOutcome::Interrupted:
-        return AttemptStatus::ConnectionLost;
-    case HttpOutcome::Complete:
-        break;
+    if (const std::optional<AttemptStatus> status = statusWithoutAnswer(result.outcome_)) {
+        return *status;
     }
     if (result.status_ / 100 == 2) {
         return AttemptStatus::Answered;
--- a/src/policy/schedulertypes.h
+++ b/src/policy/schedulertypes.h
@@ -17,7 +17,8 @@
 /** \brief Size of a KV-cache block, in tokens; prefixes are compared block by block. */
 constexpr std::int64_t cacheBlockTokens = 16;
 
-/** \brief What the scheduler knows of an endpoint from configuration, the VM list and the endpoint's own word. */
+/** \brief What the scheduler knows of an endpoint from configuration, the VM list and the endpoint's own announcement.
+ */
 struct EndpointInfo
 {
     EndpointId id_;
