Serve the users' platform with an opaque request path

Cause: nothing of filbertgw ran on the users' platform. Change: src/gateway routes, places, relays and settles requests; src/ledger keeps token budgets and retained turns in the store's keyed streams without owners; src/store follows a partition; platform/ translates; the HTTP client reports heads and skips late answers of other requests.

--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,143 @@
+#include "gateway/gateway.h"
+
+#include "gateway/gatewaycall.h"
+#include "gateway/gatewayprivate.h"
+
+namespace filbertgw {
+
+namespace internal {
+namespace {
+
+constexpr Duration sweepPeriod{100'000};
+
+} // namespace
+} // namespace internal
+
+Gateway::Private::Private(GatewayHooks hooks, GatewaySettings settings)
+    : hooks_(std::move(hooks))
+    , settings_(std::move(settings))
+    , directory_(hooks_.now_)
+    , placement_(hooks_.now_, hooks_.random_, settings_.placement_)
+    , ledger_(ProgramLedgerHooks{hooks_.now_, hooks_.after_, hooks_.store_, nullptr}, settings_.ledger_)
+    , turns_(TurnStoreHooks{
+                 hooks_.now_,
+                 hooks_.after_,
+                 hooks_.store_,
+                 [this](const std::string &turn, std::uint32_t partition) { ledger_.recordTurn(turn, partition); },
+                 [this](const std::string &turn) { return ledger_.partitionOfTurn(turn); }},
+             settings_.turns_)
+{
+}
+
+void Gateway::Private::sweep()
+{
+    for (const std::string &gone : directory_.expire()) {
+        hooks_.logEvent_("endpoint_gone", {{"endpoint", gone}, {"reason", "did_not_return"}});
+        placement_.forget(gone);
+    }
+    hooks_.after_(internal::sweepPeriod, [self = shared_from_this()] {
+        if (!self->stopped_) {
+            self->sweep();
+        }
+    });
+}
+
+Gateway::Gateway(GatewayHooks hooks, GatewaySettings settings)
+    : d_(std::make_shared<Private>(std::move(hooks), std::move(settings)))
+{
+}
+
+Gateway::~Gateway()
+{
+    d_->stopped_ = true;
+    d_->calls_.clear();
+}
+
+void Gateway::start()
+{
+    d_->ledger_.start();
+    d_->sweep();
+}
+
+void Gateway::setRouting(std::shared_ptr<const RoutingTable> table)
+{
+    if (d_->routing_ && d_->routing_->version() >= table->version()) {
+        return;
+    }
+    d_->hooks_.logEvent_("configuration_in_force",
+                         {{"version", table->version()},
+                          {"before", d_->routing_ ? d_->routing_->version() : 0},
+                          {"routes", table->routes().size()}});
+    d_->routing_ = std::move(table);
+}
+
+void Gateway::updateEndpoint(const Endpoint &endpoint)
+{
+    if (d_->directory_.update(endpoint)) {
+        d_->hooks_.logEvent_(endpoint.draining_ ? "endpoint_draining" : "endpoint_learned",
+                             {{"endpoint", endpoint.id_},
+                              {"service", endpoint.service_},
+                              {"address", endpoint.address_},
+                              {"slots", endpoint.slots_}});
+    }
+}
+
+void Gateway::removeEndpoint(const std::string &id)
+{
+    d_->directory_.remove(id);
+    if (d_->directory_.find(id) == nullptr) {
+        d_->hooks_.logEvent_("endpoint_gone", {{"endpoint", id}, {"reason", "removed"}});
+        d_->placement_.forget(id);
+    }
+}
+
+void Gateway::setRegistryReachable(bool reachable)
+{
+    d_->directory_.setRegistryReachable(reachable);
+}
+
+void Gateway::onRequest(GatewayRequest request, std::shared_ptr<HttpReply> reply)
+{
+    const std::shared_ptr<internal::GatewayCall> call =
+        std::make_shared<internal::GatewayCall>(d_, std::move(request), std::move(reply));
+    d_->calls_.insert(call);
+    call->start();
+}
+
+bool Gateway::isReady() const
+{
+    return !d_->stopping_ && d_->routing_ != nullptr && d_->directory_.size() > 0 && d_->ledger_.isComplete();
+}
+
+void Gateway::beginStop()
+{
+    d_->stopping_ = true;
+}
+
+bool Gateway::isIdle() const
+{
+    return d_->calls_.empty() && d_->ledger_.isFlushed();
+}
+
+std::size_t Gateway::openCalls() const
+{
+    return d_->calls_.size();
+}
+
+Placement &Gateway::placement()
+{
+    return d_->placement_;
+}
+
+nlohmann::json Gateway::state() const
+{
+    return {{"configuration_version", d_->routing_ ? d_->routing_->version() : 0},
+            {"endpoints", d_->directory_.size()},
+            {"open_calls", d_->calls_.size()},
+            {"programs", d_->ledger_.programs()},
+            {"ledger_current", d_->ledger_.isCurrent()},
+            {"cached_turn_bytes", d_->turns_.cachedBytes()},
+            {"stopping", d_->stopping_}};
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/gateway/gatewaytypes.h
@@ -0,0 +1,157 @@
+#ifndef FILBERTGW_GATEWAY_GATEWAYTYPES_H
+#define FILBERTGW_GATEWAY_GATEWAYTYPES_H
+
+#include "core/nametable.h"
+#include "core/time.h"
+#include "net/httptypes.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace filbertgw {
+
+/** \brief A part of a prompt that an engine can keep in its cache. */
+struct PromptPart
+{
+    std::string id_;
+    std::uint64_t tokens_ = 0;
+};
+
+/** \brief A request of a client account, decoded from the wire. */
+struct GatewayRequest
+{
+    std::string id_; ///< Unique to one attempt of the client.
+    std::string method_;
+    std::string target_; ///< Path and query.
+    std::string host_;
+    std::map<std::string, std::string> headers_; ///< To be passed on as they are.
+    std::string body_;
+    std::optional<Duration> timeLeft_; ///< How long the client will wait.
+    std::string program_;
+    std::string session_; ///< Line of turns within the program.
+    std::optional<Duration> finishIn_; ///< When the whole program should be done.
+    std::optional<std::uint64_t> tokenBudget_; ///< Tokens that all turns of the program may generate.
+    std::uint64_t promptTokens_ = 0;
+    std::uint64_t maxOutputTokens_ = 0;
+    std::uint64_t expectedOutputTokens_ = 0; ///< The client's estimate; 0 for none.
+    std::vector<PromptPart> prompt_;
+    std::string previousTurn_; ///< Turn that this one continues from.
+    std::string lastEventId_;
+    std::string affinityKey_;
+};
+
+/** \brief An endpoint as it registered itself. */
+struct Endpoint
+{
+    std::string id_;
+    std::string service_;
+    std::string address_;
+    std::string domain_; ///< Failure domain.
+    std::uint32_t slots_ = 1;
+    bool draining_ = false;
+    std::uint64_t bornMs_ = 0; ///< Start of this incarnation, in Unix milliseconds; 0 if unknown.
+};
+
+/** \brief A request on its way to one endpoint. */
+struct EndpointAttempt
+{
+    std::string address_;
+    std::string endpoint_; ///< Id of the incarnation that must answer.
+    std::shared_ptr<const GatewayRequest> request_;
+    std::shared_ptr<const std::string> body_;
+    std::string lastEventId_;
+    Duration timeLeft_{0};
+    std::optional<std::uint32_t> urgency_; ///< 0 (most urgent) to 9, for model engines.
+    Duration maxIdleAge_{0}; ///< Only connections used within this time are taken.
+};
+
+/** \brief What the head of an endpoint's answer says. */
+struct AttemptHead
+{
+    int status_ = 0;
+    bool notRun_ = false; ///< The endpoint states that it did not run the request.
+    bool fromEndpoint_ = false; ///< Carries the endpoint's signature.
+    bool wrongInstance_ = false; ///< Another incarnation has the address.
+    std::map<std::string, std::string> headers_; ///< For the client.
+};
+
+/** \brief How an attempt ended. */
+enum class AttemptEnd : std::uint8_t {
+    Complete,
+    NotSent, ///< Certainly not run.
+    Broken, ///< Sent; the answer is missing or cut.
+    TimedOut,
+    Cancelled,
+};
+
+template<>
+struct NameTable<AttemptEnd>
+{
+    static constexpr std::array<std::pair<AttemptEnd, std::string_view>, 5> entries{{
+        {AttemptEnd::Complete, "complete"},
+        {AttemptEnd::NotSent, "not_sent"},
+        {AttemptEnd::Broken, "broken"},
+        {AttemptEnd::TimedOut, "timed_out"},
+        {AttemptEnd::Cancelled, "cancelled"},
+    }};
+};
+
+/** \brief Callbacks of an attempt; never called from within the call that starts it. */
+struct AttemptHandlers
+{
+    std::function<void(const AttemptHead &)> onHead_;
+    std::function<void(const std::string &)> onPart_;
+    std::function<void(AttemptEnd)> onEnd_;
+};
+
+/** \brief Why a request was answered by the node itself. */
+enum class RefusalReason : std::uint8_t {
+    NoConfiguration,
+    NoRoute,
+    InvalidRequest,
+    BudgetSpent,
+    BudgetUnknown,
+    TurnMissing,
+    TurnUnknown,
+    TurnTooLarge,
+    NoEndpoint,
+    EndpointsFull,
+    Overloaded,
+    Stopping,
+    OutcomeUnknown,
+    TimedOut,
+};
+
+template<>
+struct NameTable<RefusalReason>
+{
+    static constexpr std::array<std::pair<RefusalReason, std::string_view>, 14> entries{{
+        {RefusalReason::NoConfiguration, "no_configuration"},
+        {RefusalReason::NoRoute, "no_route"},
+        {RefusalReason::InvalidRequest, "invalid_request"},
+        {RefusalReason::BudgetSpent, "budget_spent"},
+        {RefusalReason::BudgetUnknown, "budget_unknown"},
+        {RefusalReason::TurnMissing, "turn_missing"},
+        {RefusalReason::TurnUnknown, "turn_unknown"},
+        {RefusalReason::TurnTooLarge, "turn_too_large"},
+        {RefusalReason::NoEndpoint, "no_endpoint"},
+        {RefusalReason::EndpointsFull, "endpoints_full"},
+        {RefusalReason::Overloaded, "overloaded"},
+        {RefusalReason::Stopping, "stopping"},
+        {RefusalReason::OutcomeUnknown, "outcome_unknown"},
+        {RefusalReason::TimedOut, "timed_out"},
+    }};
+};
+
+/** \brief HTTP status of an answer that the node gives itself. */
+int statusOf(RefusalReason reason);
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/gateway/placement.cpp
@@ -0,0 +1,220 @@
+#include "gateway/placement.h"
+
+#include <algorithm>
+
+namespace filbertgw {
+
+namespace internal {
+namespace {
+
+/** Weight of a new observation in a moving average. */
+constexpr double newWeight = 0.2;
+/** Nodes that see the same load choose differently within this part of the cost. */
+constexpr double noisePart = 0.06;
+/** Cost of an endpoint that is avoided: chosen only if all are. */
+constexpr double avoidedCost = 1e6;
+constexpr std::size_t partsPerEndpoint = 2000;
+constexpr double usualServiceMs = 50.0;
+constexpr double usualOutputTokens = 250.0;
+
+void average(double &value, double observed)
+{
+    value = value == 0.0 ? observed : value + newWeight * (observed - value);
+}
+
+double milliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+} // namespace
+} // namespace internal
+
+Placement::Placement(Clock now, RandomSource random, PlacementSettings settings)
+    : now_(std::move(now))
+    , random_(std::move(random))
+    , settings_(settings)
+{
+}
+
+const Endpoint *Placement::choose(const std::vector<const Endpoint *> &candidates,
+                                  const Service *service,
+                                  const GatewayRequest &request,
+                                  const std::unordered_set<std::string> &excluded)
+{
+    const Endpoint *best = nullptr;
+    double least = 0.0;
+    const Time now = now_();
+    const bool isEngine = service != nullptr && service->engine_;
+    for (const Endpoint *candidate : candidates) {
+        if (excluded.count(candidate->id_) > 0) {
+            continue;
+        }
+        const Load &load = loads_[candidate->id_];
+        double cost = isEngine ? engineCost(load, *candidate, *service, request) : serviceCost(load, *candidate);
+        cost *= 1.0 + noise();
+        if (load.avoidUntil_ > now) {
+            cost += internal::avoidedCost;
+        }
+        if (best == nullptr || cost < least) {
+            best = candidate;
+            least = cost;
+        }
+    }
+    return best;
+}
+
+double Placement::engineCost(const Load &load,
+                             const Endpoint &endpoint,
+                             const Service &service,
+                             const GatewayRequest &request) const
+{
+    const double running = this->running(endpoint.id_);
+    const double slots = std::max<double>(1.0, service.engine_->slots_);
+    double tokens = internal::usualOutputTokens;
+    if (request.expectedOutputTokens_ > 0) {
+        tokens = static_cast<double>(request.expectedOutputTokens_);
+    } else if (request.maxOutputTokens_ > 0) {
+        tokens = std::min(tokens, static_cast<double>(request.maxOutputTokens_));
+    }
+    const double tokenMs = load.tokenMs_ > 0.0 ? load.tokenMs_ : settings_.tokenMs_;
+    const double batch = std::min(running, slots - 1.0);
+    // Once for the request itself, once for what it adds to each of the others.
+    const double decode = tokens * tokenMs * (1.0 + 2.0 * settings_.batchSlowdown_ * batch);
+    const double queued = std::max(0.0, running + 1.0 - slots);
+    const double wait = queued / slots * decode * 2.0;
+    return decode + wait + static_cast<double>(unreadTokens(load, request)) / settings_.prefillTokensPerMs_;
+}
+
+double Placement::serviceCost(const Load &load, const Endpoint &endpoint) const
+{
+    const double running = this->running(endpoint.id_);
+    const double slots = std::max<double>(1.0, endpoint.slots_);
+    const double work = load.serviceMs_ > 0.0 ? load.serviceMs_ : internal::usualServiceMs;
+    const double queued = std::max(0.0, running + 1.0 - slots);
+    return work * (1.0 + 0.5 * running / slots + 2.0 * queued / slots);
+}
+
+std::uint64_t Placement::unreadTokens(const Load &load, const GatewayRequest &request) const
+{
+    const Time now = now_();
+    std::uint64_t unread = 0;
+    bool cached = true;
+    for (const PromptPart &part : request.prompt_) {
+        if (cached) {
+            const bool shared = &part != &request.prompt_.back();
+            const auto used = load.parts_.find(part.id_);
+            cached = used != load.parts_.end()
+                && now - used->second <= (shared ? settings_.sharedPartMemory_ : settings_.partMemory_);
+        }
+        if (!cached) {
+            unread += part.tokens_;
+        }
+    }
+    return unread;
+}
+
+double Placement::noise()
+{
+    return internal::noisePart * static_cast<double>(random_() >> 11) / static_cast<double>(1ULL << 53);
+}
+
+void Placement::started(const Endpoint &endpoint, const GatewayRequest &request)
+{
+    Load &load = loads_[endpoint.id_];
+    ++load.own_;
+    const Time now = now_();
+    for (const PromptPart &part : request.prompt_) {
+        load.parts_[part.id_] = now;
+    }
+    if (load.parts_.size() > internal::partsPerEndpoint) {
+        for (auto part = load.parts_.begin(); part != load.parts_.end();) {
+            part = now - part->second > settings_.partMemory_ ? load.parts_.erase(part) : std::next(part);
+        }
+    }
+}
+
+void Placement::ended(const std::string &endpoint)
+{
+    const auto load = loads_.find(endpoint);
+    if (load != loads_.end() && load->second.own_ > 0) {
+        --load->second.own_;
+    }
+}
+
+void Placement::observeTokens(const std::string &endpoint, std::uint64_t tokens, Duration time)
+{
+    if (tokens == 0) {
+        return;
+    }
+    const double batch = std::max(0.0, running(endpoint) - 1.0);
+    const double observed = internal::milliseconds(time) / static_cast<double>(tokens);
+    internal::average(loads_[endpoint].tokenMs_, observed / (1.0 + settings_.batchSlowdown_ * batch));
+}
+
+void Placement::observeService(const std::string &endpoint, Duration time)
+{
+    internal::average(loads_[endpoint].serviceMs_, internal::milliseconds(time));
+}
+
+void Placement::failed(const std::string &endpoint)
+{
+    Load &load = loads_[endpoint];
+    load.failures_ = std::min<std::uint32_t>(load.failures_ + 1, 8);
+    const Duration penalty = std::min(settings_.longestPenalty_, settings_.firstPenalty_ * (1 << (load.failures_ - 1)));
+    load.avoidUntil_ = now_() + penalty;
+}
+
+void Placement::succeeded(const std::string &endpoint)
+{
+    Load &load = loads_[endpoint];
+    load.failures_ = 0;
+    load.avoidUntil_ = Time{0};
+}
+
+void Placement::refusedAsFull(const std::string &endpoint)
+{
+    Load &load = loads_[endpoint];
+    load.avoidUntil_ = std::max(load.avoidUntil_, now_() + settings_.fullPenalty_);
+}
+
+void Placement::forget(const std::string &endpoint)
+{
+    loads_.erase(endpoint);
+}
+
+std::vector<std::pair<std::string, std::uint32_t>> Placement::ownLoad() const
+{
+    std::vector<std::pair<std::string, std::uint32_t>> result;
+    for (const std::pair<const std::string, Load> &entry : loads_) {
+        if (entry.second.own_ > 0) {
+            result.emplace_back(entry.first, entry.second.own_);
+        }
+    }
+    return result;
+}
+
+void Placement::setPeerLoad(const std::string &peer, const std::vector<std::pair<std::string, std::uint32_t>> &load)
+{
+    PeerLoad &known = peers_[peer];
+    known.heard_ = now_();
+    known.running_.clear();
+    known.running_.insert(load.begin(), load.end());
+}
+
+std::uint32_t Placement::running(const std::string &endpoint) const
+{
+    const auto own = loads_.find(endpoint);
+    std::uint32_t sum = own == loads_.end() ? 0 : own->second.own_;
+    const Time oldest = now_() - settings_.peerLoadMemory_;
+    for (const std::pair<const std::string, PeerLoad> &peer : peers_) {
+        if (peer.second.heard_ < oldest) {
+            continue;
+        }
+        const auto found = peer.second.running_.find(endpoint);
+        sum += found == peer.second.running_.end() ? 0 : found->second;
+    }
+    return sum;
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/gateway/placement.h
@@ -0,0 +1,96 @@
+#ifndef FILBERTGW_GATEWAY_PLACEMENT_H
+#define FILBERTGW_GATEWAY_PLACEMENT_H
+
+#include "gateway/gatewaytypes.h"
+#include "gateway/routingtable.h"
+
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace filbertgw {
+
+struct PlacementSettings
+{
+    /** Prompt tokens that an engine reads in a millisecond; only the order of magnitude matters. */
+    double prefillTokensPerMs_ = 336.0;
+    /** Time of one output token on an idle engine until it has been observed, in milliseconds. */
+    double tokenMs_ = 1.2;
+    /** Part by which each further request of a batch slows down every token. */
+    double batchSlowdown_ = 0.028;
+    Duration partMemory_{6'000'000}; ///< How long an engine is taken to keep a part that nobody uses.
+    Duration sharedPartMemory_{30'000'000}; ///< The same for a part that several sessions use.
+    Duration peerLoadMemory_{1'500'000}; ///< Age at which another node's word on its load is void.
+    Duration firstPenalty_{500'000}; ///< After a failure an endpoint is avoided for this long, doubling.
+    Duration longestPenalty_{4'000'000};
+    Duration fullPenalty_{40'000}; ///< After an endpoint has refused a request as full.
+};
+
+/**
+ * \brief Chooses the endpoint on which a request is expected to cost callers the least time.
+ *
+ * For a model engine the cost is the time to generate the answer in the batch that is running, the delay that the
+ * request causes to the others of the batch, the time to read what the engine has not cached, and the wait for a slot.
+ * For plain services it is the wait for a slot.
+ */
+class Placement
+{
+public:
+    Placement(Clock now, RandomSource random, PlacementSettings settings);
+
+    /** \brief The best of these endpoints that is not excluded, or null. */
+    const Endpoint *choose(const std::vector<const Endpoint *> &candidates,
+                           const Service *service,
+                           const GatewayRequest &request,
+                           const std::unordered_set<std::string> &excluded);
+
+    void started(const Endpoint &endpoint, const GatewayRequest &request);
+    void ended(const std::string &endpoint);
+    /** \brief Time between the first and last of some output tokens on an engine. */
+    void observeTokens(const std::string &endpoint, std::uint64_t tokens, Duration time);
+    void observeService(const std::string &endpoint, Duration time);
+    void failed(const std::string &endpoint);
+    void succeeded(const std::string &endpoint);
+    void refusedAsFull(const std::string &endpoint);
+    void forget(const std::string &endpoint);
+
+    /** \brief Requests of this node at each endpoint that has any. */
+    std::vector<std::pair<std::string, std::uint32_t>> ownLoad() const;
+    /** \brief What another node said of its requests at endpoints. */
+    void setPeerLoad(const std::string &peer, const std::vector<std::pair<std::string, std::uint32_t>> &load);
+    /** \brief Requests that all nodes have at an endpoint, as far as known. */
+    std::uint32_t running(const std::string &endpoint) const;
+
+private:
+    struct Load
+    {
+        std::uint32_t own_ = 0;
+        double tokenMs_ = 0.0; ///< On an idle engine; 0 until observed.
+        double serviceMs_ = 0.0; ///< Time of a plain request; 0 until observed.
+        std::uint32_t failures_ = 0; ///< In a row.
+        Time avoidUntil_{0};
+        std::unordered_map<std::string, Time> parts_; ///< Last use of the prompt parts that it has read.
+    };
+    struct PeerLoad
+    {
+        Time heard_{0};
+        std::unordered_map<std::string, std::uint32_t> running_;
+    };
+
+    double
+    engineCost(const Load &load, const Endpoint &endpoint, const Service &service, const GatewayRequest &request) const;
+    double serviceCost(const Load &load, const Endpoint &endpoint) const;
+    std::uint64_t unreadTokens(const Load &load, const GatewayRequest &request) const;
+    double noise();
+
+    Clock now_;
+    RandomSource random_;
+    PlacementSettings settings_;
+    std::unordered_map<std::string, Load> loads_;
+    std::unordered_map<std::string, PeerLoad> peers_;
+};
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/ledger/programledger.cpp
@@ -0,0 +1,457 @@
+#include "ledger/programledger.h"
+
+#include "store/streamtail.h"
+
+#include <charconv>
+#include <deque>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace filbertgw {
+
+namespace internal {
+namespace {
+
+const char *const ledgerStream = "ledger";
+constexpr char spendingPrefix = 'p';
+constexpr char turnPrefix = 't';
+/** A turn starts without a durable reservation only if this many more of its size fit into the budget. */
+constexpr std::uint64_t ampleTurns = 4;
+/** Records in one append; the rest follows in the next one. */
+constexpr std::size_t groupRecords = 2000;
+constexpr Duration appendRetry{100'000};
+constexpr Duration expiryPeriod{5'000'000};
+
+std::optional<std::uint64_t> parseNumber(const std::string &text)
+{
+    std::uint64_t value = 0;
+    const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (result.ec != std::errc() || result.ptr != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+struct Spending
+{
+    std::vector<std::pair<std::string, std::uint64_t>> others_; ///< Tokens by writer.
+    std::uint64_t own_ = 0; ///< Handed out or reserved by this node.
+    bool ownRecorded_ = false;
+    bool dirty_ = false;
+    Time lastUse_{0};
+
+    std::uint64_t total() const
+    {
+        std::uint64_t sum = own_;
+        for (const std::pair<std::string, std::uint64_t> &other : others_) {
+            sum += other.second;
+        }
+        return sum;
+    }
+};
+
+struct TurnLocation
+{
+    std::uint32_t partition_ = 0;
+    Time learned_{0};
+};
+
+/** \brief A turn that waits until its reservation is durable and everything before it has been read. */
+struct WaitingTurn
+{
+    std::string program_;
+    std::uint64_t budget_ = 0;
+    std::uint64_t tokens_ = 0;
+    std::uint64_t readUpTo_ = 0; ///< 0 until the append has ended.
+    Time deadline_{0};
+    std::function<void(BudgetDecision)> decided_;
+};
+
+} // namespace
+} // namespace internal
+
+struct ProgramLedger::Private : std::enable_shared_from_this<ProgramLedger::Private>
+{
+    void onRecord(const KeyedRecord &record);
+    void onSpending(const std::string &key, const std::optional<std::string> &value);
+    void markDirty(const std::string &program, internal::Spending &spending);
+    void flushSoon(Duration delay);
+    void flush();
+    void sendGroup();
+    void groupAppended(const StoreAppended &result);
+    void groupDurable(std::uint64_t end);
+    void decideWaiting();
+    void expireWaiting();
+    void expire();
+
+    ProgramLedgerHooks hooks_;
+    ProgramLedgerSettings settings_;
+    std::unique_ptr<StreamTail> tail_;
+    std::unordered_map<std::string, internal::Spending> programs_;
+    std::unordered_map<std::string, internal::TurnLocation> turns_;
+    std::vector<std::string> dirty_;
+    std::vector<KeyedRecord> plainRecords_; ///< Locations and deletions that wait for the next group.
+    std::deque<internal::WaitingTurn> waiting_; ///< Reserved in dirty_ or later.
+    std::deque<internal::WaitingTurn> inGroup_; ///< Their reservation is in the group being appended.
+    std::deque<internal::WaitingTurn> durable_; ///< Wait to be read up to readUpTo_.
+    StoreAppend group_;
+    WriterSequence sequence_;
+    bool appending_ = false;
+    bool flushPlanned_ = false;
+    bool stopped_ = false;
+};
+
+void ProgramLedger::Private::onRecord(const KeyedRecord &record)
+{
+    if (record.key_.size() < 2) {
+        return;
+    }
+    const std::string key = record.key_.substr(1);
+    if (record.key_[0] == internal::spendingPrefix) {
+        onSpending(key, record.value_);
+        return;
+    }
+    if (record.key_[0] != internal::turnPrefix) {
+        return;
+    }
+    const std::optional<std::uint64_t> partition = record.value_ ? internal::parseNumber(*record.value_) : std::nullopt;
+    if (partition) {
+        turns_[key] = internal::TurnLocation{static_cast<std::uint32_t>(*partition), hooks_.now_()};
+    } else {
+        turns_.erase(key);
+    }
+}
+
+void ProgramLedger::Private::onSpending(const std::string &key, const std::optional<std::string> &value)
+{
+    const std::size_t slash = key.rfind('/');
+    if (slash == std::string::npos) {
+        return;
+    }
+    const std::string writer = key.substr(slash + 1);
+    if (writer == settings_.writer_) {
+        return;
+    }
+    const std::optional<std::uint64_t> tokens = value ? internal::parseNumber(*value) : std::nullopt;
+    internal::Spending &spending = programs_[key.substr(0, slash)];
+    spending.lastUse_ = hooks_.now_();
+    for (auto other = spending.others_.begin(); other != spending.others_.end(); ++other) {
+        if (other->first == writer) {
+            if (tokens) {
+                other->second = *tokens;
+            } else {
+                spending.others_.erase(other);
+            }
+            return;
+        }
+    }
+    if (tokens) {
+        spending.others_.emplace_back(writer, *tokens);
+    }
+}
+
+void ProgramLedger::Private::markDirty(const std::string &program, internal::Spending &spending)
+{
+    spending.lastUse_ = hooks_.now_();
+    if (!spending.dirty_) {
+        spending.dirty_ = true;
+        dirty_.push_back(program);
+    }
+}
+
+void ProgramLedger::Private::flushSoon(Duration delay)
+{
+    if (delay == Duration{0}) {
+        flush();
+        return;
+    }
+    if (flushPlanned_ || appending_) {
+        return;
+    }
+    flushPlanned_ = true;
+    hooks_.after_(delay, [self = shared_from_this()] {
+        self->flushPlanned_ = false;
+        self->flush();
+    });
+}
+
+void ProgramLedger::Private::flush()
+{
+    if (appending_ || stopped_ || (dirty_.empty() && plainRecords_.empty())) {
+        return;
+    }
+    group_.to_ = PartitionId{internal::ledgerStream, 0};
+    group_.records_.clear();
+    group_.records_.swap(plainRecords_);
+    std::vector<std::string> later;
+    for (const std::string &program : dirty_) {
+        if (group_.records_.size() >= internal::groupRecords) {
+            later.push_back(program);
+            continue;
+        }
+        internal::Spending &spending = programs_[program];
+        spending.dirty_ = false;
+        spending.ownRecorded_ = true;
+        group_.records_.push_back(
+            KeyedRecord{internal::spendingPrefix + program + '/' + settings_.writer_, std::to_string(spending.own_)});
+    }
+    dirty_.swap(later);
+    // A turn whose program is still dirty keeps waiting for a later group.
+    for (auto turn = waiting_.begin(); turn != waiting_.end();) {
+        if (programs_[turn->program_].dirty_) {
+            ++turn;
+            continue;
+        }
+        inGroup_.push_back(std::move(*turn));
+        turn = waiting_.erase(turn);
+    }
+    ++sequence_.sequence_;
+    group_.sequence_ = sequence_;
+    appending_ = true;
+    sendGroup();
+}
+
+void ProgramLedger::Private::sendGroup()
+{
+    hooks_.store_.append_(group_, [self = shared_from_this()](const StoreAppended &result) {
+        if (!self->stopped_) {
+            self->groupAppended(result);
+        }
+    });
+}
+
+void ProgramLedger::Private::groupAppended(const StoreAppended &result)
+{
+    if (result.status_ == StoreStatus::Ok) {
+        groupDurable(result.end_);
+        return;
+    }
+    if (result.status_ == StoreStatus::Fenced && result.expectedSequence_ == sequence_.sequence_ + 1) {
+        // An earlier try took effect and its answer was lost; everything known by now has to be read.
+        groupDurable(tail_->position() + 1);
+        return;
+    }
+    if (result.status_ == StoreStatus::Fenced) {
+        ++sequence_.epoch_;
+        group_.sequence_ = sequence_;
+    }
+    // The same group under the same number: it takes effect once, however many tries arrive.
+    hooks_.after_(internal::appendRetry, [self = shared_from_this()] {
+        if (!self->stopped_) {
+            self->sendGroup();
+        }
+    });
+}
+
+void ProgramLedger::Private::groupDurable(std::uint64_t end)
+{
+    appending_ = false;
+    group_.records_.clear();
+    const bool mustRead = !inGroup_.empty();
+    for (internal::WaitingTurn &turn : inGroup_) {
+        turn.readUpTo_ = end;
+        durable_.push_back(std::move(turn));
+    }
+    inGroup_.clear();
+    if (mustRead) {
+        tail_->readNow();
+        decideWaiting();
+    }
+    if (!waiting_.empty()) {
+        flush();
+    } else if (!dirty_.empty() || !plainRecords_.empty()) {
+        flushSoon(settings_.groupDelay_);
+    }
+}
+
+void ProgramLedger::Private::decideWaiting()
+{
+    while (!durable_.empty() && tail_->position() >= durable_.front().readUpTo_) {
+        const internal::WaitingTurn turn = std::move(durable_.front());
+        durable_.pop_front();
+        internal::Spending &spending = programs_[turn.program_];
+        const bool fits = spending.total() <= turn.budget_;
+        if (!fits) {
+            spending.own_ -= turn.tokens_;
+            markDirty(turn.program_, spending);
+            flushSoon(settings_.groupDelay_);
+        }
+        turn.decided_(fits ? BudgetDecision::Granted : BudgetDecision::Exhausted);
+    }
+}
+
+/** Decides on turns whose reservation did not become durable in time, as reserve() does without current knowledge. */
+void ProgramLedger::Private::expireWaiting()
+{
+    const Time now = hooks_.now_();
+    for (std::deque<internal::WaitingTurn> *queue : {&waiting_, &inGroup_, &durable_}) {
+        std::vector<internal::WaitingTurn> late;
+        for (auto turn = queue->begin(); turn != queue->end();) {
+            if (turn->deadline_ > now) {
+                ++turn;
+                continue;
+            }
+            late.push_back(std::move(*turn));
+            turn = queue->erase(turn);
+        }
+        for (const internal::WaitingTurn &turn : late) {
+            internal::Spending &spending = programs_[turn.program_];
+            const bool fits = spending.total() <= turn.budget_ / 2;
+            if (!fits) {
+                spending.own_ -= turn.tokens_;
+                markDirty(turn.program_, spending);
+            }
+            turn.decided_(fits ? BudgetDecision::Granted : BudgetDecision::Unavailable);
+        }
+    }
+    flushSoon(settings_.groupDelay_);
+}
+
+void ProgramLedger::Private::expire()
+{
+    const Time oldest = hooks_.now_() - settings_.retention_;
+    for (auto entry = programs_.begin(); entry != programs_.end();) {
+        if (entry->second.lastUse_ >= oldest || entry->second.dirty_) {
+            ++entry;
+            continue;
+        }
+        if (entry->second.ownRecorded_) {
+            plainRecords_.push_back(
+                KeyedRecord{internal::spendingPrefix + entry->first + '/' + settings_.writer_, std::nullopt});
+        }
+        entry = programs_.erase(entry);
+    }
+    for (auto entry = turns_.begin(); entry != turns_.end();) {
+        entry = entry->second.learned_ < oldest ? turns_.erase(entry) : std::next(entry);
+    }
+    if (!plainRecords_.empty()) {
+        flushSoon(settings_.groupDelay_);
+    }
+    hooks_.after_(internal::expiryPeriod, [self = shared_from_this()] {
+        if (!self->stopped_) {
+            self->expire();
+        }
+    });
+}
+
+ProgramLedger::ProgramLedger(ProgramLedgerHooks hooks, ProgramLedgerSettings settings)
+    : d_(std::make_shared<Private>())
+{
+    d_->hooks_ = std::move(hooks);
+    d_->settings_ = std::move(settings);
+    d_->sequence_.writer_ = d_->settings_.writer_;
+    StreamTailHooks tail;
+    tail.now_ = d_->hooks_.now_;
+    tail.after_ = d_->hooks_.after_;
+    tail.store_ = d_->hooks_.store_;
+    tail.onReachable_ = d_->hooks_.onReachable_;
+    tail.onRecord_ = [d = d_.get()](const KeyedRecord &record) { d->onRecord(record); };
+    StreamTailSettings tailSettings;
+    tailSettings.partition_ = PartitionId{internal::ledgerStream, 0};
+    tailSettings.pause_ = d_->settings_.readPause_;
+    tailSettings.wait_ = d_->settings_.currentFor_ / 3;
+    tailSettings.onCaughtUp_ = [d = d_.get()] { d->decideWaiting(); };
+    d_->tail_ = std::make_unique<StreamTail>(std::move(tail), std::move(tailSettings));
+}
+
+ProgramLedger::~ProgramLedger()
+{
+    d_->stopped_ = true;
+    d_->tail_.reset();
+}
+
+void ProgramLedger::start()
+{
+    d_->tail_->start();
+    d_->expire();
+}
+
+bool ProgramLedger::isCurrent() const
+{
+    return d_->tail_->isComplete() && d_->hooks_.now_() - d_->tail_->currentAsOf() <= d_->settings_.currentFor_;
+}
+
+bool ProgramLedger::isComplete() const
+{
+    return d_->tail_->isComplete();
+}
+
+void ProgramLedger::reserve(const std::string &program,
+                            std::uint64_t budget,
+                            std::uint64_t tokens,
+                            std::function<void(BudgetDecision)> decided)
+{
+    const bool current = isCurrent();
+    const auto known = d_->programs_.find(program);
+    const std::uint64_t before = known == d_->programs_.end() ? 0 : known->second.total();
+    if (before + tokens > budget) {
+        decided(BudgetDecision::Exhausted);
+        return;
+    }
+    // Without current knowledge only half of the budget is used, so that another node's spending hardly exceeds it.
+    if (!current && (!d_->tail_->isComplete() || before + tokens > budget / 2)) {
+        decided(BudgetDecision::Unavailable);
+        return;
+    }
+    internal::Spending &spending = d_->programs_[program];
+    spending.own_ += tokens;
+    d_->markDirty(program, spending);
+    const bool alone = spending.others_.empty();
+    const bool ample = before + (1 + internal::ampleTurns) * tokens <= budget;
+    if ((alone && (ample || before == 0)) || !current) {
+        d_->flushSoon(d_->settings_.groupDelay_);
+        decided(BudgetDecision::Granted);
+        return;
+    }
+    const Time deadline = d_->hooks_.now_() + d_->settings_.strictTimeout_;
+    d_->waiting_.push_back(internal::WaitingTurn{program, budget, tokens, 0, deadline, std::move(decided)});
+    d_->hooks_.after_(d_->settings_.strictTimeout_, [d = d_] {
+        if (!d->stopped_) {
+            d->expireWaiting();
+        }
+    });
+    d_->flush();
+}
+
+void ProgramLedger::settle(const std::string &program, std::uint64_t reserved, std::uint64_t used)
+{
+    if (reserved == used) {
+        return;
+    }
+    internal::Spending &spending = d_->programs_[program];
+    spending.own_ = spending.own_ + used - reserved;
+    d_->markDirty(program, spending);
+    d_->flushSoon(d_->settings_.groupDelay_);
+}
+
+std::uint64_t ProgramLedger::spent(const std::string &program) const
+{
+    const auto found = d_->programs_.find(program);
+    return found == d_->programs_.end() ? 0 : found->second.total();
+}
+
+void ProgramLedger::recordTurn(const std::string &turn, std::uint32_t partition)
+{
+    d_->turns_[turn] = internal::TurnLocation{partition, d_->hooks_.now_()};
+    d_->plainRecords_.push_back(KeyedRecord{internal::turnPrefix + turn, std::to_string(partition)});
+    d_->flushSoon(d_->settings_.groupDelay_);
+}
+
+std::optional<std::uint32_t> ProgramLedger::partitionOfTurn(const std::string &turn) const
+{
+    const auto found = d_->turns_.find(turn);
+    return found == d_->turns_.end() ? std::nullopt : std::optional<std::uint32_t>(found->second.partition_);
+}
+
+bool ProgramLedger::isFlushed() const
+{
+    return !d_->appending_ && d_->dirty_.empty() && d_->plainRecords_.empty();
+}
+
+std::size_t ProgramLedger::programs() const
+{
+    return d_->programs_.size();
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/ledger/programledger.h
@@ -0,0 +1,94 @@
+#ifndef FILBERTGW_LEDGER_PROGRAMLEDGER_H
+#define FILBERTGW_LEDGER_PROGRAMLEDGER_H
+
+#include "store/recordstore.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace filbertgw {
+
+/** \brief Answer to the question whether a turn may start. */
+enum class BudgetDecision : std::uint8_t {
+    Granted,
+    Exhausted, ///< The turn does not fit into the rest of the program's budget.
+    Unavailable, ///< What other nodes have spent is not known.
+};
+
+template<>
+struct NameTable<BudgetDecision>
+{
+    static constexpr std::array<std::pair<BudgetDecision, std::string_view>, 3> entries{{
+        {BudgetDecision::Granted, "granted"},
+        {BudgetDecision::Exhausted, "exhausted"},
+        {BudgetDecision::Unavailable, "unavailable"},
+    }};
+};
+
+/** \brief What a ProgramLedger needs. */
+struct ProgramLedgerHooks
+{
+    Clock now_; ///< Counts the time during which the VM is suspended.
+    std::function<std::uint64_t(Duration, std::function<void()>)> after_;
+    RecordStore store_;
+    std::function<void(bool reachable)> onReachable_;
+};
+
+struct ProgramLedgerSettings
+{
+    std::string writer_; ///< Unique to this incarnation of the node.
+    Duration groupDelay_{60'000}; ///< Changes are collected for this long before they are appended.
+    Duration readPause_{200'000}; ///< Time between two reads of what other nodes have appended.
+    Duration currentFor_{1'500'000}; ///< Age up to which the knowledge of other nodes' spending counts as current.
+    Duration strictTimeout_{700'000}; ///< Longest time that a turn waits for its durable reservation.
+    Duration retention_{120'000'000}; ///< A program that was idle for longer is forgotten.
+};
+
+/**
+ * \brief Tokens that programs have spent, over all nodes, and where their retained turns are stored.
+ *
+ * Each node keeps one record a program: the tokens that it has handed out plus those that its running turns may still
+ * generate. The spending of a program is the sum over the writers, so records never conflict. A turn far from the
+ * limit of a program that no other node has served lately starts at once; any other one waits until its reservation is
+ * durable and everything appended before it has been read. Two concurrent reservations therefore see each other.
+ */
+class ProgramLedger
+{
+public:
+    ProgramLedger(ProgramLedgerHooks hooks, ProgramLedgerSettings settings);
+    ~ProgramLedger();
+
+    void start();
+    /** \brief True if what other nodes have spent is known up to a short time ago. */
+    bool isCurrent() const;
+    bool isComplete() const;
+
+    /** \brief Reserves the tokens that a turn may generate. The reservation stands only if the decision is Granted. */
+    void reserve(const std::string &program,
+                 std::uint64_t budget,
+                 std::uint64_t tokens,
+                 std::function<void(BudgetDecision)> decided);
+    /** \brief Replaces a reservation by what the turn has used. */
+    void settle(const std::string &program, std::uint64_t reserved, std::uint64_t used);
+    /** \brief Tokens spent or reserved by all nodes, as far as known. */
+    std::uint64_t spent(const std::string &program) const;
+
+    /** \brief Publishes in which partition a retained turn is stored. */
+    void recordTurn(const std::string &turn, std::uint32_t partition);
+    std::optional<std::uint32_t> partitionOfTurn(const std::string &turn) const;
+
+    /** \brief True if nothing waits to be appended. */
+    bool isFlushed() const;
+    std::size_t programs() const;
+
+private:
+    struct Private;
+    std::shared_ptr<Private> d_;
+};
+
+} // namespace filbertgw
+
+#endif
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
+#include <cctype>
 #include <deque>
 
 namespace filbertgw {
@@ -40,7 +41,7 @@
         eager(true);
     }
 
-    int status_ = 0;
+    HttpHead head_;
     std::string body_;
 
 private:
@@ -56,13 +57,16 @@
                           int,
                           error_code &) override
     {
-        status_ = status;
+        head_.status_ = status;
     }
     void on_field_impl(http::field, // NOLINT(readability-identifier-naming)
-                       beast::string_view,
-                       beast::string_view,
+                       beast::string_view name,
+                       beast::string_view value,
                        error_code &) override
     {
+        std::string key(name);
+        std::transform(key.begin(), key.end(), key.begin(), [](unsigned char c) { return std::tolower(c); });
+        head_.headers_.insert_or_assign(std::move(key), std::string(value));
     }
     void on_header_impl(error_code &) override // NOLINT(readability-identifier-naming)
     {
@@ -121,7 +125,8 @@
     result += ' ';
     result += request.target_;
     result += " HTTP/1.1\r\nHost: ";
-    result += address;
+    const auto host = request.headers_.find("host");
+    result += host != request.headers_.end() ? host->second : address;
     result += "\r\n";
     for (const std::pair<const std::string, std::string> &header : request.headers_) {
         // The framing of the message and the connection are this hop's own.
@@ -178,6 +183,10 @@
     std::string part_;
     std::size_t received_ = 0;
     bool sent_ = false; ///< At least one byte may have been sent.
+    bool reused_ = false;
+    bool headReported_ = false;
+    bool skipping_ = false; ///< The answer that arrives belongs to another request.
+    bool stray_ = false; ///< Such an answer has been seen: the connection is not kept.
     bool done_ = false;
     std::chrono::steady_clock::time_point deadline_;
 };
@@ -204,7 +213,8 @@
     void setTimer(const internal::ExchangePointer &exchange, std::chrono::steady_clock::time_point when);
     void end(const internal::ExchangePointer &exchange, HttpOutcome outcome);
     void keep(const std::string &address, const std::shared_ptr<internal::Wire> &wire);
-    std::shared_ptr<internal::Wire> takeIdle(const std::string &address);
+    std::shared_ptr<internal::Wire> takeIdle(const std::string &address, Duration maxAge);
+    bool startsAnotherAnswer(const internal::ExchangePointer &exchange);
     void dropIdle(const std::string &address, const std::shared_ptr<internal::Wire> &wire);
     void sweep();
 
@@ -239,7 +249,8 @@
     }
     exchange->deadline_ = std::chrono::steady_clock::now() + exchange->call_.timeout_;
     if (exchange->call_.mayReuse_) {
-        exchange->wire_ = takeIdle(exchange->call_.address_);
+        exchange->wire_ = takeIdle(exchange->call_.address_, exchange->call_.maxIdleAge_);
+        exchange->reused_ = exchange->wire_ != nullptr;
     }
     if (exchange->wire_) {
         setTimer(exchange, exchange->deadline_);
@@ -381,9 +392,9 @@
         if (used == 0) {
             break;
         }
-        if (exchange->parser_->is_done() && exchange->parser_->status_ / 100 == 1) {
-            // An interim answer such as 100 Continue precedes the real one.
+        if (startsAnotherAnswer(exchange)) {
             exchange->parser_ = std::make_unique<internal::AnswerParser>();
+            exchange->skipping_ = false;
         }
     }
     if (atEnd && !exchange->parser_->is_done()) {
@@ -395,6 +406,25 @@
     return !error;
 }
 
+/** True if the answer just parsed is an interim one, or a late one of an earlier request: the next one is awaited. */
+bool HttpClient::Private::startsAnotherAnswer(const internal::ExchangePointer &exchange)
+{
+    internal::AnswerParser &parser = *exchange->parser_;
+    if (!parser.is_header_done()) {
+        return false;
+    }
+    const HttpCall &call = exchange->call_;
+    if (!call.echoHeader_.empty() && !exchange->headReported_ && !exchange->skipping_) {
+        const auto echo = parser.head_.headers_.find(call.echoHeader_);
+        exchange->skipping_ = echo != parser.head_.headers_.end() && echo->second != call.echoValue_;
+        exchange->stray_ = exchange->stray_ || exchange->skipping_;
+    }
+    if (exchange->skipping_) {
+        parser.body_.clear();
+    }
+    return parser.is_done() && (parser.head_.status_ / 100 == 1 || exchange->skipping_);
+}
+
 void HttpClient::Private::received(const internal::ExchangePointer &exchange, bool atEnd)
 {
     if (!parse(exchange, atEnd)) {
@@ -403,6 +433,19 @@
     }
     internal::AnswerParser &parser = *exchange->parser_;
     HttpCall &call = exchange->call_;
+    if (exchange->skipping_ && atEnd) {
+        end(exchange, HttpOutcome::Interrupted);
+        return;
+    }
+    if (call.onHead_ && !exchange->headReported_ && !exchange->skipping_ && parser.is_header_done()) {
+        exchange->headReported_ = true;
+        const std::function<void(const HttpHead &)> onHead = std::move(call.onHead_);
+        call.onHead_ = nullptr;
+        onHead(parser.head_);
+        if (exchange->done_) {
+            return;
+        }
+    }
     if (exchange->received_ + parser.body_.size() > call.answerBytes_) {
         end(exchange, HttpOutcome::Interrupted);
         return;
@@ -414,7 +457,7 @@
         exchange->part_.swap(parser.body_);
         // Taken out for the time of the call, because the hook may cancel the call and so destroy itself.
         std::function<void(int, const std::string &)> onPart = std::move(call.onPart_);
-        onPart(parser.status_, exchange->part_);
+        onPart(parser.head_.status_, exchange->part_);
         if (exchange->done_) {
             return;
         }
@@ -440,15 +483,17 @@
     exchanges_.erase(exchange->id_);
     HttpResult result;
     result.outcome_ = outcome;
-    if (exchange->parser_) {
-        result.status_ = exchange->parser_->status_;
+    result.reused_ = exchange->reused_;
+    if (exchange->parser_ && !exchange->skipping_) {
+        result.status_ = exchange->parser_->head_.status_;
+        result.headers_ = std::move(exchange->parser_->head_.headers_);
         if (!exchange->call_.onPart_) {
             result.body_ = std::move(exchange->parser_->body_);
         }
     }
     if (exchange->wire_) {
         const bool clean = outcome == HttpOutcome::Complete && exchange->parser_->keep_alive()
-            && exchange->output_.empty() && exchange->wire_->input_.size() == 0;
+            && exchange->output_.empty() && exchange->wire_->input_.size() == 0 && !exchange->stray_;
         if (clean) {
             keep(exchange->call_.address_, exchange->wire_);
         } else {
@@ -458,6 +503,7 @@
     // Never from within start(), cancel() or a handler of the caller.
     const std::function<void(const HttpResult &)> done = std::move(exchange->call_.onDone_);
     exchange->call_.onPart_ = nullptr;
+    exchange->call_.onHead_ = nullptr;
     if (done) {
         loop_.post([self = shared_from_this(), done, result = std::move(result)] {
             if (!self->closed_) {
@@ -486,8 +532,9 @@
                              });
 }
 
-std::shared_ptr<internal::Wire> HttpClient::Private::takeIdle(const std::string &address)
+std::shared_ptr<internal::Wire> HttpClient::Private::takeIdle(const std::string &address, Duration maxAge)
 {
+    const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
     const auto found = idle_.find(address);
     if (found == idle_.end()) {
         return nullptr;
@@ -504,7 +551,7 @@
         wire->socket_.non_blocking(true, ignored);
         boost::system::error_code state;
         wire->socket_.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, state);
-        if (state == boost::asio::error::would_block) {
+        if (state == boost::asio::error::would_block && now - wire->idleSince_ <= maxAge) {
             return wire;
         }
         internal::close(*wire);
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -16,6 +16,12 @@
     Duration timeout_{60'000'000}; ///< For the whole exchange.
     std::size_t answerBytes_ = 16 * 1024 * 1024; ///< A longer answer is Interrupted.
     bool mayReuse_ = true; ///< False for calls that may be sent once only: a fresh connection is used.
+    Duration maxIdleAge_{20'000'000}; ///< A connection that was idle for longer is not reused.
+    /** \brief If set, an answer whose header of this name has another value belongs to another request and is skipped.
+     */
+    std::string echoHeader_;
+    std::string echoValue_;
+    std::function<void(const HttpHead &)> onHead_; ///< If set, called once before the first part.
     std::function<void(int status, const std::string &part)> onPart_; ///< If set, the body is passed on in parts.
     std::function<void(const HttpResult &)> onDone_; ///< Exactly once.
 };
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -82,11 +82,16 @@
     void on_field_impl(http::field field, // NOLINT(readability-identifier-naming)
                        beast::string_view name,
                        beast::string_view value,
-                       error_code &) override
+                       error_code &error) override
     {
         if (field == http::field::expect) {
             expectsContinue_ = true;
         }
+        // Another coding would leave the length of the body open to interpretation.
+        if (field == http::field::transfer_encoding && !beast::iequals(value, "chunked")) {
+            error = http::error::bad_transfer_encoding;
+            return;
+        }
         std::string &stored = request_.headers_[lowerCase(name)];
         if (!stored.empty()) {
             stored += ", ";
@@ -420,9 +425,13 @@
     pending_ += std::to_string(status);
     pending_ += ' ';
     pending_.append(reason.data(), reason.size());
-    pending_ += "\r\nContent-Type: ";
-    pending_ += contentType;
-    pending_ += "\r\n" + std::exchange(extraHeaders_, {});
+    pending_ += "\r\n";
+    if (!contentType.empty()) {
+        pending_ += "Content-Type: ";
+        pending_ += contentType;
+        pending_ += "\r\n";
+    }
+    pending_ += std::exchange(extraHeaders_, {});
     if (server_->stopping_) {
         keepAlive_ = false;
     }
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -62,11 +62,20 @@
     Cancelled,
 };
 
+/** \brief Status line and headers of an answer; header names are in lower case. */
+struct HttpHead
+{
+    int status_ = 0;
+    std::map<std::string, std::string> headers_;
+};
+
 /** \brief Result of an exchange. */
 struct HttpResult
 {
     HttpOutcome outcome_ = HttpOutcome::NotConnected;
     int status_ = 0;
+    std::map<std::string, std::string> headers_; ///< Names in lower case.
+    bool reused_ = false; ///< The connection had carried an exchange before.
     std::string body_; ///< Empty if parts were streamed.
 };
 
