--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -281,7 +281,7 @@
     }
 }
 
-/** Decides on turns whose reservation did not become durable in time, as reserve() does without current knowledge. */
+/** Gives up on turns whose reservation does not become durable in time; the reservation is taken back. */
 void ProgramLedger::Private::expireWaiting()
 {
     const Time now = hooks_.now_();
@@ -297,12 +297,9 @@
         }
         for (const internal::WaitingTurn &turn : late) {
             internal::Spending &spending = programs_[turn.program_];
-            const bool fits = spending.total() <= turn.budget_ / 2;
-            if (!fits) {
-                spending.own_ -= turn.tokens_;
-                markDirty(turn.program_, spending);
-            }
-            turn.decided_(fits ? BudgetDecision::Granted : BudgetDecision::Unavailable);
+            spending.own_ -= turn.tokens_;
+            markDirty(turn.program_, spending);
+            turn.decided_(BudgetDecision::Unavailable);
         }
     }
     flushSoon(settings_.groupDelay_);
@@ -389,8 +386,7 @@
         decided(BudgetDecision::Exhausted);
         return;
     }
-    // Without current knowledge only half of the budget is used, so that another node's spending hardly exceeds it.
-    if (!current && (!d_->tail_->isComplete() || before + tokens > budget / 2)) {
+    if (!current) {
         decided(BudgetDecision::Unavailable);
         return;
     }
@@ -399,7 +395,7 @@
     d_->markDirty(program, spending);
     const bool alone = spending.others_.empty();
     const bool ample = before + (1 + internal::ampleTurns) * tokens <= budget;
-    if ((alone && (ample || before == 0)) || !current) {
+    if (alone && (ample || before == 0)) {
         d_->flushSoon(d_->settings_.groupDelay_);
         decided(BudgetDecision::Granted);
         return;
--- a/src/net/ioloop.cpp
+++ b/src/net/ioloop.cpp
@@ -46,6 +46,17 @@
     });
 }
 
+void IoLoop::Private::waitForReloadSignal()
+{
+    reloadSignals_.async_wait([this](const boost::system::error_code &error, int) {
+        if (error) {
+            return;
+        }
+        reloadHandler_();
+        waitForReloadSignal();
+    });
+}
+
 IoLoop::IoLoop()
     : d_(std::make_unique<Private>())
 {
@@ -103,6 +114,16 @@
     }
 }
 
+void IoLoop::onReloadSignal(std::function<void()> handler)
+{
+    const bool first = !d_->reloadHandler_;
+    d_->reloadHandler_ = std::move(handler);
+    if (first) {
+        d_->reloadSignals_.add(SIGHUP);
+        d_->waitForReloadSignal();
+    }
+}
+
 Time IoLoop::now() const
 {
     // The wall clock can be set back, so that it is read once only.
--- a/src/net/ioloop.h
+++ b/src/net/ioloop.h
@@ -28,6 +28,8 @@
     void cancel(std::uint64_t timer);
     /** \brief Calls the handler on SIGTERM and SIGINT in place of ending the process. */
     void onStopSignal(std::function<void()> handler);
+    /** \brief Calls the handler on SIGHUP in place of ending the process. */
+    void onReloadSignal(std::function<void()> handler);
     /** \brief Microseconds since the Unix epoch; never goes back within a process. */
     Time now() const;
 
--- a/src/net/ioloopprivate.h
+++ b/src/net/ioloopprivate.h
@@ -29,13 +29,16 @@
     boost::asio::signal_set signals_{context_};
     std::unordered_map<std::uint64_t, std::shared_ptr<Timer>> timers_;
     std::uint64_t nextTimer_ = 1;
+    boost::asio::signal_set reloadSignals_{context_};
     std::function<void()> stopHandler_;
+    std::function<void()> reloadHandler_;
     Time startWall_{0};
     std::chrono::steady_clock::time_point startSteady_;
 
     std::uint64_t start(Duration delay, Duration period, std::function<void()> task);
     void wait(std::uint64_t id, const std::shared_ptr<Timer> &timer);
     void waitForSignal();
+    void waitForReloadSignal();
 };
 
 } // namespace filbertgw
