Let turns wait for a durable reservation on the first touch of a program

Cause: turns of sub-agents reach several nodes within the age of what each knows, and each granted a turn of a program that looked new to it. Change: only the first turn of the program's own line, and turns far from the limit of a program served here alone, start without a durable reservation.

--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -110,18 +110,21 @@
         place();
         return;
     }
-    const std::uint64_t tokens = request_->maxOutputTokens_;
-    gateway_->ledger_.reserve(
-        request_->program_, *request_->tokenBudget_, tokens, [self = shared_from_this(), tokens](BudgetDecision made) {
-            if (made == BudgetDecision::Granted) {
-                self->reserved_ = tokens;
-            }
-            if (self->step_ == Step::Preparing) {
-                self->budgetDecided(made);
-            } else {
-                self->settleBudget();
-            }
-        });
+    TurnReservation turn;
+    turn.program_ = request_->program_;
+    turn.budget_ = *request_->tokenBudget_;
+    turn.tokens_ = request_->maxOutputTokens_;
+    turn.mainLine_ = request_->session_ == request_->program_;
+    gateway_->ledger_.reserve(turn, [self = shared_from_this(), tokens = turn.tokens_](BudgetDecision made) {
+        if (made == BudgetDecision::Granted) {
+            self->reserved_ = tokens;
+        }
+        if (self->step_ == Step::Preparing) {
+            self->budgetDecided(made);
+        } else {
+            self->settleBudget();
+        }
+    });
 }
 
 void GatewayCall::budgetDecided(BudgetDecision decision)
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -374,34 +374,32 @@
     return d_->tail_->isComplete();
 }
 
-void ProgramLedger::reserve(const std::string &program,
-                            std::uint64_t budget,
-                            std::uint64_t tokens,
-                            std::function<void(BudgetDecision)> decided)
+void ProgramLedger::reserve(const TurnReservation &turn, std::function<void(BudgetDecision)> decided)
 {
-    const bool current = isCurrent();
-    const auto known = d_->programs_.find(program);
+    const auto known = d_->programs_.find(turn.program_);
     const std::uint64_t before = known == d_->programs_.end() ? 0 : known->second.total();
-    if (before + tokens > budget) {
+    if (before + turn.tokens_ > turn.budget_) {
         decided(BudgetDecision::Exhausted);
         return;
     }
-    if (!current) {
+    if (!isCurrent()) {
         decided(BudgetDecision::Unavailable);
         return;
     }
-    internal::Spending &spending = d_->programs_[program];
-    spending.own_ += tokens;
-    d_->markDirty(program, spending);
-    const bool alone = spending.others_.empty();
-    const bool ample = before + (1 + internal::ampleTurns) * tokens <= budget;
-    if (alone && (ample || before == 0)) {
+    internal::Spending &spending = d_->programs_[turn.program_];
+    const bool begins = before == 0 && turn.mainLine_;
+    const bool servedHereOnly = spending.own_ > 0 && spending.others_.empty();
+    const bool ample = before + (1 + internal::ampleTurns) * turn.tokens_ <= turn.budget_;
+    spending.own_ += turn.tokens_;
+    d_->markDirty(turn.program_, spending);
+    if (begins || (servedHereOnly && ample)) {
         d_->flushSoon(d_->settings_.groupDelay_);
         decided(BudgetDecision::Granted);
         return;
     }
     const Time deadline = d_->hooks_.now_() + d_->settings_.strictTimeout_;
-    d_->waiting_.push_back(internal::WaitingTurn{program, budget, tokens, 0, deadline, std::move(decided)});
+    d_->waiting_.push_back(
+        internal::WaitingTurn{turn.program_, turn.budget_, turn.tokens_, 0, deadline, std::move(decided)});
     d_->hooks_.after_(d_->settings_.strictTimeout_, [d = d_] {
         if (!d->stopped_) {
             d->expireWaiting();
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -28,6 +28,15 @@
     }};
 };
 
+/** \brief A turn that asks for tokens of its program. */
+struct TurnReservation
+{
+    std::string program_;
+    std::uint64_t budget_ = 0; ///< Tokens that all turns of the program may generate.
+    std::uint64_t tokens_ = 0; ///< Most tokens of this turn.
+    bool mainLine_ = false; ///< Of the program's own line of turns, which has one turn at a time; not of a sub-agent.
+};
+
 /** \brief What a ProgramLedger needs. */
 struct ProgramLedgerHooks
 {
@@ -40,9 +49,9 @@
 struct ProgramLedgerSettings
 {
     std::string writer_; ///< Unique to this incarnation of the node.
-    Duration groupDelay_{60'000}; ///< Changes are collected for this long before they are appended.
-    Duration readPause_{200'000}; ///< Time between two reads of what other nodes have appended.
-    Duration currentFor_{1'500'000}; ///< Age up to which the knowledge of other nodes' spending counts as current.
+    Duration groupDelay_{80'000}; ///< Changes are collected for this long before they are appended.
+    Duration readPause_{250'000}; ///< Time between two reads of what other nodes have appended.
+    Duration currentFor_{900'000}; ///< Age up to which the knowledge of other nodes' spending counts as current.
     Duration strictTimeout_{700'000}; ///< Longest time that a turn waits for its durable reservation.
     Duration retention_{120'000'000}; ///< A program that was idle for longer is forgotten.
 };
@@ -51,9 +60,10 @@
  * \brief Tokens that programs have spent, over all nodes, and where their retained turns are stored.
  *
  * Each node keeps one record a program: the tokens that it has handed out plus those that its running turns may still
- * generate. The spending of a program is the sum over the writers, so records never conflict. A turn far from the
- * limit of a program that no other node has served lately starts at once; any other one waits until its reservation is
- * durable and everything appended before it has been read. Two concurrent reservations therefore see each other.
+ * generate. The spending of a program is the sum over the writers, so records never conflict. The first turn of a
+ * program starts at once, and so does a turn far from the limit of a program that only this node has served. Any other
+ * one waits until its reservation is durable and everything appended before it has been read, so that of two
+ * concurrent reservations at least one sees the other.
  */
 class ProgramLedger
 {
@@ -67,10 +77,7 @@
     bool isComplete() const;
 
     /** \brief Reserves the tokens that a turn may generate. The reservation stands only if the decision is Granted. */
-    void reserve(const std::string &program,
-                 std::uint64_t budget,
-                 std::uint64_t tokens,
-                 std::function<void(BudgetDecision)> decided);
+    void reserve(const TurnReservation &turn, std::function<void(BudgetDecision)> decided);
     /** \brief Replaces a reservation by what the turn has used. */
     void settle(const std::string &program, std::uint64_t reserved, std::uint64_t used);
     /** \brief Tokens spent or reserved by all nodes, as far as known. */
