--- /dev/null
+++ b/src/core/stablehash.h
@@ -0,0 +1,25 @@
+#ifndef FILBERTGW_CORE_STABLEHASH_H
+#define FILBERTGW_CORE_STABLEHASH_H
+
+#include <cstdint>
+#include <string>
+
+namespace filbertgw {
+
+/** \brief FNV-1a with a final mix: the same in every node and version, unlike std::hash. */
+inline std::uint64_t stableHash(const std::string &text)
+{
+    std::uint64_t hash = 14695981039346656037ULL;
+    for (const char c : text) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    }
+    // FNV alone leaves the upper bits of texts that differ in the last characters alike.
+    hash ^= hash >> 33;
+    hash *= 0xff51afd7ed558ccdULL;
+    hash ^= hash >> 33;
+    return hash;
+}
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/gateway/fleet.cpp
@@ -0,0 +1,259 @@
+#include "gateway/fleet.h"
+
+#include "core/stablehash.h"
+#include "store/streamtail.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace filbertgw {
+
+namespace internal {
+namespace {
+
+const char *const nodeStream = "nodes";
+constexpr Duration registerRetry{500'000};
+/** A known node that was not heard of for this long does not count any more. */
+constexpr Duration forgetAfter{15'000'000};
+
+struct KnownNode
+{
+    FleetMember member_;
+    Time learned_{0};
+    Time heard_{0};
+    bool everHeard_ = false;
+    bool reportedAlive_ = false;
+    bool ledgerCurrent_ = false;
+    bool ledgerComplete_ = false;
+};
+
+} // namespace
+} // namespace internal
+
+struct Fleet::Private : std::enable_shared_from_this<Fleet::Private>
+{
+    void registerSelf();
+    void takeRecord(const KeyedRecord &record);
+    void sendReports();
+    std::string encode(const NodeReport &report) const;
+    bool isAlive(const internal::KnownNode &node) const;
+    bool isCounted(const internal::KnownNode &node) const;
+    void noteAlive();
+    std::optional<FleetMember> choose(const std::string &program, bool needsCurrent) const;
+
+    FleetHooks hooks_;
+    FleetSettings settings_;
+    std::unique_ptr<StreamTail> tail_;
+    std::map<std::string, internal::KnownNode> nodes_; ///< Without this one.
+    bool stopped_ = false;
+};
+
+void Fleet::Private::registerSelf()
+{
+    StoreAppend append;
+    append.to_ = PartitionId{internal::nodeStream, 0};
+    const nlohmann::json value = {{"datagrams", settings_.self_.datagramAddress_},
+                                  {"links", settings_.self_.linkAddress_}};
+    append.records_.push_back(KeyedRecord{settings_.self_.name_, value.dump()});
+    hooks_.store_.append_(std::move(append), [self = shared_from_this()](const StoreAppended &result) {
+        if (result.status_ == StoreStatus::Ok || self->stopped_) {
+            return;
+        }
+        self->hooks_.after_(internal::registerRetry, [self] {
+            if (!self->stopped_) {
+                self->registerSelf();
+            }
+        });
+    });
+}
+
+void Fleet::Private::takeRecord(const KeyedRecord &record)
+{
+    if (record.key_ == settings_.self_.name_) {
+        return;
+    }
+    const nlohmann::json body =
+        record.value_ ? nlohmann::json::parse(*record.value_, nullptr, false) : nlohmann::json();
+    const bool isNode = body.is_object() && body.contains("datagrams") && body["datagrams"].is_string()
+        && body.contains("links") && body["links"].is_string();
+    if (!isNode) {
+        nodes_.erase(record.key_);
+        return;
+    }
+    internal::KnownNode node;
+    node.member_ = FleetMember{record.key_, body["datagrams"].get<std::string>(), body["links"].get<std::string>()};
+    node.learned_ = hooks_.now_();
+    nodes_[record.key_] = std::move(node);
+}
+
+std::string Fleet::Private::encode(const NodeReport &report) const
+{
+    nlohmann::json load = nlohmann::json::array();
+    for (const std::pair<std::string, std::uint32_t> &entry : report.load_) {
+        load.push_back({entry.first, entry.second});
+    }
+    const nlohmann::json body = {
+        {"n", settings_.self_.name_}, {"c", report.ledgerCurrent_}, {"k", report.ledgerComplete_}, {"l", load}};
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(body);
+    return {bytes.begin(), bytes.end()};
+}
+
+void Fleet::Private::sendReports()
+{
+    noteAlive();
+    std::vector<const internal::KnownNode *> targets;
+    for (const std::pair<const std::string, internal::KnownNode> &entry : nodes_) {
+        if (isCounted(entry.second)) {
+            targets.push_back(&entry.second);
+        }
+    }
+    if (!targets.empty()) {
+        const std::string datagram = encode(hooks_.report_());
+        for (std::size_t i = 0; i < std::min(targets.size(), settings_.reportTargets_); ++i) {
+            std::swap(targets[i], targets[i + hooks_.random_() % (targets.size() - i)]);
+            hooks_.sendDatagram_(targets[i]->member_.datagramAddress_, datagram);
+        }
+    }
+    hooks_.after_(settings_.reportPeriod_, [self = shared_from_this()] {
+        if (!self->stopped_) {
+            self->sendReports();
+        }
+    });
+}
+
+bool Fleet::Private::isAlive(const internal::KnownNode &node) const
+{
+    return node.everHeard_ && hooks_.now_() - node.heard_ <= settings_.aliveFor_;
+}
+
+bool Fleet::Private::isCounted(const internal::KnownNode &node) const
+{
+    return hooks_.now_() - std::max(node.heard_, node.learned_) <= internal::forgetAfter;
+}
+
+void Fleet::Private::noteAlive()
+{
+    for (std::pair<const std::string, internal::KnownNode> &entry : nodes_) {
+        const bool alive = isAlive(entry.second);
+        if (alive != entry.second.reportedAlive_) {
+            entry.second.reportedAlive_ = alive;
+            hooks_.onAlive_(entry.first, alive);
+        }
+    }
+}
+
+std::optional<FleetMember> Fleet::Private::choose(const std::string &program, bool needsCurrent) const
+{
+    std::optional<FleetMember> best;
+    std::uint64_t highest = 0;
+    const auto consider = [&best, &highest, &program](const FleetMember &member) {
+        const std::uint64_t weight = stableHash(member.name_ + '/' + program);
+        if (!best || weight > highest) {
+            best = member;
+            highest = weight;
+        }
+    };
+    for (const std::pair<const std::string, internal::KnownNode> &entry : nodes_) {
+        const internal::KnownNode &node = entry.second;
+        if (isAlive(node) && (needsCurrent ? node.ledgerCurrent_ : node.ledgerComplete_)) {
+            consider(node.member_);
+        }
+    }
+    if (!needsCurrent && hooks_.report_().ledgerComplete_) {
+        consider(settings_.self_);
+    }
+    return best;
+}
+
+Fleet::Fleet(FleetHooks hooks, FleetSettings settings)
+    : d_(std::make_shared<Private>())
+{
+    d_->hooks_ = std::move(hooks);
+    d_->settings_ = std::move(settings);
+    StreamTailHooks tail;
+    tail.now_ = d_->hooks_.now_;
+    tail.after_ = d_->hooks_.after_;
+    tail.store_ = d_->hooks_.store_;
+    tail.onRecord_ = [d = d_.get()](const KeyedRecord &record) { d->takeRecord(record); };
+    StreamTailSettings tailSettings;
+    tailSettings.partition_ = PartitionId{internal::nodeStream, 0};
+    tailSettings.pause_ = Duration{500'000};
+    tailSettings.wait_ = Duration{3'000'000};
+    tailSettings.retry_ = Duration{500'000};
+    d_->tail_ = std::make_unique<StreamTail>(std::move(tail), std::move(tailSettings));
+}
+
+Fleet::~Fleet()
+{
+    d_->stopped_ = true;
+    d_->tail_.reset();
+}
+
+void Fleet::start()
+{
+    d_->registerSelf();
+    d_->tail_->start();
+    d_->sendReports();
+}
+
+void Fleet::onDatagram(const std::string &datagram)
+{
+    const nlohmann::json body = nlohmann::json::from_cbor(datagram, true, false);
+    const bool isReport = body.is_object() && body.contains("n") && body["n"].is_string() && body.contains("c")
+        && body["c"].is_boolean() && body.contains("k") && body["k"].is_boolean() && body.contains("l")
+        && body["l"].is_array();
+    if (!isReport) {
+        return;
+    }
+    const auto known = d_->nodes_.find(body["n"].get<std::string>());
+    if (known == d_->nodes_.end()) {
+        return;
+    }
+    NodeReport report;
+    report.ledgerCurrent_ = body["c"].get<bool>();
+    report.ledgerComplete_ = body["k"].get<bool>();
+    for (const nlohmann::json &entry : body["l"]) {
+        if (entry.is_array() && entry.size() == 2 && entry[0].is_string() && entry[1].is_number_unsigned()) {
+            report.load_.emplace_back(entry[0].get<std::string>(), entry[1].get<std::uint32_t>());
+        }
+    }
+    known->second.heard_ = d_->hooks_.now_();
+    known->second.everHeard_ = true;
+    known->second.ledgerCurrent_ = report.ledgerCurrent_;
+    known->second.ledgerComplete_ = report.ledgerComplete_;
+    d_->hooks_.onReport_(known->first, report);
+}
+
+std::optional<FleetMember> Fleet::currentNode(const std::string &program) const
+{
+    return d_->choose(program, true);
+}
+
+std::optional<FleetMember> Fleet::homeOf(const std::string &program) const
+{
+    if ((alive() + 1) * 2 <= known() + 1) {
+        return std::nullopt;
+    }
+    return d_->choose(program, false);
+}
+
+bool Fleet::isSelf(const FleetMember &member) const
+{
+    return member.name_ == d_->settings_.self_.name_;
+}
+
+std::size_t Fleet::known() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        d_->nodes_.begin(), d_->nodes_.end(), [this](const auto &entry) { return d_->isCounted(entry.second); }));
+}
+
+std::size_t Fleet::alive() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        d_->nodes_.begin(), d_->nodes_.end(), [this](const auto &entry) { return d_->isAlive(entry.second); }));
+}
+
+} // namespace filbertgw
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,15 +26,35 @@
                  [this](const std::string &turn, std::uint32_t partition) { ledger_.recordTurn(turn, partition); },
                  [this](const std::string &turn) { return ledger_.partitionOfTurn(turn); }},
              settings_.turns_)
+    , fleet_(fleetHooks(), settings_.fleet_)
 {
 }
 
+FleetHooks Gateway::Private::fleetHooks()
+{
+    FleetHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.random_ = hooks_.random_;
+    hooks.after_ = hooks_.after_;
+    hooks.store_ = hooks_.store_;
+    hooks.sendDatagram_ = hooks_.sendDatagram_;
+    hooks.report_ = [this] { return NodeReport{ledger_.isCurrent(), ledger_.isComplete(), placement_.ownLoad()}; };
+    hooks.onReport_ = [this](const std::string &node, const NodeReport &report) {
+        placement_.setPeerLoad(node, report.load_);
+    };
+    hooks.onAlive_ = [this](const std::string &node, bool alive) {
+        hooks_.logEvent_(alive ? "peer_found" : "peer_lost", {{"peer", node}});
+    };
+    return hooks;
+}
+
 void Gateway::Private::sweep()
 {
     for (const std::string &gone : directory_.expire()) {
         hooks_.logEvent_("endpoint_gone", {{"endpoint", gone}, {"reason", "did_not_return"}});
         placement_.forget(gone);
     }
+    placement_.expirePeers();
     hooks_.after_(internal::sweepPeriod, [self = shared_from_this()] {
         if (!self->stopped_) {
             self->sweep();
@@ -56,6 +76,7 @@
 void Gateway::start()
 {
     d_->ledger_.start();
+    d_->fleet_.start();
     d_->sweep();
 }
 
@@ -124,9 +145,9 @@
     return d_->calls_.size();
 }
 
-Placement &Gateway::placement()
+void Gateway::onDatagram(const std::string &datagram)
 {
-    return d_->placement_;
+    d_->fleet_.onDatagram(datagram);
 }
 
 nlohmann::json Gateway::state() const
@@ -134,6 +155,8 @@
     return {{"configuration_version", d_->routing_ ? d_->routing_->version() : 0},
             {"endpoints", d_->directory_.size()},
             {"open_calls", d_->calls_.size()},
+            {"peers_known", d_->fleet_.known()},
+            {"peers_alive", d_->fleet_.alive()},
             {"programs", d_->ledger_.programs()},
             {"ledger_current", d_->ledger_.isCurrent()},
             {"cached_turn_bytes", d_->turns_.cachedBytes()},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 #define FILBERTGW_GATEWAY_GATEWAY_H
 
 #include "gateway/endpointdirectory.h"
+#include "gateway/fleet.h"
 #include "gateway/gatewaytypes.h"
 #include "gateway/placement.h"
 #include "gateway/routingtable.h"
@@ -26,6 +27,7 @@
     RecordStore store_;
     std::function<std::uint64_t(EndpointAttempt, AttemptHandlers)> startAttempt_;
     std::function<void(std::uint64_t attempt)> cancelAttempt_;
+    std::function<void(const std::string &address, const std::string &datagram)> sendDatagram_;
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
     std::function<void(const std::string &name, const std::string &label)> count_;
     std::function<void(const std::string &name, Duration)> observe_;
@@ -36,6 +38,7 @@
     ProgramLedgerSettings ledger_;
     TurnStoreSettings turns_;
     PlacementSettings placement_;
+    FleetSettings fleet_;
     Duration defaultTimeout_{30'000'000}; ///< For a request that names no time and whose route has none.
     Duration retryAfter_{300'000}; ///< When a refused client should come back.
     Duration capacityRetry_{25'000}; ///< Pause before full endpoints are tried again.
@@ -74,7 +77,7 @@
     bool isIdle() const;
     std::size_t openCalls() const;
 
-    Placement &placement();
+    void onDatagram(const std::string &datagram);
     nlohmann::json state() const;
 
     /** \brief The parts that a call works with; only for this module. */
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -190,6 +190,7 @@
     step_ = Step::Running;
     ++sends_;
     endpoint_ = endpoint.id_;
+    lastEndpoint_ = endpoint.id_;
     sentAt_ = gateway_->hooks_.now_();
     headArrived_ = false;
     head_ = AttemptHead();
@@ -355,6 +356,7 @@
     gateway_->hooks_.logEvent_("attempt_failed",
                                {{"request", request_->id_},
                                 {"program", request_->program_},
+                                {"endpoint", lastEndpoint_},
                                 {"end", nameOf(ended)},
                                 {"status", head_.status_},
                                 {"runs", runs_},
@@ -495,6 +497,9 @@
                                 {"program", request_->program_},
                                 {"route", route_ != nullptr ? route_->name_ : ""},
                                 {"outcome", outcome},
+                                {"endpoint", lastEndpoint_},
+                                {"first_ms", firstEventAt_ > Time{0} ? milliseconds(firstEventAt_ - arrived_) : 0.0},
+                                {"sent_ms", sends_ > 0 ? milliseconds(sentAt_ - arrived_) : 0.0},
                                 {"status", head_.status_},
                                 {"sends", sends_},
                                 {"runs", runs_},
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -83,6 +83,7 @@
 
     // The attempt in progress.
     std::string endpoint_; ///< Empty if there is none.
+    std::string lastEndpoint_; ///< Of the attempt in progress or the one before.
     std::uint64_t attempt_ = 0;
     AttemptHead head_;
     bool headArrived_ = false;
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -19,6 +19,7 @@
     Private(GatewayHooks hooks, GatewaySettings settings);
 
     void sweep();
+    FleetHooks fleetHooks();
 
     GatewayHooks hooks_;
     GatewaySettings settings_;
@@ -27,6 +28,7 @@
     Placement placement_;
     ProgramLedger ledger_;
     TurnStore turns_;
+    Fleet fleet_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
     bool stopping_ = false;
     bool stopped_ = false;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -46,12 +46,14 @@
     double least = 0.0;
     const Time now = now_();
     const bool isEngine = service != nullptr && service->engine_;
+    const double tokenMs = isEngine ? usualTokenMs(candidates) : 0.0;
     for (const Endpoint *candidate : candidates) {
         if (excluded.count(candidate->id_) > 0) {
             continue;
         }
         const Load &load = loads_[candidate->id_];
-        double cost = isEngine ? engineCost(load, *candidate, *service, request) : serviceCost(load, *candidate);
+        double cost =
+            isEngine ? engineCost(load, *candidate, *service, request, tokenMs) : serviceCost(load, *candidate);
         cost *= 1.0 + noise();
         if (load.avoidUntil_ > now) {
             cost += internal::avoidedCost;
@@ -67,7 +69,8 @@
 double Placement::engineCost(const Load &load,
                              const Endpoint &endpoint,
                              const Service &service,
-                             const GatewayRequest &request) const
+                             const GatewayRequest &request,
+                             double usualTokenMs) const
 {
     const double running = this->running(endpoint.id_);
     const double slots = std::max<double>(1.0, service.engine_->slots_);
@@ -77,7 +80,7 @@
     } else if (request.maxOutputTokens_ > 0) {
         tokens = std::min(tokens, static_cast<double>(request.maxOutputTokens_));
     }
-    const double tokenMs = load.tokenMs_ > 0.0 ? load.tokenMs_ : settings_.tokenMs_;
+    const double tokenMs = load.tokenMs_ > 0.0 ? load.tokenMs_ : usualTokenMs;
     const double batch = std::min(running, slots - 1.0);
     // Once for the request itself, once for what it adds to each of the others.
     const double decode = tokens * tokenMs * (1.0 + 2.0 * settings_.batchSlowdown_ * batch);
@@ -95,6 +98,21 @@
     return work * (1.0 + 0.5 * running / slots + 2.0 * queued / slots);
 }
 
+/** What an engine is taken to need until it has been observed: any other guess draws every node to a new engine. */
+double Placement::usualTokenMs(const std::vector<const Endpoint *> &candidates) const
+{
+    double sum = 0.0;
+    int observed = 0;
+    for (const Endpoint *candidate : candidates) {
+        const auto load = loads_.find(candidate->id_);
+        if (load != loads_.end() && load->second.tokenMs_ > 0.0) {
+            sum += load->second.tokenMs_;
+            ++observed;
+        }
+    }
+    return observed == 0 ? settings_.tokenMs_ : sum / observed;
+}
+
 std::uint64_t Placement::unreadTokens(const Load &load, const GatewayRequest &request) const
 {
     const Time now = now_();
@@ -181,6 +199,7 @@
 void Placement::forget(const std::string &endpoint)
 {
     loads_.erase(endpoint);
+    peerRunning_.erase(endpoint);
 }
 
 std::vector<std::pair<std::string, std::uint32_t>> Placement::ownLoad() const
@@ -194,27 +213,46 @@
     return result;
 }
 
+void Placement::dropPeerLoad(PeerLoad &peer)
+{
+    for (const std::pair<std::string, std::uint32_t> &entry : peer.running_) {
+        const auto sum = peerRunning_.find(entry.first);
+        if (sum != peerRunning_.end()) {
+            sum->second -= std::min(sum->second, entry.second);
+        }
+    }
+    peer.running_.clear();
+}
+
 void Placement::setPeerLoad(const std::string &peer, const std::vector<std::pair<std::string, std::uint32_t>> &load)
 {
     PeerLoad &known = peers_[peer];
+    dropPeerLoad(known);
     known.heard_ = now_();
-    known.running_.clear();
-    known.running_.insert(load.begin(), load.end());
+    known.running_ = load;
+    for (const std::pair<std::string, std::uint32_t> &entry : load) {
+        peerRunning_[entry.first] += entry.second;
+    }
 }
 
-std::uint32_t Placement::running(const std::string &endpoint) const
+void Placement::expirePeers()
 {
-    const auto own = loads_.find(endpoint);
-    std::uint32_t sum = own == loads_.end() ? 0 : own->second.own_;
     const Time oldest = now_() - settings_.peerLoadMemory_;
-    for (const std::pair<const std::string, PeerLoad> &peer : peers_) {
-        if (peer.second.heard_ < oldest) {
+    for (auto peer = peers_.begin(); peer != peers_.end();) {
+        if (peer->second.heard_ >= oldest) {
+            ++peer;
             continue;
         }
-        const auto found = peer.second.running_.find(endpoint);
-        sum += found == peer.second.running_.end() ? 0 : found->second;
+        dropPeerLoad(peer->second);
+        peer = peers_.erase(peer);
     }
-    return sum;
+}
+
+std::uint32_t Placement::running(const std::string &endpoint) const
+{
+    const auto own = loads_.find(endpoint);
+    const auto peers = peerRunning_.find(endpoint);
+    return (own == loads_.end() ? 0 : own->second.own_) + (peers == peerRunning_.end() ? 0 : peers->second);
 }
 
 } // namespace filbertgw
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -57,6 +57,8 @@
 
     /** \brief Requests of this node at each endpoint that has any. */
     std::vector<std::pair<std::string, std::uint32_t>> ownLoad() const;
+    /** \brief Drops what nodes said that have not been heard of lately. */
+    void expirePeers();
     /** \brief What another node said of its requests at endpoints. */
     void setPeerLoad(const std::string &peer, const std::vector<std::pair<std::string, std::uint32_t>> &load);
     /** \brief Requests that all nodes have at an endpoint, as far as known. */
@@ -75,20 +77,26 @@
     struct PeerLoad
     {
         Time heard_{0};
-        std::unordered_map<std::string, std::uint32_t> running_;
+        std::vector<std::pair<std::string, std::uint32_t>> running_;
     };
 
-    double
-    engineCost(const Load &load, const Endpoint &endpoint, const Service &service, const GatewayRequest &request) const;
+    double engineCost(const Load &load,
+                      const Endpoint &endpoint,
+                      const Service &service,
+                      const GatewayRequest &request,
+                      double usualTokenMs) const;
     double serviceCost(const Load &load, const Endpoint &endpoint) const;
     std::uint64_t unreadTokens(const Load &load, const GatewayRequest &request) const;
     double noise();
+    double usualTokenMs(const std::vector<const Endpoint *> &candidates) const;
+    void dropPeerLoad(PeerLoad &peer);
 
     Clock now_;
     RandomSource random_;
     PlacementSettings settings_;
     std::unordered_map<std::string, Load> loads_;
     std::unordered_map<std::string, PeerLoad> peers_;
+    std::unordered_map<std::string, std::uint32_t> peerRunning_; ///< Sums over peers_.
 };
 
 } // namespace filbertgw
--- a/src/ledger/turnstore.cpp
+++ b/src/ledger/turnstore.cpp
@@ -1,5 +1,7 @@
 #include "ledger/turnstore.h"
 
+#include "core/stablehash.h"
+
 #include <algorithm>
 #include <deque>
 #include <map>
@@ -15,16 +17,6 @@
 constexpr Duration retentionSlack{5'000'000};
 constexpr Duration sweepPeriod{1'000'000};
 
-/** FNV-1a: the same in every node and version, unlike std::hash. */
-std::uint64_t stableHash(const std::string &text)
-{
-    std::uint64_t hash = 14695981039346656037ULL;
-    for (const char c : text) {
-        hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
-    }
-    return hash;
-}
-
 struct CachedTurn
 {
     std::string previous_;
@@ -98,7 +90,7 @@
 
 std::uint32_t TurnStore::Private::partitionFor(const std::string &program) const
 {
-    return static_cast<std::uint32_t>(internal::stableHash(program) % partitions());
+    return static_cast<std::uint32_t>(stableHash(program) % partitions());
 }
 
 PartitionId TurnStore::Private::idOf(std::uint32_t partition) const
