Keep the turns of a conversation in one partition

Change: the partition follows from the conversation, which later programs share; the published places are gone; a turn that is not there is looked for by one scan with parallel reads for all requests that wait.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,13 +19,7 @@
     , directory_(hooks_.now_)
     , placement_(hooks_.now_, hooks_.random_, settings_.placement_)
     , ledger_(ProgramLedgerHooks{hooks_.now_, hooks_.after_, hooks_.store_, nullptr}, settings_.ledger_)
-    , turns_(TurnStoreHooks{
-                 hooks_.now_,
-                 hooks_.after_,
-                 hooks_.store_,
-                 [this](const std::string &turn, std::uint32_t partition) { ledger_.recordTurn(turn, partition); },
-                 [this](const std::string &turn) { return ledger_.partitionOfTurn(turn); }},
-             settings_.turns_)
+    , turns_(TurnStoreHooks{hooks_.now_, hooks_.after_, hooks_.store_}, settings_.turns_)
     , fleet_(fleetHooks(), settings_.fleet_)
 {
 }
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -85,7 +85,7 @@
         reserveBudget();
         return;
     }
-    gateway_->turns_.chain(request_->program_,
+    gateway_->turns_.chain(request_->conversation_,
                            request_->previousTurn_,
                            [self = shared_from_this()](ChainStatus status, const std::string &text) {
                                if (self->step_ == Step::Preparing) {
@@ -96,6 +96,16 @@
 
 void GatewayCall::chainLoaded(ChainStatus status, const std::string &text)
 {
+    const Duration took = gateway_->hooks_.now_() - arrived_;
+    if (took > Duration{0} || status != ChainStatus::Found) {
+        gateway_->hooks_.logEvent_("turn_chain_read",
+                                   {{"request", request_->id_},
+                                    {"program", request_->program_},
+                                    {"previous", request_->previousTurn_},
+                                    {"status", nameOf(status)},
+                                    {"bytes", text.size()},
+                                    {"ms", milliseconds(took)}});
+    }
     if (status != ChainStatus::Found) {
         refuse(status == ChainStatus::Missing ? RefusalReason::TurnMissing : RefusalReason::TurnUnknown);
         return;
@@ -389,7 +399,7 @@
 
 void GatewayCall::streamComplete()
 {
-    if (!retainsTurn() || request_->program_.empty()) {
+    if (!retainsTurn() || request_->conversation_.empty()) {
         reply_->finish();
         end("served");
         return;
@@ -405,7 +415,7 @@
         return;
     }
     storing_ = gateway_->turns_.store(
-        request_->program_, std::move(turn), [self = shared_from_this()] { self->turnDurable(); });
+        request_->conversation_, std::move(turn), [self = shared_from_this()] { self->turnDurable(); });
 }
 
 void GatewayCall::turnDurable()
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -42,6 +42,8 @@
     std::uint64_t expectedOutputTokens_ = 0; ///< The client's estimate; 0 for none.
     std::vector<PromptPart> prompt_;
     std::string previousTurn_; ///< Turn that this one continues from.
+    /** Shared by all lines of turns that continue from the same first turn, also across programs; may be empty. */
+    std::string conversation_;
     std::string lastEventId_;
     std::string affinityKey_;
 };
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -4,6 +4,7 @@
 
 #include <charconv>
 #include <deque>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -15,7 +16,6 @@
 
 const char *const ledgerStream = "ledger";
 constexpr char spendingPrefix = 'p';
-constexpr char turnPrefix = 't';
 /** A turn starts without a durable reservation only if this many more of its size fit into the budget. */
 constexpr std::uint64_t ampleTurns = 4;
 /** Records in one append; the rest follows in the next one. */
@@ -51,12 +51,6 @@
     }
 };
 
-struct TurnLocation
-{
-    std::uint32_t partition_ = 0;
-    Time learned_{0};
-};
-
 /** \brief A turn that waits until its reservation is durable and everything before it has been read. */
 struct WaitingTurn
 {
@@ -89,9 +83,8 @@
     ProgramLedgerSettings settings_;
     std::unique_ptr<StreamTail> tail_;
     std::unordered_map<std::string, internal::Spending> programs_;
-    std::unordered_map<std::string, internal::TurnLocation> turns_;
     std::vector<std::string> dirty_;
-    std::vector<KeyedRecord> plainRecords_; ///< Locations and deletions that wait for the next group.
+    std::vector<KeyedRecord> deletions_; ///< Wait for the next group.
     std::deque<internal::WaitingTurn> waiting_; ///< Reserved in dirty_ or later.
     std::deque<internal::WaitingTurn> inGroup_; ///< Their reservation is in the group being appended.
     std::deque<internal::WaitingTurn> durable_; ///< Wait to be read up to readUpTo_.
@@ -107,19 +100,8 @@
     if (record.key_.size() < 2) {
         return;
     }
-    const std::string key = record.key_.substr(1);
     if (record.key_[0] == internal::spendingPrefix) {
-        onSpending(key, record.value_);
-        return;
-    }
-    if (record.key_[0] != internal::turnPrefix) {
-        return;
-    }
-    const std::optional<std::uint64_t> partition = record.value_ ? internal::parseNumber(*record.value_) : std::nullopt;
-    if (partition) {
-        turns_[key] = internal::TurnLocation{static_cast<std::uint32_t>(*partition), hooks_.now_()};
-    } else {
-        turns_.erase(key);
+        onSpending(record.key_.substr(1), record.value_);
     }
 }
 
@@ -178,12 +160,12 @@
 
 void ProgramLedger::Private::flush()
 {
-    if (appending_ || stopped_ || (dirty_.empty() && plainRecords_.empty())) {
+    if (appending_ || stopped_ || (dirty_.empty() && deletions_.empty())) {
         return;
     }
     group_.to_ = PartitionId{internal::ledgerStream, 0};
     group_.records_.clear();
-    group_.records_.swap(plainRecords_);
+    group_.records_.swap(deletions_);
     std::vector<std::string> later;
     for (const std::string &program : dirty_) {
         if (group_.records_.size() >= internal::groupRecords) {
@@ -260,7 +242,7 @@
     }
     if (!waiting_.empty()) {
         flush();
-    } else if (!dirty_.empty() || !plainRecords_.empty()) {
+    } else if (!dirty_.empty() || !deletions_.empty()) {
         flushSoon(settings_.groupDelay_);
     }
 }
@@ -314,15 +296,12 @@
             continue;
         }
         if (entry->second.ownRecorded_) {
-            plainRecords_.push_back(
+            deletions_.push_back(
                 KeyedRecord{internal::spendingPrefix + entry->first + '/' + settings_.writer_, std::nullopt});
         }
         entry = programs_.erase(entry);
     }
-    for (auto entry = turns_.begin(); entry != turns_.end();) {
-        entry = entry->second.learned_ < oldest ? turns_.erase(entry) : std::next(entry);
-    }
-    if (!plainRecords_.empty()) {
+    if (!deletions_.empty()) {
         flushSoon(settings_.groupDelay_);
     }
     hooks_.after_(internal::expiryPeriod, [self = shared_from_this()] {
@@ -425,22 +404,9 @@
     return found == d_->programs_.end() ? 0 : found->second.total();
 }
 
-void ProgramLedger::recordTurn(const std::string &turn, std::uint32_t partition)
-{
-    d_->turns_[turn] = internal::TurnLocation{partition, d_->hooks_.now_()};
-    d_->plainRecords_.push_back(KeyedRecord{internal::turnPrefix + turn, std::to_string(partition)});
-    d_->flushSoon(d_->settings_.groupDelay_);
-}
-
-std::optional<std::uint32_t> ProgramLedger::partitionOfTurn(const std::string &turn) const
-{
-    const auto found = d_->turns_.find(turn);
-    return found == d_->turns_.end() ? std::nullopt : std::optional<std::uint32_t>(found->second.partition_);
-}
-
 bool ProgramLedger::isFlushed() const
 {
-    return !d_->appending_ && d_->dirty_.empty() && d_->plainRecords_.empty();
+    return !d_->appending_ && d_->dirty_.empty() && d_->deletions_.empty();
 }
 
 std::size_t ProgramLedger::programs() const
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace filbertgw {
@@ -57,7 +56,7 @@
 };
 
 /**
- * \brief Tokens that programs have spent, over all nodes, and where their retained turns are stored.
+ * \brief Tokens that programs have spent, over all nodes.
  *
  * Each node keeps one record a program: the tokens that it has handed out plus those that its running turns may still
  * generate. The spending of a program is the sum over the writers, so records never conflict. The first turn of a
@@ -83,10 +82,6 @@
     /** \brief Tokens spent or reserved by all nodes, as far as known. */
     std::uint64_t spent(const std::string &program) const;
 
-    /** \brief Publishes in which partition a retained turn is stored. */
-    void recordTurn(const std::string &turn, std::uint32_t partition);
-    std::optional<std::uint32_t> partitionOfTurn(const std::string &turn) const;
-
     /** \brief True if nothing waits to be appended. */
     bool isFlushed() const;
     std::size_t programs() const;
--- a/src/ledger/turnstore.cpp
+++ b/src/ledger/turnstore.cpp
@@ -26,15 +26,24 @@
 /** \brief One lookup of a chain; walks from the newest turn to the oldest. */
 struct Lookup
 {
-    std::string program_;
+    std::uint32_t partition_ = 0; ///< Where the wanted turn should be.
     std::string wanted_; ///< Turn that is looked for now.
     std::vector<std::string> found_; ///< Newest first.
-    std::vector<std::uint32_t> toRead_; ///< Partitions still to be read for wanted_.
-    bool everywhere_ = false; ///< All partitions are being read.
-    bool unreadable_ = false;
+    bool read_ = false; ///< The partition has been read for the wanted turn.
+    bool scanned_ = false; ///< So have all others.
     std::function<void(ChainStatus, std::string)> answer_;
 };
 
+/** \brief A read of every partition that finds out where turns are. */
+struct Scan
+{
+    std::vector<std::shared_ptr<Lookup>> lookups_;
+    std::unordered_map<std::string, std::uint32_t> partitionOf_;
+    std::uint32_t next_ = 0; ///< Partition to be read next.
+    std::uint32_t reading_ = 0;
+    bool unreadable_ = false;
+};
+
 struct PendingStore
 {
     StoreAppend append_;
@@ -57,19 +66,23 @@
 struct TurnStore::Private : std::enable_shared_from_this<TurnStore::Private>
 {
     using LookupPointer = std::shared_ptr<internal::Lookup>;
-    using Reader = std::function<void(StoreStatus)>;
+    using ScanPointer = std::shared_ptr<internal::Scan>;
 
     std::uint32_t partitions() const;
-    std::uint32_t partitionFor(const std::string &program) const;
+    std::uint32_t partitionFor(const std::string &conversation) const;
     PartitionId idOf(std::uint32_t partition) const;
     void cache(const std::string &id, internal::CachedTurn turn);
     void send(std::uint64_t number);
     void appended(std::uint64_t number, StoreStatus status);
     void advance(const LookupPointer &lookup);
-    void readNext(const LookupPointer &lookup);
     void finish(const LookupPointer &lookup, ChainStatus status);
     void readPartition(std::uint32_t partition, const LookupPointer &lookup, const std::string &after);
     void takePage(const StorePage &page, const LookupPointer &lookup);
+    void joinScan(const LookupPointer &lookup);
+    void startScan();
+    void scanMore(const ScanPointer &scan);
+    void scanPartition(const ScanPointer &scan, std::uint32_t partition, const std::string &after);
+    void scanEnded(const ScanPointer &scan);
     void sweep();
 
     TurnStoreHooks hooks_;
@@ -79,6 +92,8 @@
     std::size_t cachedBytes_ = 0;
     std::unordered_map<std::uint64_t, internal::PendingStore> pending_;
     std::deque<internal::ExpiringTurn> expiring_; ///< Written by this node.
+    std::vector<LookupPointer> waitingForScan_; ///< Join the next scan: the one that runs began before them.
+    bool scanning_ = false;
     std::uint64_t nextNumber_ = 1;
     bool stopped_ = false;
 };
@@ -88,9 +103,9 @@
     return settings_.streams_ * settings_.partitionsPerStream_;
 }
 
-std::uint32_t TurnStore::Private::partitionFor(const std::string &program) const
+std::uint32_t TurnStore::Private::partitionFor(const std::string &conversation) const
 {
-    return static_cast<std::uint32_t>(stableHash(program) % partitions());
+    return static_cast<std::uint32_t>(stableHash(conversation) % partitions());
 }
 
 PartitionId TurnStore::Private::idOf(std::uint32_t partition) const
@@ -140,7 +155,6 @@
     }
     const internal::PendingStore pending = std::move(found->second);
     pending_.erase(found);
-    hooks_.publishPartition_(pending.turn_, pending.partition_);
     expiring_.push_back(internal::ExpiringTurn{
         hooks_.now_() + pending.retention_ + internal::retentionSlack, pending.turn_, pending.partition_});
     pending.durable_();
@@ -155,39 +169,83 @@
         }
         lookup->found_.push_back(lookup->wanted_);
         lookup->wanted_ = turn->second.previous_;
-        lookup->toRead_.clear();
-        lookup->everywhere_ = false;
+        lookup->read_ = false;
+        lookup->scanned_ = false;
     }
     if (lookup->wanted_.empty()) {
         finish(lookup, ChainStatus::Found);
-        return;
+    } else if (!lookup->read_) {
+        lookup->read_ = true;
+        readPartition(lookup->partition_, lookup, {});
+    } else if (!lookup->scanned_) {
+        joinScan(lookup);
+    } else {
+        finish(lookup, ChainStatus::Missing);
     }
-    if (lookup->toRead_.empty() && !lookup->everywhere_) {
-        // The published partition first; readNext() takes them from the back.
-        lookup->toRead_.push_back(partitionFor(lookup->program_));
-        const std::optional<std::uint32_t> published = hooks_.partitionOf_(lookup->wanted_);
-        if (published && *published != lookup->toRead_.front()) {
-            lookup->toRead_.push_back(*published);
-        }
+}
+
+void TurnStore::Private::joinScan(const LookupPointer &lookup)
+{
+    waitingForScan_.push_back(lookup);
+    if (!scanning_) {
+        startScan();
     }
-    readNext(lookup);
 }
 
-void TurnStore::Private::readNext(const LookupPointer &lookup)
+void TurnStore::Private::startScan()
 {
-    if (lookup->toRead_.empty() && !lookup->everywhere_) {
-        lookup->everywhere_ = true;
-        for (std::uint32_t partition = 0; partition < partitions(); ++partition) {
-            lookup->toRead_.push_back(partition);
+    scanning_ = true;
+    const ScanPointer scan = std::make_shared<internal::Scan>();
+    scan->lookups_.swap(waitingForScan_);
+    scanMore(scan);
+}
+
+void TurnStore::Private::scanMore(const ScanPointer &scan)
+{
+    while (scan->reading_ < settings_.scanReads_ && scan->next_ < partitions() && !scan->unreadable_) {
+        ++scan->reading_;
+        scanPartition(scan, scan->next_++, {});
+    }
+    if (scan->reading_ == 0) {
+        scanEnded(scan);
+    }
+}
+
+void TurnStore::Private::scanPartition(const ScanPointer &scan, std::uint32_t partition, const std::string &after)
+{
+    hooks_.store_.newest_(idOf(partition), after, [self = shared_from_this(), scan, partition](const StorePage &page) {
+        if (self->stopped_) {
+            return;
+        }
+        for (const KeyedRecord &record : page.records_) {
+            scan->partitionOf_[record.key_] = partition;
+        }
+        scan->unreadable_ = scan->unreadable_ || page.status_ != StoreStatus::Ok;
+        if (page.more_ && !page.records_.empty() && !scan->unreadable_) {
+            self->scanPartition(scan, partition, page.records_.back().key_);
+            return;
+        }
+        --scan->reading_;
+        self->scanMore(scan);
+    });
+}
+
+void TurnStore::Private::scanEnded(const ScanPointer &scan)
+{
+    scanning_ = false;
+    for (const LookupPointer &lookup : scan->lookups_) {
+        const auto partition = scan->partitionOf_.find(lookup->wanted_);
+        if (partition != scan->partitionOf_.end()) {
+            lookup->partition_ = partition->second;
+            lookup->scanned_ = true;
+            readPartition(lookup->partition_, lookup, {});
+        } else {
+            finish(lookup, scan->unreadable_ ? ChainStatus::Unavailable : ChainStatus::Missing);
         }
     }
-    if (lookup->toRead_.empty()) {
-        finish(lookup, lookup->unreadable_ ? ChainStatus::Unavailable : ChainStatus::Missing);
-        return;
+    if (!waitingForScan_.empty() && !scanning_) {
+        startScan();
     }
-    const std::uint32_t next = lookup->toRead_.back();
-    lookup->toRead_.pop_back();
-    readPartition(next, lookup, {});
 }
 
 void TurnStore::Private::readPartition(std::uint32_t partition, const LookupPointer &lookup, const std::string &after)
@@ -293,12 +351,12 @@
     d_->stopped_ = true;
 }
 
-std::uint64_t TurnStore::store(const std::string &program, RetainedTurn turn, std::function<void()> durable)
+std::uint64_t TurnStore::store(const std::string &conversation, RetainedTurn turn, std::function<void()> durable)
 {
     const std::uint64_t number = d_->nextNumber_++;
     internal::PendingStore pending;
     pending.turn_ = turn.id_;
-    pending.partition_ = d_->partitionFor(program);
+    pending.partition_ = d_->partitionFor(conversation);
     pending.retention_ = turn.retention_;
     pending.durable_ = std::move(durable);
     pending.append_.to_ = d_->idOf(pending.partition_);
@@ -321,12 +379,12 @@
     return bytes + overhead <= d_->settings_.recordBytes_;
 }
 
-void TurnStore::chain(const std::string &program,
+void TurnStore::chain(const std::string &conversation,
                       const std::string &turn,
                       std::function<void(ChainStatus, std::string)> answer)
 {
     const Private::LookupPointer lookup = std::make_shared<internal::Lookup>();
-    lookup->program_ = program;
+    lookup->partition_ = d_->partitionFor(conversation);
     lookup->wanted_ = turn;
     lookup->answer_ = std::move(answer);
     d_->advance(lookup);
--- a/src/ledger/turnstore.h
+++ b/src/ledger/turnstore.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace filbertgw {
@@ -42,9 +41,6 @@
     Clock now_;
     std::function<std::uint64_t(Duration, std::function<void()>)> after_;
     RecordStore store_;
-    /** \brief Publishes and looks up the partition of a turn. \sa ProgramLedger */
-    std::function<void(const std::string &turn, std::uint32_t partition)> publishPartition_;
-    std::function<std::optional<std::uint32_t>(const std::string &turn)> partitionOf_;
 };
 
 struct TurnStoreSettings
@@ -55,14 +51,15 @@
     std::size_t recordBytes_ = 256 * 1024; ///< Largest record that the store takes.
     Duration appendTimeout_{600'000}; ///< After this the same record is sent again, which is harmless.
     Duration retry_{50'000};
+    std::uint32_t scanReads_ = 8; ///< Partitions that a scan reads at the same time.
 };
 
 /**
  * \brief Keeps retained turns in the record store, one record each, and puts chains together from them.
  *
- * All turns of a program are in one partition, chosen by the program's id, so that one read finds a chain. A turn
- * that another program continues from is found through the published partition, and failing that by reading every
- * partition. A turn is in the store before its response ends.
+ * All turns of a conversation are in one partition, so that one read finds a chain. A turn that is not found there is
+ * looked for in every partition, by one scan for all requests that wait. A turn is in the store before its response
+ * ends.
  */
 class TurnStore
 {
@@ -74,14 +71,15 @@
      * \brief Stores a turn; tries again until it is durable.
      * \return a number for abandon().
      */
-    std::uint64_t store(const std::string &program, RetainedTurn turn, std::function<void()> durable);
+    std::uint64_t store(const std::string &conversation, RetainedTurn turn, std::function<void()> durable);
     /** \brief Stops trying; the turn may be durable all the same. */
     void abandon(std::uint64_t number);
     bool fits(std::size_t bytes) const;
 
     /** \brief The texts of a turn and all before it, oldest first, joined. */
-    void
-    chain(const std::string &program, const std::string &turn, std::function<void(ChainStatus, std::string)> answer);
+    void chain(const std::string &conversation,
+               const std::string &turn,
+               std::function<void(ChainStatus, std::string)> answer);
 
     std::size_t cachedBytes() const;
 
