--- /dev/null
+++ b/bench/fakes/fakestore.cpp
@@ -0,0 +1,157 @@
+#include "fakes/fakestore.h"
+
+#include <algorithm>
+
+namespace filbertgw::bench {
+
+FakeStore::FakeStore(EventQueue &queue)
+    : queue_(queue)
+{
+}
+
+FakeStore::Partition &FakeStore::partition(const PartitionId &id)
+{
+    return partitions_[id.stream_ + '/' + std::to_string(id.partition_)];
+}
+
+bool FakeStore::isReachable(const std::string &node) const
+{
+    const auto refused = refuses_.find(node);
+    return !down_ && (refused == refuses_.end() || !refused->second);
+}
+
+RecordStore FakeStore::access(const std::string &node)
+{
+    RecordStore store;
+    store.append_ = [this, node](const StoreAppend &request, std::function<void(const StoreAppended &)> done) {
+        queue_.after(latency_ / 2, [this, node, request, done = std::move(done)] {
+            if (!isReachable(node)) {
+                const StoreStatus status = down_ ? StoreStatus::Unknown : StoreStatus::Rejected;
+                queue_.after(down_ ? request.timeout_ : latency_, [done, status] { done(StoreAppended{status}); });
+                return;
+            }
+            const StoreAppended result = append(request);
+            if (loseAnswers_ > 0) {
+                --loseAnswers_;
+                queue_.after(request.timeout_, [done] { done(StoreAppended{}); });
+                return;
+            }
+            queue_.after(latency_ / 2, [done, result] { done(result); });
+        });
+    };
+    store.read_ = [this, node](const StoreRead &request, std::function<void(const StorePage &)> done) {
+        const Time until = queue_.now() + request.wait_;
+        queue_.after(latency_ / 2,
+                     [this, node, request, done = std::move(done), until] { read(node, request, done, until); });
+    };
+    store.newest_ =
+        [this, node](const PartitionId &id, const std::string &after, std::function<void(const StorePage &)> done) {
+            queue_.after(latency_, [this, node, id, after, done = std::move(done)] {
+                StorePage page;
+                if (!isReachable(node)) {
+                    page.status_ = down_ ? StoreStatus::Unknown : StoreStatus::Rejected;
+                    queue_.after(down_ ? timeout_ : Duration{0}, [done, page] { done(page); });
+                    return;
+                }
+                constexpr std::size_t pageRecords = 3; // Small, so that tests meet several pages.
+                const Partition &from = partition(id);
+                page.status_ = StoreStatus::Ok;
+                page.end_ = from.records_.size();
+                auto next = after.empty() ? from.newest_.begin() : from.newest_.upper_bound(after);
+                for (; next != from.newest_.end() && page.records_.size() < pageRecords; ++next) {
+                    page.records_.push_back(next->second);
+                }
+                page.more_ = next != from.newest_.end();
+                done(page);
+            });
+        };
+    return store;
+}
+
+StoreAppended FakeStore::append(const StoreAppend &request)
+{
+    Partition &to = partition(request.to_);
+    if (request.sequence_) {
+        auto known = to.writers_.find(request.sequence_->writer_);
+        if (known != to.writers_.end() && known->second.first == request.sequence_->epoch_) {
+            const std::uint64_t last = known->second.second;
+            if (request.sequence_->sequence_ <= last) {
+                return StoreAppended{StoreStatus::Ok, to.records_.size(), 0};
+            }
+            if (request.sequence_->sequence_ != last + 1) {
+                return StoreAppended{StoreStatus::Fenced, 0, last + 1};
+            }
+        }
+        to.writers_[request.sequence_->writer_] = {request.sequence_->epoch_, request.sequence_->sequence_};
+    }
+    ++appends_;
+    for (const KeyedRecord &record : request.records_) {
+        put(request.to_, record.key_, record.value_);
+    }
+    return StoreAppended{StoreStatus::Ok, to.records_.size(), 0};
+}
+
+void FakeStore::put(const PartitionId &id, const std::string &key, const std::optional<std::string> &value)
+{
+    Partition &to = partition(id);
+    const KeyedRecord record{key, value, to.records_.size()};
+    to.records_.push_back(record);
+    if (value) {
+        to.newest_[key] = record;
+    } else {
+        to.newest_.erase(key);
+    }
+    std::vector<std::function<void()>> waiting;
+    waiting.swap(to.waiting_);
+    for (std::function<void()> &read : waiting) {
+        queue_.after(Duration{0}, std::move(read));
+    }
+}
+
+void FakeStore::read(const std::string &node,
+                     const StoreRead &request,
+                     std::function<void(const StorePage &)> done,
+                     Time until)
+{
+    StorePage page;
+    if (!isReachable(node)) {
+        page.status_ = down_ ? StoreStatus::Unknown : StoreStatus::Rejected;
+        queue_.after(down_ ? request.wait_ + timeout_ : latency_, [done, page] { done(page); });
+        return;
+    }
+    Partition &from = partition(request.from_);
+    page.end_ = from.records_.size();
+    if (request.offset_ < from.first_) {
+        page.status_ = StoreStatus::Trimmed;
+    } else {
+        page.status_ = StoreStatus::Ok;
+        page.records_.assign(from.records_.begin() + static_cast<std::ptrdiff_t>(request.offset_), from.records_.end());
+    }
+    if (page.status_ == StoreStatus::Ok && page.records_.empty() && queue_.now() < until) {
+        const std::shared_ptr<bool> ended = std::make_shared<bool>(false);
+        const auto again = [this, node, request, done, until, ended] {
+            if (!*ended) {
+                *ended = true;
+                read(node, request, done, until);
+            }
+        };
+        from.waiting_.push_back(again);
+        queue_.at(until, again);
+        return;
+    }
+    queue_.after(latency_ / 2, [done, page] { done(page); });
+}
+
+void FakeStore::trim()
+{
+    for (std::pair<const std::string, Partition> &entry : partitions_) {
+        entry.second.first_ = entry.second.records_.size();
+    }
+}
+
+std::size_t FakeStore::appends() const
+{
+    return appends_;
+}
+
+} // namespace filbertgw::bench
--- /dev/null
+++ b/src/gateway/budgetcontroller.cpp
@@ -0,0 +1,155 @@
+#include "gateway/budgetcontroller.h"
+
+namespace filbertgw {
+
+namespace internal {
+namespace {
+
+const char *const reserveType = "budget_reserve";
+const char *const settleType = "budget_settle";
+/** Longest time that a turn waits for another node's decision. */
+constexpr Duration askTimeout{900'000};
+
+BudgetDecision decisionIn(const std::optional<nlohmann::json> &answer)
+{
+    if (!answer || !answer->is_object() || !answer->contains("decision") || !(*answer)["decision"].is_string()) {
+        return BudgetDecision::Unavailable;
+    }
+    return valueOf<BudgetDecision>((*answer)["decision"].get<std::string>()).value_or(BudgetDecision::Unavailable);
+}
+
+bool isNumber(const nlohmann::json &body, const char *name)
+{
+    return body.contains(name) && body[name].is_number_unsigned();
+}
+
+bool isText(const nlohmann::json &body, const char *name)
+{
+    return body.contains(name) && body[name].is_string();
+}
+
+} // namespace
+} // namespace internal
+
+BudgetController::BudgetController(BudgetControllerHooks hooks, ProgramLedger &ledger, Fleet &fleet)
+    : hooks_(std::move(hooks))
+    , ledger_(ledger)
+    , fleet_(fleet)
+{
+}
+
+void BudgetController::reserve(const TurnReservation &turn, std::function<void(const BudgetGrant &)> decided)
+{
+    if (!ledger_.isCurrent()) {
+        reserveElsewhere(turn, decided);
+        return;
+    }
+    ledger_.reserve(turn, [this, turn, decided = std::move(decided)](BudgetDecision made) {
+        if (made == BudgetDecision::Unavailable) {
+            reserveElsewhere(turn, decided);
+        } else {
+            decided(BudgetGrant{made, turn.program_, turn.tokens_, {}});
+        }
+    });
+}
+
+void BudgetController::reserveElsewhere(const TurnReservation &turn, const Decided &decided)
+{
+    const std::optional<FleetMember> current = fleet_.currentNode(turn.program_);
+    const std::optional<FleetMember> chosen = current ? current : fleet_.homeOf(turn.program_);
+    if (!chosen) {
+        decided(BudgetGrant{BudgetDecision::Unavailable, turn.program_, 0, {}});
+        return;
+    }
+    if (fleet_.isSelf(*chosen)) {
+        const BudgetDecision made = ledger_.reserveWithoutStore(turn);
+        decided(BudgetGrant{made, turn.program_, turn.tokens_, {}});
+        return;
+    }
+    ask(*chosen, turn, decided);
+}
+
+void BudgetController::ask(const FleetMember &member, const TurnReservation &turn, const Decided &decided)
+{
+    const nlohmann::json body = {{"program", turn.program_},
+                                 {"budget", turn.budget_},
+                                 {"tokens", turn.tokens_},
+                                 {"main_line", turn.mainLine_},
+                                 {"writer", ledger_.writer()},
+                                 {"own", ledger_.ownSpending(turn.program_)}};
+    const auto answered = [this, member, turn, decided](const std::optional<nlohmann::json> &answer) {
+        const BudgetDecision made = internal::decisionIn(answer);
+        hooks_.logEvent_("budget_asked",
+                         {{"program", turn.program_},
+                          {"peer", member.name_},
+                          {"answered", answer.has_value()},
+                          {"decision", nameOf(made)}});
+        decided(BudgetGrant{made, turn.program_, turn.tokens_, member.linkAddress_});
+    };
+    hooks_.askPeer_(member.linkAddress_, internal::reserveType, body, internal::askTimeout, answered);
+}
+
+void BudgetController::settle(const BudgetGrant &grant, std::uint64_t used)
+{
+    if (grant.decision_ != BudgetDecision::Granted) {
+        return;
+    }
+    if (grant.holder_.empty()) {
+        ledger_.settle(grant.program_, grant.tokens_, used);
+        return;
+    }
+    const nlohmann::json body = {{"program", grant.program_}, {"reserved", grant.tokens_}, {"used", used}};
+    // Without an answer the reservation stands, which errs on the safe side.
+    hooks_.askPeer_(
+        grant.holder_, internal::settleType, body, internal::askTimeout, [](const std::optional<nlohmann::json> &) {});
+}
+
+/** Decides for a node that has lost the store. */
+void BudgetController::decideForOthers(const TurnReservation &turn, std::function<void(BudgetDecision)> decided)
+{
+    if (ledger_.isCurrent()) {
+        ledger_.reserve(turn, std::move(decided));
+        return;
+    }
+    const std::optional<FleetMember> home =
+        fleet_.currentNode(turn.program_) ? std::nullopt : fleet_.homeOf(turn.program_);
+    const bool isHome = home && fleet_.isSelf(*home);
+    decided(isHome ? ledger_.reserveWithoutStore(turn) : BudgetDecision::Unavailable);
+}
+
+bool BudgetController::onPeerRequest(const std::string &type,
+                                     const nlohmann::json &body,
+                                     const std::function<void(const nlohmann::json &)> &answer)
+{
+    if (type != internal::reserveType && type != internal::settleType) {
+        return false;
+    }
+    if (!body.is_object() || !internal::isText(body, "program")) {
+        answer({});
+        return true;
+    }
+    const std::string program = body["program"].get<std::string>();
+    if (type == internal::settleType) {
+        if (internal::isNumber(body, "reserved") && internal::isNumber(body, "used")) {
+            ledger_.settle(program, body["reserved"].get<std::uint64_t>(), body["used"].get<std::uint64_t>());
+        }
+        answer({{"settled", true}});
+        return true;
+    }
+    const bool isComplete = internal::isNumber(body, "budget") && internal::isNumber(body, "tokens")
+        && internal::isNumber(body, "own") && internal::isText(body, "writer") && body.contains("main_line")
+        && body["main_line"].is_boolean();
+    if (!isComplete) {
+        answer({});
+        return true;
+    }
+    ledger_.noteSpending(program, body["writer"].get<std::string>(), body["own"].get<std::uint64_t>());
+    const TurnReservation turn{program,
+                               body["budget"].get<std::uint64_t>(),
+                               body["tokens"].get<std::uint64_t>(),
+                               body["main_line"].get<bool>()};
+    decideForOthers(turn, [answer](BudgetDecision made) { answer({{"decision", nameOf(made)}}); });
+    return true;
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/gateway/budgetcontroller.h
@@ -0,0 +1,70 @@
+#ifndef FILBERTGW_GATEWAY_BUDGETCONTROLLER_H
+#define FILBERTGW_GATEWAY_BUDGETCONTROLLER_H
+
+#include "gateway/fleet.h"
+#include "ledger/programledger.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace filbertgw {
+
+/** \brief Tokens that were reserved for a turn, and the node whose account they are in. */
+struct BudgetGrant
+{
+    BudgetDecision decision_ = BudgetDecision::Unavailable;
+    std::string program_;
+    std::uint64_t tokens_ = 0;
+    std::string holder_; ///< Link address of the node that reserved them; empty for this one.
+};
+
+struct BudgetControllerHooks
+{
+    /** \brief Sends a request to another node; nothing is returned if it did not answer in time. */
+    std::function<void(const std::string &address,
+                       const std::string &type,
+                       const nlohmann::json &body,
+                       Duration timeout,
+                       std::function<void(const std::optional<nlohmann::json> &)> answer)>
+        askPeer_;
+    std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
+};
+
+/**
+ * \brief Decides whether a turn fits into the budget of its program, also while the store can't be reached.
+ *
+ * A node whose knowledge is current decides with the store. One that has lost the store asks a node that has not.
+ * While no node reaches it, one node decides about each program for all others, if it hears of most nodes: it counts
+ * what it has granted itself and what the asking nodes say of themselves.
+ */
+class BudgetController
+{
+public:
+    BudgetController(BudgetControllerHooks hooks, ProgramLedger &ledger, Fleet &fleet);
+
+    void reserve(const TurnReservation &turn, std::function<void(const BudgetGrant &)> decided);
+    void settle(const BudgetGrant &grant, std::uint64_t used);
+    /** \brief Answers a request of another node. \return false if the type is not one of this class. */
+    bool onPeerRequest(const std::string &type,
+                       const nlohmann::json &body,
+                       const std::function<void(const nlohmann::json &)> &answer);
+
+private:
+    using Decided = std::function<void(const BudgetGrant &)>;
+
+    void reserveElsewhere(const TurnReservation &turn, const Decided &decided);
+    void ask(const FleetMember &member, const TurnReservation &turn, const Decided &decided);
+    void decideForOthers(const TurnReservation &turn, std::function<void(BudgetDecision)> decided);
+
+    BudgetControllerHooks hooks_;
+    ProgramLedger &ledger_;
+    Fleet &fleet_;
+};
+
+} // namespace filbertgw
+
+#endif
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,7 @@
     , ledger_(ProgramLedgerHooks{hooks_.now_, hooks_.after_, hooks_.store_, nullptr}, settings_.ledger_)
     , turns_(TurnStoreHooks{hooks_.now_, hooks_.after_, hooks_.store_}, settings_.turns_)
     , fleet_(fleetHooks(), settings_.fleet_)
+    , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_}, ledger_, fleet_)
 {
 }
 
@@ -144,6 +145,15 @@
     d_->fleet_.onDatagram(datagram);
 }
 
+void Gateway::onPeerRequest(const std::string &type,
+                            const nlohmann::json &body,
+                            const std::function<void(const nlohmann::json &)> &answer)
+{
+    if (!d_->budget_.onPeerRequest(type, body, answer)) {
+        answer({});
+    }
+}
+
 nlohmann::json Gateway::state() const
 {
     return {{"configuration_version", d_->routing_ ? d_->routing_->version() : 0},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAY_H
 #define FILBERTGW_GATEWAY_GATEWAY_H
 
+#include "gateway/budgetcontroller.h"
 #include "gateway/endpointdirectory.h"
 #include "gateway/fleet.h"
 #include "gateway/gatewaytypes.h"
@@ -28,6 +29,13 @@
     std::function<std::uint64_t(EndpointAttempt, AttemptHandlers)> startAttempt_;
     std::function<void(std::uint64_t attempt)> cancelAttempt_;
     std::function<void(const std::string &address, const std::string &datagram)> sendDatagram_;
+    /** \sa BudgetControllerHooks::askPeer_ */
+    std::function<void(const std::string &address,
+                       const std::string &type,
+                       const nlohmann::json &body,
+                       Duration timeout,
+                       std::function<void(const std::optional<nlohmann::json> &)> answer)>
+        askPeer_;
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
     std::function<void(const std::string &name, const std::string &label)> count_;
     std::function<void(const std::string &name, Duration)> observe_;
@@ -78,6 +86,10 @@
     std::size_t openCalls() const;
 
     void onDatagram(const std::string &datagram);
+    /** \brief Answers a request of another node. */
+    void onPeerRequest(const std::string &type,
+                       const nlohmann::json &body,
+                       const std::function<void(const nlohmann::json &)> &answer);
     nlohmann::json state() const;
 
     /** \brief The parts that a call works with; only for this module. */
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -125,25 +125,23 @@
     turn.budget_ = *request_->tokenBudget_;
     turn.tokens_ = request_->maxOutputTokens_;
     turn.mainLine_ = request_->session_ == request_->program_;
-    gateway_->ledger_.reserve(turn, [self = shared_from_this(), tokens = turn.tokens_](BudgetDecision made) {
-        if (made == BudgetDecision::Granted) {
-            self->reserved_ = tokens;
-        }
+    gateway_->budget_.reserve(turn, [self = shared_from_this()](const BudgetGrant &grant) {
+        self->grant_ = grant;
         if (self->step_ == Step::Preparing) {
-            self->budgetDecided(made);
+            self->budgetDecided(grant);
         } else {
             self->settleBudget();
         }
     });
 }
 
-void GatewayCall::budgetDecided(BudgetDecision decision)
+void GatewayCall::budgetDecided(const BudgetGrant &grant)
 {
-    if (decision == BudgetDecision::Granted) {
+    if (grant.decision_ == BudgetDecision::Granted) {
         place();
         return;
     }
-    refuse(decision == BudgetDecision::Exhausted ? RefusalReason::BudgetSpent : RefusalReason::BudgetUnknown);
+    refuse(grant.decision_ == BudgetDecision::Exhausted ? RefusalReason::BudgetSpent : RefusalReason::BudgetUnknown);
 }
 
 const Endpoint *GatewayCall::chooseEndpoint()
@@ -218,7 +216,7 @@
         route_->mayRepeat() ? gateway_->settings_.idleReuseRepeatable_ : gateway_->settings_.idleReuse_;
     if (service_ != nullptr && service_->engine_) {
         attempt.urgency_ =
-            gateway_->ledger_.spent(request_->program_) > reserved_ ? urgencyOfLaterTurns : urgencyOfFirstTurns;
+            gateway_->ledger_.spent(request_->program_) > grant_.tokens_ ? urgencyOfLaterTurns : urgencyOfFirstTurns;
     }
     gateway_->placement_.started(endpoint, *request_);
     AttemptHandlers handlers;
@@ -474,12 +472,9 @@
 
 void GatewayCall::settleBudget()
 {
-    if (reserved_ == 0) {
-        return;
-    }
     const std::uint64_t each = service_ != nullptr && service_->engine_ ? service_->engine_->tokensPerEvent_ : 1;
-    gateway_->ledger_.settle(request_->program_, reserved_, events_ * each);
-    reserved_ = 0;
+    gateway_->budget_.settle(grant_, events_ * each);
+    grant_ = BudgetGrant();
 }
 
 void GatewayCall::end(const char *outcome)
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -37,7 +37,7 @@
     void loadChain();
     void chainLoaded(ChainStatus status, const std::string &text);
     void reserveBudget();
-    void budgetDecided(BudgetDecision decision);
+    void budgetDecided(const BudgetGrant &grant);
 
     // Attempts.
     void place();
@@ -97,7 +97,7 @@
     std::unordered_set<std::string> excluded_; ///< Endpoints that have refused or failed.
     std::uint32_t runs_ = 0; ///< Attempts that may have run.
     std::uint32_t sends_ = 0;
-    std::uint64_t reserved_ = 0; ///< Tokens.
+    BudgetGrant grant_;
     std::uint64_t events_ = 0; ///< Handed to the client.
     std::string lastEventId_;
     std::string output_; ///< Data of the events, if the turn is retained.
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -29,6 +29,7 @@
     ProgramLedger ledger_;
     TurnStore turns_;
     Fleet fleet_;
+    BudgetController budget_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
     bool stopping_ = false;
     bool stopped_ = false;
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -2,6 +2,7 @@
 
 #include "store/streamtail.h"
 
+#include <algorithm>
 #include <charconv>
 #include <deque>
 #include <optional>
@@ -33,6 +34,30 @@
     return value;
 }
 
+/** \brief What one node has recorded of a program. */
+struct SpendingRecord
+{
+    std::uint64_t tokens_ = 0;
+    std::uint64_t group_ = 0; ///< Number of the append among those of the writer.
+};
+
+std::string encode(const SpendingRecord &record)
+{
+    return std::to_string(record.tokens_) + ' ' + std::to_string(record.group_);
+}
+
+std::optional<SpendingRecord> decode(const std::string &value)
+{
+    const std::size_t space = value.find(' ');
+    const std::optional<std::uint64_t> tokens = parseNumber(value.substr(0, space));
+    const std::optional<std::uint64_t> group =
+        space == std::string::npos ? std::nullopt : parseNumber(value.substr(space + 1));
+    if (!tokens || !group) {
+        return std::nullopt;
+    }
+    return SpendingRecord{*tokens, *group};
+}
+
 struct Spending
 {
     std::vector<std::pair<std::string, std::uint64_t>> others_; ///< Tokens by writer.
@@ -43,7 +68,11 @@
 
     std::uint64_t total() const
     {
-        std::uint64_t sum = own_;
+        return own_ + totalOfOthers();
+    }
+    std::uint64_t totalOfOthers() const
+    {
+        std::uint64_t sum = 0;
         for (const std::pair<std::string, std::uint64_t> &other : others_) {
             sum += other.second;
         }
@@ -51,13 +80,13 @@
     }
 };
 
-/** \brief A turn that waits until its reservation is durable and everything before it has been read. */
+/** \brief A turn that waits until its reservation has been read back, after everything that came before it. */
 struct WaitingTurn
 {
     std::string program_;
     std::uint64_t budget_ = 0;
     std::uint64_t tokens_ = 0;
-    std::uint64_t readUpTo_ = 0; ///< 0 until the append has ended.
+    std::uint64_t group_ = 0; ///< Number of the append that its reservation is in.
     Time deadline_{0};
     std::function<void(BudgetDecision)> decided_;
 };
@@ -68,14 +97,16 @@
 struct ProgramLedger::Private : std::enable_shared_from_this<ProgramLedger::Private>
 {
     void onRecord(const KeyedRecord &record);
+    void onReachable(bool reachable);
     void onSpending(const std::string &key, const std::optional<std::string> &value);
+    void setOther(const std::string &program, const std::string &writer, std::optional<std::uint64_t> tokens);
     void markDirty(const std::string &program, internal::Spending &spending);
     void flushSoon(Duration delay);
     void flush();
     void sendGroup();
     void groupAppended(const StoreAppended &result);
-    void groupDurable(std::uint64_t end);
-    void decideWaiting();
+    void groupDurable();
+    void decideWaiting(const std::string &program, const internal::SpendingRecord &own);
     void expireWaiting();
     void expire();
 
@@ -86,10 +117,10 @@
     std::vector<std::string> dirty_;
     std::vector<KeyedRecord> deletions_; ///< Wait for the next group.
     std::deque<internal::WaitingTurn> waiting_; ///< Reserved in dirty_ or later.
-    std::deque<internal::WaitingTurn> inGroup_; ///< Their reservation is in the group being appended.
-    std::deque<internal::WaitingTurn> durable_; ///< Wait to be read up to readUpTo_.
+    std::deque<internal::WaitingTurn> sent_; ///< Their reservation has been sent and was not read back yet.
     StoreAppend group_;
     WriterSequence sequence_;
+    Time regained_{0}; ///< End of the last loss of the store that made the knowledge outdated.
     bool appending_ = false;
     bool flushPlanned_ = false;
     bool stopped_ = false;
@@ -105,18 +136,39 @@
     }
 }
 
+void ProgramLedger::Private::onReachable(bool reachable)
+{
+    const Time now = hooks_.now_();
+    if (reachable && tail_->isComplete() && now - tail_->currentAsOf() > settings_.currentFor_) {
+        regained_ = now;
+    }
+    if (hooks_.onReachable_) {
+        hooks_.onReachable_(reachable);
+    }
+}
+
 void ProgramLedger::Private::onSpending(const std::string &key, const std::optional<std::string> &value)
 {
     const std::size_t slash = key.rfind('/');
     if (slash == std::string::npos) {
         return;
     }
+    const std::string program = key.substr(0, slash);
     const std::string writer = key.substr(slash + 1);
-    if (writer == settings_.writer_) {
-        return;
+    const std::optional<internal::SpendingRecord> record = value ? internal::decode(*value) : std::nullopt;
+    if (writer != settings_.writer_) {
+        setOther(program, writer, record ? std::optional<std::uint64_t>(record->tokens_) : std::nullopt);
+    } else if (record) {
+        decideWaiting(program, *record);
     }
-    const std::optional<std::uint64_t> tokens = value ? internal::parseNumber(*value) : std::nullopt;
-    internal::Spending &spending = programs_[key.substr(0, slash)];
+}
+
+/** Sets or, without a number, removes what another writer has spent. */
+void ProgramLedger::Private::setOther(const std::string &program,
+                                      const std::string &writer,
+                                      std::optional<std::uint64_t> tokens)
+{
+    internal::Spending &spending = programs_[program];
     spending.lastUse_ = hooks_.now_();
     for (auto other = spending.others_.begin(); other != spending.others_.end(); ++other) {
         if (other->first == writer) {
@@ -166,6 +218,7 @@
     group_.to_ = PartitionId{internal::ledgerStream, 0};
     group_.records_.clear();
     group_.records_.swap(deletions_);
+    ++sequence_.sequence_;
     std::vector<std::string> later;
     for (const std::string &program : dirty_) {
         if (group_.records_.size() >= internal::groupRecords) {
@@ -175,8 +228,8 @@
         internal::Spending &spending = programs_[program];
         spending.dirty_ = false;
         spending.ownRecorded_ = true;
-        group_.records_.push_back(
-            KeyedRecord{internal::spendingPrefix + program + '/' + settings_.writer_, std::to_string(spending.own_)});
+        group_.records_.push_back(KeyedRecord{internal::spendingPrefix + program + '/' + settings_.writer_,
+                                              internal::encode({spending.own_, sequence_.sequence_})});
     }
     dirty_.swap(later);
     // A turn whose program is still dirty keeps waiting for a later group.
@@ -185,10 +238,10 @@
             ++turn;
             continue;
         }
-        inGroup_.push_back(std::move(*turn));
+        turn->group_ = sequence_.sequence_;
+        sent_.push_back(std::move(*turn));
         turn = waiting_.erase(turn);
     }
-    ++sequence_.sequence_;
     group_.sequence_ = sequence_;
     appending_ = true;
     sendGroup();
@@ -206,12 +259,12 @@
 void ProgramLedger::Private::groupAppended(const StoreAppended &result)
 {
     if (result.status_ == StoreStatus::Ok) {
-        groupDurable(result.end_);
+        groupDurable();
         return;
     }
     if (result.status_ == StoreStatus::Fenced && result.expectedSequence_ == sequence_.sequence_ + 1) {
-        // An earlier try took effect and its answer was lost; everything known by now has to be read.
-        groupDurable(tail_->position() + 1);
+        // An earlier try took effect and its answer was lost.
+        groupDurable();
         return;
     }
     if (result.status_ == StoreStatus::Fenced) {
@@ -226,19 +279,12 @@
     });
 }
 
-void ProgramLedger::Private::groupDurable(std::uint64_t end)
+void ProgramLedger::Private::groupDurable()
 {
     appending_ = false;
     group_.records_.clear();
-    const bool mustRead = !inGroup_.empty();
-    for (internal::WaitingTurn &turn : inGroup_) {
-        turn.readUpTo_ = end;
-        durable_.push_back(std::move(turn));
-    }
-    inGroup_.clear();
-    if (mustRead) {
+    if (!sent_.empty()) {
         tail_->readNow();
-        decideWaiting();
     }
     if (!waiting_.empty()) {
         flush();
@@ -247,16 +293,31 @@
     }
 }
 
-void ProgramLedger::Private::decideWaiting()
+/**
+ * Decides about the turns whose reservations are in a record that has been read back: what other nodes have recorded
+ * before it counts, what comes later does not. So the first of several concurrent reservations is granted.
+ */
+void ProgramLedger::Private::decideWaiting(const std::string &program, const internal::SpendingRecord &own)
 {
-    while (!durable_.empty() && tail_->position() >= durable_.front().readUpTo_) {
-        const internal::WaitingTurn turn = std::move(durable_.front());
-        durable_.pop_front();
-        internal::Spending &spending = programs_[turn.program_];
-        const bool fits = spending.total() <= turn.budget_;
-        if (!fits) {
+    std::vector<internal::WaitingTurn> turns;
+    std::uint64_t spent = own.tokens_;
+    for (auto turn = sent_.begin(); turn != sent_.end();) {
+        if (turn->program_ != program || turn->group_ != own.group_) {
+            ++turn;
+            continue;
+        }
+        spent -= std::min(spent, turn->tokens_);
+        turns.push_back(std::move(*turn));
+        turn = sent_.erase(turn);
+    }
+    for (const internal::WaitingTurn &turn : turns) {
+        internal::Spending &spending = programs_[program];
+        const bool fits = spent + spending.totalOfOthers() + turn.tokens_ <= turn.budget_;
+        if (fits) {
+            spent += turn.tokens_;
+        } else {
             spending.own_ -= turn.tokens_;
-            markDirty(turn.program_, spending);
+            markDirty(program, spending);
             flushSoon(settings_.groupDelay_);
         }
         turn.decided_(fits ? BudgetDecision::Granted : BudgetDecision::Exhausted);
@@ -267,7 +328,7 @@
 void ProgramLedger::Private::expireWaiting()
 {
     const Time now = hooks_.now_();
-    for (std::deque<internal::WaitingTurn> *queue : {&waiting_, &inGroup_, &durable_}) {
+    for (std::deque<internal::WaitingTurn> *queue : {&waiting_, &sent_}) {
         std::vector<internal::WaitingTurn> late;
         for (auto turn = queue->begin(); turn != queue->end();) {
             if (turn->deadline_ > now) {
@@ -321,13 +382,12 @@
     tail.now_ = d_->hooks_.now_;
     tail.after_ = d_->hooks_.after_;
     tail.store_ = d_->hooks_.store_;
-    tail.onReachable_ = d_->hooks_.onReachable_;
+    tail.onReachable_ = [d = d_.get()](bool reachable) { d->onReachable(reachable); };
     tail.onRecord_ = [d = d_.get()](const KeyedRecord &record) { d->onRecord(record); };
     StreamTailSettings tailSettings;
     tailSettings.partition_ = PartitionId{internal::ledgerStream, 0};
     tailSettings.pause_ = d_->settings_.readPause_;
     tailSettings.wait_ = d_->settings_.currentFor_ / 3;
-    tailSettings.onCaughtUp_ = [d = d_.get()] { d->decideWaiting(); };
     d_->tail_ = std::make_unique<StreamTail>(std::move(tail), std::move(tailSettings));
 }
 
@@ -345,7 +405,9 @@
 
 bool ProgramLedger::isCurrent() const
 {
-    return d_->tail_->isComplete() && d_->hooks_.now_() - d_->tail_->currentAsOf() <= d_->settings_.currentFor_;
+    const Time now = d_->hooks_.now_();
+    return d_->tail_->isComplete() && now - d_->tail_->currentAsOf() <= d_->settings_.currentFor_
+        && (d_->regained_ == Time{0} || now - d_->regained_ >= d_->settings_.regainDelay_);
 }
 
 bool ProgramLedger::isComplete() const
@@ -387,6 +449,39 @@
     d_->flush();
 }
 
+BudgetDecision ProgramLedger::reserveWithoutStore(const TurnReservation &turn)
+{
+    if (!isComplete()) {
+        return BudgetDecision::Unavailable;
+    }
+    internal::Spending &spending = d_->programs_[turn.program_];
+    if (spending.total() + turn.tokens_ > turn.budget_) {
+        return BudgetDecision::Exhausted;
+    }
+    spending.own_ += turn.tokens_;
+    d_->markDirty(turn.program_, spending);
+    d_->flushSoon(d_->settings_.groupDelay_);
+    return BudgetDecision::Granted;
+}
+
+void ProgramLedger::noteSpending(const std::string &program, const std::string &writer, std::uint64_t tokens)
+{
+    if (tokens > 0) {
+        d_->setOther(program, writer, tokens);
+    }
+}
+
+std::uint64_t ProgramLedger::ownSpending(const std::string &program) const
+{
+    const auto found = d_->programs_.find(program);
+    return found == d_->programs_.end() ? 0 : found->second.own_;
+}
+
+const std::string &ProgramLedger::writer() const
+{
+    return d_->settings_.writer_;
+}
+
 void ProgramLedger::settle(const std::string &program, std::uint64_t reserved, std::uint64_t used)
 {
     if (reserved == used) {
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -51,6 +51,8 @@
     Duration groupDelay_{80'000}; ///< Changes are collected for this long before they are appended.
     Duration readPause_{250'000}; ///< Time between two reads of what other nodes have appended.
     Duration currentFor_{900'000}; ///< Age up to which the knowledge of other nodes' spending counts as current.
+    /** After a loss of the store its knowledge counts again after this, when what was granted without it is in it. */
+    Duration regainDelay_{1'500'000};
     Duration strictTimeout_{700'000}; ///< Longest time that a turn waits for its durable reservation.
     Duration retention_{120'000'000}; ///< A program that was idle for longer is forgotten.
 };
@@ -77,6 +79,17 @@
 
     /** \brief Reserves the tokens that a turn may generate. The reservation stands only if the decision is Granted. */
     void reserve(const TurnReservation &turn, std::function<void(BudgetDecision)> decided);
+    /**
+     * \brief The same without the store, from what is known.
+     *
+     * Only safe at the one node that decides about the program while no node reaches the store.
+     */
+    BudgetDecision reserveWithoutStore(const TurnReservation &turn);
+    /** \brief Takes over what another node says that it has spent on a program itself. */
+    void noteSpending(const std::string &program, const std::string &writer, std::uint64_t tokens);
+    /** \brief Tokens spent or reserved by this node. */
+    std::uint64_t ownSpending(const std::string &program) const;
+    const std::string &writer() const;
     /** \brief Replaces a reservation by what the turn has used. */
     void settle(const std::string &program, std::uint64_t reserved, std::uint64_t used);
     /** \brief Tokens spent or reserved by all nodes, as far as known. */
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -538,6 +538,10 @@
     if (keepAlive_) {
         state_ = State::Idle;
         setDeadline(server_->limits_.idleSeconds_);
+        if (server_->stopping_) {
+            // The head of this answer was sent before the stop, so that the caller may go on using the connection.
+            closeSoonIfIdle();
+        }
         flushSoon();
         parse();
         return;
@@ -825,10 +829,15 @@
     if (!d_->acceptor_.is_open()) {
         return;
     }
-    d_->stopping_ = true;
     d_->acceptWaiting();
     boost::system::error_code ignored;
     d_->acceptor_.close(ignored);
+    closePolitely();
+}
+
+void HttpServer::closePolitely()
+{
+    d_->stopping_ = true;
     const std::vector<std::shared_ptr<internal::HttpConnection>> all(d_->connections_.begin(), d_->connections_.end());
     for (const std::shared_ptr<internal::HttpConnection> &connection : all) {
         connection->closeSoonIfIdle();
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -17,6 +17,12 @@
     ~HttpServer();
 
     std::uint16_t port() const;
+    /**
+     * \brief Asks every caller to close its connection from now on, with its answer or while it is idle.
+     *
+     * New connections are still accepted. \sa stopAccepting()
+     */
+    void closePolitely();
     /**
      * \brief Closes the listening socket and idle connections; requests in progress go on.
      *
--- a/src/store/streamtail.cpp
+++ b/src/store/streamtail.cpp
@@ -161,9 +161,6 @@
     if (position_ >= page.end_) {
         currentAsOf_ = std::max(currentAsOf_, sent);
     }
-    if (settings_.onCaughtUp_) {
-        settings_.onCaughtUp_();
-    }
     if (position_ < page.end_ || readAgain_) {
         read();
         return;
--- a/src/store/streamtail.h
+++ b/src/store/streamtail.h
@@ -25,7 +25,6 @@
     Duration pause_{200'000}; ///< Between two reads, so that records are read in groups.
     Duration wait_{1'000'000}; ///< Longest time that the store holds a read without records.
     Duration retry_{100'000}; ///< After a read that failed.
-    std::function<void()> onCaughtUp_; ///< If set, called after each read that succeeded.
 };
 
 /**
--- /dev/null
+++ b/test/gateway/budget.cpp
@@ -0,0 +1,151 @@
+#include "gatewayrig.h"
+
+#include <gtest/gtest.h>
+
+namespace filbertgw::test {
+
+namespace {
+
+constexpr Duration moment = std::chrono::milliseconds(300);
+constexpr std::size_t nodeCount = 5;
+
+/** \brief Sends one turn of a sub-agent to every node at the same moment. \return how many reached an engine. */
+std::size_t sendEverywhere(GatewayRig &rig, const std::string &program, const std::string &round)
+{
+    const std::size_t before = rig.attempts_.size();
+    for (std::size_t node = 0; node < rig.nodes_.size(); ++node) {
+        if (rig.nodes_[node]) {
+            const std::string id = round + std::to_string(node);
+            rig.send(node, turn(id, program, "sub-" + id));
+        }
+    }
+    rig.run(std::chrono::milliseconds(1200));
+    return rig.attempts_.size() - before;
+}
+
+/** \brief Ends every attempt that runs with three events of 100 tokens, all that a turn may generate. */
+void spendAll(GatewayRig &rig, std::size_t first)
+{
+    for (std::size_t i = first; i < rig.attempts_.size(); ++i) {
+        rig.stream(i, {"a", "b", "c"}, true);
+    }
+    rig.run(moment);
+}
+
+} // namespace
+
+/** \brief The state of the store while turns of one program arrive at all nodes at once. */
+struct BudgetCase
+{
+    const char *name_;
+    bool down_;
+    std::size_t refusedNodes_;
+    std::uint64_t lostAnswers_;
+    std::size_t leastRuns_; ///< Of turns with 300 tokens each and a budget of 1,000.
+};
+
+class BudgetUnder : public testing::TestWithParam<BudgetCase>
+{
+};
+
+// Guards against nodes that each grant a turn from what they alone know: the budget of 1,000 holds three turns.
+TEST_P(BudgetUnder, ConcurrentTurnsNeverExceedTheBudget)
+{
+    GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    rig.run(moment);
+    rig.store_.down_ = GetParam().down_;
+    for (std::size_t i = 0; i < GetParam().refusedNodes_; ++i) {
+        rig.store_.refuses_["node" + std::to_string(i)] = true;
+    }
+    rig.store_.loseAnswers_ = GetParam().lostAnswers_;
+    rig.run(std::chrono::seconds(3));
+    const std::size_t first = sendEverywhere(rig, "p", "a");
+    EXPECT_LE(first, 3U);
+    spendAll(rig, 0);
+    sendEverywhere(rig, "p", "b");
+    sendEverywhere(rig, "p", "c");
+    EXPECT_LE(rig.attempts_.size(), 3U);
+    EXPECT_GE(rig.attempts_.size(), GetParam().leastRuns_);
+    spendAll(rig, first);
+    // The store returns: what was granted without it counts.
+    rig.store_.down_ = false;
+    rig.store_.refuses_.clear();
+    rig.run(std::chrono::seconds(5));
+    sendEverywhere(rig, "p", "d");
+    EXPECT_LE(rig.attempts_.size(), 3U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         BudgetUnder,
+                         testing::Values(BudgetCase{"Calm", false, 0, 0, 1},
+                                         BudgetCase{"LostAnswers", false, 0, 3, 1},
+                                         BudgetCase{"SomeNodesRefused", false, 3, 0, 1},
+                                         BudgetCase{"StoreDown", true, 0, 0, 3}),
+                         [](const testing::TestParamInfo<BudgetCase> &info) { return info.param.name_; });
+
+// Guards against a node that decides alone while it hears of nobody.
+TEST(Budget, NodeThatHearsNobodyGrantsNothingWithoutTheStore)
+{
+    GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    rig.store_.refuses_["node0"] = true;
+    rig.deafNodes_.insert("node0");
+    rig.run(std::chrono::seconds(3));
+    const std::shared_ptr<ClientAnswer> client = rig.send(0, turn("t1", "p", "p"));
+    rig.run(std::chrono::seconds(2));
+    EXPECT_EQ(client->status_, 503);
+    EXPECT_TRUE(rig.attempts_.empty());
+}
+
+// Guards against budgets that are forgotten when all nodes are killed at once.
+TEST(Budget, SpendingSurvivesTheLossOfAllNodes)
+{
+    GatewayRig rig(3, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    for (int i = 0; i < 3; ++i) {
+        rig.send(0, turn("t" + std::to_string(i), "p", "p"));
+        rig.run(moment);
+        spendAll(rig, rig.attempts_.size() - 1);
+    }
+    ASSERT_EQ(rig.attempts_.size(), 3U);
+    for (std::size_t node = 0; node < 3; ++node) {
+        rig.kill(node);
+    }
+    rig.store_.trim();
+    for (std::size_t node = 0; node < 3; ++node) {
+        rig.restart(node);
+    }
+    rig.run(std::chrono::seconds(2));
+    const std::shared_ptr<ClientAnswer> client = rig.send(1, turn("t9", "p", "p"));
+    rig.run(moment);
+    EXPECT_EQ(client->status_, 402);
+    EXPECT_EQ(rig.attempts_.size(), 3U);
+}
+
+// Guards against reservations that are kept for tokens which were never generated.
+TEST(Budget, UnusedTokensAreGivenBack)
+{
+    GatewayRig rig(2, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    for (int i = 0; i < 7; ++i) {
+        rig.send(i % 2, turn("t" + std::to_string(i), "p", "p"));
+        rig.run(moment);
+        ASSERT_EQ(rig.attempts_.size(), static_cast<std::size_t>(i) + 1);
+        rig.stream(rig.attempts_.size() - 1, {"a"}, true);
+        rig.run(moment);
+    }
+}
+
+// Guards against a refusal for lack of budget after the turn has run.
+TEST(Budget, RefusedTurnReachesNoEngine)
+{
+    GatewayRig rig(1, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 1);
+    GatewayRequest large = turn("t1", "p", "p");
+    large.maxOutputTokens_ = 1001;
+    EXPECT_EQ(rig.send(0, large)->status_, 402);
+    EXPECT_TRUE(rig.attempts_.empty());
+}
+
+} // namespace filbertgw::test
--- /dev/null
+++ b/test/gateway/calls.cpp
@@ -0,0 +1,208 @@
+#include "gatewayrig.h"
+
+#include <gtest/gtest.h>
+
+namespace filbertgw::test {
+
+namespace {
+
+constexpr Duration moment = std::chrono::milliseconds(200);
+
+} // namespace
+
+/** \brief How the first attempt ends, and what must follow. */
+struct FirstAttempt
+{
+    const char *name_;
+    RouteKind kind_;
+    AttemptEnd end_;
+    bool refused_;
+    std::size_t attempts_; ///< Sends in all, the second one answered.
+    int status_;
+};
+
+class FirstAttemptFails : public testing::TestWithParam<FirstAttempt>
+{
+};
+
+// Guards against a second run of a request that may run once, and against giving up on one that did not run.
+TEST_P(FirstAttemptFails, IsRepeatedOnlyIfThatIsAllowed)
+{
+    GatewayRig rig(1, {plainRoute(GetParam().kind_, 2)});
+    rig.addEndpoints("services", "s", 3);
+    const std::shared_ptr<ClientAnswer> client = rig.send(0, plainRequest("r1"));
+    ASSERT_EQ(rig.attempts_.size(), 1U);
+    if (GetParam().refused_) {
+        rig.refuse(0);
+    } else {
+        rig.end(0, GetParam().end_);
+    }
+    rig.run(moment);
+    ASSERT_EQ(rig.attempts_.size(), GetParam().attempts_);
+    if (GetParam().attempts_ == 2) {
+        EXPECT_NE(rig.attempts_[0].attempt_.endpoint_, rig.attempts_[1].attempt_.endpoint_);
+        EXPECT_LT(rig.attempts_[1].attempt_.timeLeft_, rig.attempts_[0].attempt_.timeLeft_ + Duration{1});
+        rig.answer(1, 200, "done");
+    }
+    EXPECT_TRUE(client->ended_);
+    EXPECT_EQ(client->status_, GetParam().status_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    FirstAttemptFails,
+    testing::Values(FirstAttempt{"IdempotentBroken", RouteKind::Idempotent, AttemptEnd::Broken, false, 2, 200},
+                    FirstAttempt{"NonIdempotentBroken", RouteKind::NonIdempotent, AttemptEnd::Broken, false, 1, 502},
+                    FirstAttempt{
+                        "NonIdempotentTimedOut", RouteKind::NonIdempotent, AttemptEnd::TimedOut, false, 1, 504},
+                    FirstAttempt{"NonIdempotentNotSent", RouteKind::NonIdempotent, AttemptEnd::NotSent, false, 2, 200},
+                    FirstAttempt{"NonIdempotentRefused", RouteKind::NonIdempotent, AttemptEnd::Complete, true, 2, 200},
+                    FirstAttempt{"UnsignedAnswer", RouteKind::NonIdempotent, AttemptEnd::Complete, false, 1, 502}),
+    [](const testing::TestParamInfo<FirstAttempt> &info) { return info.param.name_; });
+
+// Guards against more runs than the route allows.
+TEST(Calls, RunOnNoMoreEndpointsThanTheRouteAllows)
+{
+    GatewayRig rig(1, {plainRoute(RouteKind::Idempotent, 2)});
+    rig.addEndpoints("services", "s", 5);
+    const std::shared_ptr<ClientAnswer> client = rig.send(0, plainRequest("r1"));
+    rig.end(0, AttemptEnd::Broken);
+    rig.run(moment);
+    rig.end(1, AttemptEnd::Broken);
+    rig.run(moment);
+    EXPECT_EQ(rig.attempts_.size(), 2U);
+    EXPECT_EQ(client->status_, 502);
+}
+
+// Guards against a request that waits for its deadline although no endpoint takes it.
+TEST(Calls, WithoutEndpointsAreRefusedAtOnce)
+{
+    GatewayRig rig(1, {plainRoute(RouteKind::NonIdempotent, 1)});
+    rig.addEndpoints("others", "o", 1);
+    const std::shared_ptr<ClientAnswer> client = rig.send(0, plainRequest("r1"));
+    EXPECT_EQ(client->status_, 503);
+    EXPECT_EQ(client->headers_.count("Retry-After"), 1U);
+}
+
+// Guards against a client that is kept waiting beyond the route's time.
+TEST(Calls, EndAtTheRoutesTimeout)
+{
+    GatewayRig rig(1, {plainRoute(RouteKind::NonIdempotent, 1)});
+    rig.addEndpoints("services", "s", 1);
+    const std::shared_ptr<ClientAnswer> client = rig.send(0, plainRequest("r1"));
+    rig.run(std::chrono::milliseconds(2100));
+    EXPECT_EQ(client->status_, 504);
+    EXPECT_TRUE(rig.attempts_[0].cancelled_);
+}
+
+// Guards against engines that go on working for a client that has left.
+TEST(Calls, ClientThatLeavesEndsTheAttempt)
+{
+    GatewayRig rig(1, {plainRoute(RouteKind::Idempotent, 2)});
+    rig.addEndpoints("services", "s", 2);
+    const std::shared_ptr<ClientAnswer> client = rig.send(0, plainRequest("r1"));
+    client->closed_();
+    EXPECT_TRUE(rig.attempts_[0].cancelled_);
+    rig.run(std::chrono::seconds(3));
+    EXPECT_EQ(rig.attempts_.size(), 1U);
+}
+
+// Guards against new work for an endpoint that said that it leaves.
+TEST(Calls, DrainingEndpointGetsNothing)
+{
+    GatewayRig rig(1, {plainRoute(RouteKind::Idempotent, 2)});
+    rig.addEndpoints("services", "s", 2);
+    Endpoint leaving;
+    leaving.id_ = "s0";
+    leaving.service_ = "services";
+    leaving.address_ = "s0";
+    leaving.slots_ = 4;
+    leaving.draining_ = true;
+    rig.nodes_[0]->updateEndpoint(leaving);
+    for (int i = 0; i < 20; ++i) {
+        rig.send(0, plainRequest("r" + std::to_string(i)));
+    }
+    for (const ReceivedAttempt &attempt : rig.attempts_) {
+        EXPECT_EQ(attempt.attempt_.endpoint_, "s1");
+    }
+}
+
+// Guards against the loss of live endpoints whose entries lapsed while the registry was away.
+TEST(Calls, EntryThatLapsedInAnOutageMayComeBack)
+{
+    GatewayRig rig(1, {plainRoute(RouteKind::Idempotent, 2)});
+    rig.addEndpoints("services", "s", 1);
+    rig.run(std::chrono::seconds(5));
+    rig.nodes_[0]->setRegistryReachable(false);
+    rig.run(std::chrono::seconds(5));
+    rig.nodes_[0]->setRegistryReachable(true);
+    rig.nodes_[0]->removeEndpoint("s0");
+    rig.run(std::chrono::seconds(1));
+    rig.send(0, plainRequest("r1"));
+    EXPECT_EQ(rig.attempts_.size(), 1U);
+    rig.run(std::chrono::seconds(2));
+    const std::shared_ptr<ClientAnswer> late = rig.send(0, plainRequest("r2"));
+    EXPECT_EQ(rig.attempts_.size(), 1U) << "an entry that stays away is gone";
+    EXPECT_EQ(late->status_, 503);
+}
+
+// Guards against an older version of the configuration that arrives after a newer one.
+TEST(Calls, ConfigurationNeverReverts)
+{
+    GatewayRig rig(1, {plainRoute(RouteKind::Idempotent, 2)});
+    rig.addEndpoints("services", "s", 1);
+    Route moved = plainRoute(RouteKind::Idempotent, 2);
+    moved.pathPrefix_ = "/moved/";
+    rig.nodes_[0]->setRouting(
+        std::make_shared<const RoutingTable>(9, std::vector<Route>{moved}, std::vector<Service>{}));
+    rig.nodes_[0]->setRouting(std::make_shared<const RoutingTable>(
+        8, std::vector<Route>{plainRoute(RouteKind::Idempotent, 2)}, std::vector<Service>{}));
+    EXPECT_EQ(rig.send(0, plainRequest("r1"))->status_, 404);
+}
+
+// Guards against a stream that goes on in the wrong place, repeats events or shows half an event.
+TEST(Streams, BrokenStreamIsResumedAfterItsLastWholeEvent)
+{
+    GatewayRig rig(1, {streamingRoute(false, 2, true)});
+    rig.addEndpoints("engines", "e", 2);
+    const std::shared_ptr<ClientAnswer> client = rig.send(0, turn("t1", "p", "p"));
+    rig.run(moment);
+    ASSERT_EQ(rig.attempts_.size(), 1U);
+    rig.stream(0, {"a", "b"}, false);
+    rig.attempts_[0].handlers_.onPart_("id: 3\ndata: ha");
+    rig.end(0, AttemptEnd::Broken);
+    rig.run(moment);
+    ASSERT_EQ(rig.attempts_.size(), 2U);
+    EXPECT_EQ(rig.attempts_[1].attempt_.lastEventId_, "2");
+    rig.stream(1, {"half"}, true, 3);
+    EXPECT_TRUE(client->ended_);
+    EXPECT_EQ(client->body_, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: half\n\n");
+}
+
+// Guards against an incomplete stream that looks complete.
+TEST(Streams, BrokenStreamThatMayNotBeResumedIsCutVisibly)
+{
+    GatewayRig rig(1, {streamingRoute(false, 1, true)});
+    rig.addEndpoints("engines", "e", 2);
+    const std::shared_ptr<ClientAnswer> client = rig.send(0, turn("t1", "p", "p"));
+    rig.stream(0, {"a"}, false);
+    rig.end(0, AttemptEnd::Broken);
+    rig.run(moment);
+    EXPECT_TRUE(client->aborted_);
+    EXPECT_FALSE(client->ended_);
+    EXPECT_EQ(rig.attempts_.size(), 1U);
+}
+
+// Guards against a stream that ends inside an event and is taken for whole.
+TEST(Streams, EndInsideAnEventIsNoEnd)
+{
+    GatewayRig rig(1, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 1);
+    const std::shared_ptr<ClientAnswer> client = rig.send(0, turn("t1", "p", "p"));
+    rig.stream(0, {"a"}, false);
+    rig.attempts_[0].handlers_.onPart_("id: 2\nda");
+    rig.end(0, AttemptEnd::Complete);
+    EXPECT_TRUE(client->aborted_);
+}
+
+} // namespace filbertgw::test
--- /dev/null
+++ b/test/gateway/gatewayrig.cpp
@@ -0,0 +1,288 @@
+#include "gatewayrig.h"
+
+#include <gtest/gtest.h>
+
+namespace filbertgw::test {
+
+namespace {
+
+class RigReply : public HttpReply
+{
+public:
+    RigReply(std::shared_ptr<ClientAnswer> answer, bench::EventQueue &queue)
+        : answer_(std::move(answer))
+        , queue_(queue)
+    {
+    }
+    void setHeader(const std::string &name, const std::string &value) override
+    {
+        answer_->headers_[name] = value;
+    }
+    void send(int status, const std::string &, const std::string &body) override
+    {
+        answer_->status_ = status;
+        answer_->body_ = body;
+        finish();
+    }
+    void startStream(int status, const std::string &) override
+    {
+        answer_->status_ = status;
+    }
+    void write(const std::string &part) override
+    {
+        answer_->body_ += part;
+    }
+    void finish() override
+    {
+        EXPECT_FALSE(answer_->ended_) << "an answer ended twice";
+        answer_->ended_ = true;
+        answer_->endedAt_ = queue_.now();
+    }
+    void abort() override
+    {
+        answer_->aborted_ = true;
+        answer_->endedAt_ = queue_.now();
+    }
+    void onClosed(std::function<void()> closed) override
+    {
+        answer_->closed_ = std::move(closed);
+    }
+
+private:
+    std::shared_ptr<ClientAnswer> answer_;
+    bench::EventQueue &queue_;
+};
+
+} // namespace
+
+Route streamingRoute(bool retainsTurns, std::uint32_t maxAttempts, bool resumable)
+{
+    Route route;
+    route.name_ = "turns";
+    route.host_ = "h";
+    route.pathPrefix_ = "/turns/";
+    route.kind_ = RouteKind::Streaming;
+    route.targets_ = {RouteTarget{"engines", 1.0}};
+    route.timeout_ = std::chrono::seconds(3);
+    route.retention_ = std::chrono::seconds(60);
+    route.maxAttempts_ = maxAttempts;
+    route.retainsTurns_ = retainsTurns;
+    route.resumable_ = resumable;
+    return route;
+}
+
+Route plainRoute(RouteKind kind, std::uint32_t maxAttempts)
+{
+    Route route;
+    route.name_ = "plain";
+    route.host_ = "h";
+    route.pathPrefix_ = "/plain/";
+    route.kind_ = kind;
+    route.targets_ = {RouteTarget{"services", 1.0}};
+    route.timeout_ = std::chrono::seconds(2);
+    route.maxAttempts_ = maxAttempts;
+    return route;
+}
+
+GatewayRequest turn(const std::string &id, const std::string &program, const std::string &session)
+{
+    GatewayRequest request;
+    request.id_ = id;
+    request.method_ = "POST";
+    request.host_ = "h";
+    request.target_ = "/turns/x";
+    request.body_ = "input-" + id + ";";
+    request.timeLeft_ = std::chrono::seconds(3);
+    request.program_ = program;
+    request.session_ = session;
+    request.tokenBudget_ = 1000;
+    request.maxOutputTokens_ = 300;
+    request.conversation_ = "c-" + program;
+    return request;
+}
+
+GatewayRequest plainRequest(const std::string &id)
+{
+    GatewayRequest request;
+    request.id_ = id;
+    request.method_ = "POST";
+    request.host_ = "h";
+    request.target_ = "/plain/x";
+    request.timeLeft_ = std::chrono::seconds(2);
+    return request;
+}
+
+GatewayRig::GatewayRig(std::size_t nodes, const std::vector<Route> &routes)
+    : store_(queue_)
+    , routes_(routes)
+{
+    for (std::size_t i = 0; i < nodes; ++i) {
+        nodes_.push_back(nullptr);
+    }
+    for (std::size_t i = 0; i < nodes; ++i) {
+        restart(i);
+    }
+    run(std::chrono::seconds(2));
+}
+
+std::string GatewayRig::nameOfNode(std::size_t node) const
+{
+    return "node" + std::to_string(node);
+}
+
+GatewayHooks GatewayRig::hooksOf(std::size_t node)
+{
+    const std::string name = nameOfNode(node);
+    GatewayHooks hooks;
+    hooks.now_ = [this] { return queue_.now(); };
+    hooks.random_ = [this] { return random_(); };
+    hooks.after_ = [this](Duration delay, std::function<void()> task) {
+        queue_.after(delay, std::move(task));
+        return std::uint64_t{0};
+    };
+    hooks.cancelTimer_ = [](std::uint64_t) {};
+    hooks.store_ = store_.access(name);
+    hooks.startAttempt_ = [this](const EndpointAttempt &attempt, AttemptHandlers handlers) {
+        attempts_.push_back(ReceivedAttempt{attempts_.size() + 1, attempt, std::move(handlers)});
+        return attempts_.size();
+    };
+    hooks.cancelAttempt_ = [this](std::uint64_t attempt) { attempts_.at(attempt - 1).cancelled_ = true; };
+    const auto reaches = [this, name](const std::string &other) {
+        return deafNodes_.count(name) == 0 && deafNodes_.count(other) == 0;
+    };
+    hooks.sendDatagram_ = [this, reaches](const std::string &address, const std::string &datagram) {
+        queue_.after(std::chrono::milliseconds(1), [this, reaches, address, datagram] {
+            for (std::size_t i = 0; i < nodes_.size(); ++i) {
+                if (nodes_[i] && nameOfNode(i) == address && reaches(address)) {
+                    nodes_[i]->onDatagram(datagram);
+                }
+            }
+        });
+    };
+    hooks.askPeer_ = [this, reaches](const std::string &address,
+                                     const std::string &type,
+                                     const nlohmann::json &body,
+                                     Duration timeout,
+                                     std::function<void(const std::optional<nlohmann::json> &)> answer) {
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            if (nodes_[i] && nameOfNode(i) == address && reaches(address)) {
+                queue_.after(std::chrono::milliseconds(1), [this, i, type, body, answer] {
+                    nodes_[i]->onPeerRequest(type, body, [answer](const nlohmann::json &json) { answer(json); });
+                });
+                return;
+            }
+        }
+        queue_.after(timeout, [answer] { answer(std::nullopt); });
+    };
+    hooks.logEvent_ = [](const std::string &, const nlohmann::json &) {};
+    hooks.count_ = [](const std::string &, const std::string &) {};
+    hooks.observe_ = [](const std::string &, Duration) {};
+    return hooks;
+}
+
+void GatewayRig::configure(Gateway &gateway)
+{
+    Service engines;
+    engines.name_ = "engines";
+    engines.engine_ = EngineProfile{4, 100, 100'000};
+    Service services;
+    services.name_ = "services";
+    gateway.setRouting(
+        std::make_shared<const RoutingTable>(version_, routes_, std::vector<Service>{engines, services}));
+    gateway.setRegistryReachable(true);
+    for (const Endpoint &endpoint : endpoints_) {
+        gateway.updateEndpoint(endpoint);
+    }
+}
+
+void GatewayRig::kill(std::size_t node)
+{
+    nodes_[node].reset();
+}
+
+void GatewayRig::restart(std::size_t node)
+{
+    GatewaySettings settings;
+    const std::string name = nameOfNode(node);
+    settings.ledger_.writer_ = name + '.' + std::to_string(++starts_);
+    settings.turns_.streams_ = 2;
+    settings.turns_.partitionsPerStream_ = 2;
+    settings.fleet_.self_ = FleetMember{name, name, name};
+    nodes_[node] = std::make_unique<Gateway>(hooksOf(node), settings);
+    nodes_[node]->start();
+    configure(*nodes_[node]);
+}
+
+void GatewayRig::addEndpoints(const std::string &service, const std::string &prefix, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        Endpoint endpoint;
+        endpoint.id_ = prefix + std::to_string(i);
+        endpoint.service_ = service;
+        endpoint.address_ = endpoint.id_;
+        endpoint.slots_ = 4;
+        endpoints_.push_back(endpoint);
+    }
+    for (const std::unique_ptr<Gateway> &node : nodes_) {
+        if (node) {
+            configure(*node);
+        }
+    }
+}
+
+std::shared_ptr<ClientAnswer> GatewayRig::send(std::size_t node, GatewayRequest request)
+{
+    const std::shared_ptr<ClientAnswer> answer = std::make_shared<ClientAnswer>();
+    nodes_.at(node)->onRequest(std::move(request), std::make_shared<RigReply>(answer, queue_));
+    return answer;
+}
+
+void GatewayRig::run(Duration time)
+{
+    queue_.runUntil(queue_.now() + time);
+}
+
+void GatewayRig::stream(std::size_t attempt, const std::vector<std::string> &data, bool ends, std::uint64_t firstId)
+{
+    const AttemptHandlers handlers = attempts_.at(attempt).handlers_;
+    AttemptHead head;
+    head.status_ = 200;
+    head.fromEndpoint_ = true;
+    head.headers_["content-type"] = "text/event-stream";
+    handlers.onHead_(head);
+    for (const std::string &text : data) {
+        handlers.onPart_("id: " + std::to_string(firstId++) + "\ndata: " + text + "\n\n");
+    }
+    if (ends) {
+        handlers.onEnd_(AttemptEnd::Complete);
+    }
+}
+
+void GatewayRig::answer(std::size_t attempt, int status, const std::string &body)
+{
+    const AttemptHandlers handlers = attempts_.at(attempt).handlers_;
+    AttemptHead head;
+    head.status_ = status;
+    head.fromEndpoint_ = true;
+    handlers.onHead_(head);
+    handlers.onPart_(body);
+    handlers.onEnd_(AttemptEnd::Complete);
+}
+
+void GatewayRig::refuse(std::size_t attempt)
+{
+    const AttemptHandlers handlers = attempts_.at(attempt).handlers_;
+    AttemptHead head;
+    head.status_ = 503;
+    head.notRun_ = true;
+    handlers.onHead_(head);
+    handlers.onEnd_(AttemptEnd::Complete);
+}
+
+void GatewayRig::end(std::size_t attempt, AttemptEnd ended)
+{
+    const AttemptHandlers handlers = attempts_.at(attempt).handlers_;
+    handlers.onEnd_(ended);
+}
+
+} // namespace filbertgw::test
--- /dev/null
+++ b/test/gateway/gatewayrig.h
@@ -0,0 +1,85 @@
+#ifndef FILBERTGW_TEST_GATEWAY_GATEWAYRIG_H
+#define FILBERTGW_TEST_GATEWAY_GATEWAYRIG_H
+
+#include "fakes/eventqueue.h"
+#include "fakes/fakestore.h"
+#include "gateway/gateway.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace filbertgw::test {
+
+/** \brief What a client has received. */
+struct ClientAnswer
+{
+    int status_ = 0;
+    std::map<std::string, std::string> headers_;
+    std::string body_;
+    bool ended_ = false;
+    bool aborted_ = false;
+    Time endedAt_{0};
+    std::function<void()> closed_;
+};
+
+/** \brief A request as an endpoint has received it. */
+struct ReceivedAttempt
+{
+    std::uint64_t number_ = 0;
+    EndpointAttempt attempt_;
+    AttemptHandlers handlers_;
+    bool cancelled_ = false;
+};
+
+/** \brief Gateways in virtual time over one fake store; the test answers in place of the endpoints. */
+class GatewayRig
+{
+public:
+    explicit GatewayRig(std::size_t nodes, const std::vector<Route> &routes);
+
+    /** \brief Adds endpoints named PREFIX0, PREFIX1 and so on. */
+    void addEndpoints(const std::string &service, const std::string &prefix, std::size_t count);
+    std::shared_ptr<ClientAnswer> send(std::size_t node, GatewayRequest request);
+    void run(Duration time);
+    /** \brief Ends a node as a kill does. */
+    void kill(std::size_t node);
+    /** \brief Starts a node again, without anything it knew. */
+    void restart(std::size_t node);
+
+    /** \brief Answers an attempt with whole events, each with this text as data. */
+    void stream(std::size_t attempt, const std::vector<std::string> &data, bool ends, std::uint64_t firstId = 1);
+    void answer(std::size_t attempt, int status, const std::string &body);
+    void refuse(std::size_t attempt);
+    void end(std::size_t attempt, AttemptEnd ended);
+
+    bench::EventQueue queue_;
+    bench::FakeStore store_;
+    std::vector<std::unique_ptr<Gateway>> nodes_;
+    std::vector<ReceivedAttempt> attempts_;
+    std::set<std::string> deafNodes_; ///< Nodes that hear and reach no other.
+
+private:
+    GatewayHooks hooksOf(std::size_t node);
+    void configure(Gateway &gateway);
+    std::string nameOfNode(std::size_t node) const;
+
+    std::vector<Route> routes_;
+    std::vector<Endpoint> endpoints_;
+    std::mt19937_64 random_{1};
+    std::uint64_t starts_ = 0;
+    std::uint64_t version_ = 1;
+};
+
+Route streamingRoute(bool retainsTurns, std::uint32_t maxAttempts, bool resumable);
+Route plainRoute(RouteKind kind, std::uint32_t maxAttempts);
+/** \brief A turn of a program with a budget. */
+GatewayRequest turn(const std::string &id, const std::string &program, const std::string &session);
+GatewayRequest plainRequest(const std::string &id);
+
+} // namespace filbertgw::test
+
+#endif
--- /dev/null
+++ b/test/gateway/retention.cpp
@@ -0,0 +1,137 @@
+#include "gatewayrig.h"
+
+#include <gtest/gtest.h>
+
+namespace filbertgw::test {
+
+namespace {
+
+constexpr Duration moment = std::chrono::milliseconds(300);
+
+GatewayRequest following(const std::string &id, const std::string &previous, const std::string &program = "p")
+{
+    GatewayRequest request = turn(id, program, "s");
+    request.previousTurn_ = previous;
+    request.conversation_ = "c-p";
+    request.tokenBudget_ = 100'000;
+    return request;
+}
+
+/** \brief Plays a turn to its end. */
+void play(GatewayRig &rig, std::size_t node, const GatewayRequest &request, const std::vector<std::string> &output)
+{
+    const std::size_t before = rig.attempts_.size();
+    const std::shared_ptr<ClientAnswer> client = rig.send(node, request);
+    rig.run(moment);
+    ASSERT_EQ(rig.attempts_.size(), before + 1) << request.id_ << " reached no engine, status " << client->status_;
+    rig.stream(before, output, true);
+    rig.run(moment);
+    ASSERT_TRUE(client->ended_) << request.id_;
+}
+
+} // namespace
+
+// Guards against chains that are lost or mixed up when turns move between nodes.
+TEST(Retention, ChainIsPutTogetherAtAnyNode)
+{
+    GatewayRig rig(3, {streamingRoute(true, 1, false)});
+    rig.addEndpoints("engines", "e", 2);
+    play(rig, 0, following("t1", ""), {"x", "y"});
+    play(rig, 1, following("t2", "t1"), {"z"});
+    play(rig, 2, following("t3", "t2"), {"w"});
+    EXPECT_EQ(*rig.attempts_[1].attempt_.body_, "input-t1;x\ny\ninput-t2;");
+    EXPECT_EQ(*rig.attempts_[2].attempt_.body_, "input-t1;x\ny\ninput-t2;z\ninput-t3;");
+}
+
+// Guards against retained turns that die with the nodes, also when another program goes on from them.
+TEST(Retention, TurnsSurviveTheLossOfAllNodes)
+{
+    GatewayRig rig(2, {streamingRoute(true, 1, false)});
+    rig.addEndpoints("engines", "e", 2);
+    play(rig, 0, following("t1", ""), {"x"});
+    play(rig, 0, following("t2", "t1"), {"y"});
+    rig.kill(0);
+    rig.kill(1);
+    rig.store_.trim();
+    rig.restart(0);
+    rig.restart(1);
+    rig.run(std::chrono::seconds(2));
+    play(rig, 1, following("t3", "t2", "later-program"), {"z"});
+    EXPECT_EQ(*rig.attempts_[2].attempt_.body_, "input-t1;x\ninput-t2;y\ninput-t3;");
+}
+
+// Guards against a turn that is not found because its conversation is named differently.
+TEST(Retention, TurnOfAnotherPartitionIsFound)
+{
+    GatewayRig rig(2, {streamingRoute(true, 1, false)});
+    rig.addEndpoints("engines", "e", 2);
+    play(rig, 0, following("t1", ""), {"x"});
+    for (const char *conversation : {"a", "b", "c", "d", "e"}) {
+        GatewayRequest request = following(std::string("t2") + conversation, "t1");
+        request.conversation_ = conversation;
+        play(rig, 1, request, {"y"});
+    }
+}
+
+/** \brief What the store does while a turn is looked for that it does not have. */
+struct MissingCase
+{
+    const char *name_;
+    bool down_;
+    int status_;
+};
+
+class MissingTurn : public testing::TestWithParam<MissingCase>
+{
+};
+
+// Guards against a 404 that a node can't be certain of.
+TEST_P(MissingTurn, IsRefusedTruthfully)
+{
+    GatewayRig rig(1, {streamingRoute(true, 1, false)});
+    rig.addEndpoints("engines", "e", 2);
+    rig.store_.down_ = GetParam().down_;
+    const std::shared_ptr<ClientAnswer> client = rig.send(0, following("t2", "unknown"));
+    rig.run(std::chrono::seconds(2));
+    EXPECT_EQ(client->status_, GetParam().status_);
+    EXPECT_TRUE(rig.attempts_.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         MissingTurn,
+                         testing::Values(MissingCase{"StoreRead", false, 404}, MissingCase{"StoreDown", true, 503}),
+                         [](const testing::TestParamInfo<MissingCase> &info) { return info.param.name_; });
+
+// Guards against an answer that ends before its turn would survive the node.
+TEST(Retention, AnswerEndsOnlyWhenTheTurnIsDurable)
+{
+    GatewayRig rig(1, {streamingRoute(true, 1, false)});
+    rig.addEndpoints("engines", "e", 1);
+    const std::shared_ptr<ClientAnswer> client = rig.send(0, following("t1", ""));
+    rig.run(moment);
+    rig.store_.down_ = true;
+    rig.stream(0, {"x"}, true);
+    rig.run(std::chrono::milliseconds(500));
+    EXPECT_EQ(client->body_, "id: 1\ndata: x\n\n") << "events do not wait";
+    EXPECT_FALSE(client->ended_);
+    rig.store_.down_ = false;
+    rig.run(std::chrono::milliseconds(1200));
+    EXPECT_TRUE(client->ended_);
+}
+
+// Guards against a turn that is stored twice or never when the store's answer is lost.
+TEST(Retention, LostAnswerOfTheStoreIsRepeated)
+{
+    GatewayRig rig(2, {streamingRoute(true, 1, false)});
+    rig.addEndpoints("engines", "e", 2);
+    const std::shared_ptr<ClientAnswer> client = rig.send(0, following("t1", ""));
+    rig.run(moment);
+    rig.store_.loseAnswers_ = 2;
+    rig.stream(0, {"x"}, true);
+    rig.run(std::chrono::milliseconds(2000));
+    EXPECT_TRUE(client->ended_);
+    play(rig, 1, following("t2", "t1"), {"y"});
+    EXPECT_EQ(*rig.attempts_[1].attempt_.body_, "input-t1;x\ninput-t2;");
+}
+
+} // namespace filbertgw::test
--- a/test/net/http.cpp
+++ b/test/net/http.cpp
@@ -156,6 +156,9 @@
                        "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                        "HTTP/1.1 400"},
         BadRequestCase{"BadChunkSize", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "HTTP/1.1 400"},
+        BadRequestCase{"OtherCoding", "POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n", "HTTP/1.1 400"},
+        BadRequestCase{
+            "TwoCodings", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 400"},
         BadRequestCase{"BadVersion", "GET / HTTP/9.9\r\n\r\n", "HTTP/1.1 400"},
         BadRequestCase{"NulInHeader", std::string("GET / HTTP/1.1\r\nA: b\0c\r\n\r\n", 26), "HTTP/1.1 400"}),
     [](const ::testing::TestParamInfo<BadRequestCase> &info) { return std::string(info.param.name_); });
@@ -295,6 +298,47 @@
     EXPECT_EQ(results_[3].outcome_, HttpOutcome::NotConnected);
 }
 
+// Guards against a connection that stays open for more requests because its stream began before the stop.
+TEST_F(HttpFixture, ConnectionOfAStreamThatOutlivesTheStopIsClosed)
+{
+    std::vector<std::shared_ptr<HttpReply>> kept;
+    listen([&kept](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+        reply->startStream(200, "text/event-stream");
+        kept.push_back(reply);
+    });
+    HttpCall stream = call("GET", "/stream");
+    client_.start(stream);
+    runUntil([&kept] { return !kept.empty(); });
+    server_->closePolitely();
+    kept[0]->finish();
+    runUntil([this] { return results_.size() == 1; });
+    EXPECT_EQ(results_[0].outcome_, HttpOutcome::Complete);
+    runUntil([this] { return server_->openConnections() == 0; });
+    client_.start(call("GET", "/new-connection"));
+    runUntil([&kept] { return kept.size() == 2; });
+    kept[1]->finish();
+    kept.clear();
+}
+
+// Guards against an answer of an earlier request that is taken for the answer of the next one.
+TEST_F(HttpFixture, LateAnswerOfAnotherRequestIsSkipped)
+{
+    RawListener listener;
+    HttpCall next = call("POST", "/", "body");
+    next.address_ = "127.0.0.1:" + std::to_string(listener.port());
+    next.echoHeader_ = "x-id";
+    next.echoValue_ = "new";
+    client_.start(next);
+    runUntil([this, &listener] {
+        listener.serve("HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 5\r\n\r\nwrong"
+                       "HTTP/1.1 200 OK\r\nX-Id: new\r\nContent-Length: 5\r\n\r\nright",
+                       false);
+        return results_.size() == 1;
+    });
+    EXPECT_EQ(results_[0].outcome_, HttpOutcome::Complete);
+    EXPECT_EQ(results_[0].body_, "right");
+}
+
 // Guards against a call that may be sent once only and meets a pooled connection that the server is closing.
 TEST_F(HttpFixture, UsesAFreshConnectionIfAsked)
 {
