Let grants of an outage survive the death of one node

Change: granted tokens are the asking node's, which records them when the store is back; the granting node records them for writers that it does not hear of by then.

--- a/src/gateway/budgetcontroller.cpp
+++ b/src/gateway/budgetcontroller.cpp
@@ -18,6 +18,12 @@
     return valueOf<BudgetDecision>((*answer)["decision"].get<std::string>()).value_or(BudgetDecision::Unavailable);
 }
 
+/** \brief True if the other node has reserved the tokens itself, in the store. */
+bool isDurable(const nlohmann::json &answer)
+{
+    return answer.contains("durable") && answer["durable"] == true;
+}
+
 bool isNumber(const nlohmann::json &body, const char *name)
 {
     return body.contains(name) && body[name].is_number_unsigned();
@@ -62,7 +68,7 @@
         return;
     }
     if (fleet_.isSelf(*chosen)) {
-        const BudgetDecision made = ledger_.reserveWithoutStore(turn);
+        const BudgetDecision made = ledger_.reserveWithoutStore(turn, ledger_.writer(), 0);
         decided(BudgetGrant{made, turn.program_, turn.tokens_, {}});
         return;
     }
@@ -84,7 +90,11 @@
                           {"peer", member.name_},
                           {"answered", answer.has_value()},
                           {"decision", nameOf(made)}});
-        decided(BudgetGrant{made, turn.program_, turn.tokens_, member.linkAddress_});
+        const bool isOurs = made == BudgetDecision::Granted && !internal::isDurable(*answer);
+        if (isOurs) {
+            ledger_.takeGrant(turn.program_, turn.tokens_);
+        }
+        decided(BudgetGrant{made, turn.program_, turn.tokens_, isOurs ? std::string() : member.linkAddress_});
     };
     hooks_.askPeer_(member.linkAddress_, internal::reserveType, body, internal::askTimeout, answered);
 }
@@ -105,16 +115,22 @@
 }
 
 /** Decides for a node that has lost the store. */
-void BudgetController::decideForOthers(const TurnReservation &turn, std::function<void(BudgetDecision)> decided)
+void BudgetController::decideForOthers(const TurnReservation &turn,
+                                       const std::string &writer,
+                                       std::uint64_t own,
+                                       const std::function<void(const nlohmann::json &)> &answer)
 {
     if (ledger_.isCurrent()) {
-        ledger_.reserve(turn, std::move(decided));
+        ledger_.reserve(turn, [answer](BudgetDecision made) {
+            answer({{"decision", nameOf(made)}, {"durable", true}});
+        });
         return;
     }
     const std::optional<FleetMember> home =
         fleet_.currentNode(turn.program_) ? std::nullopt : fleet_.homeOf(turn.program_);
     const bool isHome = home && fleet_.isSelf(*home);
-    decided(isHome ? ledger_.reserveWithoutStore(turn) : BudgetDecision::Unavailable);
+    const BudgetDecision made = isHome ? ledger_.reserveWithoutStore(turn, writer, own) : BudgetDecision::Unavailable;
+    answer({{"decision", nameOf(made)}, {"durable", false}});
 }
 
 bool BudgetController::onPeerRequest(const std::string &type,
@@ -143,12 +159,11 @@
         answer({});
         return true;
     }
-    ledger_.noteSpending(program, body["writer"].get<std::string>(), body["own"].get<std::uint64_t>());
     const TurnReservation turn{program,
                                body["budget"].get<std::uint64_t>(),
                                body["tokens"].get<std::uint64_t>(),
                                body["main_line"].get<bool>()};
-    decideForOthers(turn, [answer](BudgetDecision made) { answer({{"decision", nameOf(made)}}); });
+    decideForOthers(turn, body["writer"].get<std::string>(), body["own"].get<std::uint64_t>(), answer);
     return true;
 }
 
--- a/src/gateway/budgetcontroller.h
+++ b/src/gateway/budgetcontroller.h
@@ -38,8 +38,8 @@
  * \brief Decides whether a turn fits into the budget of its program, also while the store can't be reached.
  *
  * A node whose knowledge is current decides with the store. One that has lost the store asks a node that has not.
- * While no node reaches it, one node decides about each program for all others, if it hears of most nodes: it counts
- * what it has granted itself and what the asking nodes say of themselves.
+ * While no node reaches it, one node decides about each program for all others, if it hears of most nodes. The tokens
+ * that it grants are the asking node's, so that both of them would have to die for the grant to be forgotten.
  */
 class BudgetController
 {
@@ -58,7 +58,10 @@
 
     void reserveElsewhere(const TurnReservation &turn, const Decided &decided);
     void ask(const FleetMember &member, const TurnReservation &turn, const Decided &decided);
-    void decideForOthers(const TurnReservation &turn, std::function<void(BudgetDecision)> decided);
+    void decideForOthers(const TurnReservation &turn,
+                         const std::string &writer,
+                         std::uint64_t own,
+                         const std::function<void(const nlohmann::json &)> &answer);
 
     BudgetControllerHooks hooks_;
     ProgramLedger &ledger_;
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -98,6 +98,7 @@
 {
     void onRecord(const KeyedRecord &record);
     void onReachable(bool reachable);
+    void vouch();
     void onSpending(const std::string &key, const std::optional<std::string> &value);
     void setOther(const std::string &program, const std::string &writer, std::optional<std::uint64_t> tokens);
     void markDirty(const std::string &program, internal::Spending &spending);
@@ -115,7 +116,8 @@
     std::unique_ptr<StreamTail> tail_;
     std::unordered_map<std::string, internal::Spending> programs_;
     std::vector<std::string> dirty_;
-    std::vector<KeyedRecord> deletions_; ///< Wait for the next group.
+    std::vector<KeyedRecord> others_; ///< Deletions and records of other writers that wait for the next group.
+    std::unordered_map<std::string, std::uint64_t> granted_; ///< Without the store, by program and writer.
     std::deque<internal::WaitingTurn> waiting_; ///< Reserved in dirty_ or later.
     std::deque<internal::WaitingTurn> sent_; ///< Their reservation has been sent and was not read back yet.
     StoreAppend group_;
@@ -141,12 +143,27 @@
     const Time now = hooks_.now_();
     if (reachable && tail_->isComplete() && now - tail_->currentAsOf() > settings_.currentFor_) {
         regained_ = now;
+        hooks_.after_(settings_.vouchDelay_, [self = shared_from_this()] {
+            if (!self->stopped_) {
+                self->vouch();
+            }
+        });
     }
     if (hooks_.onReachable_) {
         hooks_.onReachable_(reachable);
     }
 }
 
+/** Records what was granted to writers that have not recorded it themselves: they may have died. */
+void ProgramLedger::Private::vouch()
+{
+    for (const std::pair<const std::string, std::uint64_t> &grant : granted_) {
+        others_.push_back(KeyedRecord{internal::spendingPrefix + grant.first, internal::encode({grant.second, 0})});
+    }
+    granted_.clear();
+    flushSoon(settings_.groupDelay_);
+}
+
 void ProgramLedger::Private::onSpending(const std::string &key, const std::optional<std::string> &value)
 {
     const std::size_t slash = key.rfind('/');
@@ -157,6 +174,7 @@
     const std::string writer = key.substr(slash + 1);
     const std::optional<internal::SpendingRecord> record = value ? internal::decode(*value) : std::nullopt;
     if (writer != settings_.writer_) {
+        granted_.erase(key);
         setOther(program, writer, record ? std::optional<std::uint64_t>(record->tokens_) : std::nullopt);
     } else if (record) {
         decideWaiting(program, *record);
@@ -212,12 +230,12 @@
 
 void ProgramLedger::Private::flush()
 {
-    if (appending_ || stopped_ || (dirty_.empty() && deletions_.empty())) {
+    if (appending_ || stopped_ || (dirty_.empty() && others_.empty())) {
         return;
     }
     group_.to_ = PartitionId{internal::ledgerStream, 0};
     group_.records_.clear();
-    group_.records_.swap(deletions_);
+    group_.records_.swap(others_);
     ++sequence_.sequence_;
     std::vector<std::string> later;
     for (const std::string &program : dirty_) {
@@ -288,7 +306,7 @@
     }
     if (!waiting_.empty()) {
         flush();
-    } else if (!dirty_.empty() || !deletions_.empty()) {
+    } else if (!dirty_.empty() || !others_.empty()) {
         flushSoon(settings_.groupDelay_);
     }
 }
@@ -357,12 +375,12 @@
             continue;
         }
         if (entry->second.ownRecorded_) {
-            deletions_.push_back(
+            others_.push_back(
                 KeyedRecord{internal::spendingPrefix + entry->first + '/' + settings_.writer_, std::nullopt});
         }
         entry = programs_.erase(entry);
     }
-    if (!deletions_.empty()) {
+    if (!others_.empty()) {
         flushSoon(settings_.groupDelay_);
     }
     hooks_.after_(internal::expiryPeriod, [self = shared_from_this()] {
@@ -449,26 +467,35 @@
     d_->flush();
 }
 
-BudgetDecision ProgramLedger::reserveWithoutStore(const TurnReservation &turn)
+BudgetDecision
+ProgramLedger::reserveWithoutStore(const TurnReservation &turn, const std::string &writer, std::uint64_t own)
 {
     if (!isComplete()) {
         return BudgetDecision::Unavailable;
     }
-    internal::Spending &spending = d_->programs_[turn.program_];
+    const bool isOwn = writer == d_->settings_.writer_;
+    if (!isOwn && own > 0) {
+        d_->setOther(turn.program_, writer, own);
+    }
+    const internal::Spending &spending = d_->programs_[turn.program_];
     if (spending.total() + turn.tokens_ > turn.budget_) {
         return BudgetDecision::Exhausted;
     }
-    spending.own_ += turn.tokens_;
-    d_->markDirty(turn.program_, spending);
-    d_->flushSoon(d_->settings_.groupDelay_);
+    if (isOwn) {
+        takeGrant(turn.program_, turn.tokens_);
+    } else {
+        d_->setOther(turn.program_, writer, own + turn.tokens_);
+        d_->granted_[turn.program_ + '/' + writer] = own + turn.tokens_;
+    }
     return BudgetDecision::Granted;
 }
 
-void ProgramLedger::noteSpending(const std::string &program, const std::string &writer, std::uint64_t tokens)
+void ProgramLedger::takeGrant(const std::string &program, std::uint64_t tokens)
 {
-    if (tokens > 0) {
-        d_->setOther(program, writer, tokens);
-    }
+    internal::Spending &spending = d_->programs_[program];
+    spending.own_ += tokens;
+    d_->markDirty(program, spending);
+    d_->flushSoon(d_->settings_.groupDelay_);
 }
 
 std::uint64_t ProgramLedger::ownSpending(const std::string &program) const
@@ -501,7 +528,7 @@
 
 bool ProgramLedger::isFlushed() const
 {
-    return !d_->appending_ && d_->dirty_.empty() && d_->deletions_.empty();
+    return !d_->appending_ && d_->dirty_.empty() && d_->others_.empty();
 }
 
 std::size_t ProgramLedger::programs() const
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -53,6 +53,7 @@
     Duration currentFor_{900'000}; ///< Age up to which the knowledge of other nodes' spending counts as current.
     /** After a loss of the store its knowledge counts again after this, when what was granted without it is in it. */
     Duration regainDelay_{1'500'000};
+    Duration vouchDelay_{1'200'000}; ///< Time for writers to record themselves what they were granted without it.
     Duration strictTimeout_{700'000}; ///< Longest time that a turn waits for its durable reservation.
     Duration retention_{120'000'000}; ///< A program that was idle for longer is forgotten.
 };
@@ -80,13 +81,15 @@
     /** \brief Reserves the tokens that a turn may generate. The reservation stands only if the decision is Granted. */
     void reserve(const TurnReservation &turn, std::function<void(BudgetDecision)> decided);
     /**
-     * \brief The same without the store, from what is known.
+     * \brief Decides about a turn of another writer, or of this node, from what is known, without the store.
      *
-     * Only safe at the one node that decides about the program while no node reaches the store.
+     * Only safe at the one node that decides about the program while no node reaches the store. The tokens are the
+     * writer's, who records them when the store is back; this node does so if it doesn't hear of the writer then.
+     * \param own what the writer says that it has spent on the program itself.
      */
-    BudgetDecision reserveWithoutStore(const TurnReservation &turn);
-    /** \brief Takes over what another node says that it has spent on a program itself. */
-    void noteSpending(const std::string &program, const std::string &writer, std::uint64_t tokens);
+    BudgetDecision reserveWithoutStore(const TurnReservation &turn, const std::string &writer, std::uint64_t own);
+    /** \brief Counts tokens that another node has granted to this one without the store. */
+    void takeGrant(const std::string &program, std::uint64_t tokens);
     /** \brief Tokens spent or reserved by this node. */
     std::uint64_t ownSpending(const std::string &program) const;
     const std::string &writer() const;
--- a/test/gateway/budget.cpp
+++ b/test/gateway/budget.cpp
@@ -84,6 +84,28 @@
                                          BudgetCase{"StoreDown", true, 0, 0, 3}),
                          [](const testing::TestParamInfo<BudgetCase> &info) { return info.param.name_; });
 
+/** \brief Which node dies at the moment at which the store returns. */
+class BudgetAfterOutage : public testing::TestWithParam<std::size_t>
+{
+};
+
+// Guards against grants of an outage that are forgotten with the node that gave or got them.
+TEST_P(BudgetAfterOutage, GrantsSurviveTheDeathOfOneNode)
+{
+    GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    rig.store_.down_ = true;
+    rig.run(std::chrono::seconds(3));
+    ASSERT_EQ(sendEverywhere(rig, "p", "a"), 3U);
+    spendAll(rig, 0);
+    rig.kill(GetParam());
+    rig.store_.down_ = false;
+    rig.run(std::chrono::seconds(5));
+    EXPECT_EQ(sendEverywhere(rig, "p", "b"), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, BudgetAfterOutage, testing::Range(std::size_t{0}, nodeCount));
+
 // Guards against a node that decides alone while it hears of nobody.
 TEST(Budget, NodeThatHearsNobodyGrantsNothingWithoutTheStore)
 {
