Tell a witness what a node grants itself during an outage

Cause: the node that decides about a program granted its own turns without another node knowing; the rig of the tests let a killed node go on, which hid this and the need to record for others. Change: a witness takes note; a killed node of the rig does nothing more.

--- a/src/gateway/budgetcontroller.cpp
+++ b/src/gateway/budgetcontroller.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 const char *const reserveType = "budget_reserve";
+const char *const noteType = "budget_note";
 const char *const settleType = "budget_settle";
 /** Longest time that a turn waits for another node's decision. */
 constexpr Duration askTimeout{900'000};
@@ -68,11 +69,27 @@
         return;
     }
     if (fleet_.isSelf(*chosen)) {
-        const BudgetDecision made = ledger_.reserveWithoutStore(turn, ledger_.writer(), 0);
-        decided(BudgetGrant{made, turn.program_, turn.tokens_, {}});
-        return;
+        decideAlone(turn, decided);
+    } else {
+        ask(*chosen, turn, decided);
+    }
+}
+
+/** Grants a turn of this node itself; another node takes note, in case this one dies before the store is back. */
+void BudgetController::decideAlone(const TurnReservation &turn, const Decided &decided)
+{
+    const BudgetDecision made = ledger_.reserveWithoutStore(turn, ledger_.writer(), 0);
+    const std::optional<FleetMember> witness = fleet_.witnessOf(turn.program_);
+    if (made == BudgetDecision::Granted && witness) {
+        const nlohmann::json body = {
+            {"program", turn.program_}, {"writer", ledger_.writer()}, {"own", ledger_.ownSpending(turn.program_)}};
+        hooks_.askPeer_(witness->linkAddress_,
+                        internal::noteType,
+                        body,
+                        internal::askTimeout,
+                        [](const std::optional<nlohmann::json> &) {});
     }
-    ask(*chosen, turn, decided);
+    decided(BudgetGrant{made, turn.program_, turn.tokens_, {}});
 }
 
 void BudgetController::ask(const FleetMember &member, const TurnReservation &turn, const Decided &decided)
@@ -137,7 +154,7 @@
                                      const nlohmann::json &body,
                                      const std::function<void(const nlohmann::json &)> &answer)
 {
-    if (type != internal::reserveType && type != internal::settleType) {
+    if (type != internal::reserveType && type != internal::settleType && type != internal::noteType) {
         return false;
     }
     if (!body.is_object() || !internal::isText(body, "program")) {
@@ -152,6 +169,13 @@
         answer({{"settled", true}});
         return true;
     }
+    if (type == internal::noteType) {
+        if (internal::isText(body, "writer") && internal::isNumber(body, "own")) {
+            ledger_.noteGrant(program, body["writer"].get<std::string>(), body["own"].get<std::uint64_t>());
+        }
+        answer({{"noted", true}});
+        return true;
+    }
     const bool isComplete = internal::isNumber(body, "budget") && internal::isNumber(body, "tokens")
         && internal::isNumber(body, "own") && internal::isText(body, "writer") && body.contains("main_line")
         && body["main_line"].is_boolean();
--- a/src/gateway/budgetcontroller.h
+++ b/src/gateway/budgetcontroller.h
@@ -57,6 +57,7 @@
     using Decided = std::function<void(const BudgetGrant &)>;
 
     void reserveElsewhere(const TurnReservation &turn, const Decided &decided);
+    void decideAlone(const TurnReservation &turn, const Decided &decided);
     void ask(const FleetMember &member, const TurnReservation &turn, const Decided &decided);
     void decideForOthers(const TurnReservation &turn,
                          const std::string &writer,
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -41,7 +41,7 @@
     bool isAlive(const internal::KnownNode &node) const;
     bool isCounted(const internal::KnownNode &node) const;
     void noteAlive();
-    std::optional<FleetMember> choose(const std::string &program, bool needsCurrent) const;
+    std::optional<FleetMember> choose(const std::string &program, bool needsCurrent, bool maySelf) const;
 
     FleetHooks hooks_;
     FleetSettings settings_;
@@ -144,7 +144,7 @@
     }
 }
 
-std::optional<FleetMember> Fleet::Private::choose(const std::string &program, bool needsCurrent) const
+std::optional<FleetMember> Fleet::Private::choose(const std::string &program, bool needsCurrent, bool maySelf) const
 {
     std::optional<FleetMember> best;
     std::uint64_t highest = 0;
@@ -161,7 +161,7 @@
             consider(node.member_);
         }
     }
-    if (!needsCurrent && hooks_.report_().ledgerComplete_) {
+    if (maySelf && hooks_.report_().ledgerComplete_) {
         consider(settings_.self_);
     }
     return best;
@@ -228,7 +228,7 @@
 
 std::optional<FleetMember> Fleet::currentNode(const std::string &program) const
 {
-    return d_->choose(program, true);
+    return d_->choose(program, true, false);
 }
 
 std::optional<FleetMember> Fleet::homeOf(const std::string &program) const
@@ -236,7 +236,12 @@
     if ((alive() + 1) * 2 <= known() + 1) {
         return std::nullopt;
     }
-    return d_->choose(program, false);
+    return d_->choose(program, false, true);
+}
+
+std::optional<FleetMember> Fleet::witnessOf(const std::string &program) const
+{
+    return d_->choose(program, false, false);
 }
 
 bool Fleet::isSelf(const FleetMember &member) const
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -70,6 +70,8 @@
      * \return nothing if fewer than half of the known nodes are heard of.
      */
     std::optional<FleetMember> homeOf(const std::string &program) const;
+    /** \brief Another living node, the same for each call about a program while the same nodes live. */
+    std::optional<FleetMember> witnessOf(const std::string &program) const;
     bool isSelf(const FleetMember &member) const;
     std::size_t known() const;
     std::size_t alive() const;
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -484,12 +484,17 @@
     if (isOwn) {
         takeGrant(turn.program_, turn.tokens_);
     } else {
-        d_->setOther(turn.program_, writer, own + turn.tokens_);
-        d_->granted_[turn.program_ + '/' + writer] = own + turn.tokens_;
+        noteGrant(turn.program_, writer, own + turn.tokens_);
     }
     return BudgetDecision::Granted;
 }
 
+void ProgramLedger::noteGrant(const std::string &program, const std::string &writer, std::uint64_t spent)
+{
+    d_->setOther(program, writer, spent);
+    d_->granted_[program + '/' + writer] = spent;
+}
+
 void ProgramLedger::takeGrant(const std::string &program, std::uint64_t tokens)
 {
     internal::Spending &spending = d_->programs_[program];
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -88,6 +88,8 @@
      * \param own what the writer says that it has spent on the program itself.
      */
     BudgetDecision reserveWithoutStore(const TurnReservation &turn, const std::string &writer, std::uint64_t own);
+    /** \brief Takes note of what another writer has spent; recorded for it as a grant of this node would be. */
+    void noteGrant(const std::string &program, const std::string &writer, std::uint64_t spent);
     /** \brief Counts tokens that another node has granted to this one without the store. */
     void takeGrant(const std::string &program, std::uint64_t tokens);
     /** \brief Tokens spent or reserved by this node. */
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -118,6 +118,7 @@
 {
     for (std::size_t i = 0; i < nodes; ++i) {
         nodes_.push_back(nullptr);
+        alive_.push_back(nullptr);
     }
     for (std::size_t i = 0; i < nodes; ++i) {
         restart(i);
@@ -133,15 +134,30 @@
 GatewayHooks GatewayRig::hooksOf(std::size_t node)
 {
     const std::string name = nameOfNode(node);
+    const std::shared_ptr<bool> alive = alive_[node];
     GatewayHooks hooks;
     hooks.now_ = [this] { return queue_.now(); };
     hooks.random_ = [this] { return random_(); };
-    hooks.after_ = [this](Duration delay, std::function<void()> task) {
-        queue_.after(delay, std::move(task));
+    hooks.after_ = [this, alive](Duration delay, std::function<void()> task) {
+        queue_.after(delay, [alive, task = std::move(task)] {
+            if (*alive) {
+                task();
+            }
+        });
         return std::uint64_t{0};
     };
     hooks.cancelTimer_ = [](std::uint64_t) {};
     hooks.store_ = store_.access(name);
+    hooks.store_.append_ = [alive, append = hooks.store_.append_](StoreAppend request,
+                                                                  std::function<void(const StoreAppended &)> done) {
+        if (*alive) {
+            append(std::move(request), [alive, done = std::move(done)](const StoreAppended &result) {
+                if (*alive) {
+                    done(result);
+                }
+            });
+        }
+    };
     hooks.startAttempt_ = [this](const EndpointAttempt &attempt, AttemptHandlers handlers) {
         attempts_.push_back(ReceivedAttempt{attempts_.size() + 1, attempt, std::move(handlers)});
         return attempts_.size();
@@ -197,11 +213,13 @@
 
 void GatewayRig::kill(std::size_t node)
 {
+    *alive_[node] = false;
     nodes_[node].reset();
 }
 
 void GatewayRig::restart(std::size_t node)
 {
+    alive_[node] = std::make_shared<bool>(true);
     GatewaySettings settings;
     const std::string name = nameOfNode(node);
     settings.ledger_.writer_ = name + '.' + std::to_string(++starts_);
--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -67,6 +67,7 @@
     void configure(Gateway &gateway);
     std::string nameOfNode(std::size_t node) const;
 
+    std::vector<std::shared_ptr<bool>> alive_; ///< Shared with the hooks, so that a killed node does nothing more.
     std::vector<Route> routes_;
     std::vector<Endpoint> endpoints_;
     std::mt19937_64 random_{1};
