Rank routes at engines; keep connections for the announced time; pace rebuilds

Cause: in a burst the most important turns waited behind others in the engines' queues; connections idle for 0.9 s were given up though endpoints announce 10 s; a store that drops its history had the newest records read again without a pause. Change: urgency follows from the route's rank, first turns come after later ones; Keep-Alive times count; the newest records are read after the pause; 512 partitions for turns.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -50,8 +50,8 @@
     Duration defaultTimeout_{30'000'000}; ///< For a request that names no time and whose route has none.
     Duration retryAfter_{300'000}; ///< When a refused client should come back.
     Duration capacityRetry_{25'000}; ///< Pause before full endpoints are tried again.
-    Duration idleReuse_{900'000}; ///< Idle time up to which a connection carries a request that may not be repeated.
-    Duration idleReuseRepeatable_{5'000'000};
+    Duration idleReuse_{5'000'000}; ///< Idle time up to which a connection carries a request that may not be repeated.
+    Duration idleReuseRepeatable_{15'000'000};
     std::size_t answerBytes_ = 4 * 1024 * 1024; ///< Longest answer that is no stream.
 };
 
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -13,8 +13,12 @@
 constexpr Duration shortestAttempt{15'000};
 /** Sends of one request, refused ones included. */
 constexpr std::uint32_t mostSends = 12;
-constexpr std::uint32_t urgencyOfLaterTurns = 3;
-constexpr std::uint32_t urgencyOfFirstTurns = 5;
+/** Urgency of the most important route; each rank below adds urgencyPerRank, so that ranks never mix. */
+constexpr std::uint32_t highestUrgency = 1;
+constexpr std::uint32_t urgencyPerRank = 3;
+/** Programs under way go before new ones of their rank: what they have spent would be lost. */
+constexpr std::uint32_t urgencyOfFirstTurn = 1;
+constexpr std::uint32_t lowestUrgency = 9;
 
 std::string secondsText(Duration duration)
 {
@@ -215,8 +219,7 @@
     attempt.maxIdleAge_ =
         route_->mayRepeat() ? gateway_->settings_.idleReuseRepeatable_ : gateway_->settings_.idleReuse_;
     if (service_ != nullptr && service_->engine_) {
-        attempt.urgency_ =
-            gateway_->ledger_.spent(request_->program_) > grant_.tokens_ ? urgencyOfLaterTurns : urgencyOfFirstTurns;
+        attempt.urgency_ = urgency();
     }
     gateway_->placement_.started(endpoint, *request_);
     AttemptHandlers handlers;
@@ -226,6 +229,14 @@
     attempt_ = gateway_->hooks_.startAttempt_(std::move(attempt), std::move(handlers));
 }
 
+std::uint32_t GatewayCall::urgency() const
+{
+    const bool isFirstTurn = gateway_->ledger_.spent(request_->program_) <= grant_.tokens_;
+    const std::uint32_t urgency =
+        highestUrgency + route_->rank_ * urgencyPerRank + (isFirstTurn ? urgencyOfFirstTurn : 0);
+    return std::min(urgency, lowestUrgency);
+}
+
 void GatewayCall::headArrived(const AttemptHead &head)
 {
     if (step_ != Step::Running && step_ != Step::Relaying) {
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -43,6 +43,7 @@
     void place();
     const Endpoint *chooseEndpoint();
     void send(const Endpoint &endpoint);
+    std::uint32_t urgency() const;
     void headArrived(const AttemptHead &head);
     void partArrived(const std::string &part);
     void attemptEnded(AttemptEnd end);
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -48,8 +48,8 @@
 struct ProgramLedgerSettings
 {
     std::string writer_; ///< Unique to this incarnation of the node.
-    Duration groupDelay_{80'000}; ///< Changes are collected for this long before they are appended.
-    Duration readPause_{250'000}; ///< Time between two reads of what other nodes have appended.
+    Duration groupDelay_{150'000}; ///< Changes are collected for this long before they are appended.
+    Duration readPause_{300'000}; ///< Time between two reads of what other nodes have appended.
     Duration currentFor_{900'000}; ///< Age up to which the knowledge of other nodes' spending counts as current.
     /** After a loss of the store its knowledge counts again after this, when what was granted without it is in it. */
     Duration regainDelay_{1'500'000};
--- a/src/ledger/turnstore.h
+++ b/src/ledger/turnstore.h
@@ -45,13 +45,13 @@
 
 struct TurnStoreSettings
 {
-    std::uint32_t streams_ = 16;
+    std::uint32_t streams_ = 64; ///< Many, so that one read brings few other conversations.
     std::uint32_t partitionsPerStream_ = 8;
     std::size_t cacheBytes_ = 12 * 1024 * 1024;
     std::size_t recordBytes_ = 256 * 1024; ///< Largest record that the store takes.
     Duration appendTimeout_{600'000}; ///< After this the same record is sent again, which is harmless.
     Duration retry_{50'000};
-    std::uint32_t scanReads_ = 8; ///< Partitions that a scan reads at the same time.
+    std::uint32_t scanReads_ = 16; ///< Partitions that a scan reads at the same time.
 };
 
 /**
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstdlib>
 #include <deque>
 
 namespace filbertgw {
@@ -163,8 +164,23 @@
     bool idle_ = false;
     bool closed_ = false;
     std::chrono::steady_clock::time_point idleSince_;
+    Duration keepFor_ = idleTime; ///< Idle time after which the server may close it.
 };
 
+/** \brief Four fifths of the idle time that a server announces in `Keep-Alive: timeout=N`. */
+Duration keepTime(const std::map<std::string, std::string> &headers)
+{
+    const auto header = headers.find("keep-alive");
+    const std::string name = "timeout=";
+    const std::size_t start = header == headers.end() ? std::string::npos : header->second.find(name);
+    if (start == std::string::npos) {
+        return idleTime;
+    }
+    const long seconds = std::strtol(header->second.c_str() + start + name.size(), nullptr, 10);
+    constexpr long most = 3600;
+    return std::min<Duration>(idleTime, std::chrono::milliseconds(std::clamp(seconds, 0L, most) * 800));
+}
+
 struct Exchange
 {
     explicit Exchange(asio::io_context &context)
@@ -487,6 +503,9 @@
     if (exchange->parser_ && !exchange->skipping_) {
         result.status_ = exchange->parser_->head_.status_;
         result.headers_ = std::move(exchange->parser_->head_.headers_);
+        if (exchange->wire_) {
+            exchange->wire_->keepFor_ = internal::keepTime(result.headers_);
+        }
         if (!exchange->call_.onPart_) {
             result.body_ = std::move(exchange->parser_->body_);
         }
@@ -551,7 +570,7 @@
         wire->socket_.non_blocking(true, ignored);
         boost::system::error_code state;
         wire->socket_.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, state);
-        if (state == boost::asio::error::would_block && now - wire->idleSince_ <= maxAge) {
+        if (state == boost::asio::error::would_block && now - wire->idleSince_ <= std::min(maxAge, wire->keepFor_)) {
             return wire;
         }
         internal::close(*wire);
--- a/src/store/streamtail.cpp
+++ b/src/store/streamtail.cpp
@@ -27,6 +27,7 @@
     Time currentAsOf_{0};
     bool firstPage_ = true;
     bool complete_ = false;
+    bool rebuild_ = false; ///< The newest records have to be read anew.
     bool reachable_ = false;
     bool reading_ = false;
     bool readAgain_ = false;
@@ -63,7 +64,7 @@
     const std::uint64_t number = ++scheduled_;
     hooks_.after_(delay, [self = shared_from_this(), number] {
         if (!self->stopped_ && number == self->scheduled_) {
-            self->complete_ ? self->read() : self->readNewest({});
+            self->complete_ && !self->rebuild_ ? self->read() : self->readNewest({});
         }
     });
 }
@@ -107,6 +108,7 @@
     position_ = snapshotEnd_;
     currentAsOf_ = rebuildStarted_;
     complete_ = true;
+    rebuild_ = false;
     reportVanished();
     read();
 }
@@ -145,8 +147,10 @@
 void StreamTail::Private::readArrived(Time sent, const StorePage &page)
 {
     if (page.status_ == StoreStatus::Trimmed) {
-        complete_ = false;
-        readNewest({});
+        // Not at once: a store that keeps no history deletes each record before it is read.
+        rebuild_ = true;
+        setReachable(true);
+        schedule(settings_.pause_);
         return;
     }
     setReachable(page.status_ == StoreStatus::Ok);
@@ -189,6 +193,8 @@
 {
     if (d_->reading_) {
         d_->readAgain_ = true;
+    } else if (d_->rebuild_) {
+        d_->readNewest({});
     } else if (d_->complete_) {
         d_->read();
     }
