Refuse new programs beyond the engines' slots; try each name of a conversation

Change: Admission refuses first turns by load and rank; partitions of each name of the conversation are read before a scan, scans have a pause.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -22,9 +22,21 @@
     , turns_(TurnStoreHooks{hooks_.now_, hooks_.after_, hooks_.store_}, settings_.turns_)
     , fleet_(fleetHooks(), settings_.fleet_)
     , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_}, ledger_, fleet_)
+    , admission_(settings_.admission_)
 {
 }
 
+double Gateway::Private::loadOf(const std::string &service) const
+{
+    double running = 0.0;
+    double slots = 0.0;
+    for (const Endpoint *endpoint : directory_.ready(service)) {
+        running += placement_.running(endpoint->id_);
+        slots += endpoint->slots_;
+    }
+    return slots > 0.0 ? running / slots : 0.0;
+}
+
 FleetHooks Gateway::Private::fleetHooks()
 {
     FleetHooks hooks;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAY_H
 #define FILBERTGW_GATEWAY_GATEWAY_H
 
+#include "gateway/admission.h"
 #include "gateway/budgetcontroller.h"
 #include "gateway/endpointdirectory.h"
 #include "gateway/fleet.h"
@@ -47,6 +48,7 @@
     TurnStoreSettings turns_;
     PlacementSettings placement_;
     FleetSettings fleet_;
+    AdmissionSettings admission_;
     Duration defaultTimeout_{30'000'000}; ///< For a request that names no time and whose route has none.
     Duration retryAfter_{300'000}; ///< When a refused client should come back.
     Duration capacityRetry_{25'000}; ///< Pause before full endpoints are tried again.
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -27,6 +27,13 @@
     return text.data();
 }
 
+/** A uniformly distributed number from 0 to 1. */
+double drawFrom(const RandomSource &random)
+{
+    constexpr int unusedBits = 11; // A double holds 53 of 64 bits.
+    return static_cast<double>(random() >> unusedBits) / static_cast<double>(1ULL << (64 - unusedBits));
+}
+
 std::string pathOf(const std::string &target)
 {
     return target.substr(0, target.find('?'));
@@ -69,6 +76,16 @@
     deadline_ = arrived_ + allowed;
     timer_ = gateway_->hooks_.after_(allowed, [self = shared_from_this()] { self->timedOut(); });
     lastEventId_ = request_->lastEventId_;
+    chooseService();
+    if (beginsProgram()) {
+        const double load = gateway_->loadOf(serviceName_);
+        if (!gateway_->admission_.admits(load, route_->rank_, drawFrom(gateway_->hooks_.random_))) {
+            gateway_->hooks_.logEvent_("program_refused",
+                                       {{"request", request_->id_}, {"program", request_->program_}, {"load", load}});
+            refuse(RefusalReason::Overloaded);
+            return;
+        }
+    }
     loadChain();
 }
 
@@ -82,6 +99,32 @@
     return route_->kind_ == RouteKind::Streaming && route_->retainsTurns_ && !request_->id_.empty();
 }
 
+/** Draws one of the services of the route by their weights. */
+void GatewayCall::chooseService()
+{
+    double total = 0.0;
+    for (const RouteTarget &target : route_->targets_) {
+        total += target.weight_;
+    }
+    double point = total * drawFrom(gateway_->hooks_.random_);
+    for (const RouteTarget &target : route_->targets_) {
+        serviceName_ = target.service_;
+        point -= target.weight_;
+        if (point < 0.0) {
+            break;
+        }
+    }
+    service_ = routing_->service(serviceName_);
+}
+
+/** True for the first turn of a program: nothing has been spent on it yet. */
+bool GatewayCall::beginsProgram() const
+{
+    return route_->kind_ == RouteKind::Streaming && !request_->program_.empty()
+        && request_->session_ == request_->program_ && request_->previousTurn_.empty()
+        && gateway_->ledger_.spent(request_->program_) == 0;
+}
+
 void GatewayCall::loadChain()
 {
     if (!retainsTurn() || request_->previousTurn_.empty()) {
@@ -89,7 +132,7 @@
         reserveBudget();
         return;
     }
-    gateway_->turns_.chain(request_->conversation_,
+    gateway_->turns_.chain(request_->conversations_,
                            request_->previousTurn_,
                            [self = shared_from_this()](ChainStatus status, const std::string &text) {
                                if (self->step_ == Step::Preparing) {
@@ -150,21 +193,6 @@
 
 const Endpoint *GatewayCall::chooseEndpoint()
 {
-    if (serviceName_.empty()) {
-        double total = 0.0;
-        for (const RouteTarget &target : route_->targets_) {
-            total += target.weight_;
-        }
-        double point = total * static_cast<double>(gateway_->hooks_.random_() >> 11) / static_cast<double>(1ULL << 53);
-        for (const RouteTarget &target : route_->targets_) {
-            serviceName_ = target.service_;
-            point -= target.weight_;
-            if (point < 0.0) {
-                break;
-            }
-        }
-        service_ = routing_->service(serviceName_);
-    }
     return gateway_->placement_.choose(gateway_->directory_.ready(serviceName_), service_, *request_, excluded_);
 }
 
@@ -408,7 +436,7 @@
 
 void GatewayCall::streamComplete()
 {
-    if (!retainsTurn() || request_->conversation_.empty()) {
+    if (!retainsTurn() || request_->conversations_.empty()) {
         reply_->finish();
         end("served");
         return;
@@ -423,8 +451,7 @@
         abortAnswer("turn_too_large");
         return;
     }
-    storing_ = gateway_->turns_.store(
-        request_->conversation_, std::move(turn), [self = shared_from_this()] { self->turnDurable(); });
+    storing_ = gateway_->turns_.store(request_->conversations_.front(), std::move(turn), [self = shared_from_this()] { self->turnDurable(); });
 }
 
 void GatewayCall::turnDurable()
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -34,6 +34,8 @@
     };
 
     // Steps before the first attempt.
+    void chooseService();
+    bool beginsProgram() const;
     void loadChain();
     void chainLoaded(ChainStatus status, const std::string &text);
     void reserveBudget();
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -19,6 +19,8 @@
     Private(GatewayHooks hooks, GatewaySettings settings);
 
     void sweep();
+    /** \brief Requests for each slot of a service, over all nodes. */
+    double loadOf(const std::string &service) const;
     FleetHooks fleetHooks();
 
     GatewayHooks hooks_;
@@ -30,6 +32,7 @@
     TurnStore turns_;
     Fleet fleet_;
     BudgetController budget_;
+    Admission admission_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
     bool stopping_ = false;
     bool stopped_ = false;
--- a/src/ledger/turnstore.cpp
+++ b/src/ledger/turnstore.cpp
@@ -26,10 +26,10 @@
 /** \brief One lookup of a chain; walks from the newest turn to the oldest. */
 struct Lookup
 {
-    std::uint32_t partition_ = 0; ///< Where the wanted turn should be.
+    std::vector<std::uint32_t> partitions_; ///< Where the wanted turn may be, most likely one first.
     std::string wanted_; ///< Turn that is looked for now.
     std::vector<std::string> found_; ///< Newest first.
-    bool read_ = false; ///< The partition has been read for the wanted turn.
+    std::size_t read_ = 0; ///< Partitions that have been read for the wanted turn.
     bool scanned_ = false; ///< So have all others.
     std::function<void(ChainStatus, std::string)> answer_;
 };
@@ -169,14 +169,13 @@
         }
         lookup->found_.push_back(lookup->wanted_);
         lookup->wanted_ = turn->second.previous_;
-        lookup->read_ = false;
+        lookup->read_ = 0;
         lookup->scanned_ = false;
     }
     if (lookup->wanted_.empty()) {
         finish(lookup, ChainStatus::Found);
-    } else if (!lookup->read_) {
-        lookup->read_ = true;
-        readPartition(lookup->partition_, lookup, {});
+    } else if (lookup->read_ < lookup->partitions_.size()) {
+        readPartition(lookup->partitions_[lookup->read_++], lookup, {});
     } else if (!lookup->scanned_) {
         joinScan(lookup);
     } else {
@@ -232,20 +231,24 @@
 
 void TurnStore::Private::scanEnded(const ScanPointer &scan)
 {
-    scanning_ = false;
     for (const LookupPointer &lookup : scan->lookups_) {
         const auto partition = scan->partitionOf_.find(lookup->wanted_);
         if (partition != scan->partitionOf_.end()) {
-            lookup->partition_ = partition->second;
             lookup->scanned_ = true;
-            readPartition(lookup->partition_, lookup, {});
+            readPartition(partition->second, lookup, {});
         } else {
             finish(lookup, scan->unreadable_ ? ChainStatus::Unavailable : ChainStatus::Missing);
         }
     }
-    if (!waitingForScan_.empty() && !scanning_) {
-        startScan();
-    }
+    hooks_.after_(settings_.scanPause_, [self = shared_from_this()] {
+        if (self->stopped_) {
+            return;
+        }
+        self->scanning_ = false;
+        if (!self->waitingForScan_.empty()) {
+            self->startScan();
+        }
+    });
 }
 
 void TurnStore::Private::readPartition(std::uint32_t partition, const LookupPointer &lookup, const std::string &after)
@@ -379,12 +382,18 @@
     return bytes + overhead <= d_->settings_.recordBytes_;
 }
 
-void TurnStore::chain(const std::string &conversation,
+void TurnStore::chain(const std::vector<std::string> &conversations,
                       const std::string &turn,
                       std::function<void(ChainStatus, std::string)> answer)
 {
     const Private::LookupPointer lookup = std::make_shared<internal::Lookup>();
-    lookup->partition_ = d_->partitionFor(conversation);
+    for (const std::string &conversation : conversations) {
+        const std::uint32_t partition = d_->partitionFor(conversation);
+        const auto known = std::find(lookup->partitions_.begin(), lookup->partitions_.end(), partition);
+        if (known == lookup->partitions_.end()) {
+            lookup->partitions_.push_back(partition);
+        }
+    }
     lookup->wanted_ = turn;
     lookup->answer_ = std::move(answer);
     d_->advance(lookup);
--- a/src/ledger/turnstore.h
+++ b/src/ledger/turnstore.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace filbertgw {
 
@@ -45,12 +46,13 @@
 
 struct TurnStoreSettings
 {
-    std::uint32_t streams_ = 64; ///< Many, so that one read brings few other conversations.
+    std::uint32_t streams_ = 32; ///< Many, so that one read brings few other conversations.
     std::uint32_t partitionsPerStream_ = 8;
     std::size_t cacheBytes_ = 12 * 1024 * 1024;
     std::size_t recordBytes_ = 256 * 1024; ///< Largest record that the store takes.
     Duration appendTimeout_{600'000}; ///< After this the same record is sent again, which is harmless.
     Duration retry_{50'000};
+    Duration scanPause_{1'000'000}; ///< Between two scans: each reads the whole store.
     std::uint32_t scanReads_ = 16; ///< Partitions that a scan reads at the same time.
 };
 
@@ -76,8 +78,8 @@
     void abandon(std::uint64_t number);
     bool fits(std::size_t bytes) const;
 
-    /** \brief The texts of a turn and all before it, oldest first, joined. */
-    void chain(const std::string &conversation,
+    /** \brief The texts of a turn and all before it, oldest first, joined. Looks for them under each conversation. */
+    void chain(const std::vector<std::string> &conversations,
                const std::string &turn,
                std::function<void(ChainStatus, std::string)> answer);
 
--- /dev/null
+++ b/test/gateway/admission.cpp
@@ -0,0 +1,44 @@
+#include "gateway/admission.h"
+
+#include <gtest/gtest.h>
+
+namespace filbertgw::test {
+
+/** \brief A load and what share of new programs is admitted. */
+struct AdmissionCase
+{
+    const char *name_;
+    double load_;
+    std::uint32_t rank_;
+    double least_;
+    double most_;
+};
+
+class AdmissionUnder : public testing::TestWithParam<AdmissionCase>
+{
+};
+
+// Guards against refusals while there is room, and against bursts that make every program late.
+TEST_P(AdmissionUnder, RefusesByLoadAndRank)
+{
+    const Admission admission{AdmissionSettings()};
+    constexpr int draws = 1000;
+    int admitted = 0;
+    for (int i = 0; i < draws; ++i) {
+        admitted += admission.admits(GetParam().load_, GetParam().rank_, (i + 0.5) / draws) ? 1 : 0;
+    }
+    EXPECT_GE(admitted, GetParam().least_ * draws);
+    EXPECT_LE(admitted, GetParam().most_ * draws);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         AdmissionUnder,
+                         testing::Values(AdmissionCase{"HalfFull", 0.5, 1, 1.0, 1.0},
+                                         AdmissionCase{"AlmostFull", 0.85, 1, 1.0, 1.0},
+                                         AdmissionCase{"BeyondFullLessImportant", 1.1, 1, 0.3, 0.7},
+                                         AdmissionCase{"BeyondFullImportant", 1.1, 0, 1.0, 1.0},
+                                         AdmissionCase{"FarBeyondLessImportant", 1.5, 1, 0.0, 0.0},
+                                         AdmissionCase{"FarBeyondImportant", 1.6, 0, 0.0, 0.1}),
+                         [](const testing::TestParamInfo<AdmissionCase> &info) { return info.param.name_; });
+
+} // namespace filbertgw::test
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -97,7 +97,7 @@
     request.session_ = session;
     request.tokenBudget_ = 1000;
     request.maxOutputTokens_ = 300;
-    request.conversation_ = "c-" + program;
+    request.conversations_ = {"c-" + program};
     return request;
 }
 
--- a/test/gateway/retention.cpp
+++ b/test/gateway/retention.cpp
@@ -12,7 +12,7 @@
 {
     GatewayRequest request = turn(id, program, "s");
     request.previousTurn_ = previous;
-    request.conversation_ = "c-p";
+    request.conversations_ = {"c-p"};
     request.tokenBudget_ = 100'000;
     return request;
 }
@@ -68,7 +68,7 @@
     play(rig, 0, following("t1", ""), {"x"});
     for (const char *conversation : {"a", "b", "c", "d", "e"}) {
         GatewayRequest request = following(std::string("t2") + conversation, "t1");
-        request.conversation_ = conversation;
+        request.conversations_ = {conversation};
         play(rig, 1, request, {"y"});
     }
 }
