Weigh prompt reading by the batch that it holds up

Cause: an engine reads a prompt between the tokens of its batch, so that every running request waits for it; the cost of a cache miss was counted once. Ruled out: lack of slots (admission beyond the slots changed nothing).

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -86,7 +86,9 @@
     const double decode = tokens * tokenMs * (1.0 + 2.0 * settings_.batchSlowdown_ * batch);
     const double queued = std::max(0.0, running + 1.0 - slots);
     const double wait = queued / slots * decode * 2.0;
-    return decode + wait + static_cast<double>(unreadTokens(load, request)) / settings_.prefillTokensPerMs_;
+    // Reading a prompt holds up every request of the batch.
+    const double read = static_cast<double>(unreadTokens(load, request)) / settings_.prefillTokensPerMs_;
+    return decode + wait + read * (1.0 + batch);
 }
 
 double Placement::serviceCost(const Load &load, const Endpoint &endpoint) const
