Tell other nodes which shared prompt parts engines have read

Cause: each node learns only from its own requests what an engine has cached; a quarter to a third of the tokens read were shared parts read again. Change: load reports carry the large shared parts that engines have read.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -94,8 +94,15 @@
     for (const std::pair<std::string, std::uint32_t> &entry : report.load_) {
         load.push_back({entry.first, entry.second});
     }
-    const nlohmann::json body = {
-        {"n", settings_.self_.name_}, {"c", report.ledgerCurrent_}, {"k", report.ledgerComplete_}, {"l", load}};
+    nlohmann::json parts = nlohmann::json::array();
+    for (const ReadPart &read : report.readParts_) {
+        parts.push_back({read.endpoint_, read.part_});
+    }
+    const nlohmann::json body = {{"p", parts},
+                                 {"n", settings_.self_.name_},
+                                 {"c", report.ledgerCurrent_},
+                                 {"k", report.ledgerComplete_},
+                                 {"l", load}};
     const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -161,7 +168,7 @@
             consider(node.member_);
         }
     }
-    if (maySelf && hooks_.report_().ledgerComplete_) {
+    if (maySelf && hooks_.ledgerComplete_()) {
         consider(settings_.self_);
     }
     return best;
@@ -219,6 +226,13 @@
             report.load_.emplace_back(entry[0].get<std::string>(), entry[1].get<std::uint32_t>());
         }
     }
+    if (body.contains("p") && body["p"].is_array()) {
+        for (const nlohmann::json &entry : body["p"]) {
+            if (entry.is_array() && entry.size() == 2 && entry[0].is_string() && entry[1].is_string()) {
+                report.readParts_.push_back(ReadPart{entry[0].get<std::string>(), entry[1].get<std::string>()});
+            }
+        }
+    }
     known->second.heard_ = d_->hooks_.now_();
     known->second.everHeard_ = true;
     known->second.ledgerCurrent_ = report.ledgerCurrent_;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_FLEET_H
 #define FILBERTGW_GATEWAY_FLEET_H
 
+#include "gateway/placement.h"
 #include "store/recordstore.h"
 
 #include <functional>
@@ -26,6 +27,7 @@
     bool ledgerCurrent_ = false; ///< It knows what programs have spent and can reserve in the store.
     bool ledgerComplete_ = false; ///< It knew it at some time since its start.
     std::vector<std::pair<std::string, std::uint32_t>> load_; ///< Requests that it runs, by endpoint.
+    std::vector<ReadPart> readParts_; ///< Prompt parts that engines have read for it lately.
 };
 
 struct FleetHooks
@@ -36,6 +38,7 @@
     RecordStore store_;
     std::function<void(const std::string &address, const std::string &datagram)> sendDatagram_;
     std::function<NodeReport()> report_;
+    std::function<bool()> ledgerComplete_; ///< \sa NodeReport::ledgerComplete_
     std::function<void(const std::string &node, const NodeReport &)> onReport_;
     std::function<void(const std::string &node, bool alive)> onAlive_;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,9 +45,17 @@
     hooks.after_ = hooks_.after_;
     hooks.store_ = hooks_.store_;
     hooks.sendDatagram_ = hooks_.sendDatagram_;
-    hooks.report_ = [this] { return NodeReport{ledger_.isCurrent(), ledger_.isComplete(), placement_.ownLoad()}; };
+    hooks.report_ = [this] {
+        return NodeReport{ledger_.isCurrent(), ledger_.isComplete(), placement_.ownLoad(), placement_.takeReadParts()};
+    };
+    hooks.ledgerComplete_ = [this] { return ledger_.isComplete(); };
     hooks.onReport_ = [this](const std::string &node, const NodeReport &report) {
         placement_.setPeerLoad(node, report.load_);
+        for (const ReadPart &read : report.readParts_) {
+            if (directory_.find(read.endpoint_) != nullptr) {
+                placement_.noteReadPart(read);
+            }
+        }
     };
     hooks.onAlive_ = [this](const std::string &node, bool alive) {
         hooks_.logEvent_(alive ? "peer_found" : "peer_lost", {{"peer", node}});
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -451,7 +451,8 @@
         abortAnswer("turn_too_large");
         return;
     }
-    storing_ = gateway_->turns_.store(request_->conversations_.front(), std::move(turn), [self = shared_from_this()] { self->turnDurable(); });
+    storing_ = gateway_->turns_.store(
+        request_->conversations_.front(), std::move(turn), [self = shared_from_this()] { self->turnDurable(); });
 }
 
 void GatewayCall::turnDurable()
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -146,8 +146,17 @@
     const Time now = now_();
     for (const PromptPart &part : request.prompt_) {
         load.parts_[part.id_] = now;
+        const bool isShared = &part != &request.prompt_.back() && part.tokens_ >= settings_.announcedPart_;
+        if (isShared) {
+            Time &told = load.announced_[part.id_];
+            if (told == Time{0} || now - told >= settings_.announceAgain_) {
+                told = now;
+                readParts_.push_back(ReadPart{endpoint.id_, part.id_});
+            }
+        }
     }
     if (load.parts_.size() > internal::partsPerEndpoint) {
+        load.announced_.clear();
         for (auto part = load.parts_.begin(); part != load.parts_.end();) {
             part = now - part->second > settings_.partMemory_ ? load.parts_.erase(part) : std::next(part);
         }
@@ -204,6 +213,18 @@
     peerRunning_.erase(endpoint);
 }
 
+std::vector<ReadPart> Placement::takeReadParts()
+{
+    std::vector<ReadPart> result;
+    result.swap(readParts_);
+    return result;
+}
+
+void Placement::noteReadPart(const ReadPart &read)
+{
+    loads_[read.endpoint_].parts_[read.part_] = now_();
+}
+
 std::vector<std::pair<std::string, std::uint32_t>> Placement::ownLoad() const
 {
     std::vector<std::pair<std::string, std::uint32_t>> result;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -21,12 +21,21 @@
     double batchSlowdown_ = 0.028;
     Duration partMemory_{6'000'000}; ///< How long an engine is taken to keep a part that nobody uses.
     Duration sharedPartMemory_{30'000'000}; ///< The same for a part that several sessions use.
+    std::uint64_t announcedPart_ = 4096; ///< Tokens from which other nodes are told of a shared part.
+    Duration announceAgain_{5'000'000}; ///< A part in steady use is told again after this.
     Duration peerLoadMemory_{1'500'000}; ///< Age at which another node's word on its load is void.
     Duration firstPenalty_{500'000}; ///< After a failure an endpoint is avoided for this long, doubling.
     Duration longestPenalty_{4'000'000};
     Duration fullPenalty_{40'000}; ///< After an endpoint has refused a request as full.
 };
 
+/** \brief A prompt part that an engine has read. */
+struct ReadPart
+{
+    std::string endpoint_;
+    std::string part_;
+};
+
 /**
  * \brief Chooses the endpoint on which a request is expected to cost callers the least time.
  *
@@ -55,6 +64,10 @@
     void refusedAsFull(const std::string &endpoint);
     void forget(const std::string &endpoint);
 
+    /** \brief Large shared prompt parts that engines have read for this node since the last call. */
+    std::vector<ReadPart> takeReadParts();
+    /** \brief What an engine has read for another node. */
+    void noteReadPart(const ReadPart &read);
     /** \brief Requests of this node at each endpoint that has any. */
     std::vector<std::pair<std::string, std::uint32_t>> ownLoad() const;
     /** \brief Drops what nodes said that have not been heard of lately. */
@@ -73,6 +86,7 @@
         std::uint32_t failures_ = 0; ///< In a row.
         Time avoidUntil_{0};
         std::unordered_map<std::string, Time> parts_; ///< Last use of the prompt parts that it has read.
+        std::unordered_map<std::string, Time> announced_; ///< When other nodes were told of a part.
     };
     struct PeerLoad
     {
@@ -95,6 +109,7 @@
     RandomSource random_;
     PlacementSettings settings_;
     std::unordered_map<std::string, Load> loads_;
+    std::vector<ReadPart> readParts_; ///< To be told to other nodes.
     std::unordered_map<std::string, PeerLoad> peers_;
     std::unordered_map<std::string, std::uint32_t> peerRunning_; ///< Sums over peers_.
 };
