Reach the store through other nodes; keep the decisions of an outage with the next node in line

Change: RelayedStore asks a node that has the store; a node without store is not ready if others have it or nobody is heard; pace is measured every three events; the node next in line is told each decision before it is answered. The new test fails with the note switched off and passes with it.

--- a/src/gateway/budgetcontroller.cpp
+++ b/src/gateway/budgetcontroller.cpp
@@ -10,6 +10,8 @@
 const char *const settleType = "budget_settle";
 /** Longest time that a turn waits for another node's decision. */
 constexpr Duration askTimeout{900'000};
+/** Longest time that a grant waits until the next node in line knows of it. */
+constexpr Duration noteTimeout{150'000};
 
 BudgetDecision decisionIn(const std::optional<nlohmann::json> &answer)
 {
@@ -75,21 +77,29 @@
     }
 }
 
-/** Grants a turn of this node itself; another node takes note, in case this one dies before the store is back. */
 void BudgetController::decideAlone(const TurnReservation &turn, const Decided &decided)
 {
     const BudgetDecision made = ledger_.reserveWithoutStore(turn, ledger_.writer(), 0);
-    const std::optional<FleetMember> witness = fleet_.witnessOf(turn.program_);
-    if (made == BudgetDecision::Granted && witness) {
-        const nlohmann::json body = {
-            {"program", turn.program_}, {"writer", ledger_.writer()}, {"own", ledger_.ownSpending(turn.program_)}};
-        hooks_.askPeer_(witness->linkAddress_,
-                        internal::noteType,
-                        body,
-                        internal::askTimeout,
-                        [](const std::optional<nlohmann::json> &) {});
-    }
-    decided(BudgetGrant{made, turn.program_, turn.tokens_, {}});
+    tellWitness(turn.program_, [made, turn, decided] { decided(BudgetGrant{made, turn.program_, turn.tokens_, {}}); });
+}
+
+/** Tells the node that decides next, should this one die before the store is back, what has been spent. */
+void BudgetController::tellWitness(const std::string &program, const std::function<void()> &then)
+{
+    const std::optional<FleetMember> witness = fleet_.witnessOf(program);
+    if (!witness) {
+        then();
+        return;
+    }
+    nlohmann::json spent = nlohmann::json::array();
+    for (const std::pair<std::string, std::uint64_t> &entry : ledger_.spendingByWriter(program)) {
+        spent.push_back({entry.first, entry.second});
+    }
+    hooks_.askPeer_(witness->linkAddress_,
+                    internal::noteType,
+                    {{"program", program}, {"spent", spent}},
+                    internal::noteTimeout,
+                    [then](const std::optional<nlohmann::json> &) { then(); });
 }
 
 void BudgetController::ask(const FleetMember &member, const TurnReservation &turn, const Decided &decided)
@@ -146,8 +156,24 @@
     const std::optional<FleetMember> home =
         fleet_.currentNode(turn.program_) ? std::nullopt : fleet_.homeOf(turn.program_);
     const bool isHome = home && fleet_.isSelf(*home);
-    const BudgetDecision made = isHome ? ledger_.reserveWithoutStore(turn, writer, own) : BudgetDecision::Unavailable;
-    answer({{"decision", nameOf(made)}, {"durable", false}});
+    if (!isHome) {
+        answer({{"decision", nameOf(BudgetDecision::Unavailable)}, {"durable", false}});
+        return;
+    }
+    const BudgetDecision made = ledger_.reserveWithoutStore(turn, writer, own);
+    tellWitness(turn.program_, [made, answer] { answer({{"decision", nameOf(made)}, {"durable", false}}); });
+}
+
+void BudgetController::takeNote(const std::string &program, const nlohmann::json &body)
+{
+    if (!body.contains("spent") || !body["spent"].is_array()) {
+        return;
+    }
+    for (const nlohmann::json &entry : body["spent"]) {
+        if (entry.is_array() && entry.size() == 2 && entry[0].is_string() && entry[1].is_number_unsigned()) {
+            ledger_.noteGrant(program, entry[0].get<std::string>(), entry[1].get<std::uint64_t>());
+        }
+    }
 }
 
 bool BudgetController::onPeerRequest(const std::string &type,
@@ -170,9 +196,7 @@
         return true;
     }
     if (type == internal::noteType) {
-        if (internal::isText(body, "writer") && internal::isNumber(body, "own")) {
-            ledger_.noteGrant(program, body["writer"].get<std::string>(), body["own"].get<std::uint64_t>());
-        }
+        takeNote(program, body);
         answer({{"noted", true}});
         return true;
     }
--- a/src/gateway/budgetcontroller.h
+++ b/src/gateway/budgetcontroller.h
@@ -39,7 +39,7 @@
  *
  * A node whose knowledge is current decides with the store. One that has lost the store asks a node that has not.
  * While no node reaches it, one node decides about each program for all others, if it hears of most nodes. The tokens
- * that it grants are the asking node's, so that both of them would have to die for the grant to be forgotten.
+ * that it grants are the asking node's, and the node that would decide next knows of them as well.
  */
 class BudgetController
 {
@@ -58,7 +58,9 @@
 
     void reserveElsewhere(const TurnReservation &turn, const Decided &decided);
     void decideAlone(const TurnReservation &turn, const Decided &decided);
+    void tellWitness(const std::string &program, const std::function<void()> &then);
     void ask(const FleetMember &member, const TurnReservation &turn, const Decided &decided);
+    void takeNote(const std::string &program, const nlohmann::json &body);
     void decideForOthers(const TurnReservation &turn,
                          const std::string &writer,
                          std::uint64_t own,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration sweepPeriod{100'000};
+/** A node that has been without the store for so long lets others take the new connections, if they can. */
+constexpr Duration cutOffAfter{1'800'000};
 
 } // namespace
 } // namespace internal
@@ -19,8 +21,13 @@
     , directory_(hooks_.now_)
     , placement_(hooks_.now_, hooks_.random_, settings_.placement_)
     , ledger_(ProgramLedgerHooks{hooks_.now_, hooks_.after_, hooks_.store_, nullptr}, settings_.ledger_)
-    , turns_(TurnStoreHooks{hooks_.now_, hooks_.after_, hooks_.store_}, settings_.turns_)
     , fleet_(fleetHooks(), settings_.fleet_)
+    , relayed_(
+          hooks_.store_,
+          BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_},
+          [this] { return ledger_.isReachable(); },
+          fleet_)
+    , turns_(TurnStoreHooks{hooks_.now_, hooks_.after_, relayed_.access()}, settings_.turns_)
     , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_}, ledger_, fleet_)
     , admission_(settings_.admission_)
 {
@@ -63,8 +70,20 @@
     return hooks;
 }
 
+bool Gateway::Private::isCutOff() const
+{
+    if (hooks_.now_() - storeSeen_ < internal::cutOffAfter) {
+        return false;
+    }
+    // While the store is away for everybody, this node serves as well as any other.
+    return fleet_.alive() == 0 ? fleet_.known() > 0 : fleet_.currentNode({}).has_value();
+}
+
 void Gateway::Private::sweep()
 {
+    if (ledger_.isCurrent()) {
+        storeSeen_ = hooks_.now_();
+    }
     for (const std::string &gone : directory_.expire()) {
         hooks_.logEvent_("endpoint_gone", {{"endpoint", gone}, {"reason", "did_not_return"}});
         placement_.forget(gone);
@@ -142,7 +161,8 @@
 
 bool Gateway::isReady() const
 {
-    return !d_->stopping_ && d_->routing_ != nullptr && d_->directory_.size() > 0 && d_->ledger_.isComplete();
+    return !d_->stopping_ && d_->routing_ != nullptr && d_->directory_.size() > 0 && d_->ledger_.isComplete()
+        && !d_->isCutOff();
 }
 
 void Gateway::beginStop()
@@ -169,7 +189,7 @@
                             const nlohmann::json &body,
                             const std::function<void(const nlohmann::json &)> &answer)
 {
-    if (!d_->budget_.onPeerRequest(type, body, answer)) {
+    if (!d_->budget_.onPeerRequest(type, body, answer) && !d_->relayed_.onPeerRequest(type, body, answer)) {
         answer({});
     }
 }
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -19,6 +19,8 @@
 /** Programs under way go before new ones of their rank: what they have spent would be lost. */
 constexpr std::uint32_t urgencyOfFirstTurn = 1;
 constexpr std::uint32_t lowestUrgency = 9;
+/** Events over which the pace of a stream is measured. */
+constexpr std::uint64_t eventsPerObservation = 3;
 
 std::string secondsText(Duration duration)
 {
@@ -331,11 +333,29 @@
             firstEventAt_ = now;
             gateway_->hooks_.observe_("first_event_seconds", now - arrived_);
         }
-        lastEventAt_ = now;
+        observePace(now);
     }
     return true;
 }
 
+/** Reports the pace of the endpoint while the stream runs: an engine that has turned slow is known within few events.
+ */
+void GatewayCall::observePace(Time now)
+{
+    if (service_ == nullptr || !service_->engine_) {
+        return;
+    }
+    if (attemptEvents_ == 1) {
+        pacedEvents_ = 1;
+        pacedAt_ = now;
+    } else if (attemptEvents_ - pacedEvents_ >= eventsPerObservation) {
+        const std::uint64_t tokens = (attemptEvents_ - pacedEvents_) * service_->engine_->tokensPerEvent_;
+        gateway_->placement_.observeTokens(endpoint_, tokens, now - pacedAt_);
+        pacedEvents_ = attemptEvents_;
+        pacedAt_ = now;
+    }
+}
+
 /** Gives back the place at the endpoint of the attempt. */
 void GatewayCall::leaveEndpoint()
 {
@@ -374,10 +394,6 @@
     }
     if (ended == AttemptEnd::Complete && step_ == Step::Relaying && !splitter_.isInsideEvent()) {
         gateway_->placement_.succeeded(endpoint);
-        if (attemptEvents_ > 1 && service_ != nullptr && service_->engine_) {
-            gateway_->placement_.observeTokens(
-                endpoint, (attemptEvents_ - 1) * service_->engine_->tokensPerEvent_, lastEventAt_ - firstEventAt_);
-        }
         streamComplete();
         return;
     }
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -57,6 +57,7 @@
     // The answer.
     void startRelay();
     bool relayEvents();
+    void observePace(Time now);
     void streamComplete();
     void passOnAnswer();
     void turnDurable();
@@ -94,7 +95,8 @@
     Time sentAt_{0};
     EventSplitter splitter_;
     Time firstEventAt_{0};
-    Time lastEventAt_{0};
+    Time pacedAt_{0}; ///< Arrival of the event number pacedEvents_.
+    std::uint64_t pacedEvents_ = 0;
     std::uint64_t attemptEvents_ = 0;
 
     std::unordered_set<std::string> excluded_; ///< Endpoints that have refused or failed.
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -2,6 +2,7 @@
 #define FILBERTGW_GATEWAY_GATEWAYPRIVATE_H
 
 #include "gateway/gateway.h"
+#include "gateway/relayedstore.h"
 
 #include <unordered_set>
 
@@ -22,6 +23,8 @@
     /** \brief Requests for each slot of a service, over all nodes. */
     double loadOf(const std::string &service) const;
     FleetHooks fleetHooks();
+    /** \brief True if this node has lost the store while others have not, or has lost all of them as well. */
+    bool isCutOff() const;
 
     GatewayHooks hooks_;
     GatewaySettings settings_;
@@ -29,11 +32,13 @@
     EndpointDirectory directory_;
     Placement placement_;
     ProgramLedger ledger_;
-    TurnStore turns_;
     Fleet fleet_;
+    RelayedStore relayed_;
+    TurnStore turns_;
     BudgetController budget_;
     Admission admission_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
+    Time storeSeen_{0}; ///< When the ledger was current last.
     bool stopping_ = false;
     bool stopped_ = false;
 };
--- /dev/null
+++ b/src/gateway/relayedstore.cpp
@@ -0,0 +1,186 @@
+#include "gateway/relayedstore.h"
+
+namespace filbertgw {
+
+namespace internal {
+namespace {
+
+const char *const appendType = "store_append";
+const char *const newestType = "store_newest";
+/** Longest time that a relayed call waits for the other node. */
+constexpr Duration relayTimeout{800'000};
+
+nlohmann::json encode(const KeyedRecord &record)
+{
+    nlohmann::json json = {{"key", record.key_}, {"offset", record.offset_}};
+    if (record.value_) {
+        json["value"] = nlohmann::json::binary({record.value_->begin(), record.value_->end()});
+    }
+    return json;
+}
+
+std::optional<KeyedRecord> decode(const nlohmann::json &json)
+{
+    if (!json.is_object() || !json.contains("key") || !json["key"].is_string() || !json.contains("offset")
+        || !json["offset"].is_number_unsigned()) {
+        return std::nullopt;
+    }
+    KeyedRecord record{json["key"].get<std::string>(), std::nullopt, json["offset"].get<std::uint64_t>()};
+    if (json.contains("value") && json["value"].is_binary()) {
+        const nlohmann::json::binary_t &bytes = json["value"].get_binary();
+        record.value_ = std::string(bytes.begin(), bytes.end());
+    }
+    return record;
+}
+
+std::vector<KeyedRecord> decodeRecords(const nlohmann::json &body)
+{
+    std::vector<KeyedRecord> records;
+    if (body.contains("records") && body["records"].is_array()) {
+        for (const nlohmann::json &item : body["records"]) {
+            const std::optional<KeyedRecord> record = decode(item);
+            if (record) {
+                records.push_back(*record);
+            }
+        }
+    }
+    return records;
+}
+
+nlohmann::json encodeRecords(const std::vector<KeyedRecord> &records)
+{
+    nlohmann::json array = nlohmann::json::array();
+    for (const KeyedRecord &record : records) {
+        array.push_back(encode(record));
+    }
+    return array;
+}
+
+std::optional<PartitionId> partitionOf(const nlohmann::json &body)
+{
+    const bool isPartition = body.is_object() && body.contains("stream") && body["stream"].is_string()
+        && body.contains("partition") && body["partition"].is_number_unsigned();
+    if (!isPartition) {
+        return std::nullopt;
+    }
+    return PartitionId{body["stream"].get<std::string>(), body["partition"].get<std::uint32_t>()};
+}
+
+StoreStatus statusOf(const std::optional<nlohmann::json> &answer)
+{
+    if (!answer || !answer->is_object() || !answer->contains("status") || !(*answer)["status"].is_string()) {
+        return StoreStatus::Unknown;
+    }
+    return valueOf<StoreStatus>((*answer)["status"].get<std::string>()).value_or(StoreStatus::Unknown);
+}
+
+} // namespace
+} // namespace internal
+
+RelayedStore::RelayedStore(RecordStore direct,
+                           BudgetControllerHooks hooks,
+                           std::function<bool()> isReachable,
+                           Fleet &fleet)
+    : direct_(std::move(direct))
+    , hooks_(std::move(hooks))
+    , isReachable_(std::move(isReachable))
+    , fleet_(fleet)
+{
+}
+
+RecordStore RelayedStore::access()
+{
+    RecordStore store = direct_;
+    store.append_ = [this](StoreAppend request, std::function<void(const StoreAppended &)> done) {
+        append(std::move(request), std::move(done));
+    };
+    store.newest_ = [this](const PartitionId &from,
+                           const std::string &after,
+                           std::function<void(const StorePage &)> done) { newest(from, after, std::move(done)); };
+    return store;
+}
+
+void RelayedStore::append(StoreAppend request, std::function<void(const StoreAppended &)> done)
+{
+    const std::optional<FleetMember> node =
+        isReachable_() || request.sequence_ ? std::nullopt : fleet_.currentNode(request.to_.stream_);
+    if (!node) {
+        direct_.append_(std::move(request), std::move(done));
+        return;
+    }
+    const nlohmann::json body = {{"stream", request.to_.stream_},
+                                 {"partition", request.to_.partition_},
+                                 {"records", internal::encodeRecords(request.records_)}};
+    const auto answered = [done = std::move(done)](const std::optional<nlohmann::json> &answer) {
+        done(StoreAppended{internal::statusOf(answer)});
+    };
+    hooks_.askPeer_(node->linkAddress_, internal::appendType, body, internal::relayTimeout, answered);
+}
+
+void RelayedStore::newest(const PartitionId &from,
+                          const std::string &after,
+                          std::function<void(const StorePage &)> done)
+{
+    const std::optional<FleetMember> node = isReachable_() ? std::nullopt : fleet_.currentNode(from.stream_);
+    if (!node) {
+        direct_.newest_(from, after, std::move(done));
+        return;
+    }
+    const nlohmann::json body = {{"stream", from.stream_}, {"partition", from.partition_}, {"after", after}};
+    const auto answered = [done = std::move(done)](const std::optional<nlohmann::json> &answer) {
+        StorePage page;
+        page.status_ = internal::statusOf(answer);
+        if (page.status_ == StoreStatus::Ok) {
+            page.records_ = internal::decodeRecords(*answer);
+            page.more_ = answer->contains("more") && (*answer)["more"] == true;
+        }
+        done(page);
+    };
+    hooks_.askPeer_(node->linkAddress_, internal::newestType, body, internal::relayTimeout, answered);
+}
+
+bool RelayedStore::onPeerRequest(const std::string &type,
+                                 const nlohmann::json &body,
+                                 const std::function<void(const nlohmann::json &)> &answer)
+{
+    if (type == internal::appendType) {
+        serveAppend(body, answer);
+        return true;
+    }
+    if (type == internal::newestType) {
+        serveNewest(body, answer);
+        return true;
+    }
+    return false;
+}
+
+void RelayedStore::serveAppend(const nlohmann::json &body, const std::function<void(const nlohmann::json &)> &answer)
+{
+    const std::optional<PartitionId> to = internal::partitionOf(body);
+    if (!to) {
+        answer({});
+        return;
+    }
+    StoreAppend request;
+    request.to_ = *to;
+    request.records_ = internal::decodeRecords(body);
+    direct_.append_(std::move(request), [answer](const StoreAppended &result) {
+        answer({{"status", nameOf(result.status_)}});
+    });
+}
+
+void RelayedStore::serveNewest(const nlohmann::json &body, const std::function<void(const nlohmann::json &)> &answer)
+{
+    const std::optional<PartitionId> from = internal::partitionOf(body);
+    if (!from || !body.contains("after") || !body["after"].is_string()) {
+        answer({});
+        return;
+    }
+    direct_.newest_(*from, body["after"].get<std::string>(), [answer](const StorePage &page) {
+        answer({{"status", nameOf(page.status_)},
+                {"records", internal::encodeRecords(page.records_)},
+                {"more", page.more_}});
+    });
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/gateway/relayedstore.h
@@ -0,0 +1,43 @@
+#ifndef FILBERTGW_GATEWAY_RELAYEDSTORE_H
+#define FILBERTGW_GATEWAY_RELAYEDSTORE_H
+
+#include "gateway/budgetcontroller.h"
+#include "gateway/fleet.h"
+#include "store/recordstore.h"
+
+#include <functional>
+#include <string>
+
+namespace filbertgw {
+
+/**
+ * \brief The record store, reached through another node while this one has lost it.
+ *
+ * Only appends without a sequence number and reads of the newest records are relayed; both may be repeated.
+ */
+class RelayedStore
+{
+public:
+    RelayedStore(RecordStore direct, BudgetControllerHooks hooks, std::function<bool()> isReachable, Fleet &fleet);
+
+    RecordStore access();
+    /** \brief Answers a request of another node. \return false if the type is not one of this class. */
+    bool onPeerRequest(const std::string &type,
+                       const nlohmann::json &body,
+                       const std::function<void(const nlohmann::json &)> &answer);
+
+private:
+    void append(StoreAppend request, std::function<void(const StoreAppended &)> done);
+    void newest(const PartitionId &from, const std::string &after, std::function<void(const StorePage &)> done);
+    void serveAppend(const nlohmann::json &body, const std::function<void(const nlohmann::json &)> &answer);
+    void serveNewest(const nlohmann::json &body, const std::function<void(const nlohmann::json &)> &answer);
+
+    RecordStore direct_;
+    BudgetControllerHooks hooks_;
+    std::function<bool()> isReachable_;
+    Fleet &fleet_;
+};
+
+} // namespace filbertgw
+
+#endif
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -428,6 +428,11 @@
         && (d_->regained_ == Time{0} || now - d_->regained_ >= d_->settings_.regainDelay_);
 }
 
+bool ProgramLedger::isReachable() const
+{
+    return d_->tail_->isReachable();
+}
+
 bool ProgramLedger::isComplete() const
 {
     return d_->tail_->isComplete();
@@ -491,6 +496,9 @@
 
 void ProgramLedger::noteGrant(const std::string &program, const std::string &writer, std::uint64_t spent)
 {
+    if (writer == d_->settings_.writer_) {
+        return;
+    }
     d_->setOther(program, writer, spent);
     d_->granted_[program + '/' + writer] = spent;
 }
@@ -509,6 +517,17 @@
     return found == d_->programs_.end() ? 0 : found->second.own_;
 }
 
+std::vector<std::pair<std::string, std::uint64_t>> ProgramLedger::spendingByWriter(const std::string &program) const
+{
+    const auto found = d_->programs_.find(program);
+    if (found == d_->programs_.end()) {
+        return {};
+    }
+    std::vector<std::pair<std::string, std::uint64_t>> result = found->second.others_;
+    result.emplace_back(d_->settings_.writer_, found->second.own_);
+    return result;
+}
+
 const std::string &ProgramLedger::writer() const
 {
     return d_->settings_.writer_;
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace filbertgw {
 
@@ -77,6 +79,8 @@
     /** \brief True if what other nodes have spent is known up to a short time ago. */
     bool isCurrent() const;
     bool isComplete() const;
+    /** \brief True if the last call to the store succeeded. */
+    bool isReachable() const;
 
     /** \brief Reserves the tokens that a turn may generate. The reservation stands only if the decision is Granted. */
     void reserve(const TurnReservation &turn, std::function<void(BudgetDecision)> decided);
@@ -94,6 +98,8 @@
     void takeGrant(const std::string &program, std::uint64_t tokens);
     /** \brief Tokens spent or reserved by this node. */
     std::uint64_t ownSpending(const std::string &program) const;
+    /** \brief What each writer has spent on a program, as far as known. */
+    std::vector<std::pair<std::string, std::uint64_t>> spendingByWriter(const std::string &program) const;
     const std::string &writer() const;
     /** \brief Replaces a reservation by what the turn has used. */
     void settle(const std::string &program, std::uint64_t reserved, std::uint64_t used);
--- a/test/gateway/budget.cpp
+++ b/test/gateway/budget.cpp
@@ -106,6 +106,32 @@
 
 INSTANTIATE_TEST_SUITE_P(Table, BudgetAfterOutage, testing::Range(std::size_t{0}, nodeCount));
 
+// Guards against budgets that start anew when the node that decides about them stops during an outage.
+TEST(Budget, DecisionsOfAnOutageSurviveTheStopOfEachNodeInTurn)
+{
+    GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    rig.store_.down_ = true;
+    rig.run(std::chrono::seconds(3));
+    for (std::size_t program = 0; program < 10; ++program) {
+        const std::string name = "p" + std::to_string(program);
+        const std::size_t before = rig.attempts_.size();
+        sendEverywhere(rig, name, name + "a");
+        EXPECT_EQ(rig.attempts_.size() - before, 3U);
+        spendAll(rig, before);
+    }
+    const std::size_t granted = rig.attempts_.size();
+    for (std::size_t node = 0; node < 2; ++node) {
+        rig.kill(node);
+        rig.run(std::chrono::seconds(2));
+        for (std::size_t program = 0; program < 10; ++program) {
+            const std::string name = "p" + std::to_string(program);
+            sendEverywhere(rig, name, name + "b" + std::to_string(node));
+        }
+    }
+    EXPECT_EQ(rig.attempts_.size(), granted);
+}
+
 // Guards against a node that decides alone while it hears of nobody.
 TEST(Budget, NodeThatHearsNobodyGrantsNothingWithoutTheStore)
 {
--- a/test/gateway/retention.cpp
+++ b/test/gateway/retention.cpp
@@ -119,6 +119,56 @@
     EXPECT_TRUE(client->ended_);
 }
 
+// Guards against a node that can serve no retained turn because the store turns it alone away.
+TEST(Retention, StoreIsReachedThroughAnotherNode)
+{
+    GatewayRig rig(3, {streamingRoute(true, 1, false)});
+    rig.addEndpoints("engines", "e", 2);
+    play(rig, 0, following("t1", ""), {"x"});
+    rig.store_.refuses_["node1"] = true;
+    rig.run(std::chrono::seconds(1));
+    play(rig, 1, following("t2", "t1"), {"y"});
+    play(rig, 2, following("t3", "t2"), {"z"});
+    EXPECT_EQ(*rig.attempts_[2].attempt_.body_, "input-t1;x\ninput-t2;y\ninput-t3;");
+}
+
+/** \brief Which nodes have lost the store, and whether the first one takes new connections. */
+struct ReadinessCase
+{
+    const char *name_;
+    std::size_t refused_; ///< Of three nodes.
+    bool alone_; ///< The first node hears of no other.
+    bool ready_;
+};
+
+class ReadinessWithoutStore : public testing::TestWithParam<ReadinessCase>
+{
+};
+
+// Guards against new connections for a node that can serve them worse than others, and against none for any node.
+TEST_P(ReadinessWithoutStore, DependsOnWhatOthersCan)
+{
+    GatewayRig rig(3, {streamingRoute(true, 1, false)});
+    rig.addEndpoints("engines", "e", 2);
+    for (std::size_t i = 0; i < GetParam().refused_; ++i) {
+        rig.store_.refuses_["node" + std::to_string(i)] = true;
+    }
+    if (GetParam().alone_) {
+        rig.deafNodes_.insert("node0");
+    }
+    EXPECT_TRUE(rig.nodes_[0]->isReady());
+    rig.run(std::chrono::seconds(5));
+    EXPECT_EQ(rig.nodes_[0]->isReady(), GetParam().ready_);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         ReadinessWithoutStore,
+                         testing::Values(ReadinessCase{"NobodyLostIt", 0, false, true},
+                                         ReadinessCase{"OnlyThisNode", 1, false, false},
+                                         ReadinessCase{"AllNodes", 3, false, true},
+                                         ReadinessCase{"Isolated", 3, true, false}),
+                         [](const testing::TestParamInfo<ReadinessCase> &info) { return info.param.name_; });
+
 // Guards against a turn that is stored twice or never when the store's answer is lost.
 TEST(Retention, LostAnswerOfTheStoreIsRepeated)
 {
