--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -32,8 +32,9 @@
 
 const char *const version = "filbertgw 0.1.0";
 
-const char *const usage = "usage: filbertgw serve|publish FILE|records|state|check FILE|version [options]\n"
-                          "       filbertgw COMMAND --help\n";
+const char *const usage =
+    "usage: filbertgw serve|gateway|publish FILE|records|state|check FILE|explain ID|version [options]\n"
+    "       filbertgw COMMAND --help\n";
 
 const char *describe(Command command)
 {
--- /dev/null
+++ b/src/cli/explain.h
@@ -0,0 +1,19 @@
+#ifndef FILBERTGW_CLI_EXPLAIN_H
+#define FILBERTGW_CLI_EXPLAIN_H
+
+#include <iosfwd>
+#include <string>
+
+namespace filbertgw {
+
+/**
+ * \brief Prints the log lines of one request or program, of any number of nodes, in order of time.
+ *
+ * Lines that name the id as request, program or previous turn are taken; for a request also the lines of its program.
+ * \return the number of lines printed.
+ */
+std::size_t explainRequest(const std::string &id, std::istream &logs, std::ostream &out);
+
+} // namespace filbertgw
+
+#endif
--- a/src/core/logger.cpp
+++ b/src/core/logger.cpp
@@ -98,9 +98,14 @@
         return;
     }
     static boost::log::sources::logger source;
+    BOOST_LOG(source) << line(level, event, fields);
+}
+
+std::string Logger::line(LogLevel level, const std::string &event, const nlohmann::json &fields) const
+{
     const boost::posix_time::ptime now = boost::posix_time::microsec_clock::universal_time();
-    BOOST_LOG(source) << "time=" << boost::posix_time::to_iso_extended_string(now) << "Z level=" << nameOf(level)
-                      << " node=" << internal::valueText(node_) << ' ' << formatLogFields(event, fields);
+    return "time=" + boost::posix_time::to_iso_extended_string(now) + "Z level=" + std::string(nameOf(level))
+        + " node=" + internal::valueText(node_) + ' ' + formatLogFields(event, fields);
 }
 
 } // namespace filbertgw
--- a/src/core/logger.h
+++ b/src/core/logger.h
@@ -39,6 +39,8 @@
 public:
     Logger(std::string node, LogLevel least);
     void log(LogLevel level, const std::string &event, const nlohmann::json &fields) const;
+    /** \brief The line that log() writes, without its end. */
+    std::string line(LogLevel level, const std::string &event, const nlohmann::json &fields) const;
 
 private:
     std::string node_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -53,9 +53,9 @@
     hooks.store_ = hooks_.store_;
     hooks.sendDatagram_ = hooks_.sendDatagram_;
     hooks.report_ = [this] {
-        return NodeReport{ledger_.isCurrent(), ledger_.isComplete(), placement_.ownLoad(), placement_.takeReadParts()};
+        return NodeReport{ledger_.isCurrent(), ledger_.knowsGrants(), placement_.ownLoad(), placement_.takeReadParts()};
     };
-    hooks.ledgerComplete_ = [this] { return ledger_.isComplete(); };
+    hooks.ledgerComplete_ = [this] { return ledger_.knowsGrants(); };
     hooks.onReport_ = [this](const std::string &node, const NodeReport &report) {
         placement_.setPeerLoad(node, report.load_);
         for (const ReadPart &read : report.readParts_) {
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -122,6 +122,7 @@
     std::deque<internal::WaitingTurn> sent_; ///< Their reservation has been sent and was not read back yet.
     StoreAppend group_;
     WriterSequence sequence_;
+    Time firstReached_{0}; ///< When the store was reached for the first time.
     Time regained_{0}; ///< End of the last loss of the store that made the knowledge outdated.
     bool appending_ = false;
     bool flushPlanned_ = false;
@@ -141,7 +142,11 @@
 void ProgramLedger::Private::onReachable(bool reachable)
 {
     const Time now = hooks_.now_();
-    if (reachable && tail_->isComplete() && now - tail_->currentAsOf() > settings_.currentFor_) {
+    if (reachable && firstReached_ == Time{0}) {
+        firstReached_ = now;
+    }
+    // Also at the start: others may still have to record what they were granted in an outage.
+    if (reachable && now - tail_->currentAsOf() > settings_.currentFor_) {
         regained_ = now;
         hooks_.after_(settings_.vouchDelay_, [self = shared_from_this()] {
             if (!self->stopped_) {
@@ -428,6 +433,11 @@
         && (d_->regained_ == Time{0} || now - d_->regained_ >= d_->settings_.regainDelay_);
 }
 
+bool ProgramLedger::knowsGrants() const
+{
+    return isComplete() && d_->hooks_.now_() - d_->firstReached_ >= d_->settings_.regainDelay_;
+}
+
 bool ProgramLedger::isReachable() const
 {
     return d_->tail_->isReachable();
@@ -475,7 +485,7 @@
 BudgetDecision
 ProgramLedger::reserveWithoutStore(const TurnReservation &turn, const std::string &writer, std::uint64_t own)
 {
-    if (!isComplete()) {
+    if (!knowsGrants()) {
         return BudgetDecision::Unavailable;
     }
     const bool isOwn = writer == d_->settings_.writer_;
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -79,6 +79,8 @@
     /** \brief True if what other nodes have spent is known up to a short time ago. */
     bool isCurrent() const;
     bool isComplete() const;
+    /** \brief True if the node has been up for long enough to know what others were granted in an outage before. */
+    bool knowsGrants() const;
     /** \brief True if the last call to the store succeeded. */
     bool isReachable() const;
 
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -74,9 +74,9 @@
 {
     HttpOutcome outcome_ = HttpOutcome::NotConnected;
     int status_ = 0;
+    std::string body_; ///< Empty if parts were streamed.
     std::map<std::string, std::string> headers_; ///< Names in lower case.
     bool reused_ = false; ///< The connection had carried an exchange before.
-    std::string body_; ///< Empty if parts were streamed.
 };
 
 } // namespace filbertgw
--- /dev/null
+++ b/test/core/explain.cpp
@@ -0,0 +1,24 @@
+#include "cli/explain.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace filbertgw {
+
+// Guards against a story that leaves out other nodes, mixes requests or is out of order.
+TEST(Explain, PrintsOneRequestAndItsProgramInOrder)
+{
+    std::istringstream logs("time=3 node=b event=request_ended program=p1 request=r1 outcome=timed_out\n"
+                            "time=1 node=a event=budget_asked program=p1 decision=granted\n"
+                            "not a log line\n"
+                            "time=2 node=b event=attempt_failed program=p1 request=r1 end=broken\n"
+                            "time=2 node=b event=attempt_failed program=p2 request=r2 end=broken\n");
+    std::ostringstream out;
+    EXPECT_EQ(explainRequest("r1", logs, out), 3U);
+    EXPECT_EQ(out.str().find("time=1"), 0U);
+    EXPECT_EQ(out.str().find("p2"), std::string::npos);
+    EXPECT_LT(out.str().find("time=2"), out.str().find("time=3"));
+}
+
+} // namespace filbertgw
--- a/test/gateway/budget.cpp
+++ b/test/gateway/budget.cpp
@@ -106,6 +106,28 @@
 
 INSTANTIATE_TEST_SUITE_P(Table, BudgetAfterOutage, testing::Range(std::size_t{0}, nodeCount));
 
+// Guards against a node that starts in an outage and reserves in the store before others have recorded their grants.
+TEST(Budget, NodeStartedInAnOutageWaitsForTheGrantsOfOthers)
+{
+    GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    rig.store_.down_ = true;
+    rig.run(std::chrono::seconds(3));
+    ASSERT_EQ(sendEverywhere(rig, "p", "a"), 3U);
+    spendAll(rig, 0);
+    rig.kill(4);
+    rig.restart(4);
+    rig.run(std::chrono::seconds(2));
+    rig.store_.down_ = false;
+    for (int round = 0; round < 15; ++round) {
+        rig.run(std::chrono::milliseconds(100));
+        const std::string id = "b" + std::to_string(round);
+        rig.send(4, turn(id, "p", "sub-" + id));
+    }
+    rig.run(std::chrono::seconds(3));
+    EXPECT_EQ(rig.attempts_.size(), 3U);
+}
+
 // Guards against budgets that start anew when the node that decides about them stops during an outage.
 TEST(Budget, DecisionsOfAnOutageSurviveTheStopOfEachNodeInTurn)
 {
--- a/test/golden/virtualworld.cpp
+++ b/test/golden/virtualworld.cpp
@@ -173,7 +173,11 @@
         }
         const std::function<void(const HttpResult &)> done = std::move(found->second.call_.onDone_);
         exchanges_.erase(found);
-        done({outcome, status, body});
+        HttpResult result;
+        result.outcome_ = outcome;
+        result.status_ = status;
+        result.body_ = body;
+        done(result);
     });
 }
 
--- /dev/null
+++ b/test/platform/codecs.cpp
@@ -0,0 +1,305 @@
+#include "platform/discovery.h"
+#include "platform/engineprotocol.h"
+#include "platform/ingress.h"
+#include "platform/operatorconfig.h"
+#include "platform/settingsfile.h"
+#include "platform/storeclient.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <gtest/gtest.h>
+
+namespace filbertgw::platform {
+
+namespace {
+
+const char *const wholeSettings = R"({"node_name":"n1","zone":"z1","ip":"10.0.0.1","unknown":{"a":1},
+"listen":{"frontend":"10.0.0.1:1","ready":"10.0.0.1:2"},"port_range":[7380,7395],
+"bounds":{"grace_s":6.5,"contact_ms":2500},"platform":{"address":"10.0.0.9:3","parts":4}})";
+
+/** \brief The text of the failure, or nothing if the settings are valid. */
+std::string faultsOf(const std::string &text)
+{
+    std::string faults;
+    boost::leaf::try_handle_all(
+        [&text]() -> Result<void> {
+            BOOST_LEAF_CHECK(parseSettings(text));
+            return {};
+        },
+        [&faults](const Failure &failure) { faults = failure.detail_; },
+        [&faults] { faults = "unknown"; });
+    return faults;
+}
+
+/** \brief The version of a configuration, or 0 if it is rejected. */
+std::uint64_t versionOf(const std::string &text)
+{
+    return boost::leaf::try_handle_all(
+        [&text]() -> Result<std::uint64_t> {
+            BOOST_LEAF_AUTO(table, decodeConfiguration(text));
+            return table->version();
+        },
+        [] { return std::uint64_t{0}; });
+}
+
+HttpRequest clientRequest()
+{
+    HttpRequest request;
+    request.method_ = "POST";
+    request.target_ = "/a/b";
+    request.headers_ = {{"host", "h.example"},
+                        {"x-filbertgw-attempt-id", "id1"},
+                        {"x-filbertgw-time-left-ms", "1500"},
+                        {"x-filbertgw-program-id", "p1"},
+                        {"x-filbertgw-session-id", "s1"},
+                        {"x-filbertgw-token-budget", "900"},
+                        {"x-filbertgw-token-usage", "1840,572"},
+                        {"x-filbertgw-prompt-prefix", "aa:800,bb:410"},
+                        {"cookie", "a=1; X-Filbertgw-Affinity-Key=17"},
+                        {"connection", "keep-alive"},
+                        {"x-other", "kept"}};
+    return request;
+}
+
+} // namespace
+
+TEST(SettingsFile, UnknownFieldsAreIgnored)
+{
+    EXPECT_EQ(faultsOf(wholeSettings), "");
+}
+
+// Guards against settings whose faults come out one at a time.
+TEST(SettingsFile, EveryFaultIsNamed)
+{
+    const std::string faults = faultsOf(R"({"node_name":7,"ip":"10.0.0.1","platform":{"parts":0}})");
+    for (const char *name :
+         {"/node_name", "/zone", "/listen/frontend", "/listen/ready", "/platform/address", "/platform/parts"}) {
+        EXPECT_NE(faults.find(name), std::string::npos) << name << " is missing in: " << faults;
+    }
+    EXPECT_NE(faultsOf("[]"), "");
+    EXPECT_NE(faultsOf("{"), "");
+}
+
+/** \brief A registry entry and whether it names an endpoint. */
+struct EntryCase
+{
+    const char *name_;
+    const char *entry_;
+    bool isEndpoint_;
+};
+
+class RegistryEntry : public testing::TestWithParam<EntryCase>
+{
+};
+
+// Guards against forged or torn entries that are taken for endpoints.
+TEST_P(RegistryEntry, IsTakenOnlyIfWhole)
+{
+    EXPECT_EQ(decodeEndpoint("i-1", GetParam().entry_).has_value(), GetParam().isEndpoint_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    RegistryEntry,
+    testing::Values(
+        EntryCase{
+            "Whole",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":6,"state":"ready","sequence":4,"born":17})",
+            true},
+        EntryCase{"Draining",
+                  R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":6,"state":"draining","sequence":4})",
+                  true},
+        EntryCase{"UnknownState",
+                  R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":6,"state":"odd","sequence":4})",
+                  false},
+        EntryCase{"NoAddress", R"({"service":"s","zone":"z","slots":6,"state":"ready","sequence":4})", false},
+        EntryCase{"BadAddress",
+                  R"({"service":"s","address":"nowhere","zone":"z","slots":6,"state":"ready","sequence":4})",
+                  false},
+        EntryCase{"SlotsOfAnotherType",
+                  R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":"6","state":"ready","sequence":4})",
+                  false},
+        EntryCase{
+            "BornOfAnotherType",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":6,"state":"ready","sequence":4,"born":1.5})",
+            false},
+        EntryCase{"Torn", R"({"service":"s","addre)", false},
+        EntryCase{"NotAnObject", "7", false},
+        EntryCase{"Bytes", "\x01\xff\xfe", false}),
+    [](const testing::TestParamInfo<EntryCase> &info) { return info.param.name_; });
+
+TEST(OperatorConfig, RoutesAndServicesAreDecoded)
+{
+    const std::string text = R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/","type":"streaming",
+"timeout_ms":3000,"max_attempts":2,"retain":true,"retain_s":60.0,"resumable":false,"priority":1,"traffic_split":
+[{"service":"s","weight":90},{"service":"t","weight":10}]}],"services":[{"name":"s","max_conns":170,"engine":
+{"slots":16,"tokens_per_event":22}}],"limits":{}})";
+    boost::leaf::try_handle_all(
+        [&text]() -> Result<void> {
+            BOOST_LEAF_AUTO(table, decodeConfiguration(text));
+            const Route *route = table->find("h", "/a/b");
+            EXPECT_NE(route, nullptr);
+            EXPECT_EQ(route->kind_, RouteKind::Streaming);
+            EXPECT_EQ(route->targets_.size(), 2U);
+            EXPECT_TRUE(route->retainsTurns_);
+            EXPECT_EQ(route->retention_, Duration(std::chrono::seconds(60)));
+            EXPECT_EQ(table->service("s")->engine_->tokensPerEvent_, 22U);
+            EXPECT_EQ(table->find("h", "/b/"), nullptr);
+            return {};
+        },
+        [] { ADD_FAILURE() << "the configuration was rejected"; });
+}
+
+// Guards against a torn configuration that stops the process or takes effect in part.
+TEST(OperatorConfig, BrokenOnesAreRejected)
+{
+    EXPECT_EQ(versionOf("{"), 0U);
+    EXPECT_EQ(versionOf(R"({"version":7})"), 0U);
+    EXPECT_EQ(versionOf(R"({"version":7,"routes":[{"host":"h"}],"services":[]})"), 0U);
+    EXPECT_EQ(versionOf(R"({"version":"x","routes":[],"services":[]})"), 0U);
+    EXPECT_EQ(versionOf(R"({"version":7,"routes":[],"services":[]})"), 7U);
+}
+
+TEST(Ingress, RequestIsDecoded)
+{
+    const std::optional<GatewayRequest> request = decodeRequest(clientRequest());
+    ASSERT_TRUE(request);
+    EXPECT_EQ(request->id_, "id1");
+    EXPECT_EQ(request->timeLeft_, Duration(std::chrono::milliseconds(1500)));
+    EXPECT_EQ(request->tokenBudget_, 900U);
+    EXPECT_EQ(request->promptTokens_, 1840U);
+    EXPECT_EQ(request->maxOutputTokens_, 572U);
+    EXPECT_EQ(request->affinityKey_, "17");
+    EXPECT_EQ(request->conversations_, (std::vector<std::string>{"bb", "aa", "p1"}));
+    EXPECT_EQ(request->headers_.count("x-other"), 1U);
+    EXPECT_EQ(request->headers_.count("connection"), 0U);
+}
+
+class SystemHeader : public testing::TestWithParam<const char *>
+{
+};
+
+// Guards against headers that only the system may set and that a client sends.
+TEST_P(SystemHeader, IsNotPassedOn)
+{
+    HttpRequest request = clientRequest();
+    request.headers_[GetParam()] = "1";
+    const std::optional<GatewayRequest> decoded = decodeRequest(request);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->headers_.count(GetParam()), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         SystemHeader,
+                         testing::Values("x-filbertgw-hold",
+                                         "x-filbertgw-pin-ms",
+                                         "x-filbertgw-kv-backup",
+                                         "kv-from",
+                                         "kv-fetch",
+                                         "x-filbertgw-expect-instance",
+                                         "x-filbertgw-request-priority",
+                                         "x-filbertgw-response-stamp"));
+
+class AmbiguousHeader : public testing::TestWithParam<const char *>
+{
+};
+
+// Guards against a request that is read differently here and behind.
+TEST_P(AmbiguousHeader, IsRejected)
+{
+    HttpRequest request = clientRequest();
+    request.headers_[GetParam()] = "a, b";
+    EXPECT_FALSE(decodeRequest(request));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    AmbiguousHeader,
+    testing::Values("host", "x-filbertgw-attempt-id", "x-filbertgw-program-id", "x-filbertgw-previous-turn"));
+
+// Guards against ids that do not fit into the store's keys.
+TEST(Ingress, LongIdIsRejected)
+{
+    HttpRequest request = clientRequest();
+    request.headers_["x-filbertgw-program-id"] = std::string(500, 'p');
+    EXPECT_FALSE(decodeRequest(request));
+}
+
+/** \brief Headers of an answer and what they say. */
+struct HeadCase
+{
+    const char *name_;
+    int status_;
+    std::map<std::string, std::string> headers_;
+    bool fromEndpoint_;
+    bool notRun_;
+};
+
+class AnswerHead : public testing::TestWithParam<HeadCase>
+{
+};
+
+// Guards against answers without the endpoint's signature, or of another request, that reach a client.
+TEST_P(AnswerHead, IsJudgedByItsHeaders)
+{
+    const AttemptHead head = decodeHead(HttpHead{GetParam().status_, GetParam().headers_}, "id1");
+    EXPECT_EQ(head.fromEndpoint_, GetParam().fromEndpoint_);
+    EXPECT_EQ(head.notRun_, GetParam().notRun_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    AnswerHead,
+    testing::Values(
+        HeadCase{"Signed", 200, {{"x-filbertgw-attempt-id", "id1"}, {"x-filbertgw-response-stamp", "s"}}, true, false},
+        HeadCase{"Unsigned", 200, {{"x-filbertgw-attempt-id", "id1"}}, false, false},
+        HeadCase{"OfAnotherRequest",
+                 200,
+                 {{"x-filbertgw-attempt-id", "id2"}, {"x-filbertgw-response-stamp", "s"}},
+                 false,
+                 false},
+        HeadCase{"Encoded",
+                 200,
+                 {{"x-filbertgw-attempt-id", "id1"}, {"x-filbertgw-response-stamp", "s"}, {"content-encoding", "gzip"}},
+                 false,
+                 false},
+        HeadCase{"NotRun", 503, {{"x-filbertgw-not-executed", "1"}}, false, true}),
+    [](const testing::TestParamInfo<HeadCase> &info) { return info.param.name_; });
+
+// Guards against an attempt that names no instance or more time than is left.
+TEST(EngineProtocol, AttemptCarriesInstanceTimeAndUrgency)
+{
+    EndpointAttempt attempt;
+    attempt.address_ = "1.2.3.4:5";
+    attempt.endpoint_ = "i-1";
+    attempt.request_ = std::make_shared<const GatewayRequest>(*decodeRequest(clientRequest()));
+    attempt.body_ = std::make_shared<const std::string>("body");
+    attempt.timeLeft_ = std::chrono::milliseconds(700);
+    attempt.urgency_ = 4;
+    attempt.lastEventId_ = "12";
+    const HttpCall call = encodeAttempt(attempt, AttemptHandlers());
+    EXPECT_EQ(call.request_.headers_.at("x-filbertgw-expect-instance"), "i-1");
+    EXPECT_EQ(call.request_.headers_.at("x-filbertgw-time-left-ms"), "700");
+    EXPECT_EQ(call.request_.headers_.at("x-filbertgw-request-priority"), "4");
+    EXPECT_EQ(call.request_.headers_.at("last-event-id"), "12");
+    EXPECT_EQ(call.request_.body_, "body");
+    EXPECT_EQ(call.echoValue_, "id1");
+}
+
+// Guards against records that are cut or shifted on their way to and from the store.
+TEST(StoreClient, RecordsKeepTheirBytes)
+{
+    const std::vector<KeyedRecord> records{{"k1", std::string("a\0b", 3)}, {"k2", std::nullopt}, {"k3", ""}};
+    const std::string body = std::string(7, '\0') + '\x09' + std::string(8, '\0') + encodeRecords(records);
+    const StorePage page = decodeRecords(body, 6);
+    ASSERT_EQ(page.status_, StoreStatus::Ok);
+    ASSERT_EQ(page.records_.size(), 3U);
+    EXPECT_EQ(page.end_, 9U);
+    EXPECT_EQ(page.records_[0].key_, "k1");
+    EXPECT_EQ(page.records_[0].value_, std::string("a\0b", 3));
+    EXPECT_EQ(page.records_[0].offset_, 6U);
+    EXPECT_FALSE(page.records_[1].value_);
+    EXPECT_EQ(decodeRecords(body.substr(0, body.size() - 2), 6).records_.size(), 2U) << "a torn record ends the page";
+    EXPECT_EQ(decodeRecords("short", 0).status_, StoreStatus::Unknown);
+}
+
+} // namespace filbertgw::platform
