Let turns of sub-agents wait while no node reaches the store; tell what is not recorded

Change: without the store only turns of a program's own line are granted; a node tells what its append holds when that takes over 0.25 s; a node that has just started decides nothing until it has read for 1.5 s before the outage.

--- a/src/gateway/budgetcontroller.cpp
+++ b/src/gateway/budgetcontroller.cpp
@@ -65,6 +65,10 @@
 void BudgetController::reserveElsewhere(const TurnReservation &turn, const Decided &decided)
 {
     const std::optional<FleetMember> current = fleet_.currentNode(turn.program_);
+    if (!current && !turn.mainLine_) {
+        decided(BudgetGrant{BudgetDecision::Unavailable, turn.program_, 0, {}});
+        return;
+    }
     const std::optional<FleetMember> chosen = current ? current : fleet_.homeOf(turn.program_);
     if (!chosen) {
         decided(BudgetGrant{BudgetDecision::Unavailable, turn.program_, 0, {}});
@@ -91,17 +95,36 @@
         then();
         return;
     }
+    sendNote(*witness, program, ledger_.spendingByWriter(program), then);
+}
+
+void BudgetController::sendNote(const FleetMember &member,
+                                const std::string &program,
+                                const std::vector<std::pair<std::string, std::uint64_t>> &spending,
+                                const std::function<void()> &then)
+{
     nlohmann::json spent = nlohmann::json::array();
-    for (const std::pair<std::string, std::uint64_t> &entry : ledger_.spendingByWriter(program)) {
+    for (const std::pair<std::string, std::uint64_t> &entry : spending) {
         spent.push_back({entry.first, entry.second});
     }
-    hooks_.askPeer_(witness->linkAddress_,
+    hooks_.askPeer_(member.linkAddress_,
                     internal::noteType,
                     {{"program", program}, {"spent", spent}},
                     internal::noteTimeout,
                     [then](const std::optional<nlohmann::json> &) { then(); });
 }
 
+void BudgetController::announceSpending(const std::string &program)
+{
+    const std::optional<FleetMember> home = fleet_.homeOf(program);
+    if (home && !fleet_.isSelf(*home)) {
+        // Of others this node may know less than the receiver does.
+        sendNote(*home, program, {{ledger_.writer(), ledger_.ownSpending(program)}}, [] {});
+    } else if (home) {
+        tellWitness(program, [] {});
+    }
+}
+
 void BudgetController::ask(const FleetMember &member, const TurnReservation &turn, const Decided &decided)
 {
     const nlohmann::json body = {{"program", turn.program_},
@@ -156,7 +179,7 @@
     const std::optional<FleetMember> home =
         fleet_.currentNode(turn.program_) ? std::nullopt : fleet_.homeOf(turn.program_);
     const bool isHome = home && fleet_.isSelf(*home);
-    if (!isHome) {
+    if (!isHome || !turn.mainLine_) {
         answer({{"decision", nameOf(BudgetDecision::Unavailable)}, {"durable", false}});
         return;
     }
--- a/src/gateway/budgetcontroller.h
+++ b/src/gateway/budgetcontroller.h
@@ -40,6 +40,8 @@
  * A node whose knowledge is current decides with the store. One that has lost the store asks a node that has not.
  * While no node reaches it, one node decides about each program for all others, if it hears of most nodes. The tokens
  * that it grants are the asking node's, and the node that would decide next knows of them as well.
+ * Turns of sub-agents wait for the store then: a looping program starts many at once, through many nodes, faster than
+ * nodes that stop and start can tell each other of them.
  */
 class BudgetController
 {
@@ -48,6 +50,8 @@
 
     void reserve(const TurnReservation &turn, std::function<void(const BudgetGrant &)> decided);
     void settle(const BudgetGrant &grant, std::uint64_t used);
+    /** \brief Tells the nodes that would decide without the store what this one has spent and not recorded yet. */
+    void announceSpending(const std::string &program);
     /** \brief Answers a request of another node. \return false if the type is not one of this class. */
     bool onPeerRequest(const std::string &type,
                        const nlohmann::json &body,
@@ -59,6 +63,10 @@
     void reserveElsewhere(const TurnReservation &turn, const Decided &decided);
     void decideAlone(const TurnReservation &turn, const Decided &decided);
     void tellWitness(const std::string &program, const std::function<void()> &then);
+    void sendNote(const FleetMember &member,
+                  const std::string &program,
+                  const std::vector<std::pair<std::string, std::uint64_t>> &spending,
+                  const std::function<void()> &then);
     void ask(const FleetMember &member, const TurnReservation &turn, const Decided &decided);
     void takeNote(const std::string &program, const nlohmann::json &body);
     void decideForOthers(const TurnReservation &turn,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -20,7 +20,12 @@
     , settings_(std::move(settings))
     , directory_(hooks_.now_)
     , placement_(hooks_.now_, hooks_.random_, settings_.placement_)
-    , ledger_(ProgramLedgerHooks{hooks_.now_, hooks_.after_, hooks_.store_, nullptr}, settings_.ledger_)
+    , ledger_(ProgramLedgerHooks{hooks_.now_,
+                                 hooks_.after_,
+                                 hooks_.store_,
+                                 nullptr,
+                                 [this](const std::string &program) { budget_.announceSpending(program); }},
+              settings_.ledger_)
     , fleet_(fleetHooks(), settings_.fleet_)
     , relayed_(
           hooks_.store_,
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -104,6 +104,8 @@
     void markDirty(const std::string &program, internal::Spending &spending);
     void flushSoon(Duration delay);
     void flush();
+    void watchGroup();
+    void reportUnrecorded();
     void sendGroup();
     void groupAppended(const StoreAppended &result);
     void groupDurable();
@@ -267,9 +269,40 @@
     }
     group_.sequence_ = sequence_;
     appending_ = true;
+    watchGroup();
     sendGroup();
 }
 
+/** Reports, again and again while the group is not durable, the programs whose spending is not recorded. */
+void ProgramLedger::Private::watchGroup()
+{
+    hooks_.after_(settings_.unrecordedAfter_, [self = shared_from_this(), number = sequence_.sequence_] {
+        if (self->stopped_ || !self->appending_ || number != self->sequence_.sequence_) {
+            return;
+        }
+        self->reportUnrecorded();
+        self->watchGroup();
+    });
+}
+
+void ProgramLedger::Private::reportUnrecorded()
+{
+    if (!hooks_.onUnrecorded_) {
+        return;
+    }
+    const std::string ownEnd = '/' + settings_.writer_;
+    for (const KeyedRecord &record : group_.records_) {
+        const bool isOwn = record.value_ && record.key_.size() > ownEnd.size()
+            && record.key_.compare(record.key_.size() - ownEnd.size(), ownEnd.size(), ownEnd) == 0;
+        if (isOwn) {
+            hooks_.onUnrecorded_(record.key_.substr(1, record.key_.size() - ownEnd.size() - 1));
+        }
+    }
+    for (const std::string &program : dirty_) {
+        hooks_.onUnrecorded_(program);
+    }
+}
+
 void ProgramLedger::Private::sendGroup()
 {
     hooks_.store_.append_(group_, [self = shared_from_this()](const StoreAppended &result) {
@@ -435,7 +468,8 @@
 
 bool ProgramLedger::knowsGrants() const
 {
-    return isComplete() && d_->hooks_.now_() - d_->firstReached_ >= d_->settings_.regainDelay_;
+    // As of the last read: it must not become true within an outage, since others have decided until then.
+    return isComplete() && d_->tail_->currentAsOf() - d_->firstReached_ >= d_->settings_.regainDelay_;
 }
 
 bool ProgramLedger::isReachable() const
@@ -509,6 +543,13 @@
     if (writer == d_->settings_.writer_) {
         return;
     }
+    // Notes may overtake each other; too high a figure only refuses too much, until the writer's own record is read.
+    const internal::Spending &spending = d_->programs_[program];
+    for (const std::pair<std::string, std::uint64_t> &other : spending.others_) {
+        if (other.first == writer) {
+            spent = std::max(spent, other.second);
+        }
+    }
     d_->setOther(program, writer, spent);
     d_->granted_[program + '/' + writer] = spent;
 }
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -45,6 +45,8 @@
     std::function<std::uint64_t(Duration, std::function<void()>)> after_;
     RecordStore store_;
     std::function<void(bool reachable)> onReachable_;
+    /** \brief Called for a program whose spending has waited for the store for longer than unrecordedAfter_. */
+    std::function<void(const std::string &program)> onUnrecorded_;
 };
 
 struct ProgramLedgerSettings
@@ -56,6 +58,8 @@
     /** After a loss of the store its knowledge counts again after this, when what was granted without it is in it. */
     Duration regainDelay_{1'500'000};
     Duration vouchDelay_{1'200'000}; ///< Time for writers to record themselves what they were granted without it.
+    /** An append that takes longer may be the begin of an outage: others are told what it holds. */
+    Duration unrecordedAfter_{250'000};
     Duration strictTimeout_{700'000}; ///< Longest time that a turn waits for its durable reservation.
     Duration retention_{120'000'000}; ///< A program that was idle for longer is forgotten.
 };
