Let started nodes decide budgets at once when no living node was in an outage

Cause: a node decided no budget for 1.5 s after its start, since others may still have to record what they were granted without the store.

Ruled out: dropping the wait.

Change: a started node asks the fleet. Reports of a node say for its first 3 s how to reach it, a node that hears of a new one answers at once, and 0.3 s after the list of nodes was read the new node decides, unless a living node has known the store and is not current now. Then it waits as before.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -37,6 +37,7 @@
     void registerSelf();
     void takeRecord(const KeyedRecord &record);
     void sendReports();
+    void answerIntroduction(const std::string &name, const nlohmann::json &report);
     std::string encode(const NodeReport &report) const;
     bool isAlive(const internal::KnownNode &node) const;
     bool isCounted(const internal::KnownNode &node) const;
@@ -47,6 +48,8 @@
     FleetSettings settings_;
     std::unique_ptr<StreamTail> tail_;
     std::map<std::string, internal::KnownNode> nodes_; ///< Without this one.
+    Time started_{0};
+    Time listed_{0}; ///< When the list of nodes was complete for the first time.
     bool stopped_ = false;
 };
 
@@ -82,10 +85,23 @@
         nodes_.erase(record.key_);
         return;
     }
-    internal::KnownNode node;
+    internal::KnownNode &node = nodes_[record.key_];
     node.member_ = FleetMember{record.key_, body["datagrams"].get<std::string>(), body["links"].get<std::string>()};
     node.learned_ = hooks_.now_();
-    nodes_[record.key_] = std::move(node);
+}
+
+/** Takes up a node that is not in the list yet, and lets it hear of this one at once. */
+void Fleet::Private::answerIntroduction(const std::string &name, const nlohmann::json &report)
+{
+    const bool isIntroduction = report.contains("d") && report["d"].is_string() && report.contains("u")
+        && report["u"].is_string() && name != settings_.self_.name_;
+    if (!isIntroduction || nodes_.count(name) != 0) {
+        return;
+    }
+    internal::KnownNode &node = nodes_[name];
+    node.member_ = FleetMember{name, report["d"].get<std::string>(), report["u"].get<std::string>()};
+    node.learned_ = hooks_.now_();
+    hooks_.sendDatagram_(node.member_.datagramAddress_, encode(hooks_.report_()));
 }
 
 std::string Fleet::Private::encode(const NodeReport &report) const
@@ -98,11 +114,15 @@
     for (const ReadPart &read : report.readParts_) {
         parts.push_back({read.endpoint_, read.part_});
     }
-    const nlohmann::json body = {{"p", parts},
-                                 {"n", settings_.self_.name_},
-                                 {"c", report.ledgerCurrent_},
-                                 {"k", report.ledgerComplete_},
-                                 {"l", load}};
+    nlohmann::json body = {{"p", parts},
+                           {"n", settings_.self_.name_},
+                           {"c", report.ledgerCurrent_},
+                           {"k", report.ledgerComplete_},
+                           {"l", load}};
+    if (hooks_.now_() - started_ < settings_.introduction_) {
+        body["d"] = settings_.self_.datagramAddress_;
+        body["u"] = settings_.self_.linkAddress_;
+    }
     const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -110,6 +130,9 @@
 void Fleet::Private::sendReports()
 {
     noteAlive();
+    if (listed_ == Time{0} && tail_->isComplete()) {
+        listed_ = hooks_.now_();
+    }
     std::vector<const internal::KnownNode *> targets;
     for (const std::pair<const std::string, internal::KnownNode> &entry : nodes_) {
         if (isCounted(entry.second)) {
@@ -200,6 +223,7 @@
 
 void Fleet::start()
 {
+    d_->started_ = d_->hooks_.now_();
     d_->registerSelf();
     d_->tail_->start();
     d_->sendReports();
@@ -214,6 +238,7 @@
     if (!isReport) {
         return;
     }
+    d_->answerIntroduction(body["n"].get<std::string>(), body);
     const auto known = d_->nodes_.find(body["n"].get<std::string>());
     if (known == d_->nodes_.end()) {
         return;
@@ -258,6 +283,16 @@
     return d_->choose(program, false, false);
 }
 
+bool Fleet::knowsNoOutage() const
+{
+    if (d_->listed_ == Time{0} || d_->hooks_.now_() - d_->listed_ < d_->settings_.hearAll_) {
+        return false;
+    }
+    return std::none_of(d_->nodes_.begin(), d_->nodes_.end(), [this](const auto &entry) {
+        return d_->isAlive(entry.second) && entry.second.ledgerComplete_ && !entry.second.ledgerCurrent_;
+    });
+}
+
 bool Fleet::isSelf(const FleetMember &member) const
 {
     return member.name_ == d_->settings_.self_.name_;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -48,6 +48,8 @@
     FleetMember self_;
     Duration reportPeriod_{100'000};
     Duration aliveFor_{1'000'000}; ///< A node that was heard of within this time is alive.
+    Duration introduction_{3'000'000}; ///< For so long after its start a node's reports say how to reach it.
+    Duration hearAll_{300'000}; ///< Time within which every living node answers the first report of a new one.
     std::size_t reportTargets_ = 24; ///< Nodes that one report goes to; chosen anew each time.
 };
 
@@ -75,6 +77,12 @@
     std::optional<FleetMember> homeOf(const std::string &program) const;
     /** \brief Another living node, the same for each call about a program while the same nodes live. */
     std::optional<FleetMember> witnessOf(const std::string &program) const;
+    /**
+     * \brief True if no living node may still have to record what it granted without the store.
+     *
+     * Nodes that have started lately have granted nothing, so they don't count.
+     */
+    bool knowsNoOutage() const;
     bool isSelf(const FleetMember &member) const;
     std::size_t known() const;
     std::size_t alive() const;
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -98,6 +98,7 @@
 {
     void onRecord(const KeyedRecord &record);
     void onReachable(bool reachable);
+    bool awaitsRecords() const;
     void vouch();
     void onSpending(const std::string &key, const std::optional<std::string> &value);
     void setOther(const std::string &program, const std::string &writer, std::optional<std::uint64_t> tokens);
@@ -161,6 +162,16 @@
     }
 }
 
+/** True while other nodes may still have to record what they were granted without the store. */
+bool ProgramLedger::Private::awaitsRecords() const
+{
+    if (regained_ == Time{0} || hooks_.now_() - regained_ >= settings_.regainDelay_) {
+        return false;
+    }
+    const bool hasJustStarted = regained_ == firstReached_;
+    return !hasJustStarted || !hooks_.allRecorded_ || !hooks_.allRecorded_();
+}
+
 /** Records what was granted to writers that have not recorded it themselves: they may have died. */
 void ProgramLedger::Private::vouch()
 {
@@ -463,7 +474,7 @@
 {
     const Time now = d_->hooks_.now_();
     return d_->tail_->isComplete() && now - d_->tail_->currentAsOf() <= d_->settings_.currentFor_
-        && (d_->regained_ == Time{0} || now - d_->regained_ >= d_->settings_.regainDelay_);
+        && !d_->awaitsRecords();
 }
 
 bool ProgramLedger::knowsGrants() const
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -45,6 +45,8 @@
     std::function<std::uint64_t(Duration, std::function<void()>)> after_;
     RecordStore store_;
     std::function<void(bool reachable)> onReachable_;
+    /** \brief True if no node has grants to record that it gave or got without the store. */
+    std::function<bool()> allRecorded_;
     /** \brief Called for a program whose spending has waited for the store for longer than unrecordedAfter_. */
     std::function<void(const std::string &program)> onUnrecorded_;
 };
--- a/test/gateway/budget.cpp
+++ b/test/gateway/budget.cpp
@@ -173,6 +173,26 @@
     EXPECT_EQ(rig.attempts_.size(), 3U);
 }
 
+// Guards against a wait for records of an outage that never was: all nodes start at once and the store was never away.
+TEST(Budget, NodesThatStartTogetherDecideAtOnceIfTheStoreWasNeverAway)
+{
+    GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    for (std::size_t node = 0; node < nodeCount; ++node) {
+        rig.kill(node);
+    }
+    for (std::size_t node = 0; node < nodeCount; ++node) {
+        rig.restart(node);
+    }
+    rig.run(std::chrono::milliseconds(600));
+    for (std::size_t node = 0; node < nodeCount; ++node) {
+        const std::string id = "p" + std::to_string(node);
+        rig.send(node, turn(id, id, id));
+    }
+    rig.run(std::chrono::milliseconds(300));
+    EXPECT_EQ(rig.attempts_.size(), nodeCount);
+}
+
 // Guards against budgets that start anew when the node that decides about them stops during an outage.
 TEST(Budget, DecisionsOfAnOutageSurviveTheStopOfEachNodeInTurn)
 {
