Log a turn's budget and greatest size where its request ends

Cause: nothing in the logs says how far from its budget a program was, so neither a refusal for lack of budget nor a program over its budget can be explained from them.

Change: request_ended carries budget, most_tokens and main_line.

--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -564,6 +564,9 @@
                                 {"sends", sends_},
                                 {"runs", runs_},
                                 {"events", events_},
+                                {"budget", request_->tokenBudget_.value_or(0)},
+                                {"main_line", request_->session_ == request_->program_},
+                                {"most_tokens", request_->maxOutputTokens_},
                                 {"ms", milliseconds(took)}});
     gateway_->calls_.erase(self);
 }
