Keep budgets when all nodes are lost in an outage of the store

Reading the path for it showed three more ways to count too little: - two turns of one node that ask at the same time both claimed the spending of before, so the second was not counted; - after an outage a record of before it, read late, replaced what was granted in it; - a node that vouched for another could append an older figure after it.

Ruled out: a wait after the start, since nobody is left to record anything.

Change: spending by writer moves to SpendingTable. A claim contains the turns that wait for an answer and carries a number; notes give way to later claims only. A grant stands until a record of a later append is read, or one that was vouched for. A writer that reads a vouched record with another figure records its own again. Without the store a program runs one unrecorded turn, more only within half of its budget. Turns of sub-agents never start ahead of their record.

--- a/src/gateway/budgetcontroller.cpp
+++ b/src/gateway/budgetcontroller.cpp
@@ -37,6 +37,29 @@
     return body.contains(name) && body[name].is_string();
 }
 
+nlohmann::json toJson(const WriterSpending &spending)
+{
+    return {{"writer", spending.writer_},
+            {"tokens", spending.tokens_},
+            {"recorded", spending.recorded_},
+            {"group", spending.group_},
+            {"claim", spending.claim_}};
+}
+
+std::optional<WriterSpending> spendingIn(const nlohmann::json &body)
+{
+    const bool isComplete = body.is_object() && isText(body, "writer") && isNumber(body, "tokens")
+        && isNumber(body, "recorded") && isNumber(body, "group") && isNumber(body, "claim");
+    if (!isComplete) {
+        return std::nullopt;
+    }
+    return WriterSpending{body["writer"].get<std::string>(),
+                          body["tokens"].get<std::uint64_t>(),
+                          body["recorded"].get<std::uint64_t>(),
+                          body["group"].get<std::uint64_t>(),
+                          body["claim"].get<std::uint64_t>()};
+}
+
 } // namespace
 } // namespace internal
 
@@ -77,13 +100,13 @@
     if (fleet_.isSelf(*chosen)) {
         decideAlone(turn, decided);
     } else {
-        ask(*chosen, turn, decided);
+        ask(*chosen, turn, !current, decided);
     }
 }
 
 void BudgetController::decideAlone(const TurnReservation &turn, const Decided &decided)
 {
-    const BudgetDecision made = ledger_.reserveWithoutStore(turn, ledger_.writer(), 0);
+    const BudgetDecision made = ledger_.reserveWithoutStore(turn);
     tellWitness(turn.program_, [made, turn, decided] { decided(BudgetGrant{made, turn.program_, turn.tokens_, {}}); });
 }
 
@@ -100,12 +123,12 @@
 
 void BudgetController::sendNote(const FleetMember &member,
                                 const std::string &program,
-                                const std::vector<std::pair<std::string, std::uint64_t>> &spending,
+                                const std::vector<WriterSpending> &spending,
                                 const std::function<void()> &then)
 {
     nlohmann::json spent = nlohmann::json::array();
-    for (const std::pair<std::string, std::uint64_t> &entry : spending) {
-        spent.push_back({entry.first, entry.second});
+    for (const WriterSpending &entry : spending) {
+        spent.push_back(internal::toJson(entry));
     }
     hooks_.askPeer_(member.linkAddress_,
                     internal::noteType,
@@ -119,21 +142,23 @@
     const std::optional<FleetMember> home = fleet_.homeOf(program);
     if (home && !fleet_.isSelf(*home)) {
         // Of others this node may know less than the receiver does.
-        sendNote(*home, program, {{ledger_.writer(), ledger_.ownSpending(program)}}, [] {});
+        sendNote(*home, program, {ledger_.claim(program)}, [] {});
     } else if (home) {
         tellWitness(program, [] {});
     }
 }
 
-void BudgetController::ask(const FleetMember &member, const TurnReservation &turn, const Decided &decided)
+/** Asks a node that reserves in the store, or the one that decides without it, which \p claims. */
+void BudgetController::ask(const FleetMember &member, const TurnReservation &turn, bool claims, const Decided &decided)
 {
-    const nlohmann::json body = {{"program", turn.program_},
-                                 {"budget", turn.budget_},
-                                 {"tokens", turn.tokens_},
-                                 {"main_line", turn.mainLine_},
-                                 {"writer", ledger_.writer()},
-                                 {"own", ledger_.ownSpending(turn.program_)}};
-    const auto answered = [this, member, turn, decided](const std::optional<nlohmann::json> &answer) {
+    nlohmann::json body = {
+        {"program", turn.program_}, {"budget", turn.budget_}, {"tokens", turn.tokens_}, {"main_line", turn.mainLine_}};
+    if (claims) {
+        // Counted before it is granted, so that each claim contains the turns that wait for the answer to another.
+        ledger_.addPending(turn.program_, turn.tokens_);
+        body["claim"] = internal::toJson(ledger_.claim(turn.program_));
+    }
+    const auto answered = [this, member, turn, claims, decided](const std::optional<nlohmann::json> &answer) {
         const BudgetDecision made = internal::decisionIn(answer);
         hooks_.logEvent_("budget_asked",
                          {{"program", turn.program_},
@@ -141,8 +166,8 @@
                           {"answered", answer.has_value()},
                           {"decision", nameOf(made)}});
         const bool isOurs = made == BudgetDecision::Granted && !internal::isDurable(*answer);
-        if (isOurs) {
-            ledger_.takeGrant(turn.program_, turn.tokens_);
+        if (claims && !isOurs) {
+            ledger_.settle(turn.program_, turn.tokens_, 0);
         }
         decided(BudgetGrant{made, turn.program_, turn.tokens_, isOurs ? std::string() : member.linkAddress_});
     };
@@ -156,6 +181,9 @@
     }
     if (grant.holder_.empty()) {
         ledger_.settle(grant.program_, grant.tokens_, used);
+        if (!ledger_.isCurrent()) {
+            announceSpending(grant.program_);
+        }
         return;
     }
     const nlohmann::json body = {{"program", grant.program_}, {"reserved", grant.tokens_}, {"used", used}};
@@ -166,8 +194,7 @@
 
 /** Decides for a node that has lost the store. */
 void BudgetController::decideForOthers(const TurnReservation &turn,
-                                       const std::string &writer,
-                                       std::uint64_t own,
+                                       const std::optional<WriterSpending> &claim,
                                        const std::function<void(const nlohmann::json &)> &answer)
 {
     if (ledger_.isCurrent()) {
@@ -179,11 +206,11 @@
     const std::optional<FleetMember> home =
         fleet_.currentNode(turn.program_) ? std::nullopt : fleet_.homeOf(turn.program_);
     const bool isHome = home && fleet_.isSelf(*home);
-    if (!isHome || !turn.mainLine_) {
+    if (!isHome || !turn.mainLine_ || !claim) {
         answer({{"decision", nameOf(BudgetDecision::Unavailable)}, {"durable", false}});
         return;
     }
-    const BudgetDecision made = ledger_.reserveWithoutStore(turn, writer, own);
+    const BudgetDecision made = ledger_.decideClaim(turn, *claim);
     tellWitness(turn.program_, [made, answer] { answer({{"decision", nameOf(made)}, {"durable", false}}); });
 }
 
@@ -193,8 +220,8 @@
         return;
     }
     for (const nlohmann::json &entry : body["spent"]) {
-        if (entry.is_array() && entry.size() == 2 && entry[0].is_string() && entry[1].is_number_unsigned()) {
-            ledger_.noteGrant(program, entry[0].get<std::string>(), entry[1].get<std::uint64_t>());
+        if (const std::optional<WriterSpending> spending = internal::spendingIn(entry)) {
+            ledger_.noteGrant(program, *spending);
         }
     }
 }
@@ -224,8 +251,7 @@
         return true;
     }
     const bool isComplete = internal::isNumber(body, "budget") && internal::isNumber(body, "tokens")
-        && internal::isNumber(body, "own") && internal::isText(body, "writer") && body.contains("main_line")
-        && body["main_line"].is_boolean();
+        && body.contains("main_line") && body["main_line"].is_boolean();
     if (!isComplete) {
         answer({});
         return true;
@@ -234,7 +260,9 @@
                                body["budget"].get<std::uint64_t>(),
                                body["tokens"].get<std::uint64_t>(),
                                body["main_line"].get<bool>()};
-    decideForOthers(turn, body["writer"].get<std::string>(), body["own"].get<std::uint64_t>(), answer);
+    const std::optional<WriterSpending> claim =
+        body.contains("claim") ? internal::spendingIn(body["claim"]) : std::nullopt;
+    decideForOthers(turn, claim, answer);
     return true;
 }
 
--- a/src/gateway/budgetcontroller.h
+++ b/src/gateway/budgetcontroller.h
@@ -40,6 +40,7 @@
  * A node whose knowledge is current decides with the store. One that has lost the store asks a node that has not.
  * While no node reaches it, one node decides about each program for all others, if it hears of most nodes. The tokens
  * that it grants are the asking node's, and the node that would decide next knows of them as well.
+ * Beyond one turn, only a part of a budget is spent so, since the loss of all nodes would forget it.
  * Turns of sub-agents wait for the store then: a looping program starts many at once, through many nodes, faster than
  * nodes that stop and start can tell each other of them.
  */
@@ -65,13 +66,12 @@
     void tellWitness(const std::string &program, const std::function<void()> &then);
     void sendNote(const FleetMember &member,
                   const std::string &program,
-                  const std::vector<std::pair<std::string, std::uint64_t>> &spending,
+                  const std::vector<WriterSpending> &spending,
                   const std::function<void()> &then);
-    void ask(const FleetMember &member, const TurnReservation &turn, const Decided &decided);
+    void ask(const FleetMember &member, const TurnReservation &turn, bool claims, const Decided &decided);
     void takeNote(const std::string &program, const nlohmann::json &body);
     void decideForOthers(const TurnReservation &turn,
-                         const std::string &writer,
-                         std::uint64_t own,
+                         const std::optional<WriterSpending> &claim,
                          const std::function<void(const nlohmann::json &)> &answer);
 
     BudgetControllerHooks hooks_;
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -3,11 +3,8 @@
 #include "store/streamtail.h"
 
 #include <algorithm>
-#include <charconv>
 #include <deque>
 #include <optional>
-#include <set>
-#include <unordered_map>
 #include <vector>
 
 namespace filbertgw {
@@ -24,62 +21,6 @@
 constexpr Duration appendRetry{100'000};
 constexpr Duration expiryPeriod{5'000'000};
 
-std::optional<std::uint64_t> parseNumber(const std::string &text)
-{
-    std::uint64_t value = 0;
-    const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (result.ec != std::errc() || result.ptr != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
-/** \brief What one node has recorded of a program. */
-struct SpendingRecord
-{
-    std::uint64_t tokens_ = 0;
-    std::uint64_t group_ = 0; ///< Number of the append among those of the writer.
-};
-
-std::string encode(const SpendingRecord &record)
-{
-    return std::to_string(record.tokens_) + ' ' + std::to_string(record.group_);
-}
-
-std::optional<SpendingRecord> decode(const std::string &value)
-{
-    const std::size_t space = value.find(' ');
-    const std::optional<std::uint64_t> tokens = parseNumber(value.substr(0, space));
-    const std::optional<std::uint64_t> group =
-        space == std::string::npos ? std::nullopt : parseNumber(value.substr(space + 1));
-    if (!tokens || !group) {
-        return std::nullopt;
-    }
-    return SpendingRecord{*tokens, *group};
-}
-
-struct Spending
-{
-    std::vector<std::pair<std::string, std::uint64_t>> others_; ///< Tokens by writer.
-    std::uint64_t own_ = 0; ///< Handed out or reserved by this node.
-    bool ownRecorded_ = false;
-    bool dirty_ = false;
-    Time lastUse_{0};
-
-    std::uint64_t total() const
-    {
-        return own_ + totalOfOthers();
-    }
-    std::uint64_t totalOfOthers() const
-    {
-        std::uint64_t sum = 0;
-        for (const std::pair<std::string, std::uint64_t> &other : others_) {
-            sum += other.second;
-        }
-        return sum;
-    }
-};
-
 /** \brief A turn that waits until its reservation has been read back, after everything that came before it. */
 struct WaitingTurn
 {
@@ -96,13 +37,14 @@
 
 struct ProgramLedger::Private : std::enable_shared_from_this<ProgramLedger::Private>
 {
+    Private(ProgramLedgerHooks hooks, ProgramLedgerSettings settings);
+
     void onRecord(const KeyedRecord &record);
     void onReachable(bool reachable);
     bool awaitsRecords() const;
+    bool mayGoUnrecorded(const TurnReservation &turn, std::uint64_t unrecorded) const;
     void vouch();
     void onSpending(const std::string &key, const std::optional<std::string> &value);
-    void setOther(const std::string &program, const std::string &writer, std::optional<std::uint64_t> tokens);
-    void markDirty(const std::string &program, internal::Spending &spending);
     void flushSoon(Duration delay);
     void flush();
     void watchGroup();
@@ -110,20 +52,19 @@
     void sendGroup();
     void groupAppended(const StoreAppended &result);
     void groupDurable();
-    void decideWaiting(const std::string &program, const internal::SpendingRecord &own);
+    void decideWaiting(const std::string &program, const SpendingRecord &own);
     void expireWaiting();
     void expire();
 
     ProgramLedgerHooks hooks_;
     ProgramLedgerSettings settings_;
     std::unique_ptr<StreamTail> tail_;
-    std::unordered_map<std::string, internal::Spending> programs_;
-    std::vector<std::string> dirty_;
+    SpendingTable spending_;
     std::vector<KeyedRecord> others_; ///< Deletions and records of other writers that wait for the next group.
-    std::unordered_map<std::string, std::uint64_t> granted_; ///< Without the store, by program and writer.
     std::deque<internal::WaitingTurn> waiting_; ///< Reserved in dirty_ or later.
     std::deque<internal::WaitingTurn> sent_; ///< Their reservation has been sent and was not read back yet.
     StoreAppend group_;
+    std::vector<std::pair<std::string, std::uint64_t>> ownInGroup_; ///< Own spending by program that is in the group.
     WriterSequence sequence_;
     Time firstReached_{0}; ///< When the store was reached for the first time.
     Time regained_{0}; ///< End of the last loss of the store that made the knowledge outdated.
@@ -132,6 +73,14 @@
     bool stopped_ = false;
 };
 
+ProgramLedger::Private::Private(ProgramLedgerHooks hooks, ProgramLedgerSettings settings)
+    : hooks_(std::move(hooks))
+    , settings_(std::move(settings))
+    , spending_(settings_.writer_, hooks_.now_)
+{
+    sequence_.writer_ = settings_.writer_;
+}
+
 void ProgramLedger::Private::onRecord(const KeyedRecord &record)
 {
     if (record.key_.size() < 2) {
@@ -162,6 +111,15 @@
     }
 }
 
+/**
+ * Says whether a turn may run unrecorded besides what already does. The loss of all nodes would forget both, and the
+ * program could spend them again; up to one turn is no harm.
+ */
+bool ProgramLedger::Private::mayGoUnrecorded(const TurnReservation &turn, std::uint64_t unrecorded) const
+{
+    return unrecorded == 0 || unrecorded + turn.tokens_ <= turn.budget_ / settings_.unrecordedDivisor_;
+}
+
 /** True while other nodes may still have to record what they were granted without the store. */
 bool ProgramLedger::Private::awaitsRecords() const
 {
@@ -175,10 +133,11 @@
 /** Records what was granted to writers that have not recorded it themselves: they may have died. */
 void ProgramLedger::Private::vouch()
 {
-    for (const std::pair<const std::string, std::uint64_t> &grant : granted_) {
-        others_.push_back(KeyedRecord{internal::spendingPrefix + grant.first, internal::encode({grant.second, 0})});
+    for (const ProgramSpending &grant : spending_.grants()) {
+        const SpendingRecord record{grant.spending_.tokens_, grant.spending_.group_, true};
+        others_.push_back(
+            KeyedRecord{internal::spendingPrefix + grant.program_ + '/' + grant.spending_.writer_, record.encode()});
     }
-    granted_.clear();
     flushSoon(settings_.groupDelay_);
 }
 
@@ -190,46 +149,20 @@
     }
     const std::string program = key.substr(0, slash);
     const std::string writer = key.substr(slash + 1);
-    const std::optional<internal::SpendingRecord> record = value ? internal::decode(*value) : std::nullopt;
+    const std::optional<SpendingRecord> record = value ? SpendingRecord::decode(*value) : std::nullopt;
     if (writer != settings_.writer_) {
-        granted_.erase(key);
-        setOther(program, writer, record ? std::optional<std::uint64_t>(record->tokens_) : std::nullopt);
+        spending_.takeRecord(program, writer, record);
+    } else if (record && record->vouched_) {
+        if (record->tokens_ != spending_.own(program)) {
+            // Another node has recorded an older figure after this node's own.
+            spending_.markDirty(program);
+            flushSoon(settings_.groupDelay_);
+        }
     } else if (record) {
         decideWaiting(program, *record);
     }
 }
 
-/** Sets or, without a number, removes what another writer has spent. */
-void ProgramLedger::Private::setOther(const std::string &program,
-                                      const std::string &writer,
-                                      std::optional<std::uint64_t> tokens)
-{
-    internal::Spending &spending = programs_[program];
-    spending.lastUse_ = hooks_.now_();
-    for (auto other = spending.others_.begin(); other != spending.others_.end(); ++other) {
-        if (other->first == writer) {
-            if (tokens) {
-                other->second = *tokens;
-            } else {
-                spending.others_.erase(other);
-            }
-            return;
-        }
-    }
-    if (tokens) {
-        spending.others_.emplace_back(writer, *tokens);
-    }
-}
-
-void ProgramLedger::Private::markDirty(const std::string &program, internal::Spending &spending)
-{
-    spending.lastUse_ = hooks_.now_();
-    if (!spending.dirty_) {
-        spending.dirty_ = true;
-        dirty_.push_back(program);
-    }
-}
-
 void ProgramLedger::Private::flushSoon(Duration delay)
 {
     if (delay == Duration{0}) {
@@ -248,29 +181,23 @@
 
 void ProgramLedger::Private::flush()
 {
-    if (appending_ || stopped_ || (dirty_.empty() && others_.empty())) {
+    if (appending_ || stopped_ || (spending_.dirty().empty() && others_.empty())) {
         return;
     }
     group_.to_ = PartitionId{internal::ledgerStream, 0};
     group_.records_.clear();
     group_.records_.swap(others_);
     ++sequence_.sequence_;
-    std::vector<std::string> later;
-    for (const std::string &program : dirty_) {
-        if (group_.records_.size() >= internal::groupRecords) {
-            later.push_back(program);
-            continue;
-        }
-        internal::Spending &spending = programs_[program];
-        spending.dirty_ = false;
-        spending.ownRecorded_ = true;
-        group_.records_.push_back(KeyedRecord{internal::spendingPrefix + program + '/' + settings_.writer_,
-                                              internal::encode({spending.own_, sequence_.sequence_})});
+    spending_.setOwnGroup(sequence_.sequence_);
+    ownInGroup_ = spending_.takeDirty(internal::groupRecords);
+    for (const std::pair<std::string, std::uint64_t> &entry : ownInGroup_) {
+        const SpendingRecord record{entry.second, sequence_.sequence_, false};
+        group_.records_.push_back(
+            KeyedRecord{internal::spendingPrefix + entry.first + '/' + settings_.writer_, record.encode()});
     }
-    dirty_.swap(later);
     // A turn whose program is still dirty keeps waiting for a later group.
     for (auto turn = waiting_.begin(); turn != waiting_.end();) {
-        if (programs_[turn->program_].dirty_) {
+        if (spending_.isDirty(turn->program_)) {
             ++turn;
             continue;
         }
@@ -301,15 +228,10 @@
     if (!hooks_.onUnrecorded_) {
         return;
     }
-    const std::string ownEnd = '/' + settings_.writer_;
-    for (const KeyedRecord &record : group_.records_) {
-        const bool isOwn = record.value_ && record.key_.size() > ownEnd.size()
-            && record.key_.compare(record.key_.size() - ownEnd.size(), ownEnd.size(), ownEnd) == 0;
-        if (isOwn) {
-            hooks_.onUnrecorded_(record.key_.substr(1, record.key_.size() - ownEnd.size() - 1));
-        }
+    for (const std::pair<std::string, std::uint64_t> &entry : ownInGroup_) {
+        hooks_.onUnrecorded_(entry.first);
     }
-    for (const std::string &program : dirty_) {
+    for (const std::string &program : spending_.dirty()) {
         hooks_.onUnrecorded_(program);
     }
 }
@@ -350,12 +272,16 @@
 {
     appending_ = false;
     group_.records_.clear();
+    for (const std::pair<std::string, std::uint64_t> &entry : ownInGroup_) {
+        spending_.setOwnRecorded(entry.first, entry.second);
+    }
+    ownInGroup_.clear();
     if (!sent_.empty()) {
         tail_->readNow();
     }
     if (!waiting_.empty()) {
         flush();
-    } else if (!dirty_.empty() || !others_.empty()) {
+    } else if (!spending_.dirty().empty() || !others_.empty()) {
         flushSoon(settings_.groupDelay_);
     }
 }
@@ -364,7 +290,7 @@
  * Decides about the turns whose reservations are in a record that has been read back: what other nodes have recorded
  * before it counts, what comes later does not. So the first of several concurrent reservations is granted.
  */
-void ProgramLedger::Private::decideWaiting(const std::string &program, const internal::SpendingRecord &own)
+void ProgramLedger::Private::decideWaiting(const std::string &program, const SpendingRecord &own)
 {
     std::vector<internal::WaitingTurn> turns;
     std::uint64_t spent = own.tokens_;
@@ -378,13 +304,11 @@
         turn = sent_.erase(turn);
     }
     for (const internal::WaitingTurn &turn : turns) {
-        internal::Spending &spending = programs_[program];
-        const bool fits = spent + spending.totalOfOthers() + turn.tokens_ <= turn.budget_;
+        const bool fits = spent + spending_.totalOfOthers(program) + turn.tokens_ <= turn.budget_;
         if (fits) {
             spent += turn.tokens_;
         } else {
-            spending.own_ -= turn.tokens_;
-            markDirty(program, spending);
+            spending_.subtractOwn(program, turn.tokens_);
             flushSoon(settings_.groupDelay_);
         }
         turn.decided_(fits ? BudgetDecision::Granted : BudgetDecision::Exhausted);
@@ -406,9 +330,7 @@
             turn = queue->erase(turn);
         }
         for (const internal::WaitingTurn &turn : late) {
-            internal::Spending &spending = programs_[turn.program_];
-            spending.own_ -= turn.tokens_;
-            markDirty(turn.program_, spending);
+            spending_.subtractOwn(turn.program_, turn.tokens_);
             turn.decided_(BudgetDecision::Unavailable);
         }
     }
@@ -417,17 +339,8 @@
 
 void ProgramLedger::Private::expire()
 {
-    const Time oldest = hooks_.now_() - settings_.retention_;
-    for (auto entry = programs_.begin(); entry != programs_.end();) {
-        if (entry->second.lastUse_ >= oldest || entry->second.dirty_) {
-            ++entry;
-            continue;
-        }
-        if (entry->second.ownRecorded_) {
-            others_.push_back(
-                KeyedRecord{internal::spendingPrefix + entry->first + '/' + settings_.writer_, std::nullopt});
-        }
-        entry = programs_.erase(entry);
+    for (const std::string &program : spending_.expire(hooks_.now_() - settings_.retention_)) {
+        others_.push_back(KeyedRecord{internal::spendingPrefix + program + '/' + settings_.writer_, std::nullopt});
     }
     if (!others_.empty()) {
         flushSoon(settings_.groupDelay_);
@@ -440,11 +353,8 @@
 }
 
 ProgramLedger::ProgramLedger(ProgramLedgerHooks hooks, ProgramLedgerSettings settings)
-    : d_(std::make_shared<Private>())
+    : d_(std::make_shared<Private>(std::move(hooks), std::move(settings)))
 {
-    d_->hooks_ = std::move(hooks);
-    d_->settings_ = std::move(settings);
-    d_->sequence_.writer_ = d_->settings_.writer_;
     StreamTailHooks tail;
     tail.now_ = d_->hooks_.now_;
     tail.after_ = d_->hooks_.after_;
@@ -495,8 +405,7 @@
 
 void ProgramLedger::reserve(const TurnReservation &turn, std::function<void(BudgetDecision)> decided)
 {
-    const auto known = d_->programs_.find(turn.program_);
-    const std::uint64_t before = known == d_->programs_.end() ? 0 : known->second.total();
+    const std::uint64_t before = d_->spending_.total(turn.program_);
     if (before + turn.tokens_ > turn.budget_) {
         decided(BudgetDecision::Exhausted);
         return;
@@ -505,13 +414,12 @@
         decided(BudgetDecision::Unavailable);
         return;
     }
-    internal::Spending &spending = d_->programs_[turn.program_];
-    const bool begins = before == 0 && turn.mainLine_;
-    const bool servedHereOnly = spending.own_ > 0 && spending.others_.empty();
+    const bool begins = before == 0;
     const bool ample = before + (1 + internal::ampleTurns) * turn.tokens_ <= turn.budget_;
-    spending.own_ += turn.tokens_;
-    d_->markDirty(turn.program_, spending);
-    if (begins || (servedHereOnly && ample)) {
+    // A program sends many turns of sub-agents at once, also through nodes that don't know of each other's yet.
+    const bool startsAtOnce = turn.mainLine_ && (begins || (ample && d_->spending_.isServedHereOnly(turn.program_)));
+    d_->spending_.addOwn(turn.program_, turn.tokens_);
+    if (startsAtOnce) {
         d_->flushSoon(d_->settings_.groupDelay_);
         decided(BudgetDecision::Granted);
         return;
@@ -527,72 +435,61 @@
     d_->flush();
 }
 
-BudgetDecision
-ProgramLedger::reserveWithoutStore(const TurnReservation &turn, const std::string &writer, std::uint64_t own)
+BudgetDecision ProgramLedger::reserveWithoutStore(const TurnReservation &turn)
 {
-    if (!knowsGrants()) {
+    if (!knowsGrants() || !d_->mayGoUnrecorded(turn, d_->spending_.unrecorded(turn.program_))) {
         return BudgetDecision::Unavailable;
     }
-    const bool isOwn = writer == d_->settings_.writer_;
-    if (!isOwn && own > 0) {
-        d_->setOther(turn.program_, writer, own);
-    }
-    const internal::Spending &spending = d_->programs_[turn.program_];
-    if (spending.total() + turn.tokens_ > turn.budget_) {
+    if (spent(turn.program_) + turn.tokens_ > turn.budget_) {
         return BudgetDecision::Exhausted;
     }
-    if (isOwn) {
-        takeGrant(turn.program_, turn.tokens_);
-    } else {
-        noteGrant(turn.program_, writer, own + turn.tokens_);
-    }
+    addPending(turn.program_, turn.tokens_);
     return BudgetDecision::Granted;
 }
 
-void ProgramLedger::noteGrant(const std::string &program, const std::string &writer, std::uint64_t spent)
+BudgetDecision ProgramLedger::decideClaim(const TurnReservation &turn, const WriterSpending &claim)
 {
-    if (writer == d_->settings_.writer_) {
-        return;
+    if (!knowsGrants()) {
+        return BudgetDecision::Unavailable;
     }
-    // Notes may overtake each other; too high a figure only refuses too much, until the writer's own record is read.
-    const internal::Spending &spending = d_->programs_[program];
-    for (const std::pair<std::string, std::uint64_t> &other : spending.others_) {
-        if (other.first == writer) {
-            spent = std::max(spent, other.second);
-        }
+    d_->spending_.noteGrant(turn.program_, claim);
+    const std::uint64_t unrecorded = d_->spending_.unrecorded(turn.program_);
+    BudgetDecision decision = BudgetDecision::Granted;
+    if (spent(turn.program_) > turn.budget_) {
+        decision = BudgetDecision::Exhausted;
+    } else if (!d_->mayGoUnrecorded(turn, unrecorded - std::min(unrecorded, turn.tokens_))) {
+        decision = BudgetDecision::Unavailable;
+    }
+    if (decision != BudgetDecision::Granted) {
+        d_->spending_.refuseClaim(turn.program_, claim, turn.tokens_);
     }
-    d_->setOther(program, writer, spent);
-    d_->granted_[program + '/' + writer] = spent;
+    return decision;
 }
 
-void ProgramLedger::takeGrant(const std::string &program, std::uint64_t tokens)
+void ProgramLedger::noteGrant(const std::string &program, const WriterSpending &spending)
 {
-    internal::Spending &spending = d_->programs_[program];
-    spending.own_ += tokens;
-    d_->markDirty(program, spending);
+    d_->spending_.noteGrant(program, spending);
+}
+
+void ProgramLedger::addPending(const std::string &program, std::uint64_t tokens)
+{
+    d_->spending_.addOwn(program, tokens);
     d_->flushSoon(d_->settings_.groupDelay_);
 }
 
-std::uint64_t ProgramLedger::ownSpending(const std::string &program) const
+WriterSpending ProgramLedger::claim(const std::string &program)
 {
-    const auto found = d_->programs_.find(program);
-    return found == d_->programs_.end() ? 0 : found->second.own_;
+    return d_->spending_.claimOwn(program);
 }
 
-std::vector<std::pair<std::string, std::uint64_t>> ProgramLedger::spendingByWriter(const std::string &program) const
+std::vector<WriterSpending> ProgramLedger::spendingByWriter(const std::string &program)
 {
-    const auto found = d_->programs_.find(program);
-    if (found == d_->programs_.end()) {
-        return {};
-    }
-    std::vector<std::pair<std::string, std::uint64_t>> result = found->second.others_;
-    result.emplace_back(d_->settings_.writer_, found->second.own_);
-    return result;
+    return d_->spending_.byWriter(program);
 }
 
-const std::string &ProgramLedger::writer() const
+std::vector<ProgramSpending> ProgramLedger::recentClaims()
 {
-    return d_->settings_.writer_;
+    return d_->spending_.claimOwnSince(d_->tail_->currentAsOf() - d_->settings_.recordLag_);
 }
 
 void ProgramLedger::settle(const std::string &program, std::uint64_t reserved, std::uint64_t used)
@@ -600,26 +497,24 @@
     if (reserved == used) {
         return;
     }
-    internal::Spending &spending = d_->programs_[program];
-    spending.own_ = spending.own_ + used - reserved;
-    d_->markDirty(program, spending);
+    d_->spending_.addOwn(program, used);
+    d_->spending_.subtractOwn(program, reserved);
     d_->flushSoon(d_->settings_.groupDelay_);
 }
 
 std::uint64_t ProgramLedger::spent(const std::string &program) const
 {
-    const auto found = d_->programs_.find(program);
-    return found == d_->programs_.end() ? 0 : found->second.total();
+    return d_->spending_.total(program);
 }
 
 bool ProgramLedger::isFlushed() const
 {
-    return !d_->appending_ && d_->dirty_.empty() && d_->others_.empty();
+    return !d_->appending_ && d_->spending_.dirty().empty() && d_->others_.empty();
 }
 
 std::size_t ProgramLedger::programs() const
 {
-    return d_->programs_.size();
+    return d_->spending_.size();
 }
 
 } // namespace filbertgw
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_LEDGER_PROGRAMLEDGER_H
 #define FILBERTGW_LEDGER_PROGRAMLEDGER_H
 
+#include "ledger/spendingtable.h"
 #include "store/recordstore.h"
 
 #include <cstdint>
@@ -59,9 +60,11 @@
     Duration currentFor_{900'000}; ///< Age up to which the knowledge of other nodes' spending counts as current.
     /** After a loss of the store its knowledge counts again after this, when what was granted without it is in it. */
     Duration regainDelay_{1'500'000};
+    Duration recordLag_{2'000'000}; ///< Other nodes have read what was recorded this long before the store was lost.
     Duration vouchDelay_{1'200'000}; ///< Time for writers to record themselves what they were granted without it.
     /** An append that takes longer may be the begin of an outage: others are told what it holds. */
     Duration unrecordedAfter_{250'000};
+    std::uint64_t unrecordedDivisor_ = 2; ///< Beyond one turn, at most this part of a budget is spent unrecorded.
     Duration strictTimeout_{700'000}; ///< Longest time that a turn waits for its durable reservation.
     Duration retention_{120'000'000}; ///< A program that was idle for longer is forgotten.
 };
@@ -71,8 +74,8 @@
  *
  * Each node keeps one record a program: the tokens that it has handed out plus those that its running turns may still
  * generate. The spending of a program is the sum over the writers, so records never conflict. The first turn of a
- * program starts at once, and so does a turn far from the limit of a program that only this node has served. Any other
- * one waits until its reservation is durable and everything appended before it has been read, so that of two
+ * program starts at once, and so does one of its main line far from the limit if only this node has served it. Any
+ * other one waits until its reservation is durable and everything appended before it has been read, so that of two
  * concurrent reservations at least one sees the other.
  */
 class ProgramLedger
@@ -93,22 +96,27 @@
     /** \brief Reserves the tokens that a turn may generate. The reservation stands only if the decision is Granted. */
     void reserve(const TurnReservation &turn, std::function<void(BudgetDecision)> decided);
     /**
-     * \brief Decides about a turn of another writer, or of this node, from what is known, without the store.
+     * \brief Decides about a turn of this node from what is known, without the store.
      *
-     * Only safe at the one node that decides about the program while no node reaches the store. The tokens are the
-     * writer's, who records them when the store is back; this node does so if it doesn't hear of the writer then.
-     * \param own what the writer says that it has spent on the program itself.
+     * Only safe at the one node that decides about the program while no node reaches the store.
      */
-    BudgetDecision reserveWithoutStore(const TurnReservation &turn, const std::string &writer, std::uint64_t own);
-    /** \brief Takes note of what another writer has spent; recorded for it as a grant of this node would be. */
-    void noteGrant(const std::string &program, const std::string &writer, std::uint64_t spent);
-    /** \brief Counts tokens that another node has granted to this one without the store. */
-    void takeGrant(const std::string &program, std::uint64_t tokens);
-    /** \brief Tokens spent or reserved by this node. */
-    std::uint64_t ownSpending(const std::string &program) const;
+    BudgetDecision reserveWithoutStore(const TurnReservation &turn);
+    /**
+     * \brief Decides about a turn of another node as reserveWithoutStore() does.
+     * \param claim what that node has spent, the turn and its other pending turns included. It records this itself
+     * when the store is back; this node does so if it doesn't hear of it then.
+     */
+    BudgetDecision decideClaim(const TurnReservation &turn, const WriterSpending &claim);
+    /** \brief Takes note of what another node has spent; recorded for it as a grant of this node would be. */
+    void noteGrant(const std::string &program, const WriterSpending &spending);
+    /** \brief Counts tokens of a turn that waits for the decision of another node. */
+    void addPending(const std::string &program, std::uint64_t tokens);
+    /** \brief States what this node has spent on a program. */
+    WriterSpending claim(const std::string &program);
     /** \brief What each writer has spent on a program, as far as known. */
-    std::vector<std::pair<std::string, std::uint64_t>> spendingByWriter(const std::string &program) const;
-    const std::string &writer() const;
+    std::vector<WriterSpending> spendingByWriter(const std::string &program);
+    /** \brief What this node has spent lately, so that others may not have read it in the store. */
+    std::vector<ProgramSpending> recentClaims();
     /** \brief Replaces a reservation by what the turn has used. */
     void settle(const std::string &program, std::uint64_t reserved, std::uint64_t used);
     /** \brief Tokens spent or reserved by all nodes, as far as known. */
--- /dev/null
+++ b/src/ledger/spendingtable.cpp
@@ -0,0 +1,296 @@
+#include "ledger/spendingtable.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace filbertgw {
+
+namespace internal {
+namespace {
+
+const char *const vouchedMark = " v";
+
+/** \brief Reads a number at the begin of a text and removes it. */
+std::optional<std::uint64_t> takeNumber(std::string_view &text)
+{
+    std::uint64_t value = 0;
+    const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (result.ec != std::errc()) {
+        return std::nullopt;
+    }
+    text.remove_prefix(static_cast<std::size_t>(result.ptr - text.data()));
+    return value;
+}
+
+} // namespace
+} // namespace internal
+
+std::string SpendingRecord::encode() const
+{
+    return std::to_string(tokens_) + ' ' + std::to_string(group_) + (vouched_ ? internal::vouchedMark : "");
+}
+
+std::optional<SpendingRecord> SpendingRecord::decode(const std::string &value)
+{
+    std::string_view rest = value;
+    const std::optional<std::uint64_t> tokens = internal::takeNumber(rest);
+    if (!tokens || rest.empty() || rest.front() != ' ') {
+        return std::nullopt;
+    }
+    rest.remove_prefix(1);
+    const std::optional<std::uint64_t> group = internal::takeNumber(rest);
+    const bool vouched = rest == internal::vouchedMark;
+    if (!group || (!rest.empty() && !vouched)) {
+        return std::nullopt;
+    }
+    return SpendingRecord{*tokens, *group, vouched};
+}
+
+std::uint64_t SpendingTable::Program::totalOfOthers() const
+{
+    std::uint64_t sum = 0;
+    for (const Writer &other : others_) {
+        sum += other.spending_.tokens_;
+    }
+    return sum;
+}
+
+SpendingTable::SpendingTable(std::string self, Clock now)
+    : self_(std::move(self))
+    , now_(std::move(now))
+{
+}
+
+const SpendingTable::Program *SpendingTable::find(const std::string &program) const
+{
+    const auto found = programs_.find(program);
+    return found == programs_.end() ? nullptr : &found->second;
+}
+
+std::uint64_t SpendingTable::total(const std::string &program) const
+{
+    return own(program) + totalOfOthers(program);
+}
+
+std::uint64_t SpendingTable::totalOfOthers(const std::string &program) const
+{
+    const Program *found = find(program);
+    return found == nullptr ? 0 : found->totalOfOthers();
+}
+
+std::uint64_t SpendingTable::own(const std::string &program) const
+{
+    const Program *found = find(program);
+    return found == nullptr ? 0 : found->own_;
+}
+
+std::uint64_t SpendingTable::unrecorded(const std::string &program) const
+{
+    const Program *found = find(program);
+    if (found == nullptr) {
+        return 0;
+    }
+    std::uint64_t sum = found->own_ - std::min(found->own_, found->ownRecorded_);
+    for (const Writer &other : found->others_) {
+        sum += other.spending_.tokens_ - std::min(other.spending_.tokens_, other.spending_.recorded_);
+    }
+    return sum;
+}
+
+bool SpendingTable::isServedHereOnly(const std::string &program) const
+{
+    const Program *found = find(program);
+    return found != nullptr && found->own_ > 0 && found->others_.empty();
+}
+
+std::vector<WriterSpending> SpendingTable::byWriter(const std::string &program)
+{
+    std::vector<WriterSpending> result;
+    if (const Program *found = find(program)) {
+        for (const Writer &other : found->others_) {
+            result.push_back(other.spending_);
+        }
+        result.push_back(claimOwn(program));
+    }
+    return result;
+}
+
+WriterSpending SpendingTable::claimOwn(const std::string &program)
+{
+    const Program *found = find(program);
+    return WriterSpending{self_, own(program), found == nullptr ? 0 : found->ownRecorded_, ownGroup_, ++ownClaims_};
+}
+
+std::vector<ProgramSpending> SpendingTable::claimOwnSince(Time since)
+{
+    std::vector<ProgramSpending> result;
+    for (const std::pair<const std::string, Program> &entry : programs_) {
+        if (entry.second.own_ > 0 && entry.second.ownChanged_ >= since) {
+            result.push_back(ProgramSpending{entry.first, claimOwn(entry.first)});
+        }
+    }
+    return result;
+}
+
+void SpendingTable::setOwnGroup(std::uint64_t group)
+{
+    ownGroup_ = group;
+}
+
+void SpendingTable::addOwn(const std::string &program, std::uint64_t tokens)
+{
+    programs_[program].own_ += tokens;
+    markDirty(program);
+}
+
+void SpendingTable::subtractOwn(const std::string &program, std::uint64_t tokens)
+{
+    Program &changed = programs_[program];
+    changed.own_ -= std::min(tokens, changed.own_);
+    markDirty(program);
+}
+
+void SpendingTable::markDirty(const std::string &program)
+{
+    Program &changed = programs_[program];
+    changed.lastUse_ = now_();
+    changed.ownChanged_ = changed.lastUse_;
+    if (!changed.dirty_) {
+        changed.dirty_ = true;
+        dirty_.push_back(program);
+    }
+}
+
+bool SpendingTable::isDirty(const std::string &program) const
+{
+    const Program *found = find(program);
+    return found != nullptr && found->dirty_;
+}
+
+const std::vector<std::string> &SpendingTable::dirty() const
+{
+    return dirty_;
+}
+
+std::vector<std::pair<std::string, std::uint64_t>> SpendingTable::takeDirty(std::size_t limit)
+{
+    std::vector<std::pair<std::string, std::uint64_t>> taken;
+    const std::size_t count = std::min(limit, dirty_.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        Program &program = programs_[dirty_[i]];
+        program.dirty_ = false;
+        program.ownSent_ = true;
+        taken.emplace_back(dirty_[i], program.own_);
+    }
+    dirty_.erase(dirty_.begin(), dirty_.begin() + static_cast<std::ptrdiff_t>(count));
+    return taken;
+}
+
+void SpendingTable::setOwnRecorded(const std::string &program, std::uint64_t tokens)
+{
+    const auto found = programs_.find(program);
+    if (found != programs_.end()) {
+        found->second.ownRecorded_ = tokens;
+    }
+}
+
+/** Finds what a writer has spent on a program, or adds an entry without tokens. */
+SpendingTable::Writer &SpendingTable::writerOf(const std::string &program, const std::string &writer)
+{
+    Program &changed = programs_[program];
+    changed.lastUse_ = now_();
+    for (Writer &other : changed.others_) {
+        if (other.spending_.writer_ == writer) {
+            return other;
+        }
+    }
+    changed.others_.push_back(Writer{WriterSpending{writer, 0, 0, 0, 0}, false});
+    return changed.others_.back();
+}
+
+void SpendingTable::takeRecord(const std::string &program,
+                               const std::string &writer,
+                               const std::optional<SpendingRecord> &record)
+{
+    if (!record) {
+        std::vector<Writer> &others = programs_[program].others_;
+        others.erase(std::remove_if(others.begin(),
+                                    others.end(),
+                                    [&writer](const Writer &other) { return other.spending_.writer_ == writer; }),
+                     others.end());
+        return;
+    }
+    Writer &entry = writerOf(program, writer);
+    // A record of before the grant doesn't contain it, and can be read after it.
+    const bool contains =
+        record->group_ > entry.spending_.group_ || (record->vouched_ && record->group_ == entry.spending_.group_);
+    if (entry.isGrant_ && !contains) {
+        entry.spending_.recorded_ = std::max(entry.spending_.recorded_, record->tokens_);
+        return;
+    }
+    entry.spending_.tokens_ = record->tokens_;
+    entry.spending_.recorded_ = record->tokens_;
+    entry.spending_.group_ = record->group_;
+    entry.isGrant_ = false;
+}
+
+void SpendingTable::noteGrant(const std::string &program, const WriterSpending &spending)
+{
+    if (spending.writer_ == self_) {
+        return;
+    }
+    Writer &entry = writerOf(program, spending.writer_);
+    const bool isRecorded = !entry.isGrant_ && entry.spending_.group_ > spending.group_;
+    // Notes of several nodes about one statement of the writer can differ by what was refused.
+    const bool isOlder = spending.claim_ < entry.spending_.claim_
+        || (spending.claim_ == entry.spending_.claim_ && spending.tokens_ <= entry.spending_.tokens_);
+    if (isRecorded || isOlder) {
+        return;
+    }
+    entry.spending_ = spending;
+    entry.isGrant_ = true;
+}
+
+void SpendingTable::refuseClaim(const std::string &program, const WriterSpending &claim, std::uint64_t tokens)
+{
+    Writer &entry = writerOf(program, claim.writer_);
+    if (entry.spending_.claim_ == claim.claim_) {
+        entry.spending_.tokens_ -= std::min(tokens, entry.spending_.tokens_);
+    }
+}
+
+std::vector<ProgramSpending> SpendingTable::grants() const
+{
+    std::vector<ProgramSpending> result;
+    for (const std::pair<const std::string, Program> &entry : programs_) {
+        for (const Writer &other : entry.second.others_) {
+            if (other.isGrant_) {
+                result.push_back(ProgramSpending{entry.first, other.spending_});
+            }
+        }
+    }
+    return result;
+}
+
+std::vector<std::string> SpendingTable::expire(Time oldest)
+{
+    std::vector<std::string> recorded;
+    for (auto entry = programs_.begin(); entry != programs_.end();) {
+        if (entry->second.lastUse_ >= oldest || entry->second.dirty_) {
+            ++entry;
+            continue;
+        }
+        if (entry->second.ownSent_) {
+            recorded.push_back(entry->first);
+        }
+        entry = programs_.erase(entry);
+    }
+    return recorded;
+}
+
+std::size_t SpendingTable::size() const
+{
+    return programs_.size();
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/ledger/spendingtable.h
@@ -0,0 +1,122 @@
+#ifndef FILBERTGW_LEDGER_SPENDINGTABLE_H
+#define FILBERTGW_LEDGER_SPENDINGTABLE_H
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace filbertgw {
+
+/** \brief What a writer has recorded of a program in the store. */
+struct SpendingRecord
+{
+    std::uint64_t tokens_ = 0; ///< Handed out, or reserved for turns that run.
+    std::uint64_t group_ = 0; ///< Number of the append among those of the writer.
+    bool vouched_ = false; ///< Recorded by another node, from what the writer was granted without the store.
+
+    std::string encode() const;
+    static std::optional<SpendingRecord> decode(const std::string &value);
+};
+
+/** \brief What one node has spent on a program, as nodes tell each other. */
+struct WriterSpending
+{
+    std::string writer_;
+    std::uint64_t tokens_ = 0; ///< Handed out, or reserved for turns that run or wait for a decision.
+    std::uint64_t recorded_ = 0; ///< Those of them that are in the store.
+    std::uint64_t group_ = 0; ///< The writer's last append before; a record from a later one contains this.
+    std::uint64_t claim_ = 0; ///< Grows with each statement of the writer.
+};
+
+/** \brief A program and what one node has spent on it. */
+struct ProgramSpending
+{
+    std::string program_;
+    WriterSpending spending_;
+};
+
+/**
+ * \brief The tokens of all programs by writer: recorded in the store, granted without it, and this node's own.
+ */
+class SpendingTable
+{
+public:
+    SpendingTable(std::string self, Clock now);
+
+    std::uint64_t total(const std::string &program) const;
+    std::uint64_t totalOfOthers(const std::string &program) const;
+    std::uint64_t own(const std::string &program) const;
+    /** \brief Tokens that only nodes know of: they are forgotten should all nodes be lost. */
+    std::uint64_t unrecorded(const std::string &program) const;
+    /** \brief True if this node has spent on the program and no other has. */
+    bool isServedHereOnly(const std::string &program) const;
+    std::vector<WriterSpending> byWriter(const std::string &program);
+    /** \brief What this node has spent, as a new statement. */
+    WriterSpending claimOwn(const std::string &program);
+    /** \brief Programs on which this node has spent since a time. */
+    std::vector<ProgramSpending> claimOwnSince(Time since);
+    /** \brief Sets the number of this node's last append. */
+    void setOwnGroup(std::uint64_t group);
+
+    /** \brief Changes what this node has spent, which then waits to be recorded. */
+    void addOwn(const std::string &program, std::uint64_t tokens);
+    void subtractOwn(const std::string &program, std::uint64_t tokens);
+    void markDirty(const std::string &program);
+    bool isDirty(const std::string &program) const;
+    const std::vector<std::string> &dirty() const;
+    /** \brief Programs whose own spending is to be recorded now; they don't wait any more. */
+    std::vector<std::pair<std::string, std::uint64_t>> takeDirty(std::size_t limit);
+    /** \brief Takes note that this much of this node's own spending is in the store. */
+    void setOwnRecorded(const std::string &program, std::uint64_t tokens);
+
+    /** \brief Takes a record of another writer; without one the writer's is deleted. */
+    void takeRecord(const std::string &program, const std::string &writer, const std::optional<SpendingRecord> &record);
+    /** \brief Takes note of spending that is not in the store yet. It counts until a later record is read. */
+    void noteGrant(const std::string &program, const WriterSpending &spending);
+    /** \brief Takes tokens back that a writer has claimed and was not granted. */
+    void refuseClaim(const std::string &program, const WriterSpending &claim, std::uint64_t tokens);
+    /** \brief Grants that no record of their writers contains. */
+    std::vector<ProgramSpending> grants() const;
+
+    /** \brief Forgets programs that were not used since a time. \return those that this node has recorded. */
+    std::vector<std::string> expire(Time oldest);
+    std::size_t size() const;
+
+private:
+    struct Writer
+    {
+        WriterSpending spending_;
+        bool isGrant_ = false; ///< Noted, and no record that contains it was read yet.
+    };
+    struct Program
+    {
+        std::vector<Writer> others_;
+        std::uint64_t own_ = 0;
+        std::uint64_t ownRecorded_ = 0;
+        Time ownChanged_{0};
+        Time lastUse_{0};
+        bool ownSent_ = false; ///< The store may hold a record of this node.
+        bool dirty_ = false;
+
+        std::uint64_t totalOfOthers() const;
+    };
+
+    Writer &writerOf(const std::string &program, const std::string &writer);
+    const Program *find(const std::string &program) const;
+
+    std::string self_;
+    Clock now_;
+    std::uint64_t ownGroup_ = 0;
+    std::uint64_t ownClaims_ = 0;
+    std::unordered_map<std::string, Program> programs_;
+    std::vector<std::string> dirty_;
+};
+
+} // namespace filbertgw
+
+#endif
