Reserve tokens of a program ahead, so that turns need no store

Ruled out: deciding more turns from memory.

Change: with the first turn of a program its node also reserves an allowance, a third of the rest of the budget (or one turn of a rest that holds two or three), in the same record. Later turns are granted from it, by the holder or by asking it over the peer link; unused tokens go back to it without an append. It is in the store before it is used, so nothing is spent twice. A planned stop gives it back; one whose holder died counts as spent, and the two thirds that are left hold the rest of a program whose budget is 1.5 times its greatest need. Only main-line turns reserve ahead. A turn is not finally refused while the holder may still grant it.

Turns of sub-agents through a dead holder, and of programs that begin in an outage, still wait.

--- a/src/gateway/budgetcontroller.cpp
+++ b/src/gateway/budgetcontroller.cpp
@@ -8,6 +8,9 @@
 const char *const reserveType = "budget_reserve";
 const char *const noteType = "budget_note";
 const char *const settleType = "budget_settle";
+const char *const allowanceType = "budget_allowance";
+/** Longest time that a turn waits for the holder of an allowance. */
+constexpr Duration allowanceTimeout{300'000};
 /** Longest time that a turn waits for another node's decision. */
 constexpr Duration askTimeout{900'000};
 /** Longest time that a grant waits until the next node in line knows of it. */
@@ -21,6 +24,12 @@
     return valueOf<BudgetDecision>((*answer)["decision"].get<std::string>()).value_or(BudgetDecision::Unavailable);
 }
 
+/** \brief Name of the node in that of a writer, which ends with the number of its incarnation. */
+std::string nodeOf(const std::string &writer)
+{
+    return writer.substr(0, writer.rfind('.'));
+}
+
 /** \brief True if the other node has reserved the tokens itself, in the store. */
 bool isDurable(const nlohmann::json &answer)
 {
@@ -71,13 +80,71 @@
 }
 
 void BudgetController::reserve(const TurnReservation &turn, std::function<void(const BudgetGrant &)> decided)
+{
+    if (ledger_.takeAllowance(turn)) {
+        decided(BudgetGrant{BudgetDecision::Granted, turn.program_, turn.tokens_, {}});
+        return;
+    }
+    const std::optional<AllowanceHolder> holder = livingOf(ledger_.allowanceHolders(turn));
+    if (!holder) {
+        reserveInStore(turn, HolderState::NotAsked, decided);
+        return;
+    }
+    askHolder(
+        *holder, turn, decided, [this, turn, decided](HolderState state) { reserveInStore(turn, state, decided); });
+}
+
+/** Finds the first of several writers that is a living node. */
+std::optional<BudgetController::AllowanceHolder>
+BudgetController::livingOf(const std::vector<std::string> &writers) const
+{
+    for (const std::string &writer : writers) {
+        const std::optional<FleetMember> node = fleet_.aliveNode(internal::nodeOf(writer));
+        if (node && goneWriters_.count(writer) == 0) {
+            return AllowanceHolder{writer, *node};
+        }
+    }
+    return std::nullopt;
+}
+
+void BudgetController::askHolder(const AllowanceHolder &holder,
+                                 const TurnReservation &turn,
+                                 const Decided &granted,
+                                 const std::function<void(HolderState)> &refused)
+{
+    const nlohmann::json body = {{"program", turn.program_}, {"tokens", turn.tokens_}, {"holder", holder.writer_}};
+    const auto answered = [this, holder, turn, granted, refused](const std::optional<nlohmann::json> &answer) {
+        if (internal::decisionIn(answer) == BudgetDecision::Granted) {
+            granted(BudgetGrant{BudgetDecision::Granted, turn.program_, turn.tokens_, holder.node_.linkAddress_});
+            return;
+        }
+        const bool isGone = answer && answer->is_object() && answer->contains("gone");
+        if (isGone) {
+            goneWriters_.insert(holder.writer_);
+        }
+        hooks_.logEvent_("allowance_refused",
+                         {{"program", turn.program_},
+                          {"peer", holder.node_.name_},
+                          {"answered", answer.has_value()},
+                          {"gone", isGone}});
+        const bool isPending = answer && answer->is_object() && answer->contains("pending");
+        refused(answer && !isPending ? HolderState::Refused : HolderState::Undecided);
+    };
+    hooks_.askPeer_(holder.node_.linkAddress_, internal::allowanceType, body, internal::allowanceTimeout, answered);
+}
+
+void BudgetController::reserveInStore(const TurnReservation &turn, HolderState holder, const Decided &decided)
 {
     if (!ledger_.isCurrent()) {
         reserveElsewhere(turn, decided);
         return;
     }
-    ledger_.reserve(turn, [this, turn, decided = std::move(decided)](BudgetDecision made) {
-        if (made == BudgetDecision::Unavailable) {
+    // Sub-agents run side by side: each of several nodes would reserve ahead, and together more than the budget holds.
+    const bool mayAcquire = turn.mainLine_ && holder != HolderState::Undecided;
+    ledger_.reserve(turn, mayAcquire, [this, turn, holder, decided](BudgetDecision made) {
+        if (made == BudgetDecision::Exhausted) {
+            refuse(turn, holder, decided);
+        } else if (made == BudgetDecision::Unavailable) {
             reserveElsewhere(turn, decided);
         } else {
             decided(BudgetGrant{made, turn.program_, turn.tokens_, {}});
@@ -85,6 +152,20 @@
     });
 }
 
+/** Refuses a turn that does not fit, unless the holder of an allowance still has tokens for it. */
+void BudgetController::refuse(const TurnReservation &turn, HolderState holder, const Decided &decided)
+{
+    const std::optional<AllowanceHolder> former =
+        holder == HolderState::NotAsked ? livingOf(ledger_.formerHolders(turn)) : std::nullopt;
+    if (former) {
+        askHolder(*former, turn, decided, [this, turn, decided](HolderState state) { refuse(turn, state, decided); });
+        return;
+    }
+    const BudgetDecision made =
+        holder == HolderState::Undecided ? BudgetDecision::Unavailable : BudgetDecision::Exhausted;
+    decided(BudgetGrant{made, turn.program_, 0, {}});
+}
+
 void BudgetController::reserveElsewhere(const TurnReservation &turn, const Decided &decided)
 {
     const std::optional<FleetMember> current = fleet_.currentNode(turn.program_);
@@ -198,7 +279,7 @@
                                        const std::function<void(const nlohmann::json &)> &answer)
 {
     if (ledger_.isCurrent()) {
-        ledger_.reserve(turn, [answer](BudgetDecision made) {
+        ledger_.reserve(turn, turn.mainLine_, [answer](BudgetDecision made) {
             answer({{"decision", nameOf(made)}, {"durable", true}});
         });
         return;
@@ -226,11 +307,36 @@
     }
 }
 
+/** Grants a turn of another node from this node's allowance. */
+nlohmann::json BudgetController::grantFromAllowance(const std::string &program, const nlohmann::json &body)
+{
+    if (!internal::isNumber(body, "tokens") || !internal::isText(body, "holder")) {
+        return {};
+    }
+    if (body["holder"] != ledger_.writer()) {
+        // Asked for is a former incarnation of this node.
+        return {{"decision", nameOf(BudgetDecision::Unavailable)}, {"gone", true}};
+    }
+    TurnReservation turn;
+    turn.program_ = program;
+    turn.tokens_ = body["tokens"].get<std::uint64_t>();
+    if (ledger_.takeAllowance(turn)) {
+        return {{"decision", nameOf(BudgetDecision::Granted)}};
+    }
+    nlohmann::json refusal = {{"decision", nameOf(BudgetDecision::Unavailable)}};
+    if (ledger_.awaitsAllowance(program)) {
+        refusal["pending"] = true;
+    }
+    return refusal;
+}
+
 bool BudgetController::onPeerRequest(const std::string &type,
                                      const nlohmann::json &body,
                                      const std::function<void(const nlohmann::json &)> &answer)
 {
-    if (type != internal::reserveType && type != internal::settleType && type != internal::noteType) {
+    const bool isKnown = type == internal::reserveType || type == internal::settleType || type == internal::noteType
+        || type == internal::allowanceType;
+    if (!isKnown) {
         return false;
     }
     if (!body.is_object() || !internal::isText(body, "program")) {
@@ -245,6 +351,10 @@
         answer({{"settled", true}});
         return true;
     }
+    if (type == internal::allowanceType) {
+        answer(grantFromAllowance(program, body));
+        return true;
+    }
     if (type == internal::noteType) {
         takeNote(program, body);
         answer({{"noted", true}});
--- a/src/gateway/budgetcontroller.h
+++ b/src/gateway/budgetcontroller.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace filbertgw {
@@ -37,7 +38,8 @@
 /**
  * \brief Decides whether a turn fits into the budget of its program, also while the store can't be reached.
  *
- * A node whose knowledge is current decides with the store. One that has lost the store asks a node that has not.
+ * A turn is granted from what a node has reserved ahead for its program, by this node or by asking the holder. Else a
+ * node whose knowledge is current decides with the store. One that has lost the store asks a node that has not.
  * While no node reaches it, one node decides about each program for all others, if it hears of most nodes. The tokens
  * that it grants are the asking node's, and the node that would decide next knows of them as well.
  * Beyond one turn, only a part of a budget is spent so, since the loss of all nodes would forget it.
@@ -61,6 +63,28 @@
 private:
     using Decided = std::function<void(const BudgetGrant &)>;
 
+    /** \brief A node that has reserved tokens of a program ahead. */
+    struct AllowanceHolder
+    {
+        std::string writer_;
+        FleetMember node_;
+    };
+
+    /** \brief What came of asking the holder of an allowance. */
+    enum class HolderState : std::uint8_t {
+        NotAsked, ///< No living node is known to hold enough.
+        Refused,
+        Undecided, ///< It did not answer in time, or waits for its own reservation; it may still grant turns.
+    };
+
+    std::optional<AllowanceHolder> livingOf(const std::vector<std::string> &writers) const;
+    void askHolder(const AllowanceHolder &holder,
+                   const TurnReservation &turn,
+                   const Decided &granted,
+                   const std::function<void(HolderState)> &refused);
+    void refuse(const TurnReservation &turn, HolderState holder, const Decided &decided);
+    void reserveInStore(const TurnReservation &turn, HolderState holder, const Decided &decided);
+    nlohmann::json grantFromAllowance(const std::string &program, const nlohmann::json &body);
     void reserveElsewhere(const TurnReservation &turn, const Decided &decided);
     void decideAlone(const TurnReservation &turn, const Decided &decided);
     void tellWitness(const std::string &program, const std::function<void()> &then);
@@ -77,6 +101,7 @@
     BudgetControllerHooks hooks_;
     ProgramLedger &ledger_;
     Fleet &fleet_;
+    std::set<std::string> goneWriters_; ///< Incarnations of nodes that have ended.
 };
 
 } // namespace filbertgw
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -293,6 +293,13 @@
     });
 }
 
+std::optional<FleetMember> Fleet::aliveNode(const std::string &name) const
+{
+    const auto found = d_->nodes_.find(name);
+    return found != d_->nodes_.end() && d_->isAlive(found->second) ? std::optional(found->second.member_)
+                                                                   : std::nullopt;
+}
+
 bool Fleet::isSelf(const FleetMember &member) const
 {
     return member.name_ == d_->settings_.self_.name_;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -83,6 +83,8 @@
      * Nodes that have started lately have granted nothing, so they don't count.
      */
     bool knowsNoOutage() const;
+    /** \brief A node by its name, if it is alive. */
+    std::optional<FleetMember> aliveNode(const std::string &name) const;
     bool isSelf(const FleetMember &member) const;
     std::size_t known() const;
     std::size_t alive() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -174,6 +174,7 @@
 void Gateway::beginStop()
 {
     d_->stopping_ = true;
+    d_->ledger_.releaseAllowances();
 }
 
 bool Gateway::isIdle() const
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -14,8 +14,10 @@
 
 const char *const ledgerStream = "ledger";
 constexpr char spendingPrefix = 'p';
-/** A turn starts without a durable reservation only if this many more of its size fit into the budget. */
-constexpr std::uint64_t ampleTurns = 4;
+/** Part of the rest of a budget that is reserved ahead: what is left suffices should the node be lost. */
+constexpr std::uint64_t allowanceDivisor = 3;
+/** Greatest such part, for a budget whose rest holds few turns. */
+constexpr std::uint64_t smallAllowanceDivisor = 2;
 /** Records in one append; the rest follows in the next one. */
 constexpr std::size_t groupRecords = 2000;
 constexpr Duration appendRetry{100'000};
@@ -26,9 +28,11 @@
 {
     std::string program_;
     std::uint64_t budget_ = 0;
-    std::uint64_t tokens_ = 0;
+    std::uint64_t tokens_ = 0; ///< To be reserved.
+    std::uint64_t fromAllowance_ = 0; ///< Taken from the allowance, which held less than the whole turn.
     std::uint64_t group_ = 0; ///< Number of the append that its reservation is in.
     Time deadline_{0};
+    bool isAhead_ = false; ///< An allowance for turns to come, which nobody waits for.
     std::function<void(BudgetDecision)> decided_;
 };
 
@@ -53,6 +57,8 @@
     void groupAppended(const StoreAppended &result);
     void groupDurable();
     void decideWaiting(const std::string &program, const SpendingRecord &own);
+    void takeBack(const internal::WaitingTurn &turn);
+    void acquireAllowance(const TurnReservation &turn);
     void expireWaiting();
     void expire();
 
@@ -64,7 +70,7 @@
     std::deque<internal::WaitingTurn> waiting_; ///< Reserved in dirty_ or later.
     std::deque<internal::WaitingTurn> sent_; ///< Their reservation has been sent and was not read back yet.
     StoreAppend group_;
-    std::vector<std::pair<std::string, std::uint64_t>> ownInGroup_; ///< Own spending by program that is in the group.
+    std::vector<std::pair<std::string, SpendingRecord>> ownInGroup_; ///< Own spending by program that is in the group.
     WriterSequence sequence_;
     Time firstReached_{0}; ///< When the store was reached for the first time.
     Time regained_{0}; ///< End of the last loss of the store that made the knowledge outdated.
@@ -134,7 +140,7 @@
 void ProgramLedger::Private::vouch()
 {
     for (const ProgramSpending &grant : spending_.grants()) {
-        const SpendingRecord record{grant.spending_.tokens_, grant.spending_.group_, true};
+        const SpendingRecord record{grant.spending_.tokens_, grant.spending_.group_, 0, true};
         others_.push_back(
             KeyedRecord{internal::spendingPrefix + grant.program_ + '/' + grant.spending_.writer_, record.encode()});
     }
@@ -188,12 +194,10 @@
     group_.records_.clear();
     group_.records_.swap(others_);
     ++sequence_.sequence_;
-    spending_.setOwnGroup(sequence_.sequence_);
-    ownInGroup_ = spending_.takeDirty(internal::groupRecords);
-    for (const std::pair<std::string, std::uint64_t> &entry : ownInGroup_) {
-        const SpendingRecord record{entry.second, sequence_.sequence_, false};
+    ownInGroup_ = spending_.takeDirty(internal::groupRecords, sequence_.sequence_);
+    for (const std::pair<std::string, SpendingRecord> &entry : ownInGroup_) {
         group_.records_.push_back(
-            KeyedRecord{internal::spendingPrefix + entry.first + '/' + settings_.writer_, record.encode()});
+            KeyedRecord{internal::spendingPrefix + entry.first + '/' + settings_.writer_, entry.second.encode()});
     }
     // A turn whose program is still dirty keeps waiting for a later group.
     for (auto turn = waiting_.begin(); turn != waiting_.end();) {
@@ -228,7 +232,7 @@
     if (!hooks_.onUnrecorded_) {
         return;
     }
-    for (const std::pair<std::string, std::uint64_t> &entry : ownInGroup_) {
+    for (const std::pair<std::string, SpendingRecord> &entry : ownInGroup_) {
         hooks_.onUnrecorded_(entry.first);
     }
     for (const std::string &program : spending_.dirty()) {
@@ -272,14 +276,15 @@
 {
     appending_ = false;
     group_.records_.clear();
-    for (const std::pair<std::string, std::uint64_t> &entry : ownInGroup_) {
-        spending_.setOwnRecorded(entry.first, entry.second);
+    for (const std::pair<std::string, SpendingRecord> &entry : ownInGroup_) {
+        spending_.setOwnRecorded(entry.first, entry.second.tokens_);
     }
     ownInGroup_.clear();
-    if (!sent_.empty()) {
+    const auto isAwaited = [](const internal::WaitingTurn &turn) { return !turn.isAhead_; };
+    if (std::any_of(sent_.begin(), sent_.end(), isAwaited)) {
         tail_->readNow();
     }
-    if (!waiting_.empty()) {
+    if (std::any_of(waiting_.begin(), waiting_.end(), isAwaited)) {
         flush();
     } else if (!spending_.dirty().empty() || !others_.empty()) {
         flushSoon(settings_.groupDelay_);
@@ -308,13 +313,48 @@
         if (fits) {
             spent += turn.tokens_;
         } else {
-            spending_.subtractOwn(program, turn.tokens_);
-            flushSoon(settings_.groupDelay_);
+            takeBack(turn);
         }
         turn.decided_(fits ? BudgetDecision::Granted : BudgetDecision::Exhausted);
     }
 }
 
+/** Gives the tokens of a turn back that was not granted. */
+void ProgramLedger::Private::takeBack(const internal::WaitingTurn &turn)
+{
+    if (!turn.isAhead_) {
+        spending_.subtractOwn(turn.program_, turn.tokens_);
+        spending_.giveBackAllowance(turn.program_, turn.fromAllowance_);
+    }
+    flushSoon(settings_.groupDelay_);
+}
+
+/** Reserves part of the rest of the budget for turns to come, which then need not wait for the store. */
+void ProgramLedger::Private::acquireAllowance(const TurnReservation &turn)
+{
+    const std::uint64_t spent = spending_.total(turn.program_);
+    const std::uint64_t rest = turn.budget_ - std::min(turn.budget_, spent);
+    std::uint64_t tokens = rest / internal::allowanceDivisor;
+    if (tokens < turn.tokens_) {
+        tokens = rest / internal::smallAllowanceDivisor >= turn.tokens_ ? turn.tokens_ : 0;
+    }
+    if (tokens == 0 || spending_.hasPendingAllowance(turn.program_)) {
+        return;
+    }
+    spending_.addPendingAllowance(turn.program_, tokens);
+    internal::WaitingTurn ahead{
+        turn.program_, turn.budget_, tokens, 0, 0, hooks_.now_() + settings_.allowanceTimeout_, true, nullptr};
+    ahead.decided_ = [this, program = turn.program_, tokens](BudgetDecision made) {
+        spending_.confirmAllowance(program, tokens, made == BudgetDecision::Granted);
+    };
+    waiting_.push_back(std::move(ahead));
+    hooks_.after_(settings_.allowanceTimeout_, [self = shared_from_this()] {
+        if (!self->stopped_) {
+            self->expireWaiting();
+        }
+    });
+}
+
 /** Gives up on turns whose reservation does not become durable in time; the reservation is taken back. */
 void ProgramLedger::Private::expireWaiting()
 {
@@ -330,7 +370,7 @@
             turn = queue->erase(turn);
         }
         for (const internal::WaitingTurn &turn : late) {
-            spending_.subtractOwn(turn.program_, turn.tokens_);
+            takeBack(turn);
             turn.decided_(BudgetDecision::Unavailable);
         }
     }
@@ -403,30 +443,65 @@
     return d_->tail_->isComplete();
 }
 
-void ProgramLedger::reserve(const TurnReservation &turn, std::function<void(BudgetDecision)> decided)
+bool ProgramLedger::takeAllowance(const TurnReservation &turn)
+{
+    return d_->spending_.takeAllowance(turn.program_, turn.tokens_);
+}
+
+bool ProgramLedger::awaitsAllowance(const std::string &program) const
 {
-    const std::uint64_t before = d_->spending_.total(turn.program_);
-    if (before + turn.tokens_ > turn.budget_) {
-        decided(BudgetDecision::Exhausted);
+    return d_->spending_.hasPendingAllowance(program);
+}
+
+std::vector<std::string> ProgramLedger::allowanceHolders(const TurnReservation &turn) const
+{
+    return d_->spending_.allowanceHolders(turn.program_, turn.tokens_);
+}
+
+std::vector<std::string> ProgramLedger::formerHolders(const TurnReservation &turn) const
+{
+    return d_->spending_.allowanceHolders(turn.program_, SpendingTable::anyAllowance);
+}
+
+void ProgramLedger::releaseAllowances()
+{
+    d_->spending_.releaseAllowances();
+    d_->flushSoon(d_->settings_.groupDelay_);
+}
+
+void ProgramLedger::reserve(const TurnReservation &turn,
+                            bool mayAcquireAllowance,
+                            const std::function<void(BudgetDecision)> &decided)
+{
+    if (takeAllowance(turn)) {
+        decided(BudgetDecision::Granted);
         return;
     }
-    if (!isCurrent()) {
-        decided(BudgetDecision::Unavailable);
+    const std::uint64_t before = spent(turn.program_);
+    const std::uint64_t ahead = d_->spending_.takeWholeAllowance(turn.program_);
+    const std::uint64_t tokens = turn.tokens_ - std::min(ahead, turn.tokens_);
+    const bool fits = before + tokens <= turn.budget_;
+    if (!fits || !isCurrent()) {
+        d_->spending_.giveBackAllowance(turn.program_, ahead);
+        decided(fits ? BudgetDecision::Unavailable : BudgetDecision::Exhausted);
         return;
     }
-    const bool begins = before == 0;
-    const bool ample = before + (1 + internal::ampleTurns) * turn.tokens_ <= turn.budget_;
     // A program sends many turns of sub-agents at once, also through nodes that don't know of each other's yet.
-    const bool startsAtOnce = turn.mainLine_ && (begins || (ample && d_->spending_.isServedHereOnly(turn.program_)));
-    d_->spending_.addOwn(turn.program_, turn.tokens_);
-    if (startsAtOnce) {
+    const bool begins = before == 0 && turn.mainLine_;
+    d_->spending_.addOwn(turn.program_, tokens);
+    if (!begins) {
+        const Time deadline = d_->hooks_.now_() + d_->settings_.strictTimeout_;
+        d_->waiting_.push_back(
+            internal::WaitingTurn{turn.program_, turn.budget_, tokens, ahead, 0, deadline, false, decided});
+    }
+    if (mayAcquireAllowance) {
+        d_->acquireAllowance(turn);
+    }
+    if (begins) {
         d_->flushSoon(d_->settings_.groupDelay_);
         decided(BudgetDecision::Granted);
         return;
     }
-    const Time deadline = d_->hooks_.now_() + d_->settings_.strictTimeout_;
-    d_->waiting_.push_back(
-        internal::WaitingTurn{turn.program_, turn.budget_, turn.tokens_, 0, deadline, std::move(decided)});
     d_->hooks_.after_(d_->settings_.strictTimeout_, [d = d_] {
         if (!d->stopped_) {
             d->expireWaiting();
@@ -487,9 +562,9 @@
     return d_->spending_.byWriter(program);
 }
 
-std::vector<ProgramSpending> ProgramLedger::recentClaims()
+const std::string &ProgramLedger::writer() const
 {
-    return d_->spending_.claimOwnSince(d_->tail_->currentAsOf() - d_->settings_.recordLag_);
+    return d_->settings_.writer_;
 }
 
 void ProgramLedger::settle(const std::string &program, std::uint64_t reserved, std::uint64_t used)
@@ -497,8 +572,7 @@
     if (reserved == used) {
         return;
     }
-    d_->spending_.addOwn(program, used);
-    d_->spending_.subtractOwn(program, reserved);
+    d_->spending_.settle(program, reserved, used);
     d_->flushSoon(d_->settings_.groupDelay_);
 }
 
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -60,12 +60,12 @@
     Duration currentFor_{900'000}; ///< Age up to which the knowledge of other nodes' spending counts as current.
     /** After a loss of the store its knowledge counts again after this, when what was granted without it is in it. */
     Duration regainDelay_{1'500'000};
-    Duration recordLag_{2'000'000}; ///< Other nodes have read what was recorded this long before the store was lost.
     Duration vouchDelay_{1'200'000}; ///< Time for writers to record themselves what they were granted without it.
     /** An append that takes longer may be the begin of an outage: others are told what it holds. */
     Duration unrecordedAfter_{250'000};
     std::uint64_t unrecordedDivisor_ = 2; ///< Beyond one turn, at most this part of a budget is spent unrecorded.
     Duration strictTimeout_{700'000}; ///< Longest time that a turn waits for its durable reservation.
+    Duration allowanceTimeout_{3'000'000}; ///< The same for tokens that are reserved ahead.
     Duration retention_{120'000'000}; ///< A program that was idle for longer is forgotten.
 };
 
@@ -73,10 +73,10 @@
  * \brief Tokens that programs have spent, over all nodes.
  *
  * Each node keeps one record a program: the tokens that it has handed out plus those that its running turns may still
- * generate. The spending of a program is the sum over the writers, so records never conflict. The first turn of a
- * program starts at once, and so does one of its main line far from the limit if only this node has served it. Any
- * other one waits until its reservation is durable and everything appended before it has been read, so that of two
- * concurrent reservations at least one sees the other.
+ * generate, and those that it has reserved ahead, its allowance. The spending of a program is the sum over the writers,
+ * so records never conflict. The first turn of a program starts at once. Turns to come are granted from the allowance,
+ * which needs no store, by the node that holds it. Any other turn waits until its reservation is durable and
+ * everything appended before it has been read, so that of two concurrent reservations at least one sees the other.
  */
 class ProgramLedger
 {
@@ -93,8 +93,22 @@
     /** \brief True if the last call to the store succeeded. */
     bool isReachable() const;
 
-    /** \brief Reserves the tokens that a turn may generate. The reservation stands only if the decision is Granted. */
-    void reserve(const TurnReservation &turn, std::function<void(BudgetDecision)> decided);
+    /** \brief Takes the tokens of a turn from what this node has reserved ahead, which needs no store. */
+    bool takeAllowance(const TurnReservation &turn);
+    /** \brief True while a reservation ahead is under way. */
+    bool awaitsAllowance(const std::string &program) const;
+    /** \brief Other writers that have reserved enough ahead for a turn, the one with the most first. */
+    std::vector<std::string> allowanceHolders(const TurnReservation &turn) const;
+    /** \brief Other writers that ever reserved tokens ahead: unused ones come back to them before others read so. */
+    std::vector<std::string> formerHolders(const TurnReservation &turn) const;
+    /** \brief Gives back what was reserved ahead: the node stops. */
+    void releaseAllowances();
+    /**
+     * \brief Reserves the tokens that a turn may generate. The reservation stands only if the decision is Granted.
+     * \param mayAcquireAllowance also reserves tokens for the program's turns to come, if its budget allows.
+     */
+    void
+    reserve(const TurnReservation &turn, bool mayAcquireAllowance, const std::function<void(BudgetDecision)> &decided);
     /**
      * \brief Decides about a turn of this node from what is known, without the store.
      *
@@ -115,8 +129,8 @@
     WriterSpending claim(const std::string &program);
     /** \brief What each writer has spent on a program, as far as known. */
     std::vector<WriterSpending> spendingByWriter(const std::string &program);
-    /** \brief What this node has spent lately, so that others may not have read it in the store. */
-    std::vector<ProgramSpending> recentClaims();
+    /** \brief Name of this node among the writers. */
+    const std::string &writer() const;
     /** \brief Replaces a reservation by what the turn has used. */
     void settle(const std::string &program, std::uint64_t reserved, std::uint64_t used);
     /** \brief Tokens spent or reserved by all nodes, as far as known. */
--- a/src/ledger/spendingtable.cpp
+++ b/src/ledger/spendingtable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace filbertgw {
 
@@ -10,9 +11,12 @@
 
 const char *const vouchedMark = " v";
 
-/** \brief Reads a number at the begin of a text and removes it. */
+/** \brief Reads a number at the begin of a text, past a space, and removes it. */
 std::optional<std::uint64_t> takeNumber(std::string_view &text)
 {
+    if (!text.empty() && text.front() == ' ') {
+        text.remove_prefix(1);
+    }
     std::uint64_t value = 0;
     const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), value);
     if (result.ec != std::errc()) {
@@ -27,23 +31,21 @@
 
 std::string SpendingRecord::encode() const
 {
-    return std::to_string(tokens_) + ' ' + std::to_string(group_) + (vouched_ ? internal::vouchedMark : "");
+    return std::to_string(tokens_) + ' ' + std::to_string(group_) + ' ' + std::to_string(allowance_)
+        + (vouched_ ? internal::vouchedMark : "");
 }
 
 std::optional<SpendingRecord> SpendingRecord::decode(const std::string &value)
 {
     std::string_view rest = value;
     const std::optional<std::uint64_t> tokens = internal::takeNumber(rest);
-    if (!tokens || rest.empty() || rest.front() != ' ') {
-        return std::nullopt;
-    }
-    rest.remove_prefix(1);
     const std::optional<std::uint64_t> group = internal::takeNumber(rest);
+    const std::optional<std::uint64_t> allowance = internal::takeNumber(rest);
     const bool vouched = rest == internal::vouchedMark;
-    if (!group || (!rest.empty() && !vouched)) {
+    if (!tokens || !group || !allowance || (!rest.empty() && !vouched)) {
         return std::nullopt;
     }
-    return SpendingRecord{*tokens, *group, vouched};
+    return SpendingRecord{*tokens, *group, *allowance, vouched};
 }
 
 std::uint64_t SpendingTable::Program::totalOfOthers() const
@@ -55,6 +57,12 @@
     return sum;
 }
 
+SpendingRecord SpendingTable::Program::record(std::uint64_t group) const
+{
+    const std::uint64_t ahead = allowance_ + pendingAllowance_;
+    return SpendingRecord{own_, group, hasAllowance_ ? std::max(anyAllowance, ahead) : ahead, false};
+}
+
 SpendingTable::SpendingTable(std::string self, Clock now)
     : self_(std::move(self))
     , now_(std::move(now))
@@ -97,12 +105,6 @@
     return sum;
 }
 
-bool SpendingTable::isServedHereOnly(const std::string &program) const
-{
-    const Program *found = find(program);
-    return found != nullptr && found->own_ > 0 && found->others_.empty();
-}
-
 std::vector<WriterSpending> SpendingTable::byWriter(const std::string &program)
 {
     std::vector<WriterSpending> result;
@@ -121,22 +123,6 @@
     return WriterSpending{self_, own(program), found == nullptr ? 0 : found->ownRecorded_, ownGroup_, ++ownClaims_};
 }
 
-std::vector<ProgramSpending> SpendingTable::claimOwnSince(Time since)
-{
-    std::vector<ProgramSpending> result;
-    for (const std::pair<const std::string, Program> &entry : programs_) {
-        if (entry.second.own_ > 0 && entry.second.ownChanged_ >= since) {
-            result.push_back(ProgramSpending{entry.first, claimOwn(entry.first)});
-        }
-    }
-    return result;
-}
-
-void SpendingTable::setOwnGroup(std::uint64_t group)
-{
-    ownGroup_ = group;
-}
-
 void SpendingTable::addOwn(const std::string &program, std::uint64_t tokens)
 {
     programs_[program].own_ += tokens;
@@ -154,13 +140,106 @@
 {
     Program &changed = programs_[program];
     changed.lastUse_ = now_();
-    changed.ownChanged_ = changed.lastUse_;
     if (!changed.dirty_) {
         changed.dirty_ = true;
         dirty_.push_back(program);
     }
 }
 
+void SpendingTable::addPendingAllowance(const std::string &program, std::uint64_t tokens)
+{
+    addOwn(program, tokens);
+    programs_[program].pendingAllowance_ += tokens;
+}
+
+void SpendingTable::confirmAllowance(const std::string &program, std::uint64_t tokens, bool granted)
+{
+    Program &changed = programs_[program];
+    changed.pendingAllowance_ -= std::min(tokens, changed.pendingAllowance_);
+    if (granted) {
+        changed.allowance_ += tokens;
+        changed.hasAllowance_ = true;
+    } else {
+        subtractOwn(program, tokens);
+    }
+}
+
+bool SpendingTable::hasPendingAllowance(const std::string &program) const
+{
+    const Program *found = find(program);
+    return found != nullptr && found->pendingAllowance_ > 0;
+}
+
+bool SpendingTable::takeAllowance(const std::string &program, std::uint64_t tokens)
+{
+    const auto found = programs_.find(program);
+    if (found == programs_.end() || found->second.allowance_ < tokens || tokens == 0) {
+        return false;
+    }
+    found->second.allowance_ -= tokens;
+    found->second.lastUse_ = now_();
+    return true;
+}
+
+std::uint64_t SpendingTable::takeWholeAllowance(const std::string &program)
+{
+    const auto found = programs_.find(program);
+    return found == programs_.end() ? 0 : std::exchange(found->second.allowance_, 0);
+}
+
+void SpendingTable::giveBackAllowance(const std::string &program, std::uint64_t tokens)
+{
+    if (tokens > 0) {
+        programs_[program].allowance_ += tokens;
+    }
+}
+
+void SpendingTable::settle(const std::string &program, std::uint64_t reserved, std::uint64_t used)
+{
+    Program &changed = programs_[program];
+    if (used > reserved) {
+        addOwn(program, used - reserved);
+        return;
+    }
+    const std::uint64_t unused = reserved - used;
+    if (changed.hasAllowance_ && !changed.dirty_ && changed.ownRecorded_ == changed.own_) {
+        changed.allowance_ += unused;
+        changed.lastUse_ = now_();
+        return;
+    }
+    subtractOwn(program, unused);
+}
+
+void SpendingTable::releaseAllowances()
+{
+    for (std::pair<const std::string, Program> &entry : programs_) {
+        entry.second.hasAllowance_ = false;
+        if (entry.second.allowance_ > 0) {
+            const std::uint64_t rest = entry.second.allowance_;
+            entry.second.allowance_ = 0;
+            subtractOwn(entry.first, rest);
+        }
+    }
+}
+
+std::vector<std::string> SpendingTable::allowanceHolders(const std::string &program, std::uint64_t tokens) const
+{
+    std::vector<std::pair<std::uint64_t, std::string>> holders;
+    if (const Program *found = find(program)) {
+        for (const Writer &other : found->others_) {
+            if (other.spending_.allowance_ >= tokens) {
+                holders.emplace_back(other.spending_.allowance_, other.spending_.writer_);
+            }
+        }
+    }
+    std::sort(holders.rbegin(), holders.rend());
+    std::vector<std::string> names;
+    for (const std::pair<std::uint64_t, std::string> &holder : holders) {
+        names.push_back(holder.second);
+    }
+    return names;
+}
+
 bool SpendingTable::isDirty(const std::string &program) const
 {
     const Program *found = find(program);
@@ -172,15 +251,16 @@
     return dirty_;
 }
 
-std::vector<std::pair<std::string, std::uint64_t>> SpendingTable::takeDirty(std::size_t limit)
+std::vector<std::pair<std::string, SpendingRecord>> SpendingTable::takeDirty(std::size_t limit, std::uint64_t group)
 {
-    std::vector<std::pair<std::string, std::uint64_t>> taken;
+    ownGroup_ = group;
+    std::vector<std::pair<std::string, SpendingRecord>> taken;
     const std::size_t count = std::min(limit, dirty_.size());
     for (std::size_t i = 0; i < count; ++i) {
         Program &program = programs_[dirty_[i]];
         program.dirty_ = false;
         program.ownSent_ = true;
-        taken.emplace_back(dirty_[i], program.own_);
+        taken.emplace_back(dirty_[i], program.record(group));
     }
     dirty_.erase(dirty_.begin(), dirty_.begin() + static_cast<std::ptrdiff_t>(count));
     return taken;
@@ -204,7 +284,7 @@
             return other;
         }
     }
-    changed.others_.push_back(Writer{WriterSpending{writer, 0, 0, 0, 0}, false});
+    changed.others_.push_back(Writer{WriterSpending{writer, 0, 0, 0, 0, 0}, false});
     return changed.others_.back();
 }
 
@@ -231,6 +311,7 @@
     entry.spending_.tokens_ = record->tokens_;
     entry.spending_.recorded_ = record->tokens_;
     entry.spending_.group_ = record->group_;
+    entry.spending_.allowance_ = record->allowance_;
     entry.isGrant_ = false;
 }
 
@@ -247,7 +328,9 @@
     if (isRecorded || isOlder) {
         return;
     }
+    const std::uint64_t allowance = entry.spending_.allowance_;
     entry.spending_ = spending;
+    entry.spending_.allowance_ = allowance;
     entry.isGrant_ = true;
 }
 
--- a/src/ledger/spendingtable.h
+++ b/src/ledger/spendingtable.h
@@ -17,6 +17,7 @@
 {
     std::uint64_t tokens_ = 0; ///< Handed out, or reserved for turns that run.
     std::uint64_t group_ = 0; ///< Number of the append among those of the writer.
+    std::uint64_t allowance_ = 0; ///< Tokens that are reserved for turns to come; 1 at least if there ever were any.
     bool vouched_ = false; ///< Recorded by another node, from what the writer was granted without the store.
 
     std::string encode() const;
@@ -31,6 +32,7 @@
     std::uint64_t recorded_ = 0; ///< Those of them that are in the store.
     std::uint64_t group_ = 0; ///< The writer's last append before; a record from a later one contains this.
     std::uint64_t claim_ = 0; ///< Grows with each statement of the writer.
+    std::uint64_t allowance_ = 0; ///< Tokens that the writer may grant, as of its last record.
 };
 
 /** \brief A program and what one node has spent on it. */
@@ -53,24 +55,39 @@
     std::uint64_t own(const std::string &program) const;
     /** \brief Tokens that only nodes know of: they are forgotten should all nodes be lost. */
     std::uint64_t unrecorded(const std::string &program) const;
-    /** \brief True if this node has spent on the program and no other has. */
-    bool isServedHereOnly(const std::string &program) const;
     std::vector<WriterSpending> byWriter(const std::string &program);
     /** \brief What this node has spent, as a new statement. */
     WriterSpending claimOwn(const std::string &program);
-    /** \brief Programs on which this node has spent since a time. */
-    std::vector<ProgramSpending> claimOwnSince(Time since);
-    /** \brief Sets the number of this node's last append. */
-    void setOwnGroup(std::uint64_t group);
 
     /** \brief Changes what this node has spent, which then waits to be recorded. */
     void addOwn(const std::string &program, std::uint64_t tokens);
     void subtractOwn(const std::string &program, std::uint64_t tokens);
     void markDirty(const std::string &program);
+    /** \brief Reserves own tokens for turns to come, which can't be taken before confirmAllowance(). */
+    void addPendingAllowance(const std::string &program, std::uint64_t tokens);
+    /** \brief Ends what addPendingAllowance() began; tokens that were not granted are given back. */
+    void confirmAllowance(const std::string &program, std::uint64_t tokens, bool granted);
+    bool hasPendingAllowance(const std::string &program) const;
+    /** \brief Takes the tokens of a turn from the allowance. \return false if it does not hold them. */
+    bool takeAllowance(const std::string &program, std::uint64_t tokens);
+    /** \brief Takes all of the allowance. \return its tokens. */
+    std::uint64_t takeWholeAllowance(const std::string &program);
+    void giveBackAllowance(const std::string &program, std::uint64_t tokens);
+    /**
+     * \brief Replaces a reservation by what the turn has used.
+     *
+     * The rest goes to the allowance if the program has one and all of its tokens are in the store.
+     */
+    void settle(const std::string &program, std::uint64_t reserved, std::uint64_t used);
+    /** \brief Gives all allowances back. */
+    void releaseAllowances();
+    /** \brief Other writers whose allowance holds the tokens, the largest first. */
+    std::vector<std::string> allowanceHolders(const std::string &program, std::uint64_t tokens) const;
+    static constexpr std::uint64_t anyAllowance = 1; ///< Holds for writers whose allowance may be used up.
     bool isDirty(const std::string &program) const;
     const std::vector<std::string> &dirty() const;
-    /** \brief Programs whose own spending is to be recorded now; they don't wait any more. */
-    std::vector<std::pair<std::string, std::uint64_t>> takeDirty(std::size_t limit);
+    /** \brief Records of own spending that go into an append; their programs don't wait any more. */
+    std::vector<std::pair<std::string, SpendingRecord>> takeDirty(std::size_t limit, std::uint64_t group);
     /** \brief Takes note that this much of this node's own spending is in the store. */
     void setOwnRecorded(const std::string &program, std::uint64_t tokens);
 
@@ -98,7 +115,11 @@
         std::vector<Writer> others_;
         std::uint64_t own_ = 0;
         std::uint64_t ownRecorded_ = 0;
-        Time ownChanged_{0};
+        std::uint64_t allowance_ = 0; ///< Part of own_ that no turn has taken.
+        std::uint64_t pendingAllowance_ = 0; ///< Part of own_ whose reservation was not read back yet.
+        bool hasAllowance_ = false; ///< It was granted one, which may be used up.
+
+        SpendingRecord record(std::uint64_t group) const;
         Time lastUse_{0};
         bool ownSent_ = false; ///< The store may hold a record of this node.
         bool dirty_ = false;
--- a/test/gateway/budget.cpp
+++ b/test/gateway/budget.cpp
@@ -304,6 +304,125 @@
     EXPECT_TRUE(rig.attempts_.empty());
 }
 
+/** \brief Lets a program with a large budget begin at node 0, which reserves two more of its turns ahead. */
+void beginProgram(GatewayRig &rig)
+{
+    rig.run(std::chrono::seconds(2));
+    GatewayRequest request = turn("begin", "p", "p");
+    request.tokenBudget_ = largeBudget;
+    rig.send(0, std::move(request));
+    rig.run(std::chrono::seconds(1));
+    spendAll(rig, 0);
+}
+
+/** \brief Sends turns to all nodes until none is granted any more. \return how many have run in all. */
+std::size_t runAll(GatewayRig &rig, const std::string &round, Line line)
+{
+    for (int i = 0; i < 4; ++i) {
+        const std::size_t before = rig.attempts_.size();
+        sendEverywhere(rig, "p", round + std::to_string(i), line, 0, largeBudget);
+        spendAll(rig, before);
+    }
+    return rig.attempts_.size();
+}
+
+/** \brief What happens to the nodes while the store is away and an allowance is used. */
+enum class Loss : std::uint8_t { None, Holder, AllNodes };
+
+class BudgetAllowance : public testing::TestWithParam<Loss>
+{
+};
+
+// Guards against turns of sub-agents that are refused for as long as the store is away, and against an allowance that
+// can be spent twice.
+TEST_P(BudgetAllowance, IsSpentOnceWithoutTheStore)
+{
+    GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    beginProgram(rig);
+    rig.store_.down_ = true;
+    rig.run(std::chrono::seconds(2));
+    EXPECT_EQ(runAll(rig, "a", Line::SubAgents), 3U);
+    for (std::size_t node = 0; node < nodeCount; ++node) {
+        if (GetParam() == Loss::AllNodes || (GetParam() == Loss::Holder && node == 0)) {
+            rig.kill(node);
+            rig.restart(node);
+        }
+    }
+    rig.run(std::chrono::seconds(2));
+    EXPECT_EQ(runAll(rig, "b", Line::SubAgents), 3U);
+    rig.store_.down_ = false;
+    rig.run(std::chrono::seconds(5));
+    EXPECT_EQ(runAll(rig, "c", Line::SubAgents), 7U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, BudgetAllowance, testing::Values(Loss::None, Loss::Holder, Loss::AllNodes));
+
+// Guards against an allowance that keeps others from what it holds when its node stops as planned.
+TEST(Budget, PlannedStopGivesTheAllowanceBack)
+{
+    GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    beginProgram(rig);
+    rig.nodes_[0]->beginStop();
+    rig.run(std::chrono::seconds(1));
+    rig.kill(0);
+    rig.run(std::chrono::seconds(2));
+    EXPECT_EQ(runAll(rig, "a", Line::SubAgents), 7U);
+}
+
+// Guards against a holder that does not answer: its allowance is neither granted by others nor called spent.
+TEST(Budget, SilentHolderMakesNoTurnFinallyRefused)
+{
+    GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    beginProgram(rig);
+    rig.silentNodes_.insert("node0");
+    for (int i = 0; i < 8; ++i) {
+        GatewayRequest request = turn("a" + std::to_string(i), "p", "sub-" + std::to_string(i));
+        request.tokenBudget_ = largeBudget;
+        const std::shared_ptr<ClientAnswer> client = rig.send(1, std::move(request));
+        rig.run(std::chrono::seconds(1));
+        EXPECT_NE(client->status_, 402);
+        spendAll(rig, rig.attempts_.size() - 1);
+    }
+    EXPECT_LE(rig.attempts_.size(), 5U);
+}
+
+// Guards against sub-agents that start through several nodes at once, of which each reserves ahead what others need.
+TEST(Budget, SubAgentsOfAYoungProgramAreNotRefused)
+{
+    GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    rig.run(std::chrono::seconds(2));
+    GatewayRequest request = turn("begin", "p", "p");
+    request.tokenBudget_ = largeBudget;
+    rig.send(0, std::move(request));
+    rig.run(std::chrono::milliseconds(100));
+    rig.stream(0, {"a"}, true);
+    EXPECT_EQ(sendEverywhere(rig, "p", "a", Line::SubAgents, 1, largeBudget), nodeCount - 1);
+}
+
+// Guards against appends for each turn of a program whose tokens are reserved ahead.
+TEST(Budget, TurnsFromTheAllowanceNeedNoAppend)
+{
+    GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    beginProgram(rig);
+    rig.run(std::chrono::seconds(1));
+    const std::size_t appends = rig.store_.appends();
+    for (std::size_t node = 0; node < nodeCount; ++node) {
+        GatewayRequest request = turn("a" + std::to_string(node), "p", "p");
+        request.tokenBudget_ = largeBudget;
+        rig.send(node, std::move(request));
+        rig.run(moment);
+        ASSERT_EQ(rig.attempts_.size(), node + 2);
+        rig.stream(rig.attempts_.size() - 1, {"a"}, true);
+        rig.run(moment);
+    }
+    EXPECT_LE(rig.store_.appends(), appends + 2);
+}
+
 // Guards against budgets that are forgotten when all nodes are killed at once.
 TEST(Budget, SpendingSurvivesTheLossOfAllNodes)
 {
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -175,20 +175,27 @@
             }
         });
     };
-    hooks.askPeer_ = [this, reaches](const std::string &address,
-                                     const std::string &type,
-                                     const nlohmann::json &body,
-                                     Duration timeout,
-                                     std::function<void(const std::optional<nlohmann::json> &)> answer) {
+    hooks.askPeer_ = [this, alive, reaches](const std::string &address,
+                                            const std::string &type,
+                                            const nlohmann::json &body,
+                                            Duration timeout,
+                                            std::function<void(const std::optional<nlohmann::json> &)> answer) {
+        const auto answerIfAlive = [alive, answer](const std::optional<nlohmann::json> &json) {
+            if (*alive) {
+                answer(json);
+            }
+        };
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
-            if (nodes_[i] && nameOfNode(i) == address && reaches(address)) {
-                queue_.after(std::chrono::milliseconds(1), [this, i, type, body, answer] {
-                    nodes_[i]->onPeerRequest(type, body, [answer](const nlohmann::json &json) { answer(json); });
+            if (nodes_[i] && nameOfNode(i) == address && reaches(address) && silentNodes_.count(address) == 0) {
+                queue_.after(std::chrono::milliseconds(1), [this, i, type, body, answerIfAlive] {
+                    if (nodes_[i]) {
+                        nodes_[i]->onPeerRequest(type, body, answerIfAlive);
+                    }
                 });
                 return;
             }
         }
-        queue_.after(timeout, [answer] { answer(std::nullopt); });
+        queue_.after(timeout, [answerIfAlive] { answerIfAlive(std::nullopt); });
     };
     hooks.logEvent_ = [](const std::string &, const nlohmann::json &) {};
     hooks.count_ = [](const std::string &, const std::string &) {};
--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -61,6 +61,7 @@
     std::vector<std::unique_ptr<Gateway>> nodes_;
     std::vector<ReceivedAttempt> attempts_;
     std::set<std::string> deafNodes_; ///< Nodes that hear and reach no other.
+    std::set<std::string> silentNodes_; ///< Nodes that answer no request of another one.
 
 private:
     GatewayHooks hooksOf(std::size_t node);
