--- a/src/ledger/turnstore.h
+++ b/src/ledger/turnstore.h
@@ -46,7 +46,7 @@
 
 struct TurnStoreSettings
 {
-    std::uint32_t streams_ = 32; ///< Many, so that one read brings few other conversations.
+    std::uint32_t streams_ = 12; ///< More make a read smaller, and a scan, which reads each partition, dearer.
     std::uint32_t partitionsPerStream_ = 8;
     std::size_t cacheBytes_ = 12 * 1024 * 1024;
     std::size_t recordBytes_ = 256 * 1024; ///< Largest record that the store takes.
