Take the append of groups out of the program ledger

Cause: programledger.cpp did two things, the books and the transport of their records, in 590 lines. Change: GroupAppender sends one numbered group at a time until it is in the store; the ledger keeps the books.

--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -1,5 +1,6 @@
 #include "ledger/programledger.h"
 
+#include "ledger/groupappender.h"
 #include "store/streamtail.h"
 
 #include <algorithm>
@@ -20,7 +21,6 @@
 constexpr std::uint64_t smallAllowanceDivisor = 2;
 /** Records in one append; the rest follows in the next one. */
 constexpr std::size_t groupRecords = 2000;
-constexpr Duration appendRetry{100'000};
 constexpr Duration expiryPeriod{5'000'000};
 
 /** \brief A turn that waits until its reservation has been read back, after everything that came before it. */
@@ -51,10 +51,7 @@
     void onSpending(const std::string &key, const std::optional<std::string> &value);
     void flushSoon(Duration delay);
     void flush();
-    void watchGroup();
     void reportUnrecorded();
-    void sendGroup();
-    void groupAppended(const StoreAppended &result);
     void groupDurable();
     void decideWaiting(const std::string &program, const SpendingRecord &own);
     void takeBack(const internal::WaitingTurn &turn);
@@ -69,12 +66,10 @@
     std::vector<KeyedRecord> others_; ///< Deletions and records of other writers that wait for the next group.
     std::deque<internal::WaitingTurn> waiting_; ///< Reserved in dirty_ or later.
     std::deque<internal::WaitingTurn> sent_; ///< Their reservation has been sent and was not read back yet.
-    StoreAppend group_;
+    std::unique_ptr<GroupAppender> appender_;
     std::vector<std::pair<std::string, SpendingRecord>> ownInGroup_; ///< Own spending by program that is in the group.
-    WriterSequence sequence_;
     Time firstReached_{0}; ///< When the store was reached for the first time.
     Time regained_{0}; ///< End of the last loss of the store that made the knowledge outdated.
-    bool appending_ = false;
     bool flushPlanned_ = false;
     bool stopped_ = false;
 };
@@ -84,7 +79,6 @@
     , settings_(std::move(settings))
     , spending_(settings_.writer_, hooks_.now_)
 {
-    sequence_.writer_ = settings_.writer_;
 }
 
 void ProgramLedger::Private::onRecord(const KeyedRecord &record)
@@ -175,7 +169,7 @@
         flush();
         return;
     }
-    if (flushPlanned_ || appending_) {
+    if (stopped_ || flushPlanned_ || appender_->isBusy()) {
         return;
     }
     flushPlanned_ = true;
@@ -187,16 +181,15 @@
 
 void ProgramLedger::Private::flush()
 {
-    if (appending_ || stopped_ || (spending_.dirty().empty() && others_.empty())) {
+    if (stopped_ || appender_->isBusy() || (spending_.dirty().empty() && others_.empty())) {
         return;
     }
-    group_.to_ = PartitionId{internal::ledgerStream, 0};
-    group_.records_.clear();
-    group_.records_.swap(others_);
-    ++sequence_.sequence_;
-    ownInGroup_ = spending_.takeDirty(internal::groupRecords, sequence_.sequence_);
+    const std::uint64_t number = appender_->nextNumber();
+    std::vector<KeyedRecord> group;
+    group.swap(others_);
+    ownInGroup_ = spending_.takeDirty(internal::groupRecords, number);
     for (const std::pair<std::string, SpendingRecord> &entry : ownInGroup_) {
-        group_.records_.push_back(
+        group.push_back(
             KeyedRecord{internal::spendingPrefix + entry.first + '/' + settings_.writer_, entry.second.encode()});
     }
     // A turn whose program is still dirty keeps waiting for a later group.
@@ -205,28 +198,14 @@
             ++turn;
             continue;
         }
-        turn->group_ = sequence_.sequence_;
+        turn->group_ = number;
         sent_.push_back(std::move(*turn));
         turn = waiting_.erase(turn);
     }
-    group_.sequence_ = sequence_;
-    appending_ = true;
-    watchGroup();
-    sendGroup();
-}
-
-/** Reports, again and again while the group is not durable, the programs whose spending is not recorded. */
-void ProgramLedger::Private::watchGroup()
-{
-    hooks_.after_(settings_.unrecordedAfter_, [self = shared_from_this(), number = sequence_.sequence_] {
-        if (self->stopped_ || !self->appending_ || number != self->sequence_.sequence_) {
-            return;
-        }
-        self->reportUnrecorded();
-        self->watchGroup();
-    });
+    appender_->append(std::move(group));
 }
 
+/** Reports the programs whose spending waits to be recorded. */
 void ProgramLedger::Private::reportUnrecorded()
 {
     if (!hooks_.onUnrecorded_) {
@@ -240,42 +219,8 @@
     }
 }
 
-void ProgramLedger::Private::sendGroup()
-{
-    hooks_.store_.append_(group_, [self = shared_from_this()](const StoreAppended &result) {
-        if (!self->stopped_) {
-            self->groupAppended(result);
-        }
-    });
-}
-
-void ProgramLedger::Private::groupAppended(const StoreAppended &result)
-{
-    if (result.status_ == StoreStatus::Ok) {
-        groupDurable();
-        return;
-    }
-    if (result.status_ == StoreStatus::Fenced && result.expectedSequence_ == sequence_.sequence_ + 1) {
-        // An earlier try took effect and its answer was lost.
-        groupDurable();
-        return;
-    }
-    if (result.status_ == StoreStatus::Fenced) {
-        ++sequence_.epoch_;
-        group_.sequence_ = sequence_;
-    }
-    // The same group under the same number: it takes effect once, however many tries arrive.
-    hooks_.after_(internal::appendRetry, [self = shared_from_this()] {
-        if (!self->stopped_) {
-            self->sendGroup();
-        }
-    });
-}
-
 void ProgramLedger::Private::groupDurable()
 {
-    appending_ = false;
-    group_.records_.clear();
     for (const std::pair<std::string, SpendingRecord> &entry : ownInGroup_) {
         spending_.setOwnRecorded(entry.first, entry.second.tokens_);
     }
@@ -395,6 +340,16 @@
 ProgramLedger::ProgramLedger(ProgramLedgerHooks hooks, ProgramLedgerSettings settings)
     : d_(std::make_shared<Private>(std::move(hooks), std::move(settings)))
 {
+    GroupAppenderHooks appender;
+    appender.after_ = d_->hooks_.after_;
+    appender.store_ = d_->hooks_.store_;
+    appender.onDurable_ = [d = d_.get()] { d->groupDurable(); };
+    appender.onSlow_ = [d = d_.get()] { d->reportUnrecorded(); };
+    GroupAppenderSettings appenderSettings;
+    appenderSettings.writer_ = d_->settings_.writer_;
+    appenderSettings.partition_ = PartitionId{internal::ledgerStream, 0};
+    appenderSettings.slowAfter_ = d_->settings_.unrecordedAfter_;
+    d_->appender_ = std::make_unique<GroupAppender>(std::move(appender), std::move(appenderSettings));
     StreamTailHooks tail;
     tail.now_ = d_->hooks_.now_;
     tail.after_ = d_->hooks_.after_;
@@ -411,6 +366,7 @@
 ProgramLedger::~ProgramLedger()
 {
     d_->stopped_ = true;
+    d_->appender_.reset();
     d_->tail_.reset();
 }
 
@@ -583,7 +539,7 @@
 
 bool ProgramLedger::isFlushed() const
 {
-    return !d_->appending_ && d_->spending_.dirty().empty() && d_->others_.empty();
+    return !d_->appender_->isBusy() && d_->spending_.dirty().empty() && d_->others_.empty();
 }
 
 std::size_t ProgramLedger::programs() const
