Reserve ahead only if a third of the rest holds a turn

A program of two turns whose node dies in the first one has lost that turn and the one that was reserved ahead; the rest holds no further one.

Change: no allowance from a rest of two or three turns. Such a program needs one more turn, which the node that decides without the store grants.

Test: ProgramOfTwoTurnsOutlivesItsNode fails on the former code.

--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -17,8 +17,6 @@
 constexpr char spendingPrefix = 'p';
 /** Part of the rest of a budget that is reserved ahead: what is left suffices should the node be lost. */
 constexpr std::uint64_t allowanceDivisor = 3;
-/** Greatest such part, for a budget whose rest holds few turns. */
-constexpr std::uint64_t smallAllowanceDivisor = 2;
 /** Records in one append; the rest follows in the next one. */
 constexpr std::size_t groupRecords = 2000;
 constexpr Duration expiryPeriod{5'000'000};
@@ -279,11 +277,8 @@
 {
     const std::uint64_t spent = spending_.total(turn.program_);
     const std::uint64_t rest = turn.budget_ - std::min(turn.budget_, spent);
-    std::uint64_t tokens = rest / internal::allowanceDivisor;
-    if (tokens < turn.tokens_) {
-        tokens = rest / internal::smallAllowanceDivisor >= turn.tokens_ ? turn.tokens_ : 0;
-    }
-    if (tokens == 0 || spending_.hasPendingAllowance(turn.program_)) {
+    const std::uint64_t tokens = rest / internal::allowanceDivisor;
+    if (tokens < turn.tokens_ || spending_.hasPendingAllowance(turn.program_)) {
         return;
     }
     spending_.addPendingAllowance(turn.program_, tokens);
--- a/test/gateway/budget.cpp
+++ b/test/gateway/budget.cpp
@@ -371,6 +371,30 @@
     EXPECT_EQ(runAll(rig, "a", Line::SubAgents), 7U);
 }
 
+// Guards against a program of two turns that is told that its budget is spent, since its node died in the first one
+// and held most of the rest.
+TEST(Budget, ProgramOfTwoTurnsOutlivesItsNode)
+{
+    GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    const auto send = [&rig](std::size_t node, const std::string &id) {
+        GatewayRequest request = turn(id, "p", "p");
+        request.tokenBudget_ = 940; // Two turns of 300 and half as much again.
+        return rig.send(node, std::move(request));
+    };
+    send(0, "a");
+    rig.run(std::chrono::milliseconds(600));
+    rig.kill(0);
+    rig.run(std::chrono::seconds(2));
+    for (const char *id : {"b", "c"}) {
+        send(1, id);
+        rig.run(moment);
+        rig.stream(rig.attempts_.size() - 1, {"x"}, true);
+        rig.run(moment);
+    }
+    EXPECT_EQ(rig.attempts_.size(), 3U);
+}
+
 // Guards against a holder that does not answer: its allowance is neither granted by others nor called spent.
 TEST(Budget, SilentHolderMakesNoTurnFinallyRefused)
 {
