Report to all nodes in turn, so that living nodes of a large fleet are not lost

Cause: each report went to 24 nodes drawn at random.

Ruled out: a longer time to live alone, which finds dead nodes later.

Change: the targets follow each other in turn, and a node counts as alive for three rounds, one second at least.

Test: Fleet.LivingNodesOfALargeFleetAreNeverLost (90 nodes) fails on the former code.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -18,6 +18,9 @@
 /** A known node that was not heard of for this long does not count any more. */
 constexpr Duration forgetAfter{15'000'000};
 
+/** Reports of a living node that may be lost in a row. */
+constexpr std::size_t reportsInALife = 3;
+
 struct KnownNode
 {
     FleetMember member_;
@@ -39,6 +42,7 @@
     void sendReports();
     void answerIntroduction(const std::string &name, const nlohmann::json &report);
     std::string encode(const NodeReport &report) const;
+    Duration aliveFor() const;
     bool isAlive(const internal::KnownNode &node) const;
     bool isCounted(const internal::KnownNode &node) const;
     void noteAlive();
@@ -48,6 +52,7 @@
     FleetSettings settings_;
     std::unique_ptr<StreamTail> tail_;
     std::map<std::string, internal::KnownNode> nodes_; ///< Without this one.
+    std::size_t nextTarget_ = 0; ///< Index of the next node that is reported to.
     Time started_{0};
     Time listed_{0}; ///< When the list of nodes was complete for the first time.
     bool stopped_ = false;
@@ -141,10 +146,11 @@
     }
     if (!targets.empty()) {
         const std::string datagram = encode(hooks_.report_());
-        for (std::size_t i = 0; i < std::min(targets.size(), settings_.reportTargets_); ++i) {
-            std::swap(targets[i], targets[i + hooks_.random_() % (targets.size() - i)]);
-            hooks_.sendDatagram_(targets[i]->member_.datagramAddress_, datagram);
+        const std::size_t count = std::min(targets.size(), settings_.reportTargets_);
+        for (std::size_t i = 0; i < count; ++i) {
+            hooks_.sendDatagram_(targets[(nextTarget_ + i) % targets.size()]->member_.datagramAddress_, datagram);
         }
+        nextTarget_ = (nextTarget_ + count) % targets.size();
     }
     hooks_.after_(settings_.reportPeriod_, [self = shared_from_this()] {
         if (!self->stopped_) {
@@ -153,9 +159,16 @@
     });
 }
 
+/** Time within which each node reports to each other one, and lost reports are made up for. */
+Duration Fleet::Private::aliveFor() const
+{
+    const std::size_t rounds = nodes_.size() / settings_.reportTargets_ + 1;
+    return std::max<Duration>(settings_.aliveFor_, settings_.reportPeriod_ * (internal::reportsInALife * rounds));
+}
+
 bool Fleet::Private::isAlive(const internal::KnownNode &node) const
 {
-    return node.everHeard_ && hooks_.now_() - node.heard_ <= settings_.aliveFor_;
+    return node.everHeard_ && hooks_.now_() - node.heard_ <= aliveFor();
 }
 
 bool Fleet::Private::isCounted(const internal::KnownNode &node) const
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -33,7 +33,6 @@
 struct FleetHooks
 {
     Clock now_;
-    RandomSource random_;
     std::function<std::uint64_t(Duration, std::function<void()>)> after_;
     RecordStore store_;
     std::function<void(const std::string &address, const std::string &datagram)> sendDatagram_;
@@ -47,10 +46,10 @@
 {
     FleetMember self_;
     Duration reportPeriod_{100'000};
-    Duration aliveFor_{1'000'000}; ///< A node that was heard of within this time is alive.
+    Duration aliveFor_{1'000'000}; ///< A node that was heard of within this time is alive; longer in a large fleet.
     Duration introduction_{3'000'000}; ///< For so long after its start a node's reports say how to reach it.
     Duration hearAll_{300'000}; ///< Time within which every living node answers the first report of a new one.
-    std::size_t reportTargets_ = 24; ///< Nodes that one report goes to; chosen anew each time.
+    std::size_t reportTargets_ = 24; ///< Nodes that one report goes to; all are told in turn.
 };
 
 /**
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,7 +54,6 @@
 {
     FleetHooks hooks;
     hooks.now_ = hooks_.now_;
-    hooks.random_ = hooks_.random_;
     hooks.after_ = hooks_.after_;
     hooks.store_ = hooks_.store_;
     hooks.sendDatagram_ = hooks_.sendDatagram_;
--- a/test/gateway/calls.cpp
+++ b/test/gateway/calls.cpp
@@ -205,4 +205,19 @@
     EXPECT_TRUE(client->aborted_);
 }
 
+// Guards against a large fleet whose nodes take each other for dead, since each report goes to some of them only.
+TEST(Fleet, LivingNodesOfALargeFleetAreNeverLost)
+{
+    constexpr std::size_t nodes = 90;
+    GatewayRig rig(nodes, {streamingRoute(false, 1, false)});
+    rig.run(std::chrono::seconds(2));
+    for (int i = 0; i < 30; ++i) {
+        rig.run(std::chrono::milliseconds(100));
+        EXPECT_EQ(rig.nodes_[0]->state()["peers_alive"], nodes - 1);
+    }
+    rig.kill(1);
+    rig.run(std::chrono::seconds(2));
+    EXPECT_EQ(rig.nodes_[0]->state()["peers_alive"], nodes - 2);
+}
+
 } // namespace filbertgw::test
