Collect ledger records for longer in a large fleet

Change: a node collects records for 8 ms a living node, 150 ms at least and 1 s at most (0.35 s if a program has begun, since its first turn runs unrecorded until then). Nothing changes for fewer than 19 nodes.

Test: AppendsOfALargeFleetStayWithinWhatAPartitionTakes (60 nodes) fails without the change (600 appends in 2 s).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,6 +24,7 @@
                                  hooks_.after_,
                                  hooks_.store_,
                                  nullptr,
+                                 [this] { return fleet_.alive() + 1; },
                                  [this] { return fleet_.knowsNoOutage(); },
                                  [this](const std::string &program) { budget_.announceSpending(program); }},
               settings_.ledger_)
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -47,6 +47,7 @@
     bool mayGoUnrecorded(const TurnReservation &turn, std::uint64_t unrecorded) const;
     void vouch();
     void onSpending(const std::string &key, const std::optional<std::string> &value);
+    Duration groupDelay() const;
     void flushSoon(Duration delay);
     void flush();
     void reportUnrecorded();
@@ -68,7 +69,8 @@
     std::vector<std::pair<std::string, SpendingRecord>> ownInGroup_; ///< Own spending by program that is in the group.
     Time firstReached_{0}; ///< When the store was reached for the first time.
     Time regained_{0}; ///< End of the last loss of the store that made the knowledge outdated.
-    bool flushPlanned_ = false;
+    Time flushAt_{0}; ///< When the next group is due; 0 if none is planned.
+    bool beginsWait_ = false; ///< A program has begun since the last group.
     bool stopped_ = false;
 };
 
@@ -136,7 +138,7 @@
         others_.push_back(
             KeyedRecord{internal::spendingPrefix + grant.program_ + '/' + grant.spending_.writer_, record.encode()});
     }
-    flushSoon(settings_.groupDelay_);
+    flushSoon(groupDelay());
 }
 
 void ProgramLedger::Private::onSpending(const std::string &key, const std::optional<std::string> &value)
@@ -154,26 +156,37 @@
         if (record->tokens_ != spending_.own(program)) {
             // Another node has recorded an older figure after this node's own.
             spending_.markDirty(program);
-            flushSoon(settings_.groupDelay_);
+            flushSoon(groupDelay());
         }
     } else if (record) {
         decideWaiting(program, *record);
     }
 }
 
+Duration ProgramLedger::Private::groupDelay() const
+{
+    const std::size_t nodes = hooks_.nodes_ ? hooks_.nodes_() : 1;
+    const Duration longest = beginsWait_ ? settings_.longestBeginDelay_ : settings_.longestGroupDelay_;
+    return std::clamp<Duration>(settings_.groupDelayPerNode_ * nodes, settings_.groupDelay_, longest);
+}
+
 void ProgramLedger::Private::flushSoon(Duration delay)
 {
     if (delay == Duration{0}) {
         flush();
         return;
     }
-    if (stopped_ || flushPlanned_ || appender_->isBusy()) {
+    const Time at = hooks_.now_() + delay;
+    const bool isPlanned = flushAt_ != Time{0} && flushAt_ <= at;
+    if (stopped_ || isPlanned || appender_->isBusy()) {
         return;
     }
-    flushPlanned_ = true;
-    hooks_.after_(delay, [self = shared_from_this()] {
-        self->flushPlanned_ = false;
-        self->flush();
+    flushAt_ = at;
+    hooks_.after_(delay, [self = shared_from_this(), at] {
+        if (self->flushAt_ == at) {
+            self->flushAt_ = Time{0};
+            self->flush();
+        }
     });
 }
 
@@ -182,6 +195,7 @@
     if (stopped_ || appender_->isBusy() || (spending_.dirty().empty() && others_.empty())) {
         return;
     }
+    beginsWait_ = false;
     const std::uint64_t number = appender_->nextNumber();
     std::vector<KeyedRecord> group;
     group.swap(others_);
@@ -230,7 +244,7 @@
     if (std::any_of(waiting_.begin(), waiting_.end(), isAwaited)) {
         flush();
     } else if (!spending_.dirty().empty() || !others_.empty()) {
-        flushSoon(settings_.groupDelay_);
+        flushSoon(groupDelay());
     }
 }
 
@@ -269,7 +283,7 @@
         spending_.subtractOwn(turn.program_, turn.tokens_);
         spending_.giveBackAllowance(turn.program_, turn.fromAllowance_);
     }
-    flushSoon(settings_.groupDelay_);
+    flushSoon(groupDelay());
 }
 
 /** Reserves part of the rest of the budget for turns to come, which then need not wait for the store. */
@@ -314,7 +328,7 @@
             turn.decided_(BudgetDecision::Unavailable);
         }
     }
-    flushSoon(settings_.groupDelay_);
+    flushSoon(groupDelay());
 }
 
 void ProgramLedger::Private::expire()
@@ -323,7 +337,7 @@
         others_.push_back(KeyedRecord{internal::spendingPrefix + program + '/' + settings_.writer_, std::nullopt});
     }
     if (!others_.empty()) {
-        flushSoon(settings_.groupDelay_);
+        flushSoon(groupDelay());
     }
     hooks_.after_(internal::expiryPeriod, [self = shared_from_this()] {
         if (!self->stopped_) {
@@ -417,7 +431,7 @@
 void ProgramLedger::releaseAllowances()
 {
     d_->spending_.releaseAllowances();
-    d_->flushSoon(d_->settings_.groupDelay_);
+    d_->flushSoon(d_->groupDelay());
 }
 
 void ProgramLedger::reserve(const TurnReservation &turn,
@@ -449,7 +463,8 @@
         d_->acquireAllowance(turn);
     }
     if (begins) {
-        d_->flushSoon(d_->settings_.groupDelay_);
+        d_->beginsWait_ = true;
+        d_->flushSoon(d_->groupDelay());
         decided(BudgetDecision::Granted);
         return;
     }
@@ -500,7 +515,7 @@
 void ProgramLedger::addPending(const std::string &program, std::uint64_t tokens)
 {
     d_->spending_.addOwn(program, tokens);
-    d_->flushSoon(d_->settings_.groupDelay_);
+    d_->flushSoon(d_->groupDelay());
 }
 
 WriterSpending ProgramLedger::claim(const std::string &program)
@@ -524,7 +539,7 @@
         return;
     }
     d_->spending_.settle(program, reserved, used);
-    d_->flushSoon(d_->settings_.groupDelay_);
+    d_->flushSoon(d_->groupDelay());
 }
 
 std::uint64_t ProgramLedger::spent(const std::string &program) const
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -46,6 +46,7 @@
     std::function<std::uint64_t(Duration, std::function<void()>)> after_;
     RecordStore store_;
     std::function<void(bool reachable)> onReachable_;
+    std::function<std::size_t()> nodes_; ///< Living nodes that append to the same stream.
     /** \brief True if no node has grants to record that it gave or got without the store. */
     std::function<bool()> allRecorded_;
     /** \brief Called for a program whose spending has waited for the store for longer than unrecordedAfter_. */
@@ -55,7 +56,10 @@
 struct ProgramLedgerSettings
 {
     std::string writer_; ///< Unique to this incarnation of the node.
-    Duration groupDelay_{150'000}; ///< Changes are collected for this long before they are appended.
+    Duration groupDelay_{150'000}; ///< Changes are collected for this long before they are appended, at least.
+    Duration groupDelayPerNode_{8'000}; ///< At least this for each node: the store appends to a partition one by one.
+    Duration longestGroupDelay_{1'000'000};
+    Duration longestBeginDelay_{350'000}; ///< The same for the first turn of a program, which runs unrecorded.
     Duration readPause_{300'000}; ///< Time between two reads of what other nodes have appended.
     Duration currentFor_{900'000}; ///< Age up to which the knowledge of other nodes' spending counts as current.
     /** After a loss of the store its knowledge counts again after this, when what was granted without it is in it. */
--- a/test/gateway/budget.cpp
+++ b/test/gateway/budget.cpp
@@ -497,4 +497,23 @@
     EXPECT_TRUE(rig.attempts_.empty());
 }
 
+// Guards against a large fleet that appends to the ledger more often than the store can take.
+TEST(Budget, AppendsOfALargeFleetStayWithinWhatAPartitionTakes)
+{
+    constexpr std::size_t nodes = 60;
+    constexpr std::size_t mostAppends = 200; // A second; an append takes the store up to 4 ms.
+    GatewayRig rig(nodes, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 400);
+    rig.run(std::chrono::seconds(2));
+    const std::size_t before = rig.store_.appends();
+    for (int round = 0; round < 20; ++round) {
+        for (std::size_t node = 0; node < nodes; ++node) {
+            const std::string id = std::to_string(round) + "-" + std::to_string(node);
+            rig.send(node, turn(id, id, id));
+        }
+        rig.run(std::chrono::milliseconds(100));
+    }
+    EXPECT_LE(rig.store_.appends() - before, 2 * mostAppends);
+}
+
 } // namespace filbertgw::test
