Prefer endpoints to which a connection is idle

Cause: new connections to endpoints are priced and cost a round trip; with many nodes each sends few requests to each endpoint, and its connections time out in between.

Ruled out: asking the HTTP client, which would tie placement to the network; placement knows when its own requests ended.

Change: placement remembers since when connections are idle and makes an endpoint without one 6% dearer, about as much as the noise that keeps nodes from choosing in step.

Tests: IdleConnectionsAreReused, LoadCountsForMoreThanAnIdleConnection.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -14,6 +14,8 @@
 /** Cost of an endpoint that is avoided: chosen only if all are. */
 constexpr double avoidedCost = 1e6;
 constexpr std::size_t partsPerEndpoint = 2000;
+/** Idle connections that are remembered for an endpoint. */
+constexpr std::size_t idleConnections = 32;
 constexpr double usualServiceMs = 50.0;
 constexpr double usualOutputTokens = 250.0;
 
@@ -54,7 +56,7 @@
         const Load &load = loads_[candidate->id_];
         double cost =
             isEngine ? engineCost(load, *candidate, *service, request, tokenMs) : serviceCost(load, *candidate);
-        cost *= 1.0 + noise();
+        cost *= 1.0 + noise() + (hasIdleConnection(load, now) ? 0.0 : settings_.newConnectionPart_);
         if (load.avoidUntil_ > now) {
             cost += internal::avoidedCost;
         }
@@ -134,6 +136,11 @@
     return unread;
 }
 
+bool Placement::hasIdleConnection(const Load &load, Time now) const
+{
+    return !load.idle_.empty() && now - load.idle_.back() <= settings_.connectionMemory_;
+}
+
 double Placement::noise()
 {
     return internal::noisePart * static_cast<double>(random_() >> 11) / static_cast<double>(1ULL << 53);
@@ -143,6 +150,9 @@
 {
     Load &load = loads_[endpoint.id_];
     ++load.own_;
+    if (!load.idle_.empty()) {
+        load.idle_.pop_back();
+    }
     const Time now = now_();
     for (const PromptPart &part : request.prompt_) {
         load.parts_[part.id_] = now;
@@ -168,6 +178,11 @@
     const auto load = loads_.find(endpoint);
     if (load != loads_.end() && load->second.own_ > 0) {
         --load->second.own_;
+        std::vector<Time> &idle = load->second.idle_;
+        if (idle.size() >= internal::idleConnections) {
+            idle.erase(idle.begin());
+        }
+        idle.push_back(now_());
     }
 }
 
@@ -189,6 +204,7 @@
 void Placement::failed(const std::string &endpoint)
 {
     Load &load = loads_[endpoint];
+    load.idle_.clear();
     load.failures_ = std::min<std::uint32_t>(load.failures_ + 1, 8);
     const Duration penalty = std::min(settings_.longestPenalty_, settings_.firstPenalty_ * (1 << (load.failures_ - 1)));
     load.avoidUntil_ = now_() + penalty;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -26,6 +26,8 @@
     Duration peerLoadMemory_{1'500'000}; ///< Age at which another node's word on its load is void.
     Duration firstPenalty_{500'000}; ///< After a failure an endpoint is avoided for this long, doubling.
     Duration longestPenalty_{4'000'000};
+    Duration connectionMemory_{7'000'000}; ///< How long an endpoint is taken to keep an idle connection.
+    double newConnectionPart_ = 0.06; ///< Part by which a request costs more that needs a new connection.
     Duration fullPenalty_{40'000}; ///< After an endpoint has refused a request as full.
 };
 
@@ -41,7 +43,8 @@
  *
  * For a model engine the cost is the time to generate the answer in the batch that is running, the delay that the
  * request causes to the others of the batch, the time to read what the engine has not cached, and the wait for a slot.
- * For plain services it is the wait for a slot.
+ * For plain services it is the wait for a slot. Among endpoints that cost about the same, one is chosen to which a
+ * connection is idle.
  */
 class Placement
 {
@@ -55,6 +58,7 @@
                            const std::unordered_set<std::string> &excluded);
 
     void started(const Endpoint &endpoint, const GatewayRequest &request);
+    /** \brief Takes note that a request has ended and left an idle connection behind. */
     void ended(const std::string &endpoint);
     /** \brief Time between the first and last of some output tokens on an engine. */
     void observeTokens(const std::string &endpoint, std::uint64_t tokens, Duration time);
@@ -85,6 +89,7 @@
         double serviceMs_ = 0.0; ///< Time of a plain request; 0 until observed.
         std::uint32_t failures_ = 0; ///< In a row.
         Time avoidUntil_{0};
+        std::vector<Time> idle_; ///< Since when each connection is idle, the newest last.
         std::unordered_map<std::string, Time> parts_; ///< Last use of the prompt parts that it has read.
         std::unordered_map<std::string, Time> announced_; ///< When other nodes were told of a part.
     };
@@ -102,6 +107,7 @@
     double serviceCost(const Load &load, const Endpoint &endpoint) const;
     std::uint64_t unreadTokens(const Load &load, const GatewayRequest &request) const;
     double noise();
+    bool hasIdleConnection(const Load &load, Time now) const;
     double usualTokenMs(const std::vector<const Endpoint *> &candidates) const;
     void dropPeerLoad(PeerLoad &peer);
 
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 
 namespace filbertgw::test {
 
@@ -110,4 +111,37 @@
     EXPECT_EQ(rig.choose()->id_, "e0");
 }
 
+// Guards against a new connection for nearly each request of a node that sends few to many engines.
+TEST(Placement, IdleConnectionsAreReused)
+{
+    PlacementRig rig(40);
+    std::set<std::string> connected;
+    for (int i = 0; i < 100; ++i) {
+        const std::string first = rig.choose()->id_;
+        const std::string second = rig.choose()->id_;
+        connected.insert(first);
+        connected.insert(second);
+        rig.now_ += std::chrono::milliseconds(500);
+        rig.placement_.ended(first);
+        rig.placement_.ended(second);
+    }
+    EXPECT_LE(connected.size(), 4U);
+}
+
+// Guards against an engine that gets more than its share since a connection to it is idle.
+TEST(Placement, LoadCountsForMoreThanAnIdleConnection)
+{
+    PlacementRig rig(8);
+    rig.choose();
+    rig.placement_.ended(rig.choose()->id_);
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 32; ++i) {
+        ++chosen[rig.choose()->id_];
+    }
+    for (const std::pair<const std::string, int> &engine : chosen) {
+        EXPECT_LE(engine.second, 6) << engine.first;
+    }
+    EXPECT_EQ(chosen.size(), 8U);
+}
+
 } // namespace filbertgw::test
