Learn the figures of engines from their answers

Cause: placement weighed reading against decoding with compiled-in figures of one kind of engine. Ruled out: memory of engines (issue: twice the memory changes nothing); refusing by slots (they are never full). Change: EngineModel fits the time of a token by the other requests, and the time to the first event by unread prompt tokens, with trimmed least squares over the newest 256 observations of a service; an engine's own slowness follows within few events. No figure of an engine is compiled in but for an assumed ratio before the first answer. Parts of a prompt count with the tokens that were read of them; other nodes are told of parts that take 5 ms to read or more, also those of one line. The learned state is on /state, and request_ended has the unread tokens and other requests.

--- /dev/null
+++ b/src/gateway/enginemodel.h
@@ -0,0 +1,111 @@
+#ifndef FILBERTGW_GATEWAY_ENGINEMODEL_H
+#define FILBERTGW_GATEWAY_ENGINEMODEL_H
+
+#include "core/nametable.h"
+#include "core/time.h"
+#include "gateway/trimmedregression.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace filbertgw {
+
+/** \brief How fast one engine works. */
+struct EngineFigures
+{
+    double stepMs_ = 0.0; ///< Time of an output token without other requests.
+    double perRequestMs_ = 0.0; ///< What each further request adds to it.
+    double readTokenMs_ = 0.0; ///< Time to read a prompt token.
+
+    double stepMs(double others) const
+    {
+        return stepMs_ + perRequestMs_ * others;
+    }
+};
+
+/** \brief Why an observation was passed over. */
+enum class RejectedObservation : std::uint8_t {
+    NoTokens, ///< It covers no token.
+    NoTime, ///< The time is 0 or negative, as after a step of the clock.
+    Absurd, ///< No engine is so slow, or so fast.
+};
+
+template<>
+struct NameTable<RejectedObservation>
+{
+    static constexpr std::array<std::pair<RejectedObservation, std::string_view>, 3> entries{{
+        {RejectedObservation::NoTokens, "no_tokens"},
+        {RejectedObservation::NoTime, "no_time"},
+        {RejectedObservation::Absurd, "absurd"},
+    }};
+};
+
+struct EngineModelSettings
+{
+    /** Output token time before the first observation, in milliseconds; only ratios of costs matter then. */
+    double assumedStepMs_ = 4.0;
+    /** Part of the step that each further request is assumed to add. */
+    double assumedPerRequest_ = 0.01;
+    /** Prompt tokens that are assumed to be read in the time of an output token. */
+    double assumedReadPerStep_ = 256.0;
+    std::size_t window_ = 256; ///< Newest observations of a service that count.
+    std::size_t refitAfter_ = 16; ///< New observations after which the figures are worked out again.
+    double newWeight_ = 0.2; ///< Weight of an observation in an engine's own slowness.
+    Duration longestToken_{2'000'000}; ///< A token that takes longer is no measurement of the engine.
+    Duration longestRead_{10'000'000}; ///< The same for the time to the first event.
+};
+
+/**
+ * \brief Learns from the answers of model engines how long a token takes and how fast prompts are read.
+ *
+ * The figures of a service are fitted to the newest observations of all its engines; each engine has a factor by which
+ * it is slower, which follows within few observations.
+ */
+class EngineModel
+{
+public:
+    explicit EngineModel(EngineModelSettings settings);
+
+    /** \brief Time between the first and the last of some output tokens, beside other requests. */
+    void observeTokens(
+        const std::string &service, const std::string &endpoint, double others, std::uint64_t tokens, Duration time);
+    /** \brief Time to the first event of a request of which the engine had to read some prompt tokens. */
+    void observeFirstEvent(const std::string &service, double others, std::uint64_t unread, Duration time);
+
+    EngineFigures figures(const std::string &service, const std::string &endpoint) const;
+    void forget(const std::string &endpoint);
+    std::uint64_t rejected(RejectedObservation reason) const;
+    nlohmann::json state() const;
+
+private:
+    struct ServiceModel
+    {
+        explicit ServiceModel(const EngineModelSettings &settings);
+
+        TrimmedRegression steps_; ///< Milliseconds a token, by other requests.
+        TrimmedRegression reads_; ///< Milliseconds to the first event, by unread tokens and other requests.
+        std::size_t sinceFit_ = 0;
+        EngineFigures figures_;
+        std::unordered_map<std::string, double> slowness_; ///< Of each engine that was observed.
+        double usualSlowness_ = 1.0; ///< Mean of slowness_: what an engine counts for until it was observed.
+    };
+
+    bool accept(std::uint64_t tokens, Duration time, Duration longest);
+    ServiceModel &modelOf(const std::string &service);
+    void noteSample(ServiceModel &model) const;
+    void refit(ServiceModel &model) const;
+    EngineFigures assumed() const;
+
+    EngineModelSettings settings_;
+    std::map<std::string, ServiceModel> services_;
+    std::array<std::uint64_t, NameTable<RejectedObservation>::entries.size()> rejected_{};
+};
+
+} // namespace filbertgw
+
+#endif
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -117,7 +117,7 @@
     }
     nlohmann::json parts = nlohmann::json::array();
     for (const ReadPart &read : report.readParts_) {
-        parts.push_back({read.endpoint_, read.part_});
+        parts.push_back({read.endpoint_, read.part_, read.tokens_});
     }
     nlohmann::json body = {{"p", parts},
                            {"n", settings_.self_.name_},
@@ -266,8 +266,10 @@
     }
     if (body.contains("p") && body["p"].is_array()) {
         for (const nlohmann::json &entry : body["p"]) {
-            if (entry.is_array() && entry.size() == 2 && entry[0].is_string() && entry[1].is_string()) {
-                report.readParts_.push_back(ReadPart{entry[0].get<std::string>(), entry[1].get<std::string>()});
+            if (entry.is_array() && entry.size() == 3 && entry[0].is_string() && entry[1].is_string()
+                && entry[2].is_number_unsigned()) {
+                report.readParts_.push_back(
+                    ReadPart{entry[0].get<std::string>(), entry[1].get<std::string>(), entry[2].get<std::uint64_t>()});
             }
         }
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -211,6 +211,7 @@
             {"programs", d_->ledger_.programs()},
             {"ledger_current", d_->ledger_.isCurrent()},
             {"cached_turn_bytes", d_->turns_.cachedBytes()},
+            {"engines", d_->placement_.engines().state()},
             {"stopping", d_->stopping_}};
 }
 
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -251,7 +251,7 @@
     if (service_ != nullptr && service_->engine_) {
         attempt.urgency_ = urgency();
     }
-    gateway_->placement_.started(endpoint, *request_);
+    start_ = gateway_->placement_.started(endpoint, *request_);
     AttemptHandlers handlers;
     handlers.onHead_ = [self = shared_from_this()](const AttemptHead &head) { self->headArrived(head); };
     handlers.onPart_ = [self = shared_from_this()](const std::string &part) { self->partArrived(part); };
@@ -332,12 +332,21 @@
         if (attemptEvents_++ == 0) {
             firstEventAt_ = now;
             gateway_->hooks_.observe_("first_event_seconds", now - arrived_);
+            noteFirstEvent(now);
         }
         observePace(now);
     }
     return true;
 }
 
+/** Tells the model of the engine how long it took to begin; a stream that goes on elsewhere has other work there. */
+void GatewayCall::noteFirstEvent(Time now)
+{
+    if (service_ != nullptr && service_->engine_ && events_ == attemptEvents_ && request_->lastEventId_.empty()) {
+        gateway_->placement_.observeFirstEvent(serviceName_, start_, now - sentAt_);
+    }
+}
+
 /** Reports the pace of the endpoint while the stream runs: an engine that has turned slow is known within few events.
  */
 void GatewayCall::observePace(Time now)
@@ -350,7 +359,7 @@
         pacedAt_ = now;
     } else if (attemptEvents_ - pacedEvents_ >= eventsPerObservation) {
         const std::uint64_t tokens = (attemptEvents_ - pacedEvents_) * service_->engine_->tokensPerEvent_;
-        gateway_->placement_.observeTokens(endpoint_, tokens, now - pacedAt_);
+        gateway_->placement_.observeTokens(serviceName_, endpoint_, tokens, now - pacedAt_);
         pacedEvents_ = attemptEvents_;
         pacedAt_ = now;
     }
@@ -562,6 +571,8 @@
                                 {"sent_ms", sends_ > 0 ? milliseconds(sentAt_ - arrived_) : 0.0},
                                 {"status", head_.status_},
                                 {"sends", sends_},
+                                {"unread", start_.unread_},
+                                {"others", start_.others_},
                                 {"runs", runs_},
                                 {"events", events_},
                                 {"budget", request_->tokenBudget_.value_or(0)},
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -57,6 +57,7 @@
     // The answer.
     void startRelay();
     bool relayEvents();
+    void noteFirstEvent(Time now);
     void observePace(Time now);
     void streamComplete();
     void passOnAnswer();
@@ -93,6 +94,7 @@
     bool headArrived_ = false;
     std::string answer_; ///< Body of an answer that is no stream.
     Time sentAt_{0};
+    RequestStart start_;
     EventSplitter splitter_;
     Time firstEventAt_{0};
     Time pacedAt_{0}; ///< Arrival of the event number pacedEvents_.
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -36,6 +36,7 @@
     : now_(std::move(now))
     , random_(std::move(random))
     , settings_(settings)
+    , engines_(settings.engines_)
 {
 }
 
@@ -48,14 +49,12 @@
     double least = 0.0;
     const Time now = now_();
     const bool isEngine = service != nullptr && service->engine_;
-    const double tokenMs = isEngine ? usualTokenMs(candidates) : 0.0;
     for (const Endpoint *candidate : candidates) {
         if (excluded.count(candidate->id_) > 0) {
             continue;
         }
         const Load &load = loads_[candidate->id_];
-        double cost =
-            isEngine ? engineCost(load, *candidate, *service, request, tokenMs) : serviceCost(load, *candidate);
+        double cost = isEngine ? engineCost(load, *candidate, *service, request) : serviceCost(load, *candidate);
         cost *= 1.0 + noise() + (hasIdleConnection(load, now) ? 0.0 : settings_.newConnectionPart_);
         if (load.avoidUntil_ > now) {
             cost += internal::avoidedCost;
@@ -71,8 +70,7 @@
 double Placement::engineCost(const Load &load,
                              const Endpoint &endpoint,
                              const Service &service,
-                             const GatewayRequest &request,
-                             double usualTokenMs) const
+                             const GatewayRequest &request) const
 {
     const double running = this->running(endpoint.id_);
     const double slots = std::max<double>(1.0, service.engine_->slots_);
@@ -82,14 +80,14 @@
     } else if (request.maxOutputTokens_ > 0) {
         tokens = std::min(tokens, static_cast<double>(request.maxOutputTokens_));
     }
-    const double tokenMs = load.tokenMs_ > 0.0 ? load.tokenMs_ : usualTokenMs;
+    const EngineFigures figures = engines_.figures(endpoint.service_, endpoint.id_);
     const double batch = std::min(running, slots - 1.0);
     // Once for the request itself, once for what it adds to each of the others.
-    const double decode = tokens * tokenMs * (1.0 + 2.0 * settings_.batchSlowdown_ * batch);
+    const double decode = tokens * (figures.stepMs(batch) + figures.perRequestMs_ * batch);
     const double queued = std::max(0.0, running + 1.0 - slots);
     const double wait = queued / slots * decode * 2.0;
     // Reading a prompt holds up every request of the batch.
-    const double read = static_cast<double>(unreadTokens(load, request)) / settings_.prefillTokensPerMs_;
+    const double read = static_cast<double>(unreadTokens(load, request)) * figures.readTokenMs_;
     return decode + wait + read * (1.0 + batch);
 }
 
@@ -102,36 +100,22 @@
     return work * (1.0 + 0.5 * running / slots + 2.0 * queued / slots);
 }
 
-/** What an engine is taken to need until it has been observed: any other guess draws every node to a new engine. */
-double Placement::usualTokenMs(const std::vector<const Endpoint *> &candidates) const
-{
-    double sum = 0.0;
-    int observed = 0;
-    for (const Endpoint *candidate : candidates) {
-        const auto load = loads_.find(candidate->id_);
-        if (load != loads_.end() && load->second.tokenMs_ > 0.0) {
-            sum += load->second.tokenMs_;
-            ++observed;
-        }
-    }
-    return observed == 0 ? settings_.tokenMs_ : sum / observed;
-}
-
 std::uint64_t Placement::unreadTokens(const Load &load, const GatewayRequest &request) const
 {
     const Time now = now_();
     std::uint64_t unread = 0;
     bool cached = true;
     for (const PromptPart &part : request.prompt_) {
+        std::uint64_t kept = 0;
         if (cached) {
             const bool shared = &part != &request.prompt_.back();
-            const auto used = load.parts_.find(part.id_);
-            cached = used != load.parts_.end()
-                && now - used->second <= (shared ? settings_.sharedPartMemory_ : settings_.partMemory_);
-        }
-        if (!cached) {
-            unread += part.tokens_;
+            const auto use = load.parts_.find(part.id_);
+            const bool isKept = use != load.parts_.end()
+                && now - use->second.used_ <= (shared ? settings_.sharedPartMemory_ : settings_.partMemory_);
+            kept = isKept ? std::min(part.tokens_, use->second.tokens_) : 0;
+            cached = kept == part.tokens_;
         }
+        unread += part.tokens_ - kept;
     }
     return unread;
 }
@@ -146,31 +130,39 @@
     return internal::noisePart * static_cast<double>(random_() >> 11) / static_cast<double>(1ULL << 53);
 }
 
-void Placement::started(const Endpoint &endpoint, const GatewayRequest &request)
+RequestStart Placement::started(const Endpoint &endpoint, const GatewayRequest &request)
 {
     Load &load = loads_[endpoint.id_];
+    const RequestStart start{unreadTokens(load, request), running(endpoint.id_)};
     ++load.own_;
     if (!load.idle_.empty()) {
         load.idle_.pop_back();
     }
     const Time now = now_();
     for (const PromptPart &part : request.prompt_) {
-        load.parts_[part.id_] = now;
-        const bool isShared = &part != &request.prompt_.back() && part.tokens_ >= settings_.announcedPart_;
-        if (isShared) {
+        PartUse &use = load.parts_[part.id_];
+        use = PartUse{now, std::max(use.tokens_, part.tokens_)};
+        if (isWorthTelling(endpoint, part.tokens_)) {
             Time &told = load.announced_[part.id_];
             if (told == Time{0} || now - told >= settings_.announceAgain_) {
                 told = now;
-                readParts_.push_back(ReadPart{endpoint.id_, part.id_});
+                readParts_.push_back(ReadPart{endpoint.id_, part.id_, part.tokens_});
             }
         }
     }
     if (load.parts_.size() > internal::partsPerEndpoint) {
         load.announced_.clear();
         for (auto part = load.parts_.begin(); part != load.parts_.end();) {
-            part = now - part->second > settings_.partMemory_ ? load.parts_.erase(part) : std::next(part);
+            part = now - part->second.used_ > settings_.partMemory_ ? load.parts_.erase(part) : std::next(part);
         }
     }
+    return start;
+}
+
+bool Placement::isWorthTelling(const Endpoint &endpoint, std::uint64_t tokens) const
+{
+    const EngineFigures figures = engines_.figures(endpoint.service_, endpoint.id_);
+    return static_cast<double>(tokens) * figures.readTokenMs_ >= internal::milliseconds(settings_.announcedReading_);
 }
 
 void Placement::ended(const std::string &endpoint)
@@ -186,14 +178,22 @@
     }
 }
 
-void Placement::observeTokens(const std::string &endpoint, std::uint64_t tokens, Duration time)
+void Placement::observeTokens(const std::string &service,
+                              const std::string &endpoint,
+                              std::uint64_t tokens,
+                              Duration time)
 {
-    if (tokens == 0) {
-        return;
-    }
-    const double batch = std::max(0.0, running(endpoint) - 1.0);
-    const double observed = internal::milliseconds(time) / static_cast<double>(tokens);
-    internal::average(loads_[endpoint].tokenMs_, observed / (1.0 + settings_.batchSlowdown_ * batch));
+    engines_.observeTokens(service, endpoint, std::max(0.0, running(endpoint) - 1.0), tokens, time);
+}
+
+void Placement::observeFirstEvent(const std::string &service, const RequestStart &start, Duration time)
+{
+    engines_.observeFirstEvent(service, start.others_, start.unread_, time);
+}
+
+const EngineModel &Placement::engines() const
+{
+    return engines_;
 }
 
 void Placement::observeService(const std::string &endpoint, Duration time)
@@ -226,6 +226,7 @@
 void Placement::forget(const std::string &endpoint)
 {
     loads_.erase(endpoint);
+    engines_.forget(endpoint);
     peerRunning_.erase(endpoint);
 }
 
@@ -238,7 +239,7 @@
 
 void Placement::noteReadPart(const ReadPart &read)
 {
-    loads_[read.endpoint_].parts_[read.part_] = now_();
+    loads_[read.endpoint_].parts_[read.part_] = PartUse{now_(), read.tokens_};
 }
 
 std::vector<std::pair<std::string, std::uint32_t>> Placement::ownLoad() const
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_PLACEMENT_H
 #define FILBERTGW_GATEWAY_PLACEMENT_H
 
+#include "gateway/enginemodel.h"
 #include "gateway/gatewaytypes.h"
 #include "gateway/routingtable.h"
 
@@ -13,15 +14,10 @@
 
 struct PlacementSettings
 {
-    /** Prompt tokens that an engine reads in a millisecond; only the order of magnitude matters. */
-    double prefillTokensPerMs_ = 336.0;
-    /** Time of one output token on an idle engine until it has been observed, in milliseconds. */
-    double tokenMs_ = 1.2;
-    /** Part by which each further request of a batch slows down every token. */
-    double batchSlowdown_ = 0.028;
+    EngineModelSettings engines_;
     Duration partMemory_{6'000'000}; ///< How long an engine is taken to keep a part that nobody uses.
     Duration sharedPartMemory_{30'000'000}; ///< The same for a part that several sessions use.
-    std::uint64_t announcedPart_ = 4096; ///< Tokens from which other nodes are told of a shared part.
+    Duration announcedReading_{5'000}; ///< Parts that take an engine so long to read are told to other nodes.
     Duration announceAgain_{5'000'000}; ///< A part in steady use is told again after this.
     Duration peerLoadMemory_{1'500'000}; ///< Age at which another node's word on its load is void.
     Duration firstPenalty_{500'000}; ///< After a failure an endpoint is avoided for this long, doubling.
@@ -36,6 +32,14 @@
 {
     std::string endpoint_;
     std::string part_;
+    std::uint64_t tokens_ = 0;
+};
+
+/** \brief What a request met at its engine. */
+struct RequestStart
+{
+    std::uint64_t unread_ = 0; ///< Prompt tokens that the engine is taken to have to read.
+    std::uint32_t others_ = 0; ///< Other requests there.
 };
 
 /**
@@ -57,18 +61,20 @@
                            const GatewayRequest &request,
                            const std::unordered_set<std::string> &excluded);
 
-    void started(const Endpoint &endpoint, const GatewayRequest &request);
+    RequestStart started(const Endpoint &endpoint, const GatewayRequest &request);
     /** \brief Takes note that a request has ended and left an idle connection behind. */
     void ended(const std::string &endpoint);
     /** \brief Time between the first and last of some output tokens on an engine. */
-    void observeTokens(const std::string &endpoint, std::uint64_t tokens, Duration time);
+    void observeTokens(const std::string &service, const std::string &endpoint, std::uint64_t tokens, Duration time);
+    /** \brief Time from the start of a request on an engine to its first event. */
+    void observeFirstEvent(const std::string &service, const RequestStart &start, Duration time);
     void observeService(const std::string &endpoint, Duration time);
     void failed(const std::string &endpoint);
     void succeeded(const std::string &endpoint);
     void refusedAsFull(const std::string &endpoint);
     void forget(const std::string &endpoint);
 
-    /** \brief Large shared prompt parts that engines have read for this node since the last call. */
+    /** \brief Prompt parts that engines have read for this node since the last call. */
     std::vector<ReadPart> takeReadParts();
     /** \brief What an engine has read for another node. */
     void noteReadPart(const ReadPart &read);
@@ -80,17 +86,23 @@
     void setPeerLoad(const std::string &peer, const std::vector<std::pair<std::string, std::uint32_t>> &load);
     /** \brief Requests that all nodes have at an endpoint, as far as known. */
     std::uint32_t running(const std::string &endpoint) const;
+    const EngineModel &engines() const;
 
 private:
+    /** \brief Use of a prompt part on an engine. */
+    struct PartUse
+    {
+        Time used_{0};
+        std::uint64_t tokens_ = 0;
+    };
     struct Load
     {
         std::uint32_t own_ = 0;
-        double tokenMs_ = 0.0; ///< On an idle engine; 0 until observed.
         double serviceMs_ = 0.0; ///< Time of a plain request; 0 until observed.
         std::uint32_t failures_ = 0; ///< In a row.
         Time avoidUntil_{0};
         std::vector<Time> idle_; ///< Since when each connection is idle, the newest last.
-        std::unordered_map<std::string, Time> parts_; ///< Last use of the prompt parts that it has read.
+        std::unordered_map<std::string, PartUse> parts_; ///< The prompt parts that it has read.
         std::unordered_map<std::string, Time> announced_; ///< When other nodes were told of a part.
     };
     struct PeerLoad
@@ -99,21 +111,19 @@
         std::vector<std::pair<std::string, std::uint32_t>> running_;
     };
 
-    double engineCost(const Load &load,
-                      const Endpoint &endpoint,
-                      const Service &service,
-                      const GatewayRequest &request,
-                      double usualTokenMs) const;
+    double
+    engineCost(const Load &load, const Endpoint &endpoint, const Service &service, const GatewayRequest &request) const;
     double serviceCost(const Load &load, const Endpoint &endpoint) const;
+    bool isWorthTelling(const Endpoint &endpoint, std::uint64_t tokens) const;
     std::uint64_t unreadTokens(const Load &load, const GatewayRequest &request) const;
     double noise();
     bool hasIdleConnection(const Load &load, Time now) const;
-    double usualTokenMs(const std::vector<const Endpoint *> &candidates) const;
     void dropPeerLoad(PeerLoad &peer);
 
     Clock now_;
     RandomSource random_;
     PlacementSettings settings_;
+    EngineModel engines_;
     std::unordered_map<std::string, Load> loads_;
     std::vector<ReadPart> readParts_; ///< To be told to other nodes.
     std::unordered_map<std::string, PeerLoad> peers_;
--- /dev/null
+++ b/test/gateway/enginemodel.cpp
@@ -0,0 +1,177 @@
+#include "gateway/enginemodel.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <random>
+
+namespace filbertgw::test {
+
+namespace {
+
+/** \brief An engine that answers as its figures say, with noise. */
+class SyntheticEngine
+{
+public:
+    SyntheticEngine(std::string name, const EngineFigures &figures)
+        : name_(std::move(name))
+        , figures_(figures)
+    {
+    }
+
+    void observe(EngineModel &model, double slowness = 1.0)
+    {
+        const double others = std::floor(uniform_(random_) * 30.0);
+        const double step = figures_.stepMs(others) * slowness * (0.95 + 0.1 * uniform_(random_));
+        model.observeTokens("engines", name_, others, 9, duration(step * 9.0));
+        const auto unread = static_cast<std::uint64_t>(uniform_(random_) * 5'000.0);
+        const double first = 6.0 + static_cast<double>(unread) * figures_.readTokenMs_ * slowness + 2.0 * step;
+        model.observeFirstEvent("engines", others, unread, duration(first));
+    }
+
+    static Duration duration(double ms)
+    {
+        return Duration(static_cast<std::int64_t>(ms * 1000.0));
+    }
+
+private:
+    std::string name_;
+    EngineFigures figures_;
+    std::mt19937_64 random_{11};
+    std::uniform_real_distribution<double> uniform_{0.0, 1.0};
+};
+
+void expectNear(const EngineFigures &learned, const EngineFigures &truth, double part)
+{
+    EXPECT_NEAR(learned.stepMs_, truth.stepMs_, truth.stepMs_ * part);
+    EXPECT_NEAR(learned.stepMs(30.0), truth.stepMs(30.0), truth.stepMs(30.0) * part);
+    EXPECT_NEAR(learned.readTokenMs_, truth.readTokenMs_, truth.readTokenMs_ * part);
+}
+
+} // namespace
+
+/** \brief Figures of engines that are learned from their answers. */
+struct EngineCase
+{
+    const char *name_;
+    EngineFigures truth_;
+};
+
+class EngineModelOf : public testing::TestWithParam<EngineCase>
+{
+};
+
+// Guards against figures of one kind of engine that are applied to another.
+TEST_P(EngineModelOf, LearnsTheFigures)
+{
+    EngineModel model{EngineModelSettings()};
+    SyntheticEngine engine("e0", GetParam().truth_);
+    for (int i = 0; i < 200; ++i) {
+        engine.observe(model);
+    }
+    expectNear(model.figures("engines", "e0"), GetParam().truth_, 0.15);
+}
+
+// Guards against a single late answer or lost prompt cache that changes what is known of an engine.
+TEST_P(EngineModelOf, IgnoresAFifthOfWrongObservations)
+{
+    EngineModel model{EngineModelSettings()};
+    SyntheticEngine engine("e0", GetParam().truth_);
+    for (int i = 0; i < 300; ++i) {
+        engine.observe(model);
+        if (i % 5 == 0) {
+            model.observeTokens("engines", "e1", 3.0, 9, std::chrono::milliseconds(1500));
+            model.observeFirstEvent("engines", 3.0, 0, std::chrono::milliseconds(1500));
+        }
+    }
+    expectNear(model.figures("engines", "e0"), GetParam().truth_, 0.2);
+}
+
+// Guards against an engine that turns slow and keeps its share of the requests.
+TEST_P(EngineModelOf, FollowsAnEngineThatTurnsSlow)
+{
+    EngineModel model{EngineModelSettings()};
+    SyntheticEngine sound("e0", GetParam().truth_);
+    SyntheticEngine slow("e1", GetParam().truth_);
+    for (int i = 0; i < 100; ++i) {
+        sound.observe(model);
+        slow.observe(model);
+    }
+    for (int i = 0; i < 8; ++i) {
+        sound.observe(model);
+        slow.observe(model, 4.0);
+    }
+    const double before = model.figures("engines", "e0").stepMs(5.0);
+    EXPECT_GT(model.figures("engines", "e1").stepMs(5.0), 2.5 * before);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         EngineModelOf,
+                         testing::Values(EngineCase{"FastReader", {1.14, 0.032, 1.0 / 336.0}},
+                                         EngineCase{"SlowReader", {5.09, 0.03, 1.0 / 51.1}},
+                                         EngineCase{"SlowAll", {15.0, 0.4, 1.0 / 20.0}},
+                                         EngineCase{"FastAll", {0.4, 0.002, 1.0 / 900.0}},
+                                         EngineCase{"SteepBatch", {3.0, 0.3, 1.0 / 100.0}}),
+                         [](const testing::TestParamInfo<EngineCase> &info) { return info.param.name_; });
+
+// Guards against division by nothing and against figures that rank engines before any answer.
+TEST(EngineModel, IsSaneBeforeTheFirstObservation)
+{
+    const EngineModel model{EngineModelSettings()};
+    const EngineFigures figures = model.figures("engines", "e0");
+    EXPECT_GT(figures.stepMs_, 0.0);
+    EXPECT_GT(figures.readTokenMs_, 0.0);
+    EXPECT_DOUBLE_EQ(figures.stepMs_, model.figures("engines", "e1").stepMs_);
+}
+
+// Guards against a weight update or another model that stays unnoticed because old observations outnumber the new.
+TEST(EngineModel, FollowsAChangeOfAllEngines)
+{
+    EngineModel model{EngineModelSettings()};
+    const EngineFigures before{5.0, 0.03, 1.0 / 50.0};
+    const EngineFigures after{2.0, 0.02, 1.0 / 200.0};
+    SyntheticEngine old("e0", before);
+    SyntheticEngine changed("e0", after);
+    for (int i = 0; i < 300; ++i) {
+        old.observe(model);
+    }
+    for (int i = 0; i < 260; ++i) {
+        changed.observe(model);
+    }
+    expectNear(model.figures("engines", "e0"), after, 0.2);
+}
+
+/** \brief An observation that says nothing of an engine. */
+struct RejectedCase
+{
+    const char *name_;
+    std::uint64_t tokens_;
+    Duration time_;
+    RejectedObservation reason_;
+};
+
+class EngineModelRejects : public testing::TestWithParam<RejectedCase>
+{
+};
+
+// Guards against bad input that moves what is learned, or vanishes without being counted.
+TEST_P(EngineModelRejects, BadInputIsCountedAndPassedOver)
+{
+    EngineModel model{EngineModelSettings()};
+    const double before = model.figures("engines", "e0").stepMs_;
+    model.observeTokens("engines", "e0", 0.0, GetParam().tokens_, GetParam().time_);
+    EXPECT_DOUBLE_EQ(model.figures("engines", "e0").stepMs_, before);
+    EXPECT_EQ(model.rejected(GetParam().reason_), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    EngineModelRejects,
+    testing::Values(RejectedCase{"NoTokens", 0, std::chrono::milliseconds(5), RejectedObservation::NoTokens},
+                    RejectedCase{"NoTime", 9, Duration{0}, RejectedObservation::NoTime},
+                    RejectedCase{"ClockStepBack", 9, std::chrono::seconds(-3), RejectedObservation::NoTime},
+                    RejectedCase{"Absurd", 9, std::chrono::hours(1), RejectedObservation::Absurd},
+                    RejectedCase{"MostTokens", ~0ULL, std::chrono::hours(300'000), RejectedObservation::Absurd}),
+    [](const testing::TestParamInfo<RejectedCase> &info) { return info.param.name_; });
+
+} // namespace filbertgw::test
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -21,6 +21,7 @@
         for (std::size_t i = 0; i < engines; ++i) {
             Endpoint endpoint;
             endpoint.id_ = "e" + std::to_string(i);
+            endpoint.service_ = service_.name_;
             endpoint.slots_ = 16;
             endpoints_.push_back(endpoint);
         }
@@ -52,7 +53,7 @@
     PlacementRig rig(8);
     for (std::size_t i = 0; i < 7; ++i) {
         for (int k = 0; k < 20; ++k) {
-            rig.placement_.observeTokens("e" + std::to_string(i), 200, std::chrono::milliseconds(400));
+            rig.placement_.observeTokens("engines", "e" + std::to_string(i), 200, std::chrono::milliseconds(400));
         }
     }
     std::map<std::string, int> chosen;
@@ -99,6 +100,66 @@
     EXPECT_EQ(rig.choose(request)->id_, first);
 }
 
+// Guards against a whole prompt that counts as read, although only an earlier, shorter form of it was.
+TEST(Placement, OnlyTheNewTokensOfAGrownPromptAreUnread)
+{
+    PlacementRig rig(2);
+    GatewayRequest first;
+    first.prompt_ = {PromptPart{"shared", 2'000}, PromptPart{"line", 1'000}};
+    const Endpoint &engine = rig.endpoints_.front();
+    EXPECT_EQ(rig.placement_.started(engine, first).unread_, 3'000U);
+    GatewayRequest next;
+    next.prompt_ = {PromptPart{"shared", 2'000}, PromptPart{"line", 1'700}};
+    EXPECT_EQ(rig.placement_.started(engine, next).unread_, 700U);
+    EXPECT_EQ(rig.placement_.started(rig.endpoints_.back(), next).unread_, 3'700U);
+}
+
+/** \brief An engine whose context is known and that has more requests than another, on which all has to be read. */
+struct LocalityCase
+{
+    const char *name_;
+    EngineFigures truth_;
+    std::uint32_t others_; ///< Other requests at the engine that has the context.
+    bool stays_;
+};
+
+class PlacementByLearnedFigures : public testing::TestWithParam<LocalityCase>
+{
+};
+
+// Guards against programs that are sent away from their context where reading is dear, and that crowd one engine where
+// it is cheap.
+TEST_P(PlacementByLearnedFigures, LeavesAContextOnlyIfThatPays)
+{
+    PlacementRig rig(2);
+    const EngineFigures &truth = GetParam().truth_;
+    for (int i = 0; i < 100; ++i) {
+        const std::uint32_t others = i % 12;
+        const std::uint64_t unread = 500U * (i % 9);
+        const auto micros = [](double ms) { return Duration(static_cast<std::int64_t>(ms * 1000.0)); };
+        rig.placement_.setPeerLoad("peer", {{"e1", others + 1}});
+        rig.placement_.observeTokens("engines", "e1", 9, micros(9.0 * truth.stepMs(others)));
+        rig.placement_.observeFirstEvent(
+            "engines",
+            RequestStart{unread, others},
+            micros(8.0 + static_cast<double>(unread) * truth.readTokenMs_ + truth.stepMs(others)));
+    }
+    GatewayRequest request;
+    request.prompt_ = {PromptPart{"line", 6'000}};
+    request.expectedOutputTokens_ = 100;
+    rig.placement_.noteReadPart(ReadPart{"e0", "line", 6'000});
+    rig.placement_.setPeerLoad("peer", {{"e0", GetParam().others_}});
+    const Endpoint *chosen = rig.placement_.choose(rig.candidates_, &rig.service_, request, {});
+    EXPECT_EQ(chosen->id_, GetParam().stays_ ? "e0" : "e1");
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         PlacementByLearnedFigures,
+                         testing::Values(LocalityCase{"DearReadingFlatBatch", {5.0, 0.03, 1.0 / 50.0}, 10, true},
+                                         LocalityCase{"CheapReadingSteepBatch", {1.0, 0.1, 1.0 / 900.0}, 10, false},
+                                         LocalityCase{"CheapReadingFewOthers", {1.0, 0.02, 1.0 / 300.0}, 2, true}),
+                         [](const testing::TestParamInfo<LocalityCase> &info) { return info.param.name_; });
+
 // Guards against an endpoint that fails and keeps being chosen.
 TEST(Placement, FailedEndpointIsAvoidedForATime)
 {
--- /dev/null
+++ b/test/gateway/trimmedregression.cpp
@@ -0,0 +1,62 @@
+#include "gateway/trimmedregression.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace filbertgw::test {
+
+// Guards against a slope that is wrong when both influences are present.
+TEST(TrimmedRegression, TellsTwoInfluencesApart)
+{
+    TrimmedRegression regression(200);
+    std::mt19937_64 random(5);
+    std::uniform_real_distribution<double> uniform(0.0, 10.0);
+    for (int i = 0; i < 200; ++i) {
+        const double x = uniform(random);
+        const double z = uniform(random);
+        regression.add(RegressionSample{x, z, 4.0 + 2.0 * x + 0.5 * z});
+    }
+    const LinearFit fit = regression.fit(SlopePrior());
+    EXPECT_NEAR(fit.intercept_, 4.0, 1e-6);
+    EXPECT_NEAR(fit.perX_, 2.0, 1e-6);
+    EXPECT_NEAR(fit.perZ_, 0.5, 1e-6);
+}
+
+// Guards against a division by 0 where x and z always move together.
+TEST(TrimmedRegression, CollinearInfluencesGiveAFiniteFit)
+{
+    TrimmedRegression regression(50);
+    for (int i = 0; i < 50; ++i) {
+        regression.add(RegressionSample{1.0 * i, 2.0 * i, 3.0 * i});
+    }
+    EXPECT_NEAR(regression.fit(SlopePrior()).at(10.0, 20.0), 30.0, 1e-6);
+}
+
+// Guards against old samples that keep a changed relation from being seen.
+TEST(TrimmedRegression, OnlyTheWindowCounts)
+{
+    TrimmedRegression regression(20);
+    for (int i = 0; i < 100; ++i) {
+        regression.add(RegressionSample{1.0 * (i % 7), 0.0, 100.0});
+    }
+    for (int i = 0; i < 20; ++i) {
+        regression.add(RegressionSample{1.0 * (i % 7), 0.0, 1.0 * (i % 7)});
+    }
+    EXPECT_NEAR(regression.fit(SlopePrior()).perX_, 1.0, 1e-6);
+}
+
+// Guards against slopes without any sample, or from samples that all have the same x.
+TEST(TrimmedRegression, PriorHoldsWhereSamplesSayNothing)
+{
+    const SlopePrior prior{0.25, 10.0, 0.0, 0.0};
+    TrimmedRegression regression(20);
+    EXPECT_DOUBLE_EQ(regression.fit(prior).perX_, 0.25);
+    for (int i = 0; i < 20; ++i) {
+        regression.add(RegressionSample{5.0, 0.0, 8.0});
+    }
+    EXPECT_NEAR(regression.fit(prior).perX_, 0.25, 1e-9);
+    EXPECT_NEAR(regression.fit(prior).at(5.0, 0.0), 8.0, 1e-9);
+}
+
+} // namespace filbertgw::test
