--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,6 +39,7 @@
     , admission_(settings_.admission_)
 {
 }
+    , retryAfter_(settings_.retryAfter_)
 
 double Gateway::Private::loadOf(const std::string &service) const
 {
@@ -96,6 +97,43 @@
     }
     placement_.expirePeers();
     hooks_.after_(internal::sweepPeriod, [self = shared_from_this()] {
+bool Gateway::Private::isStoreAway() const
+{
+    return !ledger_.isReachable() && !fleet_.currentNode({}).has_value();
+}
+
+void Gateway::Private::sweep()
+{
+    if (ledger_.isCurrent()) {
+        storeSeen_ = hooks_.now_();
+    }
+    for (const std::string &gone : directory_.expire()) {
+        hooks_.logEvent_("endpoint_gone", {{"endpoint", gone}, {"reason", "did_not_return"}});
+        placement_.forget(gone);
+    }
+    placement_.expirePeers();
+    hooks_.after_(internal::sweepPeriod, [self = shared_from_this()] {
+bool Gateway::Private::isStoreAway() const
+{
+    return !ledger_.isReachable() && !fleet_.currentNode({}).has_value();
+}
+
+void Gateway::Private::logFigures() const
+{
+    for (const std::string &service : placement_.engines().services()) {
+        const EngineFigures figures = placement_.engines().figures(service);
+        const ServiceLoad load = loadOf(service);
+        hooks_.logEvent_("engine_figures",
+                         {{"service", service},
+                          {"step_ms", figures.stepMs_},
+                          {"per_request_ms", figures.perRequestMs_},
+                          {"read_token_ms", figures.readTokenMs_},
+                          {"load", load.perSlot_},
+                          {"stretch", load.stretch_},
+                          {"allowed", load.allowedStretch_.value_or(0.0)}});
+    }
+}
+
         if (!self->stopped_) {
             self->sweep();
         }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/gatewaytypes.h"
 #include "gateway/placement.h"
 #include "gateway/routingtable.h"
+#include "gateway/retryafterpolicy.h"
 #include "ledger/programledger.h"
 #include "ledger/turnstore.h"
 
@@ -50,7 +51,7 @@
     FleetSettings fleet_;
     AdmissionSettings admission_;
     Duration defaultTimeout_{30'000'000}; ///< For a request that names no time and whose route has none.
-    Duration retryAfter_{300'000}; ///< When a refused client should come back.
+    RetryAfterSettings retryAfter_;
     Duration capacityRetry_{25'000}; ///< Pause before full endpoints are tried again.
     Duration idleReuse_{5'000'000}; ///< Idle time up to which a connection carries a request that may not be repeated.
     Duration idleReuseRepeatable_{15'000'000};
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -500,7 +500,9 @@
         return;
     }
     if (status == 503) {
-        reply_->setHeader("Retry-After", secondsText(gateway_->settings_.retryAfter_));
+        const Duration after =
+            gateway_->retryAfter_.retryAfter(reason, gateway_->isStoreAway(), drawFrom(gateway_->hooks_.random_));
+        reply_->setHeader("Retry-After", secondsText(after));
     }
     reply_->send(status, "application/json", "{\"error\":\"" + std::string(nameOf(reason)) + "\"}");
     end(std::string(nameOf(reason)).c_str());
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -27,6 +27,8 @@
     bool isCutOff() const;
 
     GatewayHooks hooks_;
+    /** \brief True if this node has lost the store and knows no other that reaches it. */
+    bool isStoreAway() const;
     GatewaySettings settings_;
     std::shared_ptr<const RoutingTable> routing_;
     EndpointDirectory directory_;
@@ -39,6 +41,7 @@
     Admission admission_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
     Time storeSeen_{0}; ///< When the ledger was current last.
+    RetryAfterPolicy retryAfter_;
     bool stopping_ = false;
     bool stopped_ = false;
 };
