Refuse new programs by the stretch of turns, not by slots alone

Cause: with many slots and dear reading the engines are never full, so nothing was refused while every program under way became late. Change: EngineModel gives the stretch of an ordinary request; PaceTracker learns from the time that programs have left at their turns how much stretch they bear, with what other nodes saw; Admission refuses first turns between 0.75 and 1.1 of it. A faster model voids what was observed before it. engine_figures logs the inputs every 5 s.

--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -9,11 +9,15 @@
 {
 }
 
-bool Admission::admits(double load, std::uint32_t rank, double draw) const
+bool Admission::admits(const ServiceLoad &load, std::uint32_t rank, double draw) const
 {
     const double from = settings_.refuseFrom_ + (rank == 0 ? settings_.importantLater_ : 0.0);
-    const double refused = std::clamp((load - from) / settings_.refuseSpan_, 0.0, 1.0);
-    return draw >= refused;
+    double refused = (load.perSlot_ - from) / settings_.refuseSpan_;
+    if (load.allowedStretch_ && load.stretch_ > settings_.leastStretch_) {
+        const double stretchFrom = settings_.stretchFrom_ + (rank == 0 ? settings_.stretchImportantLater_ : 0.0);
+        refused = std::max(refused, (load.stretch_ / *load.allowedStretch_ - stretchFrom) / settings_.stretchSpan_);
+    }
+    return draw >= std::clamp(refused, 0.0, 1.0);
 }
 
 } // namespace filbertgw
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -4,9 +4,18 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace filbertgw {
 
+/** \brief How loaded a service is. */
+struct ServiceLoad
+{
+    double perSlot_ = 0.0; ///< Requests for each slot, over all nodes and endpoints.
+    double stretch_ = 1.0; ///< Time of a request, against its time on an idle endpoint.
+    std::optional<double> allowedStretch_; ///< Stretch at which programs are just in time, if it is known.
+};
+
 /** \brief Load of a service between which new programs are refused, by the rank of their route. */
 struct AdmissionSettings
 {
@@ -16,13 +25,21 @@
     double refuseSpan_ = 0.4;
     /** How much later it begins for the most important rank. */
     double importantLater_ = 0.25;
+    /** Stretch, in parts of the allowed one, from which new programs are refused. */
+    double stretchFrom_ = 0.75;
+    /** Span over which the share that is refused for it grows from nothing to all. */
+    double stretchSpan_ = 0.35;
+    /** How much later it begins for the most important rank. */
+    double stretchImportantLater_ = 0.1;
+    /** Stretch up to which nothing is refused for it: programs that are late then are so for other reasons. */
+    double leastStretch_ = 1.7;
 };
 
 /**
  * \brief Decides whether a new program may start.
  *
- * Answers the load of a burst beyond what the engines can serve: programs under way would all be late, so that some
- * new ones are refused before anything was spent on them, the less important first.
+ * Answers the load of a burst beyond what the engines can serve, or of engines that have turned slow: programs under
+ * way would all be late, so that some new ones are refused before anything was spent on them, the less important first.
  */
 class Admission
 {
@@ -31,11 +48,10 @@
 
     /**
      * \brief Whether a program whose first turn arrives is admitted.
-     * \param load requests for each slot of the service.
      * \param rank of the route, 0 for the most important.
      * \param draw uniformly distributed from 0 to 1.
      */
-    bool admits(double load, std::uint32_t rank, double draw) const;
+    bool admits(const ServiceLoad &load, std::uint32_t rank, double draw) const;
 
 private:
     AdmissionSettings settings_;
--- a/src/gateway/enginemodel.cpp
+++ b/src/gateway/enginemodel.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace filbertgw {
 
@@ -16,6 +17,22 @@
 constexpr double mostSlowness = 20.0;
 constexpr double leastSlowness = 0.1;
 constexpr double leastStepMs = 0.01;
+/** Faults and load only delay tokens: if most of the newest are this much faster, what was observed before is void. */
+constexpr double fasterPart = 0.7;
+constexpr double fasterShare = 0.6;
+constexpr double fasterWeight = 0.05;
+/** Beyond this it makes no difference. */
+constexpr double mostStretch = 50.0;
+/** Tokens are delayed while the prompts of others are read, which is not part of a step. */
+constexpr KeptSamples keptSteps{0.05, 0.5};
+/** First events are delayed by faults and the prompts of others; some prompts were cached although it was not known. */
+constexpr KeptSamples keptReads{0.15, 0.75};
+
+/** Stratum of a load: one for each doubling. */
+std::size_t stratumOf(double others)
+{
+    return static_cast<std::size_t>(std::log2(1.0 + std::max(0.0, others)));
+}
 
 double milliseconds(Duration duration)
 {
@@ -26,8 +43,8 @@
 } // namespace internal
 
 EngineModel::ServiceModel::ServiceModel(const EngineModelSettings &settings)
-    : steps_(settings.window_)
-    , reads_(settings.window_)
+    : steps_(settings.window_, settings.lifetime_, internal::keptSteps)
+    , reads_(settings.window_, settings.lifetime_, internal::keptReads)
 {
 }
 
@@ -58,7 +75,8 @@
     }
     const double observed = internal::milliseconds(time) / static_cast<double>(tokens);
     ServiceModel &model = modelOf(service);
-    model.steps_.add(RegressionSample{others, 0.0, observed});
+    noteFaster(model, observed < internal::fasterPart * model.figures_.stepMs(others));
+    model.steps_.add(internal::stratumOf(others), RegressionSample{others, 0.0, observed});
     noteSample(model);
     const double expected = model.figures_.stepMs(others);
     const double ratio = std::clamp(observed / expected, internal::leastSlowness, internal::mostSlowness);
@@ -72,10 +90,37 @@
         return;
     }
     ServiceModel &model = modelOf(service);
-    model.reads_.add(RegressionSample{static_cast<double>(unread), others, internal::milliseconds(time)});
+    model.reads_.add(internal::stratumOf(others),
+                     RegressionSample{static_cast<double>(unread), others, internal::milliseconds(time)});
     noteSample(model);
 }
 
+void EngineModel::observeSize(const std::string &service, std::uint64_t unread, std::uint64_t tokens)
+{
+    if (tokens == 0) {
+        return;
+    }
+    ServiceModel &model = modelOf(service);
+    const double weight = model.tokens_ == 0.0 ? 1.0 : settings_.sizeWeight_;
+    model.unread_ += weight * (static_cast<double>(unread) - model.unread_);
+    model.tokens_ += weight * (static_cast<double>(tokens) - model.tokens_);
+}
+
+double EngineModel::stretch(const std::string &service, double others) const
+{
+    const auto known = services_.find(service);
+    if (known == services_.end() || known->second.tokens_ == 0.0) {
+        return 1.0;
+    }
+    const ServiceModel &model = known->second;
+    const EngineFigures &figures = model.figures_;
+    const double read = model.unread_ * figures.readTokenMs_;
+    const double alone = read + model.tokens_ * figures.stepMs(0.0);
+    // While a request runs, each other one ends once and the one that follows it is read.
+    const double beside = read * (1.0 + others) + model.tokens_ * figures.stepMs(others);
+    return std::clamp(beside / alone, 1.0, internal::mostStretch);
+}
+
 EngineModel::ServiceModel &EngineModel::modelOf(const std::string &service)
 {
     const auto known = services_.find(service);
@@ -94,6 +139,16 @@
                          settings_.assumedStepMs_ / settings_.assumedReadPerStep_};
 }
 
+void EngineModel::noteFaster(ServiceModel &model, bool isFaster) const
+{
+    model.faster_ += internal::fasterWeight * ((isFaster ? 1.0 : 0.0) - model.faster_);
+    if (model.faster_ > internal::fasterShare) {
+        model.steps_.clear();
+        model.reads_.clear();
+        model.faster_ = 0.0;
+    }
+}
+
 void EngineModel::noteSample(ServiceModel &model) const
 {
     // The first observations count at once.
@@ -137,6 +192,21 @@
                          model.figures_.readTokenMs_ * slowness};
 }
 
+EngineFigures EngineModel::figures(const std::string &service) const
+{
+    const auto known = services_.find(service);
+    return known == services_.end() ? assumed() : known->second.figures_;
+}
+
+std::vector<std::string> EngineModel::services() const
+{
+    std::vector<std::string> names;
+    for (const std::pair<const std::string, ServiceModel> &entry : services_) {
+        names.push_back(entry.first);
+    }
+    return names;
+}
+
 void EngineModel::forget(const std::string &endpoint)
 {
     for (std::pair<const std::string, ServiceModel> &entry : services_) {
@@ -157,6 +227,8 @@
         services[entry.first] = {{"step_ms", figures.stepMs_},
                                  {"per_request_ms", figures.perRequestMs_},
                                  {"read_token_ms", figures.readTokenMs_},
+                                 {"unread_tokens", entry.second.unread_},
+                                 {"generated_tokens", entry.second.tokens_},
                                  {"slowness", entry.second.slowness_},
                                  {"step_samples", entry.second.steps_.size()},
                                  {"read_samples", entry.second.reads_.size()}};
--- a/src/gateway/enginemodel.h
+++ b/src/gateway/enginemodel.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace filbertgw {
 
@@ -53,9 +54,11 @@
     double assumedPerRequest_ = 0.01;
     /** Prompt tokens that are assumed to be read in the time of an output token. */
     double assumedReadPerStep_ = 256.0;
-    std::size_t window_ = 256; ///< Newest observations of a service that count.
-    std::size_t refitAfter_ = 16; ///< New observations after which the figures are worked out again.
+    std::size_t window_ = 96; ///< Newest observations that count, for each doubling of the load.
+    std::uint64_t lifetime_ = 6'000; ///< Later observations after which one doesn't count any more.
+    std::size_t refitAfter_ = 32; ///< New observations after which the figures are worked out again.
     double newWeight_ = 0.2; ///< Weight of an observation in an engine's own slowness.
+    double sizeWeight_ = 0.02; ///< Weight of a request in the size of an ordinary one.
     Duration longestToken_{2'000'000}; ///< A token that takes longer is no measurement of the engine.
     Duration longestRead_{10'000'000}; ///< The same for the time to the first event.
 };
@@ -77,7 +80,17 @@
     /** \brief Time to the first event of a request of which the engine had to read some prompt tokens. */
     void observeFirstEvent(const std::string &service, double others, std::uint64_t unread, Duration time);
 
+    /** \brief A request that has ended, by the prompt tokens that were read and the tokens generated for it. */
+    void observeSize(const std::string &service, std::uint64_t unread, std::uint64_t tokens);
+
     EngineFigures figures(const std::string &service, const std::string &endpoint) const;
+    /** \brief Figures of an ordinary engine of a service. */
+    EngineFigures figures(const std::string &service) const;
+    /** \brief Services of which something was observed. */
+    std::vector<std::string> services() const;
+    /** \brief How much longer an ordinary request takes beside others than alone, while all of them read and generate.
+     */
+    double stretch(const std::string &service, double others) const;
     void forget(const std::string &endpoint);
     std::uint64_t rejected(RejectedObservation reason) const;
     nlohmann::json state() const;
@@ -90,13 +103,18 @@
         TrimmedRegression steps_; ///< Milliseconds a token, by other requests.
         TrimmedRegression reads_; ///< Milliseconds to the first event, by unread tokens and other requests.
         std::size_t sinceFit_ = 0;
+        double faster_ = 0.0; ///< Share of the newest tokens that were much faster than the figures say.
         EngineFigures figures_;
         std::unordered_map<std::string, double> slowness_; ///< Of each engine that was observed.
+        double unread_ = 0.0; ///< Prompt tokens that an ordinary request has to read; 0 until observed.
+        double tokens_ = 0.0; ///< Tokens that it generates; 0 until observed.
         double usualSlowness_ = 1.0; ///< Mean of slowness_: what an engine counts for until it was observed.
     };
 
     bool accept(std::uint64_t tokens, Duration time, Duration longest);
     ServiceModel &modelOf(const std::string &service);
+    /** \brief Drops what was observed before all engines became faster, as with another model. */
+    void noteFaster(ServiceModel &model, bool isFaster) const;
     void noteSample(ServiceModel &model) const;
     void refit(ServiceModel &model) const;
     EngineFigures assumed() const;
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -119,7 +119,12 @@
     for (const ReadPart &read : report.readParts_) {
         parts.push_back({read.endpoint_, read.part_, read.tokens_});
     }
+    nlohmann::json paces = nlohmann::json::array();
+    for (const ServicePace &pace : report.paces_) {
+        paces.push_back({pace.service_, pace.sums_.weight_, pace.sums_.timeLeft_, pace.sums_.stretch_});
+    }
     nlohmann::json body = {{"p", parts},
+                           {"v", paces},
                            {"n", settings_.self_.name_},
                            {"c", report.ledgerCurrent_},
                            {"k", report.ledgerComplete_},
@@ -273,6 +278,16 @@
             }
         }
     }
+    if (body.contains("v") && body["v"].is_array()) {
+        for (const nlohmann::json &entry : body["v"]) {
+            if (entry.is_array() && entry.size() == 4 && entry[0].is_string() && entry[1].is_number()
+                && entry[2].is_number() && entry[3].is_number()) {
+                report.paces_.push_back(
+                    ServicePace{entry[0].get<std::string>(),
+                                PaceSums{entry[1].get<double>(), entry[2].get<double>(), entry[3].get<double>()}});
+            }
+        }
+    }
     known->second.heard_ = d_->hooks_.now_();
     known->second.everHeard_ = true;
     known->second.ledgerCurrent_ = report.ledgerCurrent_;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_FLEET_H
 #define FILBERTGW_GATEWAY_FLEET_H
 
+#include "gateway/pacetracker.h"
 #include "gateway/placement.h"
 #include "store/recordstore.h"
 
@@ -28,6 +29,7 @@
     bool ledgerComplete_ = false; ///< It knew it at some time since its start.
     std::vector<std::pair<std::string, std::uint32_t>> load_; ///< Requests that it runs, by endpoint.
     std::vector<ReadPart> readParts_; ///< Prompt parts that engines have read for it lately.
+    std::vector<ServicePace> paces_; ///< How its programs proceed, by service.
 };
 
 struct FleetHooks
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration sweepPeriod{100'000};
+/** Sweeps after which the learned figures of engines are logged. */
+constexpr std::uint64_t sweepsPerLog = 50;
 /** A node that has been without the store for so long lets others take the new connections, if they can. */
 constexpr Duration cutOffAfter{1'800'000};
 
@@ -37,19 +39,27 @@
     , turns_(TurnStoreHooks{hooks_.now_, hooks_.after_, relayed_.access()}, settings_.turns_)
     , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_}, ledger_, fleet_)
     , admission_(settings_.admission_)
+    , pace_(hooks_.now_, settings_.pace_)
+    , retryAfter_(settings_.retryAfter_)
 {
 }
-    , retryAfter_(settings_.retryAfter_)
 
-double Gateway::Private::loadOf(const std::string &service) const
+ServiceLoad Gateway::Private::loadOf(const std::string &service) const
 {
+    ServiceLoad load;
     double running = 0.0;
     double slots = 0.0;
     for (const Endpoint *endpoint : directory_.ready(service)) {
         running += placement_.running(endpoint->id_);
         slots += endpoint->slots_;
     }
-    return slots > 0.0 ? running / slots : 0.0;
+    if (slots > 0.0) {
+        load.perSlot_ = running / slots;
+        load.stretch_ =
+            placement_.engines().stretch(service, running / static_cast<double>(directory_.ready(service).size()));
+    }
+    load.allowedStretch_ = pace_.allowedStretch(service);
+    return load;
 }
 
 FleetHooks Gateway::Private::fleetHooks()
@@ -60,11 +70,13 @@
     hooks.store_ = hooks_.store_;
     hooks.sendDatagram_ = hooks_.sendDatagram_;
     hooks.report_ = [this] {
-        return NodeReport{ledger_.isCurrent(), ledger_.knowsGrants(), placement_.ownLoad(), placement_.takeReadParts()};
+        return NodeReport{
+            ledger_.isCurrent(), ledger_.knowsGrants(), placement_.ownLoad(), placement_.takeReadParts(), pace_.own()};
     };
     hooks.ledgerComplete_ = [this] { return ledger_.knowsGrants(); };
     hooks.onReport_ = [this](const std::string &node, const NodeReport &report) {
         placement_.setPeerLoad(node, report.load_);
+        pace_.setPeer(node, report.paces_);
         for (const ReadPart &read : report.readParts_) {
             if (directory_.find(read.endpoint_) != nullptr) {
                 placement_.noteReadPart(read);
@@ -86,33 +98,6 @@
     return fleet_.alive() == 0 ? fleet_.known() > 0 : fleet_.currentNode({}).has_value();
 }
 
-void Gateway::Private::sweep()
-{
-    if (ledger_.isCurrent()) {
-        storeSeen_ = hooks_.now_();
-    }
-    for (const std::string &gone : directory_.expire()) {
-        hooks_.logEvent_("endpoint_gone", {{"endpoint", gone}, {"reason", "did_not_return"}});
-        placement_.forget(gone);
-    }
-    placement_.expirePeers();
-    hooks_.after_(internal::sweepPeriod, [self = shared_from_this()] {
-bool Gateway::Private::isStoreAway() const
-{
-    return !ledger_.isReachable() && !fleet_.currentNode({}).has_value();
-}
-
-void Gateway::Private::sweep()
-{
-    if (ledger_.isCurrent()) {
-        storeSeen_ = hooks_.now_();
-    }
-    for (const std::string &gone : directory_.expire()) {
-        hooks_.logEvent_("endpoint_gone", {{"endpoint", gone}, {"reason", "did_not_return"}});
-        placement_.forget(gone);
-    }
-    placement_.expirePeers();
-    hooks_.after_(internal::sweepPeriod, [self = shared_from_this()] {
 bool Gateway::Private::isStoreAway() const
 {
     return !ledger_.isReachable() && !fleet_.currentNode({}).has_value();
@@ -134,6 +119,23 @@
     }
 }
 
+void Gateway::Private::sweep()
+{
+    if (ledger_.isCurrent()) {
+        storeSeen_ = hooks_.now_();
+    }
+    if (!ledger_.isReachable()) {
+        pace_.reset();
+    }
+    for (const std::string &gone : directory_.expire()) {
+        hooks_.logEvent_("endpoint_gone", {{"endpoint", gone}, {"reason", "did_not_return"}});
+        placement_.forget(gone);
+    }
+    placement_.expirePeers();
+    if (++sweeps_ % internal::sweepsPerLog == 0) {
+        logFigures();
+    }
+    hooks_.after_(internal::sweepPeriod, [self = shared_from_this()] {
         if (!self->stopped_) {
             self->sweep();
         }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,9 +6,10 @@
 #include "gateway/endpointdirectory.h"
 #include "gateway/fleet.h"
 #include "gateway/gatewaytypes.h"
+#include "gateway/pacetracker.h"
 #include "gateway/placement.h"
-#include "gateway/routingtable.h"
 #include "gateway/retryafterpolicy.h"
+#include "gateway/routingtable.h"
 #include "ledger/programledger.h"
 #include "ledger/turnstore.h"
 
@@ -51,6 +52,7 @@
     FleetSettings fleet_;
     AdmissionSettings admission_;
     Duration defaultTimeout_{30'000'000}; ///< For a request that names no time and whose route has none.
+    PaceSettings pace_;
     RetryAfterSettings retryAfter_;
     Duration capacityRetry_{25'000}; ///< Pause before full endpoints are tried again.
     Duration idleReuse_{5'000'000}; ///< Idle time up to which a connection carries a request that may not be repeated.
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -79,18 +79,39 @@
     timer_ = gateway_->hooks_.after_(allowed, [self = shared_from_this()] { self->timedOut(); });
     lastEventId_ = request_->lastEventId_;
     chooseService();
-    if (beginsProgram()) {
-        const double load = gateway_->loadOf(serviceName_);
-        if (!gateway_->admission_.admits(load, route_->rank_, drawFrom(gateway_->hooks_.random_))) {
-            gateway_->hooks_.logEvent_("program_refused",
-                                       {{"request", request_->id_}, {"program", request_->program_}, {"load", load}});
-            refuse(RefusalReason::Overloaded);
-            return;
-        }
+    if (!admitProgram()) {
+        refuse(RefusalReason::Overloaded);
+        return;
     }
     loadChain();
 }
 
+/** Notes how the program proceeds. \return false if it is a new one that is not admitted. */
+bool GatewayCall::admitProgram()
+{
+    const bool isMainLine = route_->kind_ == RouteKind::Streaming && request_->session_ == request_->program_;
+    if (!isMainLine || request_->program_.empty()) {
+        return true;
+    }
+    const ServiceLoad load = gateway_->loadOf(serviceName_);
+    const Duration finishIn = request_->finishIn_.value_or(Duration{0});
+    if (!beginsProgram()) {
+        gateway_->pace_.continued(serviceName_, request_->program_, finishIn, load.stretch_);
+        return true;
+    }
+    if (!gateway_->admission_.admits(load, route_->rank_, drawFrom(gateway_->hooks_.random_))) {
+        gateway_->hooks_.logEvent_("program_refused",
+                                   {{"request", request_->id_},
+                                    {"program", request_->program_},
+                                    {"load", load.perSlot_},
+                                    {"stretch", load.stretch_},
+                                    {"allowed", load.allowedStretch_.value_or(0.0)}});
+        return false;
+    }
+    gateway_->pace_.began(request_->program_, finishIn);
+    return true;
+}
+
 Duration GatewayCall::timeLeft() const
 {
     return deadline_ - gateway_->hooks_.now_();
@@ -403,6 +424,9 @@
     }
     if (ended == AttemptEnd::Complete && step_ == Step::Relaying && !splitter_.isInsideEvent()) {
         gateway_->placement_.succeeded(endpoint);
+        if (service_ != nullptr && service_->engine_) {
+            gateway_->placement_.observeSize(serviceName_, start_, attemptEvents_ * service_->engine_->tokensPerEvent_);
+        }
         streamComplete();
         return;
     }
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -36,6 +36,7 @@
     // Steps before the first attempt.
     void chooseService();
     bool beginsProgram() const;
+    bool admitProgram();
     void loadChain();
     void chainLoaded(ChainStatus status, const std::string &text);
     void reserveBudget();
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -20,15 +20,17 @@
     Private(GatewayHooks hooks, GatewaySettings settings);
 
     void sweep();
-    /** \brief Requests for each slot of a service, over all nodes. */
-    double loadOf(const std::string &service) const;
+    /** \brief Logs what is known of the engines, for those who ask later why a request was placed or refused. */
+    void logFigures() const;
+    /** \brief Load of a service by what all nodes run on it. */
+    ServiceLoad loadOf(const std::string &service) const;
     FleetHooks fleetHooks();
     /** \brief True if this node has lost the store while others have not, or has lost all of them as well. */
     bool isCutOff() const;
-
-    GatewayHooks hooks_;
     /** \brief True if this node has lost the store and knows no other that reaches it. */
     bool isStoreAway() const;
+
+    GatewayHooks hooks_;
     GatewaySettings settings_;
     std::shared_ptr<const RoutingTable> routing_;
     EndpointDirectory directory_;
@@ -39,9 +41,11 @@
     TurnStore turns_;
     BudgetController budget_;
     Admission admission_;
+    PaceTracker pace_;
+    RetryAfterPolicy retryAfter_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
+    std::uint64_t sweeps_ = 0;
     Time storeSeen_{0}; ///< When the ledger was current last.
-    RetryAfterPolicy retryAfter_;
     bool stopping_ = false;
     bool stopped_ = false;
 };
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -191,6 +191,11 @@
     engines_.observeFirstEvent(service, start.others_, start.unread_, time);
 }
 
+void Placement::observeSize(const std::string &service, const RequestStart &start, std::uint64_t tokens)
+{
+    engines_.observeSize(service, start.unread_, tokens);
+}
+
 const EngineModel &Placement::engines() const
 {
     return engines_;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -86,6 +86,8 @@
     void setPeerLoad(const std::string &peer, const std::vector<std::pair<std::string, std::uint32_t>> &load);
     /** \brief Requests that all nodes have at an endpoint, as far as known. */
     std::uint32_t running(const std::string &endpoint) const;
+    /** \brief A request that has ended with all its tokens. */
+    void observeSize(const std::string &service, const RequestStart &start, std::uint64_t tokens);
     const EngineModel &engines() const;
 
 private:
--- a/src/gateway/trimmedregression.cpp
+++ b/src/gateway/trimmedregression.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::size_t trimRounds = 4;
-/** Part of the samples that a fit is made of. */
-constexpr double keptPart = 0.75;
 /** Determinants below this part of their largest term count as 0: x and z move together. */
 constexpr double collinear = 1e-6;
 
@@ -27,18 +25,19 @@
     double zy_ = 0.0;
 };
 
-Moments momentsOf(const std::vector<RegressionSample> &samples, std::size_t count)
+Moments momentsOf(const std::vector<RegressionSample> &samples)
 {
     Moments moments;
-    for (std::size_t i = 0; i < count; ++i) {
-        moments.meanX_ += samples[i].x_ / static_cast<double>(count);
-        moments.meanZ_ += samples[i].z_ / static_cast<double>(count);
-        moments.meanY_ += samples[i].y_ / static_cast<double>(count);
+    const auto count = static_cast<double>(samples.size());
+    for (const RegressionSample &sample : samples) {
+        moments.meanX_ += sample.x_ / count;
+        moments.meanZ_ += sample.z_ / count;
+        moments.meanY_ += sample.y_ / count;
     }
-    for (std::size_t i = 0; i < count; ++i) {
-        const double x = samples[i].x_ - moments.meanX_;
-        const double z = samples[i].z_ - moments.meanZ_;
-        const double y = samples[i].y_ - moments.meanY_;
+    for (const RegressionSample &sample : samples) {
+        const double x = sample.x_ - moments.meanX_;
+        const double z = sample.z_ - moments.meanZ_;
+        const double y = sample.y_ - moments.meanY_;
         moments.xx_ += x * x;
         moments.zz_ += z * z;
         moments.xz_ += x * z;
@@ -56,30 +55,51 @@
 } // namespace
 } // namespace internal
 
-TrimmedRegression::TrimmedRegression(std::size_t window)
+TrimmedRegression::TrimmedRegression(std::size_t window, std::uint64_t lifetime, KeptSamples kept)
     : window_(window)
+    , lifetime_(lifetime)
+    , kept_(kept)
 {
 }
 
-void TrimmedRegression::add(const RegressionSample &sample)
+void TrimmedRegression::add(std::size_t stratum, const RegressionSample &sample)
 {
-    if (samples_.size() < window_) {
-        samples_.push_back(sample);
-        return;
+    if (strata_.size() <= stratum) {
+        strata_.resize(stratum + 1);
     }
-    samples_[next_] = sample;
-    next_ = (next_ + 1) % window_;
+    std::deque<Entry> &entries = strata_[stratum];
+    entries.push_back(Entry{++added_, sample});
+    if (entries.size() > window_) {
+        entries.pop_front();
+    }
+}
+
+void TrimmedRegression::clear()
+{
+    strata_.clear();
+}
+
+std::vector<RegressionSample> TrimmedRegression::living() const
+{
+    std::vector<RegressionSample> samples;
+    for (const std::deque<Entry> &entries : strata_) {
+        for (const Entry &entry : entries) {
+            if (entry.number_ + lifetime_ > added_) {
+                samples.push_back(entry.sample_);
+            }
+        }
+    }
+    return samples;
 }
 
 std::size_t TrimmedRegression::size() const
 {
-    return samples_.size();
+    return living().size();
 }
 
-LinearFit
-TrimmedRegression::fitAll(const std::vector<RegressionSample> &samples, std::size_t count, const SlopePrior &prior)
+LinearFit TrimmedRegression::fitAll(const std::vector<RegressionSample> &samples, const SlopePrior &prior)
 {
-    internal::Moments moments = internal::momentsOf(samples, count);
+    internal::Moments moments = internal::momentsOf(samples);
     moments.xx_ += prior.weightX_;
     moments.xy_ += prior.weightX_ * prior.perX_;
     moments.zz_ += prior.weightZ_;
@@ -104,21 +124,19 @@
 
 LinearFit TrimmedRegression::fit(const SlopePrior &prior) const
 {
-    if (samples_.empty()) {
+    std::vector<RegressionSample> sorted = living();
+    if (sorted.empty()) {
         return LinearFit{0.0, prior.perX_, prior.perZ_};
     }
-    std::vector<RegressionSample> sorted = samples_;
-    LinearFit fit = fitAll(sorted, sorted.size(), prior);
-    const auto kept = static_cast<std::size_t>(std::ceil(internal::keptPart * static_cast<double>(sorted.size())));
-    for (std::size_t round = 0; round < internal::trimRounds && kept < sorted.size(); ++round) {
-        const auto error = [&fit](const RegressionSample &sample) {
-            return std::abs(sample.y_ - fit.at(sample.x_, sample.z_));
-        };
-        std::nth_element(sorted.begin(),
-                         sorted.begin() + static_cast<std::ptrdiff_t>(kept),
-                         sorted.end(),
-                         [&error](const auto &a, const auto &b) { return error(a) < error(b); });
-        fit = fitAll(sorted, kept, prior);
+    const auto count = static_cast<double>(sorted.size());
+    const auto from = static_cast<std::ptrdiff_t>(kept_.from_ * count);
+    const auto to = std::max(from + 1, static_cast<std::ptrdiff_t>(std::ceil(kept_.to_ * count)));
+    LinearFit fit = fitAll(sorted, prior);
+    for (std::size_t round = 0; round < internal::trimRounds; ++round) {
+        std::sort(sorted.begin(), sorted.end(), [&fit](const RegressionSample &a, const RegressionSample &b) {
+            return a.y_ - fit.at(a.x_, a.z_) < b.y_ - fit.at(b.x_, b.z_);
+        });
+        fit = fitAll(std::vector<RegressionSample>(sorted.begin() + from, sorted.begin() + to), prior);
     }
     return fit;
 }
--- a/src/gateway/trimmedregression.h
+++ b/src/gateway/trimmedregression.h
@@ -2,6 +2,8 @@
 #define FILBERTGW_GATEWAY_TRIMMEDREGRESSION_H
 
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <vector>
 
 namespace filbertgw {
@@ -23,6 +25,13 @@
     double weightZ_ = 0.0;
 };
 
+/** \brief Which samples a fit is made of, by the order of their error: y less what the fit says. */
+struct KeptSamples
+{
+    double from_ = 0.0; ///< Part of the samples that are too low.
+    double to_ = 1.0; ///< Part of the samples that are not too high.
+};
+
 /** \brief y = intercept + perX * x + perZ * z */
 struct LinearFit
 {
@@ -37,26 +46,43 @@
 };
 
 /**
- * \brief Least squares over the newest samples, without those that fit worst.
+ * \brief Least squares over the newest samples of several strata, without those that fit worst.
  *
- * A quarter of the samples may be arbitrarily wrong: delayed by a fault, or filed under a wrong x.
+ * Each stratum keeps samples of its own, so that a long time under one load doesn't drive out what was seen under
+ * others. Samples outside the part that is kept may be arbitrarily wrong: delayed by a fault, or filed under a wrong x.
  */
 class TrimmedRegression
 {
 public:
-    explicit TrimmedRegression(std::size_t window);
+    /**
+     * \param window samples that a stratum keeps.
+     * \param lifetime later samples, of any stratum, after which a sample is dropped.
+     */
+    TrimmedRegression(std::size_t window, std::uint64_t lifetime, KeptSamples kept);
 
-    void add(const RegressionSample &sample);
+    void add(std::size_t stratum, const RegressionSample &sample);
+    void clear();
+    /** \brief Samples that count. */
     std::size_t size() const;
     /** \brief The fit, with slopes of at least 0. */
     LinearFit fit(const SlopePrior &prior) const;
 
 private:
-    static LinearFit fitAll(const std::vector<RegressionSample> &samples, std::size_t count, const SlopePrior &prior);
+    static LinearFit fitAll(const std::vector<RegressionSample> &samples, const SlopePrior &prior);
+
+    struct Entry
+    {
+        std::uint64_t number_ = 0;
+        RegressionSample sample_;
+    };
+
+    std::vector<RegressionSample> living() const;
 
     std::size_t window_;
-    std::size_t next_ = 0; ///< Index of the sample that is replaced next.
-    std::vector<RegressionSample> samples_;
+    std::uint64_t lifetime_;
+    KeptSamples kept_;
+    std::uint64_t added_ = 0;
+    std::vector<std::deque<Entry>> strata_;
 };
 
 } // namespace filbertgw
--- a/test/gateway/admission.cpp
+++ b/test/gateway/admission.cpp
@@ -8,7 +8,7 @@
 struct AdmissionCase
 {
     const char *name_;
-    double load_;
+    ServiceLoad load_;
     std::uint32_t rank_;
     double least_;
     double most_;
@@ -33,12 +33,19 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          AdmissionUnder,
-                         testing::Values(AdmissionCase{"HalfFull", 0.5, 1, 1.0, 1.0},
-                                         AdmissionCase{"AlmostFull", 0.85, 1, 1.0, 1.0},
-                                         AdmissionCase{"BeyondFullLessImportant", 1.1, 1, 0.3, 0.7},
-                                         AdmissionCase{"BeyondFullImportant", 1.1, 0, 1.0, 1.0},
-                                         AdmissionCase{"FarBeyondLessImportant", 1.5, 1, 0.0, 0.0},
-                                         AdmissionCase{"FarBeyondImportant", 1.6, 0, 0.0, 0.1}),
+                         testing::Values(AdmissionCase{"HalfFull", {0.5, 1.0, {}}, 1, 1.0, 1.0},
+                                         AdmissionCase{"AlmostFull", {0.85, 1.0, {}}, 1, 1.0, 1.0},
+                                         AdmissionCase{"BeyondFullLessImportant", {1.1, 1.0, {}}, 1, 0.3, 0.7},
+                                         AdmissionCase{"BeyondFullImportant", {1.1, 1.0, {}}, 0, 1.0, 1.0},
+                                         AdmissionCase{"FarBeyondLessImportant", {1.5, 1.0, {}}, 1, 0.0, 0.0},
+                                         AdmissionCase{"FarBeyondImportant", {1.6, 1.0, {}}, 0, 0.0, 0.1},
+                                         AdmissionCase{"SlowedButInTime", {0.3, 3.0, 6.0}, 1, 1.0, 1.0},
+                                         AdmissionCase{"SlowedNothingKnown", {0.3, 9.0, {}}, 1, 1.0, 1.0},
+                                         AdmissionCase{"LateOnIdleEngines", {0.3, 1.4, 1.0}, 1, 1.0, 1.0},
+                                         AdmissionCase{"AlmostLateLessImportant", {0.3, 3.0, 3.3}, 1, 0.3, 0.7},
+                                         AdmissionCase{"AlmostLateImportant", {0.3, 3.0, 3.3}, 0, 0.6, 0.99},
+                                         AdmissionCase{"LateLessImportant", {0.3, 6.0, 3.0}, 1, 0.0, 0.0},
+                                         AdmissionCase{"LateImportant", {0.3, 6.0, 3.0}, 0, 0.0, 0.0}),
                          [](const testing::TestParamInfo<AdmissionCase> &info) { return info.param.name_; });
 
 } // namespace filbertgw::test
--- a/test/gateway/enginemodel.cpp
+++ b/test/gateway/enginemodel.cpp
@@ -141,6 +141,37 @@
     expectNear(model.figures("engines", "e0"), after, 0.2);
 }
 
+// Guards against a stretch that doesn't count the prompts of the other requests, or that is below 1.
+TEST(EngineModel, StretchCountsReadingAndGeneratingOfTheOthers)
+{
+    EngineModel model{EngineModelSettings()};
+    EXPECT_DOUBLE_EQ(model.stretch("engines", 10.0), 1.0) << "nothing is known yet";
+    const EngineFigures truth{5.0, 0.05, 1.0 / 50.0};
+    SyntheticEngine engine("e0", truth);
+    for (int i = 0; i < 200; ++i) {
+        engine.observe(model);
+        model.observeSize("engines", 1'000, 30);
+    }
+    EXPECT_DOUBLE_EQ(model.stretch("engines", 0.0), 1.0);
+    // Alone 20 ms to read and 150 ms to generate; beside ten others 220 ms and 165 ms.
+    EXPECT_NEAR(model.stretch("engines", 10.0), 385.0 / 170.0, 0.3);
+}
+
+// Guards against figures of an idle engine that are lost in a long time of load.
+TEST(EngineModel, KeepsTheIdleFiguresUnderLoad)
+{
+    EngineModel model{EngineModelSettings()};
+    const EngineFigures truth{5.0, 0.05, 1.0 / 50.0};
+    SyntheticEngine engine("e0", truth);
+    for (int i = 0; i < 200; ++i) {
+        engine.observe(model);
+    }
+    for (int i = 0; i < 1'500; ++i) {
+        model.observeTokens("engines", "e0", 30.0, 9, SyntheticEngine::duration(9.0 * truth.stepMs(30.0)));
+    }
+    EXPECT_NEAR(model.figures("engines").stepMs_, truth.stepMs_, truth.stepMs_ * 0.15);
+}
+
 /** \brief An observation that says nothing of an engine. */
 struct RejectedCase
 {
--- a/test/gateway/trimmedregression.cpp
+++ b/test/gateway/trimmedregression.cpp
@@ -9,13 +9,13 @@
 // Guards against a slope that is wrong when both influences are present.
 TEST(TrimmedRegression, TellsTwoInfluencesApart)
 {
-    TrimmedRegression regression(200);
+    TrimmedRegression regression(200, 1'000, KeptSamples());
     std::mt19937_64 random(5);
     std::uniform_real_distribution<double> uniform(0.0, 10.0);
     for (int i = 0; i < 200; ++i) {
         const double x = uniform(random);
         const double z = uniform(random);
-        regression.add(RegressionSample{x, z, 4.0 + 2.0 * x + 0.5 * z});
+        regression.add(0, RegressionSample{x, z, 4.0 + 2.0 * x + 0.5 * z});
     }
     const LinearFit fit = regression.fit(SlopePrior());
     EXPECT_NEAR(fit.intercept_, 4.0, 1e-6);
@@ -26,9 +26,9 @@
 // Guards against a division by 0 where x and z always move together.
 TEST(TrimmedRegression, CollinearInfluencesGiveAFiniteFit)
 {
-    TrimmedRegression regression(50);
+    TrimmedRegression regression(50, 1'000, KeptSamples());
     for (int i = 0; i < 50; ++i) {
-        regression.add(RegressionSample{1.0 * i, 2.0 * i, 3.0 * i});
+        regression.add(0, RegressionSample{1.0 * i, 2.0 * i, 3.0 * i});
     }
     EXPECT_NEAR(regression.fit(SlopePrior()).at(10.0, 20.0), 30.0, 1e-6);
 }
@@ -36,24 +36,43 @@
 // Guards against old samples that keep a changed relation from being seen.
 TEST(TrimmedRegression, OnlyTheWindowCounts)
 {
-    TrimmedRegression regression(20);
+    TrimmedRegression regression(20, 1'000, KeptSamples());
     for (int i = 0; i < 100; ++i) {
-        regression.add(RegressionSample{1.0 * (i % 7), 0.0, 100.0});
+        regression.add(0, RegressionSample{1.0 * (i % 7), 0.0, 100.0});
     }
     for (int i = 0; i < 20; ++i) {
-        regression.add(RegressionSample{1.0 * (i % 7), 0.0, 1.0 * (i % 7)});
+        regression.add(0, RegressionSample{1.0 * (i % 7), 0.0, 1.0 * (i % 7)});
     }
     EXPECT_NEAR(regression.fit(SlopePrior()).perX_, 1.0, 1e-6);
 }
 
+// Guards against a long time under one load that drives out what was seen under others, and against samples that stay
+// for ever.
+TEST(TrimmedRegression, StrataKeepTheirSamplesForALimitedTime)
+{
+    TrimmedRegression regression(10, 500, KeptSamples());
+    for (int i = 0; i < 10; ++i) {
+        regression.add(0, RegressionSample{0.0, 0.0, 1.0});
+    }
+    for (int i = 0; i < 400; ++i) {
+        regression.add(3, RegressionSample{10.0, 0.0, 21.0});
+    }
+    EXPECT_EQ(regression.size(), 20U);
+    EXPECT_NEAR(regression.fit(SlopePrior()).perX_, 2.0, 1e-6);
+    for (int i = 0; i < 200; ++i) {
+        regression.add(3, RegressionSample{10.0, 0.0, 21.0});
+    }
+    EXPECT_EQ(regression.size(), 10U);
+}
+
 // Guards against slopes without any sample, or from samples that all have the same x.
 TEST(TrimmedRegression, PriorHoldsWhereSamplesSayNothing)
 {
     const SlopePrior prior{0.25, 10.0, 0.0, 0.0};
-    TrimmedRegression regression(20);
+    TrimmedRegression regression(20, 1'000, KeptSamples());
     EXPECT_DOUBLE_EQ(regression.fit(prior).perX_, 0.25);
     for (int i = 0; i < 20; ++i) {
-        regression.add(RegressionSample{5.0, 0.0, 8.0});
+        regression.add(0, RegressionSample{5.0, 0.0, 8.0});
     }
     EXPECT_NEAR(regression.fit(prior).perX_, 0.25, 1e-9);
     EXPECT_NEAR(regression.fit(prior).at(5.0, 0.0), 8.0, 1e-9);
