Ask engines after a start which prompt parts they keep

Ruled out: kv-events from the start of a node, which answers at once as well and has only the newest events; asking peers, of which none knows anything after the loss of all. Change: CacheDiscovery asks each engine once within 3 s of a node's start; the answer is noted like the word of a peer.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -22,6 +22,7 @@
     , settings_(std::move(settings))
     , directory_(hooks_.now_)
     , placement_(hooks_.now_, hooks_.random_, settings_.placement_)
+    , cacheDiscovery_(cacheDiscoveryHooks(), settings_.cacheDiscovery_)
     , ledger_(ProgramLedgerHooks{hooks_.now_,
                                  hooks_.after_,
                                  hooks_.store_,
@@ -62,6 +63,32 @@
     return load;
 }
 
+CacheDiscoveryHooks Gateway::Private::cacheDiscoveryHooks()
+{
+    CacheDiscoveryHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.list_ = hooks_.listCache_;
+    hooks.onPart_ = [this](const std::string &endpoint, const PromptPart &part) {
+        if (directory_.find(endpoint) != nullptr) {
+            placement_.noteReadPart(ReadPart{endpoint, part.id_, part.tokens_});
+        }
+    };
+    hooks.logEvent_ = hooks_.logEvent_;
+    return hooks;
+}
+
+void Gateway::Private::discoverCaches()
+{
+    if (!routing_) {
+        return;
+    }
+    for (const std::pair<const std::string, Service> &entry : routing_->services()) {
+        if (entry.second.engine_) {
+            cacheDiscovery_.ask(directory_.ready(entry.first));
+        }
+    }
+}
+
 FleetHooks Gateway::Private::fleetHooks()
 {
     FleetHooks hooks;
@@ -132,6 +159,7 @@
         placement_.forget(gone);
     }
     placement_.expirePeers();
+    discoverCaches();
     if (++sweeps_ % internal::sweepsPerLog == 0) {
         logFigures();
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,6 +3,7 @@
 
 #include "gateway/admission.h"
 #include "gateway/budgetcontroller.h"
+#include "gateway/cachediscovery.h"
 #include "gateway/endpointdirectory.h"
 #include "gateway/fleet.h"
 #include "gateway/gatewaytypes.h"
@@ -31,6 +32,8 @@
     RecordStore store_;
     std::function<std::uint64_t(EndpointAttempt, AttemptHandlers)> startAttempt_;
     std::function<void(std::uint64_t attempt)> cancelAttempt_;
+    /** \sa CacheDiscoveryHooks::list_; may be empty */
+    std::function<void(const Endpoint &endpoint, std::function<void(const std::vector<PromptPart> &)> done)> listCache_;
     std::function<void(const std::string &address, const std::string &datagram)> sendDatagram_;
     /** \sa BudgetControllerHooks::askPeer_ */
     std::function<void(const std::string &address,
@@ -50,6 +53,7 @@
     TurnStoreSettings turns_;
     PlacementSettings placement_;
     FleetSettings fleet_;
+    CacheDiscoverySettings cacheDiscovery_;
     AdmissionSettings admission_;
     Duration defaultTimeout_{30'000'000}; ///< For a request that names no time and whose route has none.
     PaceSettings pace_;
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -25,6 +25,9 @@
     /** \brief Load of a service by what all nodes run on it. */
     ServiceLoad loadOf(const std::string &service) const;
     FleetHooks fleetHooks();
+    CacheDiscoveryHooks cacheDiscoveryHooks();
+    /** \brief Asks the engines of all services what they keep. */
+    void discoverCaches();
     /** \brief True if this node has lost the store while others have not, or has lost all of them as well. */
     bool isCutOff() const;
     /** \brief True if this node has lost the store and knows no other that reaches it. */
@@ -35,6 +38,7 @@
     std::shared_ptr<const RoutingTable> routing_;
     EndpointDirectory directory_;
     Placement placement_;
+    CacheDiscovery cacheDiscovery_;
     ProgramLedger ledger_;
     Fleet fleet_;
     RelayedStore relayed_;
--- a/src/gateway/routingtable.cpp
+++ b/src/gateway/routingtable.cpp
@@ -47,6 +47,11 @@
     return found == services_.end() ? nullptr : &found->second;
 }
 
+const std::map<std::string, Service> &RoutingTable::services() const
+{
+    return services_;
+}
+
 const std::vector<Route> &RoutingTable::routes() const
 {
     return routes_;
--- a/src/gateway/routingtable.h
+++ b/src/gateway/routingtable.h
@@ -89,6 +89,7 @@
     const Route *find(const std::string &host, const std::string &path) const;
     const Service *service(const std::string &name) const;
     const std::vector<Route> &routes() const;
+    const std::map<std::string, Service> &services() const;
 
 private:
     std::uint64_t version_;
--- /dev/null
+++ b/test/gateway/cachediscovery.cpp
@@ -0,0 +1,77 @@
+#include "gateway/cachediscovery.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace filbertgw::test {
+
+namespace {
+
+struct DiscoveryRig
+{
+    DiscoveryRig()
+    {
+        for (const char *id : {"e0", "e1"}) {
+            Endpoint endpoint;
+            endpoint.id_ = id;
+            endpoints_.push_back(endpoint);
+        }
+        engines_ = {&endpoints_[0], &endpoints_[1]};
+    }
+
+    CacheDiscoveryHooks hooks()
+    {
+        CacheDiscoveryHooks hooks;
+        hooks.now_ = [this] { return now_; };
+        hooks.list_ = [this](const Endpoint &endpoint, const auto &done) {
+            asked_.push_back(endpoint.id_);
+            done({PromptPart{"part-of-" + endpoint.id_, 100}});
+        };
+        hooks.onPart_ = [this](const std::string &endpoint, const PromptPart &part) {
+            known_.push_back(endpoint + ' ' + part.id_);
+        };
+        hooks.logEvent_ = [](const std::string &, const nlohmann::json &) {};
+        return hooks;
+    }
+
+    Time now_{std::chrono::seconds(100)};
+    std::vector<Endpoint> endpoints_;
+    std::vector<const Endpoint *> engines_;
+    std::vector<std::string> asked_;
+    std::vector<std::string> known_;
+    CacheDiscovery discovery_{hooks(), CacheDiscoverySettings()};
+};
+
+} // namespace
+
+// Guards against contexts that are read again after a restart, and against calls that delay an engine more than once.
+TEST(CacheDiscovery, AsksEachEngineOnce)
+{
+    DiscoveryRig rig;
+    rig.discovery_.ask(rig.engines_);
+    rig.discovery_.ask(rig.engines_);
+    EXPECT_EQ(rig.asked_, (std::vector<std::string>{"e0", "e1"}));
+    EXPECT_EQ(rig.known_, (std::vector<std::string>{"e0 part-of-e0", "e1 part-of-e1"}));
+}
+
+// Guards against calls to each engine that is added or restarted later, whose use the node sees itself.
+TEST(CacheDiscovery, AsksOnlySoonAfterTheStart)
+{
+    DiscoveryRig rig;
+    rig.now_ += std::chrono::seconds(10);
+    rig.discovery_.ask(rig.engines_);
+    EXPECT_TRUE(rig.asked_.empty());
+}
+
+// Guards against a crash where there is no way to ask.
+TEST(CacheDiscovery, DoesNothingWithoutAWayToAsk)
+{
+    DiscoveryRig rig;
+    CacheDiscoveryHooks hooks = rig.hooks();
+    hooks.list_ = nullptr;
+    CacheDiscovery discovery(std::move(hooks), CacheDiscoverySettings());
+    discovery.ask(rig.engines_);
+    EXPECT_TRUE(rig.known_.empty());
+}
+
+} // namespace filbertgw::test
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -302,4 +302,39 @@
     EXPECT_EQ(decodeRecords("short", 0).status_, StoreStatus::Unknown);
 }
 
+/** \brief Answers to the question which prompt parts an engine keeps. */
+struct CacheListCase
+{
+    const char *name_;
+    const char *body_;
+    std::size_t parts_;
+};
+
+class CacheListAnswer : public testing::TestWithParam<CacheListCase>
+{
+};
+
+// Guards against an engine's malformed answer that ends the node, or that is taken for a part.
+TEST_P(CacheListAnswer, GivesItsParts)
+{
+    const std::vector<PromptPart> parts = decodeCacheList(GetParam().body_);
+    ASSERT_EQ(parts.size(), GetParam().parts_);
+    if (!parts.empty()) {
+        EXPECT_EQ(parts.front().id_, "ab12");
+        EXPECT_EQ(parts.front().tokens_, 640U);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    CacheListAnswer,
+    testing::Values(
+        CacheListCase{"Whole", R"({"epoch":1,"next":9,"held":[["","ab12",640,"m"],["","cd34",16,"m"]]})", 2},
+        CacheListCase{"BadEntries", R"({"held":[["","ab12",640,"m"],["","x",-3,"m"],["x"],7,["",5,5,"m"]]})", 1},
+        CacheListCase{"Empty", R"({"epoch":1,"next":0,"held":[]})", 0},
+        CacheListCase{"NoList", R"({"held":{}})", 0},
+        CacheListCase{"Torn", R"({"held":[["","ab12")", 0},
+        CacheListCase{"NoJson", "\xff\x00", 0}),
+    [](const testing::TestParamInfo<CacheListCase> &info) { return info.param.name_; });
+
 } // namespace filbertgw::platform
