Estimate how long engines keep a context

Cause: a context counted as gone after 6 s without use, whatever memory an engine has and however much is read; after an outage of 7 s all programs were placed as if they had none. Change: CacheModel takes the time in which the memory that running requests leave free is filled at the present rate of reading; the fixed 6 s hold only until that can be estimated.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -37,6 +37,8 @@
     , random_(std::move(random))
     , settings_(settings)
     , engines_(settings.engines_)
+    , caches_(now_, settings.caches_)
+    , retention_(settings.partMemory_)
 {
 }
 
@@ -49,6 +51,9 @@
     double least = 0.0;
     const Time now = now_();
     const bool isEngine = service != nullptr && service->engine_;
+    if (isEngine) {
+        retention_ = retention(candidates, *service);
+    }
     for (const Endpoint *candidate : candidates) {
         if (excluded.count(candidate->id_) > 0) {
             continue;
@@ -100,6 +105,18 @@
     return work * (1.0 + 0.5 * running / slots + 2.0 * queued / slots);
 }
 
+Duration Placement::retention(const std::vector<const Endpoint *> &engines, const Service &service) const
+{
+    CacheLoad load;
+    load.cacheTokens_ = service.engine_->cacheTokens_;
+    load.engines_ = static_cast<double>(engines.size());
+    load.nodes_ = static_cast<double>(peers_.size() + 1);
+    for (const Endpoint *engine : engines) {
+        load.running_ += running(engine->id_);
+    }
+    return caches_.retention(service.name_, load, settings_.partMemory_);
+}
+
 std::uint64_t Placement::unreadTokens(const Load &load, const GatewayRequest &request) const
 {
     const Time now = now_();
@@ -111,7 +128,7 @@
             const bool shared = &part != &request.prompt_.back();
             const auto use = load.parts_.find(part.id_);
             const bool isKept = use != load.parts_.end()
-                && now - use->second.used_ <= (shared ? settings_.sharedPartMemory_ : settings_.partMemory_);
+                && now - use->second.used_ <= (shared ? settings_.sharedPartMemory_ : retention_);
             kept = isKept ? std::min(part.tokens_, use->second.tokens_) : 0;
             cached = kept == part.tokens_;
         }
@@ -134,6 +151,9 @@
 {
     Load &load = loads_[endpoint.id_];
     const RequestStart start{unreadTokens(load, request), running(endpoint.id_)};
+    if (!request.prompt_.empty()) {
+        caches_.observe(endpoint.service_, start.unread_, request.prompt_.back().tokens_);
+    }
     ++load.own_;
     if (!load.idle_.empty()) {
         load.idle_.pop_back();
@@ -153,7 +173,7 @@
     if (load.parts_.size() > internal::partsPerEndpoint) {
         load.announced_.clear();
         for (auto part = load.parts_.begin(); part != load.parts_.end();) {
-            part = now - part->second.used_ > settings_.partMemory_ ? load.parts_.erase(part) : std::next(part);
+            part = now - part->second.used_ > retention_ ? load.parts_.erase(part) : std::next(part);
         }
     }
     return start;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_PLACEMENT_H
 #define FILBERTGW_GATEWAY_PLACEMENT_H
 
+#include "gateway/cachemodel.h"
 #include "gateway/enginemodel.h"
 #include "gateway/gatewaytypes.h"
 #include "gateway/routingtable.h"
@@ -15,7 +16,8 @@
 struct PlacementSettings
 {
     EngineModelSettings engines_;
-    Duration partMemory_{6'000'000}; ///< How long an engine is taken to keep a part that nobody uses.
+    CacheModelSettings caches_;
+    Duration partMemory_{6'000'000}; ///< How long an engine is taken to keep a part until that can be estimated.
     Duration sharedPartMemory_{30'000'000}; ///< The same for a part that several sessions use.
     Duration announcedReading_{5'000}; ///< Parts that take an engine so long to read are told to other nodes.
     Duration announceAgain_{5'000'000}; ///< A part in steady use is told again after this.
@@ -117,6 +119,8 @@
     engineCost(const Load &load, const Endpoint &endpoint, const Service &service, const GatewayRequest &request) const;
     double serviceCost(const Load &load, const Endpoint &endpoint) const;
     bool isWorthTelling(const Endpoint &endpoint, std::uint64_t tokens) const;
+    /** \brief How long an engine among these keeps a part that nobody uses. */
+    Duration retention(const std::vector<const Endpoint *> &engines, const Service &service) const;
     std::uint64_t unreadTokens(const Load &load, const GatewayRequest &request) const;
     double noise();
     bool hasIdleConnection(const Load &load, Time now) const;
@@ -126,6 +130,8 @@
     RandomSource random_;
     PlacementSettings settings_;
     EngineModel engines_;
+    CacheModel caches_;
+    Duration retention_; ///< As of the last choice of an engine.
     std::unordered_map<std::string, Load> loads_;
     std::vector<ReadPart> readParts_; ///< To be told to other nodes.
     std::unordered_map<std::string, PeerLoad> peers_;
