Play loads against the gateway's decisions in virtual time

Cause: placement, admission and what is learned were tested one by one; no test played a burst, an overload or a high load and counted the programs that are in time. Change: DecisionWorld drives Placement, PaceTracker and Admission of several nodes before engines with batches, prompt reading and prompt caches.

--- /dev/null
+++ b/test/gateway/decisionworld.h
@@ -0,0 +1,102 @@
+#ifndef FILBERTGW_TEST_GATEWAY_DECISIONWORLD_H
+#define FILBERTGW_TEST_GATEWAY_DECISIONWORLD_H
+
+#include "fakes/eventqueue.h"
+#include "gateway/admission.h"
+#include "gateway/pacetracker.h"
+#include "gateway/placement.h"
+
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace filbertgw::test {
+
+/** \brief A deployment and its load. */
+struct WorldSettings
+{
+    std::size_t nodes_ = 8;
+    std::size_t engines_ = 10;
+    std::uint32_t slots_ = 64;
+    std::uint64_t cacheTokens_ = 280'000;
+    EngineFigures figures_{5.0, 0.03, 0.02}; ///< What the engines really do.
+    double programsPerSecond_ = 15.0;
+    double turns_ = 5.0; ///< Of a program, in the mean.
+    std::uint64_t newTokens_ = 900; ///< That each turn adds to the prompt.
+    std::uint64_t outputTokens_ = 33;
+    Duration pause_{150'000}; ///< Between the turns of a program.
+    double aim_ = 2.7; ///< Time that a program has, in parts of its time on idle engines.
+    double burst_ = 1.0; ///< Factor of the load from burstFrom_ to burstTo_.
+    Time burstFrom_{0};
+    Time burstTo_{0};
+    bool admits_ = false; ///< New programs are refused if Admission says so.
+    std::uint64_t seed_ = 1;
+};
+
+/** \brief Programs that arrived within a time. */
+struct WorldResult
+{
+    int asked_ = 0;
+    int inTime_ = 0;
+    int refused_ = 0;
+
+    double shareInTime() const
+    {
+        return asked_ > 0 ? static_cast<double>(inTime_) / asked_ : 1.0;
+    }
+};
+
+/**
+ * \brief The gateway's own decisions in virtual time before engines with batches, prompt reading and prompt caches.
+ *
+ * Each node has a Placement, a PaceTracker and an Admission; nodes tell each other their load every 100 ms.
+ */
+class DecisionWorld
+{
+public:
+    explicit DecisionWorld(WorldSettings settings);
+    ~DecisionWorld();
+
+    /** \brief Lets programs arrive until this time, and runs until all have ended or given up. */
+    void run(Time until);
+    WorldResult arrivedWithin(Time from, Time to) const;
+    /** \brief Prompt tokens that the engines have read. */
+    std::uint64_t tokensRead() const;
+
+private:
+    struct Node;
+    struct Engine;
+    struct Program;
+    struct Turn;
+
+    void arrive();
+    void beginTurn(const std::shared_ptr<Program> &program);
+    bool admit(Node &node, Program &program);
+    void place(Node &node, const std::shared_ptr<Program> &program);
+    void step(Engine &engine);
+    Duration readChunk(Engine &engine);
+    void generate(Engine &engine);
+    void endTurn(Turn &turn);
+    void exchangeReports();
+    double runningPerEngine(const Node &node) const;
+    double uniform();
+
+    WorldSettings settings_;
+    bench::EventQueue queue_;
+    std::mt19937_64 random_;
+    Service service_;
+    std::vector<Endpoint> endpoints_;
+    std::vector<const Endpoint *> candidates_;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::vector<std::unique_ptr<Engine>> engines_;
+    std::vector<std::shared_ptr<Program>> programs_;
+    Time until_{0};
+    std::uint64_t tokensRead_ = 0;
+};
+
+} // namespace filbertgw::test
+
+#endif
