Move the answer of a call into a file of its own

Change: gatewayanswer.cpp has what follows the first byte of an endpoint's answer; core/numbers.h has the conversions.

--- a/src/gateway/enginemodel.cpp
+++ b/src/gateway/enginemodel.cpp
@@ -1,5 +1,7 @@
 #include "gateway/enginemodel.h"
 
+#include "core/numbers.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -34,11 +36,6 @@
     return static_cast<std::size_t>(std::log2(1.0 + std::max(0.0, others)));
 }
 
-double milliseconds(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 } // namespace
 } // namespace internal
 
@@ -57,8 +54,8 @@
 {
     RejectedObservation reason = RejectedObservation::NoTokens;
     if (tokens > 0) {
-        const double each = internal::milliseconds(time) / static_cast<double>(tokens);
-        if (time > Duration{0} && each >= internal::leastStepMs && each <= internal::milliseconds(longest)) {
+        const double each = toMilliseconds(time) / static_cast<double>(tokens);
+        if (time > Duration{0} && each >= internal::leastStepMs && each <= toMilliseconds(longest)) {
             return true;
         }
         reason = time > Duration{0} ? RejectedObservation::Absurd : RejectedObservation::NoTime;
@@ -73,7 +70,7 @@
     if (!accept(tokens, time, settings_.longestToken_)) {
         return;
     }
-    const double observed = internal::milliseconds(time) / static_cast<double>(tokens);
+    const double observed = toMilliseconds(time) / static_cast<double>(tokens);
     ServiceModel &model = modelOf(service);
     noteFaster(model, observed < internal::fasterPart * model.figures_.stepMs(others));
     model.steps_.add(internal::stratumOf(others), RegressionSample{others, 0.0, observed});
@@ -91,7 +88,7 @@
     }
     ServiceModel &model = modelOf(service);
     model.reads_.add(internal::stratumOf(others),
-                     RegressionSample{static_cast<double>(unread), others, internal::milliseconds(time)});
+                     RegressionSample{static_cast<double>(unread), others, toMilliseconds(time)});
     noteSample(model);
 }
 
--- /dev/null
+++ b/src/gateway/gatewayanswer.cpp
@@ -0,0 +1,249 @@
+#include "gateway/gatewaycall.h"
+
+#include "core/numbers.h"
+
+#include <array>
+#include <cstdio>
+
+// The second half of a call: from the first byte of an endpoint's answer to the last one for the client.
+namespace filbertgw::internal {
+
+namespace {
+
+/** Events over which the pace of a stream is measured. */
+constexpr std::uint64_t eventsPerObservation = 3;
+
+std::string secondsText(Duration duration)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f", toSeconds(duration));
+    return text.data();
+}
+
+} // namespace
+
+/** Sets the endpoint's headers on the answer. \return the content type, which goes with the status. */
+std::string GatewayCall::passOnHeaders()
+{
+    std::string contentType;
+    for (const std::pair<const std::string, std::string> &header : head_.headers_) {
+        if (header.first == "content-type") {
+            contentType = header.second;
+        } else {
+            reply_->setHeader(header.first, header.second);
+        }
+    }
+    return contentType;
+}
+
+void GatewayCall::startRelay()
+{
+    step_ = Step::Relaying;
+    const std::string contentType = passOnHeaders();
+    reply_->startStream(head_.status_, contentType);
+}
+
+void GatewayCall::partArrived(const std::string &part)
+{
+    if (step_ == Step::Running) {
+        answer_ += part;
+        if (answer_.size() > gateway_->settings_.answerBytes_) {
+            gateway_->hooks_.cancelAttempt_(attempt_);
+            leaveEndpoint();
+            refuse(RefusalReason::OutcomeUnknown);
+        }
+        return;
+    }
+    if (step_ != Step::Relaying) {
+        return;
+    }
+    if (!splitter_.add(part) || !relayEvents()) {
+        gateway_->hooks_.cancelAttempt_(attempt_);
+        attemptEnded(AttemptEnd::Broken);
+    }
+}
+
+/** Passes whole events on. \return false if the stream is not the one that is expected. */
+bool GatewayCall::relayEvents()
+{
+    StreamEvent event;
+    const Time now = gateway_->hooks_.now_();
+    while (splitter_.next(event)) {
+        reply_->write(event.bytes_);
+        if (!event.id_.empty()) {
+            lastEventId_ = event.id_;
+        }
+        if (retainsTurn()) {
+            output_ += event.data_;
+            output_ += '\n';
+        }
+        ++events_;
+        if (attemptEvents_++ == 0) {
+            firstEventAt_ = now;
+            gateway_->hooks_.observe_("first_event_seconds", now - arrived_);
+            noteFirstEvent(now);
+        }
+        observePace(now);
+    }
+    return true;
+}
+
+/** Tells the model of the engine how long it took to begin; a stream that goes on elsewhere has other work there. */
+void GatewayCall::noteFirstEvent(Time now)
+{
+    if (service_ != nullptr && service_->engine_ && events_ == attemptEvents_ && request_->lastEventId_.empty()) {
+        gateway_->placement_.observeFirstEvent(serviceName_, start_, now - sentAt_);
+    }
+}
+
+/** Reports the pace of the endpoint while the stream runs: an engine that has turned slow is known within few events.
+ */
+void GatewayCall::observePace(Time now)
+{
+    if (service_ == nullptr || !service_->engine_) {
+        return;
+    }
+    if (attemptEvents_ == 1) {
+        pacedEvents_ = 1;
+        pacedAt_ = now;
+    } else if (attemptEvents_ - pacedEvents_ >= eventsPerObservation) {
+        const std::uint64_t tokens = (attemptEvents_ - pacedEvents_) * service_->engine_->tokensPerEvent_;
+        gateway_->placement_.observeTokens(serviceName_, endpoint_, tokens, now - pacedAt_);
+        pacedEvents_ = attemptEvents_;
+        pacedAt_ = now;
+    }
+}
+
+void GatewayCall::passOnAnswer()
+{
+    const std::string contentType = passOnHeaders();
+    reply_->send(head_.status_, contentType, answer_);
+    end(head_.status_ / 100 == 2 ? "served" : "endpoint_error");
+}
+
+void GatewayCall::streamComplete()
+{
+    if (!retainsTurn() || request_->conversations_.empty()) {
+        reply_->finish();
+        end("served");
+        return;
+    }
+    step_ = Step::Storing;
+    RetainedTurn turn;
+    turn.id_ = request_->id_;
+    turn.previous_ = request_->previousTurn_;
+    turn.text_ = request_->body_ + output_;
+    turn.retention_ = route_->retention_;
+    if (!gateway_->turns_.fits(turn.text_.size())) {
+        abortAnswer("turn_too_large");
+        return;
+    }
+    storing_ = gateway_->turns_.store(
+        request_->conversations_.front(), std::move(turn), [self = shared_from_this()] { self->turnDurable(); });
+}
+
+void GatewayCall::turnDurable()
+{
+    storing_ = 0;
+    if (step_ == Step::Storing) {
+        reply_->finish();
+        end("served");
+    }
+}
+
+void GatewayCall::refuse(RefusalReason reason)
+{
+    if (step_ == Step::Ended) {
+        return;
+    }
+    const int status = statusOf(reason);
+    if (step_ == Step::Relaying) {
+        abortAnswer("no_endpoint_to_resume");
+        return;
+    }
+    if (status == 503) {
+        const Duration after =
+            gateway_->retryAfter_.retryAfter(reason, gateway_->isStoreAway(), drawFrom(gateway_->hooks_.random_));
+        reply_->setHeader("Retry-After", secondsText(after));
+    }
+    reply_->send(status, "application/json", "{\"error\":\"" + std::string(nameOf(reason)) + "\"}");
+    end(std::string(nameOf(reason)).c_str());
+}
+
+/** Closes the connection, so that the answer is visibly incomplete. */
+void GatewayCall::abortAnswer(const char *why)
+{
+    reply_->abort();
+    end(why);
+}
+
+void GatewayCall::clientLeft()
+{
+    if (step_ == Step::Ended) {
+        return;
+    }
+    end("client_left");
+}
+
+void GatewayCall::timedOut()
+{
+    timer_ = 0;
+    if (step_ == Step::Ended) {
+        return;
+    }
+    if (step_ == Step::Relaying || step_ == Step::Storing) {
+        abortAnswer("timed_out_midway");
+        return;
+    }
+    refuse(runs_ > 0 || !endpoint_.empty() ? RefusalReason::TimedOut : RefusalReason::EndpointsFull);
+}
+
+void GatewayCall::settleBudget()
+{
+    const std::uint64_t each = service_ != nullptr && service_->engine_ ? service_->engine_->tokensPerEvent_ : 1;
+    gateway_->budget_.settle(grant_, events_ * each);
+    grant_ = BudgetGrant();
+}
+
+void GatewayCall::end(const char *outcome)
+{
+    const std::shared_ptr<GatewayCall> self = shared_from_this();
+    step_ = Step::Ended;
+    if (timer_ != 0) {
+        gateway_->hooks_.cancelTimer_(timer_);
+    }
+    if (!endpoint_.empty()) {
+        gateway_->hooks_.cancelAttempt_(attempt_);
+    }
+    const std::string endpoint = endpoint_;
+    leaveEndpoint();
+    if (storing_ != 0) {
+        gateway_->turns_.abandon(storing_);
+    }
+    settleBudget();
+    reply_->onClosed(nullptr);
+    const Duration took = gateway_->hooks_.now_() - arrived_;
+    gateway_->hooks_.count_("requests_total", outcome);
+    gateway_->hooks_.observe_("request_seconds", took);
+    gateway_->hooks_.logEvent_("request_ended",
+                               {{"request", request_->id_},
+                                {"program", request_->program_},
+                                {"route", route_ != nullptr ? route_->name_ : ""},
+                                {"outcome", outcome},
+                                {"endpoint", lastEndpoint_},
+                                {"first_ms", firstEventAt_ > Time{0} ? toMilliseconds(firstEventAt_ - arrived_) : 0.0},
+                                {"sent_ms", sends_ > 0 ? toMilliseconds(sentAt_ - arrived_) : 0.0},
+                                {"status", head_.status_},
+                                {"sends", sends_},
+                                {"unread", start_.unread_},
+                                {"others", start_.others_},
+                                {"runs", runs_},
+                                {"events", events_},
+                                {"budget", request_->tokenBudget_.value_or(0)},
+                                {"main_line", request_->session_ == request_->program_},
+                                {"most_tokens", request_->maxOutputTokens_},
+                                {"ms", toMilliseconds(took)}});
+    gateway_->calls_.erase(self);
+}
+
+} // namespace filbertgw::internal
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -55,7 +55,8 @@
     void afterFailure(AttemptEnd end);
     bool mayRunAgain() const;
 
-    // The answer.
+    // The answer, in gatewayanswer.cpp.
+    std::string passOnHeaders();
     void startRelay();
     bool relayEvents();
     void noteFirstEvent(Time now);
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -1,5 +1,7 @@
 #include "gateway/placement.h"
 
+#include "core/numbers.h"
+
 #include <algorithm>
 
 namespace filbertgw {
@@ -24,11 +26,6 @@
     value = value == 0.0 ? observed : value + newWeight * (observed - value);
 }
 
-double milliseconds(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 } // namespace
 } // namespace internal
 
@@ -144,7 +141,7 @@
 
 double Placement::noise()
 {
-    return internal::noisePart * static_cast<double>(random_() >> 11) / static_cast<double>(1ULL << 53);
+    return internal::noisePart * drawFrom(random_);
 }
 
 RequestStart Placement::started(const Endpoint &endpoint, const GatewayRequest &request)
@@ -182,7 +179,7 @@
 bool Placement::isWorthTelling(const Endpoint &endpoint, std::uint64_t tokens) const
 {
     const EngineFigures figures = engines_.figures(endpoint.service_, endpoint.id_);
-    return static_cast<double>(tokens) * figures.readTokenMs_ >= internal::milliseconds(settings_.announcedReading_);
+    return static_cast<double>(tokens) * figures.readTokenMs_ >= toMilliseconds(settings_.announcedReading_);
 }
 
 void Placement::ended(const std::string &endpoint)
@@ -223,7 +220,7 @@
 
 void Placement::observeService(const std::string &endpoint, Duration time)
 {
-    internal::average(loads_[endpoint].serviceMs_, internal::milliseconds(time));
+    internal::average(loads_[endpoint].serviceMs_, toMilliseconds(time));
 }
 
 void Placement::failed(const std::string &endpoint)
