Count the observations of an engine instead of copying them

Cause: each observation copied all samples that count, to see whether they are the first few. Change: a counter.

--- a/src/gateway/enginemodel.cpp
+++ b/src/gateway/enginemodel.cpp
@@ -149,8 +149,7 @@
 void EngineModel::noteSample(ServiceModel &model) const
 {
     // The first observations count at once.
-    if (++model.sinceFit_ >= settings_.refitAfter_
-        || model.steps_.size() + model.reads_.size() < settings_.refitAfter_) {
+    if (++model.sinceFit_ >= settings_.refitAfter_ || ++model.samples_ < settings_.refitAfter_) {
         model.sinceFit_ = 0;
         refit(model);
     }
--- a/src/gateway/enginemodel.h
+++ b/src/gateway/enginemodel.h
@@ -102,6 +102,7 @@
 
         TrimmedRegression steps_; ///< Milliseconds a token, by other requests.
         TrimmedRegression reads_; ///< Milliseconds to the first event, by unread tokens and other requests.
+        std::size_t samples_ = 0; ///< Since the service is known.
         std::size_t sinceFit_ = 0;
         double faster_ = 0.0; ///< Share of the newest tokens that were much faster than the figures say.
         EngineFigures figures_;
