Tell all nodes of a large fleet where contexts lie

Cause: a report goes to 24 nodes in turn, but the prompt parts in it were said once, so that of 73 nodes a third heard of each; a node that joined took the parts of a report for itself alone. Fleets of up to 25 nodes are not affected.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 
 namespace filbertgw {
@@ -41,6 +42,8 @@
     void takeRecord(const KeyedRecord &record);
     void sendReports();
     void answerIntroduction(const std::string &name, const nlohmann::json &report);
+    NodeReport currentReport();
+    std::size_t rounds(std::size_t nodes) const;
     std::string encode(const NodeReport &report) const;
     Duration aliveFor() const;
     bool isAlive(const internal::KnownNode &node) const;
@@ -53,6 +56,7 @@
     std::unique_ptr<StreamTail> tail_;
     std::map<std::string, internal::KnownNode> nodes_; ///< Without this one.
     std::size_t nextTarget_ = 0; ///< Index of the next node that is reported to.
+    std::deque<std::vector<ReadPart>> readParts_; ///< Of each report that some nodes have not got yet, the newest last.
     Time started_{0};
     Time listed_{0}; ///< When the list of nodes was complete for the first time.
     bool stopped_ = false;
@@ -106,7 +110,25 @@
     internal::KnownNode &node = nodes_[name];
     node.member_ = FleetMember{name, report["d"].get<std::string>(), report["u"].get<std::string>()};
     node.learned_ = hooks_.now_();
-    hooks_.sendDatagram_(node.member_.datagramAddress_, encode(hooks_.report_()));
+    hooks_.sendDatagram_(node.member_.datagramAddress_, encode(currentReport()));
+}
+
+/** Reports that it takes until each of so many nodes has got one. */
+std::size_t Fleet::Private::rounds(std::size_t nodes) const
+{
+    return (nodes + settings_.reportTargets_ - 1) / settings_.reportTargets_;
+}
+
+/** What this node says now; parts are said again until all nodes have heard of them. */
+NodeReport Fleet::Private::currentReport()
+{
+    NodeReport report = hooks_.report_();
+    readParts_.push_back(std::move(report.readParts_));
+    report.readParts_.clear();
+    for (const std::vector<ReadPart> &parts : readParts_) {
+        report.readParts_.insert(report.readParts_.end(), parts.begin(), parts.end());
+    }
+    return report;
 }
 
 std::string Fleet::Private::encode(const NodeReport &report) const
@@ -150,7 +172,10 @@
         }
     }
     if (!targets.empty()) {
-        const std::string datagram = encode(hooks_.report_());
+        while (readParts_.size() >= rounds(targets.size())) {
+            readParts_.pop_front();
+        }
+        const std::string datagram = encode(currentReport());
         const std::size_t count = std::min(targets.size(), settings_.reportTargets_);
         for (std::size_t i = 0; i < count; ++i) {
             hooks_.sendDatagram_(targets[(nextTarget_ + i) % targets.size()]->member_.datagramAddress_, datagram);
--- a/test/gateway/calls.cpp
+++ b/test/gateway/calls.cpp
@@ -220,4 +220,31 @@
     EXPECT_EQ(rig.nodes_[0]->state()["peers_alive"], nodes - 2);
 }
 
+// Guards against contexts that are read again because only some nodes of a large fleet were told where they lie.
+TEST(Fleet, AllNodesOfALargeFleetLearnWhereAContextLies)
+{
+    constexpr std::size_t nodes = 60;
+    GatewayRig rig(nodes, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 20);
+    rig.run(std::chrono::seconds(2));
+    std::string engine;
+    for (std::size_t node = 0; node < nodes; ++node) {
+        GatewayRequest request = turn("t" + std::to_string(node), "p" + std::to_string(node), "line");
+        request.prompt_ = {PromptPart{"context", 8'000}};
+        request.expectedOutputTokens_ = 30;
+        const std::size_t attempt = rig.attempts_.size();
+        rig.send(node, request);
+        rig.run(moment);
+        ASSERT_EQ(rig.attempts_.size(), attempt + 1);
+        if (node == 0) {
+            engine = rig.attempts_[attempt].attempt_.endpoint_;
+        }
+        EXPECT_EQ(rig.attempts_[attempt].attempt_.endpoint_, engine) << "node " << node;
+        rig.stream(attempt, {"a"}, true);
+        if (node == 0) {
+            rig.run(std::chrono::seconds(1));
+        }
+    }
+}
+
 } // namespace filbertgw::test
