Bound what is believed of engines' caches; pass absurd prompts over

Cause, found by reading the change: a node without requests of its own kept every part that others told (about 500 a second at 73 VMs, never dropped); an engine that restarts under its id was still taken to keep its contexts; a client that claims 2^64 prompt tokens moved the fit of all engines and the size of an ordinary request. Change: the oldest parts of an engine go beyond 2,000, also those told by others; a new start of an engine forgets its parts; prompts beyond 20 million tokens are passed over and counted. Measured: three tests.

--- a/src/gateway/cachemodel.cpp
+++ b/src/gateway/cachemodel.cpp
@@ -19,6 +19,9 @@
 
 void CacheModel::observe(const std::string &service, std::uint64_t unread, std::uint64_t context)
 {
+    if (unread > settings_.longestPrompt_ || context > settings_.longestPrompt_) {
+        return;
+    }
     Observed &observed = observed_[service];
     observed.unread_ = faded(observed) + static_cast<double>(unread);
     observed.at_ = now_();
--- a/src/gateway/cachemodel.h
+++ b/src/gateway/cachemodel.h
@@ -15,6 +15,7 @@
     double contextWeight_ = 0.05; ///< Weight of a request in the size of an ordinary context.
     /** Part of the calculated time that is relied upon: engines fill unevenly. */
     double reliedPart_ = 0.7;
+    std::uint64_t longestPrompt_ = 20'000'000; ///< Tokens; a request that claims more teaches nothing.
     Duration least_{2'000'000};
     Duration most_{60'000'000};
 };
--- a/src/gateway/enginemodel.cpp
+++ b/src/gateway/enginemodel.cpp
@@ -64,6 +64,15 @@
     return false;
 }
 
+bool EngineModel::acceptPrompt(std::uint64_t unread)
+{
+    if (unread <= settings_.longestPrompt_) {
+        return true;
+    }
+    ++rejected_[static_cast<std::size_t>(RejectedObservation::AbsurdPrompt)];
+    return false;
+}
+
 void EngineModel::observeTokens(
     const std::string &service, const std::string &endpoint, double others, std::uint64_t tokens, Duration time)
 {
@@ -83,7 +92,7 @@
 
 void EngineModel::observeFirstEvent(const std::string &service, double others, std::uint64_t unread, Duration time)
 {
-    if (!accept(1, time, settings_.longestRead_)) {
+    if (!acceptPrompt(unread) || !accept(1, time, settings_.longestRead_)) {
         return;
     }
     ServiceModel &model = modelOf(service);
@@ -94,7 +103,7 @@
 
 void EngineModel::observeSize(const std::string &service, std::uint64_t unread, std::uint64_t tokens)
 {
-    if (tokens == 0) {
+    if (tokens == 0 || !acceptPrompt(unread)) {
         return;
     }
     ServiceModel &model = modelOf(service);
--- a/src/gateway/enginemodel.h
+++ b/src/gateway/enginemodel.h
@@ -34,15 +34,17 @@
     NoTokens, ///< It covers no token.
     NoTime, ///< The time is 0 or negative, as after a step of the clock.
     Absurd, ///< No engine is so slow, or so fast.
+    AbsurdPrompt, ///< No engine holds such a prompt.
 };
 
 template<>
 struct NameTable<RejectedObservation>
 {
-    static constexpr std::array<std::pair<RejectedObservation, std::string_view>, 3> entries{{
+    static constexpr std::array<std::pair<RejectedObservation, std::string_view>, 4> entries{{
         {RejectedObservation::NoTokens, "no_tokens"},
         {RejectedObservation::NoTime, "no_time"},
         {RejectedObservation::Absurd, "absurd"},
+        {RejectedObservation::AbsurdPrompt, "absurd_prompt"},
     }};
 };
 
@@ -59,6 +61,7 @@
     std::size_t refitAfter_ = 32; ///< New observations after which the figures are worked out again.
     double newWeight_ = 0.2; ///< Weight of an observation in an engine's own slowness.
     double sizeWeight_ = 0.02; ///< Weight of a request in the size of an ordinary one.
+    std::uint64_t longestPrompt_ = 20'000'000; ///< Tokens; a request that claims more teaches nothing.
     Duration longestToken_{2'000'000}; ///< A token that takes longer is no measurement of the engine.
     Duration longestRead_{10'000'000}; ///< The same for the time to the first event.
 };
@@ -113,6 +116,7 @@
     };
 
     bool accept(std::uint64_t tokens, Duration time, Duration longest);
+    bool acceptPrompt(std::uint64_t unread);
     ServiceModel &modelOf(const std::string &service);
     /** \brief Drops what was observed before all engines became faster, as with another model. */
     void noteFaster(ServiceModel &model, bool isFaster) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -202,6 +202,10 @@
 
 void Gateway::updateEndpoint(const Endpoint &endpoint)
 {
+    const Endpoint *known = d_->directory_.find(endpoint.id_);
+    if (known != nullptr && known->bornMs_ != endpoint.bornMs_) {
+        d_->placement_.forgetCache(endpoint.id_);
+    }
     if (d_->directory_.update(endpoint)) {
         d_->hooks_.logEvent_(endpoint.draining_ ? "endpoint_draining" : "endpoint_learned",
                              {{"endpoint", endpoint.id_},
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -3,6 +3,7 @@
 #include "core/numbers.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace filbertgw {
 
@@ -129,7 +130,7 @@
             kept = isKept ? std::min(part.tokens_, use->second.tokens_) : 0;
             cached = kept == part.tokens_;
         }
-        unread += part.tokens_ - kept;
+        unread += std::min(part.tokens_ - kept, std::numeric_limits<std::uint64_t>::max() - unread);
     }
     return unread;
 }
@@ -167,13 +168,25 @@
             }
         }
     }
-    if (load.parts_.size() > internal::partsPerEndpoint) {
+    bound(load);
+    return start;
+}
+
+void Placement::drop(Load &load, Duration olderThan, Time now)
+{
+    for (auto part = load.parts_.begin(); part != load.parts_.end();) {
+        part = now - part->second.used_ > olderThan ? load.parts_.erase(part) : std::next(part);
+    }
+}
+
+/** Drops the parts of an endpoint that were not used for longest, if there are too many. */
+void Placement::bound(Load &load) const
+{
+    const Time now = now_();
+    for (Duration age = retention_; load.parts_.size() > internal::partsPerEndpoint; age /= 2) {
         load.announced_.clear();
-        for (auto part = load.parts_.begin(); part != load.parts_.end();) {
-            part = now - part->second.used_ > retention_ ? load.parts_.erase(part) : std::next(part);
-        }
+        drop(load, age, now);
     }
-    return start;
 }
 
 bool Placement::isWorthTelling(const Endpoint &endpoint, std::uint64_t tokens) const
@@ -252,6 +265,21 @@
     peerRunning_.erase(endpoint);
 }
 
+void Placement::forgetCache(const std::string &endpoint)
+{
+    const auto load = loads_.find(endpoint);
+    if (load != loads_.end()) {
+        load->second.parts_.clear();
+        load->second.announced_.clear();
+    }
+}
+
+std::size_t Placement::partsOf(const std::string &endpoint) const
+{
+    const auto load = loads_.find(endpoint);
+    return load == loads_.end() ? 0 : load->second.parts_.size();
+}
+
 std::vector<ReadPart> Placement::takeReadParts()
 {
     std::vector<ReadPart> result;
@@ -261,7 +289,9 @@
 
 void Placement::noteReadPart(const ReadPart &read)
 {
-    loads_[read.endpoint_].parts_[read.part_] = PartUse{now_(), read.tokens_};
+    Load &load = loads_[read.endpoint_];
+    load.parts_[read.part_] = PartUse{now_(), read.tokens_};
+    bound(load);
 }
 
 std::vector<std::pair<std::string, std::uint32_t>> Placement::ownLoad() const
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -75,6 +75,8 @@
     void succeeded(const std::string &endpoint);
     void refusedAsFull(const std::string &endpoint);
     void forget(const std::string &endpoint);
+    /** \brief Takes note that an engine has restarted under its id and keeps nothing of before. */
+    void forgetCache(const std::string &endpoint);
 
     /** \brief Prompt parts that engines have read for this node since the last call. */
     std::vector<ReadPart> takeReadParts();
@@ -91,6 +93,8 @@
     /** \brief A request that has ended with all its tokens. */
     void observeSize(const std::string &service, const RequestStart &start, std::uint64_t tokens);
     const EngineModel &engines() const;
+    /** \brief Prompt parts that an engine is taken to have read. */
+    std::size_t partsOf(const std::string &endpoint) const;
 
 private:
     /** \brief Use of a prompt part on an engine. */
@@ -118,6 +122,8 @@
     double
     engineCost(const Load &load, const Endpoint &endpoint, const Service &service, const GatewayRequest &request) const;
     double serviceCost(const Load &load, const Endpoint &endpoint) const;
+    static void drop(Load &load, Duration olderThan, Time now);
+    void bound(Load &load) const;
     bool isWorthTelling(const Endpoint &endpoint, std::uint64_t tokens) const;
     /** \brief How long an engine among these keeps a part that nobody uses. */
     Duration retention(const std::vector<const Endpoint *> &engines, const Service &service) const;
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -114,6 +114,50 @@
     EXPECT_EQ(rig.placement_.started(rig.endpoints_.back(), next).unread_, 3'700U);
 }
 
+// Guards against programs that are sent to an engine for contexts that it has lost with its restart.
+TEST(Placement, RestartedEngineHasNoContexts)
+{
+    PlacementRig rig(4);
+    GatewayRequest request;
+    request.prompt_ = {PromptPart{"line", 6'000}};
+    const Endpoint &engine = rig.endpoints_.front();
+    rig.placement_.started(engine, request);
+    rig.placement_.noteReadPart(ReadPart{engine.id_, "other", 500});
+    rig.placement_.forgetCache(engine.id_);
+    EXPECT_EQ(rig.placement_.running(engine.id_), 1U) << "what runs there is no cache";
+    EXPECT_EQ(rig.placement_.started(engine, request).unread_, 6'000U);
+}
+
+// Guards against a node without requests of its own whose memory grows with all that other nodes tell.
+TEST(Placement, WhatPeersTellOfOneEngineIsBounded)
+{
+    PlacementRig rig(1);
+    for (int i = 0; i < 20'000; ++i) {
+        rig.now_ += std::chrono::milliseconds(1);
+        rig.placement_.noteReadPart(ReadPart{"e0", "part" + std::to_string(i), 1'000});
+    }
+    EXPECT_LE(rig.placement_.partsOf("e0"), 2'001U);
+    GatewayRequest newest;
+    newest.prompt_ = {PromptPart{"part19999", 1'000}};
+    EXPECT_EQ(rig.placement_.started(rig.endpoints_.front(), newest).unread_, 0U);
+}
+
+// Guards against a request with an absurd number of prompt tokens that spoils what is learned of all engines.
+TEST(Placement, AbsurdPromptTeachesNothing)
+{
+    PlacementRig rig(1);
+    GatewayRequest ordinary;
+    ordinary.prompt_ = {PromptPart{"line", 1'000}};
+    GatewayRequest absurd;
+    absurd.prompt_ = {PromptPart{"a", ~0ULL}, PromptPart{"b", ~0ULL}};
+    const RequestStart start = rig.placement_.started(rig.endpoints_.front(), absurd);
+    rig.placement_.observeSize("engines", start, 30);
+    rig.placement_.observeFirstEvent("engines", start, std::chrono::milliseconds(20));
+    EXPECT_EQ(rig.placement_.engines().rejected(RejectedObservation::AbsurdPrompt), 2U);
+    rig.placement_.observeSize("engines", rig.placement_.started(rig.endpoints_.front(), ordinary), 30);
+    EXPECT_LT(rig.placement_.engines().stretch("engines", 4.0), 5.0);
+}
+
 /** \brief An engine whose context is known and that has more requests than another, on which all has to be read. */
 struct LocalityCase
 {
