Let the test of idle figures fail without strata

Cause: with the strata taken out KeepsTheIdleFiguresUnderLoad still passed, since the assumed batch slope was the true one. Change: a steeper true slope; the test now fails without strata. Nothing to measure.

--- a/test/gateway/enginemodel.cpp
+++ b/test/gateway/enginemodel.cpp
@@ -161,7 +161,7 @@
 TEST(EngineModel, KeepsTheIdleFiguresUnderLoad)
 {
     EngineModel model{EngineModelSettings()};
-    const EngineFigures truth{5.0, 0.05, 1.0 / 50.0};
+    const EngineFigures truth{5.0, 0.2, 1.0 / 50.0};
     SyntheticEngine engine("e0", truth);
     for (int i = 0; i < 200; ++i) {
         engine.observe(model);
