--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway.h"
 
+#include "core/numbers.h"
+
 #include "gateway/gatewaycall.h"
 #include "gateway/gatewayprivate.h"
 
@@ -146,11 +148,27 @@
     }
 }
 
+/** Logs when what other nodes have spent becomes known, or too old to count. */
+void Gateway::Private::noteLedgerState()
+{
+    const bool isCurrent = ledger_.isCurrent();
+    if (isCurrent == ledgerWasCurrent_) {
+        return;
+    }
+    ledgerWasCurrent_ = isCurrent;
+    hooks_.logEvent_(isCurrent ? "ledger_current" : "ledger_outdated",
+                     {{"reachable", ledger_.isReachable()},
+                      {"complete", ledger_.isComplete()},
+                      {"age_ms", toMilliseconds(ledger_.age())},
+                      {"programs", ledger_.programs()}});
+}
+
 void Gateway::Private::sweep()
 {
     if (ledger_.isCurrent()) {
         storeSeen_ = hooks_.now_();
     }
+    noteLedgerState();
     if (!ledger_.isReachable()) {
         pace_.reset();
     }
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -20,6 +20,7 @@
     Private(GatewayHooks hooks, GatewaySettings settings);
 
     void sweep();
+    void noteLedgerState();
     /** \brief Logs what is known of the engines, for those who ask later why a request was placed or refused. */
     void logFigures() const;
     /** \brief Load of a service by what all nodes run on it. */
@@ -50,6 +51,7 @@
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
     std::uint64_t sweeps_ = 0;
     Time storeSeen_{0}; ///< When the ledger was current last.
+    bool ledgerWasCurrent_ = false; ///< As of the last sweep.
     bool stopping_ = false;
     bool stopped_ = false;
 };
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -387,9 +387,12 @@
 
 bool ProgramLedger::isCurrent() const
 {
-    const Time now = d_->hooks_.now_();
-    return d_->tail_->isComplete() && now - d_->tail_->currentAsOf() <= d_->settings_.currentFor_
-        && !d_->awaitsRecords();
+    return d_->tail_->isComplete() && age() <= d_->settings_.currentFor_ && !d_->awaitsRecords();
+}
+
+Duration ProgramLedger::age() const
+{
+    return d_->hooks_.now_() - d_->tail_->currentAsOf();
 }
 
 bool ProgramLedger::knowsGrants() const
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -91,6 +91,8 @@
     void start();
     /** \brief True if what other nodes have spent is known up to a short time ago. */
     bool isCurrent() const;
+    /** \brief Age of what is known of other nodes' spending. */
+    Duration age() const;
     bool isComplete() const;
     /** \brief True if the node has been up for long enough to know what others were granted in an outage before. */
     bool knowsGrants() const;
