--- a/bench/fakes/fakestore.cpp
+++ b/bench/fakes/fakestore.cpp
@@ -4,6 +4,19 @@
 
 namespace filbertgw::bench {
 
+namespace internal {
+namespace {
+
+/** Bytes of a record in an answer: its value in base64, with the names of its fields. */
+std::size_t sizeOf(const KeyedRecord &record)
+{
+    constexpr std::size_t fields = 40;
+    return fields + record.key_.size() + (record.value_ ? (record.value_->size() + 2) / 3 * 4 : 0);
+}
+
+} // namespace
+} // namespace internal
+
 FakeStore::FakeStore(EventQueue &queue)
     : queue_(queue)
 {
@@ -30,13 +43,19 @@
                 queue_.after(down_ ? request.timeout_ : latency_, [done, status] { done(StoreAppended{status}); });
                 return;
             }
+            const std::optional<Duration> time = appendTime(partition(request.to_));
+            if (!time || exceeds(writes_, limits_.appendsPerSecond_)) {
+                ++overloadedCalls_;
+                queue_.after(latency_ / 2, [done] { done(StoreAppended{StoreStatus::Rejected}); });
+                return;
+            }
             const StoreAppended result = append(request);
             if (loseAnswers_ > 0) {
                 --loseAnswers_;
                 queue_.after(request.timeout_, [done] { done(StoreAppended{}); });
                 return;
             }
-            queue_.after(latency_ / 2, [done, result] { done(result); });
+            queue_.after(latency_ / 2 + *time, [done, result] { done(result); });
         });
     };
     store.read_ = [this, node](const StoreRead &request, std::function<void(const StorePage &)> done) {
@@ -47,27 +66,84 @@
     store.newest_ =
         [this, node](const PartitionId &id, const std::string &after, std::function<void(const StorePage &)> done) {
             queue_.after(latency_, [this, node, id, after, done = std::move(done)] {
-                StorePage page;
                 if (!isReachable(node)) {
+                    StorePage page;
                     page.status_ = down_ ? StoreStatus::Unknown : StoreStatus::Rejected;
                     queue_.after(down_ ? timeout_ : Duration{0}, [done, page] { done(page); });
                     return;
                 }
-                constexpr std::size_t pageRecords = 3; // Small, so that tests meet several pages.
-                const Partition &from = partition(id);
-                page.status_ = StoreStatus::Ok;
-                page.end_ = from.records_.size();
-                auto next = after.empty() ? from.newest_.begin() : from.newest_.upper_bound(after);
-                for (; next != from.newest_.end() && page.records_.size() < pageRecords; ++next) {
-                    page.records_.push_back(next->second);
-                }
-                page.more_ = next != from.newest_.end();
-                done(page);
+                sendPage(newestPage(id, after), timeout_, done);
             });
         };
     return store;
 }
 
+StorePage FakeStore::newestPage(const PartitionId &id, const std::string &after)
+{
+    StorePage page;
+    const Partition &from = partition(id);
+    page.status_ = StoreStatus::Ok;
+    page.end_ = from.records_.size();
+    std::size_t bytes = 0;
+    auto next = after.empty() ? from.newest_.begin() : from.newest_.upper_bound(after);
+    for (; next != from.newest_.end() && page.records_.size() < limits_.pageRecords_ && bytes < limits_.pageBytes_;
+         ++next) {
+        page.records_.push_back(next->second);
+        bytes += internal::sizeOf(next->second);
+    }
+    page.more_ = next != from.newest_.end();
+    return page;
+}
+
+bool FakeStore::exceeds(Rate &rate, std::uint64_t most)
+{
+    if (queue_.now() - rate.second_ >= Duration{1'000'000}) {
+        rate = Rate{queue_.now(), 0};
+    }
+    return ++rate.calls_ > most && most > 0;
+}
+
+void FakeStore::sendPage(StorePage page, Duration timeout, const std::function<void(const StorePage &)> &done)
+{
+    const Time now = queue_.now();
+    if (exceeds(reads_, limits_.readsPerSecond_) || sendingUntil_ - now > limits_.longestQueue_) {
+        ++overloadedCalls_;
+        StorePage rejected;
+        rejected.status_ = StoreStatus::Rejected;
+        done(rejected);
+        return;
+    }
+    std::size_t bytes = 0;
+    for (const KeyedRecord &record : page.records_) {
+        bytes += internal::sizeOf(record);
+    }
+    bytesRead_ += bytes;
+    if (limits_.readBytesPerSecond_ <= 0.0) {
+        done(page);
+        return;
+    }
+    const double seconds = static_cast<double>(bytes) / limits_.readBytesPerSecond_;
+    sendingUntil_ =
+        std::max(sendingUntil_, now) + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    if (sendingUntil_ - now > timeout) {
+        // The answer takes its share of what the store can send, although nobody waits for it any more.
+        ++overloadedCalls_;
+        queue_.at(now + timeout, [done] { done(StorePage{}); });
+        return;
+    }
+    queue_.at(sendingUntil_, [done, page = std::move(page)] { done(page); });
+}
+
+std::optional<Duration> FakeStore::appendTime(Partition &to)
+{
+    const Time now = queue_.now();
+    if (to.appendsUntil_ - now > limits_.longestQueue_) {
+        return std::nullopt;
+    }
+    to.appendsUntil_ = std::max(to.appendsUntil_, now) + limits_.appendTime_;
+    return to.appendsUntil_ - now;
+}
+
 StoreAppended FakeStore::append(const StoreAppend &request)
 {
     Partition &to = partition(request.to_);
@@ -139,7 +215,19 @@
         queue_.at(until, again);
         return;
     }
-    queue_.after(latency_ / 2, [done, page] { done(page); });
+    queue_.after(latency_ / 2, [this, done, page = std::move(page), timeout = request.wait_ + timeout_]() mutable {
+        sendPage(std::move(page), timeout, done);
+    });
+}
+
+std::uint64_t FakeStore::bytesRead() const
+{
+    return bytesRead_;
+}
+
+std::uint64_t FakeStore::overloadedCalls() const
+{
+    return overloadedCalls_;
 }
 
 void FakeStore::trim()
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -112,9 +112,28 @@
     return request;
 }
 
+namespace {
+
+/** Few partitions, so that a test meets several turns in one. */
+TurnStoreSettings fewPartitions()
+{
+    TurnStoreSettings settings;
+    settings.streams_ = 2;
+    settings.partitionsPerStream_ = 2;
+    return settings;
+}
+
+} // namespace
+
 GatewayRig::GatewayRig(std::size_t nodes, const std::vector<Route> &routes)
+    : GatewayRig(nodes, routes, fewPartitions())
+{
+}
+
+GatewayRig::GatewayRig(std::size_t nodes, const std::vector<Route> &routes, TurnStoreSettings turns)
     : store_(queue_)
     , routes_(routes)
+    , turns_(turns)
 {
     for (std::size_t i = 0; i < nodes; ++i) {
         nodes_.push_back(nullptr);
@@ -230,8 +249,7 @@
     GatewaySettings settings;
     const std::string name = nameOfNode(node);
     settings.ledger_.writer_ = name + '.' + std::to_string(++starts_);
-    settings.turns_.streams_ = 2;
-    settings.turns_.partitionsPerStream_ = 2;
+    settings.turns_ = turns_;
     settings.fleet_.self_ = FleetMember{name, name, name};
     nodes_[node] = std::make_unique<Gateway>(hooksOf(node), settings);
     nodes_[node]->start();
--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -40,6 +40,7 @@
 {
 public:
     explicit GatewayRig(std::size_t nodes, const std::vector<Route> &routes);
+    GatewayRig(std::size_t nodes, const std::vector<Route> &routes, TurnStoreSettings turns);
 
     /** \brief Adds endpoints named PREFIX0, PREFIX1 and so on. */
     void addEndpoints(const std::string &service, const std::string &prefix, std::size_t count);
@@ -70,6 +71,7 @@
 
     std::vector<std::shared_ptr<bool>> alive_; ///< Shared with the hooks, so that a killed node does nothing more.
     std::vector<Route> routes_;
+    TurnStoreSettings turns_;
     std::vector<Endpoint> endpoints_;
     std::mt19937_64 random_{1};
     std::uint64_t starts_ = 0;
