Let one node read each partition of kept turns for all others

Cause: a chain was found by reading a whole partition by name of the conversation, at every node anew, and an unknown turn by reading all of them. The bytes grow with turns kept times turns that go on; beyond what the store sends all reads end at their time-out, also those of budgets, configuration and registry, and reads that were given up take their share all the same. Ruled out: appends that queue up (none fails), turns that are not there (never said of one that was), the processor (--no-cpu). Change: a turn's partition follows from its id, and its record names all turns before it, so that two steps find a chain and one step says that a turn does not exist. Each partition has a holder, by rendezvous hash over the living nodes, that reads it once and then only what was appended since; others ask it over the peer link and read themselves only if it does not answer. A node reads two partitions at a time at most, with doubling pauses after failures. Nodes tell the holder of new turns. Tests: a turn is found by programs with other prompts replaces the one that named another conversation, since there are no such names any more; the decoder's test checks the prompt's parts in their place. What a node reads does not grow with the number of nodes any more.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -36,6 +36,18 @@
 } // namespace
 } // namespace internal
 
+namespace internal {
+namespace {
+
+/** Weight of a node in a rendezvous hash: of several nodes the one with the highest weight is chosen. */
+std::uint64_t weightOf(const FleetMember &member, const std::string &key)
+{
+    return stableHash(member.name_ + '/' + key);
+}
+
+} // namespace
+} // namespace internal
+
 struct Fleet::Private : std::enable_shared_from_this<Fleet::Private>
 {
     void registerSelf();
@@ -222,7 +234,7 @@
     std::optional<FleetMember> best;
     std::uint64_t highest = 0;
     const auto consider = [&best, &highest, &program](const FleetMember &member) {
-        const std::uint64_t weight = stableHash(member.name_ + '/' + program);
+        const std::uint64_t weight = internal::weightOf(member, program);
         if (!best || weight > highest) {
             best = member;
             highest = weight;
@@ -338,6 +350,20 @@
     return d_->choose(program, false, false);
 }
 
+std::optional<FleetMember> Fleet::holderOf(const std::string &state) const
+{
+    const internal::KnownNode *holder = nullptr;
+    std::uint64_t highest = internal::weightOf(d_->settings_.self_, state);
+    for (const std::pair<const std::string, internal::KnownNode> &entry : d_->nodes_) {
+        const std::uint64_t weight = internal::weightOf(entry.second.member_, state);
+        if (weight > highest && d_->isAlive(entry.second)) {
+            highest = weight;
+            holder = &entry.second;
+        }
+    }
+    return holder == nullptr ? std::nullopt : std::optional<FleetMember>(holder->member_);
+}
+
 bool Fleet::knowsNoOutage() const
 {
     if (d_->listed_ == Time{0} || d_->hooks_.now_() - d_->listed_ < d_->settings_.hearAll_) {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -78,6 +78,11 @@
     std::optional<FleetMember> homeOf(const std::string &program) const;
     /** \brief Another living node, the same for each call about a program while the same nodes live. */
     std::optional<FleetMember> witnessOf(const std::string &program) const;
+    /**
+     * \brief The living node that keeps a copy of some state for all others, by the name of the state.
+     * \return nothing if it is this one.
+     */
+    std::optional<FleetMember> holderOf(const std::string &state) const;
     /**
      * \brief True if no living node may still have to record what it granted without the store.
      *
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,7 +39,7 @@
           BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_},
           [this] { return ledger_.isReachable(); },
           fleet_)
-    , turns_(TurnStoreHooks{hooks_.now_, hooks_.after_, relayed_.access()}, settings_.turns_)
+    , turns_(turnStoreHooks(), settings_.turns_)
     , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_}, ledger_, fleet_)
     , admission_(settings_.admission_)
     , pace_(hooks_.now_, settings_.pace_)
@@ -65,6 +65,20 @@
     return load;
 }
 
+TurnStoreHooks Gateway::Private::turnStoreHooks()
+{
+    TurnStoreHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.after_ = hooks_.after_;
+    hooks.store_ = relayed_.access();
+    hooks.holderOf_ = [this](const std::string &partition) -> std::optional<std::string> {
+        const std::optional<FleetMember> holder = fleet_.holderOf(partition);
+        return holder ? std::optional<std::string>(holder->linkAddress_) : std::nullopt;
+    };
+    hooks.askPeer_ = hooks_.askPeer_;
+    return hooks;
+}
+
 CacheDiscoveryHooks Gateway::Private::cacheDiscoveryHooks()
 {
     CacheDiscoveryHooks hooks;
@@ -286,7 +300,8 @@
                             const nlohmann::json &body,
                             const std::function<void(const nlohmann::json &)> &answer)
 {
-    if (!d_->budget_.onPeerRequest(type, body, answer) && !d_->relayed_.onPeerRequest(type, body, answer)) {
+    if (!d_->budget_.onPeerRequest(type, body, answer) && !d_->relayed_.onPeerRequest(type, body, answer)
+        && !d_->turns_.onPeerRequest(type, body, answer)) {
         answer({});
     }
 }
--- a/src/gateway/gatewayanswer.cpp
+++ b/src/gateway/gatewayanswer.cpp
@@ -123,23 +123,22 @@
 
 void GatewayCall::streamComplete()
 {
-    if (!retainsTurn() || request_->conversations_.empty()) {
+    if (!retainsTurn()) {
         reply_->finish();
         end("served");
         return;
     }
     step_ = Step::Storing;
-    RetainedTurn turn;
-    turn.id_ = request_->id_;
-    turn.previous_ = request_->previousTurn_;
+    KeptTurn turn;
+    turn.ancestors_ = earlierTurns_;
     turn.text_ = request_->body_ + output_;
     turn.retention_ = route_->retention_;
-    if (!gateway_->turns_.fits(turn.text_.size())) {
+    if (!gateway_->turns_.fits(turn)) {
         abortAnswer("turn_too_large");
         return;
     }
-    storing_ = gateway_->turns_.store(
-        request_->conversations_.front(), std::move(turn), [self = shared_from_this()] { self->turnDurable(); });
+    storing_ =
+        gateway_->turns_.store(request_->id_, std::move(turn), [self = shared_from_this()] { self->turnDurable(); });
 }
 
 void GatewayCall::turnDurable()
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -133,32 +133,32 @@
         reserveBudget();
         return;
     }
-    gateway_->turns_.chain(request_->conversations_,
-                           request_->previousTurn_,
-                           [self = shared_from_this()](ChainStatus status, const std::string &text) {
-                               if (self->step_ == Step::Preparing) {
-                                   self->chainLoaded(status, text);
-                               }
-                           });
+    gateway_->turns_.chain(request_->previousTurn_, [self = shared_from_this()](const TurnChain &chain) {
+        if (self->step_ == Step::Preparing) {
+            self->chainLoaded(chain);
+        }
+    });
 }
 
-void GatewayCall::chainLoaded(ChainStatus status, const std::string &text)
+void GatewayCall::chainLoaded(const TurnChain &chain)
 {
     const Duration took = gateway_->hooks_.now_() - arrived_;
-    if (took > Duration{0} || status != ChainStatus::Found) {
+    if (took > Duration{0} || chain.status_ != ChainStatus::Found) {
         gateway_->hooks_.logEvent_("turn_chain_read",
                                    {{"request", request_->id_},
                                     {"program", request_->program_},
                                     {"previous", request_->previousTurn_},
-                                    {"status", nameOf(status)},
-                                    {"bytes", text.size()},
+                                    {"status", nameOf(chain.status_)},
+                                    {"turns", chain.turns_.size()},
+                                    {"bytes", chain.text_.size()},
                                     {"ms", toMilliseconds(took)}});
     }
-    if (status != ChainStatus::Found) {
-        refuse(status == ChainStatus::Missing ? RefusalReason::TurnMissing : RefusalReason::TurnUnknown);
+    if (chain.status_ != ChainStatus::Found) {
+        refuse(chain.status_ == ChainStatus::Missing ? RefusalReason::TurnMissing : RefusalReason::TurnUnknown);
         return;
     }
-    body_ = std::make_shared<const std::string>(text + request_->body_);
+    body_ = std::make_shared<const std::string>(chain.text_ + request_->body_);
+    earlierTurns_ = chain.turns_;
     reserveBudget();
 }
 
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -38,7 +38,7 @@
     bool beginsProgram() const;
     bool admitProgram();
     void loadChain();
-    void chainLoaded(ChainStatus status, const std::string &text);
+    void chainLoaded(const TurnChain &chain);
     void reserveBudget();
     void budgetDecided(const BudgetGrant &grant);
 
@@ -82,6 +82,7 @@
     const Service *service_ = nullptr;
     std::string serviceName_;
     std::shared_ptr<const std::string> body_;
+    std::vector<std::string> earlierTurns_; ///< Of the chain that the turn goes on from, the oldest first.
     Step step_ = Step::Preparing;
     Time arrived_{0};
     Time deadline_{0};
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -26,6 +26,7 @@
     /** \brief Load of a service by what all nodes run on it. */
     ServiceLoad loadOf(const std::string &service) const;
     FleetHooks fleetHooks();
+    TurnStoreHooks turnStoreHooks();
     CacheDiscoveryHooks cacheDiscoveryHooks();
     /** \brief Asks the engines of all services what they keep. */
     void discoverCaches();
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -42,11 +42,6 @@
     std::uint64_t expectedOutputTokens_ = 0; ///< The client's estimate; 0 for none.
     std::vector<PromptPart> prompt_;
     std::string previousTurn_; ///< Turn that this one continues from.
-    /**
-     * Names of the conversation that the turn belongs to, most likely one first: the lines of turns that continue from
-     * the same first turn share one of them, also across programs.
-     */
-    std::vector<std::string> conversations_;
     std::string lastEventId_;
     std::string affinityKey_;
 };
--- /dev/null
+++ b/src/ledger/keptturn.cpp
@@ -0,0 +1,58 @@
+#include "ledger/keptturn.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace filbertgw {
+
+std::size_t KeptTurn::bytes() const
+{
+    constexpr std::size_t fixed = 128; // The object, its key and their places in maps.
+    std::size_t bytes = fixed + text_.size();
+    for (const std::string &ancestor : ancestors_) {
+        bytes += sizeof(std::string) + ancestor.size();
+    }
+    return bytes;
+}
+
+nlohmann::json KeptTurn::toJson() const
+{
+    const std::uint64_t keepMs = static_cast<std::uint64_t>(retention_.count()) / 1'000;
+    return {
+        {"ancestors", ancestors_}, {"keep_ms", keepMs}, {"text", nlohmann::json::binary({text_.begin(), text_.end()})}};
+}
+
+std::optional<KeptTurn> KeptTurn::fromJson(const nlohmann::json &json)
+{
+    const bool isTurn = json.is_object() && json.contains("ancestors") && json["ancestors"].is_array()
+        && json.contains("keep_ms") && json["keep_ms"].is_number_unsigned() && json.contains("text")
+        && json["text"].is_binary();
+    if (!isTurn) {
+        return std::nullopt;
+    }
+    KeptTurn turn;
+    for (const nlohmann::json &ancestor : json["ancestors"]) {
+        if (!ancestor.is_string()) {
+            return std::nullopt;
+        }
+        turn.ancestors_.push_back(ancestor.get<std::string>());
+    }
+    constexpr std::uint64_t mostMs = 86'400'000; // A day.
+    turn.retention_ = std::chrono::milliseconds(std::min<std::uint64_t>(json["keep_ms"].get<std::uint64_t>(), mostMs));
+    const nlohmann::json::binary_t &text = json["text"].get_binary();
+    turn.text_.assign(text.begin(), text.end());
+    return turn;
+}
+
+std::string KeptTurn::encode() const
+{
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(toJson());
+    return {bytes.begin(), bytes.end()};
+}
+
+std::optional<KeptTurn> KeptTurn::decode(const std::string &value)
+{
+    return fromJson(nlohmann::json::from_cbor(value, true, false));
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/ledger/keptturn.h
@@ -0,0 +1,37 @@
+#ifndef FILBERTGW_LEDGER_KEPTTURN_H
+#define FILBERTGW_LEDGER_KEPTTURN_H
+
+#include "core/time.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace filbertgw {
+
+/** \brief A turn that later turns go on from, as the record store and the memories of nodes keep it. */
+struct KeptTurn
+{
+    std::vector<std::string> ancestors_; ///< Ids of the turns before it, the oldest first.
+    std::string text_; ///< What the turn adds to the prompt of the next one: its input, then its output.
+    Duration retention_{0}; ///< How long it is kept after its end.
+
+    /** \brief Approximate size in memory, in bytes. */
+    std::size_t bytes() const;
+    nlohmann::json toJson() const;
+    static std::optional<KeptTurn> fromJson(const nlohmann::json &json);
+    /** \brief Value of its record. */
+    std::string encode() const;
+    static std::optional<KeptTurn> decode(const std::string &value);
+};
+
+/** \brief Shared by the memories of a node, which never change it. */
+using KeptTurnPointer = std::shared_ptr<const KeptTurn>;
+
+} // namespace filbertgw
+
+#endif
--- /dev/null
+++ b/src/ledger/turnreplicas.cpp
@@ -0,0 +1,388 @@
+#include "ledger/turnreplicas.h"
+
+#include "core/stablehash.h"
+
+#include <algorithm>
+#include <deque>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace filbertgw {
+
+namespace internal {
+namespace {
+
+/** A turn stays readable for this long after its retention, since clocks and requests are late. */
+constexpr Duration retentionSlack{5'000'000};
+constexpr Duration sweepPeriod{1'000'000};
+constexpr std::uint32_t mostDoublings = 8;
+
+/** \brief A question that waits for a read of its partition. */
+struct Question
+{
+    std::string turn_;
+    Time deadline_{0};
+    TurnReplicas::Found found_;
+};
+
+struct ReplicaTurn
+{
+    KeptTurnPointer turn_;
+    Time expires_{0};
+};
+
+/** \brief What this node has of one partition. */
+struct Replica
+{
+    std::unordered_map<std::string, ReplicaTurn> turns_;
+    std::vector<Question> waiting_; ///< Asked since the read under way began.
+    std::vector<Question> inRead_; ///< Answered by the read under way.
+    std::uint64_t position_ = 0; ///< Offset after the last record that was read.
+    Time used_{0};
+    std::uint32_t failures_ = 0; ///< Reads that failed in a row.
+    bool loaded_ = false; ///< The newest records were read; later ones are read from position_.
+    bool queued_ = false; ///< Waits for its read, or for the end of the one under way.
+};
+
+} // namespace
+} // namespace internal
+
+struct TurnReplicas::Private : std::enable_shared_from_this<TurnReplicas::Private>
+{
+    std::uint32_t partitionOf(const std::string &turn) const;
+    PartitionId nameOf(std::uint32_t partition) const;
+    void take(internal::Replica &replica, const std::string &id, KeptTurnPointer turn);
+    void takeRecord(internal::Replica &replica, const KeyedRecord &record);
+    void erase(internal::Replica &replica, const std::string &id);
+    void enqueue(std::uint32_t partition);
+    void startReads();
+    void startRead(std::uint32_t partition);
+    void readNewest(std::uint32_t partition, const std::string &after);
+    void newestArrived(std::uint32_t partition, bool isFirst, const StorePage &page);
+    void readRecords(std::uint32_t partition);
+    void recordsArrived(std::uint32_t partition, const StorePage &page);
+    void readEnded(std::uint32_t partition, bool succeeded);
+    void answer(internal::Replica &replica);
+    void retryLater(std::uint32_t partition);
+    void expireQuestions(std::uint32_t partition);
+    void sweep();
+    void dropUnused();
+
+    TurnReplicasHooks hooks_;
+    TurnReplicasSettings settings_;
+    std::unordered_map<std::uint32_t, internal::Replica> replicas_;
+    std::deque<std::uint32_t> queue_; ///< Partitions to be read.
+    std::uint32_t reading_ = 0;
+    std::size_t bytes_ = 0;
+    bool stopped_ = false;
+};
+
+std::uint32_t TurnReplicas::Private::partitionOf(const std::string &turn) const
+{
+    return static_cast<std::uint32_t>(stableHash(turn) % (settings_.streams_ * settings_.partitionsPerStream_));
+}
+
+PartitionId TurnReplicas::Private::nameOf(std::uint32_t partition) const
+{
+    return PartitionId{"kept-turns-" + std::to_string(partition / settings_.partitionsPerStream_),
+                       partition % settings_.partitionsPerStream_};
+}
+
+void TurnReplicas::Private::take(internal::Replica &replica, const std::string &id, KeptTurnPointer turn)
+{
+    const Time expires = hooks_.now_() + turn->retention_ + internal::retentionSlack;
+    const std::size_t bytes = turn->bytes();
+    if (replica.turns_.emplace(id, internal::ReplicaTurn{std::move(turn), expires}).second) {
+        bytes_ += bytes;
+    }
+}
+
+void TurnReplicas::Private::takeRecord(internal::Replica &replica, const KeyedRecord &record)
+{
+    if (!record.value_) {
+        erase(replica, record.key_);
+        return;
+    }
+    std::optional<KeptTurn> turn = KeptTurn::decode(*record.value_);
+    if (turn) {
+        take(replica, record.key_, std::make_shared<const KeptTurn>(std::move(*turn)));
+    }
+}
+
+void TurnReplicas::Private::erase(internal::Replica &replica, const std::string &id)
+{
+    const auto known = replica.turns_.find(id);
+    if (known != replica.turns_.end()) {
+        bytes_ -= known->second.turn_->bytes();
+        replica.turns_.erase(known);
+    }
+}
+
+void TurnReplicas::Private::enqueue(std::uint32_t partition)
+{
+    internal::Replica &replica = replicas_[partition];
+    if (!replica.queued_) {
+        replica.queued_ = true;
+        queue_.push_back(partition);
+        startReads();
+    }
+}
+
+void TurnReplicas::Private::startReads()
+{
+    while (reading_ < settings_.concurrentReads_ && !queue_.empty()) {
+        const std::uint32_t partition = queue_.front();
+        queue_.pop_front();
+        startRead(partition);
+    }
+}
+
+void TurnReplicas::Private::startRead(std::uint32_t partition)
+{
+    internal::Replica &replica = replicas_[partition];
+    if (replica.waiting_.empty()) {
+        replica.queued_ = false;
+        return;
+    }
+    ++reading_;
+    replica.inRead_.swap(replica.waiting_);
+    if (replica.loaded_) {
+        readRecords(partition);
+    } else {
+        readNewest(partition, {});
+    }
+}
+
+void TurnReplicas::Private::readNewest(std::uint32_t partition, const std::string &after)
+{
+    const auto arrived = [self = shared_from_this(), partition, isFirst = after.empty()](const StorePage &page) {
+        if (!self->stopped_) {
+            self->newestArrived(partition, isFirst, page);
+        }
+    };
+    hooks_.store_.newest_(nameOf(partition), after, arrived);
+}
+
+void TurnReplicas::Private::newestArrived(std::uint32_t partition, bool isFirst, const StorePage &page)
+{
+    if (page.status_ != StoreStatus::Ok) {
+        readEnded(partition, false);
+        return;
+    }
+    internal::Replica &replica = replicas_[partition];
+    if (isFirst) {
+        // Pages are no snapshot: what changes after the first one is read again as records.
+        replica.position_ = page.end_;
+    }
+    for (const KeyedRecord &record : page.records_) {
+        takeRecord(replica, record);
+    }
+    if (page.more_ && !page.records_.empty()) {
+        readNewest(partition, page.records_.back().key_);
+        return;
+    }
+    replica.loaded_ = true;
+    readEnded(partition, true);
+}
+
+void TurnReplicas::Private::readRecords(std::uint32_t partition)
+{
+    const StoreRead request{nameOf(partition), replicas_[partition].position_, Duration{0}};
+    hooks_.store_.read_(request, [self = shared_from_this(), partition](const StorePage &page) {
+        if (!self->stopped_) {
+            self->recordsArrived(partition, page);
+        }
+    });
+}
+
+void TurnReplicas::Private::recordsArrived(std::uint32_t partition, const StorePage &page)
+{
+    internal::Replica &replica = replicas_[partition];
+    if (page.status_ == StoreStatus::Trimmed) {
+        replica.loaded_ = false;
+        readNewest(partition, {});
+        return;
+    }
+    if (page.status_ != StoreStatus::Ok) {
+        readEnded(partition, false);
+        return;
+    }
+    for (const KeyedRecord &record : page.records_) {
+        takeRecord(replica, record);
+        replica.position_ = std::max(replica.position_, record.offset_ + 1);
+    }
+    if (replica.position_ < page.end_ && !page.records_.empty()) {
+        readRecords(partition);
+        return;
+    }
+    readEnded(partition, true);
+}
+
+void TurnReplicas::Private::readEnded(std::uint32_t partition, bool succeeded)
+{
+    --reading_;
+    internal::Replica &replica = replicas_[partition];
+    replica.failures_ = succeeded ? 0 : std::min(replica.failures_ + 1, internal::mostDoublings);
+    if (succeeded) {
+        answer(replica);
+    } else {
+        replica.waiting_.insert(replica.waiting_.end(),
+                                std::make_move_iterator(replica.inRead_.begin()),
+                                std::make_move_iterator(replica.inRead_.end()));
+        replica.inRead_.clear();
+        expireQuestions(partition);
+    }
+    internal::Replica &after = replicas_[partition]; // Answers may have asked for other partitions.
+    if (after.waiting_.empty()) {
+        after.queued_ = false;
+    } else if (succeeded) {
+        queue_.push_back(partition);
+    } else {
+        retryLater(partition);
+    }
+    startReads();
+}
+
+/** Answers what the read that has ended was for. */
+void TurnReplicas::Private::answer(internal::Replica &replica)
+{
+    std::vector<std::pair<internal::Question, KeptTurnPointer>> answered;
+    for (internal::Question &question : replica.inRead_) {
+        const auto known = replica.turns_.find(question.turn_);
+        answered.emplace_back(std::move(question), known == replica.turns_.end() ? nullptr : known->second.turn_);
+    }
+    replica.inRead_.clear();
+    for (const std::pair<internal::Question, KeptTurnPointer> &entry : answered) {
+        entry.first.found_(entry.second ? ChainStatus::Found : ChainStatus::Missing, entry.second);
+    }
+}
+
+void TurnReplicas::Private::retryLater(std::uint32_t partition)
+{
+    const std::uint32_t failures = replicas_[partition].failures_;
+    const Duration pause = std::min<Duration>(settings_.longestRetry_, settings_.firstRetry_ * (1U << failures) / 2);
+    hooks_.after_(pause, [self = shared_from_this(), partition] {
+        if (!self->stopped_) {
+            self->queue_.push_back(partition);
+            self->startReads();
+        }
+    });
+}
+
+/** Gives up on questions that have waited for too long. */
+void TurnReplicas::Private::expireQuestions(std::uint32_t partition)
+{
+    const Time now = hooks_.now_();
+    internal::Replica &replica = replicas_[partition];
+    std::vector<internal::Question> late;
+    for (std::vector<internal::Question> *questions : {&replica.waiting_, &replica.inRead_}) {
+        const auto firstLate = std::stable_partition(
+            questions->begin(), questions->end(), [now](const auto &question) { return question.deadline_ > now; });
+        late.insert(late.end(), std::make_move_iterator(firstLate), std::make_move_iterator(questions->end()));
+        questions->erase(firstLate, questions->end());
+    }
+    for (const internal::Question &question : late) {
+        question.found_(ChainStatus::Unavailable, nullptr);
+    }
+}
+
+void TurnReplicas::Private::sweep()
+{
+    const Time now = hooks_.now_();
+    for (std::pair<const std::uint32_t, internal::Replica> &entry : replicas_) {
+        std::unordered_map<std::string, internal::ReplicaTurn> &turns = entry.second.turns_;
+        for (auto turn = turns.begin(); turn != turns.end();) {
+            if (turn->second.expires_ > now) {
+                ++turn;
+                continue;
+            }
+            bytes_ -= turn->second.turn_->bytes();
+            turn = turns.erase(turn);
+        }
+    }
+    dropUnused();
+    hooks_.after_(internal::sweepPeriod, [self = shared_from_this()] {
+        if (!self->stopped_) {
+            self->sweep();
+        }
+    });
+}
+
+/** Drops whole partitions while the turns take too much memory; they are read anew when they are asked for. */
+void TurnReplicas::Private::dropUnused()
+{
+    while (bytes_ > settings_.replicaBytes_) {
+        auto oldest = replicas_.end();
+        for (auto entry = replicas_.begin(); entry != replicas_.end(); ++entry) {
+            const bool isCandidate = !entry->second.queued_ && !entry->second.turns_.empty();
+            if (isCandidate && (oldest == replicas_.end() || entry->second.used_ < oldest->second.used_)) {
+                oldest = entry;
+            }
+        }
+        if (oldest == replicas_.end()) {
+            return;
+        }
+        for (const std::pair<const std::string, internal::ReplicaTurn> &turn : oldest->second.turns_) {
+            bytes_ -= turn.second.turn_->bytes();
+        }
+        replicas_.erase(oldest);
+    }
+}
+
+TurnReplicas::TurnReplicas(TurnReplicasHooks hooks, TurnReplicasSettings settings)
+    : d_(std::make_shared<Private>())
+{
+    d_->hooks_ = std::move(hooks);
+    d_->settings_ = settings;
+    d_->sweep();
+}
+
+TurnReplicas::~TurnReplicas()
+{
+    d_->stopped_ = true;
+}
+
+std::uint32_t TurnReplicas::partitionOf(const std::string &turn) const
+{
+    return d_->partitionOf(turn);
+}
+
+PartitionId TurnReplicas::nameOf(std::uint32_t partition) const
+{
+    return d_->nameOf(partition);
+}
+
+void TurnReplicas::find(const std::string &turn, Found found)
+{
+    const std::uint32_t partition = d_->partitionOf(turn);
+    internal::Replica &replica = d_->replicas_[partition];
+    replica.used_ = d_->hooks_.now_();
+    const auto known = replica.turns_.find(turn);
+    if (known != replica.turns_.end()) {
+        const KeptTurnPointer kept = known->second.turn_;
+        found(ChainStatus::Found, kept);
+        return;
+    }
+    replica.waiting_.push_back(internal::Question{turn, replica.used_ + d_->settings_.findTimeout_, std::move(found)});
+    d_->hooks_.after_(d_->settings_.findTimeout_, [d = d_, partition] {
+        if (!d->stopped_) {
+            d->expireQuestions(partition);
+        }
+    });
+    d_->enqueue(partition);
+}
+
+void TurnReplicas::note(const std::string &id, KeptTurnPointer turn)
+{
+    internal::Replica &replica = d_->replicas_[d_->partitionOf(id)];
+    replica.used_ = d_->hooks_.now_();
+    d_->take(replica, id, std::move(turn));
+}
+
+std::size_t TurnReplicas::bytes() const
+{
+    return d_->bytes_;
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/ledger/turnreplicas.h
@@ -0,0 +1,84 @@
+#ifndef FILBERTGW_LEDGER_TURNREPLICAS_H
+#define FILBERTGW_LEDGER_TURNREPLICAS_H
+
+#include "core/nametable.h"
+#include "ledger/keptturn.h"
+#include "store/recordstore.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace filbertgw {
+
+/** \brief What is known of a kept turn, or of a chain of them. */
+enum class ChainStatus : std::uint8_t {
+    Found,
+    Missing, ///< The store was read and has no such turn.
+    Unavailable, ///< The store could not be read in time.
+};
+
+template<>
+struct NameTable<ChainStatus>
+{
+    static constexpr std::array<std::pair<ChainStatus, std::string_view>, 3> entries{{
+        {ChainStatus::Found, "found"},
+        {ChainStatus::Missing, "missing"},
+        {ChainStatus::Unavailable, "unavailable"},
+    }};
+};
+
+struct TurnReplicasHooks
+{
+    Clock now_;
+    std::function<std::uint64_t(Duration, std::function<void()>)> after_;
+    RecordStore store_;
+};
+
+struct TurnReplicasSettings
+{
+    std::uint32_t streams_ = 32; ///< The store takes 100, other streams included.
+    std::uint32_t partitionsPerStream_ = 8;
+    /** All nodes may read at the same time: few reads of each keep the queue at the store shorter than a time-out. */
+    std::uint32_t concurrentReads_ = 2;
+    Duration findTimeout_{1'000'000}; ///< Longest time that a question waits for the store.
+    Duration firstRetry_{50'000}; ///< After a read that failed; doubled with each further one.
+    Duration longestRetry_{800'000};
+    std::size_t replicaBytes_ = 24 * 1024 * 1024; ///< Turns in memory; partitions unused for longest are dropped.
+};
+
+/**
+ * \brief This node's copies of partitions of kept turns.
+ *
+ * A turn's partition follows from its id. A partition is read once, when one of its turns is asked for; afterwards only
+ * the records that were appended since are read, and only for a turn that is not in memory.
+ */
+class TurnReplicas
+{
+public:
+    using Found = std::function<void(ChainStatus, const KeptTurnPointer &)>;
+
+    TurnReplicas(TurnReplicasHooks hooks, TurnReplicasSettings settings);
+    ~TurnReplicas();
+
+    std::uint32_t partitionOf(const std::string &turn) const;
+    PartitionId nameOf(std::uint32_t partition) const;
+
+    /** \brief Looks for a turn; answers at once if it is in memory. Missing is said only after a read that began now.
+     */
+    void find(const std::string &turn, Found found);
+    /** \brief Takes a turn that is in the store, without reading it there. */
+    void note(const std::string &id, KeptTurnPointer turn);
+    /** \brief Bytes of the turns in memory. */
+    std::size_t bytes() const;
+
+private:
+    struct Private;
+    std::shared_ptr<Private> d_;
+};
+
+} // namespace filbertgw
+
+#endif
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -97,7 +97,6 @@
     request.session_ = session;
     request.tokenBudget_ = 1000;
     request.maxOutputTokens_ = 300;
-    request.conversations_ = {"c-" + program};
     return request;
 }
 
@@ -118,8 +117,8 @@
 TurnStoreSettings fewPartitions()
 {
     TurnStoreSettings settings;
-    settings.streams_ = 2;
-    settings.partitionsPerStream_ = 2;
+    settings.replicas_.streams_ = 2;
+    settings.replicas_.partitionsPerStream_ = 2;
     return settings;
 }
 
--- a/test/gateway/retention.cpp
+++ b/test/gateway/retention.cpp
@@ -12,7 +12,6 @@
 {
     GatewayRequest request = turn(id, program, "s");
     request.previousTurn_ = previous;
-    request.conversations_ = {"c-p"};
     request.tokenBudget_ = 100'000;
     return request;
 }
@@ -60,16 +59,17 @@
     EXPECT_EQ(*rig.attempts_[2].attempt_.body_, "input-t1;x\ninput-t2;y\ninput-t3;");
 }
 
-// Guards against a turn that is not found because its conversation is named differently.
-TEST(Retention, TurnOfAnotherPartitionIsFound)
+// Guards against a turn that is not found by programs with other prompts, which go on from it.
+TEST(Retention, TurnIsFoundWhateverGoesOnFromIt)
 {
     GatewayRig rig(2, {streamingRoute(true, 1, false)});
     rig.addEndpoints("engines", "e", 2);
     play(rig, 0, following("t1", ""), {"x"});
-    for (const char *conversation : {"a", "b", "c", "d", "e"}) {
-        GatewayRequest request = following(std::string("t2") + conversation, "t1");
-        request.conversations_ = {conversation};
+    for (const char *program : {"a", "b", "c", "d", "e"}) {
+        GatewayRequest request = following(std::string("t2") + program, "t1", program);
+        request.prompt_ = {PromptPart{std::string("shared-") + program, 100}, PromptPart{program, 10}};
         play(rig, 1, request, {"y"});
+        EXPECT_EQ(*rig.attempts_.back().attempt_.body_, "input-t1;x\ninput-t2" + std::string(program) + ";");
     }
 }
 
--- a/test/gateway/turnrecovery.cpp
+++ b/test/gateway/turnrecovery.cpp
@@ -43,11 +43,6 @@
     return limits;
 }
 
-std::string conversationName(std::size_t number)
-{
-    return "c" + std::to_string(number);
-}
-
 std::string turnName(std::size_t conversation, std::size_t turn)
 {
     return "t" + std::to_string(conversation) + '-' + std::to_string(turn);
@@ -56,7 +51,7 @@
 TurnStoreSettings turnsOf(const RecoveryCase &deployment)
 {
     TurnStoreSettings settings;
-    settings.partitionsPerStream_ = deployment.partitions_;
+    settings.replicas_.partitionsPerStream_ = deployment.partitions_;
     return settings;
 }
 
@@ -106,16 +101,18 @@
             return std::uint64_t{0};
         };
         hooks.store_ = rig_.store_.access("writer");
+        hooks.holderOf_ = [](const std::string &) { return std::nullopt; };
         TurnStore writer(std::move(hooks), turnsOf(GetParam()));
         std::size_t durable = 0;
         for (std::size_t conversation = 0; conversation < conversationsOf(GetParam()); ++conversation) {
             for (std::size_t turn = 0; turn < turnsOfAConversation; ++turn) {
-                RetainedTurn kept;
-                kept.id_ = turnName(conversation, turn);
-                kept.previous_ = turn > 0 ? turnName(conversation, turn - 1) : std::string();
+                KeptTurn kept;
+                for (std::size_t before = 0; before < turn; ++before) {
+                    kept.ancestors_.push_back(turnName(conversation, before));
+                }
                 kept.text_ = std::string(textBytes, 'x');
                 kept.retention_ = std::chrono::seconds(60);
-                writer.store(conversationName(conversation), std::move(kept), [&durable] { ++durable; });
+                writer.store(turnName(conversation, turn), std::move(kept), [&durable] { ++durable; });
             }
         }
         rig_.run(std::chrono::seconds(1));
@@ -140,7 +137,6 @@
         const std::string id = "n" + std::to_string(waiting.number_) + '-' + std::to_string(waiting.tries_);
         GatewayRequest request = turn(id, "p" + std::to_string(waiting.number_), "s");
         request.previousTurn_ = turnName(conversation, turnsOfAConversation - 1);
-        request.conversations_ = {conversationName(conversation)};
         request.tokenBudget_ = 100'000;
         const std::size_t node = (waiting.number_ * 7 + waiting.tries_ * 13) % GetParam().nodes_;
         waiting.answer_ = rig_.send(node, std::move(request));
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -169,7 +169,9 @@
     EXPECT_EQ(request->promptTokens_, 1840U);
     EXPECT_EQ(request->maxOutputTokens_, 572U);
     EXPECT_EQ(request->affinityKey_, "17");
-    EXPECT_EQ(request->conversations_, (std::vector<std::string>{"bb", "aa", "p1"}));
+    ASSERT_EQ(request->prompt_.size(), 2U);
+    EXPECT_EQ(request->prompt_[1].id_, "bb");
+    EXPECT_EQ(request->program_, "p1");
     EXPECT_EQ(request->headers_.count("x-other"), 1U);
     EXPECT_EQ(request->headers_.count("connection"), 0U);
 }
