Relay reads by offset while a node has lost the store

Cause, found by reading the new code: a node that holds a copy of a partition of kept turns reads on by offset, which was not relayed, and pages that were relayed came without their end. A holder that the store turns away answered unavailable, and nodes that are turned away themselves could not find the turn. Change: RelayedStore relays reads by offset as it does those of the newest records; pages carry their end.

--- a/src/gateway/relayedstore.cpp
+++ b/src/gateway/relayedstore.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 const char *const appendType = "store_append";
+const char *const readType = "store_read";
 const char *const newestType = "store_newest";
 /** Longest time that a relayed call waits for the other node. */
 constexpr Duration relayTimeout{800'000};
@@ -66,6 +67,14 @@
     return PartitionId{body["stream"].get<std::string>(), body["partition"].get<std::uint32_t>()};
 }
 
+nlohmann::json encode(const StorePage &page)
+{
+    return {{"status", nameOf(page.status_)},
+            {"records", encodeRecords(page.records_)},
+            {"end", page.end_},
+            {"more", page.more_}};
+}
+
 StoreStatus statusOf(const std::optional<nlohmann::json> &answer)
 {
     if (!answer || !answer->is_object() || !answer->contains("status") || !(*answer)["status"].is_string()) {
@@ -74,6 +83,20 @@
     return valueOf<StoreStatus>((*answer)["status"].get<std::string>()).value_or(StoreStatus::Unknown);
 }
 
+StorePage pageOf(const std::optional<nlohmann::json> &answer)
+{
+    StorePage page;
+    page.status_ = statusOf(answer);
+    if (page.status_ == StoreStatus::Ok) {
+        page.records_ = decodeRecords(*answer);
+        page.end_ = answer->contains("end") && (*answer)["end"].is_number_unsigned()
+            ? (*answer)["end"].get<std::uint64_t>()
+            : 0;
+        page.more_ = answer->contains("more") && (*answer)["more"] == true;
+    }
+    return page;
+}
+
 } // namespace
 } // namespace internal
 
@@ -94,6 +117,9 @@
     store.append_ = [this](StoreAppend request, std::function<void(const StoreAppended &)> done) {
         append(std::move(request), std::move(done));
     };
+    store.read_ = [this](const StoreRead &request, std::function<void(const StorePage &)> done) {
+        read(request, std::move(done));
+    };
     store.newest_ = [this](const PartitionId &from,
                            const std::string &after,
                            std::function<void(const StorePage &)> done) { newest(from, after, std::move(done)); };
@@ -117,6 +143,21 @@
     hooks_.askPeer_(node->linkAddress_, internal::appendType, body, internal::relayTimeout, answered);
 }
 
+void RelayedStore::read(const StoreRead &request, std::function<void(const StorePage &)> done)
+{
+    const std::optional<FleetMember> node = isReachable_() ? std::nullopt : fleet_.currentNode(request.from_.stream_);
+    if (!node) {
+        direct_.read_(request, std::move(done));
+        return;
+    }
+    const nlohmann::json body = {
+        {"stream", request.from_.stream_}, {"partition", request.from_.partition_}, {"offset", request.offset_}};
+    const auto answered = [done = std::move(done)](const std::optional<nlohmann::json> &answer) {
+        done(internal::pageOf(answer));
+    };
+    hooks_.askPeer_(node->linkAddress_, internal::readType, body, internal::relayTimeout, answered);
+}
+
 void RelayedStore::newest(const PartitionId &from,
                           const std::string &after,
                           std::function<void(const StorePage &)> done)
@@ -128,13 +169,7 @@
     }
     const nlohmann::json body = {{"stream", from.stream_}, {"partition", from.partition_}, {"after", after}};
     const auto answered = [done = std::move(done)](const std::optional<nlohmann::json> &answer) {
-        StorePage page;
-        page.status_ = internal::statusOf(answer);
-        if (page.status_ == StoreStatus::Ok) {
-            page.records_ = internal::decodeRecords(*answer);
-            page.more_ = answer->contains("more") && (*answer)["more"] == true;
-        }
-        done(page);
+        done(internal::pageOf(answer));
     };
     hooks_.askPeer_(node->linkAddress_, internal::newestType, body, internal::relayTimeout, answered);
 }
@@ -147,6 +182,10 @@
         serveAppend(body, answer);
         return true;
     }
+    if (type == internal::readType) {
+        serveRead(body, answer);
+        return true;
+    }
     if (type == internal::newestType) {
         serveNewest(body, answer);
         return true;
@@ -169,6 +208,18 @@
     });
 }
 
+/** Reads without waiting for records. */
+void RelayedStore::serveRead(const nlohmann::json &body, const std::function<void(const nlohmann::json &)> &answer)
+{
+    const std::optional<PartitionId> from = internal::partitionOf(body);
+    if (!from || !body.contains("offset") || !body["offset"].is_number_unsigned()) {
+        answer({});
+        return;
+    }
+    const StoreRead request{*from, body["offset"].get<std::uint64_t>(), Duration{0}};
+    direct_.read_(request, [answer](const StorePage &page) { answer(internal::encode(page)); });
+}
+
 void RelayedStore::serveNewest(const nlohmann::json &body, const std::function<void(const nlohmann::json &)> &answer)
 {
     const std::optional<PartitionId> from = internal::partitionOf(body);
@@ -176,11 +227,8 @@
         answer({});
         return;
     }
-    direct_.newest_(*from, body["after"].get<std::string>(), [answer](const StorePage &page) {
-        answer({{"status", nameOf(page.status_)},
-                {"records", internal::encodeRecords(page.records_)},
-                {"more", page.more_}});
-    });
+    direct_.newest_(
+        *from, body["after"].get<std::string>(), [answer](const StorePage &page) { answer(internal::encode(page)); });
 }
 
 } // namespace filbertgw
--- a/src/gateway/relayedstore.h
+++ b/src/gateway/relayedstore.h
@@ -13,7 +13,7 @@
 /**
  * \brief The record store, reached through another node while this one has lost it.
  *
- * Only appends without a sequence number and reads of the newest records are relayed; both may be repeated.
+ * Only appends without a sequence number and reads are relayed; all of them may be repeated.
  */
 class RelayedStore
 {
@@ -28,8 +28,10 @@
 
 private:
     void append(StoreAppend request, std::function<void(const StoreAppended &)> done);
+    void read(const StoreRead &request, std::function<void(const StorePage &)> done);
     void newest(const PartitionId &from, const std::string &after, std::function<void(const StorePage &)> done);
     void serveAppend(const nlohmann::json &body, const std::function<void(const nlohmann::json &)> &answer);
+    void serveRead(const nlohmann::json &body, const std::function<void(const nlohmann::json &)> &answer);
     void serveNewest(const nlohmann::json &body, const std::function<void(const nlohmann::json &)> &answer);
 
     RecordStore direct_;
--- a/test/gateway/retention.cpp
+++ b/test/gateway/retention.cpp
@@ -132,6 +132,27 @@
     EXPECT_EQ(*rig.attempts_[2].attempt_.body_, "input-t1;x\ninput-t2;y\ninput-t3;");
 }
 
+// Guards against turns that can't be found since the store turns the node away that holds a copy of their partition.
+TEST(Retention, HolderWithoutTheStoreReadsOnThroughAnotherNode)
+{
+    GatewayRig rig(3, {streamingRoute(true, 1, false)});
+    rig.addEndpoints("engines", "e", 2);
+    rig.silentNodes_ = {"node0", "node1", "node2"}; // Each reads all partitions itself, and hears of no turn.
+    for (std::size_t i = 0; i < 60; ++i) {
+        rig.send(i % 3, following("u" + std::to_string(i), "unknown" + std::to_string(i)));
+    }
+    rig.run(std::chrono::seconds(2));
+    for (const char *turn : {"a", "b", "c", "d", "e", "f"}) {
+        play(rig, 0, following(turn, ""), {"x"});
+    }
+    rig.silentNodes_.clear();
+    rig.store_.refuses_["node1"] = true;
+    rig.run(std::chrono::seconds(2));
+    for (const char *turn : {"a", "b", "c", "d", "e", "f"}) {
+        play(rig, 1, following(std::string("after-") + turn, turn), {"y"});
+    }
+}
+
 /** \brief Which nodes have lost the store, and whether the first one takes new connections. */
 struct ReadinessCase
 {
