Keep a chain as long as its newest turn; let holders delete what is over

Callers would see 404 for a conversation that lasts for longer than its retention of a minute, since its first turns were deleted; and operators a store that fills up (507 at its limit) with the turns of nodes that were lost or replaced. Cause of both: a turn was deleted by the node that wrote it, a fixed time after its end, and by nobody if that node was gone. Change: a record that is written again keeps its turn for longer; a node that stores a turn writes those before it again that would be deleted less than 15 s after it, and the response ends when all are durable. The holder of a partition deletes a turn once it has known its newest record for the retention and 30 s, by its own clock of elapsed time, after a read of what was appended since; every 10 s a partition, so that many go at once. A wrong time of day deletes nothing.

--- a/bench/fakes/fakestore.cpp
+++ b/bench/fakes/fakestore.cpp
@@ -220,6 +220,15 @@
     });
 }
 
+std::size_t FakeStore::keys(const std::string &streams) const
+{
+    std::size_t count = 0;
+    for (const std::pair<const std::string, Partition> &entry : partitions_) {
+        count += entry.first.compare(0, streams.size(), streams) == 0 ? entry.second.newest_.size() : 0;
+    }
+    return count;
+}
+
 std::uint64_t FakeStore::bytesRead() const
 {
     return bytesRead_;
--- a/bench/fakes/fakestore.h
+++ b/bench/fakes/fakestore.h
@@ -39,6 +39,8 @@
     /** \brief Deletes all records that are not the newest of their key; readers behind the end are told so. */
     void trim();
     std::size_t appends() const;
+    /** \brief Keys that have a value, in all streams whose names begin so. */
+    std::size_t keys(const std::string &streams) const;
     /** \brief Bytes of all answers to reads. */
     std::uint64_t bytesRead() const;
     /** \brief Calls that were rejected or not answered in time for want of capacity. */
--- a/src/gateway/gatewayanswer.cpp
+++ b/src/gateway/gatewayanswer.cpp
@@ -129,16 +129,16 @@
         return;
     }
     step_ = Step::Storing;
-    KeptTurn turn;
-    turn.ancestors_ = earlierTurns_;
+    EndedTurn turn;
+    turn.id_ = request_->id_;
+    turn.chain_ = earlierTurns_;
     turn.text_ = request_->body_ + output_;
     turn.retention_ = route_->retention_;
     if (!gateway_->turns_.fits(turn)) {
         abortAnswer("turn_too_large");
         return;
     }
-    storing_ =
-        gateway_->turns_.store(request_->id_, std::move(turn), [self = shared_from_this()] { self->turnDurable(); });
+    storing_ = gateway_->turns_.store(turn, [self = shared_from_this()] { self->turnDurable(); });
 }
 
 void GatewayCall::turnDurable()
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -82,7 +82,7 @@
     const Service *service_ = nullptr;
     std::string serviceName_;
     std::shared_ptr<const std::string> body_;
-    std::vector<std::string> earlierTurns_; ///< Of the chain that the turn goes on from, the oldest first.
+    std::vector<ChainTurn> earlierTurns_; ///< Of the chain that the turn goes on from, the oldest first.
     Step step_ = Step::Preparing;
     Time arrived_{0};
     Time deadline_{0};
--- a/src/ledger/keptturn.cpp
+++ b/src/ledger/keptturn.cpp
@@ -37,8 +37,8 @@
         }
         turn.ancestors_.push_back(ancestor.get<std::string>());
     }
-    constexpr std::uint64_t mostMs = 86'400'000; // A day.
-    turn.retention_ = std::chrono::milliseconds(std::min<std::uint64_t>(json["keep_ms"].get<std::uint64_t>(), mostMs));
+    const std::uint64_t keepMs = json["keep_ms"].get<std::uint64_t>();
+    turn.retention_ = std::chrono::milliseconds(std::min(keepMs, longestRetentionMs));
     const nlohmann::json::binary_t &text = json["text"].get_binary();
     turn.text_.assign(text.begin(), text.end());
     return turn;
--- a/src/ledger/keptturn.h
+++ b/src/ledger/keptturn.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,6 +21,9 @@
     std::string text_; ///< What the turn adds to the prompt of the next one: its input, then its output.
     Duration retention_{0}; ///< How long it is kept after its end.
 
+    /** A day: no longer retention is believed. */
+    static constexpr std::uint64_t longestRetentionMs = 86'400'000;
+
     /** \brief Approximate size in memory, in bytes. */
     std::size_t bytes() const;
     nlohmann::json toJson() const;
--- a/src/ledger/turnpeers.cpp
+++ b/src/ledger/turnpeers.cpp
@@ -1,5 +1,6 @@
 #include "ledger/turnpeers.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace filbertgw {
@@ -12,8 +13,6 @@
 /** Longest time that the announcement of a turn may take; nobody waits for it. */
 constexpr Duration announceTimeout{1'000'000};
 
-using TurnFound = std::function<void(const std::string &, ChainStatus, const KeptTurnPointer &)>;
-
 /** \brief Turns that are asked of one holder. */
 struct TurnQuery
 {
@@ -41,6 +40,11 @@
     }
 };
 
+std::string nameOf(const PartitionId &partition)
+{
+    return partition.stream_ + '/' + std::to_string(partition.partition_);
+}
+
 bool lists(const nlohmann::json &answer, const char *name, const std::string &id)
 {
     if (!answer.contains(name) || !answer[name].is_array()) {
@@ -54,13 +58,26 @@
     return false;
 }
 
-KeptTurnPointer turnIn(const nlohmann::json &answer, const std::string &id)
+nlohmann::json encode(const FoundTurn &found, Time now)
+{
+    const Duration left = std::max<Duration>(Duration{0}, found.expires_ - now);
+    return {{"turn", found.turn_->toJson()}, {"left_ms", static_cast<std::uint64_t>(left.count()) / 1'000}};
+}
+
+FoundTurn turnIn(const nlohmann::json &answer, const std::string &id, Time now)
 {
     if (!answer.contains("turns") || !answer["turns"].is_object() || !answer["turns"].contains(id)) {
-        return nullptr;
+        return {};
+    }
+    const nlohmann::json &entry = answer["turns"][id];
+    const bool isEntry = entry.is_object() && entry.contains("turn") && entry.contains("left_ms")
+        && entry["left_ms"].is_number_unsigned();
+    std::optional<KeptTurn> turn = isEntry ? KeptTurn::fromJson(entry["turn"]) : std::nullopt;
+    if (!turn) {
+        return {};
     }
-    std::optional<KeptTurn> turn = KeptTurn::fromJson(answer["turns"][id]);
-    return turn ? std::make_shared<const KeptTurn>(std::move(*turn)) : nullptr;
+    const std::uint64_t leftMs = std::min(entry["left_ms"].get<std::uint64_t>(), KeptTurn::longestRetentionMs);
+    return FoundTurn{std::make_shared<const KeptTurn>(std::move(*turn)), now + std::chrono::milliseconds(leftMs)};
 }
 
 } // namespace
@@ -74,7 +91,7 @@
     }
 
     std::optional<std::string> holderOf(const std::string &turn);
-    void findHere(const std::string &turn, const internal::TurnFound &found);
+    void findHere(const std::string &turn, const TurnFound &found);
     void find(const internal::TurnQuery &query);
     void ask(const std::string &holder, const internal::TurnQuery &query);
     void answered(const internal::TurnQuery &query, const nlohmann::json &answer);
@@ -92,8 +109,7 @@
 std::optional<std::string> TurnPeers::Private::holderOf(const std::string &turn)
 {
     const PartitionId partition = replicas_.nameOf(replicas_.partitionOf(turn));
-    const std::optional<std::string> holder =
-        hooks_.holderOf_(partition.stream_ + '/' + std::to_string(partition.partition_));
+    const std::optional<std::string> holder = hooks_.holderOf_(internal::nameOf(partition));
     if (!holder) {
         return std::nullopt;
     }
@@ -108,9 +124,9 @@
     return holder;
 }
 
-void TurnPeers::Private::findHere(const std::string &turn, const internal::TurnFound &found)
+void TurnPeers::Private::findHere(const std::string &turn, const TurnFound &found)
 {
-    replicas_.find(turn, [turn, found](ChainStatus status, const KeptTurnPointer &kept) { found(turn, status, kept); });
+    replicas_.find(turn, [turn, found](ChainStatus status, const FoundTurn &kept) { found(turn, status, kept); });
 }
 
 void TurnPeers::Private::find(const internal::TurnQuery &query)
@@ -158,15 +174,15 @@
 {
     internal::TurnQuery open{{}, query.deadline_, query.found_};
     for (const std::string &turn : query.turns_) {
-        const KeptTurnPointer kept = internal::turnIn(answer, turn);
-        if (kept) {
+        const FoundTurn kept = internal::turnIn(answer, turn, hooks_.now_());
+        if (kept.turn_) {
             query.found_(turn, ChainStatus::Found, kept);
         } else if (internal::lists(answer, "missing", turn)) {
-            query.found_(turn, ChainStatus::Missing, nullptr);
+            query.found_(turn, ChainStatus::Missing, FoundTurn());
         } else if (internal::lists(answer, "unavailable", turn)) {
             findHere(turn, query.found_);
         } else if (hooks_.now_() >= query.deadline_) {
-            query.found_(turn, ChainStatus::Unavailable, nullptr);
+            query.found_(turn, ChainStatus::Unavailable, FoundTurn());
         } else {
             open.turns_.push_back(turn);
         }
@@ -191,9 +207,10 @@
     const std::shared_ptr<internal::PendingAnswer> pending = std::make_shared<internal::PendingAnswer>();
     pending->send_ = answer;
     pending->open_ = body["turns"].size();
-    const auto arrived = [pending](const std::string &turn, ChainStatus status, const KeptTurnPointer &kept) {
+    const auto arrived = [pending,
+                          now = hooks_.now_](const std::string &turn, ChainStatus status, const FoundTurn &kept) {
         if (status == ChainStatus::Found) {
-            pending->body_["turns"][turn] = kept->toJson();
+            pending->body_["turns"][turn] = internal::encode(kept, now());
         } else {
             pending->body_[status == ChainStatus::Missing ? "missing" : "unavailable"].push_back(turn);
         }
@@ -238,8 +255,12 @@
     d_->stopped_ = true;
 }
 
-void TurnPeers::find(const std::vector<std::string> &turns,
-                     const std::function<void(const std::string &, ChainStatus, const KeptTurnPointer &)> &found)
+bool TurnPeers::isHolder(const PartitionId &partition) const
+{
+    return !d_->hooks_.holderOf_(internal::nameOf(partition)).has_value();
+}
+
+void TurnPeers::find(const std::vector<std::string> &turns, const TurnFound &found)
 {
     d_->find(internal::TurnQuery{turns, d_->hooks_.now_() + d_->settings_.findTimeout_, found});
 }
--- a/src/ledger/turnpeers.h
+++ b/src/ledger/turnpeers.h
@@ -38,6 +38,9 @@
     Duration findTimeout_{1'500'000}; ///< Longest time that a turn is looked for.
 };
 
+/** \brief Told what is known of one of several turns. */
+using TurnFound = std::function<void(const std::string &turn, ChainStatus, const FoundTurn &)>;
+
 /**
  * \brief Finds kept turns at the nodes that hold copies of their partitions.
  *
@@ -47,14 +50,13 @@
 class TurnPeers
 {
 public:
-    using Found = TurnReplicas::Found;
-
     TurnPeers(TurnPeersHooks hooks, TurnPeersSettings settings, TurnReplicas &replicas);
     ~TurnPeers();
 
     /** \brief Looks for turns; \p found is called once for each, maybe at once. */
-    void find(const std::vector<std::string> &turns,
-              const std::function<void(const std::string &, ChainStatus, const KeptTurnPointer &)> &found);
+    void find(const std::vector<std::string> &turns, const TurnFound &found);
+    /** \brief True if this node holds the copy of a partition for all others. */
+    bool isHolder(const PartitionId &partition) const;
     /** \brief Tells the holder of a turn's partition of it. */
     void announce(const std::string &id, const KeptTurnPointer &turn);
     /** \brief Answers a request of another node. \return false if the type is not one of this class. */
--- a/src/ledger/turnreplicas.cpp
+++ b/src/ledger/turnreplicas.cpp
@@ -13,8 +13,6 @@
 namespace internal {
 namespace {
 
-/** A turn stays readable for this long after its retention, since clocks and requests are late. */
-constexpr Duration retentionSlack{5'000'000};
 constexpr Duration sweepPeriod{1'000'000};
 constexpr std::uint32_t mostDoublings = 8;
 
@@ -26,22 +24,18 @@
     TurnReplicas::Found found_;
 };
 
-struct ReplicaTurn
-{
-    KeptTurnPointer turn_;
-    Time expires_{0};
-};
-
 /** \brief What this node has of one partition. */
 struct Replica
 {
-    std::unordered_map<std::string, ReplicaTurn> turns_;
+    std::unordered_map<std::string, FoundTurn> turns_;
     std::vector<Question> waiting_; ///< Asked since the read under way began.
     std::vector<Question> inRead_; ///< Answered by the read under way.
     std::uint64_t position_ = 0; ///< Offset after the last record that was read.
     Time used_{0};
+    Time cleaned_{0}; ///< When turns were deleted last.
     std::uint32_t failures_ = 0; ///< Reads that failed in a row.
     bool loaded_ = false; ///< The newest records were read; later ones are read from position_.
+    bool cleanDue_ = false; ///< Turns that are over are to be deleted after the next read.
     bool queued_ = false; ///< Waits for its read, or for the end of the one under way.
 };
 
@@ -67,6 +61,8 @@
     void retryLater(std::uint32_t partition);
     void expireQuestions(std::uint32_t partition);
     void sweep();
+    std::vector<KeyedRecord> takeExpired(internal::Replica &replica);
+    void clean(std::uint32_t partition);
     void dropUnused();
 
     TurnReplicasHooks hooks_;
@@ -91,11 +87,10 @@
 
 void TurnReplicas::Private::take(internal::Replica &replica, const std::string &id, KeptTurnPointer turn)
 {
-    const Time expires = hooks_.now_() + turn->retention_ + internal::retentionSlack;
-    const std::size_t bytes = turn->bytes();
-    if (replica.turns_.emplace(id, internal::ReplicaTurn{std::move(turn), expires}).second) {
-        bytes_ += bytes;
-    }
+    erase(replica, id); // A record that is written again keeps the turn for longer.
+    const Time expires = hooks_.now_() + turn->retention_ + retentionSlack;
+    bytes_ += turn->bytes();
+    replica.turns_.emplace(id, FoundTurn{std::move(turn), expires});
 }
 
 void TurnReplicas::Private::takeRecord(internal::Replica &replica, const KeyedRecord &record)
@@ -141,7 +136,7 @@
 void TurnReplicas::Private::startRead(std::uint32_t partition)
 {
     internal::Replica &replica = replicas_[partition];
-    if (replica.waiting_.empty()) {
+    if (replica.waiting_.empty() && !replica.cleanDue_) {
         replica.queued_ = false;
         return;
     }
@@ -226,6 +221,10 @@
     replica.failures_ = succeeded ? 0 : std::min(replica.failures_ + 1, internal::mostDoublings);
     if (succeeded) {
         answer(replica);
+        if (replica.cleanDue_) {
+            replica.cleanDue_ = false;
+            clean(partition);
+        }
     } else {
         replica.waiting_.insert(replica.waiting_.end(),
                                 std::make_move_iterator(replica.inRead_.begin()),
@@ -233,9 +232,9 @@
         replica.inRead_.clear();
         expireQuestions(partition);
     }
-    internal::Replica &after = replicas_[partition]; // Answers may have asked for other partitions.
-    if (after.waiting_.empty()) {
-        after.queued_ = false;
+    if (replica.waiting_.empty()) {
+        replica.cleanDue_ = false;
+        replica.queued_ = false;
     } else if (succeeded) {
         queue_.push_back(partition);
     } else {
@@ -247,14 +246,14 @@
 /** Answers what the read that has ended was for. */
 void TurnReplicas::Private::answer(internal::Replica &replica)
 {
-    std::vector<std::pair<internal::Question, KeptTurnPointer>> answered;
+    std::vector<std::pair<internal::Question, FoundTurn>> answered;
     for (internal::Question &question : replica.inRead_) {
         const auto known = replica.turns_.find(question.turn_);
-        answered.emplace_back(std::move(question), known == replica.turns_.end() ? nullptr : known->second.turn_);
+        answered.emplace_back(std::move(question), known == replica.turns_.end() ? FoundTurn() : known->second);
     }
     replica.inRead_.clear();
-    for (const std::pair<internal::Question, KeptTurnPointer> &entry : answered) {
-        entry.first.found_(entry.second ? ChainStatus::Found : ChainStatus::Missing, entry.second);
+    for (const std::pair<internal::Question, FoundTurn> &entry : answered) {
+        entry.first.found_(entry.second.turn_ ? ChainStatus::Found : ChainStatus::Missing, entry.second);
     }
 }
 
@@ -283,23 +282,32 @@
         questions->erase(firstLate, questions->end());
     }
     for (const internal::Question &question : late) {
-        question.found_(ChainStatus::Unavailable, nullptr);
+        question.found_(ChainStatus::Unavailable, FoundTurn());
     }
 }
 
 void TurnReplicas::Private::sweep()
 {
     const Time now = hooks_.now_();
+    std::vector<std::uint32_t> due;
     for (std::pair<const std::uint32_t, internal::Replica> &entry : replicas_) {
-        std::unordered_map<std::string, internal::ReplicaTurn> &turns = entry.second.turns_;
-        for (auto turn = turns.begin(); turn != turns.end();) {
-            if (turn->second.expires_ > now) {
-                ++turn;
-                continue;
-            }
-            bytes_ -= turn->second.turn_->bytes();
-            turn = turns.erase(turn);
+        internal::Replica &replica = entry.second;
+        const bool hasExpired = std::any_of(replica.turns_.begin(), replica.turns_.end(), [now](const auto &turn) {
+            return turn.second.expires_ <= now;
+        });
+        if (!hasExpired || now - replica.cleaned_ < settings_.cleanPeriod_) {
+            continue;
         }
+        replica.cleaned_ = now;
+        if (hooks_.isHolder_(nameOf(entry.first))) {
+            replica.cleanDue_ = true;
+            due.push_back(entry.first);
+        } else {
+            takeExpired(replica);
+        }
+    }
+    for (const std::uint32_t partition : due) {
+        enqueue(partition);
     }
     dropUnused();
     hooks_.after_(internal::sweepPeriod, [self = shared_from_this()] {
@@ -309,6 +317,39 @@
     });
 }
 
+/** Removes the turns that are over from memory. \return their deletions. */
+std::vector<KeyedRecord> TurnReplicas::Private::takeExpired(internal::Replica &replica)
+{
+    const Time now = hooks_.now_();
+    std::vector<KeyedRecord> deletions;
+    for (auto turn = replica.turns_.begin(); turn != replica.turns_.end();) {
+        if (turn->second.expires_ > now) {
+            ++turn;
+            continue;
+        }
+        deletions.push_back(KeyedRecord{turn->first, std::nullopt});
+        bytes_ -= turn->second.turn_->bytes();
+        turn = replica.turns_.erase(turn);
+    }
+    return deletions;
+}
+
+/** Deletes the turns that are over; right after a read, so that one which was written again stays. */
+void TurnReplicas::Private::clean(std::uint32_t partition)
+{
+    StoreAppend append;
+    append.to_ = nameOf(partition);
+    append.records_ = takeExpired(replicas_[partition]);
+    if (append.records_.empty()) {
+        return;
+    }
+    hooks_.store_.append_(std::move(append), [self = shared_from_this(), partition](const StoreAppended &result) {
+        if (result.status_ != StoreStatus::Ok && !self->stopped_) {
+            self->replicas_[partition].loaded_ = false; // What was not deleted is learned, and deleted, once more.
+        }
+    });
+}
+
 /** Drops whole partitions while the turns take too much memory; they are read anew when they are asked for. */
 void TurnReplicas::Private::dropUnused()
 {
@@ -323,7 +364,7 @@
         if (oldest == replicas_.end()) {
             return;
         }
-        for (const std::pair<const std::string, internal::ReplicaTurn> &turn : oldest->second.turns_) {
+        for (const std::pair<const std::string, FoundTurn> &turn : oldest->second.turns_) {
             bytes_ -= turn.second.turn_->bytes();
         }
         replicas_.erase(oldest);
@@ -360,7 +401,7 @@
     replica.used_ = d_->hooks_.now_();
     const auto known = replica.turns_.find(turn);
     if (known != replica.turns_.end()) {
-        const KeptTurnPointer kept = known->second.turn_;
+        const FoundTurn kept = known->second;
         found(ChainStatus::Found, kept);
         return;
     }
--- a/src/ledger/turnreplicas.h
+++ b/src/ledger/turnreplicas.h
@@ -35,6 +35,8 @@
     Clock now_;
     std::function<std::uint64_t(Duration, std::function<void()>)> after_;
     RecordStore store_;
+    /** \brief True if this node keeps the copy of a partition for all others, and so deletes what is over. */
+    std::function<bool(const PartitionId &partition)> isHolder_;
 };
 
 struct TurnReplicasSettings
@@ -46,19 +48,32 @@
     Duration findTimeout_{1'000'000}; ///< Longest time that a question waits for the store.
     Duration firstRetry_{50'000}; ///< After a read that failed; doubled with each further one.
     Duration longestRetry_{800'000};
+    Duration cleanPeriod_{
+        10'000'000}; ///< Between two deletions in a partition, so that many turns are deleted at once.
     std::size_t replicaBytes_ = 24 * 1024 * 1024; ///< Turns in memory; partitions unused for longest are dropped.
 };
 
+/** \brief A turn and how long it stays in the store at least, by this node's clock. */
+struct FoundTurn
+{
+    KeptTurnPointer turn_; ///< Empty unless it was found.
+    Time expires_{0};
+};
+
 /**
  * \brief This node's copies of partitions of kept turns.
  *
  * A turn's partition follows from its id. A partition is read once, when one of its turns is asked for; afterwards only
- * the records that were appended since are read, and only for a turn that is not in memory.
+ * the records that were appended since are read, and only for a turn that is not in memory. The holder of a partition
+ * deletes a turn once it has known its newest record for the turn's retention and some time more, so that neither the
+ * loss of the node that wrote it nor a wrong time of day matters.
  */
 class TurnReplicas
 {
 public:
-    using Found = std::function<void(ChainStatus, const KeptTurnPointer &)>;
+    using Found = std::function<void(ChainStatus, const FoundTurn &)>;
+    /** Time for which a turn stays in the store beyond its retention, since clocks and requests are late. */
+    static constexpr Duration retentionSlack{30'000'000};
 
     TurnReplicas(TurnReplicasHooks hooks, TurnReplicasSettings settings);
     ~TurnReplicas();
--- a/src/ledger/turnstore.cpp
+++ b/src/ledger/turnstore.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <deque>
-#include <map>
 #include <unordered_map>
 
 namespace filbertgw {
@@ -10,33 +9,25 @@
 namespace internal {
 namespace {
 
-/** A turn stays in the store for this long after its retention, since clocks and requests are late. */
-constexpr Duration deletionSlack{5'000'000};
-constexpr Duration sweepPeriod{1'000'000};
+/** A turn before the one that is stored is written again if it stays for less than this beyond the new one. */
+constexpr Duration renewalMargin{15'000'000};
 
 /** \brief One lookup of a chain. */
 struct Lookup
 {
     std::string newest_;
-    std::unordered_map<std::string, KeptTurnPointer> turns_; ///< Found so far.
+    std::unordered_map<std::string, FoundTurn> turns_; ///< Found so far.
     std::size_t open_ = 0; ///< Turns that are being looked for.
     std::function<void(const TurnChain &)> answer_; ///< Empty once answered.
 };
 
+/** \brief Records of one turn that are being stored: its own, and those of turns before it that are written again. */
 struct PendingStore
 {
-    StoreAppend append_;
-    std::string id_;
-    KeptTurnPointer turn_;
+    std::unordered_map<std::string, FoundTurn> open_; ///< Not durable yet, by id.
     std::function<void()> durable_;
 };
 
-struct ExpiringTurn
-{
-    Time when_{0};
-    std::string id_;
-};
-
 } // namespace
 } // namespace internal
 
@@ -45,25 +36,24 @@
     using LookupPointer = std::shared_ptr<internal::Lookup>;
 
     Private(TurnStoreHooks hooks, TurnStoreSettings settings);
-    void cache(const std::string &id, const KeptTurnPointer &turn);
-    KeptTurnPointer cached(const std::string &id) const;
-    void send(std::uint64_t number);
-    void appended(std::uint64_t number, StoreStatus status);
+    void cache(const std::string &id, const FoundTurn &turn);
+    FoundTurn cached(const std::string &id) const;
+    static KeptTurnPointer recordOf(const EndedTurn &turn);
+    void send(std::uint64_t number, const std::string &id);
+    void appended(std::uint64_t number, const std::string &id, StoreStatus status);
     void look(const LookupPointer &lookup, const std::vector<std::string> &turns);
-    void arrived(const LookupPointer &lookup, const std::string &id, ChainStatus status, const KeptTurnPointer &turn);
+    void arrived(const LookupPointer &lookup, const std::string &id, ChainStatus status, const FoundTurn &turn);
     void lookForAncestors(const LookupPointer &lookup);
     void finish(const LookupPointer &lookup, ChainStatus status);
-    void sweep();
 
     TurnStoreHooks hooks_;
     TurnStoreSettings settings_;
     TurnReplicas replicas_;
     TurnPeers peers_;
-    std::unordered_map<std::string, KeptTurnPointer> cached_;
+    std::unordered_map<std::string, FoundTurn> cached_;
     std::deque<std::string> cacheOrder_;
     std::size_t cachedBytes_ = 0;
     std::unordered_map<std::uint64_t, internal::PendingStore> pending_;
-    std::deque<internal::ExpiringTurn> expiring_; ///< Written by this node.
     std::uint64_t nextNumber_ = 1;
     bool stopped_ = false;
 };
@@ -71,69 +61,96 @@
 TurnStore::Private::Private(TurnStoreHooks hooks, TurnStoreSettings settings)
     : hooks_(std::move(hooks))
     , settings_(settings)
-    , replicas_(TurnReplicasHooks{hooks_.now_, hooks_.after_, hooks_.store_}, settings_.replicas_)
+    , replicas_(TurnReplicasHooks{hooks_.now_,
+                                  hooks_.after_,
+                                  hooks_.store_,
+                                  [this](const PartitionId &partition) { return peers_.isHolder(partition); }},
+                settings_.replicas_)
     , peers_(TurnPeersHooks{hooks_.now_, hooks_.after_, hooks_.holderOf_, hooks_.askPeer_}, settings_.peers_, replicas_)
 {
 }
 
-void TurnStore::Private::cache(const std::string &id, const KeptTurnPointer &turn)
+void TurnStore::Private::cache(const std::string &id, const FoundTurn &turn)
 {
-    if (!cached_.emplace(id, turn).second) {
+    const auto known = cached_.find(id);
+    if (known != cached_.end()) {
+        known->second.expires_ = std::max(known->second.expires_, turn.expires_);
         return;
     }
-    cachedBytes_ += turn->bytes();
+    cached_.emplace(id, turn);
+    cachedBytes_ += turn.turn_->bytes();
     cacheOrder_.push_back(id);
     while (cachedBytes_ > settings_.cacheBytes_ && cacheOrder_.size() > 1) {
         const auto oldest = cached_.find(cacheOrder_.front());
-        cachedBytes_ -= oldest->second->bytes();
+        cachedBytes_ -= oldest->second.turn_->bytes();
         cached_.erase(oldest);
         cacheOrder_.pop_front();
     }
 }
 
-KeptTurnPointer TurnStore::Private::cached(const std::string &id) const
+FoundTurn TurnStore::Private::cached(const std::string &id) const
 {
     const auto known = cached_.find(id);
-    return known == cached_.end() ? nullptr : known->second;
+    return known == cached_.end() ? FoundTurn() : known->second;
 }
 
-void TurnStore::Private::send(std::uint64_t number)
+KeptTurnPointer TurnStore::Private::recordOf(const EndedTurn &turn)
+{
+    KeptTurn record;
+    for (const ChainTurn &before : turn.chain_) {
+        record.ancestors_.push_back(before.id_);
+    }
+    record.text_ = turn.text_;
+    record.retention_ = turn.retention_;
+    return std::make_shared<const KeptTurn>(std::move(record));
+}
+
+void TurnStore::Private::send(std::uint64_t number, const std::string &id)
 {
     const auto pending = pending_.find(number);
     if (pending == pending_.end() || stopped_) {
         return;
     }
-    hooks_.store_.append_(pending->second.append_, [self = shared_from_this(), number](const StoreAppended &result) {
+    StoreAppend append;
+    append.to_ = replicas_.nameOf(replicas_.partitionOf(id));
+    append.timeout_ = settings_.appendTimeout_;
+    append.records_.push_back(KeyedRecord{id, pending->second.open_.at(id).turn_->encode()});
+    hooks_.store_.append_(std::move(append), [self = shared_from_this(), number, id](const StoreAppended &result) {
         if (!self->stopped_) {
-            self->appended(number, result.status_);
+            self->appended(number, id, result.status_);
         }
     });
 }
 
-void TurnStore::Private::appended(std::uint64_t number, StoreStatus status)
+void TurnStore::Private::appended(std::uint64_t number, const std::string &id, StoreStatus status)
 {
     const auto found = pending_.find(number);
     if (found == pending_.end()) {
         return;
     }
     if (status != StoreStatus::Ok) {
-        hooks_.after_(settings_.retry_, [self = shared_from_this(), number] { self->send(number); });
+        hooks_.after_(settings_.retry_, [self = shared_from_this(), number, id] { self->send(number, id); });
         return;
     }
-    const internal::PendingStore pending = std::move(found->second);
-    pending_.erase(found);
-    expiring_.push_back(
-        internal::ExpiringTurn{hooks_.now_() + pending.turn_->retention_ + internal::deletionSlack, pending.id_});
-    peers_.announce(pending.id_, pending.turn_);
-    pending.durable_();
+    internal::PendingStore &pending = found->second;
+    FoundTurn turn = std::move(pending.open_.at(id));
+    pending.open_.erase(id);
+    turn.expires_ = hooks_.now_() + turn.turn_->retention_ + TurnReplicas::retentionSlack;
+    cache(id, turn);
+    peers_.announce(id, turn.turn_);
+    if (pending.open_.empty()) {
+        const std::function<void()> durable = std::move(pending.durable_);
+        pending_.erase(found);
+        durable();
+    }
 }
 
 void TurnStore::Private::look(const LookupPointer &lookup, const std::vector<std::string> &turns)
 {
     std::vector<std::string> unknown;
     for (const std::string &id : turns) {
-        const KeptTurnPointer turn = cached(id);
-        if (turn) {
+        const FoundTurn turn = cached(id);
+        if (turn.turn_) {
             lookup->turns_[id] = turn;
         } else {
             unknown.push_back(id);
@@ -144,19 +161,18 @@
         lookForAncestors(lookup);
         return;
     }
-    peers_.find(
-        unknown,
-        [self = shared_from_this(), lookup](const std::string &id, ChainStatus status, const KeptTurnPointer &turn) {
-            if (!self->stopped_) {
-                self->arrived(lookup, id, status, turn);
-            }
-        });
+    peers_.find(unknown,
+                [self = shared_from_this(), lookup](const std::string &id, ChainStatus status, const FoundTurn &turn) {
+                    if (!self->stopped_) {
+                        self->arrived(lookup, id, status, turn);
+                    }
+                });
 }
 
 void TurnStore::Private::arrived(const LookupPointer &lookup,
                                  const std::string &id,
                                  ChainStatus status,
-                                 const KeptTurnPointer &turn)
+                                 const FoundTurn &turn)
 {
     if (status != ChainStatus::Found) {
         finish(lookup, status);
@@ -173,7 +189,7 @@
 void TurnStore::Private::lookForAncestors(const LookupPointer &lookup)
 {
     std::vector<std::string> open;
-    for (const std::string &ancestor : lookup->turns_.at(lookup->newest_)->ancestors_) {
+    for (const std::string &ancestor : lookup->turns_.at(lookup->newest_).turn_->ancestors_) {
         if (lookup->turns_.count(ancestor) == 0) {
             open.push_back(ancestor);
         }
@@ -193,10 +209,12 @@
     TurnChain chain;
     chain.status_ = status;
     if (status == ChainStatus::Found) {
-        chain.turns_ = lookup->turns_.at(lookup->newest_)->ancestors_;
-        chain.turns_.push_back(lookup->newest_);
-        for (const std::string &id : chain.turns_) {
-            chain.text_ += lookup->turns_.at(id)->text_;
+        std::vector<std::string> ids = lookup->turns_.at(lookup->newest_).turn_->ancestors_;
+        ids.push_back(lookup->newest_);
+        for (const std::string &id : ids) {
+            const FoundTurn &turn = lookup->turns_.at(id);
+            chain.text_ += turn.turn_->text_;
+            chain.turns_.push_back(ChainTurn{id, turn});
         }
     }
     const std::function<void(const TurnChain &)> answer = std::move(lookup->answer_);
@@ -204,33 +222,9 @@
     answer(chain);
 }
 
-/** Deletes turns of this node whose retention is over. */
-void TurnStore::Private::sweep()
-{
-    const Time now = hooks_.now_();
-    std::map<std::uint32_t, std::vector<KeyedRecord>> due;
-    while (!expiring_.empty() && expiring_.front().when_ <= now) {
-        const std::string &id = expiring_.front().id_;
-        due[replicas_.partitionOf(id)].push_back(KeyedRecord{id, std::nullopt});
-        expiring_.pop_front();
-    }
-    for (std::pair<const std::uint32_t, std::vector<KeyedRecord>> &entry : due) {
-        StoreAppend append;
-        append.to_ = replicas_.nameOf(entry.first);
-        append.records_ = std::move(entry.second);
-        hooks_.store_.append_(std::move(append), [](const StoreAppended &) {});
-    }
-    hooks_.after_(internal::sweepPeriod, [self = shared_from_this()] {
-        if (!self->stopped_) {
-            self->sweep();
-        }
-    });
-}
-
 TurnStore::TurnStore(TurnStoreHooks hooks, TurnStoreSettings settings)
     : d_(std::make_shared<Private>(std::move(hooks), settings))
 {
-    d_->sweep();
 }
 
 TurnStore::~TurnStore()
@@ -238,19 +232,26 @@
     d_->stopped_ = true;
 }
 
-std::uint64_t TurnStore::store(const std::string &id, KeptTurn turn, std::function<void()> durable)
+std::uint64_t TurnStore::store(const EndedTurn &turn, std::function<void()> durable)
 {
     const std::uint64_t number = d_->nextNumber_++;
     internal::PendingStore pending;
-    pending.id_ = id;
-    pending.append_.to_ = d_->replicas_.nameOf(d_->replicas_.partitionOf(id));
-    pending.append_.timeout_ = d_->settings_.appendTimeout_;
-    pending.append_.records_.push_back(KeyedRecord{id, turn.encode()});
-    pending.turn_ = std::make_shared<const KeptTurn>(std::move(turn));
     pending.durable_ = std::move(durable);
-    d_->cache(id, pending.turn_);
+    pending.open_[turn.id_] = FoundTurn{Private::recordOf(turn), Time{0}};
+    const Time needed = d_->hooks_.now_() + turn.retention_ + internal::renewalMargin;
+    for (const ChainTurn &before : turn.chain_) {
+        if (before.found_.expires_ < needed) {
+            pending.open_[before.id_] = before.found_;
+        }
+    }
+    std::vector<std::string> ids;
+    for (const std::pair<const std::string, FoundTurn> &entry : pending.open_) {
+        ids.push_back(entry.first);
+    }
     d_->pending_.emplace(number, std::move(pending));
-    d_->send(number);
+    for (const std::string &id : ids) {
+        d_->send(number, id);
+    }
     return number;
 }
 
@@ -259,10 +260,10 @@
     d_->pending_.erase(number);
 }
 
-bool TurnStore::fits(const KeptTurn &turn) const
+bool TurnStore::fits(const EndedTurn &turn) const
 {
     constexpr std::size_t overhead = 1024; // Key and framing.
-    return turn.bytes() + overhead <= d_->settings_.recordBytes_;
+    return Private::recordOf(turn)->bytes() + overhead <= d_->settings_.recordBytes_;
 }
 
 void TurnStore::chain(const std::string &turn, std::function<void(const TurnChain &)> answer)
--- a/src/ledger/turnstore.h
+++ b/src/ledger/turnstore.h
@@ -12,12 +12,28 @@
 
 namespace filbertgw {
 
+/** \brief A turn of a chain. */
+struct ChainTurn
+{
+    std::string id_;
+    FoundTurn found_;
+};
+
 /** \brief A turn and all before it, as the prompt of the next one needs them. */
 struct TurnChain
 {
     ChainStatus status_ = ChainStatus::Unavailable;
     std::string text_; ///< The texts of all turns, the oldest first, joined.
-    std::vector<std::string> turns_; ///< Their ids.
+    std::vector<ChainTurn> turns_; ///< The oldest first.
+};
+
+/** \brief A turn that has ended, and the chain that it goes on from. */
+struct EndedTurn
+{
+    std::string id_;
+    std::string text_; ///< Its input, then its output.
+    Duration retention_{0}; ///< Of the turn and of its chain.
+    std::vector<ChainTurn> chain_; ///< The turns before it, the oldest first.
 };
 
 struct TurnStoreHooks
@@ -60,12 +76,14 @@
 
     /**
      * \brief Stores a turn; tries again until it is durable.
+     *
+     * Turns before it that the store would delete before the new one are written again.
      * \return a number for abandon().
      */
-    std::uint64_t store(const std::string &id, KeptTurn turn, std::function<void()> durable);
+    std::uint64_t store(const EndedTurn &turn, std::function<void()> durable);
     /** \brief Stops trying; the turn may be durable all the same. */
     void abandon(std::uint64_t number);
-    bool fits(const KeptTurn &turn) const;
+    bool fits(const EndedTurn &turn) const;
 
     /** \brief Finds a turn and all before it. */
     void chain(const std::string &turn, std::function<void(const TurnChain &)> answer);
--- a/test/gateway/retention.cpp
+++ b/test/gateway/retention.cpp
@@ -153,6 +153,47 @@
     }
 }
 
+// Guards against the first turns of a long conversation that are deleted while its newest turn is kept.
+TEST(Retention, ConversationThatOutlastsTheRetentionKeepsItsFirstTurns)
+{
+    GatewayRig rig(3, {streamingRoute(true, 1, false)});
+    rig.addEndpoints("engines", "e", 2);
+    std::string expected;
+    std::string previous;
+    for (std::size_t i = 0; i < 8; ++i) {
+        const std::string id = "t" + std::to_string(i);
+        play(rig, i % 3, following(id, previous, "p" + std::to_string(i)), {"x"});
+        expected += "input-" + id + ";";
+        ASSERT_EQ(*rig.attempts_.back().attempt_.body_, expected);
+        expected += "x\n";
+        previous = id;
+        rig.store_.trim();
+        rig.run(std::chrono::seconds(50));
+    }
+}
+
+// Guards against a store that fills with the turns of nodes that were lost.
+TEST(Retention, TurnsOfLostNodesAreDeletedAfterTheirRetention)
+{
+    GatewayRig rig(2, {streamingRoute(true, 1, false)});
+    rig.addEndpoints("engines", "e", 2);
+    for (std::size_t i = 0; i < 40; ++i) {
+        play(rig, 0, following("old" + std::to_string(i), ""), {"x"});
+    }
+    rig.kill(0);
+    rig.kill(1);
+    rig.store_.trim();
+    rig.restart(0);
+    rig.restart(1);
+    rig.run(std::chrono::seconds(2));
+    for (std::size_t i = 0; i < 40; ++i) {
+        play(rig, i % 2, following("new" + std::to_string(i), ""), {"x"});
+    }
+    EXPECT_GE(rig.store_.keys("kept-turns"), 80U);
+    rig.run(std::chrono::minutes(4));
+    EXPECT_EQ(rig.store_.keys("kept-turns"), 0U);
+}
+
 /** \brief Which nodes have lost the store, and whether the first one takes new connections. */
 struct ReadinessCase
 {
--- a/test/gateway/turnrecovery.cpp
+++ b/test/gateway/turnrecovery.cpp
@@ -106,13 +106,15 @@
         std::size_t durable = 0;
         for (std::size_t conversation = 0; conversation < conversationsOf(GetParam()); ++conversation) {
             for (std::size_t turn = 0; turn < turnsOfAConversation; ++turn) {
-                KeptTurn kept;
+                EndedTurn kept;
+                kept.id_ = turnName(conversation, turn);
                 for (std::size_t before = 0; before < turn; ++before) {
-                    kept.ancestors_.push_back(turnName(conversation, before));
+                    const FoundTurn lasting{nullptr, rig_.queue_.now() + std::chrono::hours(1)};
+                    kept.chain_.push_back(ChainTurn{turnName(conversation, before), lasting});
                 }
                 kept.text_ = std::string(textBytes, 'x');
                 kept.retention_ = std::chrono::seconds(60);
-                writer.store(turnName(conversation, turn), std::move(kept), [&durable] { ++durable; });
+                writer.store(kept, [&durable] { ++durable; });
             }
         }
         rig_.run(std::chrono::seconds(1));
