Keep overdue reads of a tail open beside those sent in their place

Cause: reads of kept turns take all that the store can send, and reads of the operators' and the endpoints' stream wait behind them. Their answers come 0.9 to 2 s late, and a tail gives a read up after 0.7 s, drops the answer and asks again, so it learns nothing for as long as the store is slow; the answers that nobody waits for take their share all the same. Ruled out: the forgotten history itself; tails read the newest records once, within 0.23 s, and go on. Change: StoreRead carries its time-out. An overdue read (0.7 s after its wait, as before) counts as the loss of the store as before, and another one is sent, but the first one stays open for 3 s and its answer counts. The ledger's tail, whose reads bring much, sends the next one only after twice the time of the last answer; without that the test of records that are sent once fails (1.62 MB for 0.8 MB). FakeStore counts a caller's time from the moment at which the read was sent, as the client does. Tests: SlowAnswers.RecordsAreLearnedInTime (delays of 0.3, 1.0, 1.8 s; bound 3 s): at 1.8 s none of 20 records was learned within 10 s before. StreamTail.SlowStoreSendsRecordsOnce, StreamTail.LostAnswerDelaysRecordsLittle (passed before, for other reasons). While reads of kept turns fill the store's queue to the point where it rejects, 3 s can't be held.

--- a/bench/fakes/fakestore.cpp
+++ b/bench/fakes/fakestore.cpp
@@ -192,7 +192,7 @@
     StorePage page;
     if (!isReachable(node)) {
         page.status_ = down_ ? StoreStatus::Unknown : StoreStatus::Rejected;
-        queue_.after(down_ ? request.wait_ + timeout_ : latency_, [done, page] { done(page); });
+        queue_.after(down_ ? request.wait_ + request.timeout_ : latency_, [done, page] { done(page); });
         return;
     }
     Partition &from = partition(request.from_);
@@ -215,8 +215,10 @@
         queue_.at(until, again);
         return;
     }
-    queue_.after(latency_ / 2, [this, done, page = std::move(page), timeout = request.wait_ + timeout_]() mutable {
-        sendPage(std::move(page), timeout, done);
+    // The caller's time runs from the moment at which it sent the request, not from the end of the wait.
+    const Time deadline = until + request.timeout_;
+    queue_.after(latency_ / 2, [this, done, page = std::move(page), deadline]() mutable {
+        sendPage(std::move(page), std::max(Duration{0}, deadline - queue_.now()), done);
     });
 }
 
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -369,6 +369,7 @@
     tailSettings.partition_ = PartitionId{internal::ledgerStream, 0};
     tailSettings.pause_ = d_->settings_.readPause_;
     tailSettings.wait_ = d_->settings_.currentFor_ / 3;
+    tailSettings.followsDelay_ = true;
     d_->tail_ = std::make_unique<StreamTail>(std::move(tail), std::move(tailSettings));
 }
 
--- a/src/store/recordstore.h
+++ b/src/store/recordstore.h
@@ -80,6 +80,7 @@
     PartitionId from_;
     std::uint64_t offset_ = 0;
     Duration wait_{0};
+    Duration timeout_{700'000}; ///< For the answer, counted from the end of the wait.
 };
 
 /** \brief Result of a read; also of one page of the newest records. */
--- a/src/store/streamtail.cpp
+++ b/src/store/streamtail.cpp
@@ -11,7 +11,12 @@
     void readNewest(const std::string &after);
     void newestArrived(const StorePage &page);
     void read();
-    void readArrived(Time sent, const StorePage &page);
+    Duration overdueAfter() const;
+    void readOverdue(std::uint64_t number);
+    void readArrived(std::uint64_t number, Time sent, const StorePage &page);
+    void takeRecords(Time sent, const StorePage &page);
+    void readOn(const StorePage &page);
+    void startRebuild();
     void schedule(Duration delay);
     void setReachable(bool reachable);
     void report(const KeyedRecord &record);
@@ -25,13 +30,17 @@
     std::unordered_set<std::string> seen_; ///< Keys met while the newest records are read.
     Time rebuildStarted_{0};
     Time currentAsOf_{0};
+    Duration delay_{0}; ///< Of the last answer: without the wait, if that has ended without a record.
     bool firstPage_ = true;
     bool complete_ = false;
     bool rebuild_ = false; ///< The newest records have to be read anew.
     bool reachable_ = false;
-    bool reading_ = false;
+    bool reading_ = false; ///< The newest read, or the read of a page, has not ended.
     bool readAgain_ = false;
     bool stopped_ = false;
+    std::uint64_t newestRead_ = 0; ///< Number of the last read that was sent.
+    std::uint64_t newestOffset_ = 0; ///< Where that read began.
+    std::uint64_t firstRead_ = 0; ///< Reads of smaller numbers were sent before the newest records were read anew.
     std::uint64_t scheduled_ = 0; ///< Number of the newest planned read; older plans are void.
 };
 
@@ -134,23 +143,47 @@
     reading_ = true;
     readAgain_ = false;
     ++scheduled_;
-    const StoreRead request{settings_.partition_, position_, settings_.wait_};
+    const std::uint64_t number = ++newestRead_;
+    newestOffset_ = position_;
+    const StoreRead request{settings_.partition_, position_, settings_.wait_, settings_.timeout_};
     const Time sent = hooks_.now_();
-    hooks_.store_.read_(request, [self = shared_from_this(), sent](const StorePage &page) {
-        self->reading_ = false;
+    hooks_.store_.read_(request, [self = shared_from_this(), number, sent](const StorePage &page) {
+        if (!self->stopped_ && number >= self->firstRead_) {
+            self->readArrived(number, sent, page);
+        }
+    });
+    hooks_.after_(settings_.wait_ + overdueAfter(), [self = shared_from_this(), number] {
         if (!self->stopped_) {
-            self->readArrived(sent, page);
+            self->readOverdue(number);
         }
     });
 }
 
-void StreamTail::Private::readArrived(Time sent, const StorePage &page)
+Duration StreamTail::Private::overdueAfter() const
 {
+    return settings_.followsDelay_ ? std::clamp(2 * delay_, settings_.overdue_, settings_.timeout_)
+                                   : settings_.overdue_;
+}
+
+void StreamTail::Private::readOverdue(std::uint64_t number)
+{
+    if (number == newestRead_ && number >= firstRead_ && reading_) {
+        setReachable(false);
+        read();
+    }
+}
+
+void StreamTail::Private::readArrived(std::uint64_t number, Time sent, const StorePage &page)
+{
+    const bool isNewest = number == newestRead_;
+    if (!isNewest && page.status_ != StoreStatus::Ok) {
+        return; // The read that was sent in its place decides.
+    }
+    if (isNewest) {
+        reading_ = false;
+    }
     if (page.status_ == StoreStatus::Trimmed) {
-        // Not at once: a store that keeps no history deletes each record before it is read.
-        rebuild_ = true;
-        setReachable(true);
-        schedule(settings_.pause_);
+        startRebuild();
         return;
     }
     setReachable(page.status_ == StoreStatus::Ok);
@@ -158,13 +191,16 @@
         schedule(settings_.retry_);
         return;
     }
-    for (const KeyedRecord &record : page.records_) {
-        report(record);
-        position_ = std::max(position_, record.offset_ + 1);
-    }
-    if (position_ >= page.end_) {
-        currentAsOf_ = std::max(currentAsOf_, sent);
+    takeRecords(sent, page);
+    // Of an older read: the newest one still waits for records, unless it began before those that have arrived now.
+    if (isNewest || position_ > newestOffset_) {
+        reading_ = false;
+        readOn(page);
     }
+}
+
+void StreamTail::Private::readOn(const StorePage &page)
+{
     if (position_ < page.end_ || readAgain_) {
         read();
         return;
@@ -172,6 +208,31 @@
     schedule(page.records_.empty() ? Duration{0} : settings_.pause_);
 }
 
+void StreamTail::Private::takeRecords(Time sent, const StorePage &page)
+{
+    const Duration took = hooks_.now_() - sent;
+    delay_ = page.records_.empty() ? took - std::min(took, settings_.wait_) : took;
+    for (const KeyedRecord &record : page.records_) {
+        // An overdue answer may bring what a later read has brought already.
+        if (record.offset_ >= position_) {
+            report(record);
+            position_ = record.offset_ + 1;
+        }
+    }
+    if (position_ >= page.end_) {
+        currentAsOf_ = std::max(currentAsOf_, sent);
+    }
+}
+
+void StreamTail::Private::startRebuild()
+{
+    firstRead_ = newestRead_ + 1;
+    rebuild_ = true;
+    setReachable(true);
+    // Not at once: a store that keeps no history deletes each record before it is read.
+    schedule(settings_.pause_);
+}
+
 StreamTail::StreamTail(StreamTailHooks hooks, StreamTailSettings settings)
     : d_(std::make_shared<Private>())
 {
--- a/src/store/streamtail.h
+++ b/src/store/streamtail.h
@@ -25,6 +25,10 @@
     Duration pause_{200'000}; ///< Between two reads, so that records are read in groups.
     Duration wait_{1'000'000}; ///< Longest time that the store holds a read without records.
     Duration retry_{100'000}; ///< After a read that failed.
+    Duration overdue_{700'000}; ///< A read without an answer so long after its wait is joined by another one.
+    Duration timeout_{3'000'000}; ///< A read without an answer so long after its wait is given up.
+    /** \brief Overdue is what takes twice as long as the last answer: for streams of which a read brings much. */
+    bool followsDelay_ = false;
 };
 
 /**
@@ -32,6 +36,9 @@
  *
  * When the store has deleted records that were not read yet, the newest records are read anew. Reading never goes back
  * to an older offset, and a key is reported only with offsets that grow.
+ *
+ * An overdue read stays open beside the one that is sent in its place, and the first answer of them counts: a store
+ * that is slow answers the older one, and an answer that was lost is made up for by the newer one.
  */
 class StreamTail
 {
--- a/test/gateway/streamtail.cpp
+++ b/test/gateway/streamtail.cpp
@@ -1,5 +1,7 @@
 #include "store/streamtail.h"
 
+#include "core/numbers.h"
+
 #include "fakes/eventqueue.h"
 #include "fakes/fakestore.h"
 
@@ -9,13 +11,18 @@
 
 namespace filbertgw::test {
 
+using namespace std::chrono_literals;
+
 namespace {
 
+/** Time within which a configuration is in force after it was acknowledged (`apply_ms` of the large deployments). */
+constexpr Duration timeToApply = 3s;
+
 /** \brief A tail over the fake store that keeps what it is told. */
 class TailRig
 {
 public:
-    TailRig()
+    explicit TailRig(bool followsDelay = false)
         : store_(queue_)
     {
         StreamTailHooks hooks;
@@ -29,6 +36,7 @@
         hooks.onReachable_ = [this](bool reachable) { changes_.push_back(reachable); };
         StreamTailSettings settings;
         settings.partition_ = partition_;
+        settings.followsDelay_ = followsDelay;
         tail_ = std::make_unique<StreamTail>(std::move(hooks), std::move(settings));
     }
 
@@ -37,6 +45,36 @@
         queue_.runUntil(queue_.now() + time);
     }
 
+    /** \brief Lets other readers ask for as much as the store can send, so that each answer waits for so long. */
+    void delayAnswers(Duration delay)
+    {
+        store_.limits_.readBytesPerSecond_ = static_cast<double>(otherReadBytes) * (Duration(1s) / otherReadPeriod);
+        store_.put(otherReads_, "bulk", std::string((otherReadBytes - otherReadOverhead) / 4 * 3, 'x'));
+        for (Duration queued{0}; queued < delay; queued += otherReadPeriod) {
+            readForOthers();
+        }
+        keepReadingForOthers();
+    }
+
+    /** \return how long it took until a record that was appended now was reported. */
+    Duration timeToLearn(const std::string &value)
+    {
+        const Time put = queue_.now();
+        store_.put(partition_, "k", value);
+        while (known_["k"] != value && queue_.now() - put < longestLearning) {
+            run(10ms);
+        }
+        return queue_.now() - put;
+    }
+
+    /** \brief Bytes that the store has sent to the tail. */
+    std::uint64_t bytesRead() const
+    {
+        return store_.bytesRead() - otherReadBytes * readsOfOthers_;
+    }
+
+    static constexpr Duration longestLearning = 10s;
+
     const PartitionId partition_{"s", 0};
     bench::EventQueue queue_;
     bench::FakeStore store_;
@@ -44,8 +82,27 @@
     std::vector<bool> changes_;
     std::uint64_t highest_ = 0;
     std::unique_ptr<StreamTail> tail_;
+    std::uint64_t readsOfOthers_ = 0;
+    const PartitionId otherReads_{"bulk", 0};
+    const RecordStore others_ = store_.access("other");
 
 private:
+    static constexpr std::size_t otherReadBytes = 800'000;
+    static constexpr std::size_t otherReadOverhead = 44; ///< Names of the fields and the key.
+    static constexpr Duration otherReadPeriod = 10ms;
+
+    void readForOthers()
+    {
+        ++readsOfOthers_;
+        others_.newest_(otherReads_, {}, [](const StorePage &) {});
+    }
+
+    void keepReadingForOthers()
+    {
+        readForOthers();
+        queue_.after(otherReadPeriod, [this] { keepReadingForOthers(); });
+    }
+
     void take(const KeyedRecord &record)
     {
         EXPECT_GE(record.offset_, highest_) << "records go back";
@@ -112,4 +169,70 @@
     EXPECT_LE(rig.tail_->currentAsOf(), rig.queue_.now() - Duration(std::chrono::seconds(3)));
 }
 
+/** \brief Time that each answer waits until the store has sent those before it. */
+struct AnswerDelay
+{
+    const char *name_;
+    Duration delay_;
+};
+
+class SlowAnswers : public testing::TestWithParam<AnswerDelay>
+{
+};
+
+// Guards against a tail that learns nothing while the store answers, but later than a call to it may take: every read
+// was given up and sent again, to wait as long as the one before.
+TEST_P(SlowAnswers, RecordsAreLearnedInTime)
+{
+    TailRig rig;
+    rig.store_.put(rig.partition_, "k", "first");
+    rig.tail_->start();
+    rig.run(1s);
+    rig.delayAnswers(GetParam().delay_);
+    rig.run(5s);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_LE(toMilliseconds(rig.timeToLearn(std::to_string(i))), toMilliseconds(timeToApply)) << "record " << i;
+        rig.run(310ms); // Records meet reads at all points of their wait.
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         SlowAnswers,
+                         testing::Values(AnswerDelay{"Short", 300ms},
+                                         AnswerDelay{"BeyondOneCall", 1000ms},
+                                         AnswerDelay{"BeyondWaitAndCall", 1800ms}),
+                         [](const testing::TestParamInfo<AnswerDelay> &info) { return info.param.name_; });
+
+// Guards against a store that is slow because of too many bytes and has to send the same records again and again.
+TEST(StreamTail, SlowStoreSendsRecordsOnce)
+{
+    TailRig rig(true);
+    rig.tail_->start();
+    rig.run(1s);
+    rig.delayAnswers(1800ms);
+    rig.run(5s);
+    const std::uint64_t before = rig.bytesRead();
+    constexpr std::uint64_t records = 200;
+    constexpr std::uint64_t recordBytes = 4'000;
+    for (std::uint64_t i = 0; i < records; ++i) {
+        rig.store_.put(rig.partition_, "k" + std::to_string(i), std::string(recordBytes / 4 * 3, 'x'));
+        rig.run(100ms);
+    }
+    rig.run(5s);
+    EXPECT_EQ(rig.known_.size(), records);
+    EXPECT_LE(rig.bytesRead() - before, records * recordBytes * 5 / 4);
+}
+
+// Guards against a tail that waits long for a slow answer and so stays blind when an answer is lost for good.
+TEST(StreamTail, LostAnswerDelaysRecordsLittle)
+{
+    TailRig rig;
+    rig.tail_->start();
+    rig.run(5s);
+    rig.store_.down_ = true;
+    rig.run(StreamTailSettings().wait_ + 300ms); // A read was sent in between, and its answer is lost.
+    rig.store_.down_ = false;
+    EXPECT_LE(toMilliseconds(rig.timeToLearn("a")), toMilliseconds(timeToApply));
+}
+
 } // namespace filbertgw::test
