Stop reads of kept turns when their store is destroyed

Callers would see: nothing while a node runs; at its end, with lookups still open, a crash is possible. Cause: a lookup that waits for a read owns the private data of the turn store, whose replicas go on to read through hooks (RelayedStore, fleet) that are already destroyed. Change: the destructor stops the replicas, which drop their questions.

--- a/src/ledger/turnreplicas.cpp
+++ b/src/ledger/turnreplicas.cpp
@@ -380,8 +380,17 @@
 }
 
 TurnReplicas::~TurnReplicas()
+{
+    stop();
+}
+
+void TurnReplicas::stop()
 {
     d_->stopped_ = true;
+    d_->queue_.clear();
+    // Callbacks of questions may own this object: they are destroyed after the map is empty.
+    std::unordered_map<std::uint32_t, internal::Replica> dropped;
+    dropped.swap(d_->replicas_);
 }
 
 std::uint32_t TurnReplicas::partitionOf(const std::string &turn) const
--- a/src/ledger/turnreplicas.h
+++ b/src/ledger/turnreplicas.h
@@ -86,6 +86,8 @@
     void find(const std::string &turn, Found found);
     /** \brief Takes a turn that is in the store, without reading it there. */
     void note(const std::string &id, KeptTurnPointer turn);
+    /** \brief Drops all turns and questions, and calls no hook any more. */
+    void stop();
     /** \brief Bytes of the turns in memory. */
     std::size_t bytes() const;
 
--- a/src/ledger/turnstore.cpp
+++ b/src/ledger/turnstore.cpp
@@ -230,6 +230,8 @@
 TurnStore::~TurnStore()
 {
     d_->stopped_ = true;
+    // Lookups that wait for a read own the private data, which therefore outlive this object.
+    d_->replicas_.stop();
 }
 
 std::uint64_t TurnStore::store(const EndedTurn &turn, std::function<void()> durable)
