Say that a turn is missing only after the end of its partition was read

Callers would see: 404 for a turn that was answered whole, if the store sends an empty page before the end of a partition. Cause: an empty page ended the read as a successful one whatever its end or has_more say. Change: such a read counts as failed; the turn is unavailable after the time-out, not missing. Measured: TurnStoreHooksTest.MissingIsNotSaidBeforeTheEndOfThePartition gets missing without the change.

--- a/src/ledger/turnreplicas.cpp
+++ b/src/ledger/turnreplicas.cpp
@@ -173,8 +173,9 @@
     for (const KeyedRecord &record : page.records_) {
         takeRecord(replica, record);
     }
-    if (page.more_ && !page.records_.empty()) {
-        readNewest(partition, page.records_.back().key_);
+    if (page.more_) {
+        // An empty page that is not the last one says nothing about the records that follow.
+        page.records_.empty() ? readEnded(partition, false) : readNewest(partition, page.records_.back().key_);
         return;
     }
     replica.loaded_ = true;
@@ -207,8 +208,9 @@
         takeRecord(replica, record);
         replica.position_ = std::max(replica.position_, record.offset_ + 1);
     }
-    if (replica.position_ < page.end_ && !page.records_.empty()) {
-        readRecords(partition);
+    if (replica.position_ < page.end_) {
+        // An empty page before the end says nothing about the records that follow.
+        page.records_.empty() ? readEnded(partition, false) : readRecords(partition);
         return;
     }
     readEnded(partition, true);
--- a/test/gateway/turnstorelifetime.cpp
+++ b/test/gateway/turnstorelifetime.cpp
@@ -65,4 +65,18 @@
     EXPECT_EQ(reads_, before);
 }
 
+// Guards against a turn that is said to be missing although not all records of its partition were read.
+TEST_F(TurnStoreHooksTest, MissingIsNotSaidBeforeTheEndOfThePartition)
+{
+    TurnStore turns(hooks(), TurnStoreSettings{});
+    ChainStatus status = ChainStatus::Unavailable;
+    turns.chain("t1", [&status](const TurnChain &chain) { status = chain.status_; });
+    queue_.runUntil(queue_.now() + std::chrono::seconds(2));
+    ASSERT_EQ(status, ChainStatus::Missing);
+    endOfEmptyPages_ = 1'000;
+    turns.chain("t1", [&status](const TurnChain &chain) { status = chain.status_; });
+    queue_.runUntil(queue_.now() + std::chrono::seconds(2));
+    EXPECT_EQ(status, ChainStatus::Unavailable);
+}
+
 } // namespace filbertgw::test
