Wait for slow pages of the newest records; repeat only those that failed

Cause: the same as that of the overdue reads: a page is given up after 0.7 s, and the tail then begins again with the first page, so that more is asked of a store that is slow because too much is asked of it. Change: newest_ takes a StoreNewest with a time-out, as reads do. A tail waits 3 s for a page; small streams ask for it once more after 0.7 s and take the first answer; the ledger's tail does not. A page that fails is asked for again by itself. Calls of the replicas of kept turns keep their 0.7 s. Tests: SlowAnswers.NewestRecordsAreRead (0.3, 1.0, 1.8 s; bound recover_s 15 s) and StreamTail.FailedPageIsReadAgainAlone; the first failed at 1.0 and 1.8 s (no record known after 15 s), the second too (more bytes read than without the failure).

--- a/bench/fakes/fakestore.cpp
+++ b/bench/fakes/fakestore.cpp
@@ -63,18 +63,17 @@
         queue_.after(latency_ / 2,
                      [this, node, request, done = std::move(done), until] { read(node, request, done, until); });
     };
-    store.newest_ =
-        [this, node](const PartitionId &id, const std::string &after, std::function<void(const StorePage &)> done) {
-            queue_.after(latency_, [this, node, id, after, done = std::move(done)] {
-                if (!isReachable(node)) {
-                    StorePage page;
-                    page.status_ = down_ ? StoreStatus::Unknown : StoreStatus::Rejected;
-                    queue_.after(down_ ? timeout_ : Duration{0}, [done, page] { done(page); });
-                    return;
-                }
-                sendPage(newestPage(id, after), timeout_, done);
-            });
-        };
+    store.newest_ = [this, node](const StoreNewest &request, std::function<void(const StorePage &)> done) {
+        queue_.after(latency_, [this, node, request, done = std::move(done)] {
+            if (!isReachable(node)) {
+                StorePage page;
+                page.status_ = down_ ? StoreStatus::Unknown : StoreStatus::Rejected;
+                queue_.after(down_ ? request.timeout_ : Duration{0}, [done, page] { done(page); });
+                return;
+            }
+            sendPage(newestPage(request.from_, request.after_), request.timeout_, done);
+        });
+    };
     return store;
 }
 
--- a/bench/fakes/fakestore.h
+++ b/bench/fakes/fakestore.h
@@ -51,7 +51,6 @@
     std::map<std::string, bool> refuses_; ///< Nodes that are turned away at once.
     std::uint64_t loseAnswers_ = 0; ///< So many of the next appends take effect without an answer.
     Duration latency_{4'000};
-    Duration timeout_{700'000};
 
 private:
     struct Partition
--- a/src/gateway/relayedstore.cpp
+++ b/src/gateway/relayedstore.cpp
@@ -120,9 +120,9 @@
     store.read_ = [this](const StoreRead &request, std::function<void(const StorePage &)> done) {
         read(request, std::move(done));
     };
-    store.newest_ = [this](const PartitionId &from,
-                           const std::string &after,
-                           std::function<void(const StorePage &)> done) { newest(from, after, std::move(done)); };
+    store.newest_ = [this](const StoreNewest &request, std::function<void(const StorePage &)> done) {
+        newest(request, std::move(done));
+    };
     return store;
 }
 
@@ -158,16 +158,15 @@
     hooks_.askPeer_(node->linkAddress_, internal::readType, body, internal::relayTimeout, answered);
 }
 
-void RelayedStore::newest(const PartitionId &from,
-                          const std::string &after,
-                          std::function<void(const StorePage &)> done)
+void RelayedStore::newest(const StoreNewest &request, std::function<void(const StorePage &)> done)
 {
+    const PartitionId &from = request.from_;
     const std::optional<FleetMember> node = isReachable_() ? std::nullopt : fleet_.currentNode(from.stream_);
     if (!node) {
-        direct_.newest_(from, after, std::move(done));
+        direct_.newest_(request, std::move(done));
         return;
     }
-    const nlohmann::json body = {{"stream", from.stream_}, {"partition", from.partition_}, {"after", after}};
+    const nlohmann::json body = {{"stream", from.stream_}, {"partition", from.partition_}, {"after", request.after_}};
     const auto answered = [done = std::move(done)](const std::optional<nlohmann::json> &answer) {
         done(internal::pageOf(answer));
     };
@@ -227,8 +226,8 @@
         answer({});
         return;
     }
-    direct_.newest_(
-        *from, body["after"].get<std::string>(), [answer](const StorePage &page) { answer(internal::encode(page)); });
+    direct_.newest_({*from, body["after"].get<std::string>()},
+                    [answer](const StorePage &page) { answer(internal::encode(page)); });
 }
 
 } // namespace filbertgw
--- a/src/gateway/relayedstore.h
+++ b/src/gateway/relayedstore.h
@@ -29,7 +29,7 @@
 private:
     void append(StoreAppend request, std::function<void(const StoreAppended &)> done);
     void read(const StoreRead &request, std::function<void(const StorePage &)> done);
-    void newest(const PartitionId &from, const std::string &after, std::function<void(const StorePage &)> done);
+    void newest(const StoreNewest &request, std::function<void(const StorePage &)> done);
     void serveAppend(const nlohmann::json &body, const std::function<void(const nlohmann::json &)> &answer);
     void serveRead(const nlohmann::json &body, const std::function<void(const nlohmann::json &)> &answer);
     void serveNewest(const nlohmann::json &body, const std::function<void(const nlohmann::json &)> &answer);
--- a/src/ledger/turnreplicas.cpp
+++ b/src/ledger/turnreplicas.cpp
@@ -156,7 +156,7 @@
             self->newestArrived(partition, isFirst, page);
         }
     };
-    hooks_.store_.newest_(nameOf(partition), after, arrived);
+    hooks_.store_.newest_({nameOf(partition), after}, arrived);
 }
 
 void TurnReplicas::Private::newestArrived(std::uint32_t partition, bool isFirst, const StorePage &page)
--- a/src/store/recordstore.h
+++ b/src/store/recordstore.h
@@ -83,6 +83,14 @@
     Duration timeout_{700'000}; ///< For the answer, counted from the end of the wait.
 };
 
+/** \brief Reads a page of the newest record of each key, in order of keys. */
+struct StoreNewest
+{
+    PartitionId from_;
+    std::string after_; ///< The page begins behind this key.
+    Duration timeout_{700'000}; ///< For the answer.
+};
+
 /** \brief Result of a read; also of one page of the newest records. */
 struct StorePage
 {
@@ -97,8 +105,8 @@
 {
     std::function<void(StoreAppend, std::function<void(const StoreAppended &)>)> append_;
     std::function<void(StoreRead, std::function<void(const StorePage &)>)> read_;
-    /** \brief The newest record of each key after the given one, in order of keys; a page is no snapshot. */
-    std::function<void(PartitionId, const std::string &after, std::function<void(const StorePage &)>)> newest_;
+    /** \brief Pages are no snapshot. */
+    std::function<void(StoreNewest, std::function<void(const StorePage &)>)> newest_;
 };
 
 } // namespace filbertgw
--- a/src/store/streamtail.cpp
+++ b/src/store/streamtail.cpp
@@ -8,8 +8,9 @@
 
 struct StreamTail::Private : std::enable_shared_from_this<StreamTail::Private>
 {
-    void readNewest(const std::string &after);
-    void newestArrived(const StorePage &page);
+    void readPage();
+    void pageOverdue(std::uint64_t call);
+    void pageArrived(Time sent, const StorePage &page);
     void read();
     Duration overdueAfter() const;
     void readOverdue(std::uint64_t number);
@@ -31,13 +32,15 @@
     Time rebuildStarted_{0};
     Time currentAsOf_{0};
     Duration delay_{0}; ///< Of the last answer: without the wait, if that has ended without a record.
-    bool firstPage_ = true;
     bool complete_ = false;
     bool rebuild_ = false; ///< The newest records have to be read anew.
     bool reachable_ = false;
     bool reading_ = false; ///< The newest read, or the read of a page, has not ended.
     bool readAgain_ = false;
     bool stopped_ = false;
+    std::string pageAfter_; ///< Last key of the newest records that was read; empty before the first page.
+    std::uint64_t newestPage_ = 0; ///< Number of the last call for a page.
+    std::uint64_t firstPageCall_ = 0; ///< Calls of smaller numbers asked for a page that has arrived.
     std::uint64_t newestRead_ = 0; ///< Number of the last read that was sent.
     std::uint64_t newestOffset_ = 0; ///< Where that read began.
     std::uint64_t firstRead_ = 0; ///< Reads of smaller numbers were sent before the newest records were read anew.
@@ -73,47 +76,67 @@
     const std::uint64_t number = ++scheduled_;
     hooks_.after_(delay, [self = shared_from_this(), number] {
         if (!self->stopped_ && number == self->scheduled_) {
-            self->complete_ && !self->rebuild_ ? self->read() : self->readNewest({});
+            self->complete_ && !self->rebuild_ ? self->read() : self->readPage();
         }
     });
 }
 
-void StreamTail::Private::readNewest(const std::string &after)
+/** Reads the page of the newest records that begins behind the last key that was read. */
+void StreamTail::Private::readPage()
 {
-    if (after.empty()) {
-        firstPage_ = true;
-        seen_.clear();
-        rebuildStarted_ = hooks_.now_();
-    }
     reading_ = true;
-    hooks_.store_.newest_(settings_.partition_, after, [self = shared_from_this()](const StorePage &page) {
-        self->reading_ = false;
+    ++scheduled_;
+    const std::uint64_t call = ++newestPage_;
+    const Time sent = hooks_.now_();
+    const StoreNewest request{settings_.partition_, pageAfter_, settings_.timeout_};
+    hooks_.store_.newest_(request, [self = shared_from_this(), call, sent](const StorePage &page) {
+        const bool decides = call == self->newestPage_ || page.status_ == StoreStatus::Ok;
+        if (!self->stopped_ && call >= self->firstPageCall_ && decides) {
+            self->reading_ = false;
+            self->pageArrived(sent, page);
+        }
+    });
+    // A page may bring so much that it is not asked for twice at the same time.
+    hooks_.after_(settings_.followsDelay_ ? settings_.timeout_ : settings_.overdue_, [self = shared_from_this(), call] {
         if (!self->stopped_) {
-            self->newestArrived(page);
+            self->pageOverdue(call);
         }
     });
 }
 
-void StreamTail::Private::newestArrived(const StorePage &page)
+void StreamTail::Private::pageOverdue(std::uint64_t call)
+{
+    if (call == newestPage_ && call >= firstPageCall_ && reading_) {
+        setReachable(false);
+        readPage();
+    }
+}
+
+void StreamTail::Private::pageArrived(Time sent, const StorePage &page)
 {
     setReachable(page.status_ == StoreStatus::Ok);
     if (page.status_ != StoreStatus::Ok) {
         schedule(settings_.retry_);
         return;
     }
-    if (firstPage_) {
+    // Other answers to the same call come too late.
+    firstPageCall_ = newestPage_ + 1;
+    if (pageAfter_.empty()) {
         // Pages are no snapshot: what changes after the first one is read again as records.
         snapshotEnd_ = std::max(page.end_, position_);
-        firstPage_ = false;
+        rebuildStarted_ = sent;
+        seen_.clear();
     }
     for (const KeyedRecord &record : page.records_) {
         seen_.insert(record.key_);
         report(record);
     }
     if (page.more_ && !page.records_.empty()) {
-        readNewest(page.records_.back().key_);
+        pageAfter_ = page.records_.back().key_;
+        readPage();
         return;
     }
+    pageAfter_.clear();
     position_ = snapshotEnd_;
     currentAsOf_ = rebuildStarted_;
     complete_ = true;
@@ -247,7 +270,7 @@
 
 void StreamTail::start()
 {
-    d_->readNewest({});
+    d_->readPage();
 }
 
 void StreamTail::readNow()
@@ -255,7 +278,7 @@
     if (d_->reading_) {
         d_->readAgain_ = true;
     } else if (d_->rebuild_) {
-        d_->readNewest({});
+        d_->readPage();
     } else if (d_->complete_) {
         d_->read();
     }
--- a/src/store/streamtail.h
+++ b/src/store/streamtail.h
@@ -37,8 +37,9 @@
  * When the store has deleted records that were not read yet, the newest records are read anew. Reading never goes back
  * to an older offset, and a key is reported only with offsets that grow.
  *
- * An overdue read stays open beside the one that is sent in its place, and the first answer of them counts: a store
- * that is slow answers the older one, and an answer that was lost is made up for by the newer one.
+ * A page of the newest records that fails is read again, not those before it. An overdue read stays open beside the one
+ * that is sent in its place, and the first answer of them counts: a store that is slow answers the older one, and an
+ * answer that was lost is made up for by the newer one.
  */
 class StreamTail
 {
--- a/test/gateway/streamtail.cpp
+++ b/test/gateway/streamtail.cpp
@@ -17,6 +17,8 @@
 
 /** Time within which a configuration is in force after it was acknowledged (`apply_ms` of the large deployments). */
 constexpr Duration timeToApply = 3s;
+/** Time after the return of all nodes by which they serve (`recover_s` of the large deployments). */
+constexpr Duration timeToRecover = 15s;
 
 /** \brief A tail over the fake store that keeps what it is told. */
 class TailRig
@@ -94,7 +96,7 @@
     void readForOthers()
     {
         ++readsOfOthers_;
-        others_.newest_(otherReads_, {}, [](const StorePage &) {});
+        others_.newest_({otherReads_, {}}, [](const StorePage &) {});
     }
 
     void keepReadingForOthers()
@@ -169,6 +171,29 @@
     EXPECT_LE(rig.tail_->currentAsOf(), rig.queue_.now() - Duration(std::chrono::seconds(3)));
 }
 
+// Guards against a start from nothing under load that reads the first pages again whenever a later one fails.
+TEST(StreamTail, FailedPageIsReadAgainAlone)
+{
+    std::vector<std::uint64_t> bytes;
+    for (const bool fails : {false, true}) {
+        TailRig rig;
+        for (int i = 10; i < 40; ++i) {
+            rig.store_.put(rig.partition_, "k" + std::to_string(i), "a");
+        }
+        rig.tail_->start();
+        while (rig.known_.size() < 15) {
+            rig.run(1ms);
+        }
+        rig.store_.refuses_["n"] = fails;
+        rig.run(300ms);
+        rig.store_.refuses_["n"] = false;
+        rig.run(1s);
+        EXPECT_EQ(rig.known_.size(), 30U);
+        bytes.push_back(rig.bytesRead());
+    }
+    EXPECT_EQ(bytes[0], bytes[1]);
+}
+
 /** \brief Time that each answer waits until the store has sent those before it. */
 struct AnswerDelay
 {
@@ -196,6 +221,20 @@
     }
 }
 
+// Guards against a node that starts while the store is slow and never knows the configuration.
+TEST_P(SlowAnswers, NewestRecordsAreRead)
+{
+    TailRig rig;
+    for (int i = 10; i < 20; ++i) {
+        rig.store_.put(rig.partition_, "k" + std::to_string(i), "a");
+    }
+    rig.delayAnswers(GetParam().delay_);
+    rig.tail_->start();
+    rig.run(timeToRecover);
+    EXPECT_TRUE(rig.tail_->isComplete());
+    EXPECT_EQ(rig.known_.size(), 10U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Table,
                          SlowAnswers,
                          testing::Values(AnswerDelay{"Short", 300ms},
--- a/test/gateway/turnstorelifetime.cpp
+++ b/test/gateway/turnstorelifetime.cpp
@@ -21,11 +21,10 @@
             return std::uint64_t{0};
         };
         hooks.store_ = store_.access("node");
-        hooks.store_.newest_ = [this, newest = hooks.store_.newest_](const PartitionId &from,
-                                                                     const std::string &after,
+        hooks.store_.newest_ = [this, newest = hooks.store_.newest_](const StoreNewest &request,
                                                                      std::function<void(const StorePage &)> done) {
             ++reads_;
-            newest(from, after, std::move(done));
+            newest(request, std::move(done));
         };
         hooks.store_.read_ = [this, read = hooks.store_.read_](const StoreRead &request,
                                                                std::function<void(const StorePage &)> done) {
