Wait 2.5 s for a read of kept turns

Callers would see the incident again with three times its kept turns: 88 nodes that read one partition of 0.7 MB each ask for more than the store sends within 0.7 s; all reads end at their time-out, are repeated, and what was given up is sent as well.

--- a/src/ledger/turnreplicas.cpp
+++ b/src/ledger/turnreplicas.cpp
@@ -156,7 +156,7 @@
             self->newestArrived(partition, isFirst, page);
         }
     };
-    hooks_.store_.newest_({nameOf(partition), after}, arrived);
+    hooks_.store_.newest_(StoreNewest{nameOf(partition), after, settings_.readTimeout_}, arrived);
 }
 
 void TurnReplicas::Private::newestArrived(std::uint32_t partition, bool isFirst, const StorePage &page)
@@ -184,7 +184,7 @@
 
 void TurnReplicas::Private::readRecords(std::uint32_t partition)
 {
-    const StoreRead request{nameOf(partition), replicas_[partition].position_, Duration{0}};
+    const StoreRead request{nameOf(partition), replicas_[partition].position_, Duration{0}, settings_.readTimeout_};
     hooks_.store_.read_(request, [self = shared_from_this(), partition](const StorePage &page) {
         if (!self->stopped_) {
             self->recordsArrived(partition, page);
--- a/src/ledger/turnreplicas.h
+++ b/src/ledger/turnreplicas.h
@@ -45,6 +45,7 @@
     std::uint32_t partitionsPerStream_ = 8;
     /** All nodes may read at the same time: few reads of each keep the queue at the store shorter than a time-out. */
     std::uint32_t concurrentReads_ = 1;
+    Duration readTimeout_{2'500'000}; ///< A read that is given up takes its share of what the store sends all the same.
     Duration findTimeout_{1'000'000}; ///< Longest time that a question waits for the store.
     Duration firstRetry_{50'000}; ///< After a read that failed; doubled with each further one.
     Duration longestRetry_{800'000};
--- a/test/gateway/turnrecovery.cpp
+++ b/test/gateway/turnrecovery.cpp
@@ -270,6 +270,7 @@
     Large,
     Recovery,
     testing::Values(RecoveryCase{"Nodes88After2Losses", 88, 53, 155, 16, 6'000, 1'500, std::chrono::seconds(15), 120},
+                    RecoveryCase{"Nodes88After3Losses", 88, 53, 155, 16, 6'000, 1'500, std::chrono::seconds(15), 180},
                     RecoveryCase{"Nodes88Kept75", 88, 53, 155, 16, 6'000, 1'500, std::chrono::seconds(15), 75},
                     RecoveryCase{"Nodes88Kept90", 88, 53, 155, 16, 6'000, 1'500, std::chrono::seconds(15), 90}),
     [](const testing::TestParamInfo<RecoveryCase> &info) { return info.param.name_; });
