Put the texts of an ending chain into the record of its newest turn

Callers would see answers that end late and 429 from the store in long conversations: wrote each earlier turn again every 15 s, seven appends for one turn in the test, and the store takes 1,500 a second. Change: the record of a turn whose chain would end early contains the texts of the whole chain and names no turn before it; only if that is larger than a record are the turns before it written again. Measured: both cases pass; LongConversation plays both ways.

--- a/src/ledger/keptturn.h
+++ b/src/ledger/keptturn.h
@@ -18,7 +18,9 @@
 struct KeptTurn
 {
     std::vector<std::string> ancestors_; ///< Ids of the turns before it, the oldest first.
-    std::string text_; ///< What the turn adds to the prompt of the next one: its input, then its output.
+    /** What the turn adds to the prompt of the next one: its input, then its output. Begins with those of turns before
+     * that are not among its ancestors. */
+    std::string text_;
     Duration retention_{0}; ///< How long it is kept after its end.
 
     /** A day: no longer retention is believed. */
--- a/src/ledger/turnstore.cpp
+++ b/src/ledger/turnstore.cpp
@@ -28,6 +28,19 @@
     std::function<void()> durable_;
 };
 
+/** \brief A turn whose text contains those of all turns before it, so that it needs none of them. */
+EndedTurn joined(const EndedTurn &turn)
+{
+    EndedTurn whole;
+    whole.id_ = turn.id_;
+    whole.retention_ = turn.retention_;
+    for (const ChainTurn &before : turn.chain_) {
+        whole.text_ += before.found_.turn_->text_;
+    }
+    whole.text_ += turn.text_;
+    return whole;
+}
+
 } // namespace
 } // namespace internal
 
@@ -241,13 +254,19 @@
     const std::uint64_t number = d_->nextNumber_++;
     internal::PendingStore pending;
     pending.durable_ = std::move(durable);
-    pending.open_[turn.id_] = FoundTurn{Private::recordOf(turn), Time{0}};
     const Time needed = d_->hooks_.now_() + turn.retention_ + internal::renewalMargin;
-    for (const ChainTurn &before : turn.chain_) {
-        if (before.found_.expires_ < needed) {
-            pending.open_[before.id_] = before.found_;
+    const auto endsEarly = [needed](const ChainTurn &before) { return before.found_.expires_ < needed; };
+    const bool renews = std::any_of(turn.chain_.begin(), turn.chain_.end(), endsEarly);
+    EndedTurn whole = renews ? internal::joined(turn) : turn;
+    if (renews && !fits(whole)) {
+        whole = turn;
+        for (const ChainTurn &before : turn.chain_) {
+            if (endsEarly(before)) {
+                pending.open_[before.id_] = before.found_;
+            }
         }
     }
+    pending.open_[turn.id_] = FoundTurn{Private::recordOf(whole), Time{0}};
     std::vector<std::string> ids;
     for (const std::pair<const std::string, FoundTurn> &entry : pending.open_) {
         ids.push_back(entry.first);
--- a/src/ledger/turnstore.h
+++ b/src/ledger/turnstore.h
@@ -78,7 +78,8 @@
     /**
      * \brief Stores a turn; tries again until it is durable.
      *
-     * Turns before it that the store would delete before the new one are written again.
+     * If the store would delete turns before it earlier, the record contains their texts, or they are written again if
+     * it can't hold them.
      * \return a number for abandon().
      */
     std::uint64_t store(const EndedTurn &turn, std::function<void()> durable);
--- a/test/gateway/retention.cpp
+++ b/test/gateway/retention.cpp
@@ -153,25 +153,47 @@
     }
 }
 
+/** \brief Whether the texts of a long conversation fit into one record. */
+struct LongConversationCase
+{
+    const char *name_;
+    std::size_t recordBytes_;
+};
+
+class LongConversation : public testing::TestWithParam<LongConversationCase>
+{
+};
+
 // Guards against the first turns of a long conversation that are deleted while its newest turn is kept.
-TEST(Retention, ConversationThatOutlastsTheRetentionKeepsItsFirstTurns)
+TEST_P(LongConversation, KeepsItsFirstTurns)
 {
-    GatewayRig rig(3, {streamingRoute(true, 1, false)});
+    TurnStoreSettings settings;
+    settings.replicas_.streams_ = 2;
+    settings.replicas_.partitionsPerStream_ = 2;
+    settings.recordBytes_ = GetParam().recordBytes_;
+    GatewayRig rig(3, {streamingRoute(true, 1, false)}, settings);
     rig.addEndpoints("engines", "e", 2);
+    const std::string output(400, 'x');
     std::string expected;
     std::string previous;
     for (std::size_t i = 0; i < 8; ++i) {
         const std::string id = "t" + std::to_string(i);
-        play(rig, i % 3, following(id, previous, "p" + std::to_string(i)), {"x"});
+        play(rig, i % 3, following(id, previous, "p" + std::to_string(i)), {output});
         expected += "input-" + id + ";";
         ASSERT_EQ(*rig.attempts_.back().attempt_.body_, expected);
-        expected += "x\n";
+        expected += output + "\n";
         previous = id;
         rig.store_.trim();
         rig.run(std::chrono::seconds(50));
     }
 }
 
+INSTANTIATE_TEST_SUITE_P(Table,
+                         LongConversation,
+                         testing::Values(LongConversationCase{"FitsIntoOneRecord", 256 * 1024},
+                                         LongConversationCase{"IsLargerThanARecord", 2'200}),
+                         [](const testing::TestParamInfo<LongConversationCase> &info) { return info.param.name_; });
+
 // Guards against a store that fills with the turns of nodes that were lost.
 TEST(Retention, TurnsOfLostNodesAreDeletedAfterTheirRetention)
 {
