Convict a request only of a crash that its engine has tied to it

Cause: a second crash counted as certain if the engine looked empty when the suspect was sent there.

Change: an engine confirms X-Alone with the comment line ": alone" when it begins the request by itself, and only a crash after that is certain. So a crash at another stage than the one before, or within 1 s of another endpoint's, does not count either; the verdict waits 1 s for news of the other crashes. Without the confirmation three crashes alone are needed, as before at busy engines. The engine stand-in implements X-Alone, which it had ignored.

Tests: SecondCrash.ConvictsOnlyWhatCausedIt fails in its rows WaitedAtTheEngine, AtAnotherStage and WithOtherEngines on the former src/policy. Isolation.SuspectRunsAloneAndOnlyItIsConvicted: engines now confirm, and it checks the exact number of crashes, 2 or 0.

--- a/bench/fakes/fakeengine.cpp
+++ b/bench/fakes/fakeengine.cpp
@@ -387,6 +387,9 @@
     running.prefillLeft_ = running.computed_;
     running.decodeLeft_ = job.generate_;
     running_.push_back(running);
+    if (job.alone_) {
+        hooks_.begunAlone_(job.id_);
+    }
     return true;
 }
 
--- a/bench/fakes/fakeengine.h
+++ b/bench/fakes/fakeengine.h
@@ -74,6 +74,7 @@
         std::function<void(std::uint64_t job)> finished_;
         std::function<void(std::uint64_t job)> crashed_;
         std::function<void(CacheKey key, std::int64_t tokens, bool evicted)> cacheChanged_;
+        std::function<void(std::uint64_t job)> begunAlone_; ///< A job with EngineJob::alone_ runs from now on.
         std::function<void()> poisoned_; ///< A poison job is about to crash the engine.
     };
 
--- a/bench/policy/nodepolicy.cpp
+++ b/bench/policy/nodepolicy.cpp
@@ -45,6 +45,10 @@
     {
         scheduler_->submit(request);
     }
+    void onRunsAlone(const ProgramId &program, const RequestId &request, std::uint32_t attempt) override
+    {
+        scheduler_->onRunsAlone(program, request, attempt);
+    }
     void onFirstToken(const ProgramId &program, const RequestId &request, std::uint32_t attempt) override
     {
         scheduler_->onFirstToken(program, request, attempt);
--- a/bench/policy/nodepolicy.h
+++ b/bench/policy/nodepolicy.h
@@ -24,6 +24,9 @@
     virtual std::optional<Failure>
     admitProgram(const ProgramId &program, const AccountId &account, std::int64_t promptTokens, Time deadline) = 0;
     virtual void submit(const ScheduleRequest &request) = 0;
+    virtual void onRunsAlone(const ProgramId & /*program*/, const RequestId & /*request*/, std::uint32_t /*attempt*/)
+    {
+    }
     virtual void onFirstToken(const ProgramId &program, const RequestId &request, std::uint32_t attempt) = 0;
     virtual void onAttemptEnded(const AttemptResult &result) = 0;
     virtual void onProgramPaused(const ProgramId &program, const std::string &tool) = 0;
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -91,6 +91,7 @@
             endAttempt(job, lost ? AttemptStatus::ConnectionLost : AttemptStatus::Answered);
         };
         hooks.crashed_ = [this](std::uint64_t job) { endAttempt(job, AttemptStatus::Crashed); };
+        hooks.begunAlone_ = [this](std::uint64_t job) { onBegunAlone(job); };
         hooks.cacheChanged_ = [this, i](CacheKey key, std::int64_t tokens, bool evicted) {
             onCacheChanged(i, key, tokens, evicted);
         };
@@ -417,6 +418,17 @@
     }
 }
 
+void Simulation::onBegunAlone(std::size_t id)
+{
+    const Attempt &attempt = attempts_[id];
+    if (attempt.ended_) {
+        return;
+    }
+    const Program &program = programs_[attempt.program_];
+    NodePolicy &node = *nodes_[nodeOf(*program.spec_)];
+    node.onRunsAlone(program.id_, attempt.order_.requestId_, attempt.order_.attempt_);
+}
+
 void Simulation::onPrefilled(std::size_t id, std::int64_t computed, std::int64_t cached)
 {
     Attempt &attempt = attempts_[id];
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -98,6 +98,7 @@
     void endProgram(std::size_t program);
     void endAttempt(std::size_t attempt, AttemptStatus status);
     void onCacheChanged(std::size_t engine, CacheKey key, std::int64_t tokens, bool evicted);
+    void onBegunAlone(std::size_t attempt);
     void onPrefilled(std::size_t attempt, std::int64_t computed, std::int64_t cached);
     Time logUpAt(Time time) const;
     double uniform();
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -186,7 +186,8 @@
             engines_.control(*endpoint, import, source->address_);
         }
         const auto text = [this, key, number](const std::string &part) { onText(key, number, part); };
-        attempt.http_ = engines_.start(*endpoint, dispatch, order, timeoutOf(dispatch), {text, done});
+        const auto runsAlone = [this, key, number] { controllers_.runsAlone_(key.first, key.second, number); };
+        attempt.http_ = engines_.start(*endpoint, dispatch, order, timeoutOf(dispatch), {text, done, runsAlone});
     } else {
         controllers_.paused_(order.program_, dispatch.call_.target_);
         attempt.http_ = tools_.start(*endpoint, dispatch, timeoutOf(dispatch), done);
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -23,6 +23,7 @@
     std::function<void(const ScheduleRequest &)> submit_; ///< Scheduler::submit
     std::function<void(const ProgramId &, const RequestId &)> cancel_; ///< Scheduler::cancel
     std::function<void(const ProgramId &, const RequestId &, std::uint32_t attempt)> firstToken_;
+    std::function<void(const ProgramId &, const RequestId &, std::uint32_t attempt)> runsAlone_;
     std::function<void(const AttemptResult &)> attemptEnded_;
     std::function<void(const DispatchOutcome &)> outcome_; ///< ProgramController::onOutcome
     std::function<void(const ProgramId &, const std::string &tool)> paused_; ///< Scheduler::onProgramPaused
--- a/src/node/engineclient.cpp
+++ b/src/node/engineclient.cpp
@@ -13,13 +13,16 @@
 
 constexpr Duration controlTimeout = std::chrono::seconds(10);
 constexpr Duration probeTimeout = std::chrono::seconds(1);
+/** \brief Comment line by which an engine confirms `x-alone`. */
+constexpr const char *aloneComment = "alone";
 
 /** \brief State of one streamed answer of an engine. */
 struct EngineStream
 {
     explicit EngineStream(EngineClient::Handlers handlers)
         : handlers_(std::move(handlers))
-        , reader_([this](const std::string &data) { takeEvent(data); })
+        , reader_([this](const std::string &data) { takeEvent(data); },
+                  [this](const std::string &comment) { takeComment(comment); })
     {
     }
 
@@ -42,6 +45,13 @@
         takeUsage(event);
     }
 
+    void takeComment(const std::string &comment) const
+    {
+        if (comment == aloneComment && handlers_.runsAlone_) {
+            handlers_.runsAlone_();
+        }
+    }
+
     void takeChoices(const nlohmann::json &event)
     {
         if (!event.contains("choices") || !event["choices"].is_array() || event["choices"].empty()) {
--- a/src/node/engineclient.h
+++ b/src/node/engineclient.h
@@ -29,6 +29,7 @@
     {
         std::function<void(const std::string &text)> text_;
         std::function<void(const EndpointAnswer &)> done_; ///< Exactly once.
+        std::function<void()> runsAlone_; ///< The engine confirms that it runs a StartOrder::alone_ and nothing else.
     };
 
     /** \param orderKey signs orders for engines that check who gives them; empty for no signature. */
--- a/src/node/nodecore.cpp
+++ b/src/node/nodecore.cpp
@@ -277,6 +277,9 @@
     hooks.firstToken_ = [this](const ProgramId &program, const RequestId &request, std::uint32_t attempt) {
         scheduler_->onFirstToken(program, request, attempt);
     };
+    hooks.runsAlone_ = [this](const ProgramId &program, const RequestId &request, std::uint32_t attempt) {
+        scheduler_->onRunsAlone(program, request, attempt);
+    };
     hooks.attemptEnded_ = [this](const AttemptResult &result) { scheduler_->onAttemptEnded(result); };
     hooks.outcome_ = [this](const DispatchOutcome &outcome) { programs_->onOutcome(outcome); };
     hooks.paused_ = [this](const ProgramId &program, const std::string &tool) {
--- a/src/node/ssereader.cpp
+++ b/src/node/ssereader.cpp
@@ -4,8 +4,9 @@
 
 namespace filbertgw {
 
-SseReader::SseReader(std::function<void(const std::string &)> event)
+SseReader::SseReader(TextHook event, TextHook comment)
     : event_(std::move(event))
+    , comment_(std::move(comment))
 {
 }
 
@@ -35,6 +36,10 @@
         }
         return;
     }
+    if (line.front() == ':' && comment_) {
+        comment_(line.substr(line.size() > 1 && line[1] == ' ' ? 2 : 1));
+        return;
+    }
     if (line.compare(0, field.size(), field) != 0) {
         return;
     }
--- a/src/node/ssereader.h
+++ b/src/node/ssereader.h
@@ -7,11 +7,14 @@
 
 namespace filbertgw {
 
-/** \brief Splits a stream of server-sent events into the data of each event. */
+/** \brief Splits a stream of server-sent events into the data of each event and the comments between them. */
 class SseReader
 {
 public:
-    explicit SseReader(std::function<void(const std::string &data)> event);
+    using TextHook = std::function<void(const std::string &)>;
+
+    /** \param comment gets the text of comment lines, without the colon and the space after it; may be empty. */
+    explicit SseReader(TextHook event, TextHook comment = {});
 
     /** \brief More bytes of the stream. \return false if an event is longer than the bound. */
     bool add(const std::string &part);
@@ -21,7 +24,8 @@
 
     static constexpr std::size_t longestEvent = 1024 * 1024; ///< Bytes.
 
-    std::function<void(const std::string &)> event_;
+    TextHook event_;
+    TextHook comment_;
     std::string line_; ///< Unfinished line.
     std::string data_; ///< Data lines of the unfinished event.
 };
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 
 namespace filbertgw {
 
@@ -55,6 +56,7 @@
     bool rejected_ = false;
     std::set<EndpointId> failedAt_;
     Suspicion suspicion_;
+    std::optional<AttemptResult> lastCrash_; ///< A crash that convicts the call, until it has been reviewed.
     std::int64_t newTokens_ = 0; ///< Prompt tokens beyond the program's prefix at submission.
     double urgency_ = 0;
     bool overShare_ = false;
@@ -70,6 +72,7 @@
     double load_ = 0; ///< Streams or calls when it was sent.
     bool firstToken_ = false;
     bool alone_ = false;
+    bool confirmedAlone_ = false; ///< The engine has said that it runs the attempt and nothing else.
 };
 
 } // namespace internal
@@ -93,6 +96,8 @@
     void order(QueuedCall &call, Attempt attempt, StartOrder order);
     void endAttempt(const AttemptResult &result, const Attempt &attempt);
     void learnLatency(const AttemptResult &result, const Attempt &attempt);
+    void onCrashed(QueuedCall &call, const AttemptResult &result, const Attempt &attempt);
+    void reviewCrashes();
     void retryOrFail(QueuedCall &call, const AttemptResult &result);
     void finish(const CallKey &key, ScheduleResult result);
     void fail(const CallKey &key, FailureType type, const std::string &detail, Duration retryAfter);
@@ -123,6 +128,7 @@
     std::map<CallKey, QueuedCall> calls_;
     std::map<std::pair<CallKey, std::uint32_t>, Attempt> attempts_;
     std::set<CallKey> queued_;
+    std::deque<std::pair<Time, CallKey>> reviews_; ///< Calls with QueuedCall::lastCrash_, by the time of the verdict.
     std::uint64_t sequence_ = 0;
     bool dispatching_ = false;
     bool dispatchAgain_ = false;
@@ -384,6 +390,41 @@
     }
 }
 
+void Scheduler::Private::onCrashed(QueuedCall &call, const AttemptResult &result, const Attempt &attempt)
+{
+    CrashedAttempt crashed;
+    crashed.endpoint_ = result.endpoint_;
+    crashed.at_ = hooks_.now_();
+    crashed.hadFirstToken_ = attempt.firstToken_;
+    crashed.alone_ = attempt.alone_;
+    crashed.confirmedAlone_ = attempt.confirmedAlone_;
+    isolation_.onCrash(call.suspicion_, crashed);
+    if (!call.suspicion_.isConvicted()) {
+        retryOrFail(call, result);
+        return;
+    }
+    call.failedAt_.insert(result.endpoint_);
+    call.lastCrash_ = result;
+    call.running_ = false;
+    reviews_.emplace_back(hooks_.now_() + SuspectIsolation::verdictDelay,
+                          CallKey{call.request_.program_, call.request_.requestId_});
+}
+
+void Scheduler::Private::reviewCrashes()
+{
+    while (!reviews_.empty() && reviews_.front().first <= hooks_.now_()) {
+        const std::map<CallKey, QueuedCall>::iterator call = calls_.find(reviews_.front().second);
+        reviews_.pop_front();
+        if (call == calls_.end() || !call->second.lastCrash_) {
+            continue;
+        }
+        const AttemptResult result = *call->second.lastCrash_;
+        call->second.lastCrash_.reset();
+        isolation_.reviewLastCrash(call->second.suspicion_, call->second.failedAt_);
+        retryOrFail(call->second, result);
+    }
+}
+
 void Scheduler::Private::retryOrFail(QueuedCall &call, const AttemptResult &result)
 {
     const CallKey key{call.request_.program_, call.request_.requestId_};
@@ -417,7 +458,7 @@
     result.status_ = !call.mayHaveRun_ ? DispatchStatus::NotSent
         : call.rejected_               ? DispatchStatus::Failed
                                        : DispatchStatus::Unknown;
-    result.crashes_ = call.suspicion_.isConvicted() ? call.suspicion_.crashes_ : 0;
+    result.crashes_ = call.suspicion_.isConvicted() && !call.lastCrash_ ? call.suspicion_.crashes_ : 0;
     finish(key, result);
 }
 
@@ -558,6 +599,15 @@
     d_->fail(key, FailureType::NotRun, "the call was cancelled", Duration{0});
 }
 
+void Scheduler::onRunsAlone(const ProgramId &program, const RequestId &request, std::uint32_t attempt)
+{
+    const std::map<std::pair<CallKey, std::uint32_t>, Attempt>::iterator it =
+        d_->attempts_.find({CallKey{program, request}, attempt});
+    if (it != d_->attempts_.end()) {
+        it->second.confirmedAlone_ = true;
+    }
+}
+
 void Scheduler::onFirstToken(const ProgramId &program, const RequestId &request, std::uint32_t attempt)
 {
     const CallKey key{program, request};
@@ -596,11 +646,9 @@
         ScheduleResult done;
         done.endpoint_ = result.endpoint_;
         d_->finish(key, done);
+    } else if (result.status_ == AttemptStatus::Crashed) {
+        d_->onCrashed(call->second, result, attempt);
     } else {
-        if (result.status_ == AttemptStatus::Crashed) {
-            d_->isolation_.onCrash(
-                call->second.suspicion_, result.endpoint_, attempt.firstToken_, attempt.alone_, attempt.load_);
-        }
         d_->retryOrFail(call->second, result);
     }
     d_->dispatch();
@@ -643,6 +691,7 @@
 {
     d_->retention_.tick();
     d_->programs_.tick();
+    d_->reviewCrashes();
     d_->expireQueued();
     if (!d_->queued_.empty()) {
         d_->dispatch();
--- a/src/policy/scheduler.h
+++ b/src/policy/scheduler.h
@@ -56,6 +56,8 @@
     /** \brief Queues a call; SchedulerHooks::finished_ is called exactly once. */
     void submit(const ScheduleRequest &request);
     void cancel(const ProgramId &program, const RequestId &request);
+    /** \brief The engine has begun an attempt of StartOrder::alone_ and runs nothing else; a crash now is its own. */
+    void onRunsAlone(const ProgramId &program, const RequestId &request, std::uint32_t attempt);
     void onFirstToken(const ProgramId &program, const RequestId &request, std::uint32_t attempt);
     void onAttemptEnded(const AttemptResult &result);
     /** \brief A program waits for a tool or its caller until its next call. */
--- a/src/policy/schedulertypes.h
+++ b/src/policy/schedulertypes.h
@@ -91,7 +91,7 @@
     std::int32_t priority_ = 0; ///< Lower runs first at the engine.
     EndpointId importFrom_; ///< Engine whose cache of the program is moved first, empty for none.
     std::uint32_t attempt_ = 0;
-    bool alone_ = false; ///< The engine runs it beside no other request; set for a suspect of a crash.
+    bool alone_ = false; ///< The engine runs it beside no other request, and says so; for a suspect of a crash.
     bool hedge_ = false; ///< A second copy; the first to answer wins, the other is cancelled.
     std::string reason_; ///< Why this endpoint; shown in `state`.
 };
--- a/src/policy/suspectisolation.cpp
+++ b/src/policy/suspectisolation.cpp
@@ -22,15 +22,33 @@
 {
 }
 
-void SuspectIsolation::onCrash(
-    Suspicion &suspicion, const EndpointId &endpoint, bool hadFirstToken, bool alone, double load) const
+void SuspectIsolation::onCrash(Suspicion &suspicion, const CrashedAttempt &attempt)
 {
     ++suspicion.crashes_;
-    suspicion.aloneCrashes_ += alone || !enabled_ ? 1 : 0;
-    constexpr double empty = 0.5;
-    suspicion.certain_ = suspicion.certain_ || (alone && load < empty);
-    suspicion.crashedAt_ = endpoint;
-    suspicion.runAlone_ = enabled_ && (suspicion.runAlone_ || !hadFirstToken || suspicion.crashes_ > 1);
+    suspicion.aloneCrashes_ += attempt.alone_ || !enabled_ ? 1 : 0;
+    const bool sameStage = attempt.hadFirstToken_ == suspicion.hadFirstToken_;
+    suspicion.certain_ = attempt.alone_ && attempt.confirmedAlone_ && sameStage;
+    suspicion.hadFirstToken_ = attempt.hadFirstToken_;
+    suspicion.crashedAt_ = attempt.endpoint_;
+    suspicion.lastCrashAt_ = attempt.at_;
+    suspicion.runAlone_ = enabled_ && (suspicion.runAlone_ || !attempt.hadFirstToken_ || suspicion.crashes_ > 1);
+    while (!crashes_.empty() && crashes_.front().first + 2 * verdictDelay < attempt.at_) {
+        crashes_.pop_front();
+    }
+    crashes_.emplace_back(attempt.at_, attempt.endpoint_);
+}
+
+void SuspectIsolation::reviewLastCrash(Suspicion &suspicion, const std::set<EndpointId> &failedAt) const
+{
+    const Time at = suspicion.lastCrashAt_;
+    for (const std::pair<Time, EndpointId> &crash : crashes_) {
+        const bool together = crash.first >= at - verdictDelay && crash.first <= at + verdictDelay;
+        if (together && failedAt.count(crash.second) == 0) {
+            suspicion.certain_ = false;
+            --suspicion.aloneCrashes_;
+            return;
+        }
+    }
 }
 
 void SuspectIsolation::onStarted(const EndpointId &endpoint)
--- a/src/policy/suspectisolation.h
+++ b/src/policy/suspectisolation.h
@@ -5,7 +5,10 @@
 #include "policy/policysections.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <set>
+#include <utility>
 
 namespace filbertgw {
 
@@ -14,9 +17,11 @@
 {
     std::uint32_t crashes_ = 0; ///< Endpoints that crashed with it.
     std::uint32_t aloneCrashes_ = 0; ///< Those at which it was to run alone.
-    bool certain_ = false; ///< One of them had no other work when the request was sent there.
+    bool certain_ = false; ///< The last of them had confirmed that it ran nothing else.
     bool runAlone_ = false;
+    bool hadFirstToken_ = false; ///< At the last crash.
     EndpointId crashedAt_;
+    Time lastCrashAt_{0};
 
     /** \brief True if the crashes can be due to nothing else. */
     bool isConvicted() const
@@ -25,9 +30,24 @@
     }
 };
 
+/** \brief How an attempt went whose endpoint crashed. */
+struct CrashedAttempt
+{
+    EndpointId endpoint_;
+    Time at_{0};
+    bool hadFirstToken_ = false;
+    bool alone_ = false; ///< Was to run beside nothing else.
+    bool confirmedAlone_ = false; ///< The endpoint had said that it ran this attempt and nothing else.
+};
+
 /**
  * \brief Keeps the suspects of a crash apart, so that a second crash convicts only the request that caused it.
  *
+ * Several suspects may wait at one engine, and the load known of an engine is 1 to 2 s old. Only the engine knows which
+ * of them it runs, therefore a crash is certain only after the engine's own confirmation. A request that crashes
+ * engines does so at the same stage each time, and it crashes one engine at a time: a crash at another stage than the
+ * last one, or together with other endpoints (a lost failure domain), is not held against it.
+ *
  * A call that had no first token when its endpoint crashed runs alone at its next attempt. One that was already
  * streaming is retried beside others once and runs alone only after a second crash, because isolating every stream of a
  * crashed engine would cost an engine for minutes. Nobody is convicted by a crash beside other requests.
@@ -37,12 +57,17 @@
 public:
     explicit SuspectIsolation(bool enabled);
 
-    void onCrash(Suspicion &suspicion, const EndpointId &endpoint, bool hadFirstToken, bool alone, double load) const;
+    /** \brief How long a verdict waits for news of other endpoints that crashed at the same time. */
+    static constexpr Duration verdictDelay = std::chrono::seconds(1);
+
+    void onCrash(Suspicion &suspicion, const CrashedAttempt &attempt);
+    /** \brief Withdraws the last crash if an endpoint that did not fail the request before crashed within the delay. */
+    void reviewLastCrash(Suspicion &suspicion, const std::set<EndpointId> &failedAt) const;
     void onStarted(const EndpointId &endpoint);
     void onEnded(const EndpointId &endpoint);
     /** \brief True if this node has a request that runs alone on the endpoint. */
     bool isReserved(const EndpointId &endpoint) const;
-    /** \brief True if the suspect has to run there; suspects of one crash get different endpoints. */
+    /** \brief True if the suspect has to run there; spreads the suspects of one crash over the endpoints. */
     bool isPlaceFor(const ProgramId &program,
                     const Suspicion &suspicion,
                     const EndpointState &endpoint,
@@ -51,6 +76,7 @@
 private:
     bool enabled_;
     std::map<EndpointId, std::int32_t> reserved_;
+    std::deque<std::pair<Time, EndpointId>> crashes_; ///< Of the last seconds, oldest first.
 };
 
 } // namespace filbertgw
--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -159,6 +159,7 @@
         return;
     }
     stream->requestId_ = header(request, "x-request-id");
+    stream->isAlone_ = header(request, "x-alone") == "1";
     const std::string priority = header(request, "x-priority");
     std::from_chars(priority.data(), priority.data() + priority.size(), stream->priority_);
     stream->prompt_ = *prompt;
@@ -172,9 +173,16 @@
     admit(stream);
 }
 
+bool Engine::canBegin(const Stream &stream) const
+{
+    const bool othersAllowed = !stream.isAlone_ && (running_.empty() || !(*running_.begin())->isAlone_);
+    return running_.size() < options_.streams_ && (running_.empty() || othersAllowed);
+}
+
 void Engine::admit(const StreamPointer &stream)
 {
-    if (options_.state_ != "live" || (running_.size() >= options_.streams_ && queue_.size() >= options_.queue_)) {
+    const bool beginsNow = queue_.empty() && canBegin(*stream);
+    if (options_.state_ != "live" || (!beginsNow && queue_.size() >= options_.queue_)) {
         sendError(stream->reply_, 503, "overloaded", "the engine is leaving or its queue is full");
         return;
     }
@@ -184,7 +192,7 @@
             leave(known);
         }
     });
-    if (running_.size() < options_.streams_) {
+    if (beginsNow) {
         begin(stream);
         return;
     }
@@ -198,6 +206,10 @@
 void Engine::begin(const StreamPointer &stream)
 {
     running_.insert(stream);
+    if (stream->isAlone_ && stream->isStreamed_) {
+        stream->reply_->startStream(200, "text/event-stream");
+        stream->reply_->write(": alone\n\n");
+    }
     const auto cached = cache_.find(stream->program_);
     if (cached != cache_.end()) {
         const std::string &known = cached->second.text_;
@@ -235,7 +247,9 @@
         std::_Exit(crashStatus);
     }
     if (stream->isStreamed_) {
-        stream->reply_->startStream(200, "text/event-stream");
+        if (!stream->isAlone_) {
+            stream->reply_->startStream(200, "text/event-stream");
+        }
         stream->eventHead_ = "data: {\"id\":" + nlohmann::json(stream->requestId_).dump()
             + ",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"";
     }
@@ -334,7 +348,7 @@
 
 void Engine::beginQueued()
 {
-    while (!queue_.empty() && running_.size() < options_.streams_) {
+    while (!queue_.empty() && canBegin(*queue_.front())) {
         const StreamPointer next = queue_.front();
         queue_.pop_front();
         begin(next);
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -64,6 +64,7 @@
         std::uint64_t emitted_ = 0;
         std::int64_t priority_ = 0;
         bool isStreamed_ = false;
+        bool isAlone_ = false; ///< Runs beside nothing else, and the answer's first line says so.
         bool isLost_ = false;
         bool isEnded_ = false;
         std::shared_ptr<HttpReply> reply_;
@@ -80,6 +81,7 @@
     void handle(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
     void complete(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
     void admit(const StreamPointer &stream);
+    bool canBegin(const Stream &stream) const;
     void begin(const StreamPointer &stream);
     void firstToken(const StreamPointer &stream);
     void scheduleStep();
--- a/test/golden/virtualworld.cpp
+++ b/test/golden/virtualworld.cpp
@@ -226,6 +226,9 @@
     Engine &engine = engines_[exchange.call_.address_];
     const nlohmann::json body = nlohmann::json::parse(exchange.call_.request_.body_);
     const std::string prompt = body["messages"][0]["content"].get<std::string>();
+    if (exchange.call_.request_.headers_.count("x-alone") != 0 && engine.running_ == 0) {
+        exchange.call_.onPart_(200, ": alone\n\n");
+    }
     if (!poison_.empty() && prompt.find(poison_) != std::string::npos) {
         const std::string address = exchange.call_.address_;
         crash(address);
--- a/test/node/streamedtext.cpp
+++ b/test/node/streamedtext.cpp
@@ -95,6 +95,17 @@
                                          SseCase{"Unfinished", {"data: a\n"}, {}}),
                          [](const testing::TestParamInfo<SseCase> &info) { return info.param.name_; });
 
+// Guards against a lost confirmation of an engine, which comes as a comment between the events.
+TEST(SseReader, PassesCommentsOn)
+{
+    std::vector<std::string> comments;
+    SseReader reader([](const std::string &) {},
+                     [&comments](const std::string &comment) { comments.push_back(comment); });
+    EXPECT_TRUE(reader.add(": al"));
+    EXPECT_TRUE(reader.add("one\r\n\ndata: a\n\n:b\n"));
+    EXPECT_EQ(comments, (std::vector<std::string>{"alone", "b"}));
+}
+
 // Guards against an endpoint that fills the memory of a node with one endless event.
 TEST(SseReader, RefusesEndlessEvent)
 {
--- a/test/policy/fakeengine.cpp
+++ b/test/policy/fakeengine.cpp
@@ -19,6 +19,7 @@
         hooks.finished_ = [this](std::uint64_t job) { finished_[job] = events_.now(); };
         hooks.crashed_ = [](std::uint64_t) {};
         hooks.cacheChanged_ = [](CacheKey, std::int64_t, bool) {};
+        hooks.begunAlone_ = [](std::uint64_t) {};
         hooks.poisoned_ = [] {};
         engine_ = std::make_unique<FakeEngine>(events_, EngineSettings::fromJson(readWorkloadFile("engine")), hooks);
     }
--- a/test/policy/faults.cpp
+++ b/test/policy/faults.cpp
@@ -121,15 +121,80 @@
         for (; next < rig.starts_.size(); ++next) {
             const StartOrder start = rig.starts_[next];
             EXPECT_TRUE(start.alone_) << start.program_.value();
+            rig.scheduler_->onRunsAlone(start.program_, start.requestId_, start.attempt_);
             rig.end(start, start.program_.value() == "p0" ? AttemptStatus::Crashed : AttemptStatus::Answered);
         }
     }
     ASSERT_EQ(rig.finished_.size(), 6U);
     for (const ScheduleResult &result : rig.finished_) {
-        EXPECT_EQ(result.crashes_ >= 2, result.program_.value() == "p0") << result.program_.value();
+        EXPECT_EQ(result.crashes_, result.program_.value() == "p0" ? 2U : 0U) << result.program_.value();
     }
 }
 
+namespace {
+
+struct CrashCase
+{
+    const char *name_;
+    bool isConfirmed_; ///< The engine had said that it ran the suspect alone.
+    bool hadFirstToken_;
+    bool withOthers_; ///< Another engine crashes half a second later.
+    bool isConvicted_;
+};
+
+class SecondCrash : public testing::TestWithParam<CrashCase>
+{
+};
+
+} // namespace
+
+// Guards against the conviction of a request by the crash of an engine that looked empty when the request was sent
+// there: other suspects may wait there as well, and a lost failure domain or a later crash has another cause.
+TEST_P(SecondCrash, ConvictsOnlyWhatCausedIt)
+{
+    PolicyRig rig;
+    rig.setEngines(6);
+    rig.scheduler_->submit(rig.request("p", "r"));
+    rig.end(rig.starts_[0], AttemptStatus::Crashed);
+    rig.pass(std::chrono::seconds(3));
+    ASSERT_EQ(rig.starts_.size(), 2U);
+    const StartOrder alone = rig.starts_[1];
+    EXPECT_TRUE(alone.alone_);
+    rig.scheduler_->submit(rig.request("q", "r"));
+    ASSERT_EQ(rig.starts_.size(), 3U);
+    const StartOrder other = rig.starts_[2];
+    ASSERT_NE(other.endpoint_, alone.endpoint_);
+    if (GetParam().isConfirmed_) {
+        rig.scheduler_->onRunsAlone(alone.program_, alone.requestId_, alone.attempt_);
+    }
+    if (GetParam().hadFirstToken_) {
+        rig.firstToken(alone);
+    }
+    rig.end(alone, AttemptStatus::Crashed);
+    rig.pass(std::chrono::milliseconds(500));
+    rig.end(other, GetParam().withOthers_ ? AttemptStatus::Crashed : AttemptStatus::Answered);
+    for (std::size_t next = 3; rig.finished_.size() < 2 && next < 6; ++next) {
+        rig.pass(std::chrono::seconds(3));
+        if (rig.starts_.size() > next) {
+            rig.end(rig.starts_[next], AttemptStatus::Answered);
+        }
+    }
+    ASSERT_EQ(rig.finished_.size(), 2U);
+    for (const ScheduleResult &result : rig.finished_) {
+        const bool convicted = GetParam().isConvicted_ && result.program_.value() == "p";
+        EXPECT_EQ(result.crashes_, convicted ? 2U : 0U) << result.program_.value();
+        EXPECT_EQ(result.status_ == DispatchStatus::Answered, !convicted) << result.program_.value();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Isolation,
+                         SecondCrash,
+                         testing::Values(CrashCase{"RanAlone", true, false, false, true},
+                                         CrashCase{"WaitedAtTheEngine", false, false, false, false},
+                                         CrashCase{"AtAnotherStage", true, true, false, false},
+                                         CrashCase{"WithOtherEngines", true, false, true, false}),
+                         [](const testing::TestParamInfo<CrashCase> &info) { return info.param.name_; });
+
 // Guards against a conviction by the crash of an engine on which the suspect may still have been waiting.
 TEST(Isolation, CrashOfABusyEngineDoesNotConvict)
 {
--- a/test/standin/standins.cpp
+++ b/test/standin/standins.cpp
@@ -262,6 +262,46 @@
     runUntil([&crashed] { return crashed; });
 }
 
+// Guards against an engine that confirms to run a request alone while it runs others, or that lets others in beside it.
+TEST_F(StandinFixture, EngineRunsASuspectAloneAndSaysSo)
+{
+    EngineOptions options;
+    options.streams_ = 4;
+    options.answerTokens_ = 1'000'000'000;
+    options.tokenDelay_ = Duration{1000};
+    const Engine engine(loop_, options);
+    std::string said;
+    std::size_t ended = 0;
+    for (const char *program : {"before", "suspect", "after"}) {
+        HttpCall next = chat(engine, program, firstTurn);
+        const bool isSuspect = program == std::string("suspect");
+        if (isSuspect) {
+            Json body = Json::parse(next.request_.body_);
+            body["stream"] = true;
+            next.request_.body_ = body.dump();
+            next.request_.headers_["x-alone"] = "1";
+            next.onPart_ = [&said](int /*status*/, const std::string &part) { said += part; };
+        }
+        next.onDone_ = [&ended](const HttpResult &) { ++ended; };
+        client_.start(std::move(next));
+        const Json expected = isSuspect ? Json{1, 1} : program == std::string("after") ? Json{1, 2} : Json{1, 0};
+        for (Json load; Json{load["running"], load["waiting"]} != expected;) {
+            load = json(engine.server(), "GET", "/v1/load");
+        }
+    }
+    EXPECT_EQ(said, "");
+    const auto cancel = [this, &engine](const std::string &program) {
+        return json(engine.server(), "POST", "/v1/cancel", {{"request_id", "r-" + program}})["cancelled"];
+    };
+    EXPECT_EQ(cancel("before"), 1);
+    runUntil([&said] { return said.find("data:") != std::string::npos; });
+    EXPECT_EQ(said.rfind(": alone\n\n", 0), 0U);
+    EXPECT_EQ(json(engine.server(), "GET", "/v1/load")["running"], 1);
+    EXPECT_EQ(cancel("suspect"), 1);
+    EXPECT_EQ(cancel("after"), 1);
+    runUntil([&ended] { return ended == 3; });
+}
+
 struct ToolCase
 {
     const char *name_;
