--- a/bench/promises/checker.cpp
+++ b/bench/promises/checker.cpp
@@ -10,6 +10,7 @@
 constexpr Micros second = 1'000'000;
 constexpr Micros leavingLimit = 3 * second; // H8
 constexpr Micros configLimit = 3 * second; // H10
+constexpr double maxStopWait = 0.5; // H9, seconds from sending to start.
 constexpr Micros releaseLimit = 20 * second; // H4: sweep period, report age and one retry.
 
 /** \brief What the caller knows in the end of one planned call. */
@@ -355,6 +356,11 @@
                        attempt.program_ + "/" + attempt.request_ + " was cut by the planned stop of " + attempt.node_);
             }
         }
+        for (const double waited : trace_.stopStartSeconds_) {
+            if (waited > maxStopWait) {
+                report("H9", "a call began only after " + std::to_string(waited) + " s because of a planned stop");
+            }
+        }
     }
 
     void checkConfig()
