--- a/src/node/engineclient.cpp
+++ b/src/node/engineclient.cpp
@@ -2,12 +2,10 @@
 
 #include "net/ordersignature.h"
 #include "node/attemptstatus.h"
-#include "node/deltareader.h"
 #include "node/errortable.h"
 #include "node/ssereader.h"
 
 #include <memory>
-#include <optional>
 
 namespace filbertgw {
 namespace internal {
@@ -34,10 +32,6 @@
             ended_ = true;
             return;
         }
-        if (const std::optional<std::string> text = deltas_.read(data)) {
-            takeText(*text);
-            return;
-        }
         const nlohmann::json event = nlohmann::json::parse(data, nullptr, false);
         if (!event.is_object()) {
             malformed_ = true;
@@ -73,11 +67,7 @@
         if (!delta.contains("content") || !delta["content"].is_string()) {
             return;
         }
-        takeText(delta["content"].get<std::string>());
-    }
-
-    void takeText(const std::string &text)
-    {
+        const std::string text = delta["content"].get<std::string>();
         if (!text.empty()) {
             answer_.body_ += text;
             handlers_.text_(text);
@@ -105,7 +95,6 @@
 
     EngineClient::Handlers handlers_;
     SseReader reader_;
-    DeltaReader deltas_;
     EndpointAnswer answer_;
     std::string errorBody_;
     bool ended_ = false; ///< `[DONE]` was seen.
