Number endpoints in the placement and index prompt parts once

Change: endpoints have numbers, and their loads stand in a vector; names are looked up when the list of candidates changes. PromptIndex looks a part up once for all endpoints. What the cost of a request depends on besides the engine is worked out once. Kept as before: at most 2,000 parts an endpoint, each endpoint for itself; a shorter turn doesn't shorten what an engine keeps, its own report does; parts, load and number go with the endpoint. Ruled out while reading an earlier draft of this: one bound over all endpoints (an endpoint with endless parts would drive out what is known of the others, and dropping would stop the node for a scan of up to 1.4 million entries); a slowness that is noted when an observation is passed over; one that stays when an endpoint changes its service; sums of absurd lengths that begin again at 0; a cheaper random source for the noise, which changes the draws of all worlds. Each new test of the placement was seen to fail with its line taken out.

--- a/src/core/numbers.h
+++ b/src/core/numbers.h
@@ -3,6 +3,9 @@
 
 #include "core/time.h"
 
+#include <cstdint>
+#include <limits>
+
 namespace filbertgw {
 
 /** \brief A length of time in milliseconds, as a floating-point number. */
@@ -11,6 +14,13 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+/** \brief A sum that stays at the largest number instead of beginning again at 0. */
+inline std::uint64_t saturatingSum(std::uint64_t a, std::uint64_t b)
+{
+    const std::uint64_t most = std::numeric_limits<std::uint64_t>::max();
+    return a > most - b ? most : a + b;
+}
+
 /** \brief A uniformly distributed number from 0 to 1, without 1. */
 inline double drawFrom(const RandomSource &random)
 {
--- a/src/gateway/enginemodel.cpp
+++ b/src/gateway/enginemodel.cpp
@@ -183,18 +183,27 @@
     model.usualSlowness_ = model.slowness_.empty() ? 1.0 : sum / static_cast<double>(model.slowness_.size());
 }
 
-EngineFigures EngineModel::figures(const std::string &service, const std::string &endpoint) const
+double EngineModel::usualSlowness(const std::string &service) const
+{
+    const auto known = services_.find(service);
+    return known == services_.end() ? 1.0 : known->second.usualSlowness_;
+}
+
+std::optional<double> EngineModel::slowness(const std::string &service, const std::string &endpoint) const
 {
     const auto known = services_.find(service);
     if (known == services_.end()) {
-        return assumed();
+        return std::nullopt;
     }
-    const ServiceModel &model = known->second;
-    const auto observed = model.slowness_.find(endpoint);
-    const double slowness = observed == model.slowness_.end() ? model.usualSlowness_ : observed->second;
-    return EngineFigures{model.figures_.stepMs_ * slowness,
-                         model.figures_.perRequestMs_ * slowness,
-                         model.figures_.readTokenMs_ * slowness};
+    const auto observed = known->second.slowness_.find(endpoint);
+    return observed == known->second.slowness_.end() ? std::nullopt : std::make_optional(observed->second);
+}
+
+EngineFigures EngineModel::figures(const std::string &service, const std::string &endpoint) const
+{
+    const EngineFigures usual = figures(service);
+    const double slowness = this->slowness(service, endpoint).value_or(usualSlowness(service));
+    return EngineFigures{usual.stepMs_ * slowness, usual.perRequestMs_ * slowness, usual.readTokenMs_ * slowness};
 }
 
 EngineFigures EngineModel::figures(const std::string &service) const
--- a/src/gateway/enginemodel.h
+++ b/src/gateway/enginemodel.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -87,6 +88,10 @@
     void observeSize(const std::string &service, std::uint64_t unread, std::uint64_t tokens);
 
     EngineFigures figures(const std::string &service, const std::string &endpoint) const;
+    /** \brief How much slower an engine is than the figures of its service say, if it was observed. */
+    std::optional<double> slowness(const std::string &service, const std::string &endpoint) const;
+    /** \brief What an engine counts for that was not observed: the mean over those of its service. */
+    double usualSlowness(const std::string &service) const;
     /** \brief Figures of an ordinary engine of a service. */
     EngineFigures figures(const std::string &service) const;
     /** \brief Services of which something was observed. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,19 +45,18 @@
 {
 }
 
-ServiceLoad Gateway::Private::loadOf(const std::string &service) const
+ServiceLoad Gateway::Private::loadOf(const std::string &service)
 {
     ServiceLoad load;
-    double running = 0.0;
+    const std::vector<const Endpoint *> &endpoints = directory_.ready(service);
     double slots = 0.0;
-    for (const Endpoint *endpoint : directory_.ready(service)) {
-        running += placement_.running(endpoint->id_);
+    for (const Endpoint *endpoint : endpoints) {
         slots += endpoint->slots_;
     }
     if (slots > 0.0) {
+        const double running = placement_.running(endpoints);
         load.perSlot_ = running / slots;
-        load.stretch_ =
-            placement_.engines().stretch(service, running / static_cast<double>(directory_.ready(service).size()));
+        load.stretch_ = placement_.engines().stretch(service, running / static_cast<double>(endpoints.size()));
     }
     load.allowedStretch_ = pace_.allowedStretch(service);
     return load;
@@ -130,7 +129,7 @@
     return !ledger_.isReachable() && !fleet_.currentNode({}).has_value();
 }
 
-void Gateway::Private::logFigures() const
+void Gateway::Private::logFigures()
 {
     for (const std::string &service : placement_.engines().services()) {
         const EngineFigures figures = placement_.engines().figures(service);
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -21,9 +21,9 @@
 
     void sweep();
     /** \brief Logs what is known of the engines, for those who ask later why a request was placed or refused. */
-    void logFigures() const;
+    void logFigures();
     /** \brief Load of a service by what all nodes run on it. */
-    ServiceLoad loadOf(const std::string &service) const;
+    ServiceLoad loadOf(const std::string &service);
     FleetHooks fleetHooks();
     CacheDiscoveryHooks cacheDiscoveryHooks();
     /** \brief Asks the engines of all services what they keep. */
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -3,7 +3,6 @@
 #include "core/numbers.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace filbertgw {
 
@@ -22,6 +21,15 @@
 constexpr double usualServiceMs = 50.0;
 constexpr double usualOutputTokens = 250.0;
 
+std::uint64_t promptTokens(const GatewayRequest &request)
+{
+    std::uint64_t tokens = 0;
+    for (const PromptPart &part : request.prompt_) {
+        tokens = saturatingSum(tokens, part.tokens_);
+    }
+    return tokens;
+}
+
 void average(double &value, double observed)
 {
     value = value == 0.0 ? observed : value + newWeight * (observed - value);
@@ -37,7 +45,53 @@
     , engines_(settings.engines_)
     , caches_(now_, settings.caches_)
     , retention_(settings.partMemory_)
+    , prompts_(internal::partsPerEndpoint)
+{
+}
+
+EndpointNumber Placement::numberOf(const std::string &endpoint)
+{
+    const auto known = numbers_.find(endpoint);
+    if (known != numbers_.end()) {
+        return known->second;
+    }
+    auto number = static_cast<EndpointNumber>(loads_.size());
+    if (freeNumbers_.empty()) {
+        loads_.emplace_back();
+    } else {
+        number = freeNumbers_.back();
+        freeNumbers_.pop_back();
+    }
+    loads_[number].id_ = endpoint;
+    numbers_.emplace(endpoint, number);
+    return number;
+}
+
+Placement::Load &Placement::loadOf(const std::string &endpoint)
+{
+    return loads_[numberOf(endpoint)];
+}
+
+const Placement::Load *Placement::findLoad(const std::string &endpoint) const
+{
+    const auto known = numbers_.find(endpoint);
+    return known == numbers_.end() ? nullptr : &loads_[known->second];
+}
+
+const std::vector<EndpointNumber> &Placement::numbersOf(const std::vector<const Endpoint *> &endpoints)
 {
+    const std::string &service = endpoints.front()->service_;
+    Candidates &known = candidates_[service];
+    if (known.endpoints_ != endpoints) {
+        known.endpoints_ = endpoints;
+        known.numbers_.clear();
+        for (const Endpoint *endpoint : endpoints) {
+            known.numbers_.push_back(numberOf(endpoint->id_));
+            // The endpoint may have been one of another service before.
+            loads_[known.numbers_.back()].slowness_ = engines_.slowness(service, endpoint->id_);
+        }
+    }
+    return known.numbers_;
 }
 
 const Endpoint *Placement::choose(const std::vector<const Endpoint *> &candidates,
@@ -45,19 +99,29 @@
                                   const GatewayRequest &request,
                                   const std::unordered_set<std::string> &excluded)
 {
+    if (candidates.empty()) {
+        return nullptr;
+    }
     const Endpoint *best = nullptr;
     double least = 0.0;
     const Time now = now_();
+    const std::vector<EndpointNumber> &numbers = numbersOf(candidates);
     const bool isEngine = service != nullptr && service->engine_;
+    EngineRequest described;
+    std::vector<std::uint64_t> kept;
     if (isEngine) {
         retention_ = retention(candidates, *service);
+        described = describe(*service, request);
+        kept = prompts_.kept(request.prompt_, keptSince());
+        kept.resize(loads_.size());
     }
-    for (const Endpoint *candidate : candidates) {
-        if (excluded.count(candidate->id_) > 0) {
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const Endpoint *candidate = candidates[i];
+        if (!excluded.empty() && excluded.count(candidate->id_) > 0) {
             continue;
         }
-        const Load &load = loads_[candidate->id_];
-        double cost = isEngine ? engineCost(load, *candidate, *service, request) : serviceCost(load, *candidate);
+        const Load &load = loads_[numbers[i]];
+        double cost = isEngine ? engineCost(load, described, kept[numbers[i]]) : serviceCost(load, *candidate);
         cost *= 1.0 + noise() + (hasIdleConnection(load, now) ? 0.0 : settings_.newConnectionPart_);
         if (load.avoidUntil_ > now) {
             cost += internal::avoidedCost;
@@ -70,69 +134,59 @@
     return best;
 }
 
-double Placement::engineCost(const Load &load,
-                             const Endpoint &endpoint,
-                             const Service &service,
-                             const GatewayRequest &request) const
+Placement::EngineRequest Placement::describe(const Service &service, const GatewayRequest &request) const
 {
-    const double running = this->running(endpoint.id_);
-    const double slots = std::max<double>(1.0, service.engine_->slots_);
-    double tokens = internal::usualOutputTokens;
+    EngineRequest described;
+    described.figures_ = engines_.figures(service.name_);
+    described.usualSlowness_ = engines_.usualSlowness(service.name_);
+    described.slots_ = std::max<double>(1.0, service.engine_->slots_);
+    described.outputTokens_ = internal::usualOutputTokens;
     if (request.expectedOutputTokens_ > 0) {
-        tokens = static_cast<double>(request.expectedOutputTokens_);
+        described.outputTokens_ = static_cast<double>(request.expectedOutputTokens_);
     } else if (request.maxOutputTokens_ > 0) {
-        tokens = std::min(tokens, static_cast<double>(request.maxOutputTokens_));
+        described.outputTokens_ = std::min(internal::usualOutputTokens, static_cast<double>(request.maxOutputTokens_));
     }
-    const EngineFigures figures = engines_.figures(endpoint.service_, endpoint.id_);
-    const double batch = std::min(running, slots - 1.0);
+    described.promptTokens_ = internal::promptTokens(request);
+    return described;
+}
+
+double Placement::engineCost(const Load &load, const EngineRequest &request, std::uint64_t keptTokens)
+{
+    const EngineFigures &figures = request.figures_;
+    const double running = load.running();
+    const double batch = std::min(running, request.slots_ - 1.0);
     // Once for the request itself, once for what it adds to each of the others.
-    const double decode = tokens * (figures.stepMs(batch) + figures.perRequestMs_ * batch);
-    const double queued = std::max(0.0, running + 1.0 - slots);
-    const double wait = queued / slots * decode * 2.0;
+    const double decode = request.outputTokens_ * (figures.stepMs(batch) + figures.perRequestMs_ * batch);
+    const double queued = std::max(0.0, running + 1.0 - request.slots_);
+    const double wait = queued / request.slots_ * decode * 2.0;
     // Reading a prompt holds up every request of the batch.
-    const double read = static_cast<double>(unreadTokens(load, request)) * figures.readTokenMs_;
-    return decode + wait + read * (1.0 + batch);
+    const double read = static_cast<double>(request.promptTokens_ - keptTokens) * figures.readTokenMs_;
+    return load.slowness_.value_or(request.usualSlowness_) * (decode + wait + read * (1.0 + batch));
 }
 
 double Placement::serviceCost(const Load &load, const Endpoint &endpoint) const
 {
-    const double running = this->running(endpoint.id_);
+    const double running = load.running();
     const double slots = std::max<double>(1.0, endpoint.slots_);
     const double work = load.serviceMs_ > 0.0 ? load.serviceMs_ : internal::usualServiceMs;
     const double queued = std::max(0.0, running + 1.0 - slots);
     return work * (1.0 + 0.5 * running / slots + 2.0 * queued / slots);
 }
 
-Duration Placement::retention(const std::vector<const Endpoint *> &engines, const Service &service) const
+Duration Placement::retention(const std::vector<const Endpoint *> &engines, const Service &service)
 {
     CacheLoad load;
     load.cacheTokens_ = service.engine_->cacheTokens_;
     load.engines_ = static_cast<double>(engines.size());
     load.nodes_ = static_cast<double>(peers_.size() + 1);
-    for (const Endpoint *engine : engines) {
-        load.running_ += running(engine->id_);
-    }
+    load.running_ = running(engines);
     return caches_.retention(service.name_, load, settings_.partMemory_);
 }
 
-std::uint64_t Placement::unreadTokens(const Load &load, const GatewayRequest &request) const
+KeptSince Placement::keptSince() const
 {
     const Time now = now_();
-    std::uint64_t unread = 0;
-    bool cached = true;
-    for (const PromptPart &part : request.prompt_) {
-        std::uint64_t kept = 0;
-        if (cached) {
-            const bool shared = &part != &request.prompt_.back();
-            const auto use = load.parts_.find(part.id_);
-            const bool isKept = use != load.parts_.end()
-                && now - use->second.used_ <= (shared ? settings_.sharedPartMemory_ : retention_);
-            kept = isKept ? std::min(part.tokens_, use->second.tokens_) : 0;
-            cached = kept == part.tokens_;
-        }
-        unread += std::min(part.tokens_ - kept, std::numeric_limits<std::uint64_t>::max() - unread);
-    }
-    return unread;
+    return KeptSince{now - settings_.sharedPartMemory_, now - retention_};
 }
 
 bool Placement::hasIdleConnection(const Load &load, Time now) const
@@ -147,8 +201,10 @@
 
 RequestStart Placement::started(const Endpoint &endpoint, const GatewayRequest &request)
 {
-    Load &load = loads_[endpoint.id_];
-    const RequestStart start{unreadTokens(load, request), running(endpoint.id_)};
+    const EndpointNumber number = numberOf(endpoint.id_);
+    Load &load = loads_[number];
+    const std::uint64_t kept = prompts_.keptOn(number, request.prompt_, keptSince());
+    const RequestStart start{internal::promptTokens(request) - kept, load.own_ + load.peers_};
     if (!request.prompt_.empty()) {
         caches_.observe(endpoint.service_, start.unread_, request.prompt_.back().tokens_);
     }
@@ -158,37 +214,15 @@
     }
     const Time now = now_();
     for (const PromptPart &part : request.prompt_) {
-        PartUse &use = load.parts_[part.id_];
-        use = PartUse{now, std::max(use.tokens_, part.tokens_)};
-        if (isWorthTelling(endpoint, part.tokens_)) {
-            Time &told = load.announced_[part.id_];
-            if (told == Time{0} || now - told >= settings_.announceAgain_) {
-                told = now;
-                readParts_.push_back(ReadPart{endpoint.id_, part.id_, part.tokens_});
-            }
+        prompts_.noteRead(number, part, now);
+        if (isWorthTelling(endpoint, part.tokens_)
+            && prompts_.noteTold(number, part.id_, now, now - settings_.announceAgain_)) {
+            readParts_.push_back(ReadPart{endpoint.id_, part.id_, part.tokens_});
         }
     }
-    bound(load);
     return start;
 }
 
-void Placement::drop(Load &load, Duration olderThan, Time now)
-{
-    for (auto part = load.parts_.begin(); part != load.parts_.end();) {
-        part = now - part->second.used_ > olderThan ? load.parts_.erase(part) : std::next(part);
-    }
-}
-
-/** Drops the parts of an endpoint that were not used for longest, if there are too many. */
-void Placement::bound(Load &load) const
-{
-    const Time now = now_();
-    for (Duration age = retention_; load.parts_.size() > internal::partsPerEndpoint; age /= 2) {
-        load.announced_.clear();
-        drop(load, age, now);
-    }
-}
-
 bool Placement::isWorthTelling(const Endpoint &endpoint, std::uint64_t tokens) const
 {
     const EngineFigures figures = engines_.figures(endpoint.service_, endpoint.id_);
@@ -197,15 +231,16 @@
 
 void Placement::ended(const std::string &endpoint)
 {
-    const auto load = loads_.find(endpoint);
-    if (load != loads_.end() && load->second.own_ > 0) {
-        --load->second.own_;
-        std::vector<Time> &idle = load->second.idle_;
-        if (idle.size() >= internal::idleConnections) {
-            idle.erase(idle.begin());
-        }
-        idle.push_back(now_());
+    const auto known = numbers_.find(endpoint);
+    if (known == numbers_.end() || loads_[known->second].own_ == 0) {
+        return;
+    }
+    Load &load = loads_[known->second];
+    --load.own_;
+    if (load.idle_.size() >= internal::idleConnections) {
+        load.idle_.erase(load.idle_.begin());
     }
+    load.idle_.push_back(now_());
 }
 
 void Placement::observeTokens(const std::string &service,
@@ -213,7 +248,9 @@
                               std::uint64_t tokens,
                               Duration time)
 {
-    engines_.observeTokens(service, endpoint, std::max(0.0, running(endpoint) - 1.0), tokens, time);
+    Load &load = loadOf(endpoint);
+    engines_.observeTokens(service, endpoint, std::max(0.0, load.running() - 1.0), tokens, time);
+    load.slowness_ = engines_.slowness(service, endpoint);
 }
 
 void Placement::observeFirstEvent(const std::string &service, const RequestStart &start, Duration time)
@@ -233,12 +270,12 @@
 
 void Placement::observeService(const std::string &endpoint, Duration time)
 {
-    internal::average(loads_[endpoint].serviceMs_, toMilliseconds(time));
+    internal::average(loadOf(endpoint).serviceMs_, toMilliseconds(time));
 }
 
 void Placement::failed(const std::string &endpoint)
 {
-    Load &load = loads_[endpoint];
+    Load &load = loadOf(endpoint);
     load.idle_.clear();
     load.failures_ = std::min<std::uint32_t>(load.failures_ + 1, 8);
     const Duration penalty = std::min(settings_.longestPenalty_, settings_.firstPenalty_ * (1 << (load.failures_ - 1)));
@@ -247,37 +284,43 @@
 
 void Placement::succeeded(const std::string &endpoint)
 {
-    Load &load = loads_[endpoint];
+    Load &load = loadOf(endpoint);
     load.failures_ = 0;
     load.avoidUntil_ = Time{0};
 }
 
 void Placement::refusedAsFull(const std::string &endpoint)
 {
-    Load &load = loads_[endpoint];
+    Load &load = loadOf(endpoint);
     load.avoidUntil_ = std::max(load.avoidUntil_, now_() + settings_.fullPenalty_);
 }
 
 void Placement::forget(const std::string &endpoint)
 {
-    loads_.erase(endpoint);
     engines_.forget(endpoint);
-    peerRunning_.erase(endpoint);
+    const auto known = numbers_.find(endpoint);
+    if (known == numbers_.end()) {
+        return;
+    }
+    prompts_.forget(known->second);
+    loads_[known->second] = Load();
+    freeNumbers_.push_back(known->second);
+    numbers_.erase(known);
+    candidates_.clear();
 }
 
 void Placement::forgetCache(const std::string &endpoint)
 {
-    const auto load = loads_.find(endpoint);
-    if (load != loads_.end()) {
-        load->second.parts_.clear();
-        load->second.announced_.clear();
+    const auto known = numbers_.find(endpoint);
+    if (known != numbers_.end()) {
+        prompts_.forget(known->second);
     }
 }
 
 std::size_t Placement::partsOf(const std::string &endpoint) const
 {
-    const auto load = loads_.find(endpoint);
-    return load == loads_.end() ? 0 : load->second.parts_.size();
+    const auto known = numbers_.find(endpoint);
+    return known == numbers_.end() ? 0 : prompts_.partsOf(known->second);
 }
 
 std::vector<ReadPart> Placement::takeReadParts()
@@ -289,17 +332,15 @@
 
 void Placement::noteReadPart(const ReadPart &read)
 {
-    Load &load = loads_[read.endpoint_];
-    load.parts_[read.part_] = PartUse{now_(), read.tokens_};
-    bound(load);
+    prompts_.noteKept(numberOf(read.endpoint_), PromptPart{read.part_, read.tokens_}, now_());
 }
 
 std::vector<std::pair<std::string, std::uint32_t>> Placement::ownLoad() const
 {
     std::vector<std::pair<std::string, std::uint32_t>> result;
-    for (const std::pair<const std::string, Load> &entry : loads_) {
-        if (entry.second.own_ > 0) {
-            result.emplace_back(entry.first, entry.second.own_);
+    for (const Load &load : loads_) {
+        if (load.own_ > 0) {
+            result.emplace_back(load.id_, load.own_);
         }
     }
     return result;
@@ -308,9 +349,10 @@
 void Placement::dropPeerLoad(PeerLoad &peer)
 {
     for (const std::pair<std::string, std::uint32_t> &entry : peer.running_) {
-        const auto sum = peerRunning_.find(entry.first);
-        if (sum != peerRunning_.end()) {
-            sum->second -= std::min(sum->second, entry.second);
+        const auto known = numbers_.find(entry.first);
+        if (known != numbers_.end()) {
+            std::uint32_t &sum = loads_[known->second].peers_;
+            sum -= std::min(sum, entry.second);
         }
     }
     peer.running_.clear();
@@ -323,7 +365,7 @@
     known.heard_ = now_();
     known.running_ = load;
     for (const std::pair<std::string, std::uint32_t> &entry : load) {
-        peerRunning_[entry.first] += entry.second;
+        loadOf(entry.first).peers_ += entry.second;
     }
 }
 
@@ -342,9 +384,20 @@
 
 std::uint32_t Placement::running(const std::string &endpoint) const
 {
-    const auto own = loads_.find(endpoint);
-    const auto peers = peerRunning_.find(endpoint);
-    return (own == loads_.end() ? 0 : own->second.own_) + (peers == peerRunning_.end() ? 0 : peers->second);
+    const Load *load = findLoad(endpoint);
+    return load == nullptr ? 0 : load->own_ + load->peers_;
+}
+
+std::uint32_t Placement::running(const std::vector<const Endpoint *> &endpoints)
+{
+    if (endpoints.empty()) {
+        return 0;
+    }
+    std::uint32_t sum = 0;
+    for (const EndpointNumber number : numbersOf(endpoints)) {
+        sum += loads_[number].own_ + loads_[number].peers_;
+    }
+    return sum;
 }
 
 } // namespace filbertgw
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -4,8 +4,10 @@
 #include "gateway/cachemodel.h"
 #include "gateway/enginemodel.h"
 #include "gateway/gatewaytypes.h"
+#include "gateway/promptindex.h"
 #include "gateway/routingtable.h"
 
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -57,7 +59,8 @@
 public:
     Placement(Clock now, RandomSource random, PlacementSettings settings);
 
-    /** \brief The best of these endpoints that is not excluded, or null. */
+    /** \brief The best of these endpoints of one service that is not excluded, or null. Endpoints that go must be
+     * forgotten. */
     const Endpoint *choose(const std::vector<const Endpoint *> &candidates,
                            const Service *service,
                            const GatewayRequest &request,
@@ -90,6 +93,8 @@
     void setPeerLoad(const std::string &peer, const std::vector<std::pair<std::string, std::uint32_t>> &load);
     /** \brief Requests that all nodes have at an endpoint, as far as known. */
     std::uint32_t running(const std::string &endpoint) const;
+    /** \brief The same over several endpoints of one service. */
+    std::uint32_t running(const std::vector<const Endpoint *> &endpoints);
     /** \brief A request that has ended with all its tokens. */
     void observeSize(const std::string &service, const RequestStart &start, std::uint64_t tokens);
     const EngineModel &engines() const;
@@ -97,37 +102,54 @@
     std::size_t partsOf(const std::string &endpoint) const;
 
 private:
-    /** \brief Use of a prompt part on an engine. */
-    struct PartUse
-    {
-        Time used_{0};
-        std::uint64_t tokens_ = 0;
-    };
     struct Load
     {
-        std::uint32_t own_ = 0;
+        std::string id_; ///< Of the endpoint; empty if the number is not in use.
+        std::uint32_t own_ = 0; ///< Requests of this node.
+        std::uint32_t peers_ = 0; ///< Requests of other nodes.
+        std::optional<double> slowness_; ///< \sa EngineModel::slowness
         double serviceMs_ = 0.0; ///< Time of a plain request; 0 until observed.
         std::uint32_t failures_ = 0; ///< In a row.
         Time avoidUntil_{0};
         std::vector<Time> idle_; ///< Since when each connection is idle, the newest last.
-        std::unordered_map<std::string, PartUse> parts_; ///< The prompt parts that it has read.
-        std::unordered_map<std::string, Time> announced_; ///< When other nodes were told of a part.
+
+        double running() const
+        {
+            return static_cast<double>(own_ + peers_);
+        }
     };
     struct PeerLoad
     {
         Time heard_{0};
         std::vector<std::pair<std::string, std::uint32_t>> running_;
     };
+    /** \brief Endpoints of a service with their numbers, so that they are looked up by name only when they change. */
+    struct Candidates
+    {
+        std::vector<const Endpoint *> endpoints_;
+        std::vector<EndpointNumber> numbers_;
+    };
+    /** \brief What the cost of a request depends on besides the engine. */
+    struct EngineRequest
+    {
+        EngineFigures figures_; ///< Of an engine as fast as its service.
+        double usualSlowness_ = 1.0;
+        double slots_ = 1.0;
+        double outputTokens_ = 0.0;
+        std::uint64_t promptTokens_ = 0;
+    };
 
-    double
-    engineCost(const Load &load, const Endpoint &endpoint, const Service &service, const GatewayRequest &request) const;
+    EndpointNumber numberOf(const std::string &endpoint);
+    Load &loadOf(const std::string &endpoint);
+    const Load *findLoad(const std::string &endpoint) const;
+    const std::vector<EndpointNumber> &numbersOf(const std::vector<const Endpoint *> &endpoints);
+    EngineRequest describe(const Service &service, const GatewayRequest &request) const;
+    static double engineCost(const Load &load, const EngineRequest &request, std::uint64_t keptTokens);
     double serviceCost(const Load &load, const Endpoint &endpoint) const;
-    static void drop(Load &load, Duration olderThan, Time now);
-    void bound(Load &load) const;
     bool isWorthTelling(const Endpoint &endpoint, std::uint64_t tokens) const;
     /** \brief How long an engine among these keeps a part that nobody uses. */
-    Duration retention(const std::vector<const Endpoint *> &engines, const Service &service) const;
-    std::uint64_t unreadTokens(const Load &load, const GatewayRequest &request) const;
+    Duration retention(const std::vector<const Endpoint *> &engines, const Service &service);
+    KeptSince keptSince() const;
     double noise();
     bool hasIdleConnection(const Load &load, Time now) const;
     void dropPeerLoad(PeerLoad &peer);
@@ -138,10 +160,13 @@
     EngineModel engines_;
     CacheModel caches_;
     Duration retention_; ///< As of the last choice of an engine.
-    std::unordered_map<std::string, Load> loads_;
+    std::unordered_map<std::string, EndpointNumber> numbers_;
+    std::vector<Load> loads_; ///< By number.
+    std::vector<EndpointNumber> freeNumbers_;
+    std::unordered_map<std::string, Candidates> candidates_; ///< By service.
+    PromptIndex prompts_;
     std::vector<ReadPart> readParts_; ///< To be told to other nodes.
     std::unordered_map<std::string, PeerLoad> peers_;
-    std::unordered_map<std::string, std::uint32_t> peerRunning_; ///< Sums over peers_.
 };
 
 } // namespace filbertgw
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -142,6 +142,92 @@
     EXPECT_EQ(rig.placement_.started(rig.endpoints_.front(), newest).unread_, 0U);
 }
 
+// Guards against a request with more parts than are remembered, on which the bound found nothing older to drop.
+TEST(Placement, PromptOfManyPartsIsBounded)
+{
+    PlacementRig rig(1);
+    GatewayRequest request;
+    for (int i = 0; i < 5'000; ++i) {
+        request.prompt_.push_back(PromptPart{"part" + std::to_string(i), 10});
+    }
+    EXPECT_EQ(rig.placement_.started(rig.endpoints_.front(), request).unread_, 50'000U);
+    EXPECT_LE(rig.placement_.partsOf("e0"), 2'001U);
+}
+
+// Guards against an endpoint that takes the place of one that has gone and is taken for it.
+TEST(Placement, EndpointInThePlaceOfAnotherBeginsAnew)
+{
+    PlacementRig rig(2);
+    GatewayRequest request;
+    request.prompt_ = {PromptPart{"line", 6'000}};
+    rig.placement_.setPeerLoad("peer", {{"e1", 5}});
+    const Endpoint &gone = rig.endpoints_.front();
+    EXPECT_EQ(rig.choose(request)->id_, gone.id_);
+    rig.placement_.failed(gone.id_);
+    rig.placement_.forget(gone.id_);
+    rig.endpoints_.front().id_ = "new";
+    EXPECT_EQ(rig.placement_.running(rig.candidates_), 5U) << "what runs on the one that has gone doesn't count";
+    EXPECT_EQ(rig.placement_.started(rig.endpoints_.front(), request).unread_, 6'000U);
+    EXPECT_EQ(rig.placement_.running("new"), 1U);
+    EXPECT_EQ(rig.placement_.running("e0"), 0U);
+    rig.placement_.ended("e0");
+    EXPECT_EQ(rig.placement_.running("new"), 1U) << "a request ends on the one that has gone";
+}
+
+// Guards against a list of candidates that stays in use when others stand at the same addresses.
+TEST(Placement, EndpointsAtTheAddressesOfOthersAreToldApart)
+{
+    PlacementRig rig(2);
+    rig.choose();
+    for (const char *gone : {"e0", "e1"}) {
+        rig.placement_.forget(gone);
+    }
+    rig.endpoints_.front().id_ = "new";
+    rig.endpoints_.back().id_ = "newer";
+    rig.placement_.setPeerLoad("peer", {{"new", 5}});
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(rig.choose()->id_, "newer");
+    }
+}
+
+// Guards against a slowness that is made up when an observation is passed over, and then stays.
+TEST(Placement, PassedOverObservationTellsNothingOfTheEngine)
+{
+    PlacementRig rig(2);
+    const auto observe = [&rig](const std::string &engine, Duration time) {
+        rig.placement_.observeTokens("engines", engine, 10, time);
+    };
+    EXPECT_EQ(rig.placement_.running(rig.candidates_), 0U);
+    observe("e0", Duration{0});
+    for (int i = 0; i < 100; ++i) {
+        observe("e1", std::chrono::milliseconds(i < 50 ? 40 : 200));
+    }
+    ASSERT_GT(rig.placement_.engines().slowness("engines", "e1").value_or(0.0), 1.5);
+    rig.placement_.setPeerLoad("peer", {{"e0", 1}});
+    EXPECT_EQ(rig.choose()->id_, "e1") << "e0 counts for as slow as the others and has one request more";
+}
+
+// Guards against an engine that is taken to be as slow as it was with the model of another service.
+TEST(Placement, EngineOfAnotherServiceCountsAsUnobserved)
+{
+    PlacementRig rig(2);
+    const auto observe = [&rig](const std::string &engine, int ms) {
+        for (int i = 0; i < 64; ++i) {
+            rig.placement_.observeTokens("engines", engine, 10, std::chrono::milliseconds(ms));
+        }
+    };
+    EXPECT_EQ(rig.placement_.running(rig.candidates_), 0U);
+    observe("e0", 40);
+    observe("e1", 400);
+    EXPECT_EQ(rig.choose()->id_, "e0");
+    rig.service_.name_ = "others";
+    for (Endpoint &endpoint : rig.endpoints_) {
+        endpoint.service_ = rig.service_.name_;
+    }
+    rig.placement_.setPeerLoad("peer", {{"e0", 8}});
+    EXPECT_EQ(rig.choose()->id_, "e1") << "e0 has more requests";
+}
+
 // Guards against a request with an absurd number of prompt tokens that spoils what is learned of all engines.
 TEST(Placement, AbsurdPromptTeachesNothing)
 {
