Don't learn endpoints again that have gone

Change: outcomes are noted only of endpoints that are known; reports are taken only for endpoints in the directory, as those of prompt parts were. /state shows endpoints_placed. Tests: Placement.EndpointThatHasGoneIsNotLearnedAgain and Fleet.ReportsOfOthersBringNoEndpointBack, both seen to fail before (slowness and 2 endpoints for 1; 1 for 0).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,9 @@
 #include "gateway/gatewaycall.h"
 #include "gateway/gatewayprivate.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace filbertgw {
 
 namespace internal {
@@ -101,7 +104,14 @@
     };
     hooks.ledgerComplete_ = [this] { return ledger_.knowsGrants(); };
     hooks.onReport_ = [this](const std::string &node, const NodeReport &report) {
-        placement_.setPeerLoad(node, report.load_);
+        // Others may still have requests at endpoints that have gone here.
+        std::vector<std::pair<std::string, std::uint32_t>> load;
+        std::copy_if(
+            report.load_.begin(),
+            report.load_.end(),
+            std::back_inserter(load),
+            [this](const std::pair<std::string, std::uint32_t> &at) { return directory_.find(at.first) != nullptr; });
+        placement_.setPeerLoad(node, load);
         pace_.setPeer(node, report.paces_);
         for (const ReadPart &read : report.readParts_) {
             if (directory_.find(read.endpoint_) != nullptr) {
@@ -282,6 +292,7 @@
             {"programs", d_->ledger_.programs()},
             {"ledger_current", d_->ledger_.isCurrent()},
             {"cached_turn_bytes", d_->turns_.cachedBytes()},
+            {"endpoints_placed", d_->placement_.endpoints()},
             {"engines", d_->placement_.engines().state()},
             {"stopping", d_->stopping_}};
 }
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -67,12 +67,7 @@
     return number;
 }
 
-Placement::Load &Placement::loadOf(const std::string &endpoint)
-{
-    return loads_[numberOf(endpoint)];
-}
-
-const Placement::Load *Placement::findLoad(const std::string &endpoint) const
+Placement::Load *Placement::findLoad(const std::string &endpoint)
 {
     const auto known = numbers_.find(endpoint);
     return known == numbers_.end() ? nullptr : &loads_[known->second];
@@ -235,16 +230,15 @@
 
 void Placement::ended(const std::string &endpoint)
 {
-    const auto known = numbers_.find(endpoint);
-    if (known == numbers_.end() || loads_[known->second].own_ == 0) {
+    Load *load = findLoad(endpoint);
+    if (load == nullptr || load->own_ == 0) {
         return;
     }
-    Load &load = loads_[known->second];
-    --load.own_;
-    if (load.idle_.size() >= internal::idleConnections) {
-        load.idle_.erase(load.idle_.begin());
+    --load->own_;
+    if (load->idle_.size() >= internal::idleConnections) {
+        load->idle_.erase(load->idle_.begin());
     }
-    load.idle_.push_back(now_());
+    load->idle_.push_back(now_());
 }
 
 void Placement::observeTokens(const std::string &service,
@@ -252,9 +246,12 @@
                               std::uint64_t tokens,
                               Duration time)
 {
-    Load &load = loadOf(endpoint);
-    engines_.observeTokens(service, endpoint, std::max(0.0, load.running() - 1.0), tokens, time);
-    load.slowness_ = engines_.slowness(service, endpoint);
+    Load *load = findLoad(endpoint);
+    if (load == nullptr) {
+        return;
+    }
+    engines_.observeTokens(service, endpoint, std::max(0.0, load->running() - 1.0), tokens, time);
+    load->slowness_ = engines_.slowness(service, endpoint);
 }
 
 void Placement::observeFirstEvent(const std::string &service, const RequestStart &start, Duration time)
@@ -274,29 +271,40 @@
 
 void Placement::observeService(const std::string &endpoint, Duration time)
 {
-    internal::average(loadOf(endpoint).serviceMs_, toMilliseconds(time));
+    Load *load = findLoad(endpoint);
+    if (load != nullptr) {
+        internal::average(load->serviceMs_, toMilliseconds(time));
+    }
 }
 
 void Placement::failed(const std::string &endpoint)
 {
-    Load &load = loadOf(endpoint);
-    load.idle_.clear();
-    load.failures_ = std::min<std::uint32_t>(load.failures_ + 1, 8);
-    const Duration penalty = std::min(settings_.longestPenalty_, settings_.firstPenalty_ * (1 << (load.failures_ - 1)));
-    load.avoidUntil_ = now_() + penalty;
+    Load *load = findLoad(endpoint);
+    if (load == nullptr) {
+        return;
+    }
+    load->idle_.clear();
+    load->failures_ = std::min<std::uint32_t>(load->failures_ + 1, 8);
+    const Duration penalty =
+        std::min(settings_.longestPenalty_, settings_.firstPenalty_ * (1 << (load->failures_ - 1)));
+    load->avoidUntil_ = now_() + penalty;
 }
 
 void Placement::succeeded(const std::string &endpoint)
 {
-    Load &load = loadOf(endpoint);
-    load.failures_ = 0;
-    load.avoidUntil_ = Time{0};
+    Load *load = findLoad(endpoint);
+    if (load != nullptr) {
+        load->failures_ = 0;
+        load->avoidUntil_ = Time{0};
+    }
 }
 
 void Placement::refusedAsFull(const std::string &endpoint)
 {
-    Load &load = loadOf(endpoint);
-    load.avoidUntil_ = std::max(load.avoidUntil_, now_() + settings_.fullPenalty_);
+    Load *load = findLoad(endpoint);
+    if (load != nullptr) {
+        load->avoidUntil_ = std::max(load->avoidUntil_, now_() + settings_.fullPenalty_);
+    }
 }
 
 void Placement::forget(const std::string &endpoint)
@@ -321,6 +329,11 @@
     }
 }
 
+std::size_t Placement::endpoints() const
+{
+    return numbers_.size();
+}
+
 std::size_t Placement::partsOf(const std::string &endpoint) const
 {
     const auto known = numbers_.find(endpoint);
@@ -369,7 +382,7 @@
     known.heard_ = now_();
     known.running_ = load;
     for (const std::pair<std::string, std::uint32_t> &entry : load) {
-        loadOf(entry.first).peers_ += entry.second;
+        loads_[numberOf(entry.first)].peers_ += entry.second;
     }
 }
 
@@ -388,8 +401,8 @@
 
 std::uint32_t Placement::running(const std::string &endpoint) const
 {
-    const Load *load = findLoad(endpoint);
-    return load == nullptr ? 0 : load->own_ + load->peers_;
+    const auto known = numbers_.find(endpoint);
+    return known == numbers_.end() ? 0 : loads_[known->second].own_ + loads_[known->second].peers_;
 }
 
 std::uint32_t Placement::running(const std::vector<const Endpoint *> &endpoints)
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -89,7 +89,7 @@
     std::vector<std::pair<std::string, std::uint32_t>> ownLoad() const;
     /** \brief Drops what nodes said that have not been heard of lately. */
     void expirePeers();
-    /** \brief What another node said of its requests at endpoints. */
+    /** \brief What another node said of its requests at endpoints that exist. */
     void setPeerLoad(const std::string &peer, const std::vector<std::pair<std::string, std::uint32_t>> &load);
     /** \brief Requests that all nodes have at an endpoint, as far as known. */
     std::uint32_t running(const std::string &endpoint) const;
@@ -98,6 +98,8 @@
     /** \brief A request that has ended with all its tokens. */
     void observeSize(const std::string &service, const RequestStart &start, std::uint64_t tokens);
     const EngineModel &engines() const;
+    /** \brief Number of the endpoints that are known. */
+    std::size_t endpoints() const;
     /** \brief Prompt parts that an engine is taken to have read. */
     std::size_t partsOf(const std::string &endpoint) const;
 
@@ -140,8 +142,8 @@
     };
 
     EndpointNumber numberOf(const std::string &endpoint);
-    Load &loadOf(const std::string &endpoint);
-    const Load *findLoad(const std::string &endpoint) const;
+    /** \brief The load of an endpoint that is known, or null: requests may end after their endpoint has gone. */
+    Load *findLoad(const std::string &endpoint);
     const std::vector<EndpointNumber> &numbersOf(const std::vector<const Endpoint *> &endpoints);
     EngineRequest describe(const Service &service, const GatewayRequest &request) const;
     static double engineCost(const Load &load, const EngineRequest &request, std::uint64_t keptTokens);
--- a/test/gateway/calls.cpp
+++ b/test/gateway/calls.cpp
@@ -220,6 +220,24 @@
     EXPECT_EQ(rig.nodes_[0]->state()["peers_alive"], nodes - 2);
 }
 
+// Guards against endpoints that a node has removed and that others, whose requests there go on, make it remember for
+// ever.
+TEST(Fleet, ReportsOfOthersBringNoEndpointBack)
+{
+    GatewayRig rig(2, {plainRoute(RouteKind::Idempotent, 2)});
+    rig.addEndpoints("services", "s", 2);
+    rig.run(std::chrono::seconds(5));
+    rig.send(0, plainRequest("r1"));
+    rig.run(std::chrono::seconds(1));
+    ASSERT_EQ(rig.attempts_.size(), 1U);
+    const std::string busy = rig.attempts_.front().attempt_.endpoint_;
+    EXPECT_EQ(rig.nodes_[1]->state()["endpoints_placed"], 1) << "node 0 reports its request";
+    rig.nodes_[1]->removeEndpoint(busy);
+    rig.run(std::chrono::seconds(1));
+    EXPECT_EQ(rig.nodes_[1]->state()["endpoints"], 1);
+    EXPECT_EQ(rig.nodes_[1]->state()["endpoints_placed"], 0);
+}
+
 // Guards against contexts that are read again because only some nodes of a large fleet were told where they lie.
 TEST(Fleet, AllNodesOfALargeFleetLearnWhereAContextLies)
 {
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -28,6 +28,7 @@
         for (const Endpoint &endpoint : endpoints_) {
             candidates_.push_back(&endpoint);
         }
+        placement_.running(candidates_); // Makes them known, as a gateway's first choice does.
     }
 
     const Endpoint *choose(const GatewayRequest &request = GatewayRequest())
@@ -174,6 +175,23 @@
     EXPECT_EQ(rig.placement_.running("new"), 1U) << "a request ends on the one that has gone";
 }
 
+// Guards against requests that end after their endpoint has gone, and reports that still name it, for each of which a
+// node would keep a number and its slowness for ever.
+TEST(Placement, EndpointThatHasGoneIsNotLearnedAgain)
+{
+    PlacementRig rig(2);
+    rig.choose();
+    rig.placement_.forget("e0");
+    rig.placement_.ended("e0");
+    rig.placement_.failed("e0");
+    rig.placement_.refusedAsFull("e0");
+    rig.placement_.succeeded("e0");
+    rig.placement_.observeService("e0", std::chrono::milliseconds(40));
+    rig.placement_.observeTokens("engines", "e0", 10, std::chrono::milliseconds(400));
+    EXPECT_FALSE(rig.placement_.engines().slowness("engines", "e0").has_value());
+    EXPECT_EQ(rig.placement_.endpoints(), 1U);
+}
+
 // Guards against a list of candidates that stays in use when others stand at the same addresses.
 TEST(Placement, EndpointsAtTheAddressesOfOthersAreToldApart)
 {
@@ -197,7 +215,6 @@
     const auto observe = [&rig](const std::string &engine, Duration time) {
         rig.placement_.observeTokens("engines", engine, 10, time);
     };
-    EXPECT_EQ(rig.placement_.running(rig.candidates_), 0U);
     observe("e0", Duration{0});
     for (int i = 0; i < 100; ++i) {
         observe("e1", std::chrono::milliseconds(i < 50 ? 40 : 200));
@@ -216,7 +233,6 @@
             rig.placement_.observeTokens("engines", engine, 10, std::chrono::milliseconds(ms));
         }
     };
-    EXPECT_EQ(rig.placement_.running(rig.candidates_), 0U);
     observe("e0", 40);
     observe("e1", 400);
     EXPECT_EQ(rig.choose()->id_, "e0");
