--- a/src/gateway/enginemodel.cpp
+++ b/src/gateway/enginemodel.cpp
@@ -27,8 +27,9 @@
 constexpr double mostStretch = 50.0;
 /** Tokens are delayed while the prompts of others are read, which is not part of a step. */
 constexpr KeptSamples keptSteps{0.05, 0.5};
-/** First events are delayed by faults and the prompts of others; some prompts were cached although it was not known. */
-constexpr KeptSamples keptReads{0.15, 0.75};
+/** First events are delayed by faults and, under load, by the prompts of others; some prompts were cached although it
+ * was not known. */
+constexpr KeptSamples keptReads{0.15, 0.6};
 
 /** Stratum of a load: one for each doubling. */
 std::size_t stratumOf(double others)
@@ -183,18 +184,27 @@
     model.usualSlowness_ = model.slowness_.empty() ? 1.0 : sum / static_cast<double>(model.slowness_.size());
 }
 
-EngineFigures EngineModel::figures(const std::string &service, const std::string &endpoint) const
+double EngineModel::usualSlowness(const std::string &service) const
+{
+    const auto known = services_.find(service);
+    return known == services_.end() ? 1.0 : known->second.usualSlowness_;
+}
+
+std::optional<double> EngineModel::slowness(const std::string &service, const std::string &endpoint) const
 {
     const auto known = services_.find(service);
     if (known == services_.end()) {
-        return assumed();
+        return std::nullopt;
     }
-    const ServiceModel &model = known->second;
-    const auto observed = model.slowness_.find(endpoint);
-    const double slowness = observed == model.slowness_.end() ? model.usualSlowness_ : observed->second;
-    return EngineFigures{model.figures_.stepMs_ * slowness,
-                         model.figures_.perRequestMs_ * slowness,
-                         model.figures_.readTokenMs_ * slowness};
+    const auto observed = known->second.slowness_.find(endpoint);
+    return observed == known->second.slowness_.end() ? std::nullopt : std::make_optional(observed->second);
+}
+
+EngineFigures EngineModel::figures(const std::string &service, const std::string &endpoint) const
+{
+    const EngineFigures usual = figures(service);
+    const double slowness = this->slowness(service, endpoint).value_or(usualSlowness(service));
+    return EngineFigures{usual.stepMs_ * slowness, usual.perRequestMs_ * slowness, usual.readTokenMs_ * slowness};
 }
 
 EngineFigures EngineModel::figures(const std::string &service) const
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,9 @@
 #include "gateway/gatewaycall.h"
 #include "gateway/gatewayprivate.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace filbertgw {
 
 namespace internal {
@@ -47,19 +50,18 @@
 {
 }
 
-ServiceLoad Gateway::Private::loadOf(const std::string &service) const
+ServiceLoad Gateway::Private::loadOf(const std::string &service)
 {
     ServiceLoad load;
-    double running = 0.0;
+    const std::vector<const Endpoint *> &endpoints = directory_.ready(service);
     double slots = 0.0;
-    for (const Endpoint *endpoint : directory_.ready(service)) {
-        running += placement_.running(endpoint->id_);
+    for (const Endpoint *endpoint : endpoints) {
         slots += endpoint->slots_;
     }
     if (slots > 0.0) {
+        const double running = placement_.running(endpoints);
         load.perSlot_ = running / slots;
-        load.stretch_ =
-            placement_.engines().stretch(service, running / static_cast<double>(directory_.ready(service).size()));
+        load.stretch_ = placement_.engines().stretch(service, running / static_cast<double>(endpoints.size()));
     }
     load.allowedStretch_ = pace_.allowedStretch(service);
     return load;
@@ -119,7 +121,14 @@
     };
     hooks.ledgerComplete_ = [this] { return ledger_.knowsGrants(); };
     hooks.onReport_ = [this](const std::string &node, const NodeReport &report) {
-        placement_.setPeerLoad(node, report.load_);
+        // Others may still have requests at endpoints that have gone here.
+        std::vector<std::pair<std::string, std::uint32_t>> load;
+        std::copy_if(
+            report.load_.begin(),
+            report.load_.end(),
+            std::back_inserter(load),
+            [this](const std::pair<std::string, std::uint32_t> &at) { return directory_.find(at.first) != nullptr; });
+        placement_.setPeerLoad(node, load);
         pace_.setPeer(node, report.paces_);
         for (const ReadPart &read : report.readParts_) {
             if (directory_.find(read.endpoint_) != nullptr) {
@@ -147,7 +156,7 @@
     return !ledger_.isReachable() && !fleet_.currentNode({}).has_value();
 }
 
-void Gateway::Private::logFigures() const
+void Gateway::Private::logFigures()
 {
     for (const std::string &service : placement_.engines().services()) {
         const EngineFigures figures = placement_.engines().figures(service);
@@ -317,6 +326,7 @@
             {"programs", d_->ledger_.programs()},
             {"ledger_current", d_->ledger_.isCurrent()},
             {"cached_turn_bytes", d_->turns_.cachedBytes()},
+            {"endpoints_placed", d_->placement_.endpoints()},
             {"engines", d_->placement_.engines().state()},
             {"stopping", d_->stopping_}};
 }
