Split the membership controller by job

Hard to read: membershipcontroller.cpp had 898 lines, and one struct held the state of heartbeats, probes, gossip, digest exchange and joining, so that it was not visible which message touches what. Moved: signing and sending to MemberMessenger; applying, spreading and refuting claims to MemberGossip; digests, buckets and entries to DigestExchange; heartbeats, probes and relays to FailureDetector; seeds, VM list and requests to join to MemberJoiner; the encoding of claims to claimcodec. A relayed probe is a struct in place of a pair. No message, timer or draw of the random source changes. Tests: test_membership 61 passed, test_golden 4, test_config 84 (each run by itself, release build).

--- a/src/membership/datagram.h
+++ b/src/membership/datagram.h
@@ -14,6 +14,9 @@
 /** \brief Largest datagram, in bytes; fits an Ethernet frame with room for tunnel headers, so it is not fragmented. */
 constexpr std::size_t maxDatagramBytes = 1200;
 
+/** \brief Payload of a message that carries a list; leaves room for the MAC and the elements before the list. */
+constexpr std::size_t maxListBytes = 1100;
+
 /** \brief Bytes of the HMAC-SHA256 that a datagram carries; a blind forgery succeeds once in 2^64 attempts. */
 constexpr std::size_t datagramMacBytes = 8;
 
--- /dev/null
+++ b/src/membership/failuredetector.cpp
@@ -0,0 +1,213 @@
+#include "membership/failuredetector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertgw::internal {
+
+namespace {
+
+constexpr Duration heartbeatInterval = std::chrono::milliseconds(500);
+constexpr Duration probeTimeout = std::chrono::seconds(1);
+/** \brief Probes are repeated within the timeout, so that one lost datagram doesn't decide. */
+constexpr Duration probeInterval = std::chrono::milliseconds(300);
+/** \brief Relayed probes that wait for an answer. */
+constexpr std::size_t maxRelays = 64;
+
+} // namespace
+
+FailureDetector::FailureDetector(MemberView &view,
+                                 MemberMessenger &messenger,
+                                 MemberGossip &gossip,
+                                 DigestExchange &exchange,
+                                 const MembershipHooks &hooks)
+    : view_(view)
+    , messenger_(messenger)
+    , gossip_(gossip)
+    , exchange_(exchange)
+    , hooks_(hooks)
+{
+}
+
+void FailureDetector::tick(Time now)
+{
+    sendHeartbeats(now);
+    watch(now);
+    checkSuspects(now);
+}
+
+void FailureDetector::sendHeartbeatNow()
+{
+    nextHeartbeat_ = Time(0);
+    sendHeartbeats(hooks_.now_());
+}
+
+void FailureDetector::sendHeartbeats(Time now)
+{
+    if (now < nextHeartbeat_) {
+        return;
+    }
+    nextHeartbeat_ = std::max(nextHeartbeat_ + heartbeatInterval, now + heartbeatInterval / 2);
+    const Claim own = view_.ownClaim();
+    nlohmann::json heartbeat = messenger_.messageFromSelf(DatagramType::Heartbeat);
+    heartbeat.push_back(own.incarnation_);
+    heartbeat.push_back(++sequence_);
+    heartbeat.push_back(hooks_.configOffset_ ? hooks_.configOffset_() : 0);
+    heartbeat.push_back(own.state_ == MemberState::Leaving ? std::uint64_t(1) : std::uint64_t(0));
+    for (MemberHash monitor : view_.monitors()) {
+        messenger_.sendTo(monitor, heartbeat);
+    }
+}
+
+void FailureDetector::watch(Time now)
+{
+    for (MemberHash hash : view_.watched()) {
+        Peer &peer = *view_.find(hash);
+        if (peer.suspectDeadline_ != Time(0) && peer.ownSuspicion_) {
+            continue;
+        }
+        if (peer.nonce_ == 0 && now >= peer.lastHeard_ + silenceLimit) {
+            peer.nonce_ = messenger_.newNonce();
+            peer.probeDeadline_ = now + probeTimeout;
+            peer.nextProbe_ = now;
+        }
+        if (peer.nonce_ != 0 && now >= peer.probeDeadline_) {
+            view_.suspect(hash);
+            const Claim claim{hash, MemberState::Suspected, peer.incarnation_};
+            gossip_.spread({claim}, hash);
+            messenger_.sendClaims(hash, {claim});
+        } else if (peer.nonce_ != 0 && now >= peer.nextProbe_) {
+            probe(hash, now);
+        }
+    }
+}
+
+void FailureDetector::probe(MemberHash hash, Time now)
+{
+    Peer &peer = *view_.find(hash);
+    peer.nextProbe_ = now + probeInterval;
+    nlohmann::json direct = messenger_.messageFromSelf(DatagramType::Probe);
+    direct.push_back(peer.nonce_);
+    messenger_.sendTo(hash, direct);
+    nlohmann::json indirect = messenger_.messageFromSelf(DatagramType::ProbeRequest);
+    indirect.push_back(hash);
+    indirect.push_back(peer.nonce_);
+    for (MemberHash helper : messenger_.randomMembers(1, hash)) {
+        messenger_.sendTo(helper, indirect);
+    }
+}
+
+void FailureDetector::checkSuspects(Time now)
+{
+    std::vector<Claim> deaths;
+    const std::vector<MemberHash> suspects(view_.suspects().begin(), view_.suspects().end());
+    for (MemberHash hash : suspects) {
+        Peer &peer = *view_.find(hash);
+        if (now >= peer.suspectDeadline_) {
+            if (peer.ownSuspicion_) {
+                deaths.push_back(Claim{hash, MemberState::Dead, peer.incarnation_});
+            }
+            view_.declareDead(hash);
+        } else if (!peer.ownSuspicion_ && now >= peer.confirmAt_) {
+            peer.confirmAt_ = peer.suspectDeadline_;
+            peer.nonce_ = peer.nonce_ != 0 ? peer.nonce_ : messenger_.newNonce();
+            probe(hash, now);
+        }
+    }
+    gossip_.spread(deaths, 0);
+    for (const Claim &death : deaths) {
+        messenger_.sendClaims(death.subject_, {death});
+    }
+}
+
+void FailureDetector::onHeartbeat(MessageReader &reader, MemberHash sender)
+{
+    const std::uint64_t incarnation = reader.number();
+    const std::uint64_t sequence = reader.number();
+    const std::uint64_t offset = reader.number();
+    const bool isLeaving = reader.number() != 0;
+    Peer *peer = view_.find(sender);
+    if (!reader.isValid() || peer == nullptr) {
+        return;
+    }
+    // A repeated or delayed heartbeat must not keep a dead member alive.
+    if (std::make_pair(incarnation, sequence) <= std::make_pair(peer->heardIncarnation_, peer->heardSequence_)) {
+        return;
+    }
+    peer->heardIncarnation_ = incarnation;
+    peer->heardSequence_ = sequence;
+    const MemberState state = isLeaving ? MemberState::Leaving : MemberState::Alive;
+    view_.apply(Claim{sender, state, incarnation}, ClaimSource::Gossip);
+    view_.memberOf(*peer).configOffset_ = offset;
+    gossip_.onAlive(sender, incarnation);
+    if (hooks_.peerOffset_) {
+        hooks_.peerOffset_(peer->id_, offset);
+    }
+}
+
+void FailureDetector::onProbe(MessageReader &reader, MemberHash sender)
+{
+    const std::uint64_t nonce = reader.number();
+    if (!reader.isValid()) {
+        return;
+    }
+    nlohmann::json answer = messenger_.messageFromSelf(DatagramType::Ack);
+    answer.push_back(view_.ownClaim().incarnation_);
+    answer.push_back(nonce);
+    messenger_.sendTo(sender, answer);
+    const std::vector<MemberHash> &monitors = view_.monitors();
+    if (view_.isTrusted(sender) && std::find(monitors.begin(), monitors.end(), sender) == monitors.end()) {
+        // A prober that gets no heartbeats from here has another view of the ring; an exchange finds the difference.
+        exchange_.hasten();
+    }
+}
+
+void FailureDetector::onAck(MessageReader &reader, MemberHash subject)
+{
+    const std::uint64_t incarnation = reader.number();
+    const std::uint64_t nonce = reader.number();
+    if (!reader.isValid()) {
+        return;
+    }
+    const std::map<std::uint64_t, Relay>::iterator relay = relays_.find(nonce);
+    if (relay != relays_.end()) {
+        relayAck(relay->second, subject, incarnation);
+        relays_.erase(relay);
+        return;
+    }
+    Peer *peer = view_.find(subject);
+    if (peer == nullptr || peer->nonce_ == 0 || peer->nonce_ != nonce) {
+        return;
+    }
+    view_.apply(Claim{subject, MemberState::Alive, incarnation}, ClaimSource::Gossip);
+    peer->heardIncarnation_ = std::max(peer->heardIncarnation_, incarnation);
+    gossip_.onAlive(subject, incarnation);
+}
+
+void FailureDetector::onProbeRequest(MessageReader &reader, MemberHash sender)
+{
+    const MemberHash subject = reader.number();
+    const std::uint64_t nonce = reader.number();
+    if (!reader.isValid() || view_.find(subject) == nullptr) {
+        return;
+    }
+    if (relays_.size() >= maxRelays) {
+        relays_.erase(relays_.begin());
+    }
+    const std::uint64_t ownNonce = messenger_.newNonce();
+    relays_[ownNonce] = Relay{sender, nonce};
+    nlohmann::json probe = messenger_.messageFromSelf(DatagramType::Probe);
+    probe.push_back(ownNonce);
+    messenger_.sendTo(subject, probe);
+}
+
+void FailureDetector::relayAck(const Relay &relay, MemberHash subject, std::uint64_t incarnation)
+{
+    nlohmann::json answer = messageOf(DatagramType::Ack);
+    answer.push_back(subject);
+    answer.push_back(incarnation);
+    answer.push_back(relay.nonce_);
+    messenger_.sendTo(relay.requester_, answer);
+}
+
+} // namespace filbertgw::internal
--- /dev/null
+++ b/src/membership/memberjoiner.cpp
@@ -0,0 +1,117 @@
+#include "membership/memberjoiner.h"
+
+#include "membership/memberrecord.h"
+#include "membership/slotmap.h"
+
+#include <algorithm>
+
+namespace filbertgw::internal {
+
+namespace {
+
+constexpr Duration joinInterval = std::chrono::seconds(1);
+/** \brief Pause between two attempts at a seed that isn't a member; its VM may be gone for good. */
+constexpr Duration seedJoinInterval = std::chrono::seconds(5);
+/** \brief A node that has heard from nobody for this long joins again. */
+constexpr Duration isolationLimit = std::chrono::seconds(4);
+
+} // namespace
+
+MemberJoiner::MemberJoiner(const MembershipSection &section,
+                           MemberView &view,
+                           MemberMessenger &messenger,
+                           MemberGossip &gossip,
+                           DigestExchange &exchange,
+                           const MembershipHooks &hooks)
+    : section_(section)
+    , view_(view)
+    , messenger_(messenger)
+    , gossip_(gossip)
+    , exchange_(exchange)
+    , hooks_(hooks)
+{
+}
+
+void MemberJoiner::setSeeds(std::vector<std::string> udpAddresses)
+{
+    seeds_ = std::move(udpAddresses);
+}
+
+void MemberJoiner::setUnknownVms(std::map<NodeId, std::string> vms)
+{
+    unknownVms_ = std::move(vms);
+}
+
+void MemberJoiner::onContact(Time now)
+{
+    lastContact_ = now;
+}
+
+void MemberJoiner::tick(Time now)
+{
+    if (now < nextJoin_) {
+        return;
+    }
+    nextJoin_ = now + joinInterval;
+    joinByAddress(now);
+    for (const std::pair<const NodeId, std::string> &vm : unknownVms_) {
+        if (view_.isNeighbourOf(stableHash(vm.first.value()))) {
+            messenger_.sendJoin(vm.second);
+        }
+    }
+}
+
+void MemberJoiner::joinByAddress(Time now)
+{
+    std::vector<std::string> addresses = unknownSeeds();
+    const bool isSeedUnknown = !addresses.empty();
+    const bool isIsolated = now >= lastContact_ + isolationLimit;
+    if (isIsolated) {
+        for (const std::pair<const NodeId, Member> &entry : section_.members_) {
+            if (entry.first != section_.self_) {
+                addresses.push_back(entry.second.udpAddress_);
+            }
+        }
+    }
+    // Two groups that formed around different seeds find each other by a seed that one of them doesn't know.
+    const bool isDue = view_.ring().size() == 1 || isIsolated || now >= nextSeedJoin_;
+    if (!addresses.empty() && isDue) {
+        nextSeedJoin_ = isSeedUnknown ? now + seedJoinInterval : now;
+        messenger_.sendJoin(addresses[hooks_.random_() % addresses.size()]);
+    }
+}
+
+std::vector<std::string> MemberJoiner::unknownSeeds() const
+{
+    std::vector<std::string> addresses = seeds_;
+    for (const std::pair<const NodeId, Member> &entry : section_.members_) {
+        addresses.erase(std::remove(addresses.begin(), addresses.end(), entry.second.udpAddress_), addresses.end());
+    }
+    return addresses;
+}
+
+void MemberJoiner::onJoin(MessageReader &reader)
+{
+    const std::optional<Member> record = decodeMember(reader.array());
+    if (!record || record->id_ == section_.self_) {
+        return;
+    }
+    const MemberHash hash = stableHash(record->id_.value());
+    const bool isNew = view_.applyRecord(*record);
+    if (isNew) {
+        gossip_.spreadRecord(encodeMember(*record), hash);
+    }
+    if (view_.find(hash) == nullptr) {
+        return;
+    }
+    gossip_.correct(hash, false);
+    if (isNew) {
+        messenger_.sendRecords(record->udpAddress_, view_.ring());
+        return;
+    }
+    // The answer to a repeated request: the whole list again only if the views differ.
+    exchange_.sendDigest(hash);
+    messenger_.sendRecords(record->udpAddress_, {view_.self()});
+}
+
+} // namespace filbertgw::internal
