--- a/src/journal/journalfold.h
+++ b/src/journal/journalfold.h
@@ -1,14 +1,16 @@
 #ifndef FILBERTGW_JOURNAL_JOURNALFOLD_H
 #define FILBERTGW_JOURNAL_JOURNALFOLD_H
 
+#include "journal/idleprograms.h"
 #include "journal/logtypes.h"
+#include "journal/recordidset.h"
 #include "journal/treestate.h"
+#include "journal/treetable.h"
 
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -70,19 +72,6 @@
     bool checkDuplicates_ = true; ///< Off only to show that the checkers notice.
 };
 
-/** \brief An idle program in memory: where its checkpoint is, and what decides ownership. */
-struct IdleProgram
-{
-    std::uint64_t random_ = 0; ///< Random part of the id.
-    Offset checkpoint_ = 0;
-    Offset fencing_ = 0;
-    std::uint32_t idleSinceS_ = 0; ///< Log time of its last record, in seconds.
-    std::uint32_t checkpointS_ = 0; ///< Log time of the checkpoint, in seconds.
-    std::uint32_t deadlineS_ = 0; ///< 0 for none.
-    std::uint16_t slot_ = 0;
-    std::uint16_t owner_ = 0; ///< Index into JournalFold's table of node names.
-};
-
 /**
  * \brief The pure function from journal entries to program states that every reader runs.
  *
@@ -112,7 +101,7 @@
     const ChainState *chain(const ProgramId &program) const;
     const std::unordered_map<ProgramId, std::unique_ptr<TreeState>> &trees() const
     {
-        return trees_;
+        return trees_.all();
     }
     /** \brief Program that was created by an account with a request id; empty if none. */
     ProgramId createdBy(const AccountId &account, const RequestId &request) const;
@@ -132,7 +121,7 @@
     const IdleProgram *idle(const ProgramId &program) const;
     const std::vector<IdleProgram> &idlePrograms() const
     {
-        return idle_;
+        return idle_.all();
     }
     NodeId ownerOfIdle(const IdleProgram &idle) const;
     /** \brief Offsets of checkpoints that are to be read back, for records that wait for them. */
@@ -144,61 +133,50 @@
     std::vector<JournalFoldResult> restore(const LogEntry &checkpoint);
 
 private:
-    struct Writer
-    {
-        std::uint64_t number_ = 0; ///< Highest record number seen.
-    };
-
-    bool isKnownId(const RecordId &id);
-    void expire();
-    struct Placed
+    /** \brief A record with its place in the log. */
+    struct PlacedRecord
     {
         Record record_;
         Offset offset_ = 0;
         Time time_{0};
     };
 
-    JournalFoldResult applyRecord(Record record, Offset offset, Time time);
-    JournalVerdict dispatch(const Record &record, Offset offset, Time time, JournalFoldResult &result);
-    JournalVerdict
-    applyToIdle(IdleProgram &idle, const Record &record, Offset offset, Time time, JournalFoldResult &result);
-    JournalVerdict applyUnknown(const Record &record, Offset offset, Time time);
+    void retain(const LogEntry &entry);
+    void expire();
+    JournalFoldResult applyRecord(PlacedRecord placed);
+    JournalVerdict dispatch(const PlacedRecord &placed, JournalFoldResult &result);
+    JournalVerdict applyToTree(TreeState &tree, const PlacedRecord &placed, JournalFoldResult &result);
+    JournalVerdict applyToIdle(IdleProgram &idle, const PlacedRecord &placed, JournalFoldResult &result);
+    JournalVerdict applyToUnknown(const PlacedRecord &placed);
+    JournalVerdict keepOrphan(const PlacedRecord &placed);
+    JournalVerdict adopt(const PlacedRecord &placed);
+    void insertAdopted(TreeState state, const PlacedRecord &checkpoint);
+    Offset newestOrphanClaim(const ProgramId &root) const;
     bool isBeforeStart(Offset fencing) const;
-    JournalVerdict applyCreate(const Record &record, Offset offset, Time time, JournalFoldResult &result);
-    JournalVerdict applyRoot(const Record &record, const CreateBody &body, Offset offset, Time time);
-    JournalVerdict applySubAgent(TreeState &tree, const Record &record, const CreateBody &body);
-    JournalVerdict applyClaim(TreeState &tree, const Record &record, Offset offset, JournalFoldResult &result);
-    JournalVerdict applyOwned(TreeState &tree, const Record &record, Offset offset, Time time);
-    JournalVerdict applyIntent(TreeState &tree, ChainState &chain, const IntentBody &intent);
-    JournalVerdict applyTurn(TreeState &tree, ChainState &chain, const TurnBody &turn, bool closesIntent);
-    JournalVerdict applyEnd(TreeState &tree, const ProgramId &program, FailureType reason, Time time);
-    JournalVerdict applyCheckpoint(TreeState &tree, const Record &record, Offset offset, Time time);
+    JournalVerdict applyCreate(const PlacedRecord &placed, JournalFoldResult &result);
+    JournalVerdict applyOwned(TreeState &tree, const PlacedRecord &placed);
+    bool applyToChain(TreeState &tree, ChainState &chain, const PlacedRecord &placed);
+    bool applySubAgent(TreeState &tree, const Record &record);
+    bool applyTurn(TreeState &tree, ChainState &chain, const Record &record);
+    void applyEnd(TreeState &tree, const PlacedRecord &placed);
+    JournalVerdict applyCheckpoint(TreeState &tree, const PlacedRecord &placed);
     JournalVerdict applyQuarantine(const QuarantineBody &body, Time time);
-    JournalVerdict adopt(const Record &record, Offset offset, Time time);
-    TreeState &insert(TreeState state);
-    IdleProgram *findIdle(const ProgramId &program);
-    void compact(const ProgramId &root, Offset offset, Time time);
-    void forget(const ProgramId &root);
-    std::uint16_t ownerIndex(const NodeId &node);
+    void compact(const ProgramId &root, const PlacedRecord &checkpoint);
+    TreeState restoredTree(TreeState state, const IdleProgram &idle, const LogEntry &checkpoint) const;
 
     FoldSettings settings_;
     Offset offset_ = 0;
     Offset start_ = 0; ///< First offset that was folded; claims before it were not seen.
     Time time_{0};
     std::uint64_t malformed_ = 0;
-    std::unordered_map<ProgramId, std::unique_ptr<TreeState>> trees_;
-    std::unordered_map<ProgramId, ProgramId> rootOf_; ///< Of sub-agents.
-    std::map<std::pair<AccountId, RequestId>, ProgramId> createdBy_;
+    internal::TreeTable trees_;
+    internal::IdlePrograms idle_;
+    internal::RecordIdSet recordIds_;
     std::deque<std::pair<Time, ProgramId>> ended_; ///< In order of their end.
     std::map<std::string, SuspectState> suspects_;
-    std::unordered_map<std::string, Writer> writers_;
-    std::set<RecordId> otherIds_; ///< Ids that are not of the form writer#number.
-    std::deque<RecordId> otherIdOrder_;
     std::deque<LogEntry> retained_;
-    std::map<ProgramId, std::vector<Placed>> orphans_; ///< Records of programs older than the first entry, by root.
-    std::vector<IdleProgram> idle_; ///< Sorted by slot and random part.
-    std::map<ProgramId, std::vector<Placed>> deferred_; ///< Records that wait for an idle program, by its id.
-    std::vector<NodeId> ownerNames_;
+    std::map<ProgramId, std::vector<PlacedRecord>> orphans_; ///< Of programs older than the first entry, by root.
+    std::map<ProgramId, std::vector<PlacedRecord>> deferred_; ///< Records that wait for an idle program, by its id.
 };
 
 /** \brief History of a program as text; a pure function of the journal, so every node prints the same bytes. */
