Give the hash of members and slots its own name

Hard to read: membership/slotmap.h declared stableHash() and core/stablehash.h defined another function of the same name and signature with another result. A source file that included both would have taken the second one for members, and in a build without inlining the linker decides which one the gateway gets. Moved: the one of members, slots and record ids is rendezvousHash(); its values stay, the test of them too. Release builds had inlined the other one, so that no node computes anything else than before.

--- a/src/config/configfold.cpp
+++ b/src/config/configfold.cpp
@@ -104,7 +104,7 @@
         return judgeCopy(entry);
     }
     const RecordKey key = keyOf(entry.body_);
-    const std::uint64_t idHash = stableHash(entry.body_.at("id").get_ref<const std::string &>());
+    const std::uint64_t idHash = rendezvousHash(entry.body_.at("id").get_ref<const std::string &>());
     const bool isKnown = isKnownId(idHash, key, entry.time_);
     rememberId(idHash, entry.time_);
     if (isKnown) {
@@ -248,7 +248,7 @@
         const bool isJudged = (proof != proofs.end() && proof->second.first >= entry.offset_)
             || (current != nullptr && current->offset_ >= entry.offset_);
         if (isJudged) {
-            rememberId(stableHash(entry.body_.at("id").get<std::string>()), entry.time_);
+            rememberId(rendezvousHash(entry.body_.at("id").get<std::string>()), entry.time_);
             return;
         }
     }
@@ -290,7 +290,7 @@
     record.erase("origin");
     record.erase("as_of");
     version.offset_ = offset;
-    version.idHash_ = stableHash(record.at("id").get_ref<const std::string &>());
+    version.idHash_ = rendezvousHash(record.at("id").get_ref<const std::string &>());
     inForce->second = offset;
     if (key.first != nameOf(RecordKind::Account)) {
         section_.records_[key] = record;
--- a/src/membership/membergossip.cpp
+++ b/src/membership/membergossip.cpp
@@ -46,7 +46,7 @@
         if (!record) {
             return;
         }
-        const MemberHash hash = stableHash(record->id_.value());
+        const MemberHash hash = rendezvousHash(record->id_.value());
         if (hash == view_.self()) {
             onClaimAboutSelf(Claim{hash, record->state_, record->incarnation_}, sender);
         } else if (view_.applyRecord(*record) && forward) {
--- a/src/membership/memberjoiner.cpp
+++ b/src/membership/memberjoiner.cpp
@@ -55,7 +55,7 @@
     nextJoin_ = now + joinInterval;
     joinByAddress(now);
     for (const std::pair<const NodeId, std::string> &vm : unknownVms_) {
-        if (view_.isNeighbourOf(stableHash(vm.first.value()))) {
+        if (view_.isNeighbourOf(rendezvousHash(vm.first.value()))) {
             messenger_.sendJoin(vm.second);
         }
     }
@@ -96,7 +96,7 @@
     if (!record || record->id_ == section_.self_) {
         return;
     }
-    const MemberHash hash = stableHash(record->id_.value());
+    const MemberHash hash = rendezvousHash(record->id_.value());
     const bool isNew = view_.applyRecord(*record);
     if (isNew) {
         gossip_.spreadRecord(encodeMember(*record), hash);
--- a/src/membership/membershipcontroller.cpp
+++ b/src/membership/membershipcontroller.cpp
@@ -111,7 +111,7 @@
 
 void MembershipController::Private::onListedVm(const Member &vm, std::map<NodeId, std::string> &unknown)
 {
-    const MemberHash hash = stableHash(vm.id_.value());
+    const MemberHash hash = rendezvousHash(vm.id_.value());
     const bool isLeaving = vm.state_ == MemberState::Leaving;
     const Peer *peer = view_.find(hash);
     if (peer == nullptr && !isLeaving) {
@@ -161,7 +161,7 @@
     std::set<MemberHash> listed;
     std::map<NodeId, std::string> unknown;
     for (const Member &vm : vms) {
-        listed.insert(stableHash(vm.id_.value()));
+        listed.insert(rendezvousHash(vm.id_.value()));
         const bool isLeaving = vm.state_ == MemberState::Leaving;
         if (vm.id_ != d_->section_.self_) {
             d_->onListedVm(vm, unknown);
--- a/src/membership/memberview.cpp
+++ b/src/membership/memberview.cpp
@@ -37,7 +37,7 @@
 MemberView::MemberView(MembershipSection &section, Member self, Clock now)
     : section_(section)
     , now_(std::move(now))
-    , self_(stableHash(self.id_.value()))
+    , self_(rendezvousHash(self.id_.value()))
 {
     section_ = MembershipSection();
     section_.self_ = self.id_;
@@ -133,7 +133,7 @@
 
 bool MemberView::applyRecord(const Member &record)
 {
-    const MemberHash hash = stableHash(record.id_.value());
+    const MemberHash hash = rendezvousHash(record.id_.value());
     Peer *known = find(hash);
     if (known != nullptr) {
         if (known->id_ != record.id_) {
--- a/src/membership/slotmap.cpp
+++ b/src/membership/slotmap.cpp
@@ -25,7 +25,7 @@
 {
     std::vector<std::uint64_t> hashes(slotCount);
     for (std::uint32_t slot = 0; slot < slotCount; ++slot) {
-        hashes[slot] = stableHash("slot-" + std::to_string(slot));
+        hashes[slot] = rendezvousHash("slot-" + std::to_string(slot));
     }
     return hashes;
 }
@@ -54,7 +54,7 @@
 
 } // namespace internal
 
-std::uint64_t stableHash(const std::string &text)
+std::uint64_t rendezvousHash(const std::string &text)
 {
     // FNV-1a, then a finaliser, because FNV's high bits depend little on the last characters.
     std::uint64_t hash = 0xcbf29ce484222325ULL;
@@ -67,7 +67,7 @@
 
 std::uint64_t rendezvousWeight(const std::string &node, const std::string &key)
 {
-    return internal::weightOf(stableHash(node), stableHash(key));
+    return internal::weightOf(rendezvousHash(node), rendezvousHash(key));
 }
 
 std::uint32_t slotOf(const ProgramId &program)
@@ -99,7 +99,7 @@
     for (const std::pair<const NodeId, Member> &entry : members.members_) {
         if (internal::isPreferable(entry.second)) {
             nodes.push_back(&entry.first);
-            hashes.push_back(stableHash(entry.first.value()));
+            hashes.push_back(rendezvousHash(entry.first.value()));
         }
     }
     if (hashes == liveHashes_) {
--- a/src/membership/slotmap.h
+++ b/src/membership/slotmap.h
@@ -38,8 +38,12 @@
     std::vector<std::uint64_t> liveHashes_; ///< Of the live members of the last rebuild, which is skipped if equal.
 };
 
-/** \brief A 64-bit hash of a string; stable across processes, versions and machines. */
-std::uint64_t stableHash(const std::string &text);
+/**
+ * \brief Hash of node ids, slots and record ids; stable across processes, versions and machines.
+ *
+ * Its values differ from those of stableHash(), and nodes of all versions have to agree on them.
+ */
+std::uint64_t rendezvousHash(const std::string &text);
 
 /** \brief Rendezvous weight of a node for a key; the highest weight wins. Stable across processes and versions. */
 std::uint64_t rendezvousWeight(const std::string &node, const std::string &key);
--- a/test/membership/datagram.cpp
+++ b/test/membership/datagram.cpp
@@ -78,7 +78,7 @@
     fleet.run(std::chrono::seconds(2));
     ASSERT_EQ(fleet.section(0).members_.size(), 2U);
     const std::uint64_t version = fleet.section(0).version_;
-    const std::uint64_t known = stableHash(MemberFleet::recordOf(1).id_.value());
+    const std::uint64_t known = rendezvousHash(MemberFleet::recordOf(1).id_.value());
     const std::vector<nlohmann::json> bodies{nlohmann::json::array(),
                                              {"text"},
                                              {known},
--- a/test/membership/slotmap.cpp
+++ b/test/membership/slotmap.cpp
@@ -57,7 +57,7 @@
 // Guards against a hash that changes between versions: a mixed fleet would disagree about every slot.
 TEST(SlotMap, HashIsStable)
 {
-    EXPECT_EQ(stableHash(""), 0xc3817c016ba4ff30ULL);
+    EXPECT_EQ(rendezvousHash(""), 0xc3817c016ba4ff30ULL);
     EXPECT_EQ(rendezvousWeight("node-1", "slot-7"), 0xa7a81b111905a546ULL);
 }
 
