Take the keyed handshake out of the peer links

Moved: the handshake to PeerHandshake, frames in, frames out, without websocketpp. addLink() sets its handlers in setHandlers(), a cancelled request is handled in cancelled(). No frame and no check changes. Tests: test_net 103 passed, test_node 34 (each run by itself, release build).

--- a/src/net/peerlinks.cpp
+++ b/src/net/peerlinks.cpp
@@ -1,11 +1,9 @@
 #include "net/peerlinks.h"
 
-#include "core/digest.h"
 #include "net/address.h"
 #include "net/ioloopprivate.h"
 #include "net/peerframe.h"
-
-#include <openssl/rand.h>
+#include "net/peerhandshake.h"
 
 #include <websocketpp/client.hpp>
 #include <websocketpp/concurrency/none.hpp>
@@ -15,7 +13,6 @@
 #include <websocketpp/server.hpp>
 
 #include <algorithm>
-#include <array>
 #include <set>
 
 namespace filbertgw {
@@ -54,37 +51,10 @@
 
 /** Longest frame of a peer that has not proven a key. */
 constexpr std::size_t handshakeFrameBytes = 4096;
-constexpr std::size_t nonceBytes = 16;
 constexpr Duration sweepPeriod{50'000};
 /** After this a peer that does not answer the close frame is cut off. */
 constexpr long closeTimeoutMs = 1000;
 
-std::string randomNonce()
-{
-    std::array<unsigned char, nonceBytes> bytes{};
-    RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
-    return sha256(std::string(bytes.begin(), bytes.end()));
-}
-
-/** \brief Joins fields so that no two lists of fields give the same text. */
-std::string joinFields(const std::vector<std::string> &fields)
-{
-    std::string result;
-    for (const std::string &field : fields) {
-        result += std::to_string(field.size()) + ":" + field;
-    }
-    return result;
-}
-
-std::string textField(const nlohmann::json &body, const char *name)
-{
-    if (!body.is_object()) {
-        return {};
-    }
-    const auto found = body.find(name);
-    return found != body.end() && found->is_string() ? found->get<std::string>() : std::string();
-}
-
 struct PeerCall
 {
     PeerLinks::Part part_;
@@ -96,6 +66,12 @@
 /** \brief One connection between two nodes. */
 struct PeerLink
 {
+    PeerLink(const PeerSettings &settings, bool isOutgoing)
+        : isOutgoing_(isOutgoing)
+        , handshake_(settings, isOutgoing)
+    {
+    }
+
     enum class State : std::uint8_t {
         Connecting,
         Proving, ///< The keyed handshake runs.
@@ -103,13 +79,12 @@
         Closed,
     };
 
-    bool isOutgoing_ = false;
+    bool isOutgoing_;
+    PeerHandshake handshake_;
     State state_ = State::Connecting;
     PeerConnectionPointer connection_;
     std::string address_; ///< host:port that requests to the peer are addressed to; empty if unknown.
     NodeId peer_;
-    std::string ownNonce_;
-    std::string peerNonce_;
     std::chrono::steady_clock::time_point started_;
     std::chrono::steady_clock::time_point lastSeen_;
     std::chrono::steady_clock::time_point lastPing_;
@@ -137,18 +112,16 @@
     void prepareServer();
     boost::system::error_code listen();
     internal::PeerLinkPointer addLink(const internal::PeerConnectionPointer &connection, bool isOutgoing);
+    void setHandlers(const internal::PeerConnectionPointer &connection, const internal::PeerLinkPointer &link);
+    void connected(const internal::PeerLinkPointer &link);
     internal::PeerLinkPointer linkTo(const std::string &address);
     void accepted(const internal::PeerConnectionPointer &connection);
     void received(const internal::PeerLinkPointer &link, const internal::Client::message_ptr &message);
     void prove(const internal::PeerLinkPointer &link, const PeerFrame &frame);
-    void proveAsServer(const internal::PeerLinkPointer &link, const nlohmann::json &hello);
-    void answerChallenge(const internal::PeerLinkPointer &link, const nlohmann::json &challenge);
-    void checkWelcome(const internal::PeerLinkPointer &link, const nlohmann::json &welcome);
-    bool isProven(const std::string &mac, const std::vector<std::string> &fields) const;
-    std::string prove(const std::vector<std::string> &fields) const;
     void opened(const internal::PeerLinkPointer &link);
     void dispatch(const internal::PeerLinkPointer &link, PeerFrame frame);
     void serve(const internal::PeerLinkPointer &link, const PeerFrame &frame);
+    void cancelled(const internal::PeerLinkPointer &link, std::uint64_t id);
     bool send(const internal::PeerLinkPointer &link, const std::string &frame);
     void close(const internal::PeerLinkPointer &link, const char *reason);
     void closed(const internal::PeerLinkPointer &link);
@@ -315,12 +288,18 @@
 internal::PeerLinkPointer PeerLinks::Private::addLink(const internal::PeerConnectionPointer &connection,
                                                       bool isOutgoing)
 {
-    const internal::PeerLinkPointer link = std::make_shared<internal::PeerLink>();
-    link->isOutgoing_ = isOutgoing;
+    const internal::PeerLinkPointer link = std::make_shared<internal::PeerLink>(settings_, isOutgoing);
     link->connection_ = connection;
     link->started_ = std::chrono::steady_clock::now();
     links_.insert(link);
     connections_.push_back(connection);
+    setHandlers(connection, link);
+    return link;
+}
+
+void PeerLinks::Private::setHandlers(const internal::PeerConnectionPointer &connection,
+                                     const internal::PeerLinkPointer &link)
+{
     // The connection holds its handlers; references back would keep both for ever.
     const std::weak_ptr<Private> weak = weak_from_this();
     const std::weak_ptr<internal::PeerLink> weakLink = link;
@@ -356,15 +335,18 @@
             weakConnection.lock()->close(websocketpp::close::status::going_away, {}, error);
             return;
         }
-        boost::system::error_code ignored;
-        known->connection_->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-        known->state_ = internal::PeerLink::State::Proving;
-        if (!known->isOutgoing_) {
-            known->ownNonce_ = internal::randomNonce();
-            self->send(known, encodePeerFrame(PeerFrameType::Challenge, 0, {}, {{"nonce", known->ownNonce_}}));
-        }
+        self->connected(known);
     });
-    return link;
+}
+
+void PeerLinks::Private::connected(const internal::PeerLinkPointer &link)
+{
+    boost::system::error_code ignored;
+    link->connection_->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    link->state_ = internal::PeerLink::State::Proving;
+    if (!link->isOutgoing_) {
+        send(link, link->handshake_.challenge());
+    }
 }
 
 std::size_t PeerLinks::Private::unproven() const
@@ -409,21 +391,6 @@
     return link;
 }
 
-bool PeerLinks::Private::isProven(const std::string &mac, const std::vector<std::string> &fields) const
-{
-    const std::string message = internal::joinFields(fields);
-    bool matches = false;
-    for (const std::string &key : settings_.keys_) {
-        matches = equalConstantTime(mac, hmacSha256(key, message)) || matches;
-    }
-    return matches;
-}
-
-std::string PeerLinks::Private::prove(const std::vector<std::string> &fields) const
-{
-    return settings_.keys_.empty() ? std::string() : hmacSha256(settings_.keys_.front(), internal::joinFields(fields));
-}
-
 void PeerLinks::Private::received(const internal::PeerLinkPointer &link, const internal::Client::message_ptr &message)
 {
     if (link->state_ == internal::PeerLink::State::Closed) {
@@ -448,31 +415,19 @@
 
 void PeerLinks::Private::prove(const internal::PeerLinkPointer &link, const PeerFrame &frame)
 {
-    const bool challenged = !link->ownNonce_.empty();
-    if (!link->isOutgoing_ && frame.type_ == PeerFrameType::Hello) {
-        proveAsServer(link, frame.body_);
-    } else if (link->isOutgoing_ && frame.type_ == PeerFrameType::Challenge && !challenged) {
-        answerChallenge(link, frame.body_);
-    } else if (link->isOutgoing_ && frame.type_ == PeerFrameType::Welcome && challenged) {
-        checkWelcome(link, frame.body_);
-    } else {
-        close(link, "unexpected frame in the handshake");
+    const internal::PeerHandshake::Step step = link->handshake_.onFrame(frame);
+    if (step.failure_ != nullptr) {
+        close(link, step.failure_);
+        return;
     }
-}
-
-void PeerLinks::Private::proveAsServer(const internal::PeerLinkPointer &link, const nlohmann::json &hello)
-{
-    const std::string node = internal::textField(hello, "node");
-    const std::string address = internal::textField(hello, "address");
-    const std::string nonce = internal::textField(hello, "nonce");
-    const std::string mac = internal::textField(hello, "mac");
-    if (node.empty() || nonce.empty() || !isProven(mac, {"client", link->ownNonce_, nonce, node, address})) {
-        close(link, "no accepted key");
+    if (!step.reply_.empty()) {
+        send(link, step.reply_);
+    }
+    if (!step.isProven_) {
         return;
     }
-    link->peer_ = NodeId(node);
-    const std::string proof = prove({"server", link->ownNonce_, nonce, settings_.self_.value(), node});
-    send(link, encodePeerFrame(PeerFrameType::Welcome, 0, {}, {{"node", settings_.self_.value()}, {"mac", proof}}));
+    link->peer_ = link->handshake_.peer();
+    const std::string &address = link->handshake_.peerAddress();
     if (parseAddress(address) && byAddress_.count(address) == 0) {
         link->address_ = address;
         byAddress_[address] = link;
@@ -480,40 +435,6 @@
     opened(link);
 }
 
-void PeerLinks::Private::answerChallenge(const internal::PeerLinkPointer &link, const nlohmann::json &challenge)
-{
-    const std::string nonce = internal::textField(challenge, "nonce");
-    if (nonce.empty()) {
-        close(link, "no nonce");
-        return;
-    }
-    link->ownNonce_ = internal::randomNonce();
-    // A wildcard or port 0 can't be called back.
-    const std::optional<Address> own = parseAddress(settings_.address_);
-    const bool reachable = own && own->port_ != 0 && own->host_ != "0.0.0.0" && own->host_ != "::";
-    const std::string address = reachable ? settings_.address_ : std::string();
-    const std::string &self = settings_.self_.value();
-    link->peerNonce_ = nonce;
-    const std::string proof = prove({"client", nonce, link->ownNonce_, self, address});
-    send(link,
-         encodePeerFrame(PeerFrameType::Hello,
-                         0,
-                         {},
-                         {{"node", self}, {"address", address}, {"nonce", link->ownNonce_}, {"mac", proof}}));
-}
-
-void PeerLinks::Private::checkWelcome(const internal::PeerLinkPointer &link, const nlohmann::json &welcome)
-{
-    const std::string node = internal::textField(welcome, "node");
-    const std::string mac = internal::textField(welcome, "mac");
-    if (node.empty() || !isProven(mac, {"server", link->peerNonce_, link->ownNonce_, node, settings_.self_.value()})) {
-        close(link, "no accepted key");
-        return;
-    }
-    link->peer_ = NodeId(node);
-    opened(link);
-}
-
 void PeerLinks::Private::opened(const internal::PeerLinkPointer &link)
 {
     link->state_ = internal::PeerLink::State::Open;
@@ -537,14 +458,7 @@
         return;
     }
     if (frame.type_ == PeerFrameType::Cancel) {
-        const auto found = link->incoming_.find(frame.id_);
-        if (found != link->incoming_.end()) {
-            const std::shared_ptr<internal::PeerLinkReply> reply = found->second.lock();
-            link->incoming_.erase(found);
-            if (reply) {
-                reply->closedByPeer();
-            }
-        }
+        cancelled(link, frame.id_);
         return;
     }
     const auto call = link->calls_.find(frame.id_);
@@ -565,6 +479,19 @@
     }
 }
 
+void PeerLinks::Private::cancelled(const internal::PeerLinkPointer &link, std::uint64_t id)
+{
+    const std::map<std::uint64_t, std::weak_ptr<internal::PeerLinkReply>>::iterator found = link->incoming_.find(id);
+    if (found == link->incoming_.end()) {
+        return;
+    }
+    const std::shared_ptr<internal::PeerLinkReply> reply = found->second.lock();
+    link->incoming_.erase(found);
+    if (reply) {
+        reply->closedByPeer();
+    }
+}
+
 void PeerLinks::Private::serve(const internal::PeerLinkPointer &link, const PeerFrame &frame)
 {
     if (link->incoming_.count(frame.id_) != 0 || link->incoming_.size() >= settings_.requestsPerLink_) {
