Share the body handling of the HTTP parsers

Stood twice: nine functions of Beast's parser, of which six did the same for requests and for answers. Moved: HttpBodyParser appends the body to a text and ignores the rest; HttpRequestParser and HttpAnswerParser add what they differ in. Parsing does not change.

--- a/src/net/httpanswerparser.cpp
+++ b/src/net/httpanswerparser.cpp
@@ -14,16 +14,13 @@
 } // namespace
 
 HttpAnswerParser::HttpAnswerParser()
+    : HttpBodyParser(body_)
 {
     header_limit(answerHeaderBytes);
     body_limit(boost::none); // The client counts itself, streamed parts included.
     eager(true);
 }
 
-void HttpAnswerParser::on_request_impl(http::verb, StringView, StringView, int, Error &)
-{
-}
-
 void HttpAnswerParser::on_response_impl(int status, StringView, int, Error &)
 {
     head_.status_ = status;
@@ -36,32 +33,4 @@
     head_.headers_.insert_or_assign(std::move(key), std::string(value));
 }
 
-void HttpAnswerParser::on_header_impl(Error &)
-{
-}
-
-void HttpAnswerParser::on_body_init_impl(const boost::optional<std::uint64_t> &, Error &)
-{
-}
-
-std::size_t HttpAnswerParser::on_body_impl(StringView body, Error &)
-{
-    body_.append(body.data(), body.size());
-    return body.size();
-}
-
-void HttpAnswerParser::on_chunk_header_impl(std::uint64_t, StringView, Error &)
-{
-}
-
-std::size_t HttpAnswerParser::on_chunk_body_impl(std::uint64_t, StringView body, Error &)
-{
-    body_.append(body.data(), body.size());
-    return body.size();
-}
-
-void HttpAnswerParser::on_finish_impl(Error &)
-{
-}
-
 } // namespace filbertgw::internal
--- a/src/net/httprequestparser.cpp
+++ b/src/net/httprequestparser.cpp
@@ -28,6 +28,7 @@
 } // namespace
 
 HttpRequestParser::HttpRequestParser(const HttpLimits &limits)
+    : HttpBodyParser(request_.body_)
 {
     header_limit(static_cast<std::uint32_t>(limits.headerBytes_));
     body_limit(limits.bodyBytes_);
@@ -41,10 +42,6 @@
     http10_ = version < 11;
 }
 
-void HttpRequestParser::on_response_impl(int, StringView, int, Error &)
-{
-}
-
 void HttpRequestParser::on_field_impl(http::field field, StringView name, StringView value, Error &error)
 {
     if (field == http::field::expect) {
@@ -62,10 +59,6 @@
     stored.append(value.data(), value.size());
 }
 
-void HttpRequestParser::on_header_impl(Error &)
-{
-}
-
 void HttpRequestParser::on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &)
 {
     if (length) {
@@ -73,24 +66,4 @@
     }
 }
 
-std::size_t HttpRequestParser::on_body_impl(StringView body, Error &)
-{
-    request_.body_.append(body.data(), body.size());
-    return body.size();
-}
-
-void HttpRequestParser::on_chunk_header_impl(std::uint64_t, StringView, Error &)
-{
-}
-
-std::size_t HttpRequestParser::on_chunk_body_impl(std::uint64_t, StringView body, Error &)
-{
-    request_.body_.append(body.data(), body.size());
-    return body.size();
-}
-
-void HttpRequestParser::on_finish_impl(Error &)
-{
-}
-
 } // namespace filbertgw::internal
