Share the log access of a process in bench/promises

Stood twice: the access of a process to the fake log, for programs and for configuration. Moved: logAccessOf().

--- a/bench/promises/worldnodes.cpp
+++ b/bench/promises/worldnodes.cpp
@@ -4,20 +4,27 @@
 
 namespace filbertgw::bench::internal {
 
-ProgramHooks World::hooksOf(const ProcessPtr &process)
+LogAccess World::logAccessOf(const ProcessPtr &process)
 {
     const std::weak_ptr<Process> weak = process;
     Process *raw = process.get();
-    ProgramHooks hooks;
-    hooks.now_ = [this]() { return loop_.now(); };
-    hooks.random_ = [this]() { return random_.next(); };
-    hooks.log_ = log_.access(
+    return log_.access(
         [weak](std::function<void()> run) {
             if (const ProcessPtr self = weak.lock()) {
                 runIn(self, std::move(run));
             }
         },
         [raw]() { return !raw->cutFromLog_; });
+}
+
+ProgramHooks World::hooksOf(const ProcessPtr &process)
+{
+    const std::weak_ptr<Process> weak = process;
+    Process *raw = process.get();
+    ProgramHooks hooks;
+    hooks.now_ = [this]() { return loop_.now(); };
+    hooks.random_ = [this]() { return random_.next(); };
+    hooks.log_ = logAccessOf(process);
     hooks.dispatch_ = [this, weak](const Dispatch &order) {
         if (const ProcessPtr self = weak.lock()) {
             dispatch(self, order);
@@ -257,13 +264,7 @@
     ConfigHooks hooks;
     hooks.now_ = [this]() { return loop_.now(); };
     hooks.random_ = [this]() { return random_.next(); };
-    hooks.log_ = log_.access(
-        [weak](std::function<void()> run) {
-            if (const ProcessPtr self = weak.lock()) {
-                runIn(self, std::move(run));
-            }
-        },
-        [raw]() { return !raw->cutFromLog_; });
+    hooks.log_ = logAccessOf(process);
     if (broken_ == "config-order") {
         hooks.log_.read_ = withoutOrder(hooks.log_.read_);
     }
--- a/bench/promises/worldstate.h
+++ b/bench/promises/worldstate.h
@@ -113,6 +113,7 @@
 
     // Nodes
     ProcessPtr startProcess(const std::string &name);
+    LogAccess logAccessOf(const ProcessPtr &process);
     ProgramHooks hooksOf(const ProcessPtr &process);
     ProcessPtr processNamed(const std::string &name) const;
     ProcessPtr pickNode();
