Share the start of the stand-ins

Moved: parseServerOptions() and run<StandIn>() in standin.h. The help texts of all four are the same byte for byte.

--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -602,20 +602,16 @@
 int runEngine(int argc, char **argv)
 {
     EngineOptions options;
-    std::string host = "127.0.0.1";
-    std::uint64_t port = 0;
     const auto addModel = [&options](const std::string &value) { return options.models_.insert(value).second; };
     const auto addKey = [&options](const std::string &value) {
         options.orderKeys_.push_back(value);
         return !value.empty();
     };
-    parseOptions(
+    options.address_ = parseServerOptions(
         argc,
         argv,
         "engine",
-        {textOption("host", "address to listen on", host),
-         numberOption("port", "port to listen on; 0 picks one", port),
-         durationOption("first-token-ms", "delay of the first token", options.firstTokenDelay_),
+        {durationOption("first-token-ms", "delay of the first token", options.firstTokenDelay_),
          durationOption("token-ms", "delay between tokens", options.tokenDelay_),
          numberOption(
              "prefill", "prompt tokens a second that are not cached; 0 is infinite", options.prefillTokensPerSecond_),
@@ -634,10 +630,7 @@
          durationOption("event-late-ms", "cache events are shown so much later", options.eventLate_),
          shareOption("event-loss", "share of cache events that are lost", options.eventLoss_.share_),
          numberOption("seed", "seed of the faults", options.seed_)});
-    options.address_ = host + ":" + std::to_string(port);
-    IoLoop loop;
-    const Engine engine(loop, options);
-    return serve(loop, engine.server());
+    return run<Engine>(options);
 }
 
 } // namespace filbertgw::standin
--- a/standin/log.cpp
+++ b/standin/log.cpp
@@ -210,27 +210,21 @@
 int runLog(int argc, char **argv)
 {
     LogOptions options;
-    std::string host = "127.0.0.1";
-    std::uint64_t port = 0;
     const auto setOutage = [&options](const std::string &value) {
         options.outage_ = value;
         return value == "none" || value == "refuse" || value == "hang";
     };
-    parseOptions(argc,
-                 argv,
-                 "log",
-                 {textOption("host", "address to listen on", host),
-                  numberOption("port", "port to listen on; 0 picks one", port),
-                  durationOption("delay-ms", "time from the action to the answer", options.delay_),
-                  shareOption("loss", "share of appends whose answer is lost", options.loss_.share_),
-                  Option{"outage", "none, refuse (503) or hang (no answer)", true, setOutage},
-                  numberOption("keep-entries", "entries kept in each stream", options.keepEntries_),
-                  durationOption("keep-ms", "time that entries are kept", options.keepTime_),
-                  numberOption("seed", "seed of the faults", options.seed_)});
-    options.address_ = host + ":" + std::to_string(port);
-    IoLoop loop;
-    const Log log(loop, options);
-    return serve(loop, log.server());
+    options.address_ =
+        parseServerOptions(argc,
+                           argv,
+                           "log",
+                           {durationOption("delay-ms", "time from the action to the answer", options.delay_),
+                            shareOption("loss", "share of appends whose answer is lost", options.loss_.share_),
+                            Option{"outage", "none, refuse (503) or hang (no answer)", true, setOutage},
+                            numberOption("keep-entries", "entries kept in each stream", options.keepEntries_),
+                            durationOption("keep-ms", "time that entries are kept", options.keepTime_),
+                            numberOption("seed", "seed of the faults", options.seed_)});
+    return run<Log>(options);
 }
 
 } // namespace filbertgw::standin
--- a/standin/standin.cpp
+++ b/standin/standin.cpp
@@ -218,4 +218,15 @@
     }
 }
 
+std::string parseServerOptions(int argc, char **argv, const std::string &command, std::vector<Option> options)
+{
+    std::string host = "127.0.0.1";
+    std::uint64_t port = 0;
+    options.insert(options.begin(),
+                   {textOption("host", "address to listen on", host),
+                    numberOption("port", "port to listen on; 0 picks one", port)});
+    parseOptions(argc, argv, command, options);
+    return host + ":" + std::to_string(port);
+}
+
 } // namespace filbertgw::standin
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -81,6 +81,18 @@
  */
 void parseOptions(int argc, char **argv, const std::string &command, const std::vector<Option> &options);
 
+/** \brief As parseOptions(), with `--host` and `--port`. \return the address to listen on. */
+std::string parseServerOptions(int argc, char **argv, const std::string &command, std::vector<Option> options);
+
+/** \brief Runs a stand-in until SIGTERM or SIGINT. \return the exit status. */
+template<typename StandIn, typename Options>
+int run(const Options &options)
+{
+    IoLoop loop;
+    const StandIn standIn(loop, options);
+    return serve(loop, standIn.server());
+}
+
 int runEngine(int argc, char **argv);
 int runTool(int argc, char **argv);
 int runLog(int argc, char **argv);
--- a/standin/tool.cpp
+++ b/standin/tool.cpp
@@ -101,22 +101,16 @@
 int runTool(int argc, char **argv)
 {
     ToolOptions options;
-    std::string host = "127.0.0.1";
-    std::uint64_t port = 0;
-    parseOptions(argc,
-                 argv,
-                 "tool",
-                 {textOption("host", "address to listen on", host),
-                  numberOption("port", "port to listen on; 0 picks one", port),
-                  durationOption("delay-ms", "time from the action to the answer", options.delay_),
-                  shareOption("hang", "share of calls that act and never answer", options.hang_.share_),
-                  shareOption("loss", "share of calls that act and lose the answer", options.loss_.share_),
-                  shareOption("refusal", "share of calls refused with 503 without acting", options.refusal_.share_),
-                  numberOption("seed", "seed of the faults", options.seed_)});
-    options.address_ = host + ":" + std::to_string(port);
-    IoLoop loop;
-    const Tool tool(loop, options);
-    return serve(loop, tool.server());
+    options.address_ = parseServerOptions(
+        argc,
+        argv,
+        "tool",
+        {durationOption("delay-ms", "time from the action to the answer", options.delay_),
+         shareOption("hang", "share of calls that act and never answer", options.hang_.share_),
+         shareOption("loss", "share of calls that act and lose the answer", options.loss_.share_),
+         shareOption("refusal", "share of calls refused with 503 without acting", options.refusal_.share_),
+         numberOption("seed", "seed of the faults", options.seed_)});
+    return run<Tool>(options);
 }
 
 } // namespace filbertgw::standin
--- a/standin/vms.cpp
+++ b/standin/vms.cpp
@@ -114,23 +114,17 @@
 int runVms(int argc, char **argv)
 {
     VmsOptions options;
-    std::string host = "127.0.0.1";
-    std::uint64_t port = 0;
     const auto addVm = [&options](const std::string &value) {
         options.vms_.push_back(parseVm(value));
         return options.vms_.back().is_object();
     };
-    parseOptions(argc,
-                 argv,
-                 "vms",
-                 {textOption("host", "address to listen on", host),
-                  numberOption("port", "port to listen on; 0 picks one", port),
-                  durationOption("late-ms", "age of the list that is shown", options.late_),
-                  Option{"vm", "name=N,address=HOST:PORT,domain=D[,state=live|leaving]; repeated", true, addVm}});
-    options.address_ = host + ":" + std::to_string(port);
-    IoLoop loop;
-    const Vms vms(loop, options);
-    return serve(loop, vms.server());
+    options.address_ = parseServerOptions(
+        argc,
+        argv,
+        "vms",
+        {durationOption("late-ms", "age of the list that is shown", options.late_),
+         Option{"vm", "name=N,address=HOST:PORT,domain=D[,state=live|leaving]; repeated", true, addVm}});
+    return run<Vms>(options);
 }
 
 } // namespace filbertgw::standin
