--- a/test/gateway/turnrecovery.cpp
+++ b/test/gateway/turnrecovery.cpp
@@ -283,4 +283,12 @@
                     RecoveryCase{"Nodes88", 88, 53, 155, 16, 6'000, 1'500, std::chrono::seconds(15)}),
     [](const testing::TestParamInfo<RecoveryCase> &info) { return info.param.name_; });
 
+// The fleet of the target in two years, with the traffic of today's largest deployment.
+INSTANTIATE_TEST_SUITE_P(
+    Target,
+    Recovery,
+    testing::Values(RecoveryCase{"Nodes390FewTurns", 390, 53, 155, 16, 6'000, 1'500, std::chrono::seconds(15), 1},
+                    RecoveryCase{"Nodes390SameTraffic", 390, 53, 155, 16, 6'000, 1'500, std::chrono::seconds(15)}),
+    [](const testing::TestParamInfo<RecoveryCase> &info) { return info.param.name_; });
+
 } // namespace filbertgw::test
