Delete kept turns also where the store forgets its history

Operators would see the store fill up with kept turns (507 at its limit): no turn was ever deleted under steady traffic. Cause, found by reading once more: the holder reads what was appended since its last read before it deletes; after 20 s the store has forgotten that, all newest records are read anew, and each of them counted as written again just now. Change: a record that is read again at the offset that is known keeps its turn no longer than before.

--- a/src/ledger/turnreplicas.cpp
+++ b/src/ledger/turnreplicas.cpp
@@ -24,10 +24,17 @@
     TurnReplicas::Found found_;
 };
 
+/** \brief A turn in memory, and its record in the store. */
+struct ReplicaTurn
+{
+    FoundTurn found_;
+    std::optional<std::uint64_t> offset_; ///< Nothing if the record was not read, but announced.
+};
+
 /** \brief What this node has of one partition. */
 struct Replica
 {
-    std::unordered_map<std::string, FoundTurn> turns_;
+    std::unordered_map<std::string, ReplicaTurn> turns_;
     std::vector<Question> waiting_; ///< Asked since the read under way began.
     std::vector<Question> inRead_; ///< Answered by the read under way.
     std::uint64_t position_ = 0; ///< Offset after the last record that was read.
@@ -46,7 +53,8 @@
 {
     std::uint32_t partitionOf(const std::string &turn) const;
     PartitionId nameOf(std::uint32_t partition) const;
-    void take(internal::Replica &replica, const std::string &id, KeptTurnPointer turn);
+    void
+    take(internal::Replica &replica, const std::string &id, KeptTurnPointer turn, std::optional<std::uint64_t> offset);
     void takeRecord(internal::Replica &replica, const KeyedRecord &record);
     void erase(internal::Replica &replica, const std::string &id);
     void enqueue(std::uint32_t partition);
@@ -85,12 +93,19 @@
                        partition % settings_.partitionsPerStream_};
 }
 
-void TurnReplicas::Private::take(internal::Replica &replica, const std::string &id, KeptTurnPointer turn)
+void TurnReplicas::Private::take(internal::Replica &replica,
+                                 const std::string &id,
+                                 KeptTurnPointer turn,
+                                 std::optional<std::uint64_t> offset)
 {
-    erase(replica, id); // A record that is written again keeps the turn for longer.
+    const auto known = replica.turns_.find(id);
+    if (offset && known != replica.turns_.end() && known->second.offset_ == offset) {
+        return; // The same record, read again: it keeps the turn no longer than before.
+    }
+    erase(replica, id); // A record that was written again keeps the turn for longer.
     const Time expires = hooks_.now_() + turn->retention_ + retentionSlack;
     bytes_ += turn->bytes();
-    replica.turns_.emplace(id, FoundTurn{std::move(turn), expires});
+    replica.turns_.emplace(id, internal::ReplicaTurn{FoundTurn{std::move(turn), expires}, offset});
 }
 
 void TurnReplicas::Private::takeRecord(internal::Replica &replica, const KeyedRecord &record)
@@ -101,7 +116,7 @@
     }
     std::optional<KeptTurn> turn = KeptTurn::decode(*record.value_);
     if (turn) {
-        take(replica, record.key_, std::make_shared<const KeptTurn>(std::move(*turn)));
+        take(replica, record.key_, std::make_shared<const KeptTurn>(std::move(*turn)), record.offset_);
     }
 }
 
@@ -109,7 +124,7 @@
 {
     const auto known = replica.turns_.find(id);
     if (known != replica.turns_.end()) {
-        bytes_ -= known->second.turn_->bytes();
+        bytes_ -= known->second.found_.turn_->bytes();
         replica.turns_.erase(known);
     }
 }
@@ -251,7 +266,7 @@
     std::vector<std::pair<internal::Question, FoundTurn>> answered;
     for (internal::Question &question : replica.inRead_) {
         const auto known = replica.turns_.find(question.turn_);
-        answered.emplace_back(std::move(question), known == replica.turns_.end() ? FoundTurn() : known->second);
+        answered.emplace_back(std::move(question), known == replica.turns_.end() ? FoundTurn() : known->second.found_);
     }
     replica.inRead_.clear();
     for (const std::pair<internal::Question, FoundTurn> &entry : answered) {
@@ -295,7 +310,7 @@
     for (std::pair<const std::uint32_t, internal::Replica> &entry : replicas_) {
         internal::Replica &replica = entry.second;
         const bool hasExpired = std::any_of(replica.turns_.begin(), replica.turns_.end(), [now](const auto &turn) {
-            return turn.second.expires_ <= now;
+            return turn.second.found_.expires_ <= now;
         });
         if (!hasExpired || now - replica.cleaned_ < settings_.cleanPeriod_) {
             continue;
@@ -325,12 +340,12 @@
     const Time now = hooks_.now_();
     std::vector<KeyedRecord> deletions;
     for (auto turn = replica.turns_.begin(); turn != replica.turns_.end();) {
-        if (turn->second.expires_ > now) {
+        if (turn->second.found_.expires_ > now) {
             ++turn;
             continue;
         }
         deletions.push_back(KeyedRecord{turn->first, std::nullopt});
-        bytes_ -= turn->second.turn_->bytes();
+        bytes_ -= turn->second.found_.turn_->bytes();
         turn = replica.turns_.erase(turn);
     }
     return deletions;
@@ -366,8 +381,8 @@
         if (oldest == replicas_.end()) {
             return;
         }
-        for (const std::pair<const std::string, FoundTurn> &turn : oldest->second.turns_) {
-            bytes_ -= turn.second.turn_->bytes();
+        for (const std::pair<const std::string, internal::ReplicaTurn> &turn : oldest->second.turns_) {
+            bytes_ -= turn.second.found_.turn_->bytes();
         }
         replicas_.erase(oldest);
     }
@@ -412,7 +427,7 @@
     replica.used_ = d_->hooks_.now_();
     const auto known = replica.turns_.find(turn);
     if (known != replica.turns_.end()) {
-        const FoundTurn kept = known->second;
+        const FoundTurn kept = known->second.found_;
         found(ChainStatus::Found, kept);
         return;
     }
@@ -429,7 +444,7 @@
 {
     internal::Replica &replica = d_->replicas_[d_->partitionOf(id)];
     replica.used_ = d_->hooks_.now_();
-    d_->take(replica, id, std::move(turn));
+    d_->take(replica, id, std::move(turn), std::nullopt);
 }
 
 std::size_t TurnReplicas::bytes() const
--- a/test/gateway/retention.cpp
+++ b/test/gateway/retention.cpp
@@ -216,6 +216,24 @@
     EXPECT_EQ(rig.store_.keys("kept-turns"), 0U);
 }
 
+// Guards against turns that are never deleted, since the store forgets its history and their records are read anew.
+TEST(Retention, TurnsAreDeletedThoughHistoryIsForgotten)
+{
+    GatewayRig rig(2, {streamingRoute(true, 1, false)});
+    rig.addEndpoints("engines", "e", 2);
+    constexpr std::size_t rounds = 60;
+    constexpr std::size_t turnsOfARound = 8;
+    constexpr std::size_t roundsInFourRetentions = 24;
+    for (std::size_t i = 0; i < rounds * turnsOfARound; ++i) {
+        play(rig, i % 2, following("t" + std::to_string(i), ""), {"x"});
+        if (i % turnsOfARound == 0) {
+            rig.run(std::chrono::seconds(5));
+            rig.store_.trim();
+        }
+    }
+    EXPECT_LE(rig.store_.keys("kept-turns"), roundsInFourRetentions * turnsOfARound);
+}
+
 /** \brief Which nodes have lost the store, and whether the first one takes new connections. */
 struct ReadinessCase
 {
