--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <deque>
-#include <map>
 #include <optional>
 #include <vector>
 
@@ -35,13 +34,6 @@
     std::function<void(BudgetDecision)> decided_;
 };
 
-/** \brief A record of this node as it was read back. */
-struct OwnRecord
-{
-    SpendingRecord record_;
-    std::uint64_t offset_ = 0;
-};
-
 } // namespace
 } // namespace internal
 
@@ -54,8 +46,7 @@
     bool awaitsRecords() const;
     bool mayGoUnrecorded(const TurnReservation &turn, std::uint64_t unrecorded) const;
     void vouch();
-    void onSpending(const KeyedRecord &read);
-    void decideRead();
+    void onSpending(const std::string &key, const std::optional<std::string> &value);
     Duration groupDelay() const;
     void flushSoon(Duration delay);
     void flush();
@@ -76,7 +67,6 @@
     std::deque<internal::WaitingTurn> sent_; ///< Their reservation has been sent and was not read back yet.
     std::unique_ptr<GroupAppender> appender_;
     std::vector<std::pair<std::string, SpendingRecord>> ownInGroup_; ///< Own spending by program that is in the group.
-    std::map<std::string, internal::OwnRecord> ownRead_; ///< By program; older records may still be unread.
     Time firstReached_{0}; ///< When the store was reached for the first time.
     Time regained_{0}; ///< End of the last loss of the store that made the knowledge outdated.
     Time flushAt_{0}; ///< When the next group is due; 0 if none is planned.
@@ -97,7 +87,7 @@
         return;
     }
     if (record.key_[0] == internal::spendingPrefix) {
-        onSpending(record);
+        onSpending(record.key_.substr(1), record.value_);
     }
 }
 
@@ -151,10 +141,8 @@
     flushSoon(groupDelay());
 }
 
-void ProgramLedger::Private::onSpending(const KeyedRecord &read)
+void ProgramLedger::Private::onSpending(const std::string &key, const std::optional<std::string> &value)
 {
-    const std::string key = read.key_.substr(1);
-    const std::optional<std::string> &value = read.value_;
     const std::size_t slash = key.rfind('/');
     if (slash == std::string::npos) {
         return;
@@ -171,29 +159,7 @@
             flushSoon(groupDelay());
         }
     } else if (record) {
-        ownRead_[program] = internal::OwnRecord{*record, read.offset_};
-        if (!tail_->isReadingNewest()) {
-            decideRead();
-        }
-    }
-}
-
-/**
- * Decides by own records that were read, once everything before them is known too: while the newest records are read,
- * older ones of other writers may come after them.
- */
-void ProgramLedger::Private::decideRead()
-{
-    std::vector<std::pair<std::string, SpendingRecord>> due;
-    for (auto own = ownRead_.begin(); own != ownRead_.end();) {
-        const bool isNext = !tail_->isReadingNewest() && own->second.offset_ <= tail_->position();
-        if (isNext) {
-            due.emplace_back(own->first, own->second.record_);
-        }
-        own = isNext ? ownRead_.erase(own) : std::next(own);
-    }
-    for (const std::pair<std::string, SpendingRecord> &own : due) {
-        decideWaiting(own.first, own.second);
+        decideWaiting(program, *record);
     }
 }
 
@@ -399,7 +365,6 @@
     tail.store_ = d_->hooks_.store_;
     tail.onReachable_ = [d = d_.get()](bool reachable) { d->onReachable(reachable); };
     tail.onRecord_ = [d = d_.get()](const KeyedRecord &record) { d->onRecord(record); };
-    tail.onPosition_ = [d = d_.get()] { d->decideRead(); };
     StreamTailSettings tailSettings;
     tailSettings.partition_ = PartitionId{internal::ledgerStream, 0};
     tailSettings.pause_ = d_->settings_.readPause_;
--- a/src/store/streamtail.cpp
+++ b/src/store/streamtail.cpp
@@ -22,7 +22,6 @@
     void setReachable(bool reachable);
     void report(const KeyedRecord &record);
     void reportVanished();
-    void notePosition();
 
     StreamTailHooks hooks_;
     StreamTailSettings settings_;
@@ -143,7 +142,6 @@
     complete_ = true;
     rebuild_ = false;
     reportVanished();
-    notePosition();
     read();
 }
 
@@ -247,14 +245,6 @@
     if (position_ >= page.end_) {
         currentAsOf_ = std::max(currentAsOf_, sent);
     }
-    notePosition();
-}
-
-void StreamTail::Private::notePosition()
-{
-    if (hooks_.onPosition_) {
-        hooks_.onPosition_();
-    }
 }
 
 void StreamTail::Private::startRebuild()
@@ -299,11 +289,6 @@
     return d_->position_;
 }
 
-bool StreamTail::isReadingNewest() const
-{
-    return d_->rebuild_ || !d_->complete_;
-}
-
 bool StreamTail::isComplete() const
 {
     return d_->complete_;
--- a/src/store/streamtail.h
+++ b/src/store/streamtail.h
@@ -15,7 +15,6 @@
     std::function<std::uint64_t(Duration, std::function<void()>)> after_;
     RecordStore store_;
     std::function<void(const KeyedRecord &)> onRecord_; ///< A record without a value: its key is deleted.
-    std::function<void()> onPosition_; ///< May be empty. Everything before position() has been reported.
     std::function<void(bool reachable)> onReachable_; ///< Called when the store is lost or regained.
 };
 
@@ -53,8 +52,6 @@
     void readNow();
     /** \brief Offset after the last record that was reported. */
     std::uint64_t position() const;
-    /** \brief True while the newest records are read, which come in order of keys and not of offsets. */
-    bool isReadingNewest() const;
     /** \brief True once the newest records have been read. */
     bool isComplete() const;
     /** \brief Everything that was appended before this time has been reported. */
