--- a/src/core/stablehash.h
+++ b/src/core/stablehash.h
@@ -6,6 +6,19 @@
 
 namespace filbertgw {
 
+namespace internal {
+
+/** \brief Spreads a difference in any bit over all bits. */
+inline std::uint64_t mixBits(std::uint64_t hash)
+{
+    hash ^= hash >> 33;
+    hash *= 0xff51afd7ed558ccdULL;
+    hash ^= hash >> 33;
+    return hash;
+}
+
+} // namespace internal
+
 /** \brief FNV-1a with a final mix: the same in every node and version, unlike std::hash. */
 inline std::uint64_t stableHash(const std::string &text)
 {
@@ -14,10 +27,13 @@
         hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
     }
     // FNV alone leaves the upper bits of texts that differ in the last characters alike.
-    hash ^= hash >> 33;
-    hash *= 0xff51afd7ed558ccdULL;
-    hash ^= hash >> 33;
-    return hash;
+    return internal::mixBits(hash);
+}
+
+/** \brief Hash of a pair of hashes. */
+inline std::uint64_t stableHash(std::uint64_t first, std::uint64_t second)
+{
+    return internal::mixBits(internal::mixBits(first) + 0x9e3779b97f4a7c15ULL * second);
 }
 
 } // namespace filbertgw
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -1,6 +1,7 @@
 #include "gateway/fleet.h"
 
 #include "core/stablehash.h"
+#include "gateway/fleetgroups.h"
 #include "store/streamtail.h"
 
 #include <nlohmann/json.hpp>
@@ -8,6 +9,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <utility>
 
 namespace filbertgw {
 
@@ -21,6 +23,8 @@
 
 /** Reports of a living node that may be lost in a row. */
 constexpr std::size_t reportsInALife = 3;
+/** Datagrams on the way from a node to one of another group. */
+constexpr int groupHops = 2;
 
 struct KnownNode
 {
@@ -29,8 +33,16 @@
     Time heard_{0};
     bool everHeard_ = false;
     bool reportedAlive_ = false;
-    bool ledgerCurrent_ = false;
-    bool ledgerComplete_ = false;
+    LedgerState ledger_;
+    Time reported_{0}; ///< When it reported directly.
+    NodeReport report_; ///< As it was then, without prompt parts.
+
+    void heard(Time now, const LedgerState &ledger)
+    {
+        heard_ = now;
+        everHeard_ = true;
+        ledger_ = ledger;
+    }
 };
 
 } // namespace
@@ -53,13 +65,21 @@
     void registerSelf();
     void takeRecord(const KeyedRecord &record);
     void sendReports();
-    void answerIntroduction(const std::string &name, const nlohmann::json &report);
+    void divide();
+    void tellInTurn(const NodeReport &report);
+    void tellGroups(const NodeReport &report);
+    void takeIntroduction(const FleetMember &node);
+    void takeReport(internal::KnownNode &sender, FleetMessage message);
+    void takeSummary(const FleetMessage &message);
     NodeReport currentReport();
+    FleetMessage messageOf(NodeReport report) const;
+    FleetMessage summary(const NodeReport &own) const;
+    void send(const FleetMember &to, const std::string &datagram) const;
     std::size_t rounds(std::size_t nodes) const;
-    std::string encode(const NodeReport &report) const;
     Duration aliveFor() const;
     bool isAlive(const internal::KnownNode &node) const;
     bool isCounted(const internal::KnownNode &node) const;
+    bool speaks(const internal::KnownNode &node) const;
     void noteAlive();
     std::optional<FleetMember> choose(const std::string &program, bool needsCurrent, bool maySelf) const;
 
@@ -67,8 +87,12 @@
     FleetSettings settings_;
     std::unique_ptr<StreamTail> tail_;
     std::map<std::string, internal::KnownNode> nodes_; ///< Without this one.
-    std::size_t nextTarget_ = 0; ///< Index of the next node that is reported to.
+    std::vector<const FleetMember *> direct_; ///< Nodes that are told directly, in turn.
+    std::size_t nextTarget_ = 0; ///< Index of the next one of them.
+    std::optional<FleetGroups> groups_; ///< Of the other nodes; none in a small fleet.
+    std::map<std::string, std::uint64_t> groupCounts_; ///< Of other domains, as last heard.
     std::deque<std::vector<ReadPart>> readParts_; ///< Of each report that some nodes have not got yet, the newest last.
+    std::vector<ReadPart> relayedParts_; ///< Told by nodes of this one's group, not passed on yet.
     Time started_{0};
     Time listed_{0}; ///< When the list of nodes was complete for the first time.
     bool stopped_ = false;
@@ -79,7 +103,8 @@
     StoreAppend append;
     append.to_ = PartitionId{internal::nodeStream, 0};
     const nlohmann::json value = {{"datagrams", settings_.self_.datagramAddress_},
-                                  {"links", settings_.self_.linkAddress_}};
+                                  {"links", settings_.self_.linkAddress_},
+                                  {"domain", settings_.self_.domain_}};
     append.records_.push_back(KeyedRecord{settings_.self_.name_, value.dump()});
     hooks_.store_.append_(std::move(append), [self = shared_from_this()](const StoreAppended &result) {
         if (result.status_ == StoreStatus::Ok || self->stopped_) {
@@ -104,34 +129,44 @@
         && body.contains("links") && body["links"].is_string();
     if (!isNode) {
         nodes_.erase(record.key_);
+        divide();
         return;
     }
     internal::KnownNode &node = nodes_[record.key_];
-    node.member_ = FleetMember{record.key_, body["datagrams"].get<std::string>(), body["links"].get<std::string>()};
+    const bool hasDomain = body.contains("domain") && body["domain"].is_string();
+    node.member_ = FleetMember{record.key_,
+                               body["datagrams"].get<std::string>(),
+                               body["links"].get<std::string>(),
+                               hasDomain ? body["domain"].get<std::string>() : std::string()};
     node.learned_ = hooks_.now_();
 }
 
 /** Takes up a node that is not in the list yet, and lets it hear of this one at once. */
-void Fleet::Private::answerIntroduction(const std::string &name, const nlohmann::json &report)
+void Fleet::Private::takeIntroduction(const FleetMember &node)
 {
-    const bool isIntroduction = report.contains("d") && report["d"].is_string() && report.contains("u")
-        && report["u"].is_string() && name != settings_.self_.name_;
-    if (!isIntroduction || nodes_.count(name) != 0) {
+    if (node.name_ == settings_.self_.name_ || nodes_.count(node.name_) != 0) {
         return;
     }
-    internal::KnownNode &node = nodes_[name];
-    node.member_ = FleetMember{name, report["d"].get<std::string>(), report["u"].get<std::string>()};
-    node.learned_ = hooks_.now_();
-    hooks_.sendDatagram_(node.member_.datagramAddress_, encode(currentReport()));
+    internal::KnownNode &known = nodes_[node.name_];
+    known.member_ = node;
+    known.learned_ = hooks_.now_();
+    const NodeReport report = currentReport();
+    const bool isElsewhere = groups_ && !node.domain_.empty() && node.domain_ != settings_.self_.domain_;
+    send(node, encode(isElsewhere ? summary(report) : messageOf(report)));
+}
+
+void Fleet::Private::send(const FleetMember &to, const std::string &datagram) const
+{
+    hooks_.sendDatagram_(to.datagramAddress_, datagram);
 }
 
 /** Reports that it takes until each of so many nodes has got one. */
 std::size_t Fleet::Private::rounds(std::size_t nodes) const
 {
-    return (nodes + settings_.reportTargets_ - 1) / settings_.reportTargets_;
+    return std::max<std::size_t>(1, (nodes + settings_.reportTargets_ - 1) / settings_.reportTargets_);
 }
 
-/** What this node says now; parts are said again until all nodes have heard of them. */
+/** What this node says now; parts are said again until all nodes that are told directly have heard of them. */
 NodeReport Fleet::Private::currentReport()
 {
     NodeReport report = hooks_.report_();
@@ -143,32 +178,100 @@
     return report;
 }
 
-std::string Fleet::Private::encode(const NodeReport &report) const
+FleetMessage Fleet::Private::messageOf(NodeReport report) const
 {
-    nlohmann::json load = nlohmann::json::array();
-    for (const std::pair<std::string, std::uint32_t> &entry : report.load_) {
-        load.push_back({entry.first, entry.second});
+    FleetMessage message;
+    message.sender_ = settings_.self_.name_;
+    message.report_ = std::move(report);
+    if (hooks_.now_() - started_ < settings_.introduction_) {
+        message.introduction_ = settings_.self_;
     }
-    nlohmann::json parts = nlohmann::json::array();
-    for (const ReadPart &read : report.readParts_) {
-        parts.push_back({read.endpoint_, read.part_, read.tokens_});
+    return message;
+}
+
+/** What the nodes of this node's group have said lately, this one included. */
+FleetMessage Fleet::Private::summary(const NodeReport &own) const
+{
+    FleetMessage message = messageOf(own);
+    message.group_ = groups_->own();
+    message.members_ = {GroupMember{settings_.self_.name_, own.ledger_}};
+    std::map<std::string, std::uint32_t> load(own.load_.begin(), own.load_.end());
+    std::map<std::string, PaceSums> paces;
+    for (const ServicePace &pace : own.paces_) {
+        paces[pace.service_] += pace.sums_;
     }
-    nlohmann::json paces = nlohmann::json::array();
-    for (const ServicePace &pace : report.paces_) {
-        paces.push_back({pace.service_, pace.sums_.weight_, pace.sums_.timeLeft_, pace.sums_.stretch_});
+    for (const FleetMember *mate : groups_->mates()) {
+        const internal::KnownNode &node = nodes_.at(mate->name_);
+        if (!speaks(node)) {
+            continue;
+        }
+        message.members_.push_back(GroupMember{mate->name_, node.ledger_});
+        for (const std::pair<std::string, std::uint32_t> &entry : node.report_.load_) {
+            load[entry.first] += entry.second;
+        }
+        for (const ServicePace &pace : node.report_.paces_) {
+            paces[pace.service_] += pace.sums_;
+        }
     }
-    nlohmann::json body = {{"p", parts},
-                           {"v", paces},
-                           {"n", settings_.self_.name_},
-                           {"c", report.ledgerCurrent_},
-                           {"k", report.ledgerComplete_},
-                           {"l", load}};
-    if (hooks_.now_() - started_ < settings_.introduction_) {
-        body["d"] = settings_.self_.datagramAddress_;
-        body["u"] = settings_.self_.linkAddress_;
+    message.report_.load_.assign(load.begin(), load.end());
+    message.report_.paces_.clear();
+    for (const std::pair<const std::string, PaceSums> &entry : paces) {
+        message.report_.paces_.push_back(ServicePace{entry.first, entry.second});
     }
-    const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(body);
-    return {bytes.begin(), bytes.end()};
+    std::vector<ReadPart> &parts = message.report_.readParts_;
+    parts.insert(parts.end(), relayedParts_.begin(), relayedParts_.end());
+    return message;
+}
+
+/** Decides who is told directly and, in a large fleet, which groups there are. */
+void Fleet::Private::divide()
+{
+    std::vector<const internal::KnownNode *> counted;
+    for (const std::pair<const std::string, internal::KnownNode> &entry : nodes_) {
+        if (isCounted(entry.second)) {
+            counted.push_back(&entry.second);
+        }
+    }
+    direct_.clear();
+    groups_.reset();
+    std::vector<const FleetMember *> grouped;
+    const bool isLarge = counted.size() > settings_.reportTargets_ && !settings_.self_.domain_.empty();
+    for (const internal::KnownNode *node : counted) {
+        (isLarge && !node->member_.domain_.empty() ? grouped : direct_).push_back(&node->member_);
+    }
+    if (!grouped.empty()) {
+        groups_.emplace(settings_.self_, grouped);
+    }
+}
+
+void Fleet::Private::tellInTurn(const NodeReport &report)
+{
+    if (direct_.empty()) {
+        return;
+    }
+    const std::string datagram = encode(messageOf(report));
+    const std::size_t count = std::min(direct_.size(), settings_.reportTargets_);
+    for (std::size_t i = 0; i < count; ++i) {
+        send(*direct_[(nextTarget_ + i) % direct_.size()], datagram);
+    }
+    nextTarget_ = (nextTarget_ + count) % direct_.size();
+}
+
+void Fleet::Private::tellGroups(const NodeReport &report)
+{
+    if (!groups_) {
+        return;
+    }
+    const std::string own = encode(messageOf(report));
+    for (const FleetMember *mate : groups_->mates()) {
+        send(*mate, own);
+    }
+    const std::string sum = encode(summary(report));
+    const auto isSpeaking = [this](const FleetMember &mate) { return speaks(nodes_.at(mate.name_)); };
+    for (const FleetMember *contact : groups_->contacts(isSpeaking)) {
+        send(*contact, sum);
+    }
+    relayedParts_.clear();
 }
 
 void Fleet::Private::sendReports()
@@ -177,22 +280,14 @@
     if (listed_ == Time{0} && tail_->isComplete()) {
         listed_ = hooks_.now_();
     }
-    std::vector<const internal::KnownNode *> targets;
-    for (const std::pair<const std::string, internal::KnownNode> &entry : nodes_) {
-        if (isCounted(entry.second)) {
-            targets.push_back(&entry.second);
-        }
-    }
-    if (!targets.empty()) {
-        while (readParts_.size() >= rounds(targets.size())) {
+    divide();
+    if (!direct_.empty() || groups_) {
+        const NodeReport report = currentReport();
+        tellInTurn(report);
+        tellGroups(report);
+        while (readParts_.size() >= rounds(direct_.size())) {
             readParts_.pop_front();
         }
-        const std::string datagram = encode(currentReport());
-        const std::size_t count = std::min(targets.size(), settings_.reportTargets_);
-        for (std::size_t i = 0; i < count; ++i) {
-            hooks_.sendDatagram_(targets[(nextTarget_ + i) % targets.size()]->member_.datagramAddress_, datagram);
-        }
-        nextTarget_ = (nextTarget_ + count) % targets.size();
     }
     hooks_.after_(settings_.reportPeriod_, [self = shared_from_this()] {
         if (!self->stopped_) {
@@ -201,11 +296,42 @@
     });
 }
 
-/** Time within which each node reports to each other one, and lost reports are made up for. */
+/** Takes what a node says of itself; what a node of the group says is passed on to other groups. */
+void Fleet::Private::takeReport(internal::KnownNode &sender, FleetMessage message)
+{
+    hooks_.onReport_(message.sender_, message.report_);
+    if (groups_ && groups_->isMate(message.sender_)) {
+        relayedParts_.insert(relayedParts_.end(), message.report_.readParts_.begin(), message.report_.readParts_.end());
+    }
+    message.report_.readParts_.clear();
+    sender.reported_ = hooks_.now_();
+    sender.report_ = std::move(message.report_);
+}
+
+/** Takes what a node says of its group. */
+void Fleet::Private::takeSummary(const FleetMessage &message)
+{
+    const FleetGroup &group = *message.group_;
+    for (const GroupMember &member : message.members_) {
+        const auto known = nodes_.find(member.name_);
+        if (known != nodes_.end()) {
+            known->second.heard(hooks_.now_(), member.ledger_);
+        }
+    }
+    // When a domain is divided anew, what was said of its former groups is void.
+    const std::uint64_t before = std::exchange(groupCounts_[group.domain_], group.count_);
+    for (std::uint64_t index = 0; before != group.count_ && index < before; ++index) {
+        hooks_.onReport_(FleetGroup{group.domain_, index, before}.name(), NodeReport());
+    }
+    hooks_.onReport_(group.name(), message.report_);
+}
+
+/** Time within which each node is heard of by each other one, and lost reports are made up for. */
 Duration Fleet::Private::aliveFor() const
 {
-    const std::size_t rounds = nodes_.size() / settings_.reportTargets_ + 1;
-    return std::max<Duration>(settings_.aliveFor_, settings_.reportPeriod_ * (internal::reportsInALife * rounds));
+    const Duration inTurn = settings_.reportPeriod_ * (internal::reportsInALife * rounds(direct_.size()));
+    const Duration longest = groups_ ? settings_.aliveFor_ * internal::groupHops : settings_.aliveFor_;
+    return std::max<Duration>(longest, inTurn);
 }
 
 bool Fleet::Private::isAlive(const internal::KnownNode &node) const
@@ -218,6 +344,12 @@
     return hooks_.now_() - std::max(node.heard_, node.learned_) <= internal::forgetAfter;
 }
 
+/** True for a node of the group that has reported so lately that what it said is passed on. */
+bool Fleet::Private::speaks(const internal::KnownNode &node) const
+{
+    return node.reported_ != Time{0} && hooks_.now_() - node.reported_ <= settings_.summedFor_;
+}
+
 void Fleet::Private::noteAlive()
 {
     for (std::pair<const std::string, internal::KnownNode> &entry : nodes_) {
@@ -242,7 +374,7 @@
     };
     for (const std::pair<const std::string, internal::KnownNode> &entry : nodes_) {
         const internal::KnownNode &node = entry.second;
-        if (isAlive(node) && (needsCurrent ? node.ledgerCurrent_ : node.ledgerComplete_)) {
+        if (isAlive(node) && (needsCurrent ? node.ledger_.current_ : node.ledger_.complete_)) {
             consider(node.member_);
         }
     }
@@ -286,50 +418,23 @@
 
 void Fleet::onDatagram(const std::string &datagram)
 {
-    const nlohmann::json body = nlohmann::json::from_cbor(datagram, true, false);
-    const bool isReport = body.is_object() && body.contains("n") && body["n"].is_string() && body.contains("c")
-        && body["c"].is_boolean() && body.contains("k") && body["k"].is_boolean() && body.contains("l")
-        && body["l"].is_array();
-    if (!isReport) {
+    std::optional<FleetMessage> message = decodeFleetMessage(datagram);
+    if (!message) {
         return;
     }
-    d_->answerIntroduction(body["n"].get<std::string>(), body);
-    const auto known = d_->nodes_.find(body["n"].get<std::string>());
-    if (known == d_->nodes_.end()) {
-        return;
+    if (message->introduction_) {
+        d_->takeIntroduction(*message->introduction_);
     }
-    NodeReport report;
-    report.ledgerCurrent_ = body["c"].get<bool>();
-    report.ledgerComplete_ = body["k"].get<bool>();
-    for (const nlohmann::json &entry : body["l"]) {
-        if (entry.is_array() && entry.size() == 2 && entry[0].is_string() && entry[1].is_number_unsigned()) {
-            report.load_.emplace_back(entry[0].get<std::string>(), entry[1].get<std::uint32_t>());
-        }
-    }
-    if (body.contains("p") && body["p"].is_array()) {
-        for (const nlohmann::json &entry : body["p"]) {
-            if (entry.is_array() && entry.size() == 3 && entry[0].is_string() && entry[1].is_string()
-                && entry[2].is_number_unsigned()) {
-                report.readParts_.push_back(
-                    ReadPart{entry[0].get<std::string>(), entry[1].get<std::string>(), entry[2].get<std::uint64_t>()});
-            }
-        }
+    const auto sender = d_->nodes_.find(message->sender_);
+    if (sender == d_->nodes_.end()) {
+        return;
     }
-    if (body.contains("v") && body["v"].is_array()) {
-        for (const nlohmann::json &entry : body["v"]) {
-            if (entry.is_array() && entry.size() == 4 && entry[0].is_string() && entry[1].is_number()
-                && entry[2].is_number() && entry[3].is_number()) {
-                report.paces_.push_back(
-                    ServicePace{entry[0].get<std::string>(),
-                                PaceSums{entry[1].get<double>(), entry[2].get<double>(), entry[3].get<double>()}});
-            }
-        }
+    sender->second.heard(d_->hooks_.now_(), message->report_.ledger_);
+    if (message->group_) {
+        d_->takeSummary(*message);
+    } else {
+        d_->takeReport(sender->second, std::move(*message));
     }
-    known->second.heard_ = d_->hooks_.now_();
-    known->second.everHeard_ = true;
-    known->second.ledgerCurrent_ = report.ledgerCurrent_;
-    known->second.ledgerComplete_ = report.ledgerComplete_;
-    d_->hooks_.onReport_(known->first, report);
 }
 
 std::optional<FleetMember> Fleet::currentNode(const std::string &program) const
@@ -375,7 +480,7 @@
         return false;
     }
     return std::none_of(d_->nodes_.begin(), d_->nodes_.end(), [this](const auto &entry) {
-        return d_->isAlive(entry.second) && entry.second.ledgerComplete_ && !entry.second.ledgerCurrent_;
+        return d_->isAlive(entry.second) && entry.second.ledger_.complete_ && !entry.second.ledger_.current_;
     });
 }
 
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -1,37 +1,16 @@
 #ifndef FILBERTGW_GATEWAY_FLEET_H
 #define FILBERTGW_GATEWAY_FLEET_H
 
-#include "gateway/pacetracker.h"
-#include "gateway/placement.h"
+#include "gateway/fleetmessage.h"
 #include "store/recordstore.h"
 
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace filbertgw {
 
-/** \brief Another node, as it registered itself in the record store. */
-struct FleetMember
-{
-    std::string name_;
-    std::string datagramAddress_; ///< host:port
-    std::string linkAddress_; ///< host:port
-};
-
-/** \brief What a node says of itself several times a second. */
-struct NodeReport
-{
-    bool ledgerCurrent_ = false; ///< It knows what programs have spent and can reserve in the store.
-    bool ledgerComplete_ = false; ///< It knew it at some time since its start.
-    std::vector<std::pair<std::string, std::uint32_t>> load_; ///< Requests that it runs, by endpoint.
-    std::vector<ReadPart> readParts_; ///< Prompt parts that engines have read for it lately.
-    std::vector<ServicePace> paces_; ///< How its programs proceed, by service.
-};
-
 struct FleetHooks
 {
     Clock now_;
@@ -39,8 +18,9 @@
     RecordStore store_;
     std::function<void(const std::string &address, const std::string &datagram)> sendDatagram_;
     std::function<NodeReport()> report_;
-    std::function<bool()> ledgerComplete_; ///< \sa NodeReport::ledgerComplete_
-    std::function<void(const std::string &node, const NodeReport &)> onReport_;
+    std::function<bool()> ledgerComplete_; ///< \sa LedgerState::complete_
+    /** \brief A report of a node, or of a group of nodes that are not reported singly. */
+    std::function<void(const std::string &source, const NodeReport &)> onReport_;
     std::function<void(const std::string &node, bool alive)> onAlive_;
 };
 
@@ -49,16 +29,20 @@
     FleetMember self_;
     Duration reportPeriod_{100'000};
     Duration aliveFor_{1'000'000}; ///< A node that was heard of within this time is alive; longer in a large fleet.
+    Duration summedFor_{500'000}; ///< What a node of this one's group has said is passed on for so long.
     Duration introduction_{3'000'000}; ///< For so long after its start a node's reports say how to reach it.
     Duration hearAll_{300'000}; ///< Time within which every living node answers the first report of a new one.
-    std::size_t reportTargets_ = 24; ///< Nodes that one report goes to; all are told in turn.
+    std::size_t reportTargets_ = 24; ///< Most nodes that are all told directly; a larger fleet is divided into groups.
 };
 
 /**
  * \brief The other nodes: found through the record store, heard of by datagrams.
  *
  * Nothing is decided by votes; what a node hears only makes its choices better. When the store is away, the nodes
- * known from before still hear of each other.
+ * known from before still hear of each other. In a large fleet a node reports to its group and what the group reports
+ * to nodes of other groups. Nodes of a version without groups are told directly, in turn.
+ *
+ * \sa FleetGroups
  */
 class Fleet
 {
--- /dev/null
+++ b/src/gateway/fleetgroups.cpp
@@ -0,0 +1,91 @@
+#include "gateway/fleetgroups.h"
+
+#include "core/stablehash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace filbertgw {
+
+namespace internal {
+namespace {
+
+/** Number of groups in each domain, by the nodes of each. */
+std::map<std::string, std::uint64_t> groupCounts(const std::map<std::string, std::size_t> &nodes)
+{
+    double all = 0.0;
+    for (const std::pair<const std::string, std::size_t> &domain : nodes) {
+        all += static_cast<double>(domain.second);
+    }
+    std::map<std::string, std::uint64_t> counts;
+    for (const std::pair<const std::string, std::size_t> &domain : nodes) {
+        const double groups = std::round(static_cast<double>(domain.second) / std::sqrt(all));
+        counts[domain.first] = static_cast<std::uint64_t>(std::max(1.0, groups));
+    }
+    return counts;
+}
+
+FleetGroup groupOf(const FleetMember &member, const std::map<std::string, std::uint64_t> &counts)
+{
+    const std::uint64_t count = counts.at(member.domain_);
+    return FleetGroup{member.domain_, stableHash(member.name_) % count, count};
+}
+
+} // namespace
+} // namespace internal
+
+FleetGroups::FleetGroups(const FleetMember &self, const std::vector<const FleetMember *> &others)
+    : hash_(stableHash(self.name_))
+{
+    std::map<std::string, std::size_t> nodes{{self.domain_, 1}};
+    for (const FleetMember *other : others) {
+        ++nodes[other->domain_];
+    }
+    const std::map<std::string, std::uint64_t> counts = internal::groupCounts(nodes);
+    own_ = internal::groupOf(self, counts);
+    for (const FleetMember *other : others) {
+        const FleetGroup group = internal::groupOf(*other, counts);
+        const bool isMate = group.domain_ == own_.domain_ && group.index_ == own_.index_;
+        (isMate ? mates_ : others_).push_back(other);
+        (isMate ? mateHashes_ : otherHashes_).push_back(stableHash(other->name_));
+    }
+}
+
+const FleetGroup &FleetGroups::own() const
+{
+    return own_;
+}
+
+const std::vector<const FleetMember *> &FleetGroups::mates() const
+{
+    return mates_;
+}
+
+bool FleetGroups::isMate(const std::string &name) const
+{
+    return std::any_of(mates_.begin(), mates_.end(), [&name](const FleetMember *mate) { return mate->name_ == name; });
+}
+
+std::vector<const FleetMember *> FleetGroups::contacts(const std::function<bool(const FleetMember &)> &speaks) const
+{
+    std::vector<std::uint64_t> speaking;
+    for (std::size_t i = 0; i < mates_.size(); ++i) {
+        if (speaks(*mates_[i])) {
+            speaking.push_back(mateHashes_[i]);
+        }
+    }
+    std::vector<const FleetMember *> chosen;
+    for (std::size_t i = 0; i < others_.size(); ++i) {
+        const std::uint64_t weight = stableHash(hash_, otherHashes_[i]);
+        const bool isMine = std::none_of(speaking.begin(), speaking.end(), [&](std::uint64_t mate) {
+            return stableHash(mate, otherHashes_[i]) > weight;
+        });
+        if (isMine) {
+            chosen.push_back(others_[i]);
+        }
+    }
+    return chosen;
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/gateway/fleetmessage.cpp
@@ -0,0 +1,175 @@
+#include "gateway/fleetmessage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace filbertgw {
+
+namespace internal {
+namespace {
+
+const char *const senderKey = "n";
+const char *const ledgerCurrentKey = "c";
+const char *const ledgerCompleteKey = "k";
+const char *const loadKey = "l";
+const char *const partsKey = "p";
+const char *const pacesKey = "v";
+const char *const groupKey = "g";
+const char *const membersKey = "m";
+const char *const datagramAddressKey = "d";
+const char *const linkAddressKey = "u";
+const char *const domainKey = "z";
+
+bool isText(const nlohmann::json &body, const char *key)
+{
+    return body.contains(key) && body[key].is_string();
+}
+
+bool isList(const nlohmann::json &body, const char *key)
+{
+    return body.contains(key) && body[key].is_array();
+}
+
+bool isTuple(const nlohmann::json &entry, std::size_t size)
+{
+    return entry.is_array() && entry.size() == size;
+}
+
+void decodeLoad(const nlohmann::json &list, NodeReport &report)
+{
+    for (const nlohmann::json &entry : list) {
+        if (isTuple(entry, 2) && entry[0].is_string() && entry[1].is_number_unsigned()) {
+            report.load_.emplace_back(entry[0].get<std::string>(), entry[1].get<std::uint32_t>());
+        }
+    }
+}
+
+void decodeParts(const nlohmann::json &list, NodeReport &report)
+{
+    for (const nlohmann::json &entry : list) {
+        if (isTuple(entry, 3) && entry[0].is_string() && entry[1].is_string() && entry[2].is_number_unsigned()) {
+            report.readParts_.push_back(
+                ReadPart{entry[0].get<std::string>(), entry[1].get<std::string>(), entry[2].get<std::uint64_t>()});
+        }
+    }
+}
+
+void decodePaces(const nlohmann::json &list, NodeReport &report)
+{
+    for (const nlohmann::json &entry : list) {
+        if (isTuple(entry, 4) && entry[0].is_string() && entry[1].is_number() && entry[2].is_number()
+            && entry[3].is_number()) {
+            report.paces_.push_back(
+                ServicePace{entry[0].get<std::string>(),
+                            PaceSums{entry[1].get<double>(), entry[2].get<double>(), entry[3].get<double>()}});
+        }
+    }
+}
+
+std::vector<GroupMember> decodeMembers(const nlohmann::json &list)
+{
+    std::vector<GroupMember> members;
+    for (const nlohmann::json &entry : list) {
+        if (isTuple(entry, 3) && entry[0].is_string() && entry[1].is_boolean() && entry[2].is_boolean()) {
+            members.push_back(
+                GroupMember{entry[0].get<std::string>(), LedgerState{entry[1].get<bool>(), entry[2].get<bool>()}});
+        }
+    }
+    return members;
+}
+
+std::optional<FleetGroup> decodeGroup(const nlohmann::json &entry)
+{
+    const bool isGroup = isTuple(entry, 3) && entry[0].is_string() && entry[1].is_number_unsigned()
+        && entry[2].is_number_unsigned() && entry[1] < entry[2];
+    if (!isGroup) {
+        return std::nullopt;
+    }
+    return FleetGroup{entry[0].get<std::string>(), entry[1].get<std::uint64_t>(), entry[2].get<std::uint64_t>()};
+}
+
+} // namespace
+} // namespace internal
+
+std::string FleetGroup::name() const
+{
+    return "group " + domain_ + '/' + std::to_string(index_) + '/' + std::to_string(count_);
+}
+
+std::string encode(const FleetMessage &message)
+{
+    nlohmann::json load = nlohmann::json::array();
+    for (const std::pair<std::string, std::uint32_t> &entry : message.report_.load_) {
+        load.push_back({entry.first, entry.second});
+    }
+    nlohmann::json parts = nlohmann::json::array();
+    for (const ReadPart &read : message.report_.readParts_) {
+        parts.push_back({read.endpoint_, read.part_, read.tokens_});
+    }
+    nlohmann::json paces = nlohmann::json::array();
+    for (const ServicePace &pace : message.report_.paces_) {
+        paces.push_back({pace.service_, pace.sums_.weight_, pace.sums_.timeLeft_, pace.sums_.stretch_});
+    }
+    nlohmann::json body = {{internal::partsKey, parts},
+                           {internal::pacesKey, paces},
+                           {internal::senderKey, message.sender_},
+                           {internal::ledgerCurrentKey, message.report_.ledger_.current_},
+                           {internal::ledgerCompleteKey, message.report_.ledger_.complete_},
+                           {internal::loadKey, load}};
+    if (message.group_) {
+        body[internal::groupKey] = {message.group_->domain_, message.group_->index_, message.group_->count_};
+        nlohmann::json members = nlohmann::json::array();
+        for (const GroupMember &member : message.members_) {
+            members.push_back({member.name_, member.ledger_.current_, member.ledger_.complete_});
+        }
+        body[internal::membersKey] = std::move(members);
+    }
+    if (message.introduction_) {
+        body[internal::datagramAddressKey] = message.introduction_->datagramAddress_;
+        body[internal::linkAddressKey] = message.introduction_->linkAddress_;
+        body[internal::domainKey] = message.introduction_->domain_;
+    }
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(body);
+    return {bytes.begin(), bytes.end()};
+}
+
+std::optional<FleetMessage> decodeFleetMessage(const std::string &datagram)
+{
+    const nlohmann::json body = nlohmann::json::from_cbor(datagram, true, false);
+    const bool isMessage = body.is_object() && internal::isText(body, internal::senderKey)
+        && body.contains(internal::ledgerCurrentKey) && body[internal::ledgerCurrentKey].is_boolean()
+        && body.contains(internal::ledgerCompleteKey) && body[internal::ledgerCompleteKey].is_boolean()
+        && internal::isList(body, internal::loadKey);
+    if (!isMessage) {
+        return std::nullopt;
+    }
+    FleetMessage message;
+    message.sender_ = body[internal::senderKey].get<std::string>();
+    message.report_.ledger_.current_ = body[internal::ledgerCurrentKey].get<bool>();
+    message.report_.ledger_.complete_ = body[internal::ledgerCompleteKey].get<bool>();
+    internal::decodeLoad(body[internal::loadKey], message.report_);
+    if (internal::isList(body, internal::partsKey)) {
+        internal::decodeParts(body[internal::partsKey], message.report_);
+    }
+    if (internal::isList(body, internal::pacesKey)) {
+        internal::decodePaces(body[internal::pacesKey], message.report_);
+    }
+    if (body.contains(internal::groupKey)) {
+        message.group_ = internal::decodeGroup(body[internal::groupKey]);
+        if (!message.group_) {
+            return std::nullopt; // Its load must not be taken for that of the sender alone.
+        }
+    }
+    if (internal::isList(body, internal::membersKey)) {
+        message.members_ = internal::decodeMembers(body[internal::membersKey]);
+        message.report_.nodes_ = message.members_.size();
+    }
+    if (internal::isText(body, internal::datagramAddressKey) && internal::isText(body, internal::linkAddressKey)) {
+        message.introduction_ = FleetMember{message.sender_,
+                                            body[internal::datagramAddressKey].get<std::string>(),
+                                            body[internal::linkAddressKey].get<std::string>(),
+                                            body.value(internal::domainKey, std::string())};
+    }
+    return message;
+}
+
+} // namespace filbertgw
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -116,11 +116,13 @@
     hooks.store_ = hooks_.store_;
     hooks.sendDatagram_ = hooks_.sendDatagram_;
     hooks.report_ = [this] {
-        return NodeReport{
-            ledger_.isCurrent(), ledger_.knowsGrants(), placement_.ownLoad(), placement_.takeReadParts(), pace_.own()};
+        return NodeReport{LedgerState{ledger_.isCurrent(), ledger_.knowsGrants()},
+                          placement_.ownLoad(),
+                          placement_.takeReadParts(),
+                          pace_.own()};
     };
     hooks.ledgerComplete_ = [this] { return ledger_.knowsGrants(); };
-    hooks.onReport_ = [this](const std::string &node, const NodeReport &report) {
+    hooks.onReport_ = [this](const std::string &source, const NodeReport &report) {
         // Others may still have requests at endpoints that have gone here.
         std::vector<std::pair<std::string, std::uint32_t>> load;
         std::copy_if(
@@ -128,8 +130,8 @@
             report.load_.end(),
             std::back_inserter(load),
             [this](const std::pair<std::string, std::uint32_t> &at) { return directory_.find(at.first) != nullptr; });
-        placement_.setPeerLoad(node, load);
-        pace_.setPeer(node, report.paces_);
+        placement_.setPeerLoad(source, load, report.nodes_);
+        pace_.setPeer(source, report.paces_);
         for (const ReadPart &read : report.readParts_) {
             if (directory_.find(read.endpoint_) != nullptr) {
                 placement_.noteReadPart(read);
--- a/src/gateway/pacetracker.cpp
+++ b/src/gateway/pacetracker.cpp
@@ -11,13 +11,6 @@
 /** A pace below this part of the time allowed is no more precise than this. */
 constexpr double leastPace = 0.05;
 
-void add(PaceSums &to, const PaceSums &sums)
-{
-    to.weight_ += sums.weight_;
-    to.timeLeft_ += sums.timeLeft_;
-    to.stretch_ += sums.stretch_;
-}
-
 bool isSane(const PaceSums &sums)
 {
     return std::isfinite(sums.weight_) && std::isfinite(sums.timeLeft_) && std::isfinite(sums.stretch_)
@@ -28,6 +21,14 @@
 } // namespace
 } // namespace internal
 
+PaceSums &PaceSums::operator+=(const PaceSums &other)
+{
+    weight_ += other.weight_;
+    timeLeft_ += other.timeLeft_;
+    stretch_ += other.stretch_;
+    return *this;
+}
+
 PaceTracker::PaceTracker(Clock now, PaceSettings settings)
     : now_(std::move(now))
     , settings_(settings)
@@ -67,7 +68,7 @@
     Observed &observed = observed_[service];
     observed.sums_ = decayed(observed);
     observed.at_ = now_();
-    internal::add(observed.sums_, PaceSums{1.0, left, std::max(1.0, stretch)});
+    observed.sums_ += PaceSums{1.0, left, std::max(1.0, stretch)};
 }
 
 void PaceTracker::reset()
@@ -94,7 +95,7 @@
     for (const std::pair<const std::string, PeerPace> &peer : peers_) {
         for (const ServicePace &pace : peer.second.paces_) {
             if (peer.second.heard_ >= oldest && pace.service_ == service) {
-                internal::add(sums, pace.sums_);
+                sums += pace.sums_;
             }
         }
     }
--- a/src/gateway/pacetracker.h
+++ b/src/gateway/pacetracker.h
@@ -27,6 +27,8 @@
     double weight_ = 0.0; ///< Number of turns.
     double timeLeft_ = 0.0; ///< Part of the program's time that was left at its turns.
     double stretch_ = 0.0; ///< How much longer turns took than on idle engines.
+
+    PaceSums &operator+=(const PaceSums &other);
 };
 
 /** \brief Sums of one service. */
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -177,7 +177,7 @@
     CacheLoad load;
     load.cacheTokens_ = service.engine_->cacheTokens_;
     load.engines_ = static_cast<double>(engines.size());
-    load.nodes_ = static_cast<double>(peers_.size() + 1);
+    load.nodes_ = static_cast<double>(nodes());
     load.running_ = running(engines);
     return caches_.retention(service.name_, load, settings_.partMemory_);
 }
@@ -375,17 +375,29 @@
     peer.running_.clear();
 }
 
-void Placement::setPeerLoad(const std::string &peer, const std::vector<std::pair<std::string, std::uint32_t>> &load)
+void Placement::setPeerLoad(const std::string &peer,
+                            const std::vector<std::pair<std::string, std::uint32_t>> &load,
+                            std::size_t nodes)
 {
     PeerLoad &known = peers_[peer];
     dropPeerLoad(known);
     known.heard_ = now_();
+    known.nodes_ = nodes;
     known.running_ = load;
     for (const std::pair<std::string, std::uint32_t> &entry : load) {
         loads_[numberOf(entry.first)].peers_ += entry.second;
     }
 }
 
+std::size_t Placement::nodes() const
+{
+    std::size_t sum = 1;
+    for (const std::pair<const std::string, PeerLoad> &peer : peers_) {
+        sum += peer.second.nodes_;
+    }
+    return sum;
+}
+
 void Placement::expirePeers()
 {
     const Time oldest = now_() - settings_.peerLoadMemory_;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -89,8 +89,10 @@
     std::vector<std::pair<std::string, std::uint32_t>> ownLoad() const;
     /** \brief Drops what nodes said that have not been heard of lately. */
     void expirePeers();
-    /** \brief What another node said of its requests at endpoints that exist. */
-    void setPeerLoad(const std::string &peer, const std::vector<std::pair<std::string, std::uint32_t>> &load);
+    /** \brief What another node, or a group of so many, said of its requests at endpoints that exist. */
+    void setPeerLoad(const std::string &peer,
+                     const std::vector<std::pair<std::string, std::uint32_t>> &load,
+                     std::size_t nodes = 1);
     /** \brief Requests that all nodes have at an endpoint, as far as known. */
     std::uint32_t running(const std::string &endpoint) const;
     /** \brief The same over several endpoints of one service. */
@@ -123,6 +125,7 @@
     struct PeerLoad
     {
         Time heard_{0};
+        std::size_t nodes_ = 1;
         std::vector<std::pair<std::string, std::uint32_t>> running_;
     };
     /** \brief Endpoints of a service with their numbers, so that they are looked up by name only when they change. */
@@ -155,6 +158,8 @@
     double noise();
     bool hasIdleConnection(const Load &load, Time now) const;
     void dropPeerLoad(PeerLoad &peer);
+    /** \brief Nodes that were heard of lately, this one included. */
+    std::size_t nodes() const;
 
     Clock now_;
     RandomSource random_;
--- a/test/gateway/decisionworld.cpp
+++ b/test/gateway/decisionworld.cpp
@@ -1,5 +1,7 @@
 #include "decisionworld.h"
 
+#include "core/stablehash.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -9,7 +11,11 @@
 
 constexpr std::uint64_t chunkTokens = 2'048;
 constexpr std::uint64_t tokensPerEvent = 3;
-constexpr Duration reportPeriod{100'000};
+constexpr Duration sweepPeriod{100'000};
+/** One way between two nodes. */
+constexpr Duration datagramTime{1'000};
+/** Time in which the nodes hear of each other before the first program arrives. */
+constexpr Duration settleTime{1'500'000};
 constexpr Duration retryAfter{300'000};
 constexpr int clientTries = 4;
 constexpr Duration longestRun{60'000'000};
@@ -19,11 +25,22 @@
     return Duration(static_cast<std::int64_t>(ms * 1000.0));
 }
 
+std::uint64_t tokensOf(const std::vector<PromptPart> &prompt)
+{
+    std::uint64_t tokens = 0;
+    for (const PromptPart &part : prompt) {
+        tokens += part.tokens_;
+    }
+    return tokens;
+}
+
 } // namespace
 
 struct DecisionWorld::Program
 {
     std::string id_;
+    std::size_t client_ = 0;
+    std::string sharedPart_;
     int turns_ = 1;
     int done_ = 0;
     int tries_ = 0;
@@ -42,6 +59,8 @@
     RequestStart start_;
     Time sentAt_{0};
     Time pacedAt_{0};
+    std::vector<PromptPart> prompt_;
+    bool began_ = false; ///< The engine has looked up what it keeps of the prompt.
     std::uint64_t unread_ = 0; ///< What the engine still has to read.
     std::uint64_t generated_ = 0;
 };
@@ -59,20 +78,23 @@
     Placement placement_;
     PaceTracker pace_;
     Admission admission_;
+    std::unique_ptr<Fleet> fleet_;
 };
 
 struct DecisionWorld::Engine
 {
     std::deque<std::unique_ptr<Turn>> waiting_; ///< Have prompt tokens to be read.
     std::vector<std::unique_ptr<Turn>> running_;
-    std::unordered_map<std::string, std::pair<Time, std::uint64_t>> cache_; ///< Last use and tokens, by program.
+    std::unordered_map<std::string, std::pair<Time, std::uint64_t>> cache_; ///< Last use and tokens, by part.
     std::uint64_t cached_ = 0;
+    std::size_t number_ = 0;
     bool steps_ = false;
 };
 
 DecisionWorld::DecisionWorld(WorldSettings settings)
     : settings_(settings)
     , random_(settings.seed_)
+    , store_(queue_)
 {
     service_.name_ = "engines";
     service_.engine_ = EngineProfile{settings.slots_, tokensPerEvent, settings.cacheTokens_};
@@ -83,6 +105,7 @@
         endpoint.slots_ = settings.slots_;
         endpoints_.push_back(endpoint);
         engines_.push_back(std::make_unique<Engine>());
+        engines_.back()->number_ = i;
     }
     for (const Endpoint &endpoint : endpoints_) {
         candidates_.push_back(&endpoint);
@@ -90,7 +113,55 @@
     for (std::size_t i = 0; i < settings.nodes_; ++i) {
         nodes_.push_back(std::make_unique<Node>(*this, random_));
         nodes_.back()->name_ = "node" + std::to_string(i);
+        byName_[nodes_.back()->name_] = nodes_.back().get();
+    }
+    for (std::size_t i = 0; i < settings.nodes_; ++i) {
+        startFleet(*nodes_[i], i);
+    }
+    sweep();
+    queue_.runUntil(Time(settleTime));
+}
+
+/** Lets a node hear of the others as in the gateway. */
+void DecisionWorld::startFleet(Node &node, std::size_t number)
+{
+    FleetHooks hooks;
+    hooks.now_ = [this] { return queue_.now(); };
+    hooks.after_ = [this](Duration delay, std::function<void()> task) {
+        queue_.after(delay, std::move(task));
+        return std::uint64_t{0};
+    };
+    hooks.store_ = store_.access(node.name_);
+    hooks.sendDatagram_ = [this](const std::string &address, const std::string &datagram) {
+        queue_.after(datagramTime, [this, address, datagram] { byName_.at(address)->fleet_->onDatagram(datagram); });
+    };
+    hooks.report_ = [&node] {
+        return NodeReport{
+            LedgerState{true, true}, node.placement_.ownLoad(), node.placement_.takeReadParts(), node.pace_.own()};
+    };
+    hooks.ledgerComplete_ = [] { return true; };
+    hooks.onReport_ = [&node](const std::string &source, const NodeReport &report) {
+        node.placement_.setPeerLoad(source, report.load_, report.nodes_);
+        node.pace_.setPeer(source, report.paces_);
+        for (const ReadPart &part : report.readParts_) {
+            node.placement_.noteReadPart(part);
+        }
+    };
+    hooks.onAlive_ = [](const std::string &, bool) {};
+    FleetSettings settings;
+    const std::string domain = settings_.isGrouped_ ? "domain" + std::to_string(number % settings_.domains_) : "";
+    settings.self_ = FleetMember{node.name_, node.name_, node.name_, domain};
+    node.fleet_ = std::make_unique<Fleet>(std::move(hooks), std::move(settings));
+    const Duration delay(static_cast<std::int64_t>(uniform() * static_cast<double>(sweepPeriod.count())));
+    queue_.after(delay, [&node] { node.fleet_->start(); });
+}
+
+void DecisionWorld::sweep()
+{
+    for (const std::unique_ptr<Node> &node : nodes_) {
+        node->placement_.expirePeers();
     }
+    queue_.after(sweepPeriod, [this] { sweep(); });
 }
 
 DecisionWorld::~DecisionWorld() = default;
@@ -104,8 +175,12 @@
 {
     until_ = until;
     queue_.after(Duration{1}, [this] { arrive(); });
-    queue_.after(reportPeriod, [this] { exchangeReports(); });
-    queue_.runUntil(until + longestRun);
+    queue_.runUntil(until);
+    // Nothing but reports happens once all programs have ended.
+    const Time last = until + longestRun;
+    while (open_ > 0 && queue_.now() < last) {
+        queue_.runUntil(queue_.now() + sweepPeriod);
+    }
 }
 
 void DecisionWorld::arrive()
@@ -117,10 +192,15 @@
     program->id_ = "p" + std::to_string(programs_.size());
     program->turns_ = 1 + static_cast<int>(uniform() * 2.0 * (settings_.turns_ - 1.0) + 0.5);
     program->arrived_ = queue_.now();
+    program->client_ = settings_.clients_ > 0 ? random_() % settings_.clients_ : 0;
+    if (settings_.sharedParts_ > 0) {
+        program->sharedPart_ = "shared" + std::to_string(random_() % settings_.sharedParts_);
+    }
     const double turnMs = static_cast<double>(settings_.newTokens_) * settings_.figures_.readTokenMs_
         + static_cast<double>(settings_.outputTokens_) * settings_.figures_.stepMs(0.0);
     program->aim_ = milliseconds(settings_.aim_ * program->turns_ * (turnMs + toSeconds(settings_.pause_) * 1e3));
     programs_.push_back(program);
+    ++open_;
     beginTurn(program);
     const bool isBurst = queue_.now() >= settings_.burstFrom_ && queue_.now() < settings_.burstTo_;
     const double rate = settings_.programsPerSecond_ * (isBurst ? settings_.burst_ : 1.0);
@@ -129,13 +209,15 @@
 
 void DecisionWorld::beginTurn(const std::shared_ptr<Program> &program)
 {
-    Node &node = *nodes_[random_() % nodes_.size()];
+    const std::size_t number = settings_.clients_ > 0 ? stableHash(std::to_string(program->client_)) : random_();
+    Node &node = *nodes_[number % nodes_.size()];
     if (admit(node, *program)) {
         place(node, program);
         return;
     }
     if (++program->tries_ >= clientTries) {
         program->refused_ = true;
+        --open_;
         return;
     }
     queue_.after(retryAfter, [this, program] { beginTurn(program); });
@@ -172,7 +254,10 @@
 {
     program->context_ += settings_.newTokens_;
     GatewayRequest request;
-    request.prompt_ = {PromptPart{program->id_, program->context_}};
+    if (!program->sharedPart_.empty()) {
+        request.prompt_.push_back(PromptPart{program->sharedPart_, settings_.sharedTokens_});
+    }
+    request.prompt_.push_back(PromptPart{program->id_, program->context_});
     request.expectedOutputTokens_ = settings_.outputTokens_;
     const Endpoint *endpoint = node.placement_.choose(candidates_, &service_, request, {});
     std::unique_ptr<Turn> turn = std::make_unique<Turn>();
@@ -182,8 +267,7 @@
     turn->start_ = node.placement_.started(*endpoint, request);
     turn->sentAt_ = queue_.now();
     Engine &engine = *engines_[std::stoul(endpoint->id_)];
-    const auto cached = engine.cache_.find(program->id_);
-    turn->unread_ = program->context_ - (cached == engine.cache_.end() ? 0 : cached->second.second);
+    turn->prompt_ = request.prompt_;
     engine.waiting_.push_back(std::move(turn));
     if (!engine.steps_) {
         engine.steps_ = true;
@@ -191,6 +275,32 @@
     }
 }
 
+/** Tokens of a prompt that an engine need not read: up to the first part that it does not keep whole. */
+std::uint64_t DecisionWorld::cachedTokens(const Engine &engine, const std::vector<PromptPart> &prompt) const
+{
+    std::uint64_t tokens = 0;
+    for (const PromptPart &part : prompt) {
+        const auto cached = engine.cache_.find(part.id_);
+        if (cached == engine.cache_.end()) {
+            break;
+        }
+        tokens += std::min(part.tokens_, cached->second.second);
+    }
+    return tokens;
+}
+
+void DecisionWorld::keep(Engine &engine, const PromptPart &part)
+{
+    std::pair<Time, std::uint64_t> &kept = engine.cache_[part.id_];
+    engine.cached_ += part.tokens_ - std::min(part.tokens_, kept.second);
+    kept = {queue_.now(), std::max(part.tokens_, kept.second)};
+}
+
+double DecisionWorld::slownessOf(const Engine &engine) const
+{
+    return settings_.slowEvery_ > 0 && engine.number_ % settings_.slowEvery_ == 0 ? settings_.slowness_ : 1.0;
+}
+
 /** Reads a chunk of the first waiting prompt. */
 Duration DecisionWorld::readChunk(Engine &engine)
 {
@@ -198,17 +308,23 @@
         return Duration{0};
     }
     Turn &turn = *engine.waiting_.front();
+    if (!turn.began_) {
+        turn.began_ = true;
+        const std::uint64_t cached = cachedTokens(engine, turn.prompt_);
+        turn.unread_ = tokensOf(turn.prompt_) - cached;
+        sharedPartsRead_ += settings_.sharedTokens_ > cached ? 1 : 0;
+    }
     const std::uint64_t read = std::min(turn.unread_, chunkTokens);
     turn.unread_ -= read;
     tokensRead_ += read;
     if (turn.unread_ == 0) {
-        std::pair<Time, std::uint64_t> &kept = engine.cache_[turn.program_->id_];
-        engine.cached_ += turn.program_->context_ - kept.second;
-        kept = {queue_.now(), turn.program_->context_};
+        for (const PromptPart &part : turn.prompt_) {
+            keep(engine, part);
+        }
         engine.running_.push_back(std::move(engine.waiting_.front()));
         engine.waiting_.pop_front();
     }
-    return milliseconds(static_cast<double>(read) * settings_.figures_.readTokenMs_);
+    return milliseconds(static_cast<double>(read) * settings_.figures_.readTokenMs_ * slownessOf(engine));
 }
 
 void DecisionWorld::step(Engine &engine)
@@ -219,7 +335,8 @@
     }
     Duration time = readChunk(engine);
     if (!engine.running_.empty()) {
-        time += milliseconds(settings_.figures_.stepMs(static_cast<double>(engine.running_.size()) - 1.0));
+        const double step = settings_.figures_.stepMs(static_cast<double>(engine.running_.size()) - 1.0);
+        time += milliseconds(step * slownessOf(engine));
     }
     while (engine.cached_ > settings_.cacheTokens_) {
         const auto oldest =
@@ -264,28 +381,12 @@
     const std::shared_ptr<Program> program = turn.program_;
     if (++program->done_ == program->turns_) {
         program->inTime_ = queue_.now() <= program->arrived_ + program->aim_;
+        --open_;
         return;
     }
     queue_.after(settings_.pause_, [this, program] { beginTurn(program); });
 }
 
-void DecisionWorld::exchangeReports()
-{
-    for (const std::unique_ptr<Node> &from : nodes_) {
-        const std::vector<ReadPart> parts = from->placement_.takeReadParts();
-        for (const std::unique_ptr<Node> &to : nodes_) {
-            if (from != to) {
-                to->placement_.setPeerLoad(from->name_, from->placement_.ownLoad());
-                to->pace_.setPeer(from->name_, from->pace_.own());
-                for (const ReadPart &part : parts) {
-                    to->placement_.noteReadPart(part);
-                }
-            }
-        }
-    }
-    queue_.after(reportPeriod, [this] { exchangeReports(); });
-}
-
 WorldResult DecisionWorld::arrivedWithin(Time from, Time to) const
 {
     WorldResult result;
@@ -304,4 +405,9 @@
     return tokensRead_;
 }
 
+std::uint64_t DecisionWorld::sharedPartsRead() const
+{
+    return sharedPartsRead_;
+}
+
 } // namespace filbertgw::test
--- a/test/gateway/decisionworld.h
+++ b/test/gateway/decisionworld.h
@@ -2,7 +2,9 @@
 #define FILBERTGW_TEST_GATEWAY_DECISIONWORLD_H
 
 #include "fakes/eventqueue.h"
+#include "fakes/fakestore.h"
 #include "gateway/admission.h"
+#include "gateway/fleet.h"
 #include "gateway/pacetracker.h"
 #include "gateway/placement.h"
 
@@ -26,6 +28,13 @@
     double programsPerSecond_ = 15.0;
     double turns_ = 5.0; ///< Of a program, in the mean.
     std::uint64_t newTokens_ = 900; ///< That each turn adds to the prompt.
+    std::size_t sharedParts_ = 0; ///< Prompt parts with one of which each program begins; none if 0.
+    std::uint64_t sharedTokens_ = 0; ///< Of each of them.
+    std::size_t slowEvery_ = 0; ///< Every so many engines one is slow; none if 0.
+    double slowness_ = 1.0; ///< Of the slow ones.
+    std::size_t clients_ = 0; ///< Each program is of one client, which stays at one node; if 0 each turn may meet any.
+    std::size_t domains_ = 1; ///< Failure domains over which the nodes are spread.
+    bool isGrouped_ = true; ///< Nodes say in which domain they are, without which there are no groups.
     std::uint64_t outputTokens_ = 33;
     Duration pause_{150'000}; ///< Between the turns of a program.
     double aim_ = 2.7; ///< Time that a program has, in parts of its time on idle engines.
@@ -52,7 +61,7 @@
 /**
  * \brief The gateway's own decisions in virtual time before engines with batches, prompt reading and prompt caches.
  *
- * Each node has a Placement, a PaceTracker and an Admission; nodes tell each other their load every 100 ms.
+ * Each node has a Placement, a PaceTracker and an Admission, and a Fleet through which it hears of the others.
  */
 class DecisionWorld
 {
@@ -65,6 +74,8 @@
     WorldResult arrivedWithin(Time from, Time to) const;
     /** \brief Prompt tokens that the engines have read. */
     std::uint64_t tokensRead() const;
+    /** \brief Times that an engine has read a shared part. */
+    std::uint64_t sharedPartsRead() const;
 
 private:
     struct Node;
@@ -79,8 +90,12 @@
     void step(Engine &engine);
     Duration readChunk(Engine &engine);
     void generate(Engine &engine);
+    std::uint64_t cachedTokens(const Engine &engine, const std::vector<PromptPart> &prompt) const;
+    void keep(Engine &engine, const PromptPart &part);
+    double slownessOf(const Engine &engine) const;
     void endTurn(Turn &turn);
-    void exchangeReports();
+    void startFleet(Node &node, std::size_t number);
+    void sweep();
     double runningPerEngine(const Node &node) const;
     double uniform();
 
@@ -90,11 +105,15 @@
     Service service_;
     std::vector<Endpoint> endpoints_;
     std::vector<const Endpoint *> candidates_;
+    bench::FakeStore store_;
     std::vector<std::unique_ptr<Node>> nodes_;
+    std::unordered_map<std::string, Node *> byName_;
     std::vector<std::unique_ptr<Engine>> engines_;
     std::vector<std::shared_ptr<Program>> programs_;
     Time until_{0};
     std::uint64_t tokensRead_ = 0;
+    std::uint64_t sharedPartsRead_ = 0;
+    int open_ = 0; ///< Programs that have not ended.
 };
 
 } // namespace filbertgw::test
--- /dev/null
+++ b/test/gateway/fleet.cpp
@@ -0,0 +1,212 @@
+#include "gateway/fleet.h"
+
+#include "fakes/eventqueue.h"
+#include "fakes/fakestore.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+namespace filbertgw::test {
+
+namespace {
+
+constexpr Duration datagramTime{1'000};
+/** Time of a short turn at an engine. */
+constexpr Duration aTurn{300'000};
+
+/** \brief Nodes that hear of each other through datagrams, some of which are lost. */
+struct FleetRig
+{
+    explicit FleetRig(std::size_t nodes, std::size_t withoutDomain = 0)
+        : store_(queue_)
+    {
+        for (std::size_t i = 0; i < nodes; ++i) {
+            add(i, i < withoutDomain ? "" : "domain" + std::to_string(i % 5));
+        }
+        for (std::pair<const std::string, Node> &node : nodes_) {
+            queue_.after(Duration(random_() % 100'000), [&node] { node.second.fleet_->start(); });
+        }
+        queue_.runUntil(std::chrono::seconds(5));
+    }
+
+    struct Node
+    {
+        std::unique_ptr<Fleet> fleet_;
+        std::uint32_t running_ = 0;
+        std::map<std::string, std::uint32_t> heard_; ///< Requests at the endpoint, by source.
+        std::set<std::string> parts_;
+        std::vector<ReadPart> toTell_;
+        bool isCut_ = false;
+
+        std::uint32_t known() const
+        {
+            std::uint32_t sum = running_;
+            for (const std::pair<const std::string, std::uint32_t> &source : heard_) {
+                sum += source.second;
+            }
+            return sum;
+        }
+    };
+
+    void add(std::size_t number, const std::string &domain)
+    {
+        const std::string name = "node" + std::to_string(number);
+        Node &node = nodes_[name];
+        FleetHooks hooks;
+        hooks.now_ = [this] { return queue_.now(); };
+        hooks.after_ = [this](Duration delay, std::function<void()> task) {
+            queue_.after(delay, std::move(task));
+            return std::uint64_t{0};
+        };
+        hooks.store_ = store_.access(name);
+        hooks.sendDatagram_ = [this, &node](const std::string &address, const std::string &datagram) {
+            ++sent_;
+            const bool isLost = std::uniform_real_distribution<double>(0.0, 1.0)(random_) < lossPart_;
+            if (isLost || node.isCut_) {
+                return;
+            }
+            queue_.after(datagramTime, [this, address, datagram] {
+                if (!nodes_.at(address).isCut_) {
+                    nodes_.at(address).fleet_->onDatagram(datagram);
+                }
+            });
+        };
+        hooks.report_ = [&node] {
+            NodeReport report;
+            report.ledger_ = LedgerState{true, true};
+            report.load_ = {{"engine", node.running_}};
+            report.readParts_.swap(node.toTell_);
+            return report;
+        };
+        hooks.ledgerComplete_ = [] { return true; };
+        hooks.onReport_ = [&node](const std::string &source, const NodeReport &report) {
+            node.heard_[source] = report.load_.empty() ? 0 : report.load_.front().second;
+            for (const ReadPart &part : report.readParts_) {
+                node.parts_.insert(part.part_);
+            }
+        };
+        hooks.onAlive_ = [](const std::string &, bool) {};
+        FleetSettings settings;
+        settings.self_ = FleetMember{name, name, name, domain};
+        node.fleet_ = std::make_unique<Fleet>(std::move(hooks), std::move(settings));
+    }
+
+    void runFor(Duration time)
+    {
+        queue_.runUntil(queue_.now() + time);
+    }
+
+    bench::EventQueue queue_;
+    bench::FakeStore store_;
+    std::mt19937_64 random_{11};
+    double lossPart_ = 0.0;
+    std::size_t sent_ = 0;
+    std::map<std::string, Node> nodes_;
+};
+
+} // namespace
+
+/** \brief A fleet, and nodes in it that are of a version without groups. */
+struct FleetSize
+{
+    const char *name_;
+    std::size_t nodes_;
+    std::size_t withoutDomain_;
+    Duration knownWithin_; ///< Time in which all nodes know what one of them runs.
+};
+
+class LoadReports : public testing::TestWithParam<FleetSize>
+{
+protected:
+    LoadReports()
+        : rig_(GetParam().nodes_, GetParam().withoutDomain_)
+    {
+    }
+
+    FleetRig rig_;
+};
+
+// Guards against placing by a load that is older than a turn: turns of 0.3 s would pile up on the same engines.
+TEST_P(LoadReports, RequestsAreKnownEverywhereWithinTheTimeOfATurn)
+{
+    for (std::pair<const std::string, FleetRig::Node> &node : rig_.nodes_) {
+        node.second.running_ = 1;
+    }
+    rig_.runFor(GetParam().knownWithin_);
+    for (const std::pair<const std::string, FleetRig::Node> &node : rig_.nodes_) {
+        EXPECT_EQ(node.second.known(), GetParam().nodes_) << node.first;
+    }
+}
+
+// Guards against prompt parts that are not told to every node.
+TEST_P(LoadReports, PromptPartIsKnownEverywhereWithinTheTimeOfATurn)
+{
+    rig_.nodes_.begin()->second.toTell_ = {ReadPart{"engine", "part", 12'000}};
+    rig_.runFor(GetParam().knownWithin_);
+    for (const std::pair<const std::string, FleetRig::Node> &node : rig_.nodes_) {
+        EXPECT_TRUE(node.first == rig_.nodes_.begin()->first || node.second.parts_.count("part") == 1) << node.first;
+    }
+}
+
+// Guards against nodes that count as dead, or as alive, only because their reports pass through others.
+TEST_P(LoadReports, NodesThatAreCutOffAreMissedAndOthersAreNot)
+{
+    rig_.lossPart_ = 0.02;
+    EXPECT_EQ(rig_.nodes_.rbegin()->second.fleet_->alive(), GetParam().nodes_ - 1);
+    std::size_t cut = 0;
+    for (std::pair<const std::string, FleetRig::Node> &node : rig_.nodes_) {
+        node.second.isCut_ = ++cut % 4 == 1;
+    }
+    rig_.runFor(std::chrono::seconds(3));
+    for (const std::pair<const std::string, FleetRig::Node> &node : rig_.nodes_) {
+        const std::size_t expected = GetParam().nodes_ - (GetParam().nodes_ + 3) / 4 - 1;
+        if (!node.second.isCut_) {
+            EXPECT_EQ(node.second.fleet_->alive(), expected) << node.first;
+        }
+    }
+}
+
+// Guards against nodes that hear nothing of a group since the one that told them is gone, and after its return.
+TEST_P(LoadReports, RequestsAreKnownWhileNodesAreCutOffAndAfterTheirReturn)
+{
+    std::size_t number = 0;
+    for (std::pair<const std::string, FleetRig::Node> &node : rig_.nodes_) {
+        node.second.isCut_ = ++number % 3 == 0;
+    }
+    rig_.runFor(std::chrono::seconds(4));
+    for (std::pair<const std::string, FleetRig::Node> &node : rig_.nodes_) {
+        node.second.heard_.clear();
+        node.second.running_ = node.second.isCut_ ? 0 : 1;
+    }
+    rig_.runFor(GetParam().knownWithin_);
+    for (std::pair<const std::string, FleetRig::Node> &node : rig_.nodes_) {
+        EXPECT_TRUE(node.second.isCut_ || node.second.known() == GetParam().nodes_ - GetParam().nodes_ / 3)
+            << node.first << ' ' << node.second.known();
+        node.second.isCut_ = false;
+    }
+    rig_.runFor(std::chrono::seconds(2));
+    EXPECT_EQ(rig_.nodes_.begin()->second.fleet_->alive(), GetParam().nodes_ - 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         LoadReports,
+                         testing::Values(FleetSize{"Nodes12", 12, 0, aTurn},
+                                         FleetSize{"Nodes88", 88, 0, aTurn},
+                                         FleetSize{"Nodes195", 195, 0, aTurn},
+                                         FleetSize{
+                                             "Nodes100WithSomeOfTheVersionBefore", 100, 20, std::chrono::seconds(1)}),
+                         [](const testing::TestParamInfo<FleetSize> &info) { return info.param.name_; });
+
+// Guards against a burst of messages: each node may send about as many as when all were told in turn.
+TEST(LoadReports, MessagesOfALargeFleetAreFew)
+{
+    FleetRig rig(195);
+    const std::size_t before = rig.sent_;
+    rig.runFor(std::chrono::seconds(1));
+    EXPECT_LE(rig.sent_ - before, std::size_t{195 * 10 * 36});
+}
+
+} // namespace filbertgw::test
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -249,7 +249,7 @@
     const std::string name = nameOfNode(node);
     settings.ledger_.writer_ = name + '.' + std::to_string(++starts_);
     settings.turns_ = turns_;
-    settings.fleet_.self_ = FleetMember{name, name, name};
+    settings.fleet_.self_ = FleetMember{name, name, name, "domain" + std::to_string(node % 3)};
     nodes_[node] = std::make_unique<Gateway>(hooksOf(node), settings);
     nodes_[node]->start();
     configure(*nodes_[node]);
--- /dev/null
+++ b/test/gateway/largefleet.cpp
@@ -0,0 +1,45 @@
+#include "decisionworld.h"
+
+#include <gtest/gtest.h>
+
+namespace filbertgw::test {
+
+namespace {
+
+/** \brief 195 nodes before 63 engines of few slots, a third of them slow; 16 long prompt parts that programs share. */
+WorldSettings largeFleet()
+{
+    WorldSettings settings;
+    settings.nodes_ = 195;
+    settings.domains_ = 5;
+    settings.clients_ = 116;
+    settings.engines_ = 63;
+    settings.slots_ = 6;
+    settings.cacheTokens_ = 175'000;
+    settings.figures_ = EngineFigures{1.14, 0.0323, 0.003};
+    settings.slowEvery_ = 3;
+    settings.slowness_ = 1.3;
+    settings.sharedParts_ = 16;
+    settings.sharedTokens_ = 12'600;
+    settings.newTokens_ = 700;
+    settings.outputTokens_ = 270;
+    settings.turns_ = 4.0;
+    settings.pause_ = std::chrono::milliseconds(80);
+    settings.aim_ = 1.45;
+    return settings;
+}
+
+} // namespace
+
+// Guards against turns that wait at full engines beside free ones, since each node sees few requests of its own.
+TEST(LargeFleet, HighLoadIsServedInTime)
+{
+    WorldSettings settings = largeFleet();
+    settings.programsPerSecond_ = 180.0;
+    DecisionWorld world(settings);
+    world.run(std::chrono::seconds(6));
+    const WorldResult result = world.arrivedWithin(std::chrono::seconds(2), std::chrono::seconds(6));
+    EXPECT_GE(result.shareInTime(), 0.95);
+}
+
+} // namespace filbertgw::test
