Refuse a new program the same way at each of its tries

Cause: each try of a program drew anew whether it is refused. A program comes back several times, so that of those refused with a part p only about p to the power of the tries stay out; the load settles far beyond the slots, and most of those let in have used their time by then. And the load from which on programs are refused was the same for engines of 6 and of 64 slots, though few slots are all taken by chance much sooner.

Change: the draw is a hash of the program, the same at each node and try. The load from which on programs are refused leaves a part of the slots free that falls with the square root of the slots of an engine: 0.76 for 6 slots, 0.85 for 16, 0.93 for 64 (0.9 for all before).

--- a/src/core/numbers.h
+++ b/src/core/numbers.h
@@ -21,11 +21,17 @@
     return a > most - b ? most : a + b;
 }
 
+/** \brief The number from 0 to 1, without 1, that 64 uniformly distributed bits stand for. */
+inline double unitInterval(std::uint64_t bits)
+{
+    constexpr int unusedBits = 11; // A double holds 53 of 64 bits.
+    return static_cast<double>(bits >> unusedBits) / static_cast<double>(1ULL << (64 - unusedBits));
+}
+
 /** \brief A uniformly distributed number from 0 to 1, without 1. */
 inline double drawFrom(const RandomSource &random)
 {
-    constexpr int unusedBits = 11; // A double holds 53 of 64 bits.
-    return static_cast<double>(random() >> unusedBits) / static_cast<double>(1ULL << (64 - unusedBits));
+    return unitInterval(random());
 }
 
 } // namespace filbertgw
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace filbertgw {
 
@@ -14,13 +15,18 @@
     double perSlot_ = 0.0; ///< Requests for each slot, over all nodes and endpoints.
     double stretch_ = 1.0; ///< Time of a request, against its time on an idle endpoint.
     std::optional<double> allowedStretch_; ///< Stretch at which programs are just in time, if it is known.
+    double slots_ = 16.0; ///< Of an endpoint.
 };
 
 /** \brief Load of a service between which new programs are refused, by the rank of their route. */
 struct AdmissionSettings
 {
-    /** Requests for each slot, over all nodes and endpoints, from which new programs of the lowest rank are refused. */
-    double refuseFrom_ = 0.9;
+    /**
+     * Part of the slots that must stay free so that few turns wait, times the square root of the slots of an endpoint:
+     * the fewer slots share a queue, the sooner they are all taken by chance. From there on new programs of the lowest
+     * rank are refused.
+     */
+    double spareFactor_ = 0.6;
     /** Span over which the refused share grows from nothing to all. */
     double refuseSpan_ = 0.4;
     /** How much later it begins for the most important rank. */
@@ -40,6 +46,8 @@
  *
  * Answers the load of a burst beyond what the engines can serve, or of engines that have turned slow: programs under
  * way would all be late, so that some new ones are refused before anything was spent on them, the less important first.
+ * A program that is refused comes back within the same burst. With the same draw it gets the same answer while the load
+ * is the same; with another one it would be let in at last, when its time is used up.
  */
 class Admission
 {
@@ -49,10 +57,13 @@
     /**
      * \brief Whether a program whose first turn arrives is admitted.
      * \param rank of the route, 0 for the most important.
-     * \param draw uniformly distributed from 0 to 1.
+     * \param draw uniformly distributed from 0 to 1, the same at each try of a program. \sa drawOf
      */
     bool admits(const ServiceLoad &load, std::uint32_t rank, double draw) const;
 
+    /** \brief The draw of a program, the same at every node. */
+    static double drawOf(const std::string &program);
+
 private:
     AdmissionSettings settings_;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -61,6 +61,7 @@
     if (slots > 0.0) {
         const double running = placement_.running(endpoints);
         load.perSlot_ = running / slots;
+        load.slots_ = slots / static_cast<double>(endpoints.size());
         load.stretch_ = placement_.engines().stretch(service, running / static_cast<double>(endpoints.size()));
     }
     load.allowedStretch_ = pace_.allowedStretch(service);
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -77,7 +77,7 @@
         gateway_->pace_.continued(serviceName_, request_->program_, finishIn, load.stretch_);
         return true;
     }
-    if (!gateway_->admission_.admits(load, route_->rank_, drawFrom(gateway_->hooks_.random_))) {
+    if (!gateway_->admission_.admits(load, route_->rank_, Admission::drawOf(request_->program_))) {
         gateway_->hooks_.logEvent_("program_refused",
                                    {{"request", request_->id_},
                                     {"program", request_->program_},
--- a/test/gateway/decisionworld.cpp
+++ b/test/gateway/decisionworld.cpp
@@ -228,13 +228,14 @@
     ServiceLoad load;
     load.stretch_ = node.placement_.engines().stretch(service_.name_, runningPerEngine(node));
     load.perSlot_ = runningPerEngine(node) / settings_.slots_;
+    load.slots_ = settings_.slots_;
     load.allowedStretch_ = node.pace_.allowedStretch(service_.name_);
     const Duration finishIn = program.arrived_ + program.aim_ - queue_.now();
     if (program.done_ > 0) {
         node.pace_.continued(service_.name_, program.id_, finishIn, load.stretch_);
         return true;
     }
-    if (settings_.admits_ && !node.admission_.admits(load, 1, uniform())) {
+    if (settings_.admits_ && !node.admission_.admits(load, 1, Admission::drawOf(program.id_))) {
         return false;
     }
     node.pace_.began(program.id_, finishIn);
--- a/test/gateway/largefleet.cpp
+++ b/test/gateway/largefleet.cpp
@@ -42,4 +42,22 @@
     EXPECT_GE(result.shareInTime(), 0.95);
 }
 
+// Guards against programs that are all late where a burst asks for more than the engines can do, those that are let in
+// after several refusals among them, and against a load that stays for long after it.
+TEST(LargeFleet, BurstOfThreeTimesTheLoadIsOverWithinFiveSeconds)
+{
+    WorldSettings settings = largeFleet();
+    settings.programsPerSecond_ = 130.0;
+    settings.burst_ = 3.0;
+    settings.burstFrom_ = std::chrono::seconds(4);
+    settings.burstTo_ = std::chrono::seconds(8);
+    settings.admits_ = true;
+    DecisionWorld world(settings);
+    world.run(std::chrono::seconds(15));
+    const WorldResult burst = world.arrivedWithin(std::chrono::seconds(4), std::chrono::seconds(8));
+    EXPECT_GE(burst.inTime_, (burst.asked_ - burst.refused_) / 2) << "half of those that were let in";
+    EXPECT_GE(burst.inTime_, 4 * 130) << "as many as without the burst";
+    EXPECT_GE(world.arrivedWithin(std::chrono::seconds(13), std::chrono::seconds(15)).shareInTime(), 0.95);
+}
+
 } // namespace filbertgw::test
