Name the members of groups in one of three messages

Cause: a profile of 195 fleets in virtual time has a third in looking up and comparing the names of the members that each sum lists, and much of the rest in decoding them.

Change: members are named in one of three messages; a node without requests reports in one of three rounds; the division into groups is kept until the nodes change.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -23,8 +23,8 @@
 
 /** Reports of a living node that may be lost in a row. */
 constexpr std::size_t reportsInALife = 3;
-/** Datagrams on the way from a node to one of another group. */
-constexpr int groupHops = 2;
+/** One in so many messages to other groups names the members, and one in so many reports of an idle node is sent. */
+constexpr std::size_t slowRounds = 3;
 
 struct KnownNode
 {
@@ -73,7 +73,7 @@
     void takeSummary(const FleetMessage &message);
     NodeReport currentReport();
     FleetMessage messageOf(NodeReport report) const;
-    FleetMessage summary(const NodeReport &own) const;
+    FleetMessage summary(const NodeReport &own, bool namesMembers) const;
     void send(const FleetMember &to, const std::string &datagram) const;
     std::size_t rounds(std::size_t nodes) const;
     Duration aliveFor() const;
@@ -90,6 +90,9 @@
     std::vector<const FleetMember *> direct_; ///< Nodes that are told directly, in turn.
     std::size_t nextTarget_ = 0; ///< Index of the next one of them.
     std::optional<FleetGroups> groups_; ///< Of the other nodes; none in a small fleet.
+    std::vector<const FleetMember *> grouped_; ///< The nodes that groups_ was made of.
+    std::uint64_t round_ = 0;
+    bool isQuiet_ = false; ///< The last report told of no request and no prompt part.
     std::map<std::string, std::uint64_t> groupCounts_; ///< Of other domains, as last heard.
     std::deque<std::vector<ReadPart>> readParts_; ///< Of each report that some nodes have not got yet, the newest last.
     std::vector<ReadPart> relayedParts_; ///< Told by nodes of this one's group, not passed on yet.
@@ -134,6 +137,7 @@
     }
     internal::KnownNode &node = nodes_[record.key_];
     const bool hasDomain = body.contains("domain") && body["domain"].is_string();
+    grouped_.clear(); // What the groups were made of may have changed.
     node.member_ = FleetMember{record.key_,
                                body["datagrams"].get<std::string>(),
                                body["links"].get<std::string>(),
@@ -152,7 +156,7 @@
     known.learned_ = hooks_.now_();
     const NodeReport report = currentReport();
     const bool isElsewhere = groups_ && !node.domain_.empty() && node.domain_ != settings_.self_.domain_;
-    send(node, encode(isElsewhere ? summary(report) : messageOf(report)));
+    send(node, encode(isElsewhere ? summary(report, true) : messageOf(report)));
 }
 
 void Fleet::Private::send(const FleetMember &to, const std::string &datagram) const
@@ -190,11 +194,13 @@
 }
 
 /** What the nodes of this node's group have said lately, this one included. */
-FleetMessage Fleet::Private::summary(const NodeReport &own) const
+FleetMessage Fleet::Private::summary(const NodeReport &own, bool namesMembers) const
 {
     FleetMessage message = messageOf(own);
     message.group_ = groups_->own();
-    message.members_ = {GroupMember{settings_.self_.name_, own.ledger_}};
+    if (namesMembers) {
+        message.members_.push_back(GroupMember{settings_.self_.name_, own.ledger_});
+    }
     std::map<std::string, std::uint32_t> load(own.load_.begin(), own.load_.end());
     std::map<std::string, PaceSums> paces;
     for (const ServicePace &pace : own.paces_) {
@@ -205,7 +211,10 @@
         if (!speaks(node)) {
             continue;
         }
-        message.members_.push_back(GroupMember{mate->name_, node.ledger_});
+        ++message.report_.nodes_;
+        if (namesMembers) {
+            message.members_.push_back(GroupMember{mate->name_, node.ledger_});
+        }
         for (const std::pair<std::string, std::uint32_t> &entry : node.report_.load_) {
             load[entry.first] += entry.second;
         }
@@ -233,12 +242,16 @@
         }
     }
     direct_.clear();
-    groups_.reset();
     std::vector<const FleetMember *> grouped;
     const bool isLarge = counted.size() > settings_.reportTargets_ && !settings_.self_.domain_.empty();
     for (const internal::KnownNode *node : counted) {
         (isLarge && !node->member_.domain_.empty() ? grouped : direct_).push_back(&node->member_);
     }
+    if (grouped == grouped_) {
+        return;
+    }
+    grouped_ = grouped;
+    groups_.reset();
     if (!grouped.empty()) {
         groups_.emplace(settings_.self_, grouped);
     }
@@ -262,11 +275,15 @@
     if (!groups_) {
         return;
     }
-    const std::string own = encode(messageOf(report));
-    for (const FleetMember *mate : groups_->mates()) {
-        send(*mate, own);
+    const bool isSlowRound = ++round_ % internal::slowRounds == 0;
+    const bool wasQuiet = std::exchange(isQuiet_, report.load_.empty() && report.readParts_.empty());
+    if (!wasQuiet || !isQuiet_ || isSlowRound) {
+        const std::string own = encode(messageOf(report));
+        for (const FleetMember *mate : groups_->mates()) {
+            send(*mate, own);
+        }
     }
-    const std::string sum = encode(summary(report));
+    const std::string sum = encode(summary(report, isSlowRound));
     const auto isSpeaking = [this](const FleetMember &mate) { return speaks(nodes_.at(mate.name_)); };
     for (const FleetMember *contact : groups_->contacts(isSpeaking)) {
         send(*contact, sum);
@@ -329,9 +346,8 @@
 /** Time within which each node is heard of by each other one, and lost reports are made up for. */
 Duration Fleet::Private::aliveFor() const
 {
-    const Duration inTurn = settings_.reportPeriod_ * (internal::reportsInALife * rounds(direct_.size()));
-    const Duration longest = groups_ ? settings_.aliveFor_ * internal::groupHops : settings_.aliveFor_;
-    return std::max<Duration>(longest, inTurn);
+    const std::size_t slowest = std::max(rounds(direct_.size()), groups_ ? internal::slowRounds : 1);
+    return std::max<Duration>(settings_.aliveFor_, settings_.reportPeriod_ * (internal::reportsInALife * slowest));
 }
 
 bool Fleet::Private::isAlive(const internal::KnownNode &node) const
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -79,8 +79,8 @@
 
 std::optional<FleetGroup> decodeGroup(const nlohmann::json &entry)
 {
-    const bool isGroup = isTuple(entry, 3) && entry[0].is_string() && entry[1].is_number_unsigned()
-        && entry[2].is_number_unsigned() && entry[1] < entry[2];
+    const bool isGroup = isTuple(entry, 4) && entry[0].is_string() && entry[1].is_number_unsigned()
+        && entry[2].is_number_unsigned() && entry[3].is_number_unsigned() && entry[1] < entry[2];
     if (!isGroup) {
         return std::nullopt;
     }
@@ -116,7 +116,10 @@
                            {internal::ledgerCompleteKey, message.report_.ledger_.complete_},
                            {internal::loadKey, load}};
     if (message.group_) {
-        body[internal::groupKey] = {message.group_->domain_, message.group_->index_, message.group_->count_};
+        body[internal::groupKey] = {
+            message.group_->domain_, message.group_->index_, message.group_->count_, message.report_.nodes_};
+    }
+    if (!message.members_.empty()) {
         nlohmann::json members = nlohmann::json::array();
         for (const GroupMember &member : message.members_) {
             members.push_back({member.name_, member.ledger_.current_, member.ledger_.complete_});
@@ -158,10 +161,10 @@
         if (!message.group_) {
             return std::nullopt; // Its load must not be taken for that of the sender alone.
         }
+        message.report_.nodes_ = body[internal::groupKey][3].get<std::size_t>();
     }
     if (internal::isList(body, internal::membersKey)) {
         message.members_ = internal::decodeMembers(body[internal::membersKey]);
-        message.report_.nodes_ = message.members_.size();
     }
     if (internal::isText(body, internal::datagramAddressKey) && internal::isText(body, internal::linkAddressKey)) {
         message.introduction_ = FleetMember{message.sender_,
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -61,7 +61,7 @@
     std::string sender_;
     NodeReport report_;
     std::optional<FleetGroup> group_; ///< Group that the report sums up; of the sender alone if there is none.
-    std::vector<GroupMember> members_; ///< Nodes of that group that were heard of lately.
+    std::vector<GroupMember> members_; ///< Nodes of that group that were heard of lately; not in each message.
     std::optional<FleetMember> introduction_; ///< How to reach a sender that has started lately.
 };
 
