Divide the ledger into partitions by program

Cause: all nodes append what programs spend to one partition, which takes one append at a time, 4 ms each. With 195 nodes it took 248 a second from 6 s to 20 s, its whole capacity; the queue of up to one append a node is 0.78 s long, and a turn gives up after 0.7 s. Then it asks another node, which waits as long. False 402 come from the same queue, since what waits counts as spent.

Change: PartitionedLedger holds a ProgramLedger for each partition, by hash of the program. Within a partition nothing changes. GatewayRig plays all its tests with two partitions, but for the one that counts appends to one. Relaying appends through one node of a group was weighed and not built: a late append could replace a newer record.

--- a/src/gateway/budgetcontroller.cpp
+++ b/src/gateway/budgetcontroller.cpp
@@ -72,7 +72,7 @@
 } // namespace
 } // namespace internal
 
-BudgetController::BudgetController(BudgetControllerHooks hooks, ProgramLedger &ledger, Fleet &fleet)
+BudgetController::BudgetController(BudgetControllerHooks hooks, PartitionedLedger &ledger, Fleet &fleet)
     : hooks_(std::move(hooks))
     , ledger_(ledger)
     , fleet_(fleet)
@@ -81,11 +81,11 @@
 
 void BudgetController::reserve(const TurnReservation &turn, std::function<void(const BudgetGrant &)> decided)
 {
-    if (ledger_.takeAllowance(turn)) {
+    if (ledger_.of(turn.program_).takeAllowance(turn)) {
         decided(BudgetGrant{BudgetDecision::Granted, turn.program_, turn.tokens_, {}});
         return;
     }
-    const std::optional<AllowanceHolder> holder = livingOf(ledger_.allowanceHolders(turn));
+    const std::optional<AllowanceHolder> holder = livingOf(ledger_.of(turn.program_).allowanceHolders(turn));
     if (!holder) {
         reserveInStore(turn, HolderState::NotAsked, decided);
         return;
@@ -135,13 +135,13 @@
 
 void BudgetController::reserveInStore(const TurnReservation &turn, HolderState holder, const Decided &decided)
 {
-    if (!ledger_.isCurrent()) {
+    if (!ledger_.of(turn.program_).isCurrent()) {
         reserveElsewhere(turn, decided);
         return;
     }
     // Sub-agents run side by side: each of several nodes would reserve ahead, and together more than the budget holds.
     const bool mayAcquire = turn.mainLine_ && holder != HolderState::Undecided;
-    ledger_.reserve(turn, mayAcquire, [this, turn, holder, decided](BudgetDecision made) {
+    ledger_.of(turn.program_).reserve(turn, mayAcquire, [this, turn, holder, decided](BudgetDecision made) {
         if (made == BudgetDecision::Exhausted) {
             refuse(turn, holder, decided);
         } else if (made == BudgetDecision::Unavailable) {
@@ -156,7 +156,7 @@
 void BudgetController::refuse(const TurnReservation &turn, HolderState holder, const Decided &decided)
 {
     const std::optional<AllowanceHolder> former =
-        holder == HolderState::NotAsked ? livingOf(ledger_.formerHolders(turn)) : std::nullopt;
+        holder == HolderState::NotAsked ? livingOf(ledger_.of(turn.program_).formerHolders(turn)) : std::nullopt;
     if (former) {
         askHolder(*former, turn, decided, [this, turn, decided](HolderState state) { refuse(turn, state, decided); });
         return;
@@ -187,7 +187,7 @@
 
 void BudgetController::decideAlone(const TurnReservation &turn, const Decided &decided)
 {
-    const BudgetDecision made = ledger_.reserveWithoutStore(turn);
+    const BudgetDecision made = ledger_.of(turn.program_).reserveWithoutStore(turn);
     tellWitness(turn.program_, [made, turn, decided] { decided(BudgetGrant{made, turn.program_, turn.tokens_, {}}); });
 }
 
@@ -199,7 +199,7 @@
         then();
         return;
     }
-    sendNote(*witness, program, ledger_.spendingByWriter(program), then);
+    sendNote(*witness, program, ledger_.of(program).spendingByWriter(program), then);
 }
 
 void BudgetController::sendNote(const FleetMember &member,
@@ -223,7 +223,7 @@
     const std::optional<FleetMember> home = fleet_.homeOf(program);
     if (home && !fleet_.isSelf(*home)) {
         // Of others this node may know less than the receiver does.
-        sendNote(*home, program, {ledger_.claim(program)}, [] {});
+        sendNote(*home, program, {ledger_.of(program).claim(program)}, [] {});
     } else if (home) {
         tellWitness(program, [] {});
     }
@@ -236,8 +236,8 @@
         {"program", turn.program_}, {"budget", turn.budget_}, {"tokens", turn.tokens_}, {"main_line", turn.mainLine_}};
     if (claims) {
         // Counted before it is granted, so that each claim contains the turns that wait for the answer to another.
-        ledger_.addPending(turn.program_, turn.tokens_);
-        body["claim"] = internal::toJson(ledger_.claim(turn.program_));
+        ledger_.of(turn.program_).addPending(turn.program_, turn.tokens_);
+        body["claim"] = internal::toJson(ledger_.of(turn.program_).claim(turn.program_));
     }
     const auto answered = [this, member, turn, claims, decided](const std::optional<nlohmann::json> &answer) {
         const BudgetDecision made = internal::decisionIn(answer);
@@ -248,7 +248,7 @@
                           {"decision", nameOf(made)}});
         const bool isOurs = made == BudgetDecision::Granted && !internal::isDurable(*answer);
         if (claims && !isOurs) {
-            ledger_.settle(turn.program_, turn.tokens_, 0);
+            ledger_.of(turn.program_).settle(turn.program_, turn.tokens_, 0);
         }
         decided(BudgetGrant{made, turn.program_, turn.tokens_, isOurs ? std::string() : member.linkAddress_});
     };
@@ -261,8 +261,8 @@
         return;
     }
     if (grant.holder_.empty()) {
-        ledger_.settle(grant.program_, grant.tokens_, used);
-        if (!ledger_.isCurrent()) {
+        ledger_.of(grant.program_).settle(grant.program_, grant.tokens_, used);
+        if (!ledger_.of(grant.program_).isCurrent()) {
             announceSpending(grant.program_);
         }
         return;
@@ -278,8 +278,8 @@
                                        const std::optional<WriterSpending> &claim,
                                        const std::function<void(const nlohmann::json &)> &answer)
 {
-    if (ledger_.isCurrent()) {
-        ledger_.reserve(turn, turn.mainLine_, [answer](BudgetDecision made) {
+    if (ledger_.of(turn.program_).isCurrent()) {
+        ledger_.of(turn.program_).reserve(turn, turn.mainLine_, [answer](BudgetDecision made) {
             answer({{"decision", nameOf(made)}, {"durable", true}});
         });
         return;
@@ -291,7 +291,7 @@
         answer({{"decision", nameOf(BudgetDecision::Unavailable)}, {"durable", false}});
         return;
     }
-    const BudgetDecision made = ledger_.decideClaim(turn, *claim);
+    const BudgetDecision made = ledger_.of(turn.program_).decideClaim(turn, *claim);
     tellWitness(turn.program_, [made, answer] { answer({{"decision", nameOf(made)}, {"durable", false}}); });
 }
 
@@ -302,7 +302,7 @@
     }
     for (const nlohmann::json &entry : body["spent"]) {
         if (const std::optional<WriterSpending> spending = internal::spendingIn(entry)) {
-            ledger_.noteGrant(program, *spending);
+            ledger_.of(program).noteGrant(program, *spending);
         }
     }
 }
@@ -320,11 +320,11 @@
     TurnReservation turn;
     turn.program_ = program;
     turn.tokens_ = body["tokens"].get<std::uint64_t>();
-    if (ledger_.takeAllowance(turn)) {
+    if (ledger_.of(turn.program_).takeAllowance(turn)) {
         return {{"decision", nameOf(BudgetDecision::Granted)}};
     }
     nlohmann::json refusal = {{"decision", nameOf(BudgetDecision::Unavailable)}};
-    if (ledger_.awaitsAllowance(program)) {
+    if (ledger_.of(program).awaitsAllowance(program)) {
         refusal["pending"] = true;
     }
     return refusal;
@@ -346,7 +346,8 @@
     const std::string program = body["program"].get<std::string>();
     if (type == internal::settleType) {
         if (internal::isNumber(body, "reserved") && internal::isNumber(body, "used")) {
-            ledger_.settle(program, body["reserved"].get<std::uint64_t>(), body["used"].get<std::uint64_t>());
+            ledger_.of(program).settle(
+                program, body["reserved"].get<std::uint64_t>(), body["used"].get<std::uint64_t>());
         }
         answer({{"settled", true}});
         return true;
--- a/src/gateway/budgetcontroller.h
+++ b/src/gateway/budgetcontroller.h
@@ -2,7 +2,7 @@
 #define FILBERTGW_GATEWAY_BUDGETCONTROLLER_H
 
 #include "gateway/fleet.h"
-#include "ledger/programledger.h"
+#include "ledger/partitionedledger.h"
 
 #include <nlohmann/json.hpp>
 
@@ -49,7 +49,7 @@
 class BudgetController
 {
 public:
-    BudgetController(BudgetControllerHooks hooks, ProgramLedger &ledger, Fleet &fleet);
+    BudgetController(BudgetControllerHooks hooks, PartitionedLedger &ledger, Fleet &fleet);
 
     void reserve(const TurnReservation &turn, std::function<void(const BudgetGrant &)> decided);
     void settle(const BudgetGrant &grant, std::uint64_t used);
@@ -99,7 +99,7 @@
                          const std::function<void(const nlohmann::json &)> &answer);
 
     BudgetControllerHooks hooks_;
-    ProgramLedger &ledger_;
+    PartitionedLedger &ledger_;
     Fleet &fleet_;
     std::set<std::string> goneWriters_; ///< Incarnations of nodes that have ended.
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -35,7 +35,8 @@
                                  [this] { return fleet_.alive() + 1; },
                                  [this] { return fleet_.knowsNoOutage(); },
                                  [this](const std::string &program) { budget_.announceSpending(program); }},
-              settings_.ledger_)
+              settings_.ledger_,
+              settings_.ledgerPartitions_)
     , fleet_(fleetHooks(), settings_.fleet_)
     , relayed_(
           hooks_.store_,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,7 +11,7 @@
 #include "gateway/placement.h"
 #include "gateway/retryafterpolicy.h"
 #include "gateway/routingtable.h"
-#include "ledger/programledger.h"
+#include "ledger/partitionedledger.h"
 #include "ledger/turnstore.h"
 
 #include <nlohmann/json.hpp>
@@ -50,6 +50,7 @@
 struct GatewaySettings
 {
     ProgramLedgerSettings ledger_;
+    std::size_t ledgerPartitions_ = 1; ///< The same at all nodes.
     TurnStoreSettings turns_;
     PlacementSettings placement_;
     FleetSettings fleet_;
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -41,7 +41,7 @@
     EndpointDirectory directory_;
     Placement placement_;
     CacheDiscovery cacheDiscovery_;
-    ProgramLedger ledger_;
+    PartitionedLedger ledger_;
     Fleet fleet_;
     RelayedStore relayed_;
     TurnStore turns_;
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -356,7 +356,7 @@
     appender.onSlow_ = [d = d_.get()] { d->reportUnrecorded(); };
     GroupAppenderSettings appenderSettings;
     appenderSettings.writer_ = d_->settings_.writer_;
-    appenderSettings.partition_ = PartitionId{internal::ledgerStream, 0};
+    appenderSettings.partition_ = PartitionId{internal::ledgerStream, d_->settings_.partition_};
     appenderSettings.slowAfter_ = d_->settings_.unrecordedAfter_;
     d_->appender_ = std::make_unique<GroupAppender>(std::move(appender), std::move(appenderSettings));
     StreamTailHooks tail;
@@ -366,7 +366,7 @@
     tail.onReachable_ = [d = d_.get()](bool reachable) { d->onReachable(reachable); };
     tail.onRecord_ = [d = d_.get()](const KeyedRecord &record) { d->onRecord(record); };
     StreamTailSettings tailSettings;
-    tailSettings.partition_ = PartitionId{internal::ledgerStream, 0};
+    tailSettings.partition_ = PartitionId{internal::ledgerStream, d_->settings_.partition_};
     tailSettings.pause_ = d_->settings_.readPause_;
     tailSettings.wait_ = d_->settings_.currentFor_ / 3;
     tailSettings.followsDelay_ = true;
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -56,6 +56,7 @@
 struct ProgramLedgerSettings
 {
     std::string writer_; ///< Unique to this incarnation of the node.
+    std::uint32_t partition_ = 0; ///< Of the stream, that this ledger follows and appends to.
     Duration groupDelay_{150'000}; ///< Changes are collected for this long before they are appended, at least.
     Duration groupDelayPerNode_{8'000}; ///< At least this for each node: the store appends to a partition one by one.
     Duration longestGroupDelay_{1'000'000};
@@ -74,7 +75,7 @@
 };
 
 /**
- * \brief Tokens that programs have spent, over all nodes.
+ * \brief Tokens that the programs of one partition have spent, over all nodes.
  *
  * Each node keeps one record a program: the tokens that it has handed out plus those that its running turns may still
  * generate, and those that it has reserved ahead, its allowance. The spending of a program is the sum over the writers,
--- a/test/gateway/budget.cpp
+++ b/test/gateway/budget.cpp
@@ -502,7 +502,7 @@
 {
     constexpr std::size_t nodes = 60;
     constexpr std::size_t mostAppends = 200; // A second; an append takes the store up to 4 ms.
-    GatewayRig rig(nodes, {streamingRoute(false, 1, false)});
+    GatewayRig rig(nodes, {streamingRoute(false, 1, false)}, std::size_t{1});
     rig.addEndpoints("engines", "e", 400);
     rig.run(std::chrono::seconds(2));
     const std::size_t before = rig.store_.appends();
--- /dev/null
+++ b/test/gateway/fleetmessage.cpp
@@ -0,0 +1,89 @@
+#include "gateway/fleetmessage.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace filbertgw::test {
+
+namespace {
+
+std::string cborOf(const nlohmann::json &body)
+{
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(body);
+    return {bytes.begin(), bytes.end()};
+}
+
+FleetMessage summary()
+{
+    FleetMessage message;
+    message.sender_ = "node";
+    message.report_.ledger_ = LedgerState{true, false};
+    message.report_.load_ = {{"engine", 3}};
+    message.report_.readParts_ = {ReadPart{"engine", "part", 12'000}};
+    message.report_.paces_ = {ServicePace{"engines", PaceSums{2.0, 1.0, 3.0}}};
+    message.report_.nodes_ = 2;
+    message.group_ = FleetGroup{"domain", 1, 3};
+    message.members_ = {GroupMember{"node", LedgerState{true, false}}, GroupMember{"mate", LedgerState{false, true}}};
+    message.introduction_ = FleetMember{"node", "datagrams", "links", "domain"};
+    return message;
+}
+
+} // namespace
+
+// Guards against fields that are lost on the way.
+TEST(FleetMessage, IsDecodedAsItWasEncoded)
+{
+    const std::optional<FleetMessage> decoded = decodeFleetMessage(encode(summary()));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(encode(*decoded), encode(summary()));
+    EXPECT_EQ(decoded->report_.nodes_, 2U);
+    EXPECT_EQ(decoded->group_->name(), "group domain/1/3");
+    EXPECT_EQ(decoded->introduction_->domain_, "domain");
+}
+
+/** \brief A field of a message and a value that it can't have. */
+struct MalformedField
+{
+    const char *name_;
+    const char *field_;
+    nlohmann::json value_;
+    bool isMessage_; ///< The rest of the message still counts.
+};
+
+class Malformed : public testing::TestWithParam<MalformedField>
+{
+};
+
+// Guards against the load of a group that is taken for that of one node, and against entries of another type.
+TEST_P(Malformed, FieldIsPassedOverOrVoidsTheMessage)
+{
+    const std::string encoded = encode(summary());
+    nlohmann::json body = nlohmann::json::from_cbor(encoded);
+    body[GetParam().field_] = GetParam().value_;
+    EXPECT_EQ(decodeFleetMessage(cborOf(body)).has_value(), GetParam().isMessage_);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         Malformed,
+                         testing::Values(MalformedField{"Sender", "n", 5, false},
+                                         MalformedField{"LedgerState", "c", "yes", false},
+                                         MalformedField{"Load", "l", "none", false},
+                                         MalformedField{"LoadEntries", "l", {{"engine", -1}, {"engine"}, 7}, true},
+                                         MalformedField{"Parts", "p", {{"engine", "part", "long"}}, true},
+                                         MalformedField{"Group", "g", "domain", false},
+                                         MalformedField{"GroupBeyondTheirNumber", "g", {"domain", 3, 3, 1}, false},
+                                         MalformedField{"GroupWithoutNodes", "g", {"domain", 1, 3}, false},
+                                         MalformedField{"Members", "m", {{"node", true}, {1, true, true}}, true}),
+                         [](const testing::TestParamInfo<MalformedField> &info) { return info.param.name_; });
+
+// Guards against a node that fails on datagrams that are cut or none of a node.
+TEST(FleetMessage, CutDatagramIsNoMessage)
+{
+    const std::string encoded = encode(summary());
+    for (std::size_t length = 0; length < encoded.size(); ++length) {
+        EXPECT_FALSE(decodeFleetMessage(encoded.substr(0, length)));
+    }
+}
+
+} // namespace filbertgw::test
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -1,5 +1,7 @@
 #include "gatewayrig.h"
 
+#include "core/stablehash.h"
+
 #include <gtest/gtest.h>
 
 namespace filbertgw::test {
@@ -129,10 +131,19 @@
 {
 }
 
-GatewayRig::GatewayRig(std::size_t nodes, const std::vector<Route> &routes, TurnStoreSettings turns)
+GatewayRig::GatewayRig(std::size_t nodes, const std::vector<Route> &routes, std::size_t ledgerPartitions)
+    : GatewayRig(nodes, routes, fewPartitions(), ledgerPartitions)
+{
+}
+
+GatewayRig::GatewayRig(std::size_t nodes,
+                       const std::vector<Route> &routes,
+                       TurnStoreSettings turns,
+                       std::size_t ledgerPartitions)
     : store_(queue_)
     , routes_(routes)
     , turns_(turns)
+    , ledgerPartitions_(ledgerPartitions)
 {
     for (std::size_t i = 0; i < nodes; ++i) {
         nodes_.push_back(nullptr);
@@ -242,12 +253,19 @@
     nodes_[node].reset();
 }
 
+void GatewayRig::putSpending(const std::string &program, const std::string &writer, const SpendingRecord &record)
+{
+    const PartitionId partition{"ledger", static_cast<std::uint32_t>(stableHash(program) % ledgerPartitions_)};
+    store_.put(partition, 'p' + program + '/' + writer, record.encode());
+}
+
 void GatewayRig::restart(std::size_t node)
 {
     alive_[node] = std::make_shared<bool>(true);
     GatewaySettings settings;
     const std::string name = nameOfNode(node);
     settings.ledger_.writer_ = name + '.' + std::to_string(++starts_);
+    settings.ledgerPartitions_ = ledgerPartitions_;
     settings.turns_ = turns_;
     settings.fleet_.self_ = FleetMember{name, name, name, "domain" + std::to_string(node % 3)};
     nodes_[node] = std::make_unique<Gateway>(hooksOf(node), settings);
--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -40,11 +40,18 @@
 {
 public:
     explicit GatewayRig(std::size_t nodes, const std::vector<Route> &routes);
-    GatewayRig(std::size_t nodes, const std::vector<Route> &routes, TurnStoreSettings turns);
+    GatewayRig(std::size_t nodes,
+               const std::vector<Route> &routes,
+               TurnStoreSettings turns,
+               std::size_t ledgerPartitions = 2);
+    /** \brief A rig whose ledger has so many partitions. */
+    GatewayRig(std::size_t nodes, const std::vector<Route> &routes, std::size_t ledgerPartitions);
 
     /** \brief Adds endpoints named PREFIX0, PREFIX1 and so on. */
     void addEndpoints(const std::string &service, const std::string &prefix, std::size_t count);
     std::shared_ptr<ClientAnswer> send(std::size_t node, GatewayRequest request);
+    /** \brief Writes what a writer has spent on a program into the store. */
+    void putSpending(const std::string &program, const std::string &writer, const SpendingRecord &record);
     void run(Duration time);
     /** \brief Ends a node as a kill does. */
     void kill(std::size_t node);
@@ -72,6 +79,7 @@
     std::vector<std::shared_ptr<bool>> alive_; ///< Shared with the hooks, so that a killed node does nothing more.
     std::vector<Route> routes_;
     TurnStoreSettings turns_;
+    std::size_t ledgerPartitions_;
     std::vector<Endpoint> endpoints_;
     std::mt19937_64 random_{1};
     std::uint64_t starts_ = 0;
--- a/test/gateway/spendingtable.cpp
+++ b/test/gateway/spendingtable.cpp
@@ -47,7 +47,7 @@
     rig.run(std::chrono::seconds(1));
     rig.stream(0, {"a", "b", "c"}, true);
     rig.run(std::chrono::seconds(1));
-    rig.store_.put(PartitionId{"ledger", 0}, "pp/node0.1", SpendingRecord{0, 0, 0, true}.encode());
+    rig.putSpending("p", "node0.1", SpendingRecord{0, 0, 0, true});
     rig.run(std::chrono::seconds(2));
     rig.kill(0);
     rig.restart(0);
--- a/test/gateway/turnrecovery.cpp
+++ b/test/gateway/turnrecovery.cpp
@@ -129,8 +129,8 @@
     {
         for (std::size_t program = 0; program < GetParam().programsPerSecond_ * retentionSeconds; ++program) {
             for (std::size_t writer = 0; writer < writersOfAProgram; ++writer) {
-                const std::string key = "pq" + std::to_string(program) + "/old" + std::to_string(writer) + ".123456789";
-                rig_.store_.put(PartitionId{"ledger", 0}, key, SpendingRecord{1'000, 1, 0, false}.encode());
+                const std::string name = "old" + std::to_string(writer) + ".123456789";
+                rig_.putSpending("q" + std::to_string(program), name, SpendingRecord{1'000, 1, 0, false});
             }
         }
     }
