--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -45,12 +45,6 @@
     }
 };
 
-} // namespace
-} // namespace internal
-
-namespace internal {
-namespace {
-
 /** Weight of a node in a rendezvous hash: of several nodes the one with the highest weight is chosen. */
 std::uint64_t weightOf(const FleetMember &member, const std::string &key)
 {
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -18,6 +18,8 @@
 const char *const datagramAddressKey = "d";
 const char *const linkAddressKey = "u";
 const char *const domainKey = "z";
+/** More groups than a domain of any fleet has. */
+constexpr std::uint64_t mostGroups = 1024;
 
 bool isText(const nlohmann::json &body, const char *key)
 {
@@ -80,7 +82,8 @@
 std::optional<FleetGroup> decodeGroup(const nlohmann::json &entry)
 {
     const bool isGroup = isTuple(entry, 4) && entry[0].is_string() && entry[1].is_number_unsigned()
-        && entry[2].is_number_unsigned() && entry[3].is_number_unsigned() && entry[1] < entry[2];
+        && entry[2].is_number_unsigned() && entry[3].is_number_unsigned() && entry[1] < entry[2]
+        && entry[2] <= mostGroups;
     if (!isGroup) {
         return std::nullopt;
     }
--- a/test/gateway/fleetmessage.cpp
+++ b/test/gateway/fleetmessage.cpp
@@ -73,6 +73,8 @@
                                          MalformedField{"Parts", "p", {{"engine", "part", "long"}}, true},
                                          MalformedField{"Group", "g", "domain", false},
                                          MalformedField{"GroupBeyondTheirNumber", "g", {"domain", 3, 3, 1}, false},
+                                         MalformedField{
+                                             "AbsurdNumberOfGroups", "g", {"domain", 1, 1ULL << 60, 1}, false},
                                          MalformedField{"GroupWithoutNodes", "g", {"domain", 1, 3}, false},
                                          MalformedField{"Members", "m", {{"node", true}, {1, true, true}}, true}),
                          [](const testing::TestParamInfo<MalformedField> &info) { return info.param.name_; });
