Use the usual words for the nodes of a group

A reader who hadn't seen the change stumbled on mates that speak and on nodes that are told in turn: they are peers, report, and are reported to.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -60,8 +60,8 @@
     void takeRecord(const KeyedRecord &record);
     void sendReports();
     void divide();
-    void tellInTurn(const NodeReport &report);
-    void tellGroups(const NodeReport &report);
+    void reportInTurn(const NodeReport &report);
+    void reportToGroups(const NodeReport &report);
     void takeIntroduction(const FleetMember &node);
     void takeReport(internal::KnownNode &sender, FleetMessage message);
     void takeSummary(const FleetMessage &message);
@@ -73,7 +73,7 @@
     Duration aliveFor() const;
     bool isAlive(const internal::KnownNode &node) const;
     bool isCounted(const internal::KnownNode &node) const;
-    bool speaks(const internal::KnownNode &node) const;
+    bool isReporting(const internal::KnownNode &node) const;
     void noteAlive();
     std::optional<FleetMember> choose(const std::string &program, bool needsCurrent, bool maySelf) const;
 
@@ -86,7 +86,7 @@
     std::optional<FleetGroups> groups_; ///< Of the other nodes; none in a small fleet.
     std::vector<const FleetMember *> grouped_; ///< The nodes that groups_ was made of.
     std::uint64_t round_ = 0;
-    bool isQuiet_ = false; ///< The last report told of no request and no prompt part.
+    bool isIdle_ = false; ///< The last report told of no request and no prompt part.
     std::map<std::string, std::uint64_t> groupCounts_; ///< Of other domains, as last heard.
     std::deque<std::vector<ReadPart>> readParts_; ///< Of each report that some nodes have not got yet, the newest last.
     std::vector<ReadPart> relayedParts_; ///< Told by nodes of this one's group, not passed on yet.
@@ -200,14 +200,14 @@
     for (const ServicePace &pace : own.paces_) {
         paces[pace.service_] += pace.sums_;
     }
-    for (const FleetMember *mate : groups_->mates()) {
-        const internal::KnownNode &node = nodes_.at(mate->name_);
-        if (!speaks(node)) {
+    for (const FleetMember *peer : groups_->peers()) {
+        const internal::KnownNode &node = nodes_.at(peer->name_);
+        if (!isReporting(node)) {
             continue;
         }
         ++message.report_.nodes_;
         if (namesMembers) {
-            message.members_.push_back(GroupMember{mate->name_, node.ledger_});
+            message.members_.push_back(GroupMember{peer->name_, node.ledger_});
         }
         for (const std::pair<std::string, std::uint32_t> &entry : node.report_.load_) {
             load[entry.first] += entry.second;
@@ -251,7 +251,7 @@
     }
 }
 
-void Fleet::Private::tellInTurn(const NodeReport &report)
+void Fleet::Private::reportInTurn(const NodeReport &report)
 {
     if (direct_.empty()) {
         return;
@@ -264,22 +264,22 @@
     nextTarget_ = (nextTarget_ + count) % direct_.size();
 }
 
-void Fleet::Private::tellGroups(const NodeReport &report)
+void Fleet::Private::reportToGroups(const NodeReport &report)
 {
     if (!groups_) {
         return;
     }
     const bool isSlowRound = ++round_ % internal::slowRounds == 0;
-    const bool wasQuiet = std::exchange(isQuiet_, report.load_.empty() && report.readParts_.empty());
-    if (!wasQuiet || !isQuiet_ || isSlowRound) {
+    const bool wasIdle = std::exchange(isIdle_, report.load_.empty() && report.readParts_.empty());
+    if (!wasIdle || !isIdle_ || isSlowRound) {
         const std::string own = encode(messageOf(report));
-        for (const FleetMember *mate : groups_->mates()) {
-            send(*mate, own);
+        for (const FleetMember *peer : groups_->peers()) {
+            send(*peer, own);
         }
     }
     const std::string sum = encode(summary(report, isSlowRound));
-    const auto isSpeaking = [this](const FleetMember &mate) { return speaks(nodes_.at(mate.name_)); };
-    for (const FleetMember *contact : groups_->contacts(isSpeaking)) {
+    const auto hears = [this](const FleetMember &peer) { return isReporting(nodes_.at(peer.name_)); };
+    for (const FleetMember *contact : groups_->contacts(hears)) {
         send(*contact, sum);
     }
     relayedParts_.clear();
@@ -294,8 +294,8 @@
     divide();
     if (!direct_.empty() || groups_) {
         const NodeReport report = currentReport();
-        tellInTurn(report);
-        tellGroups(report);
+        reportInTurn(report);
+        reportToGroups(report);
         while (readParts_.size() >= rounds(direct_.size())) {
             readParts_.pop_front();
         }
@@ -311,7 +311,7 @@
 void Fleet::Private::takeReport(internal::KnownNode &sender, FleetMessage message)
 {
     hooks_.onReport_(message.sender_, message.report_);
-    if (groups_ && groups_->isMate(message.sender_)) {
+    if (groups_ && groups_->isPeer(message.sender_)) {
         relayedParts_.insert(relayedParts_.end(), message.report_.readParts_.begin(), message.report_.readParts_.end());
     }
     message.report_.readParts_.clear();
@@ -355,7 +355,7 @@
 }
 
 /** True for a node of the group that has reported so lately that what it said is passed on. */
-bool Fleet::Private::speaks(const internal::KnownNode &node) const
+bool Fleet::Private::isReporting(const internal::KnownNode &node) const
 {
     return node.reported_ != Time{0} && hooks_.now_() - node.reported_ <= settings_.summedFor_;
 }
--- a/src/gateway/fleetgroups.cpp
+++ b/src/gateway/fleetgroups.cpp
@@ -46,9 +46,9 @@
     own_ = internal::groupOf(self, counts);
     for (const FleetMember *other : others) {
         const FleetGroup group = internal::groupOf(*other, counts);
-        const bool isMate = group.domain_ == own_.domain_ && group.index_ == own_.index_;
-        (isMate ? mates_ : others_).push_back(other);
-        (isMate ? mateHashes_ : otherHashes_).push_back(stableHash(other->name_));
+        const bool isOwnGroup = group.domain_ == own_.domain_ && group.index_ == own_.index_;
+        (isOwnGroup ? peers_ : others_).push_back(other);
+        (isOwnGroup ? peerHashes_ : otherHashes_).push_back(stableHash(other->name_));
     }
 }
 
@@ -57,29 +57,30 @@
     return own_;
 }
 
-const std::vector<const FleetMember *> &FleetGroups::mates() const
+const std::vector<const FleetMember *> &FleetGroups::peers() const
 {
-    return mates_;
+    return peers_;
 }
 
-bool FleetGroups::isMate(const std::string &name) const
+bool FleetGroups::isPeer(const std::string &name) const
 {
-    return std::any_of(mates_.begin(), mates_.end(), [&name](const FleetMember *mate) { return mate->name_ == name; });
+    return std::any_of(peers_.begin(), peers_.end(), [&name](const FleetMember *peer) { return peer->name_ == name; });
 }
 
-std::vector<const FleetMember *> FleetGroups::contacts(const std::function<bool(const FleetMember &)> &speaks) const
+std::vector<const FleetMember *>
+FleetGroups::contacts(const std::function<bool(const FleetMember &)> &isReporting) const
 {
-    std::vector<std::uint64_t> speaking;
-    for (std::size_t i = 0; i < mates_.size(); ++i) {
-        if (speaks(*mates_[i])) {
-            speaking.push_back(mateHashes_[i]);
+    std::vector<std::uint64_t> reporting;
+    for (std::size_t i = 0; i < peers_.size(); ++i) {
+        if (isReporting(*peers_[i])) {
+            reporting.push_back(peerHashes_[i]);
         }
     }
     std::vector<const FleetMember *> chosen;
     for (std::size_t i = 0; i < others_.size(); ++i) {
         const std::uint64_t weight = stableHash(hash_, otherHashes_[i]);
-        const bool isMine = std::none_of(speaking.begin(), speaking.end(), [&](std::uint64_t mate) {
-            return stableHash(mate, otherHashes_[i]) > weight;
+        const bool isMine = std::none_of(reporting.begin(), reporting.end(), [&](std::uint64_t peer) {
+            return stableHash(peer, otherHashes_[i]) > weight;
         });
         if (isMine) {
             chosen.push_back(others_[i]);
--- a/src/gateway/fleetgroups.h
+++ b/src/gateway/fleetgroups.h
@@ -26,22 +26,22 @@
 
     const FleetGroup &own() const;
     /** \brief The other nodes of this node's group. */
-    const std::vector<const FleetMember *> &mates() const;
-    bool isMate(const std::string &name) const;
+    const std::vector<const FleetMember *> &peers() const;
+    bool isPeer(const std::string &name) const;
     /**
      * \brief The nodes of other groups that this node tells of its group.
      *
      * Each of them is told by the node of the group that has the highest rendezvous hash with it of those that speak,
      * so that nodes which disagree about one of them disagree about few others.
-     * \param speaks whether a node of this group is heard.
+     * \param isReporting whether a node of this group is heard.
      */
-    std::vector<const FleetMember *> contacts(const std::function<bool(const FleetMember &)> &speaks) const;
+    std::vector<const FleetMember *> contacts(const std::function<bool(const FleetMember &)> &isReporting) const;
 
 private:
     FleetGroup own_;
     std::uint64_t hash_ = 0; ///< Of this node's name.
-    std::vector<const FleetMember *> mates_;
-    std::vector<std::uint64_t> mateHashes_; ///< Of the names of mates_.
+    std::vector<const FleetMember *> peers_;
+    std::vector<std::uint64_t> peerHashes_; ///< Of the names of peers_.
     std::vector<const FleetMember *> others_; ///< Nodes of other groups.
     std::vector<std::uint64_t> otherHashes_; ///< Of the names of others_.
 };
--- a/test/gateway/fleetgroups.cpp
+++ b/test/gateway/fleetgroups.cpp
@@ -78,7 +78,7 @@
     std::size_t all = 0;
     for (std::size_t i = 0; i < members_.size(); ++i) {
         const FleetGroups own = groupsOf(i);
-        all += own.mates().size() + own.contacts(everyNode).size();
+        all += own.peers().size() + own.contacts(everyNode).size();
     }
     const double nodes = static_cast<double>(members_.size());
     EXPECT_LE(static_cast<double>(all) / nodes, 4.0 * std::sqrt(nodes));
@@ -111,10 +111,10 @@
 {
     for (std::size_t i = 0; i < members_.size(); i += 7) {
         const FleetGroups own = groupsOf(i);
-        for (const FleetMember *mate : own.mates()) {
-            const FleetGroups theirs = groupsOf(static_cast<std::size_t>(mate - members_.data()));
+        for (const FleetMember *peer : own.peers()) {
+            const FleetGroups theirs = groupsOf(static_cast<std::size_t>(peer - members_.data()));
             EXPECT_EQ(theirs.own().name(), own.own().name());
-            EXPECT_TRUE(theirs.isMate(members_[i].name_));
+            EXPECT_TRUE(theirs.isPeer(members_[i].name_));
         }
     }
 }
