--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -21,6 +21,10 @@
         }
     }
     endpoints_[endpoint.id_] = endpoint;
+    const Endpoint *present = findAt(endpoint.address_);
+    if (present == nullptr || present->startedAtMs_ <= endpoint.startedAtMs_) {
+        idsByAddress_[endpoint.address_] = endpoint.id_;
+    }
     rebuild();
     return true;
 }
@@ -36,8 +40,7 @@
         pendingRemovals_.emplace(id, reconnectedAt_ + removalGracePeriod);
         return;
     }
-    pendingRemovals_.erase(id);
-    endpoints_.erase(known);
+    erase(id);
     rebuild();
 }
 
@@ -59,8 +62,7 @@
         }
     }
     for (const std::string &id : removed) {
-        pendingRemovals_.erase(id);
-        endpoints_.erase(id);
+        erase(id);
     }
     if (!removed.empty()) {
         rebuild();
@@ -74,6 +76,12 @@
     return found == endpoints_.end() ? nullptr : &found->second;
 }
 
+const Endpoint *EndpointDirectory::findAt(const std::string &address) const
+{
+    const auto found = idsByAddress_.find(address);
+    return found == idsByAddress_.end() ? nullptr : find(found->second);
+}
+
 const std::vector<const Endpoint *> &EndpointDirectory::ready(const std::string &service) const
 {
     static const std::vector<const Endpoint *> none;
@@ -86,6 +94,17 @@
     return endpoints_.size();
 }
 
+void EndpointDirectory::erase(const std::string &id)
+{
+    pendingRemovals_.erase(id);
+    const auto known = endpoints_.find(id);
+    const auto at = idsByAddress_.find(known->second.address_);
+    if (at != idsByAddress_.end() && at->second == id) {
+        idsByAddress_.erase(at);
+    }
+    endpoints_.erase(known);
+}
+
 void EndpointDirectory::rebuild()
 {
     ready_.clear();
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -30,6 +30,8 @@
     std::vector<std::string> expire();
 
     const Endpoint *find(const std::string &id) const;
+    /** \brief The endpoint at an address that started last, or null. */
+    const Endpoint *findAt(const std::string &address) const;
     /** \brief Endpoints of a service that are not draining. */
     const std::vector<const Endpoint *> &ready(const std::string &service) const;
     std::size_t size() const;
@@ -38,10 +40,12 @@
     static constexpr Duration removalGracePeriod{2'000'000};
 
 private:
+    void erase(const std::string &id);
     void rebuild();
 
     Clock now_;
     std::map<std::string, Endpoint> endpoints_;
+    std::unordered_map<std::string, std::string> idsByAddress_; ///< Of the endpoint at each address that started last.
     std::unordered_map<std::string, Time> pendingRemovals_; ///< End of the grace period, by id.
     std::unordered_map<std::string, std::vector<const Endpoint *>> ready_;
     bool reachable_ = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -250,6 +250,13 @@
     const Endpoint *known = d_->directory_.find(endpoint.id_);
     if (known != nullptr && known->startedAtMs_ != endpoint.startedAtMs_) {
         d_->placement_.forgetCache(endpoint.id_);
+        d_->hooks_.logEvent_("endpoint_ended", {{"endpoint", endpoint.id_}, {"reason", "restarted"}});
+    }
+    const Endpoint *predecessor = d_->directory_.findAt(endpoint.address_);
+    if (predecessor != nullptr && predecessor->id_ != endpoint.id_
+        && predecessor->startedAtMs_ < endpoint.startedAtMs_) {
+        d_->hooks_.logEvent_("endpoint_ended",
+                             {{"endpoint", predecessor->id_}, {"reason", "replaced"}, {"by", endpoint.id_}});
     }
     if (d_->directory_.update(endpoint)) {
         d_->hooks_.logEvent_(endpoint.draining_ ? "endpoint_draining" : "endpoint_learned",
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewaycall.h"
 
 #include "core/numbers.h"
+#include "gateway/requestfingerprint.h"
 
 #include <algorithm>
 
@@ -342,6 +343,7 @@
     gateway_->hooks_.logEvent_("attempt_failed",
                                {{"request", request_->id_},
                                 {"program", request_->program_},
+                                {"content", fingerprintOf(*request_)},
                                 {"endpoint", lastEndpoint_},
                                 {"end", nameOf(ended)},
                                 {"status", head_.status_},
