--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace filbertgw::test {
 
 namespace {
@@ -160,6 +162,32 @@
     return "node" + std::to_string(node);
 }
 
+namespace {
+
+/** Handlers of an attempt that do nothing once its node has been killed. */
+AttemptHandlers handlersWhileAlive(const AttemptHandlers &handlers, const std::shared_ptr<bool> &alive)
+{
+    AttemptHandlers guarded;
+    guarded.onHead_ = [alive, onHead = handlers.onHead_](const AttemptHead &head) {
+        if (*alive) {
+            onHead(head);
+        }
+    };
+    guarded.onPart_ = [alive, onPart = handlers.onPart_](const std::string &part) {
+        if (*alive) {
+            onPart(part);
+        }
+    };
+    guarded.onEnd_ = [alive, onEnd = handlers.onEnd_](AttemptEnd ended) {
+        if (*alive) {
+            onEnd(ended);
+        }
+    };
+    return guarded;
+}
+
+} // namespace
+
 GatewayHooks GatewayRig::hooksOf(std::size_t node)
 {
     const std::string name = nameOfNode(node);
@@ -187,15 +215,22 @@
             });
         }
     };
-    hooks.startAttempt_ = [this](const EndpointAttempt &attempt, AttemptHandlers handlers) {
-        attempts_.push_back(ReceivedAttempt{attempts_.size() + 1, attempt, std::move(handlers)});
-        return attempts_.size();
+    hooks.startAttempt_ = [this, node, alive](const EndpointAttempt &attempt, const AttemptHandlers &handlers) {
+        attempts_.push_back(ReceivedAttempt{attempts_.size() + 1, node, attempt, handlersWhileAlive(handlers, alive)});
+        const std::size_t number = attempts_.size();
+        if (onAttempt_) {
+            onAttempt_(number - 1);
+        }
+        return number;
     };
     hooks.cancelAttempt_ = [this](std::uint64_t attempt) { attempts_.at(attempt - 1).cancelled_ = true; };
     const auto reaches = [this, name](const std::string &other) {
         return isolatedNodes_.count(name) == 0 && isolatedNodes_.count(other) == 0;
     };
     hooks.sendDatagram_ = [this, reaches](const std::string &address, const std::string &datagram) {
+        if (lostDatagrams_ > 0.0 && std::uniform_real_distribution<double>()(random_) < lostDatagrams_) {
+            return;
+        }
         queue_.after(std::chrono::milliseconds(1), [this, reaches, address, datagram] {
             for (std::size_t i = 0; i < nodes_.size(); ++i) {
                 if (nodes_[i] && nameOfNode(i) == address && reaches(address)) {
@@ -290,6 +325,29 @@
     }
 }
 
+void GatewayRig::setEndpoint(const Endpoint &endpoint)
+{
+    const auto sameId = [&endpoint](const Endpoint &other) { return other.id_ == endpoint.id_; };
+    endpoints_.erase(std::remove_if(endpoints_.begin(), endpoints_.end(), sameId), endpoints_.end());
+    endpoints_.push_back(endpoint);
+    for (const std::unique_ptr<Gateway> &node : nodes_) {
+        if (node) {
+            node->updateEndpoint(endpoint);
+        }
+    }
+}
+
+void GatewayRig::removeEndpoint(const std::string &id)
+{
+    const auto hasId = [&id](const Endpoint &endpoint) { return endpoint.id_ == id; };
+    endpoints_.erase(std::remove_if(endpoints_.begin(), endpoints_.end(), hasId), endpoints_.end());
+    for (const std::unique_ptr<Gateway> &node : nodes_) {
+        if (node) {
+            node->removeEndpoint(id);
+        }
+    }
+}
+
 std::shared_ptr<ClientResponse> GatewayRig::send(std::size_t node, GatewayRequest request)
 {
     const std::shared_ptr<ClientResponse> answer = std::make_shared<ClientResponse>();
--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -30,6 +30,7 @@
 struct ReceivedAttempt
 {
     std::uint64_t number_ = 0;
+    std::size_t node_ = 0;
     EndpointAttempt attempt_;
     AttemptHandlers handlers_;
     bool cancelled_ = false;
@@ -48,6 +49,9 @@
 
     /** \brief Registers endpoints named PREFIX0, PREFIX1 and so on at all nodes. */
     void addEndpoints(const std::string &service, const std::string &prefix, std::size_t count);
+    /** \brief Registers an endpoint, or a new state of it, at all nodes. */
+    void setEndpoint(const Endpoint &endpoint);
+    void removeEndpoint(const std::string &id);
     std::shared_ptr<ClientResponse> send(std::size_t node, GatewayRequest request);
     /** \brief Puts a writer's spending record of a program into the store. */
     void putSpending(const std::string &program, const std::string &writer, const SpendingRecord &record);
@@ -72,6 +76,8 @@
     std::vector<ReceivedAttempt> attempts_;
     std::set<std::string> isolatedNodes_; ///< Nodes without a connection to any other node.
     std::set<std::string> unresponsiveNodes_; ///< Nodes that do not answer requests of other nodes.
+    double lostDatagrams_ = 0.0; ///< Share of the datagrams that are lost.
+    std::function<void(std::size_t attempt)> onAttempt_; ///< If set, called within the call that starts an attempt.
 
 private:
     GatewayHooks hooksOf(std::size_t node);
--- /dev/null
+++ b/test/gateway/poisonrequests.cpp
@@ -0,0 +1,176 @@
+#include "crashworld.h"
+
+#include <gtest/gtest.h>
+
+namespace filbertgw::test {
+
+namespace {
+
+const char *const poisonBody = "poison";
+
+} // namespace
+
+/** \brief Nodes, their troubles and the kind of a request that crashes endpoints. */
+struct PoisonCase
+{
+    const char *name_;
+    std::size_t nodes_;
+    RouteKind kind_;
+    std::uint32_t maxAttempts_;
+    std::function<void(CrashWorld &world)> trouble_; ///< Runs for as long as the client tries again.
+};
+
+class PoisonRequest : public testing::TestWithParam<PoisonCase>
+{
+};
+
+// Guards against a request that ends one endpoint after the other because each new attempt of its client starts afresh.
+TEST_P(PoisonRequest, IsSentToNoEndpointOnceItHasEndedThree)
+{
+    CrashWorldSettings settings;
+    settings.nodes_ = GetParam().nodes_;
+    settings.kind_ = GetParam().kind_;
+    settings.maxAttempts_ = GetParam().maxAttempts_;
+    CrashWorld world(settings);
+    world.startPoison(poisonBody);
+    GetParam().trouble_(world);
+    EXPECT_GE(world.crashes(poisonBody), 3);
+    EXPECT_LE(world.lateAttempts(poisonBody), 3);
+}
+
+namespace {
+
+void runCalmly(CrashWorld &world)
+{
+    world.run(std::chrono::seconds(20));
+}
+
+void restartEachNode(CrashWorld &world)
+{
+    for (std::size_t round = 0; round < 2; ++round) {
+        for (std::size_t node = 0; node < world.rig_.nodes_.size(); ++node) {
+            world.run(std::chrono::milliseconds(1'500));
+            world.restartNode(node);
+        }
+    }
+    world.run(std::chrono::seconds(10));
+}
+
+void loseAllNodes(CrashWorld &world)
+{
+    world.run(std::chrono::seconds(4));
+    for (std::size_t node = 0; node < world.rig_.nodes_.size(); ++node) {
+        world.restartNode(node);
+    }
+    world.run(std::chrono::seconds(12));
+}
+
+void loseDatagrams(CrashWorld &world)
+{
+    world.rig_.lostDatagrams_ = 0.5;
+    world.run(std::chrono::seconds(15));
+}
+
+void separateNodes(CrashWorld &world)
+{
+    for (std::size_t node = 0; node < world.rig_.nodes_.size(); ++node) {
+        world.isolateNode(node, true);
+    }
+    world.run(std::chrono::seconds(15));
+}
+
+void takeStoreAway(CrashWorld &world)
+{
+    world.rig_.store_.down_ = true;
+    world.run(std::chrono::seconds(12));
+    world.rig_.store_.down_ = false;
+    world.run(std::chrono::seconds(8));
+}
+
+} // namespace
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         PoisonRequest,
+                         testing::Values(PoisonCase{"OneNode", 1, RouteKind::Streaming, 1, runCalmly},
+                                         PoisonCase{"Streaming", 5, RouteKind::Streaming, 1, runCalmly},
+                                         PoisonCase{"ResumableStream", 5, RouteKind::Streaming, 3, runCalmly},
+                                         PoisonCase{"Idempotent", 5, RouteKind::Idempotent, 3, runCalmly},
+                                         PoisonCase{"NonIdempotent", 5, RouteKind::NonIdempotent, 1, runCalmly},
+                                         PoisonCase{"LargeFleet", 195, RouteKind::Streaming, 1, runCalmly},
+                                         PoisonCase{
+                                             "LargeFleetLosesDatagrams", 60, RouteKind::Streaming, 1, loseDatagrams},
+                                         PoisonCase{"NodesRestart", 5, RouteKind::Streaming, 1, restartEachNode},
+                                         PoisonCase{"AllNodesLost", 5, RouteKind::Streaming, 1, loseAllNodes},
+                                         PoisonCase{"DatagramsLost", 5, RouteKind::Streaming, 1, loseDatagrams},
+                                         PoisonCase{"NodesSeparated", 5, RouteKind::Streaming, 1, separateNodes},
+                                         PoisonCase{"StoreAway", 5, RouteKind::Streaming, 1, takeStoreAway}),
+                         [](const testing::TestParamInfo<PoisonCase> &info) { return info.param.name_; });
+
+/** \brief Troubles beside which ordinary requests run. */
+struct BystanderCase
+{
+    const char *name_;
+    CrashWorldSettings settings_;
+    int poisons_; ///< Poison requests that are sent over and over.
+    Duration crashInterval_; ///< An endpoint ends by itself so often; 0 for never.
+    int perThousandRefused_; ///< Ordinary requests that may be refused as if they ended endpoints.
+};
+
+class BystanderRequest : public testing::TestWithParam<BystanderCase>
+{
+};
+
+// Guards against ordinary requests that are refused because they ran beside a poison request or on unstable endpoints.
+TEST_P(BystanderRequest, IsNotRefusedAsPoison)
+{
+    CrashWorld world(GetParam().settings_);
+    for (int i = 0; i < GetParam().poisons_; ++i) {
+        world.startPoison("poison" + std::to_string(i));
+    }
+    const Duration step = GetParam().crashInterval_ > Duration{0} ? GetParam().crashInterval_ : std::chrono::seconds(1);
+    for (Duration passed{0}; passed < std::chrono::seconds(20); passed += step) {
+        world.run(step);
+        if (GetParam().crashInterval_ > Duration{0}) {
+            world.crashAny();
+        }
+    }
+    world.stopArrivals();
+    world.run(std::chrono::seconds(5));
+    const OrdinaryResult &ordinary = world.ordinary();
+    EXPECT_LE(ordinary.quarantined_ * 1000, ordinary.sent_ * GetParam().perThousandRefused_);
+    EXPECT_GE(ordinary.served_ * 100, ordinary.sent_ * 98);
+}
+
+namespace {
+
+CrashWorldSettings ordinaryLoad(RouteKind kind, bool areAlike, double brokenShare)
+{
+    CrashWorldSettings settings;
+    settings.kind_ = kind;
+    settings.ordinaryPerSecond_ = 300.0;
+    settings.areAlike_ = areAlike;
+    settings.brokenShare_ = brokenShare;
+    return settings;
+}
+
+} // namespace
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    BystanderRequest,
+    testing::Values(
+        BystanderCase{"OnePoison", ordinaryLoad(RouteKind::Streaming, false, 0.0), 1, Duration{0}, 0},
+        BystanderCase{"FivePoisons", ordinaryLoad(RouteKind::Streaming, false, 0.0), 5, Duration{0}, 2},
+        BystanderCase{"BrokenAnswers", ordinaryLoad(RouteKind::Streaming, false, 0.2), 0, Duration{0}, 0},
+        BystanderCase{
+            "UnstableEndpoints", ordinaryLoad(RouteKind::Streaming, false, 0.0), 0, std::chrono::milliseconds(250), 2},
+        BystanderCase{
+            "AlikeRequests", ordinaryLoad(RouteKind::Idempotent, true, 0.0), 0, std::chrono::milliseconds(500), 0},
+        BystanderCase{"BrokenAnswersOnUnstableEndpoints",
+                      ordinaryLoad(RouteKind::Streaming, false, 0.1),
+                      0,
+                      std::chrono::milliseconds(500),
+                      2}),
+    [](const testing::TestParamInfo<BystanderCase> &info) { return info.param.name_; });
+
+} // namespace filbertgw::test
