Take no trailer for a header of an answer

A trailer could so claim that a request was not run, or that an endpoint leaves. TrailersAreNoHeaders fails without the change (seen) and passes with it; test_net's HTTP cases pass.

--- a/src/net/httpanswerparser.cpp
+++ b/src/net/httpanswerparser.cpp
@@ -28,6 +28,9 @@
 
 void HttpAnswerParser::on_field_impl(http::field, StringView name, StringView value, Error &)
 {
+    if (is_header_done()) {
+        return; // A trailer: the head has been judged without it.
+    }
     std::string key(name);
     std::transform(key.begin(), key.end(), key.begin(), [](unsigned char c) { return std::tolower(c); });
     head_.headers_.insert_or_assign(std::move(key), std::string(value));
--- a/test/net/http.cpp
+++ b/test/net/http.cpp
@@ -339,6 +339,23 @@
     EXPECT_EQ(results_[0].body_, "right");
 }
 
+// Guards against a trailer that is taken for a header, for example one that says that the request was not run.
+TEST_F(HttpFixture, TrailersAreNoHeaders)
+{
+    RawListener listener;
+    HttpCall next = call("POST", "/", "body");
+    next.address_ = "127.0.0.1:" + std::to_string(listener.port());
+    client_.start(next);
+    runUntil([this, &listener] {
+        listener.serve(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 1\r\n\r\n2\r\nhi\r\n0\r\nX-Late: 1\r\n\r\n", false);
+        return results_.size() == 1;
+    });
+    EXPECT_EQ(results_[0].outcome_, HttpOutcome::Complete);
+    EXPECT_EQ(results_[0].headers_.count("x-id"), 1U);
+    EXPECT_EQ(results_[0].headers_.count("x-late"), 0U);
+}
+
 // Guards against a call that may be sent once only and meets a pooled connection that the server is closing.
 TEST_F(HttpFixture, UsesAFreshConnectionIfAsked)
 {
