Send nothing more to an endpoint that says it leaves

So far only the registry decided. The directory now retires the incarnation at the first such answer: success, failure, refusal, broken or unsigned answer, stream head, cache list, probe. A later start under the same id is another incarnation. Another value than 1 says nothing.

The same is done for an incarnation whose address answers 421: it has ended, and its entry stays in the registry for up to three heartbeats, during which each new request met the 421 again.

Not done: nodes don't tell each other.

--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -1,5 +1,7 @@
 #include "gateway/endpointdirectory.h"
 
+#include <iterator>
+
 namespace filbertgw {
 
 EndpointDirectory::EndpointDirectory(Clock now)
@@ -52,10 +54,20 @@
     reachable_ = reachable;
 }
 
+bool EndpointDirectory::retire(const std::string &incarnation)
+{
+    if (!retired_.emplace(incarnation, now_()).second) {
+        return false;
+    }
+    rebuild();
+    return true;
+}
+
 std::vector<std::string> EndpointDirectory::expire()
 {
     std::vector<std::string> removed;
     const Time now = now_();
+    expireRetired(now);
     for (const std::pair<const std::string, Time> &entry : pendingRemovals_) {
         if (entry.second <= now) {
             removed.push_back(entry.first);
@@ -70,6 +82,22 @@
     return removed;
 }
 
+void EndpointDirectory::expireRetired(Time now)
+{
+    if (retired_.empty()) {
+        return;
+    }
+    for (const std::pair<const std::string, Endpoint> &entry : endpoints_) {
+        const auto retired = retired_.find(entry.second.incarnation());
+        if (retired != retired_.end()) {
+            retired->second = now;
+        }
+    }
+    for (auto entry = retired_.begin(); entry != retired_.end();) {
+        entry = now - entry->second > retiredMemory ? retired_.erase(entry) : std::next(entry);
+    }
+}
+
 const Endpoint *EndpointDirectory::find(const std::string &id) const
 {
     const auto found = endpoints_.find(id);
@@ -109,7 +137,7 @@
 {
     ready_.clear();
     for (const std::pair<const std::string, Endpoint> &entry : endpoints_) {
-        if (!entry.second.draining_) {
+        if (!entry.second.draining_ && retired_.count(entry.second.incarnation()) == 0) {
             ready_[entry.second.service_].push_back(&entry.second);
         }
     }
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -26,20 +26,29 @@
     bool update(const Endpoint &endpoint);
     void remove(const std::string &id);
     void setRegistryReachable(bool reachable);
+    /**
+     * \brief An incarnation gets no further requests, whatever the registry says: it leaves, or has been replaced.
+     *
+     * \return true if this was not known.
+     */
+    bool retire(const std::string &incarnation);
     /** \brief Removes entries whose grace period has passed. \return their ids. */
     std::vector<std::string> expire();
 
     const Endpoint *find(const std::string &id) const;
     /** \brief The endpoint at an address that started last, or null. */
     const Endpoint *findAt(const std::string &address) const;
-    /** \brief Endpoints of a service that are not draining. */
+    /** \brief Endpoints of a service that are not draining and not retired. */
     const std::vector<const Endpoint *> &ready(const std::string &service) const;
     std::size_t size() const;
 
     /** Time after the registry became reachable during which removed entries are kept. */
     static constexpr Duration removalGracePeriod{2'000'000};
+    /** Time for which a retired incarnation is remembered after its entry was last there. */
+    static constexpr Duration retiredMemory{600'000'000};
 
 private:
+    void expireRetired(Time now);
     void erase(const std::string &id);
     void rebuild();
 
@@ -48,6 +57,7 @@
     std::unordered_map<std::string, std::string> idsByAddress_; ///< Of the endpoint at each address that started last.
     std::unordered_map<std::string, Time> pendingRemovals_; ///< End of the grace period, by id.
     std::unordered_map<std::string, std::vector<const Endpoint *>> ready_;
+    std::unordered_map<std::string, Time> retired_; ///< When the incarnation was last registered or was retired.
     bool reachable_ = false;
     Time reconnectedAt_{0};
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -254,6 +254,13 @@
                       {"programs", ledger_.programCount()}});
 }
 
+void Gateway::Private::retireEndpoint(const std::string &incarnation, const char *reason)
+{
+    if (!incarnation.empty() && directory_.retire(incarnation)) {
+        hooks_.logEvent_("endpoint_retired", {{"endpoint", incarnation}, {"reason", reason}});
+    }
+}
+
 void Gateway::Private::maintainCrashes()
 {
     crashDetector_.expire();
@@ -363,6 +370,11 @@
     }
 }
 
+void Gateway::endpointLeaves(const Endpoint &endpoint)
+{
+    d_->retireEndpoint(endpoint.incarnation(), "leaving");
+}
+
 void Gateway::setRegistryReachable(bool reachable)
 {
     d_->directory_.setRegistryReachable(reachable);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -96,6 +96,8 @@
     void setRouting(std::shared_ptr<const RoutingTable> table);
     void updateEndpoint(const Endpoint &endpoint);
     void removeEndpoint(const std::string &id);
+    /** \brief An endpoint has said, outside of a request's answer, that it leaves. */
+    void endpointLeaves(const Endpoint &endpoint);
     void setRegistryReachable(bool reachable);
 
     void onRequest(GatewayRequest request, std::shared_ptr<HttpReply> reply);
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -302,12 +302,22 @@
     }
     headReceived_ = true;
     head_ = head;
+    if (head.isLeaving_) {
+        gateway_->retireEndpoint(head.wrongInstance_ ? successorOf(endpoint_) : incarnation_, "leaving");
+    }
     const bool isStream = route_->kind_ == RouteKind::Streaming && head.status_ / 100 == 2;
     if (isStream && head.fromEndpoint_ && !head.notRun_ && step_ == Step::Running) {
         startRelay();
     }
 }
 
+std::string GatewayCall::successorOf(const std::string &endpoint) const
+{
+    const Endpoint *former = gateway_->directory_.find(endpoint);
+    const Endpoint *successor = former != nullptr ? gateway_->directory_.findAt(former->address_) : nullptr;
+    return successor != nullptr && successor != former ? successor->incarnation() : std::string();
+}
+
 void GatewayCall::releaseEndpoint(AttemptEnd ended)
 {
     if (!endpoint_.empty()) {
@@ -333,6 +343,7 @@
     const bool refused = ended == AttemptEnd::Complete && (head_.notRun_ || head_.wrongInstance_);
     if (refused) {
         if (head_.wrongInstance_) {
+            gateway_->retireEndpoint(incarnation_, "replaced");
             gateway_->crashDetector_.endpointEnded(incarnation_, CrashEvidence::Replaced);
         }
         head_.wrongInstance_ ? gateway_->placement_.failed(endpoint) : gateway_->placement_.refusedAsFull(endpoint);
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -51,6 +51,8 @@
     /** \brief True if the request has ended too many endpoints to be sent to another one. */
     bool isQuarantined();
     const std::string &fingerprint();
+    /** \brief The incarnation that now has the address of an endpoint; empty if it is not registered yet. */
+    std::string successorOf(const std::string &endpoint) const;
     /** \brief An endpoint has answered the request. */
     void reportAnswered();
     void send(const Endpoint &endpoint);
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -21,6 +21,8 @@
 
     /** \brief Expires stale state and polls engine caches; schedules itself again. */
     void runHousekeeping();
+    /** \brief Sends nothing more to an incarnation; does nothing if it is empty. */
+    void retireEndpoint(const std::string &incarnation, const char *reason);
     /** \brief Forgets old crashes, deletes them from the store if that is up to this node, and stores missing ones. */
     void maintainCrashes();
     /** \brief Logs when the ledger becomes current or outdated. */
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -81,6 +81,7 @@
     bool notRun_ = false; ///< The endpoint states that it did not execute the request.
     bool fromEndpoint_ = false; ///< The answer carries the endpoint's response stamp.
     bool wrongInstance_ = false; ///< Another incarnation now answers at this address.
+    bool isLeaving_ = false; ///< The endpoint that answers is about to end and must not get further requests.
     std::map<std::string, std::string> headers_; ///< Headers to pass to the client.
 };
 
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -234,6 +234,7 @@
     std::map<std::string, std::string> headers_;
     bool fromEndpoint_;
     bool notRun_;
+    bool isLeaving_ = false;
 };
 
 class AnswerHead : public testing::TestWithParam<HeadCase>
@@ -246,6 +247,7 @@
     const AttemptHead head = decodeHead(HttpHead{GetParam().status_, GetParam().headers_}, "id1");
     EXPECT_EQ(head.fromEndpoint_, GetParam().fromEndpoint_);
     EXPECT_EQ(head.notRun_, GetParam().notRun_);
+    EXPECT_EQ(head.isLeaving_, GetParam().isLeaving_);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -264,7 +266,16 @@
                  {{"x-filbertgw-attempt-id", "id1"}, {"x-filbertgw-response-stamp", "s"}, {"content-encoding", "gzip"}},
                  false,
                  false},
-        HeadCase{"NotRun", 503, {{"x-filbertgw-not-executed", "1"}}, false, true}),
+        HeadCase{"NotRun", 503, {{"x-filbertgw-not-executed", "1"}}, false, true},
+        HeadCase{"Leaving", 200, {{"server-leaving", "1"}}, false, false, true},
+        HeadCase{"LeavingWithARefusal",
+                 503,
+                 {{"x-filbertgw-not-executed", "1"}, {"server-leaving", "1"}},
+                 false,
+                 true,
+                 true},
+        HeadCase{"Staying", 200, {{"server-leaving", "0"}}, false, false},
+        HeadCase{"EmptyLeaving", 200, {{"server-leaving", ""}}, false, false}),
     [](const testing::TestParamInfo<HeadCase> &info) { return info.param.name_; });
 
 // Guards against an attempt that names no instance or more time than is left.
