Cut a stream that no endpoint goes on with

What callers see: a stream breaks off, may be resumed, and the next attempt fails, times out or finds no endpoint. The call then tried to send a whole answer behind the head of the stream, which the connection drops: the client waited until it gave up. Cause: whether the client already has the head was read from the step of the call, which goes back to Placing and Running for the next attempt. It is a member of its own now. Class: an answer of the second attempt judged as if it were the first.

--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -352,7 +352,7 @@
         return;
     }
     ++runs_;
-    if (ended == AttemptEnd::Complete && head_.fromEndpoint_ && step_ == Step::Running) {
+    if (ended == AttemptEnd::Complete && head_.fromEndpoint_ && step_ == Step::Running && !isRelayStarted_) {
         gateway_->placement_.succeeded(endpoint);
         gateway_->placement_.observeRequestTime(endpoint, gateway_->hooks_.now_() - sentAt_);
         reportAnswered();
@@ -401,7 +401,7 @@
         place();
         return;
     }
-    if (step_ == Step::Relaying) {
+    if (isRelayStarted_) {
         abortResponse("endpoint_broke_off");
         return;
     }
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -127,6 +127,7 @@
     std::uint32_t runs_ = 0; ///< Attempts that the endpoint may have executed.
     std::uint32_t sends_ = 0; ///< Attempts, refused ones included.
     BudgetGrant grant_;
+    bool isRelayStarted_ = false; ///< The client has the head of a stream: it can only be completed or cut.
     std::uint64_t relayedEvents_ = 0; ///< Sent to the client, over all attempts.
     std::string lastEventId_;
     std::string output_; ///< Data of the events, collected if the turn is retained.
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -38,6 +38,7 @@
 void GatewayCall::startRelay()
 {
     step_ = Step::Relaying;
+    isRelayStarted_ = true;
     const std::string contentType = relayHeaders();
     reply_->startStream(head_.status_, contentType);
 }
@@ -153,7 +154,7 @@
         return;
     }
     const int status = statusOf(reason);
-    if (step_ == Step::Relaying) {
+    if (isRelayStarted_) {
         abortResponse("no_endpoint_to_resume");
         return;
     }
@@ -186,7 +187,7 @@
     if (step_ == Step::Ended) {
         return;
     }
-    if (step_ == Step::Relaying || step_ == Step::Storing) {
+    if (isRelayStarted_) {
         abortResponse("timed_out_midway");
         return;
     }
--- a/test/gateway/calls.cpp
+++ b/test/gateway/calls.cpp
@@ -179,6 +179,54 @@
     EXPECT_EQ(client->body_, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: half\n\n");
 }
 
+/** \brief What happens to a stream that broke off and is to be resumed. */
+struct ResumeCase
+{
+    const char *name_;
+    std::function<void(GatewayRig &rig)> happens_;
+};
+
+class StreamToResume : public testing::TestWithParam<ResumeCase>
+{
+};
+
+// Guards against a client that waits for the rest of a stream that no endpoint goes on with.
+TEST_P(StreamToResume, IsCutIfNoEndpointGoesOn)
+{
+    GatewayRig rig(1, {streamingRoute(false, 2, true)});
+    rig.addEndpoints("engines", "e", 2);
+    const std::shared_ptr<ClientResponse> client = rig.send(0, turn("t1", "p", "p"));
+    rig.run(shortWait);
+    rig.stream(0, {"a"}, false);
+    GetParam().happens_(rig);
+    rig.run(std::chrono::seconds(4));
+    EXPECT_TRUE(client->aborted_);
+    EXPECT_FALSE(client->ended_);
+    EXPECT_EQ(client->body_, "id: 1\ndata: a\n\n");
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         StreamToResume,
+                         testing::Values(ResumeCase{"NoEndpointIsLeft",
+                                                    [](GatewayRig &rig) {
+                                                        rig.removeEndpoint("e0");
+                                                        rig.removeEndpoint("e1");
+                                                        rig.end(0, AttemptEnd::Broken);
+                                                    }},
+                                         ResumeCase{"NextAttemptBreaksOff",
+                                                    [](GatewayRig &rig) {
+                                                        rig.end(0, AttemptEnd::Broken);
+                                                        rig.end(1, AttemptEnd::Broken);
+                                                    }},
+                                         ResumeCase{"NextEndpointFails",
+                                                    [](GatewayRig &rig) {
+                                                        rig.end(0, AttemptEnd::Broken);
+                                                        rig.answer(1, 500, "failed");
+                                                    }},
+                                         ResumeCase{"NextEndpointSaysNothing",
+                                                    [](GatewayRig &rig) { rig.end(0, AttemptEnd::Broken); }}),
+                         [](const testing::TestParamInfo<ResumeCase> &info) { return info.param.name_; });
+
 // Guards against an incomplete stream that looks complete to the client.
 TEST(Streams, BrokenStreamThatMayNotBeResumedIsCutVisibly)
 {
