--- a/test/gateway/calls.cpp
+++ b/test/gateway/calls.cpp
@@ -74,6 +74,17 @@
     EXPECT_EQ(client->status_, 502);
 }
 
+// Guards against a failure of an endpoint that reaches the client with another status or body.
+TEST(Calls, FailureOfAnEndpointIsPassedOnAsItIs)
+{
+    GatewayRig rig(1, {plainRoute(RouteKind::NonIdempotent, 1)});
+    rig.addEndpoints("services", "s", 1);
+    const std::shared_ptr<ClientResponse> client = rig.send(0, plainRequest("r1"));
+    rig.answer(0, 507, "no room");
+    EXPECT_EQ(client->status_, 507);
+    EXPECT_EQ(client->body_, "no room");
+}
+
 // Guards against a request that waits until its deadline although its service has no endpoint.
 TEST(Calls, WithoutEndpointsAreRefusedAtOnce)
 {
--- a/test/net/http.cpp
+++ b/test/net/http.cpp
@@ -339,6 +339,24 @@
     EXPECT_EQ(results_[0].body_, "right");
 }
 
+// Guards against a request that is sent where the server still awaits the rest of an earlier request's body.
+TEST_F(HttpFixture, ConnectionWithAnUnsentBodyIsNotReused)
+{
+    RawListener listener;
+    address_ = "127.0.0.1:" + std::to_string(listener.port());
+    const std::string longBody = "body" + std::string(16 * 1024 * 1024, 'x');
+    for (const std::string &body : {longBody, std::string("body")}) {
+        client_.start(call("POST", "/", body));
+        const std::size_t before = results_.size();
+        runUntil([this, &listener, before] {
+            listener.serve("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false);
+            return results_.size() > before;
+        });
+        EXPECT_EQ(results_.back().outcome_, HttpOutcome::Complete);
+        EXPECT_FALSE(results_.back().reused_);
+    }
+}
+
 // Guards against a trailer that is taken for a header, for example one that says that the request was not run.
 TEST_F(HttpFixture, TrailersAreNoHeaders)
 {
