Delete no keys because of newest records older than the last read

Keys are deleted only up to its own end, and one that ends before the last read makes nothing current; reading goes on from there by offset. OlderSnapshotDeletesNothingAndIsNotCurrent fails before (seen: the key is gone, the state is current) and passes now; 51 cases of tails, ledger, budgets and retention pass.

--- a/bench/fakes/fakestore.cpp
+++ b/bench/fakes/fakestore.cpp
@@ -14,6 +14,11 @@
     return fields + record.key_.size() + (record.value_ ? (record.value_->size() + 2) / 3 * 4 : 0);
 }
 
+std::string nameOf(const PartitionId &id)
+{
+    return id.stream_ + '/' + std::to_string(id.partition_);
+}
+
 } // namespace
 } // namespace internal
 
@@ -24,7 +29,7 @@
 
 FakeStore::Partition &FakeStore::partition(const PartitionId &id)
 {
-    return partitions_[id.stream_ + '/' + std::to_string(id.partition_)];
+    return partitions_[internal::nameOf(id)];
 }
 
 bool FakeStore::isReachable(const std::string &node) const
@@ -80,7 +85,8 @@
 StorePage FakeStore::newestPage(const PartitionId &id, const std::string &after)
 {
     StorePage page;
-    const Partition &from = partition(id);
+    const auto frozen = frozen_.find(internal::nameOf(id));
+    const Partition &from = frozen == frozen_.end() ? partition(id) : frozen->second;
     page.status_ = StoreStatus::Ok;
     page.end_ = from.records_.size();
     std::size_t bytes = 0;
@@ -94,6 +100,11 @@
     return page;
 }
 
+void FakeStore::freezeNewest(bool frozen)
+{
+    frozen_ = frozen ? partitions_ : std::map<std::string, Partition>();
+}
+
 bool FakeStore::exceeds(Rate &rate, std::uint64_t most)
 {
     if (queue_.now() - rate.second_ >= Duration{1'000'000}) {
--- a/bench/fakes/fakestore.h
+++ b/bench/fakes/fakestore.h
@@ -38,6 +38,8 @@
     void put(const PartitionId &to, const std::string &key, const std::optional<std::string> &value);
     /** \brief Deletes all records that are not the newest of their key; readers behind the end are told so. */
     void trim();
+    /** \brief From now on the newest records are read as they are now, until false is set. Reads by offset are not. */
+    void freezeNewest(bool frozen);
     std::size_t appends() const;
     /** \brief Keys that have a value, in all streams whose names begin so. */
     std::size_t keys(const std::string &streams) const;
@@ -82,6 +84,7 @@
 
     EventQueue &queue_;
     std::map<std::string, Partition> partitions_;
+    std::map<std::string, Partition> frozen_; ///< By partition; what the newest records are read from, unless empty.
     std::size_t appends_ = 0;
     Time sendingUntil_{0}; ///< When the answers that are queued have been sent.
     Rate reads_;
--- a/src/store/streamtail.cpp
+++ b/src/store/streamtail.cpp
@@ -124,7 +124,7 @@
     firstValidPageCall_ = lastPageCall_ + 1;
     if (pageAfter_.empty()) {
         // The pages are not a consistent snapshot: changes after the first page are read again as records.
-        snapshotEnd_ = std::max(page.end_, position_);
+        snapshotEnd_ = page.end_;
         rebuildStarted_ = sent;
         snapshotKeys_.clear();
     }
@@ -138,8 +138,12 @@
         return;
     }
     pageAfter_.clear();
-    position_ = snapshotEnd_;
-    currentAsOf_ = rebuildStarted_;
+    // A snapshot from before the last read says nothing about what was appended since.
+    const bool isOutdated = snapshotEnd_ < position_;
+    if (!isOutdated) {
+        position_ = snapshotEnd_;
+        currentAsOf_ = rebuildStarted_;
+    }
     complete_ = true;
     rebuildDue_ = false;
     deliverDeletions();
--- a/test/gateway/streamtail.cpp
+++ b/test/gateway/streamtail.cpp
@@ -157,6 +157,34 @@
     EXPECT_EQ(rig.reachability_, (std::vector<bool>{true, false, true}));
 }
 
+// Guards against keys that vanish, and state that counts as current, because of newest records from before the last
+// read.
+TEST(StreamTail, OlderSnapshotDeletesNothingAndIsNotCurrent)
+{
+    TailRig rig;
+    rig.store_.put(rig.partition_, "kept", "a");
+    rig.tail_->start();
+    rig.run(std::chrono::seconds(1));
+    rig.store_.freezeNewest(true);
+    rig.store_.put(rig.partition_, "new", "b");
+    rig.run(std::chrono::seconds(1));
+    ASSERT_EQ(rig.records_.count("new"), 1U);
+    rig.store_.refuses_["n"] = true;
+    rig.run(std::chrono::seconds(1));
+    rig.store_.put(rig.partition_, "kept", "c");
+    rig.store_.put(rig.partition_, "kept", "d");
+    rig.store_.trim();
+    rig.store_.refuses_["n"] = false;
+    const Time regained = rig.queue_.now();
+    rig.run(std::chrono::seconds(2));
+    EXPECT_EQ(rig.records_["new"], "b");
+    EXPECT_LT(rig.tail_->currentAsOf(), regained);
+    rig.store_.freezeNewest(false);
+    rig.run(std::chrono::seconds(2));
+    EXPECT_EQ(rig.records_, (std::map<std::string, std::string>{{"kept", "d"}, {"new", "b"}}));
+    EXPECT_GT(rig.tail_->currentAsOf(), regained);
+}
+
 // Guards against state that counts as current while the store can't be read.
 TEST(StreamTail, CurrentOnlyAsOfTheLastRead)
 {
