Decide turns only when older reservations are known

Callers' programs that loop could get more than their budget after the store had forgotten its history: while the newest records are read again, in the order of their keys, a turn was decided at its node's own record, before older ones of other writers.

Records read by offset decide at once, as before.

--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace filbertgw {
@@ -34,6 +36,13 @@
     std::function<void(BudgetDecision)> onDecision_;
 };
 
+/** \brief A record of this node, as it was read. */
+struct OwnRecord
+{
+    SpendingRecord record_;
+    std::uint64_t offset_ = 0;
+};
+
 } // namespace
 } // namespace internal
 
@@ -46,7 +55,8 @@
     bool awaitsPeerRecords() const;
     bool mayRunUnrecorded(const TurnReservation &turn, std::uint64_t unrecorded) const;
     void recordPeerGrants();
-    void onSpending(const std::string &key, const std::optional<std::string> &value);
+    void onSpending(const KeyedRecord &read);
+    void decideSnapshotTurns();
     Duration batchDelay() const;
     void scheduleFlush(Duration delay);
     void flush();
@@ -65,6 +75,7 @@
     std::vector<KeyedRecord> otherRecords_; ///< Deletions and records of other writers for the next batch.
     std::deque<internal::WaitingTurn> waiting_; ///< Turns whose reservation has not been sent yet.
     std::deque<internal::WaitingTurn> sent_; ///< Turns whose reservation has been sent but not read back yet.
+    std::map<std::string, internal::OwnRecord> ownInSnapshot_; ///< By program; not decided by yet.
     std::unique_ptr<BatchAppender> appender_;
     std::vector<std::pair<std::string, SpendingRecord>> ownInBatch_; ///< Own spending in the current batch, by program.
     Time firstReachedAt_{0}; ///< When the store was reached for the first time.
@@ -87,7 +98,7 @@
         return;
     }
     if (record.key_[0] == internal::spendingPrefix) {
-        onSpending(record.key_.substr(1), record.value_);
+        onSpending(record);
     }
 }
 
@@ -142,8 +153,10 @@
     scheduleFlush(batchDelay());
 }
 
-void ProgramLedger::Private::onSpending(const std::string &key, const std::optional<std::string> &value)
+void ProgramLedger::Private::onSpending(const KeyedRecord &read)
 {
+    const std::string key = read.key_.substr(1);
+    const std::optional<std::string> &value = read.value_;
     const std::size_t slash = key.rfind('/');
     if (slash == std::string::npos) {
         return;
@@ -159,11 +172,30 @@
             spending_.markDirty(program);
             scheduleFlush(batchDelay());
         }
+    } else if (record && tail_->isReadingSnapshot()) {
+        ownInSnapshot_[program] = internal::OwnRecord{*record, read.offset_};
     } else if (record) {
+        ownInSnapshot_.erase(program);
         decideTurns(program, *record);
     }
 }
 
+/**
+ * Decides the turns whose reservations were read among the newest records, where older reservations of other writers
+ * may follow. They are decided once all records before their own have been reported.
+ */
+void ProgramLedger::Private::decideSnapshotTurns()
+{
+    const std::map<std::string, internal::OwnRecord> read = std::exchange(ownInSnapshot_, {});
+    for (const std::pair<const std::string, internal::OwnRecord> &own : read) {
+        if (own.second.offset_ < tail_->position()) {
+            decideTurns(own.first, own.second.record_);
+        } else {
+            ownInSnapshot_.insert(own);
+        }
+    }
+}
+
 Duration ProgramLedger::Private::batchDelay() const
 {
     const std::size_t nodes = hooks_.nodes_ ? hooks_.nodes_() : 1;
@@ -367,6 +399,7 @@
     tail.store_ = d_->hooks_.store_;
     tail.onReachable_ = [d = d_.get()](bool reachable) { d->onReachable(reachable); };
     tail.onRecord_ = [d = d_.get()](const KeyedRecord &record) { d->onRecord(record); };
+    tail.onAdvanced_ = [d = d_.get()] { d->decideSnapshotTurns(); };
     StreamTailSettings tailSettings;
     tailSettings.partition_ = PartitionId{internal::ledgerStream, d_->settings_.partition_};
     tailSettings.pause_ = d_->settings_.readPause_;
--- a/src/store/streamtail.cpp
+++ b/src/store/streamtail.cpp
@@ -22,6 +22,7 @@
     void setReachable(bool reachable);
     void deliver(const KeyedRecord &record);
     void deliverDeletions();
+    void reportAdvance() const;
 
     StreamTailHooks hooks_;
     StreamTailSettings settings_;
@@ -147,9 +148,17 @@
     complete_ = true;
     rebuildDue_ = false;
     deliverDeletions();
+    reportAdvance();
     read();
 }
 
+void StreamTail::Private::reportAdvance() const
+{
+    if (hooks_.onAdvanced_) {
+        hooks_.onAdvanced_();
+    }
+}
+
 /** Reports the deletion of keys whose deleting records the store has trimmed. */
 void StreamTail::Private::deliverDeletions()
 {
@@ -251,6 +260,7 @@
     if (position_ >= page.end_) {
         currentAsOf_ = std::max(currentAsOf_, sent);
     }
+    reportAdvance();
 }
 
 void StreamTail::Private::startRebuild()
@@ -290,6 +300,11 @@
     }
 }
 
+bool StreamTail::isReadingSnapshot() const
+{
+    return !d_->complete_ || d_->rebuildDue_;
+}
+
 std::uint64_t StreamTail::position() const
 {
     return d_->position_;
--- a/src/store/streamtail.h
+++ b/src/store/streamtail.h
@@ -16,6 +16,7 @@
     RecordStore store_;
     std::function<void(const KeyedRecord &)> onRecord_; ///< A record without a value deletes its key.
     std::function<void(bool reachable)> onReachable_; ///< Called when this changes.
+    std::function<void()> onAdvanced_; ///< All records before position() have been reported; may be empty.
 };
 
 /** \brief Partition and timing of a StreamTail. */
@@ -54,7 +55,9 @@
     void start();
     /** \brief Reads immediately instead of after the pause. */
     void readNow();
-    /** \brief Offset after the last reported record. */
+    /** \brief True while the newest records are read, which are not reported in the order of their offsets. */
+    bool isReadingSnapshot() const;
+    /** \brief Offset up to which all records have been reported. */
     std::uint64_t position() const;
     /** \brief True once the newest record of each key has been read. */
     bool isComplete() const;
