--- a/test/gateway/budget.cpp
+++ b/test/gateway/budget.cpp
@@ -518,4 +518,40 @@
     EXPECT_LE(rig.store_.appends() - before, 2 * maxAppends);
 }
 
+/** \brief A fleet in which one node's appends take long. */
+struct SlowWriterCase
+{
+    const char *name_;
+    std::size_t nodes_;
+};
+
+class SlowWriter : public testing::TestWithParam<SlowWriterCase>
+{
+};
+
+// Guards against a budget that is spent a second time because a turn that runs is not recorded yet.
+TEST_P(SlowWriter, TurnsThatItHasNotRecordedCountAtOtherNodes)
+{
+    constexpr std::uint64_t turnTokens = 300;
+    constexpr std::uint64_t budget = 1000;
+    const std::size_t nodes = GetParam().nodes_;
+    GatewayRig rig(nodes, {streamingRoute(false, 1, false)}, std::size_t{1});
+    rig.addEndpoints("engines", "e", 4);
+    rig.appendDelays_["node0"] = std::chrono::seconds(3);
+    rig.send(0, turn("first", "p", "p"));
+    ASSERT_EQ(rig.attempts_.size(), 1U);
+    rig.run(std::chrono::milliseconds(900));
+    for (std::size_t i = 1; i <= 6; ++i) {
+        rig.send(i % (nodes - 1) + 1, turn("t" + std::to_string(i), "p", "sub-agent" + std::to_string(i)));
+        rig.run(std::chrono::milliseconds(200));
+    }
+    EXPECT_LE(rig.attempts_.size() * turnTokens, budget);
+    EXPECT_EQ(rig.attempts_.size(), budget / turnTokens);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         SlowWriter,
+                         testing::Values(SlowWriterCase{"SmallFleet", 4}, SlowWriterCase{"LargeFleet", 60}),
+                         [](const testing::TestParamInfo<SlowWriterCase> &info) { return info.param.name_; });
+
 } // namespace filbertgw::test
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -205,14 +205,22 @@
     };
     hooks.cancelTimer_ = [](std::uint64_t) {};
     hooks.store_ = store_.access(name);
-    hooks.store_.append_ = [alive, append = hooks.store_.append_](StoreAppend request,
-                                                                  std::function<void(const StoreAppendResult &)> done) {
-        if (*alive) {
-            append(std::move(request), [alive, done = std::move(done)](const StoreAppendResult &result) {
-                if (*alive) {
-                    done(result);
-                }
-            });
+    hooks.store_.append_ = [this, name, alive, append = hooks.store_.append_](
+                               const StoreAppend &request, const std::function<void(const StoreAppendResult &)> &done) {
+        const auto send = [alive, append, request, done] {
+            if (*alive) {
+                append(request, [alive, done](const StoreAppendResult &result) {
+                    if (*alive) {
+                        done(result);
+                    }
+                });
+            }
+        };
+        const auto delay = appendDelays_.find(name);
+        if (delay == appendDelays_.end()) {
+            send();
+        } else {
+            queue_.after(delay->second, send);
         }
     };
     hooks.startAttempt_ = [this, node, alive](const EndpointAttempt &attempt, const AttemptHandlers &handlers) {
--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -76,6 +76,7 @@
     std::vector<ReceivedAttempt> attempts_;
     std::set<std::string> isolatedNodes_; ///< Nodes without a connection to any other node.
     std::set<std::string> unresponsiveNodes_; ///< Nodes that do not answer requests of other nodes.
+    std::map<std::string, Duration> appendDelays_; ///< By node; its appends reach the store so much later.
     double lostDatagrams_ = 0.0; ///< Share of the datagrams that are lost.
     std::function<void(std::size_t attempt)> onAttempt_; ///< If set, called within the call that starts an attempt.
     /** Result of a node's probe of an endpoint; all succeed if it is not set. */
