--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -35,7 +35,7 @@
     bool publishedAlive_ = false; ///< Liveness as last passed to onLivenessChanged_.
     LedgerState ledger_;
     Time reportedAt_{0}; ///< Arrival of the last report that it sent to this node itself.
-    NodeReport report_; ///< That report, without prompt parts, crashes and spending.
+    NodeReport report_; ///< That report, without prompt parts and crashes.
 
     void markHeard(Time now, const LedgerState &ledger)
     {
@@ -91,7 +91,6 @@
     /** By report, the newest last; sent again until all direct targets have got them. */
     std::deque<std::vector<CachedPart>> cachedParts_;
     std::vector<CachedPart> relayedParts_; ///< Reported within the group, not in a summary yet.
-    std::vector<ProgramSpending> relayedSpending_; ///< The same for unrecorded spending.
     Time startedAt_{0};
     Time listCompleteAt_{0}; ///< When the list of nodes was first read to its end.
     bool stopped_ = false;
@@ -225,8 +224,6 @@
     }
     std::vector<CachedPart> &parts = message.report_.cachedParts_;
     parts.insert(parts.end(), relayedParts_.begin(), relayedParts_.end());
-    std::vector<ProgramSpending> &unrecorded = message.report_.unrecorded_;
-    unrecorded.insert(unrecorded.end(), relayedSpending_.begin(), relayedSpending_.end());
     return message;
 }
 
@@ -287,7 +284,6 @@
         send(*target, sum);
     }
     relayedParts_.clear();
-    relayedSpending_.clear();
 }
 
 void Fleet::Private::sendReports()
@@ -319,12 +315,9 @@
     if (groups_ && groups_->isPeer(message.sender_)) {
         relayedParts_.insert(
             relayedParts_.end(), message.report_.cachedParts_.begin(), message.report_.cachedParts_.end());
-        relayedSpending_.insert(
-            relayedSpending_.end(), message.report_.unrecorded_.begin(), message.report_.unrecorded_.end());
     }
     message.report_.cachedParts_.clear();
     message.report_.crashes_.clear();
-    message.report_.unrecorded_.clear();
     sender.reportedAt_ = hooks_.now_();
     sender.report_ = std::move(message.report_);
 }
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -2,8 +2,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-
 namespace filbertgw {
 
 namespace internal {
@@ -16,7 +14,6 @@
 const char *const partsKey = "p";
 const char *const pacesKey = "v";
 const char *const crashesKey = "x";
-const char *const unrecordedKey = "r";
 const char *const groupKey = "g";
 const char *const membersKey = "m";
 const char *const datagramAddressKey = "d";
@@ -81,26 +78,6 @@
     }
 }
 
-void decodeUnrecorded(const nlohmann::json &list, NodeReport &report)
-{
-    for (const nlohmann::json &entry : list) {
-        const bool isSpending = isTuple(entry, 6) && entry[0].is_string() && entry[1].is_string()
-            && std::all_of(entry.begin() + 2, entry.end(), [](const nlohmann::json &number) {
-                                    return number.is_number_unsigned();
-                                });
-        if (isSpending) {
-            ProgramSpending spending;
-            spending.program_ = entry[0].get<std::string>();
-            spending.spending_.writer_ = entry[1].get<std::string>();
-            spending.spending_.tokens_ = entry[2].get<std::uint64_t>();
-            spending.spending_.recorded_ = entry[3].get<std::uint64_t>();
-            spending.spending_.batch_ = entry[4].get<std::uint64_t>();
-            spending.spending_.version_ = entry[5].get<std::uint64_t>();
-            report.unrecorded_.push_back(std::move(spending));
-        }
-    }
-}
-
 std::vector<GroupMember> decodeMembers(const nlohmann::json &list)
 {
     std::vector<GroupMember> members;
@@ -152,19 +129,6 @@
                            {internal::ledgerCurrentKey, message.report_.ledger_.current_},
                            {internal::ledgerCompleteKey, message.report_.ledger_.complete_},
                            {internal::loadKey, load}};
-    if (!message.report_.unrecorded_.empty()) {
-        nlohmann::json unrecorded = nlohmann::json::array();
-        for (const ProgramSpending &entry : message.report_.unrecorded_) {
-            const WriterSpending &spending = entry.spending_;
-            unrecorded.push_back({entry.program_,
-                                  spending.writer_,
-                                  spending.tokens_,
-                                  spending.recorded_,
-                                  spending.batch_,
-                                  spending.version_});
-        }
-        body[internal::unrecordedKey] = std::move(unrecorded);
-    }
     if (!message.report_.crashes_.empty()) {
         nlohmann::json crashes = nlohmann::json::array();
         for (const CrashRecord &crash : message.report_.crashes_) {
@@ -213,9 +177,6 @@
     if (internal::hasArray(body, internal::pacesKey)) {
         internal::decodePaces(body[internal::pacesKey], message.report_);
     }
-    if (internal::hasArray(body, internal::unrecordedKey)) {
-        internal::decodeUnrecorded(body[internal::unrecordedKey], message.report_);
-    }
     if (internal::hasArray(body, internal::crashesKey)) {
         internal::decodeCrashes(body[internal::crashesKey], message.report_);
     }
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -4,7 +4,6 @@
 #include "gateway/crashrecord.h"
 #include "gateway/pacetracker.h"
 #include "gateway/placement.h"
-#include "ledger/spendingtable.h"
 
 #include <cstdint>
 #include <optional>
@@ -38,7 +37,6 @@
     std::vector<CachedPart> cachedParts_; ///< Prompt parts that engines have recently read for it.
     std::vector<ServicePace> paces_; ///< Progress of running programs by service.
     std::size_t nodes_ = 1; ///< Number of nodes that the report covers.
-    std::vector<ProgramSpending> unrecorded_; ///< Spending that the store does not have yet.
     std::vector<CrashRecord> crashes_; ///< What it has learned lately about requests that end endpoints.
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,8 +18,6 @@
 constexpr std::uint64_t housekeepingRunsPerLog = 50;
 /** Time without the store after which a node reports itself as not ready if others can take its connections. */
 constexpr Duration partitionTimeout{1'800'000};
-/** Programs with unrecorded spending in one report; the next report has further ones. */
-constexpr std::size_t maxReportedPrograms = 64;
 /** Name of the state whose holder deletes expired crash records from the store. \sa Fleet::holderOf */
 const char *const crashState = "crashes";
 
@@ -38,10 +36,7 @@
                                  nullptr,
                                  [this] { return fleet_.alive() + 1; },
                                  [this] { return fleet_.allGrantsRecorded(); },
-                                 [this](const std::string &program) {
-                                     budget_.announceSpending(program);
-                                     unrecordedPrograms_.insert(program);
-                                 }},
+                                 [this](const std::string &program) { budget_.announceSpending(program); }},
               settings_.ledger_,
               settings_.ledgerPartitions_)
     , quarantine_(quarantineHooks(), settings_.quarantine_)
@@ -185,7 +180,6 @@
         report.load_ = placement_.localLoad();
         report.cachedParts_ = placement_.takeCachedParts();
         report.paces_ = pace_.localPaces();
-        report.unrecorded_ = takeUnrecorded();
         report.crashes_ = quarantine_.takeAnnouncements();
         return report;
     };
@@ -201,9 +195,6 @@
             [this](const std::pair<std::string, std::uint32_t> &at) { return directory_.find(at.first) != nullptr; });
         placement_.setPeerLoad(source, load, report.nodes_);
         pace_.setPeerPaces(source, report.paces_);
-        for (const ProgramSpending &entry : report.unrecorded_) {
-            ledger_.ledgerOf(entry.program_).applyReport(entry.program_, entry.spending_);
-        }
         for (const CrashRecord &crash : report.crashes_) {
             quarantine_.add(crash);
         }
@@ -263,17 +254,6 @@
                       {"programs", ledger_.programCount()}});
 }
 
-std::vector<ProgramSpending> Gateway::Private::takeUnrecorded()
-{
-    std::vector<ProgramSpending> result;
-    while (!unrecordedPrograms_.empty() && result.size() < internal::maxReportedPrograms) {
-        const std::string program = *unrecordedPrograms_.begin();
-        unrecordedPrograms_.erase(unrecordedPrograms_.begin());
-        result.push_back(ProgramSpending{program, ledger_.ledgerOf(program).grantedSpending(program)});
-    }
-    return result;
-}
-
 void Gateway::Private::retireEndpoint(const std::string &incarnation, const char *reason)
 {
     if (!incarnation.empty() && directory_.retire(incarnation)) {
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -4,7 +4,6 @@
 #include "gateway/gateway.h"
 #include "gateway/relayedstore.h"
 
-#include <set>
 #include <unordered_set>
 
 namespace filbertgw {
@@ -22,8 +21,6 @@
 
     /** \brief Expires stale state and polls engine caches; schedules itself again. */
     void runHousekeeping();
-    /** \brief Returns this node's spending that is slow to be recorded, for the next report to other nodes. */
-    std::vector<ProgramSpending> takeUnrecorded();
     /** \brief Sends nothing more to an incarnation; does nothing if it is empty. */
     void retireEndpoint(const std::string &incarnation, const char *reason);
     /** \brief Cuts the longest unfinished answer if all of them together exceed the limit. */
@@ -73,7 +70,6 @@
     PaceTracker pace_;
     RetryAfterPolicy retryAfter_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
-    std::set<std::string> unrecordedPrograms_; ///< Their spending goes into the next report to other nodes.
     std::size_t bufferedBytes_ = 0; ///< Of the unfinished answers of all calls.
     std::uint64_t housekeepingRuns_ = 0;
     Time lastLedgerCurrent_{0}; ///< When the ledger was last current.
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -553,11 +553,6 @@
     d_->spending_.applyGrant(program, spending);
 }
 
-void ProgramLedger::applyReport(const std::string &program, const WriterSpending &spending)
-{
-    d_->spending_.applyReport(program, spending);
-}
-
 void ProgramLedger::addPending(const std::string &program, std::uint64_t tokens)
 {
     d_->spending_.addOwn(program, tokens);
@@ -569,19 +564,6 @@
     return d_->spending_.nextOwnSpending(program);
 }
 
-WriterSpending ProgramLedger::grantedSpending(const std::string &program)
-{
-    WriterSpending spending = d_->spending_.nextOwnSpending(program);
-    for (const std::deque<internal::WaitingTurn> *queue : {&d_->waiting_, &d_->sent_}) {
-        for (const internal::WaitingTurn &turn : *queue) {
-            if (turn.program_ == program) {
-                spending.tokens_ -= std::min(spending.tokens_, turn.tokens_);
-            }
-        }
-    }
-    return spending;
-}
-
 std::vector<WriterSpending> ProgramLedger::spendingByWriter(const std::string &program)
 {
     return d_->spending_.byWriter(program);
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -134,14 +134,10 @@
     BudgetDecision decideForPeer(const TurnReservation &turn, const WriterSpending &spending);
     /** \brief Counts the reported spending of another node, and records it for that node if necessary. */
     void applyGrant(const std::string &program, const WriterSpending &spending);
-    /** \brief Counts what another node reports to all nodes because it is not recorded yet. */
-    void applyReport(const std::string &program, const WriterSpending &spending);
     /** \brief Counts tokens of a turn that waits for the decision of another node. */
     void addPending(const std::string &program, std::uint64_t tokens);
     /** \brief What this node has spent on a program, as a new version. */
     WriterSpending ownSpending(const std::string &program);
-    /** \brief The same without the reservations that wait for a decision. */
-    WriterSpending grantedSpending(const std::string &program);
     /** \brief What each writer has spent on a program, as far as known. */
     std::vector<WriterSpending> spendingByWriter(const std::string &program);
     /** \brief Writer name of this node. */
--- a/src/ledger/spendingtable.cpp
+++ b/src/ledger/spendingtable.cpp
@@ -100,9 +100,7 @@
     }
     std::uint64_t sum = found->own_ - std::min(found->own_, found->ownRecorded_);
     for (const Writer &other : found->others_) {
-        if (!other.isReportOnly_) {
-            sum += other.spending_.tokens_ - std::min(other.spending_.tokens_, other.spending_.recorded_);
-        }
+        sum += other.spending_.tokens_ - std::min(other.spending_.tokens_, other.spending_.recorded_);
     }
     return sum;
 }
@@ -316,7 +314,6 @@
     entry.spending_.batch_ = record->batch_;
     entry.spending_.allowance_ = record->allowance_;
     entry.hasUnrecordedGrant_ = false;
-    entry.isReportOnly_ = false;
 }
 
 void SpendingTable::applyGrant(const std::string &program, const WriterSpending &spending)
@@ -336,18 +333,6 @@
     entry.spending_ = spending;
     entry.spending_.allowance_ = allowance;
     entry.hasUnrecordedGrant_ = true;
-    entry.isReportOnly_ = false;
-}
-
-void SpendingTable::applyReport(const std::string &program, const WriterSpending &spending)
-{
-    if (spending.writer_ == ownWriter_) {
-        return;
-    }
-    const Writer &before = findOrAddWriter(program, spending.writer_);
-    const bool wasGranted = before.hasUnrecordedGrant_ && !before.isReportOnly_;
-    applyGrant(program, spending);
-    findOrAddWriter(program, spending.writer_).isReportOnly_ = !wasGranted;
 }
 
 void SpendingTable::revokeGrant(const std::string &program, const WriterSpending &spending, std::uint64_t tokens)
@@ -363,7 +348,7 @@
     std::vector<ProgramSpending> result;
     for (const std::pair<const std::string, Program> &entry : programs_) {
         for (const Writer &other : entry.second.others_) {
-            if (other.hasUnrecordedGrant_ && !other.isReportOnly_) {
+            if (other.hasUnrecordedGrant_) {
                 result.push_back(ProgramSpending{entry.first, other.spending_});
             }
         }
--- a/src/ledger/spendingtable.h
+++ b/src/ledger/spendingtable.h
@@ -97,11 +97,9 @@
     applyRecord(const std::string &program, const std::string &writer, const std::optional<SpendingRecord> &record);
     /** \brief Counts spending that is not in the store yet, until a later record of the writer is read. */
     void applyGrant(const std::string &program, const WriterSpending &spending);
-    /** \brief The same for a grant that its writer reports to all nodes, which are not to record it for that writer. */
-    void applyReport(const std::string &program, const WriterSpending &spending);
     /** \brief Removes tokens that a writer has reported and was not granted. */
     void revokeGrant(const std::string &program, const WriterSpending &spending, std::uint64_t tokens);
-    /** \brief Grants of applyGrant() that no record of their writers includes yet. */
+    /** \brief Grants that no record of their writers includes yet. */
     std::vector<ProgramSpending> unrecordedGrants() const;
 
     /** \brief Removes programs that are unused since a time. \return those that this node has recorded. */
@@ -113,7 +111,6 @@
     {
         WriterSpending spending_;
         bool hasUnrecordedGrant_ = false; ///< Includes a grant that is in no record read so far.
-        bool isReportOnly_ = false; ///< The grant is known from a report to all nodes only.
     };
     struct Program
     {
