--- a/src/gateway/budgetcontroller.cpp
+++ b/src/gateway/budgetcontroller.cpp
@@ -82,7 +82,7 @@
 void BudgetController::reserve(const TurnReservation &turn, std::function<void(const BudgetGrant &)> decided)
 {
     if (ledger_.ledgerOf(turn.program_).takeAllowance(turn)) {
-        decided(BudgetGrant{BudgetDecision::Granted, turn.program_, turn.tokens_, {}});
+        decided(BudgetGrant{BudgetDecision::Granted, turn.program_, turn.tokens_, {}, GrantBasis::Allowance});
         return;
     }
     const std::optional<AllowanceHolder> holder =
@@ -116,7 +116,11 @@
     const nlohmann::json body = {{"program", turn.program_}, {"tokens", turn.tokens_}, {"holder", holder.writer_}};
     const auto answered = [this, holder, turn, granted, refused](const std::optional<nlohmann::json> &answer) {
         if (internal::decodeDecision(answer) == BudgetDecision::Granted) {
-            granted(BudgetGrant{BudgetDecision::Granted, turn.program_, turn.tokens_, holder.node_.linkAddress_});
+            granted(BudgetGrant{BudgetDecision::Granted,
+                                turn.program_,
+                                turn.tokens_,
+                                holder.node_.linkAddress_,
+                                GrantBasis::PeerAllowance});
             return;
         }
         const bool hasEnded = answer && answer->is_object() && answer->contains("gone");
@@ -142,15 +146,18 @@
     }
     // Sub-agents run concurrently through several nodes, whose allowances together would use up the budget.
     const bool mayAcquire = turn.isRootAgentTurn_ && response != HolderResponse::Undecided;
-    ledger_.ledgerOf(turn.program_).reserve(turn, mayAcquire, [this, turn, response, decided](BudgetDecision decision) {
+    const GrantBasis basis =
+        ledger_.ledgerOf(turn.program_).isFirstTurn(turn) ? GrantBasis::FirstTurn : GrantBasis::Store;
+    const auto reserved = [this, turn, response, basis, decided](BudgetDecision decision) {
         if (decision == BudgetDecision::Exhausted) {
             refuse(turn, response, decided);
         } else if (decision == BudgetDecision::Unavailable) {
             reserveAtPeer(turn, decided);
         } else {
-            decided(BudgetGrant{decision, turn.program_, turn.tokens_, {}});
+            decided(BudgetGrant{decision, turn.program_, turn.tokens_, {}, basis});
         }
-    });
+    };
+    ledger_.ledgerOf(turn.program_).reserve(turn, mayAcquire, reserved);
 }
 
 void BudgetController::refuse(const TurnReservation &turn, HolderResponse response, const Decided &decided)
@@ -192,7 +199,7 @@
 {
     const BudgetDecision decision = ledger_.ledgerOf(turn.program_).reserveWithoutStore(turn);
     replicateToBackup(turn.program_, [decision, turn, decided] {
-        decided(BudgetGrant{decision, turn.program_, turn.tokens_, {}});
+        decided(BudgetGrant{decision, turn.program_, turn.tokens_, {}, GrantBasis::Coordinator});
     });
 }
 
@@ -258,8 +265,11 @@
         if (withClaim && !isOwnReservation) {
             ledger_.ledgerOf(turn.program_).settle(turn.program_, turn.tokens_, 0);
         }
-        decided(
-            BudgetGrant{decision, turn.program_, turn.tokens_, isOwnReservation ? std::string() : member.linkAddress_});
+        decided(BudgetGrant{decision,
+                            turn.program_,
+                            turn.tokens_,
+                            isOwnReservation ? std::string() : member.linkAddress_,
+                            isOwnReservation ? GrantBasis::Coordinator : GrantBasis::Peer});
     };
     hooks_.askPeer_(member.linkAddress_, internal::reserveType, body, internal::decisionTimeout, answered);
 }
--- a/src/gateway/budgetcontroller.h
+++ b/src/gateway/budgetcontroller.h
@@ -14,6 +14,31 @@
 
 namespace filbertgw {
 
+/** \brief What a granted turn relies on. */
+enum class GrantBasis : std::uint8_t {
+    None, ///< Not granted.
+    Allowance, ///< Tokens that this node has reserved before.
+    PeerAllowance, ///< Tokens that another node has reserved before.
+    FirstTurn, ///< Nothing is known to be spent; the reservation is recorded while the turn runs.
+    Store, ///< A reservation that this node has recorded.
+    Peer, ///< A reservation that another node has recorded.
+    Coordinator, ///< The coordinator's decision without the store.
+};
+
+template<>
+struct NameTable<GrantBasis>
+{
+    static constexpr std::array<std::pair<GrantBasis, std::string_view>, 7> entries{{
+        {GrantBasis::None, "none"},
+        {GrantBasis::Allowance, "allowance"},
+        {GrantBasis::PeerAllowance, "peer_allowance"},
+        {GrantBasis::FirstTurn, "first_turn"},
+        {GrantBasis::Store, "store"},
+        {GrantBasis::Peer, "peer"},
+        {GrantBasis::Coordinator, "coordinator"},
+    }};
+};
+
 /** \brief Tokens that are reserved for a turn, and the node that reserved them. */
 struct BudgetGrant
 {
@@ -21,6 +46,7 @@
     std::string program_;
     std::uint64_t tokens_ = 0;
     std::string holder_; ///< Link address of the node that reserved the tokens; empty for this one.
+    GrantBasis basis_ = GrantBasis::None;
 };
 
 struct BudgetControllerHooks
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -448,6 +448,13 @@
     return d_->tail_->isComplete();
 }
 
+/** Only for the root agent: a program sends many turns of sub-agents at once, also through several nodes, which do not
+ * know of each other's turns yet. */
+bool ProgramLedger::isFirstTurn(const TurnReservation &turn) const
+{
+    return turn.isRootAgentTurn_ && spent(turn.program_) == 0;
+}
+
 bool ProgramLedger::takeAllowance(const TurnReservation &turn)
 {
     return d_->spending_.takeAllowance(turn.program_, turn.tokens_);
@@ -483,6 +490,7 @@
         return;
     }
     const std::uint64_t spentBefore = spent(turn.program_);
+    const bool startsProgram = isFirstTurn(turn);
     const std::uint64_t fromAllowance = d_->spending_.takeWholeAllowance(turn.program_);
     const std::uint64_t tokens = turn.tokens_ - std::min(fromAllowance, turn.tokens_);
     const bool fits = spentBefore + tokens <= turn.budget_;
@@ -491,11 +499,8 @@
         onDecision(fits ? BudgetDecision::Unavailable : BudgetDecision::Exhausted);
         return;
     }
-    // The first turn is granted at once only for the root agent: a program sends many turns of sub-agents at once, also
-    // through several nodes, which do not know of each other's turns yet.
-    const bool isFirstTurn = spentBefore == 0 && turn.isRootAgentTurn_;
     d_->spending_.addOwn(turn.program_, tokens);
-    if (!isFirstTurn) {
+    if (!startsProgram) {
         const Time deadline = d_->hooks_.now_() + d_->settings_.reservationTimeout_;
         d_->waiting_.push_back(
             internal::WaitingTurn{turn.program_, turn.budget_, tokens, fromAllowance, 0, deadline, false, onDecision});
@@ -503,7 +508,7 @@
     if (mayAcquireAllowance) {
         d_->acquireAllowance(turn);
     }
-    if (isFirstTurn) {
+    if (startsProgram) {
         d_->firstTurnWaits_ = true;
         d_->scheduleFlush(d_->batchDelay());
         onDecision(BudgetDecision::Granted);
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -103,6 +103,8 @@
     /** \brief True if the last call to the store succeeded. */
     bool isReachable() const;
 
+    /** \brief True for the first turn of a program, which is granted before its reservation is recorded. */
+    bool isFirstTurn(const TurnReservation &turn) const;
     /** \brief Takes the tokens of a turn from this node's allowance. \return false if it is too small. */
     bool takeAllowance(const TurnReservation &turn);
     /** \brief True while an allowance is being reserved. */
