--- a/test/gateway/budget.cpp
+++ b/test/gateway/budget.cpp
@@ -554,4 +554,48 @@
                          testing::Values(SlowWriterCase{"SmallFleet", 4}, SlowWriterCase{"LargeFleet", 60}),
                          [](const testing::TestParamInfo<SlowWriterCase> &info) { return info.param.name_; });
 
+/** \brief Nodes that receive the first turn of a program, one after the other, while no record is durable yet. */
+struct RepeatedFirstTurnCase
+{
+    const char *name_;
+    std::size_t nodes_;
+    Duration pause_; ///< Between two attempts of the client.
+    std::size_t killedNode_ = 0; ///< Ends after the first attempt; 0 for none.
+};
+
+class RepeatedFirstTurn : public testing::TestWithParam<RepeatedFirstTurnCase>
+{
+};
+
+// Guards against a first turn that its client repeats at other nodes and that each of them grants without a record.
+TEST_P(RepeatedFirstTurn, IsGrantedWithoutARecordByOneNodeOnly)
+{
+    constexpr std::uint64_t turnTokens = 300;
+    constexpr std::uint64_t budget = 1000;
+    const std::size_t nodes = GetParam().nodes_;
+    GatewayRig rig(nodes, {streamingRoute(false, 1, false)}, std::size_t{1});
+    rig.addEndpoints("engines", "e", 4);
+    rig.run(std::chrono::seconds(3));
+    for (std::size_t node = 0; node < nodes; ++node) {
+        rig.appendDelays_["node" + std::to_string(node)] = std::chrono::seconds(6);
+    }
+    for (std::size_t i = 0; i < 6; ++i) {
+        rig.send(i % (nodes - 1) + 1, turn("t" + std::to_string(i), "p", "p"));
+        rig.run(GetParam().pause_);
+        if (i == 0 && GetParam().killedNode_ > 0) {
+            rig.kill(GetParam().killedNode_);
+        }
+    }
+    EXPECT_GE(rig.attempts_.size(), 1U);
+    EXPECT_LE(rig.attempts_.size() * turnTokens, budget + turnTokens);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         RepeatedFirstTurn,
+                         testing::Values(RepeatedFirstTurnCase{"SmallFleet", 7, std::chrono::milliseconds(400)},
+                                         RepeatedFirstTurnCase{"LargeFleet", 60, std::chrono::milliseconds(400)},
+                                         RepeatedFirstTurnCase{"QuickRetries", 12, std::chrono::milliseconds(60)},
+                                         RepeatedFirstTurnCase{"FirstNodeLost", 12, std::chrono::milliseconds(400), 1}),
+                         [](const testing::TestParamInfo<RepeatedFirstTurnCase> &info) { return info.param.name_; });
+
 } // namespace filbertgw::test
