--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -189,6 +189,7 @@
 void GatewayCall::budgetDecided(const BudgetGrant &grant)
 {
     if (grant.decision_ == BudgetDecision::Granted) {
+        grantBasis_ = grant.basis_;
         place();
         return;
     }
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -135,6 +135,7 @@
     std::uint32_t runs_ = 0; ///< Attempts that the endpoint may have executed.
     std::uint32_t sends_ = 0; ///< Attempts, refused ones included.
     BudgetGrant grant_;
+    GrantBasis grantBasis_ = GrantBasis::None; ///< Of the granted turn, for the log.
     std::size_t countedBytes_ = 0; ///< Part of Gateway::Private::bufferedBytes_ that this call has added.
     bool isRelayStarted_ = false; ///< The client has the head of a stream: it can only be completed or cut.
     std::uint64_t relayedEvents_ = 0; ///< Sent to the client, over all attempts.
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -263,7 +263,7 @@
          {"runs", runs_},
          {"events", relayedEvents_},
          {"budget", request_->tokenBudget_.value_or(0)},
-         {"grant", nameOf(grant_.decision_ == BudgetDecision::Granted ? grant_.basis_ : GrantBasis::None)},
+         {"grant", nameOf(grantBasis_)},
          {"content", fingerprint_},
          {"main_line", request_->session_ == request_->program_},
          {"most_tokens", request_->maxOutputTokens_},
