--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -75,6 +75,13 @@
     Duration maxIdleAge_{0}; ///< Pooled connections that were idle for longer are not reused.
 };
 
+/** \brief What an answer says about the rate of requests that its endpoint takes. */
+enum class LimitStatement : std::uint8_t {
+    None, ///< The endpoint names no limit.
+    Named,
+    Unreadable, ///< There is a limit, but its value can't be read.
+};
+
 /** \brief Status and headers of an endpoint's answer. */
 struct AttemptHead
 {
@@ -83,6 +90,8 @@
     bool fromEndpoint_ = false; ///< The answer carries the endpoint's response stamp.
     bool wrongInstance_ = false; ///< Another incarnation now answers at this address.
     bool isLeaving_ = false; ///< The endpoint that answers is about to end and must not get further requests.
+    LimitStatement limit_ = LimitStatement::None;
+    double requestsPerSecond_ = 0.0; ///< Limit on the requests of all nodes together, if limit_ is Named.
     std::map<std::string, std::string> headers_; ///< Headers to pass to the client.
 };
 
