Keep the request limits of endpoints over all nodes

What callers saw: nothing yet; endpoints in need got up to 107 requests in 4 s more than the rule allows (EndpointLimit). Cause: no code read the limit; class: a limit that concerns all nodes and that nothing shares. Change: EndpointLimits. Shares of one limit can be below one request a second for each node, so a few nodes, chosen by rendezvous hashing over the live ones, send to a limited endpoint, two requests a second each, and the others send elsewhere. Load reports carry changes, since a node that sends nothing can't learn of the end. A limit ends after two answers without it and 4 s after the last one with it (with 1 s the case NotInEachAnswer got 15 too many). Where all endpoints have what they take, requests wait 150 ms at most and are refused. A limit of 0 leaves one request in 4 s, which shows its end. Kept connections and retries count, since each send goes through the same place.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -35,7 +35,7 @@
     bool publishedAlive_ = false; ///< Liveness as last passed to onLivenessChanged_.
     LedgerState ledger_;
     Time reportedAt_{0}; ///< Arrival of the last report that it sent to this node itself.
-    NodeReport report_; ///< That report, without prompt parts and crashes.
+    NodeReport report_; ///< That report, without prompt parts, crashes and limits.
 
     void markHeard(Time now, const LedgerState &ledger)
     {
@@ -318,6 +318,7 @@
     }
     message.report_.cachedParts_.clear();
     message.report_.crashes_.clear();
+    message.report_.limits_.clear();
     sender.reportedAt_ = hooks_.now_();
     sender.report_ = std::move(message.report_);
 }
@@ -485,6 +486,17 @@
     return holder == nullptr ? std::nullopt : std::optional<FleetMember>(holder->member_);
 }
 
+bool Fleet::isChosen(const std::string &key, std::size_t count) const
+{
+    const std::uint64_t own = internal::weightOf(d_->settings_.self_, key);
+    std::size_t ahead = 0;
+    for (const std::pair<const std::string, internal::KnownNode> &entry : d_->nodes_) {
+        const bool isAhead = d_->isAlive(entry.second) && internal::weightOf(entry.second.member_, key) > own;
+        ahead += isAhead ? 1 : 0;
+    }
+    return ahead < count;
+}
+
 bool Fleet::isDiscoveryComplete() const
 {
     return d_->listCompleteAt_ != Time{0} && d_->hooks_.now_() - d_->listCompleteAt_ >= d_->settings_.discoveryTime_;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -69,6 +69,8 @@
      * \return nothing if it is this node.
      */
     std::optional<FleetMember> holderOf(const std::string &state) const;
+    /** \brief True if this node is one of \p count live nodes that are chosen for a key by rendezvous hashing. */
+    bool isChosen(const std::string &key, std::size_t count) const;
     /** \brief True once the list of nodes has been read and the live ones have had discoveryTime_ to answer. */
     bool isDiscoveryComplete() const;
     /**
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace filbertgw {
 
 namespace internal {
@@ -14,6 +16,7 @@
 const char *const partsKey = "p";
 const char *const pacesKey = "v";
 const char *const crashesKey = "x";
+const char *const limitsKey = "r";
 const char *const groupKey = "g";
 const char *const membersKey = "m";
 const char *const datagramAddressKey = "d";
@@ -78,6 +81,26 @@
     }
 }
 
+/** An entry is [endpoint, age in milliseconds, requests a second]; the last is null if the limit has ended. */
+void decodeLimits(const nlohmann::json &list, NodeReport &report)
+{
+    constexpr std::uint64_t maxAgeMs = 3'600'000;
+    for (const nlohmann::json &entry : list) {
+        const bool isNotice = isTuple(entry, 3) && entry[0].is_string() && entry[1].is_number_unsigned()
+            && entry[1] <= maxAgeMs && (entry[2].is_null() || (entry[2].is_number() && entry[2] >= 0.0));
+        if (!isNotice) {
+            continue;
+        }
+        RateLimitNotice notice;
+        notice.endpoint_ = entry[0].get<std::string>();
+        notice.age_ = std::chrono::milliseconds(entry[1].get<std::uint64_t>());
+        if (!entry[2].is_null()) {
+            notice.requestsPerSecond_ = entry[2].get<double>();
+        }
+        report.limits_.push_back(std::move(notice));
+    }
+}
+
 std::vector<GroupMember> decodeMembers(const nlohmann::json &list)
 {
     std::vector<GroupMember> members;
@@ -136,6 +159,16 @@
         }
         body[internal::crashesKey] = std::move(crashes);
     }
+    if (!message.report_.limits_.empty()) {
+        nlohmann::json limits = nlohmann::json::array();
+        for (const RateLimitNotice &notice : message.report_.limits_) {
+            const nlohmann::json rate =
+                notice.requestsPerSecond_ ? nlohmann::json(*notice.requestsPerSecond_) : nlohmann::json();
+            const auto ageMs = static_cast<std::uint64_t>(std::max<std::int64_t>(0, notice.age_.count()) / 1000);
+            limits.push_back({notice.endpoint_, ageMs, rate});
+        }
+        body[internal::limitsKey] = std::move(limits);
+    }
     if (message.group_) {
         body[internal::groupKey] = {
             message.group_->domain_, message.group_->index_, message.group_->count_, message.report_.nodes_};
@@ -180,6 +213,9 @@
     if (internal::hasArray(body, internal::crashesKey)) {
         internal::decodeCrashes(body[internal::crashesKey], message.report_);
     }
+    if (internal::hasArray(body, internal::limitsKey)) {
+        internal::decodeLimits(body[internal::limitsKey], message.report_);
+    }
     if (body.contains(internal::groupKey)) {
         message.group_ = internal::decodeGroup(body[internal::groupKey]);
         if (!message.group_) {
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -4,6 +4,7 @@
 #include "gateway/crashrecord.h"
 #include "gateway/pacetracker.h"
 #include "gateway/placement.h"
+#include "gateway/ratelimitnotice.h"
 
 #include <cstdint>
 #include <optional>
@@ -38,6 +39,7 @@
     std::vector<ServicePace> paces_; ///< Progress of running programs by service.
     std::size_t nodes_ = 1; ///< Number of nodes that the report covers.
     std::vector<CrashRecord> crashes_; ///< What it has learned lately about requests that end endpoints.
+    std::vector<RateLimitNotice> limits_; ///< What it has learned lately about limits of endpoints.
 };
 
 /** \brief One of several groups into which the nodes of a failure domain are divided. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,6 +42,7 @@
     , quarantine_(quarantineHooks(), settings_.quarantine_)
     , crashDetector_(crashDetectorHooks(), settings_.crashDetector_)
     , crashStream_(crashStreamHooks(), settings_.ledger_.writer_)
+    , limits_(endpointLimitHooks(), settings_.limits_)
     , fleet_(fleetHooks(), settings_.fleet_)
     , relayedStore_(
           hooks_.store_,
@@ -141,6 +142,20 @@
     return hooks;
 }
 
+EndpointLimitHooks Gateway::Private::endpointLimitHooks()
+{
+    EndpointLimitHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.isChosen_ = [this](const std::string &key, std::size_t count) { return fleet_.isChosen(key, count); };
+    hooks.onLimited_ = [this](const std::string &incarnation, double requestsPerSecond) {
+        hooks_.logEvent_("endpoint_limited", {{"endpoint", incarnation}, {"requests_per_second", requestsPerSecond}});
+    };
+    hooks.onEnded_ = [this](const std::string &incarnation) {
+        hooks_.logEvent_("endpoint_limit_ended", {{"endpoint", incarnation}});
+    };
+    return hooks;
+}
+
 void Gateway::Private::recordCrash(const std::string &incarnation, const std::vector<std::string> &requests)
 {
     std::vector<CrashRecord> records;
@@ -181,6 +196,7 @@
         report.cachedParts_ = placement_.takeCachedParts();
         report.paces_ = pace_.localPaces();
         report.crashes_ = quarantine_.takeAnnouncements();
+        report.limits_ = limits_.takeAnnouncements();
         return report;
     };
 
@@ -198,6 +214,9 @@
         for (const CrashRecord &crash : report.crashes_) {
             quarantine_.add(crash);
         }
+        for (const RateLimitNotice &limit : report.limits_) {
+            limits_.merge(limit);
+        }
         for (const CachedPart &part : report.cachedParts_) {
             if (directory_.find(part.endpoint_) != nullptr) {
                 placement_.addCachedPart(part);
@@ -307,6 +326,7 @@
         placement_.forget(gone);
     }
     placement_.expirePeers();
+    limits_.expire();
     maintainCrashes();
     discoverCaches();
     if (++housekeepingRuns_ % internal::housekeepingRunsPerLog == 0) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/crashdetector.h"
 #include "gateway/crashstream.h"
 #include "gateway/endpointdirectory.h"
+#include "gateway/endpointlimits.h"
 #include "gateway/fleet.h"
 #include "gateway/gatewaytypes.h"
 #include "gateway/pacetracker.h"
@@ -69,8 +70,11 @@
     PaceSettings pace_;
     QuarantineSettings quarantine_;
     CrashDetectorSettings crashDetector_;
+    EndpointLimitSettings limits_;
     RetryAfterSettings retryAfter_;
     Duration endpointRetryDelay_{25'000}; ///< Delay until endpoints that refused as full are tried again.
+    /** Longest time for which a request waits until an endpoint with a request limit takes it. */
+    Duration maxLimitWait_{150'000};
     /** Longest idle time of a pooled connection that may carry a request which must not be repeated. */
     Duration maxReuseIdleTime_{5'000'000};
     Duration maxReuseIdleTimeRepeatable_{15'000'000}; ///< The same for a request that may be repeated.
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -198,7 +198,45 @@
 
 const Endpoint *GatewayCall::chooseEndpoint()
 {
-    return gateway_->placement_.choose(gateway_->directory_.ready(serviceName_), service_, *request_, excluded_);
+    const std::vector<const Endpoint *> &candidates = gateway_->directory_.ready(serviceName_);
+    isLimited_ = !candidates.empty();
+    if (gateway_->limits_.isEmpty()) {
+        isLimited_ = false;
+        return gateway_->placement_.choose(candidates, service_, *request_, excluded_);
+    }
+    const Time now = gateway_->hooks_.now_();
+    std::unordered_set<std::string> excluded = excluded_;
+    nextLimitedSend_.reset();
+    for (const Endpoint *candidate : candidates) {
+        const std::optional<Time> next = gateway_->limits_.nextSend(candidate->incarnation());
+        if (next && *next <= now) {
+            isLimited_ = false;
+            continue;
+        }
+        excluded.insert(candidate->id_);
+        if (next && (!nextLimitedSend_ || *next < *nextLimitedSend_)) {
+            nextLimitedSend_ = next;
+        }
+    }
+    return gateway_->placement_.choose(candidates, service_, *request_, excluded);
+}
+
+void GatewayCall::waitForLimits()
+{
+    const Time now = gateway_->hooks_.now_();
+    if (!limitWaitEndsAt_) {
+        limitWaitEndsAt_ = now + std::min(gateway_->settings_.maxLimitWait_, timeLeft() / 2);
+    }
+    if (!nextLimitedSend_ || *nextLimitedSend_ > *limitWaitEndsAt_ || now >= *limitWaitEndsAt_) {
+        refuse(runs_ > 0 ? RefusalReason::OutcomeUnknown : RefusalReason::EndpointsFull);
+        return;
+    }
+    const Duration wait = std::max(*nextLimitedSend_ - now, gateway_->settings_.endpointRetryDelay_);
+    gateway_->hooks_.after_(wait, [self = shared_from_this()] {
+        if (self->step_ == Step::Placing) {
+            self->place();
+        }
+    });
 }
 
 const std::string &GatewayCall::fingerprint()
@@ -241,6 +279,10 @@
         refuse(RefusalReason::NoEndpoint);
         return;
     }
+    if (isLimited_) {
+        waitForLimits();
+        return;
+    }
     // Every endpoint refused or failed: retry them all while there is enough time left.
     if (timeLeft() < gateway_->settings_.endpointRetryDelay_ * 2) {
         refuse(runs_ > 0 ? RefusalReason::OutcomeUnknown : RefusalReason::EndpointsFull);
@@ -281,6 +323,7 @@
     }
     start_ = gateway_->placement_.started(endpoint, *request_);
     incarnation_ = endpoint.incarnation();
+    gateway_->limits_.sent(incarnation_);
     crashWatch_ = gateway_->crashDetector_.attemptStarted(endpoint, request_);
     AttemptHandlers handlers;
     handlers.onHead_ = [self = shared_from_this()](const AttemptHead &head) { self->headReceived(head); };
@@ -307,6 +350,11 @@
     if (head.isLeaving_) {
         gateway_->retireEndpoint(head.wrongInstance_ ? successorOf(endpoint_) : incarnation_, "leaving");
     }
+    if (head.wrongInstance_) {
+        gateway_->limits_.observe(successorOf(endpoint_), head);
+    } else if (head.fromEndpoint_ || head.notRun_) {
+        gateway_->limits_.observe(incarnation_, head);
+    }
     if (!head.fromEndpoint_ && !head.notRun_ && !head.wrongInstance_) {
         cutAnswer(); // Whatever follows is no answer of the endpoint, and may have no end.
         return;
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -54,6 +54,8 @@
     // Attempts.
     void place();
     const Endpoint *chooseEndpoint();
+    /** \brief Waits for an endpoint whose request limit is used up, or refuses the request. */
+    void waitForLimits();
     /** \brief True if the request has ended too many endpoints to be sent to another one. */
     bool isQuarantined();
     const std::string &fingerprint();
@@ -134,6 +136,9 @@
     std::unordered_set<std::string> excluded_; ///< Endpoints that refused the request or failed.
     std::uint32_t runs_ = 0; ///< Attempts that the endpoint may have executed.
     std::uint32_t sends_ = 0; ///< Attempts, refused ones included.
+    std::optional<Time> nextLimitedSend_; ///< Earliest time at which an endpoint with a request limit takes a request.
+    bool isLimited_ = false; ///< All endpoints have got as many requests as they take.
+    std::optional<Time> limitWaitEndsAt_; ///< Set once the request has waited for such an endpoint.
     BudgetGrant grant_;
     GrantBasis grantBasis_ = GrantBasis::None; ///< Of the granted turn, for the log.
     std::size_t countedBytes_ = 0; ///< Part of Gateway::Private::bufferedBytes_ that this call has added.
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -39,6 +39,7 @@
     QuarantineHooks quarantineHooks();
     CrashDetectorHooks crashDetectorHooks();
     CrashStreamHooks crashStreamHooks();
+    EndpointLimitHooks endpointLimitHooks();
     /** \brief An endpoint ended while it ran these requests for this node. */
     void recordCrash(const std::string &incarnation, const std::vector<std::string> &requests);
     /** \brief Asks the engines of all services for the contents of their caches. */
@@ -62,6 +63,7 @@
     Quarantine quarantine_;
     CrashDetector crashDetector_;
     CrashStream crashStream_;
+    EndpointLimits limits_;
     Fleet fleet_;
     RelayedStore relayedStore_;
     TurnStore turns_;
--- a/test/gateway/endpointlimits.cpp
+++ b/test/gateway/endpointlimits.cpp
@@ -1,5 +1,7 @@
 #include "gatewayrig.h"
 
+#include "gateway/endpointlimits.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -268,4 +270,23 @@
     EXPECT_GE(world.served_, 14 * 5 * 15); // The endpoints are used up to three quarters of their limit.
 }
 
+// Guards against a clock that advances between two questions, by which an endpoint without a limit seemed to have one.
+TEST(EndpointLimits, EndpointsWithoutALimitMayGetRequestsAtAnyTime)
+{
+    Time now{0};
+    EndpointLimitHooks hooks;
+    hooks.now_ = [&now] { return now += std::chrono::microseconds(1); };
+    hooks.isChosen_ = [](const std::string &, std::size_t) { return true; };
+    hooks.onLimited_ = [](const std::string &, double) {};
+    EndpointLimits limits(hooks, EndpointLimitSettings());
+    AttemptHead head;
+    head.limit_ = LimitStatement::Named;
+    head.requestsPerSecond_ = 2.0;
+    limits.observe("limited@1", head);
+    const Time asked = now;
+    EXPECT_LE(limits.nextSend("other@1").value_or(Time::max()), asked);
+    limits.sent("limited@1");
+    EXPECT_GT(limits.nextSend("limited@1").value_or(Time{0}), asked);
+}
+
 } // namespace filbertgw::test
