--- a/test/gateway/fleetmessage.cpp
+++ b/test/gateway/fleetmessage.cpp
@@ -24,6 +24,8 @@
     message.report_.paces_ = {ServicePace{"engines", PaceSums{2.0, 1.0, 3.0}}};
     message.report_.nodes_ = 2;
     message.report_.crashes_ = {CrashRecord{"request", "engine@1", true}};
+    message.report_.limits_ = {RateLimitNotice{"engine@1", 2.5, std::chrono::milliseconds(40)},
+                               RateLimitNotice{"engine@2", std::nullopt, std::chrono::milliseconds(7)}};
     message.group_ = FleetGroup{"domain", 1, 3};
     message.members_ = {GroupMember{"node", LedgerState{true, false}}, GroupMember{"mate", LedgerState{false, true}}};
     message.introduction_ = FleetMember{"node", "datagrams", "links", "domain"};
@@ -41,6 +43,10 @@
     EXPECT_EQ(decoded->report_.nodes_, 2U);
     ASSERT_EQ(decoded->report_.crashes_.size(), 1U);
     EXPECT_TRUE(decoded->report_.crashes_[0].isExcused_);
+    ASSERT_EQ(decoded->report_.limits_.size(), 2U);
+    EXPECT_EQ(decoded->report_.limits_[0].requestsPerSecond_, 2.5);
+    EXPECT_EQ(decoded->report_.limits_[0].age_, std::chrono::milliseconds(40));
+    EXPECT_FALSE(decoded->report_.limits_[1].requestsPerSecond_);
     EXPECT_EQ(decoded->group_->name(), "group domain/1/3");
     EXPECT_EQ(decoded->introduction_->domain_, "domain");
 }
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -278,6 +278,45 @@
         HeadCase{"EmptyLeaving", 200, {{"server-leaving", ""}}, false, false}),
     [](const testing::TestParamInfo<HeadCase> &info) { return info.param.name_; });
 
+/** \brief A limit as an endpoint names it, and what is understood. */
+struct LimitHeaderCase
+{
+    const char *name_;
+    const char *value_; ///< Null without the header.
+    LimitStatement limit_;
+    double requestsPerSecond_;
+};
+
+class LimitHeader : public testing::TestWithParam<LimitHeaderCase>
+{
+};
+
+// Guards against a limit that is misread, or that seems to end because its value can't be read.
+TEST_P(LimitHeader, IsReadAsADecimalNumber)
+{
+    HttpHead head{200, {}};
+    if (GetParam().value_ != nullptr) {
+        head.headers_["server-limit"] = GetParam().value_;
+    }
+    const AttemptHead decoded = decodeHead(head, "id1");
+    EXPECT_EQ(decoded.limit_, GetParam().limit_);
+    EXPECT_EQ(decoded.requestsPerSecond_, GetParam().requestsPerSecond_);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         LimitHeader,
+                         testing::Values(LimitHeaderCase{"Absent", nullptr, LimitStatement::None, 0.0},
+                                         LimitHeaderCase{"Whole", "12", LimitStatement::Named, 12.0},
+                                         LimitHeaderCase{"Fraction", "3.25", LimitStatement::Named, 3.25},
+                                         LimitHeaderCase{"Zero", "0", LimitStatement::Named, 0.0},
+                                         LimitHeaderCase{"Empty", "", LimitStatement::Unreadable, 0.0},
+                                         LimitHeaderCase{"Negative", "-1", LimitStatement::Unreadable, 0.0},
+                                         LimitHeaderCase{"Infinite", "inf", LimitStatement::Unreadable, 0.0},
+                                         LimitHeaderCase{"NotANumber", "nan", LimitStatement::Unreadable, 0.0},
+                                         LimitHeaderCase{"TwoValues", "3, 4", LimitStatement::Unreadable, 0.0},
+                                         LimitHeaderCase{"Word", "3 requests", LimitStatement::Unreadable, 0.0}),
+                         [](const testing::TestParamInfo<LimitHeaderCase> &info) { return info.param.name_; });
+
 // Guards against an attempt that names no instance or more time than is left.
 TEST(EngineProtocol, AttemptCarriesInstanceTimeAndUrgency)
 {
