Let one node run the first turns of a program ahead of their record

What callers saw: by the users' record a program got more tokens than its budget and one turn; RepeatedFirstTurn shows 1,500 to 1,800 of 1,000 and 300. Cause: each node to which a first turn comes grants it at once while no record of the others is read. Class: a limit that one node keeps for something that comes back through others. Change: the first turn is claimed at the program's coordinator (FirstTurnClaims); only the node whose claim stands grants it without a record. Other nodes ask that node, which may grant a second turn ahead of the record, and else reserve in the store. A claim whose turn didn't run is released. Without an answer of the coordinator the turn waits for its record. Ruled out: that the cost of the earlier tries came from claims of turns that didn't run, or of peers that decide. A log line for each claim showed it: the second turn of a program, coming through another node, counts as a first one there, was granted unrecorded before, and waited for the slow store with the claim (163 of 979 claims). SlowWriter's set-up waits 20 ms for its first turn, which now asks the coordinator; its bounds are the same.

--- a/src/gateway/budgetcontroller.cpp
+++ b/src/gateway/budgetcontroller.cpp
@@ -7,10 +7,13 @@
 
 const char *const reserveType = "budget_reserve";
 const char *const spendingType = "budget_note";
+const char *const claimType = "budget_first_turn";
 const char *const settleType = "budget_settle";
 const char *const allowanceType = "budget_allowance";
 /** Limit on the wait for the holder of an allowance. */
 constexpr Duration allowanceTimeout{300'000};
+/** Limit on the wait for the coordinator's answer to a claim; without one the turn waits for its record. */
+constexpr Duration claimTimeout{150'000};
 /** Limit on the wait for another node's decision. */
 constexpr Duration decisionTimeout{900'000};
 /** Limit on the wait for the backup coordinator; a grant is given without its acknowledgement after this. */
@@ -72,10 +75,11 @@
 } // namespace
 } // namespace internal
 
-BudgetController::BudgetController(BudgetControllerHooks hooks, PartitionedLedger &ledger, Fleet &fleet)
+BudgetController::BudgetController(BudgetControllerHooks hooks, Clock now, PartitionedLedger &ledger, Fleet &fleet)
     : hooks_(std::move(hooks))
     , ledger_(ledger)
     , fleet_(fleet)
+    , claims_(std::move(now))
 {
 }
 
@@ -113,7 +117,11 @@
                                          const Decided &granted,
                                          const std::function<void(HolderResponse)> &refused)
 {
-    const nlohmann::json body = {{"program", turn.program_}, {"tokens", turn.tokens_}, {"holder", holder.writer_}};
+    const nlohmann::json body = {{"program", turn.program_},
+                                 {"tokens", turn.tokens_},
+                                 {"budget", turn.budget_},
+                                 {"main_line", turn.isRootAgentTurn_},
+                                 {"holder", holder.writer_}};
     const auto answered = [this, holder, turn, granted, refused](const std::optional<nlohmann::json> &answer) {
         if (internal::decodeDecision(answer) == BudgetDecision::Granted) {
             granted(BudgetGrant{BudgetDecision::Granted,
@@ -144,11 +152,93 @@
         reserveAtPeer(turn, decided);
         return;
     }
-    // Sub-agents run concurrently through several nodes, whose allowances together would use up the budget.
-    const bool mayAcquire = turn.isRootAgentTurn_ && response != HolderResponse::Undecided;
-    const GrantBasis basis =
-        ledger_.ledgerOf(turn.program_).isFirstTurn(turn) ? GrantBasis::FirstTurn : GrantBasis::Store;
-    const auto reserved = [this, turn, response, basis, decided](BudgetDecision decision) {
+    decideAheadOfRecord(turn, decided, [this, turn, response, decided](ReservationOptions options) {
+        // Sub-agents run concurrently through several nodes, whose allowances together would use up the budget.
+        options.mayAcquireAllowance_ = turn.isRootAgentTurn_ && response != HolderResponse::Undecided;
+        reserveInLedger(turn, options, response, decided);
+    });
+}
+
+void BudgetController::decideAheadOfRecord(const TurnReservation &turn,
+                                           const Decided &granted,
+                                           const std::function<void(ReservationOptions)> &undecided)
+{
+    if (!ledger_.ledgerOf(turn.program_).isFirstTurn(turn)) {
+        undecided(ReservationOptions());
+        return;
+    }
+    claimFirstTurn(turn.program_, [this, turn, granted, undecided](const std::string &holder) {
+        ReservationOptions options;
+        options.mayRunUnrecorded_ = holder == ledger_.writer();
+        const std::optional<AllowanceHolder> other =
+            holder.empty() || options.mayRunUnrecorded_ ? std::nullopt : findAliveHolder({holder});
+        if (!other) {
+            undecided(options);
+            return;
+        }
+        requestFromHolder(*other, turn, granted, [undecided, options](HolderResponse) { undecided(options); });
+    });
+}
+
+void BudgetController::claimFirstTurn(const std::string &program,
+                                      const std::function<void(const std::string &holder)> &claimed)
+{
+    const std::optional<FleetMember> coordinator = fleet_.coordinatorOf(program);
+    if (!coordinator || fleet_.isSelf(*coordinator)) {
+        claimed(claims_.claim(program, ledger_.writer()));
+        return;
+    }
+    const auto answered = [claimed](const std::optional<nlohmann::json> &answer) {
+        const bool isAnswer = answer && answer->is_object() && internal::hasString(*answer, "holder");
+        claimed(isAnswer ? (*answer)["holder"].get<std::string>() : std::string());
+    };
+    hooks_.askPeer_(coordinator->linkAddress_,
+                    internal::claimType,
+                    {{"program", program}, {"writer", ledger_.writer()}},
+                    internal::claimTimeout,
+                    answered);
+}
+
+void BudgetController::releaseFirstTurn(const std::string &program)
+{
+    const std::optional<FleetMember> coordinator = fleet_.coordinatorOf(program);
+    if (!coordinator || fleet_.isSelf(*coordinator)) {
+        claims_.release(program, ledger_.writer());
+        return;
+    }
+    hooks_.askPeer_(coordinator->linkAddress_,
+                    internal::claimType,
+                    {{"program", program}, {"writer", ledger_.writer()}, {"release", true}},
+                    internal::claimTimeout,
+                    [](const std::optional<nlohmann::json> &) {});
+}
+
+std::string BudgetController::applyClaim(const std::string &program, const nlohmann::json &body)
+{
+    if (!internal::hasString(body, "writer")) {
+        return {};
+    }
+    const std::string writer = body["writer"].get<std::string>();
+    if (body.contains("release")) {
+        claims_.release(program, writer);
+        return {};
+    }
+    return claims_.claim(program, writer);
+}
+
+void BudgetController::reserveInLedger(const TurnReservation &turn,
+                                       const ReservationOptions &options,
+                                       HolderResponse response,
+                                       const Decided &decided)
+{
+    ProgramLedger &ledger = ledger_.ledgerOf(turn.program_);
+    const bool runsUnrecorded = options.mayRunUnrecorded_ && ledger.isFirstTurn(turn);
+    const GrantBasis basis = runsUnrecorded ? GrantBasis::FirstTurn : GrantBasis::Store;
+    const bool isClaimed = options.mayRunUnrecorded_;
+    const auto reserved = [this, turn, response, basis, isClaimed, decided](BudgetDecision decision) {
+        if (isClaimed && decision != BudgetDecision::Granted) {
+            releaseFirstTurn(turn.program_);
+        }
         if (decision == BudgetDecision::Exhausted) {
             refuse(turn, response, decided);
         } else if (decision == BudgetDecision::Unavailable) {
@@ -157,7 +247,7 @@
             decided(BudgetGrant{decision, turn.program_, turn.tokens_, {}, basis});
         }
     };
-    ledger_.ledgerOf(turn.program_).reserve(turn, mayAcquire, reserved);
+    ledger.reserve(turn, options, reserved);
 }
 
 void BudgetController::refuse(const TurnReservation &turn, HolderResponse response, const Decided &decided)
@@ -265,11 +355,14 @@
         if (withClaim && !isOwnReservation) {
             ledger_.ledgerOf(turn.program_).settle(turn.program_, turn.tokens_, 0);
         }
-        decided(BudgetGrant{decision,
-                            turn.program_,
-                            turn.tokens_,
-                            isOwnReservation ? std::string() : member.linkAddress_,
-                            isOwnReservation ? GrantBasis::Coordinator : GrantBasis::Peer});
+        BudgetGrant grant{decision, turn.program_, turn.tokens_, member.linkAddress_, GrantBasis::Peer};
+        if (isOwnReservation) {
+            grant.holder_.clear();
+            grant.basis_ = GrantBasis::Coordinator;
+        } else if (answer && answer->is_object() && internal::hasString(*answer, "holder")) {
+            grant.holder_ = (*answer)["holder"].get<std::string>();
+        }
+        decided(grant);
     };
     hooks_.askPeer_(member.linkAddress_, internal::reserveType, body, internal::decisionTimeout, answered);
 }
@@ -279,6 +372,9 @@
     if (grant.decision_ != BudgetDecision::Granted) {
         return;
     }
+    if (grant.basis_ == GrantBasis::FirstTurn && used == 0) {
+        releaseFirstTurn(grant.program_);
+    }
     if (grant.holder_.empty()) {
         ledger_.ledgerOf(grant.program_).settle(grant.program_, grant.tokens_, used);
         if (!ledger_.ledgerOf(grant.program_).isCurrent()) {
@@ -300,8 +396,19 @@
                                      const std::function<void(const nlohmann::json &)> &answer)
 {
     if (ledger_.ledgerOf(turn.program_).isCurrent()) {
-        ledger_.ledgerOf(turn.program_).reserve(turn, turn.isRootAgentTurn_, [answer](BudgetDecision decision) {
-            answer({{"decision", nameOf(decision)}, {"durable", true}});
+        const Decided granted = [answer](const BudgetGrant &grant) {
+            answer({{"decision", nameOf(grant.decision_)}, {"durable", true}, {"holder", grant.holder_}});
+        };
+        decideAheadOfRecord(turn, granted, [this, turn, answer](ReservationOptions options) {
+            options.mayAcquireAllowance_ = turn.isRootAgentTurn_;
+            const bool isClaimed = options.mayRunUnrecorded_;
+            ledger_.ledgerOf(turn.program_)
+                .reserve(turn, options, [this, turn, isClaimed, answer](BudgetDecision decision) {
+                    if (isClaimed && decision != BudgetDecision::Granted) {
+                        releaseFirstTurn(turn.program_);
+                    }
+                    answer({{"decision", nameOf(decision)}, {"durable", true}});
+                });
         });
         return;
     }
@@ -345,6 +452,13 @@
     if (ledger_.ledgerOf(turn.program_).takeAllowance(turn)) {
         return {{"decision", nameOf(BudgetDecision::Granted)}};
     }
+    if (internal::hasUnsigned(body, "budget") && body.value("main_line", false)) {
+        turn.budget_ = body["budget"].get<std::uint64_t>();
+        turn.isRootAgentTurn_ = true;
+        if (ledger_.ledgerOf(program).reserveUnrecorded(turn)) {
+            return {{"decision", nameOf(BudgetDecision::Granted)}};
+        }
+    }
     nlohmann::json refusal = {{"decision", nameOf(BudgetDecision::Unavailable)}};
     if (ledger_.ledgerOf(program).hasPendingAllowance(program)) {
         refusal["pending"] = true;
@@ -357,7 +471,7 @@
                                      const std::function<void(const nlohmann::json &)> &answer)
 {
     const bool isKnown = type == internal::reserveType || type == internal::settleType || type == internal::spendingType
-        || type == internal::allowanceType;
+        || type == internal::allowanceType || type == internal::claimType;
     if (!isKnown) {
         return false;
     }
@@ -374,6 +488,10 @@
         answer({{"settled", true}});
         return true;
     }
+    if (type == internal::claimType) {
+        answer({{"holder", applyClaim(program, body)}});
+        return true;
+    }
     if (type == internal::allowanceType) {
         answer(grantFromAllowance(program, body));
         return true;
--- a/src/gateway/budgetcontroller.h
+++ b/src/gateway/budgetcontroller.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_BUDGETCONTROLLER_H
 #define FILBERTGW_GATEWAY_BUDGETCONTROLLER_H
 
+#include "gateway/firstturnclaims.h"
 #include "gateway/fleet.h"
 #include "ledger/partitionedledger.h"
 
@@ -66,7 +67,8 @@
  *
  * The decision is made in the first of these ways that applies:
  * - From an allowance: tokens that this node or another one has reserved in the store for future turns of the program.
- * - In the store, by this node if its ledger is current, else by a node whose ledger is.
+ * - In the store, by this node if its ledger is current, else by a node whose ledger is. The first turn of a program
+ * runs before it is recorded, at one node only, which the program's coordinator decides.
  * - Without the store, if no node reaches it: by the program's coordinator, which must hear of most nodes. It accounts
  *   the tokens that it grants to the requesting node, and replicates them to a backup coordinator.
  *
@@ -77,7 +79,7 @@
 class BudgetController
 {
 public:
-    BudgetController(BudgetControllerHooks hooks, PartitionedLedger &ledger, Fleet &fleet);
+    BudgetController(BudgetControllerHooks hooks, Clock now, PartitionedLedger &ledger, Fleet &fleet);
 
     void reserve(const TurnReservation &turn, std::function<void(const BudgetGrant &)> decided);
     /** \brief Replaces a granted reservation by the tokens that the turn has used. */
@@ -115,6 +117,28 @@
     /** \brief Refuses a turn that does not fit, unless a former holder has got enough unused tokens back. */
     void refuse(const TurnReservation &turn, HolderResponse response, const Decided &decided);
     void reserveInStore(const TurnReservation &turn, HolderResponse response, const Decided &decided);
+    /**
+     * \brief Grants a turn of a program of which no spending is known, if the node of its first turn may do so before
+     * it is recorded; else the turn is to be reserved in the store. \param undecided is called with what this node may
+     * do itself.
+     */
+    void decideAheadOfRecord(const TurnReservation &turn,
+                             const Decided &granted,
+                             const std::function<void(ReservationOptions)> &undecided);
+    /**
+     * \brief Claims the first turn of a program at the coordinator.
+     * \param claimed is called with the writer whose claim stands, or with an empty name if that is not known.
+     */
+    void claimFirstTurn(const std::string &program, const std::function<void(const std::string &holder)> &claimed);
+    /** \brief Gives up a claim whose turn did not run. */
+    void releaseFirstTurn(const std::string &program);
+    /** \brief Reserves a turn in the store. */
+    void reserveInLedger(const TurnReservation &turn,
+                         const ReservationOptions &options,
+                         HolderResponse response,
+                         const Decided &decided);
+    /** \brief Handles the claim of another node, or its release. \return the writer whose claim stands. */
+    std::string applyClaim(const std::string &program, const nlohmann::json &body);
     /** \brief Grants a turn of another node from this node's allowance. */
     nlohmann::json grantFromAllowance(const std::string &program, const nlohmann::json &body);
     void reserveAtPeer(const TurnReservation &turn, const Decided &decided);
@@ -137,6 +161,7 @@
     BudgetControllerHooks hooks_;
     PartitionedLedger &ledger_;
     Fleet &fleet_;
+    FirstTurnClaims claims_; ///< Of the programs that this node coordinates.
     std::set<std::string> endedWriters_; ///< Writers whose node has been restarted since.
 };
 
--- /dev/null
+++ b/src/gateway/firstturnclaims.cpp
@@ -0,0 +1,47 @@
+#include "gateway/firstturnclaims.h"
+
+namespace filbertgw {
+
+namespace internal {
+namespace {
+
+/** Clients repeat a turn for less than this time, and the record of the first one is read by then. */
+constexpr Duration claimLifetime{30'000'000};
+constexpr std::size_t maxClaims = 20'000;
+
+} // namespace
+} // namespace internal
+
+FirstTurnClaims::FirstTurnClaims(Clock now)
+    : now_(std::move(now))
+{
+}
+
+std::string FirstTurnClaims::claim(const std::string &program, const std::string &writer)
+{
+    expire();
+    const auto inserted = writers_.emplace(program, writer);
+    if (inserted.second) {
+        claimed_.emplace_back(now_(), program);
+    }
+    return inserted.first->second;
+}
+
+void FirstTurnClaims::release(const std::string &program, const std::string &writer)
+{
+    const auto claimed = writers_.find(program);
+    if (claimed != writers_.end() && claimed->second == writer) {
+        writers_.erase(claimed);
+    }
+}
+
+void FirstTurnClaims::expire()
+{
+    const Time oldest = now_() - internal::claimLifetime;
+    while (!claimed_.empty() && (claimed_.front().first < oldest || claimed_.size() >= internal::maxClaims)) {
+        writers_.erase(claimed_.front().second);
+        claimed_.pop_front();
+    }
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/gateway/firstturnclaims.h
@@ -0,0 +1,39 @@
+#ifndef FILBERTGW_GATEWAY_FIRSTTURNCLAIMS_H
+#define FILBERTGW_GATEWAY_FIRSTTURNCLAIMS_H
+
+#include "core/time.h"
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace filbertgw {
+
+/**
+ * \brief Which node may run the first turn of a program before it is recorded.
+ *
+ * Kept by the coordinator of the program. Clients repeat a first turn at other nodes, which do not know yet that it
+ * ran; only the first of them may grant it without a record.
+ */
+class FirstTurnClaims
+{
+public:
+    explicit FirstTurnClaims(Clock now);
+
+    /** \brief Claims the first turn for a writer. \return the writer that has claimed it first. */
+    std::string claim(const std::string &program, const std::string &writer);
+    /** \brief The first turn did not run: another writer may claim it. */
+    void release(const std::string &program, const std::string &writer);
+
+private:
+    void expire();
+
+    Clock now_;
+    std::unordered_map<std::string, std::string> writers_; ///< By program.
+    std::deque<std::pair<Time, std::string>> claimed_; ///< Programs by time of their claim, the oldest first.
+};
+
+} // namespace filbertgw
+
+#endif
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -482,7 +482,7 @@
 }
 
 void ProgramLedger::reserve(const TurnReservation &turn,
-                            bool mayAcquireAllowance,
+                            const ReservationOptions &options,
                             const std::function<void(BudgetDecision)> &onDecision)
 {
     if (takeAllowance(turn)) {
@@ -490,7 +490,7 @@
         return;
     }
     const std::uint64_t spentBefore = spent(turn.program_);
-    const bool startsProgram = isFirstTurn(turn);
+    const bool runsUnrecorded = options.mayRunUnrecorded_ && isFirstTurn(turn);
     const std::uint64_t fromAllowance = d_->spending_.takeWholeAllowance(turn.program_);
     const std::uint64_t tokens = turn.tokens_ - std::min(fromAllowance, turn.tokens_);
     const bool fits = spentBefore + tokens <= turn.budget_;
@@ -500,15 +500,15 @@
         return;
     }
     d_->spending_.addOwn(turn.program_, tokens);
-    if (!startsProgram) {
+    if (!runsUnrecorded) {
         const Time deadline = d_->hooks_.now_() + d_->settings_.reservationTimeout_;
         d_->waiting_.push_back(
             internal::WaitingTurn{turn.program_, turn.budget_, tokens, fromAllowance, 0, deadline, false, onDecision});
     }
-    if (mayAcquireAllowance) {
+    if (options.mayAcquireAllowance_) {
         d_->acquireAllowance(turn);
     }
-    if (startsProgram) {
+    if (runsUnrecorded) {
         d_->firstTurnWaits_ = true;
         d_->scheduleFlush(d_->batchDelay());
         onDecision(BudgetDecision::Granted);
@@ -522,6 +522,18 @@
     d_->flush();
 }
 
+bool ProgramLedger::reserveUnrecorded(const TurnReservation &turn)
+{
+    const std::uint64_t inUse = d_->spending_.ownInUseUnrecorded(turn.program_);
+    const bool isSecondTurn = inUse > 0 && inUse <= turn.tokens_;
+    const bool fits = spent(turn.program_) + turn.tokens_ <= turn.budget_;
+    if (!isSecondTurn || !fits || !d_->mayRunUnrecorded(turn, inUse)) {
+        return false;
+    }
+    addPending(turn.program_, turn.tokens_);
+    return true;
+}
+
 BudgetDecision ProgramLedger::reserveWithoutStore(const TurnReservation &turn)
 {
     if (!knowsGrants() || !d_->mayRunUnrecorded(turn, d_->spending_.unrecorded(turn.program_))) {
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -39,6 +39,14 @@
     bool isRootAgentTurn_ = false; ///< False for a turn of a sub-agent. The root agent runs one turn at a time.
 };
 
+/** \brief How a turn is to be reserved. */
+struct ReservationOptions
+{
+    bool mayAcquireAllowance_ = false; ///< Also reserve an allowance for later turns if the budget permits.
+    /** Grant the first turn of a program at once. Only one node may do so for a program, since others don't see it. */
+    bool mayRunUnrecorded_ = false;
+};
+
 /** \brief Dependencies and callbacks of a ProgramLedger. */
 struct ProgramLedgerHooks
 {
@@ -81,9 +89,9 @@
  * which are tokens reserved in advance for later turns. The spending of a program is the sum over all writers, so the
  * records of different nodes never conflict.
  *
- * The first turn of a program starts immediately. Later turns are granted by the node that holds an allowance, without
- * the store. Any other turn waits until its reservation is durable and all records appended before it have been read,
- * so that of two concurrent reservations at least one sees the other.
+ * The first turn of a program may start immediately. Later turns are granted by the node that holds an allowance,
+ * without the store. Any other turn waits until its reservation is durable and all records appended before it have been
+ * read, so that of two concurrent reservations at least one sees the other.
  */
 class ProgramLedger
 {
@@ -103,7 +111,7 @@
     /** \brief True if the last call to the store succeeded. */
     bool isReachable() const;
 
-    /** \brief True for the first turn of a program, which is granted before its reservation is recorded. */
+    /** \brief True for the first turn of a program, as far as known. */
     bool isFirstTurn(const TurnReservation &turn) const;
     /** \brief Takes the tokens of a turn from this node's allowance. \return false if it is too small. */
     bool takeAllowance(const TurnReservation &turn);
@@ -115,13 +123,16 @@
     std::vector<std::string> formerAllowanceHolders(const TurnReservation &turn) const;
     /** \brief Releases all allowances; called when the node stops. */
     void releaseAllowances();
-    /**
-     * \brief Reserves the tokens that a turn may generate. The reservation stands only if the decision is Granted.
-     * \param mayAcquireAllowance also reserves an allowance for later turns of the program if its budget permits.
-     */
+    /** \brief Reserves the tokens that a turn may generate. The reservation stands only if the decision is Granted. */
     void reserve(const TurnReservation &turn,
-                 bool mayAcquireAllowance,
+                 const ReservationOptions &options,
                  const std::function<void(BudgetDecision)> &onDecision);
+    /**
+     * \brief Grants a turn ahead of its record, on the node that has granted the first turn so.
+     *
+     * At most two turns are granted so, since nodes that reserve in the store do not see them.
+     */
+    bool reserveUnrecorded(const TurnReservation &turn);
     /**
      * \brief Decides on a turn of this node from local knowledge, without the store.
      *
--- a/src/ledger/spendingtable.cpp
+++ b/src/ledger/spendingtable.cpp
@@ -171,6 +171,16 @@
     return found != nullptr && found->pendingAllowance_ > 0;
 }
 
+std::uint64_t SpendingTable::ownInUseUnrecorded(const std::string &program) const
+{
+    const Program *found = find(program);
+    if (found == nullptr) {
+        return 0;
+    }
+    const std::uint64_t recorded = found->ownRecorded_ + found->pendingAllowance_ + found->allowance_;
+    return found->own_ - std::min(found->own_, recorded);
+}
+
 bool SpendingTable::takeAllowance(const std::string &program, std::uint64_t tokens)
 {
     const auto found = programs_.find(program);
--- a/src/ledger/spendingtable.h
+++ b/src/ledger/spendingtable.h
@@ -69,6 +69,8 @@
     /** \brief Completes addPendingAllowance(); tokens that were not granted are released. */
     void resolvePendingAllowance(const std::string &program, std::uint64_t tokens, bool granted);
     bool hasPendingAllowance(const std::string &program) const;
+    /** \brief Tokens that turns of this node have used or may use and that are not in the store. */
+    std::uint64_t ownInUseUnrecorded(const std::string &program) const;
     /** \brief Takes the tokens of a turn from the allowance. \return false if it is too small. */
     bool takeAllowance(const std::string &program, std::uint64_t tokens);
     /** \brief Takes the whole allowance. \return its tokens. */
--- a/test/gateway/budget.cpp
+++ b/test/gateway/budget.cpp
@@ -539,8 +539,9 @@
     rig.addEndpoints("engines", "e", 4);
     rig.appendDelays_["node0"] = std::chrono::seconds(3);
     rig.send(0, turn("first", "p", "p"));
+    rig.run(std::chrono::milliseconds(20));
     ASSERT_EQ(rig.attempts_.size(), 1U);
-    rig.run(std::chrono::milliseconds(900));
+    rig.run(std::chrono::milliseconds(880));
     for (std::size_t i = 1; i <= 6; ++i) {
         rig.send(i % (nodes - 1) + 1, turn("t" + std::to_string(i), "p", "sub-agent" + std::to_string(i)));
         rig.run(std::chrono::milliseconds(200));
@@ -598,4 +599,23 @@
                                          RepeatedFirstTurnCase{"FirstNodeLost", 12, std::chrono::milliseconds(400), 1}),
                          [](const testing::TestParamInfo<RepeatedFirstTurnCase> &info) { return info.param.name_; });
 
+// Guards against a second turn that waits for the store because another node has granted the first one without a
+// record.
+TEST(Budget, SecondTurnAtAnotherNodeIsGrantedByTheNodeOfTheFirst)
+{
+    GatewayRig rig(7, {streamingRoute(false, 1, false)}, std::size_t{1});
+    rig.addEndpoints("engines", "e", 4);
+    rig.run(std::chrono::seconds(3));
+    for (std::size_t node = 0; node < rig.nodes_.size(); ++node) {
+        rig.appendDelays_["node" + std::to_string(node)] = std::chrono::seconds(6);
+    }
+    for (std::size_t node = 1; node <= 2; ++node) {
+        GatewayRequest request = turn("t" + std::to_string(node), "p", "p");
+        request.tokenBudget_ = largeBudget;
+        rig.send(node, std::move(request));
+        rig.run(std::chrono::milliseconds(100));
+    }
+    EXPECT_EQ(rig.attempts_.size(), 2U);
+}
+
 } // namespace filbertgw::test
--- a/test/gateway/ledgerload.cpp
+++ b/test/gateway/ledgerload.cpp
@@ -86,16 +86,18 @@
     {
         ++reservations_;
         node.ledgerOf(turn.program_)
-            .reserve(turn, turn.isRootAgentTurn_, [this, &node, turn, then = std::move(then)](BudgetDecision made) {
-                if (made != BudgetDecision::Granted) {
-                    ++notGranted_;
-                    return;
-                }
-                queue_.after(turnTime, [&node, turn, then] {
-                    node.ledgerOf(turn.program_).settle(turn.program_, turn.tokens_, usedTokens);
-                    then();
-                });
-            });
+            .reserve(turn,
+                     ReservationOptions{turn.isRootAgentTurn_, true},
+                     [this, &node, turn, then = std::move(then)](BudgetDecision made) {
+                         if (made != BudgetDecision::Granted) {
+                             ++notGranted_;
+                             return;
+                         }
+                         queue_.after(turnTime, [&node, turn, then] {
+                             node.ledgerOf(turn.program_).settle(turn.program_, turn.tokens_, usedTokens);
+                             then();
+                         });
+                     });
     }
 
     void repeatAtRate(double perSecond, const std::function<void()> &action)
--- a/test/gateway/ledgerrebuild.cpp
+++ b/test/gateway/ledgerrebuild.cpp
@@ -31,7 +31,7 @@
     store.trim(); // The record can no longer be read by its offset.
     std::optional<BudgetDecision> decision;
     const TurnReservation turn{"program", 1'000, 600, false};
-    ledger.reserve(turn, false, [&decision](BudgetDecision made) { decision = made; });
+    ledger.reserve(turn, ReservationOptions(), [&decision](BudgetDecision made) { decision = made; });
     queue.runUntil(std::chrono::seconds(8));
     ASSERT_TRUE(decision);
     EXPECT_NE(*decision, BudgetDecision::Granted);
--- a/test/gateway/partitionedledger.cpp
+++ b/test/gateway/partitionedledger.cpp
@@ -74,7 +74,9 @@
     std::optional<BudgetDecision> reserve(PartitionedLedger &ledger, const TurnReservation &turn)
     {
         std::optional<BudgetDecision> decision;
-        ledger.ledgerOf(turn.program_).reserve(turn, false, [&decision](BudgetDecision made) { decision = made; });
+        ledger.ledgerOf(turn.program_).reserve(turn, ReservationOptions(), [&decision](BudgetDecision made) {
+            decision = made;
+        });
         run(std::chrono::seconds(1));
         return decision;
     }
