Log versions of endpoints and requests that take a stream up

What was missing: neither attempt of the reported ORDER case is in the logs with what tells the hypotheses apart. An endpoint's version wasn't decoded, and a request that takes a stream up looked like any other.

No placement changes.

Tests: RegistryEntry NoVersion and VersionOfAnotherType fail before the change, Ingress.RequestThatTakesAStreamUpIsDecoded too.

--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -49,7 +49,7 @@
     std::vector<std::string> matches;
     for (const std::string &line : lines) {
         const bool isMatch = internal::fieldOf(line, "request") == id || internal::fieldOf(line, "previous") == id
-            || programs.count(internal::fieldOf(line, "program")) > 0;
+            || internal::fieldOf(line, "resumes") == id || programs.count(internal::fieldOf(line, "program")) > 0;
         if (isMatch) {
             matches.push_back(line);
         }
--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -17,7 +17,8 @@
         const Endpoint &old = known->second;
         const bool same = old.service_ == endpoint.service_ && old.address_ == endpoint.address_
             && old.draining_ == endpoint.draining_ && old.slots_ == endpoint.slots_
-            && old.startedAtMs_ == endpoint.startedAtMs_ && old.domain_ == endpoint.domain_;
+            && old.startedAtMs_ == endpoint.startedAtMs_ && old.domain_ == endpoint.domain_
+            && old.version_ == endpoint.version_;
         if (same) {
             return false;
         }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -390,6 +390,7 @@
                              {{"endpoint", endpoint.id_},
                               {"service", endpoint.service_},
                               {"address", endpoint.address_},
+                              {"version", endpoint.version_},
                               {"slots", endpoint.slots_}});
     }
 }
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -323,6 +323,7 @@
     }
     start_ = gateway_->placement_.started(endpoint, *request_);
     incarnation_ = endpoint.incarnation();
+    version_ = endpoint.version_;
     gateway_->limits_.sent(incarnation_);
     crashWatch_ = gateway_->crashDetector_.attemptStarted(endpoint, request_);
     AttemptHandlers handlers;
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -121,6 +121,7 @@
     std::uint64_t attempt_ = 0;
     std::uint64_t crashWatch_ = 0; ///< Of the attempt. \sa CrashDetector::attemptStarted
     std::string incarnation_; ///< Of the endpoint of the attempt.
+    std::string version_; ///< Of the endpoint of the current or most recent attempt.
     AttemptHead head_;
     bool headReceived_ = false;
     std::string responseBody_; ///< Of a response that is not a stream.
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -42,7 +42,8 @@
     std::uint64_t expectedOutputTokens_ = 0; ///< The client's estimate; 0 if it gave none.
     std::vector<PromptPart> prompt_;
     std::string previousTurn_; ///< Id of the turn that this one continues.
-    std::string lastEventId_;
+    std::string lastEventId_; ///< Of the last event that the client has; empty for a new stream.
+    std::string resumes_; ///< Id of the attempt that brought the client the first event of this stream.
     std::string affinityKey_;
 };
 
@@ -53,6 +54,7 @@
     std::string service_;
     std::string address_;
     std::string domain_; ///< Failure domain.
+    std::string version_; ///< Of its software.
     std::uint32_t slots_ = 1;
     bool draining_ = false;
     std::uint64_t startedAtMs_ = 0; ///< Start of this incarnation, in Unix milliseconds; 0 if unknown.
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -103,24 +103,36 @@
     testing::Values(
         EntryCase{
             "Whole",
-            R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":6,"state":"ready","sequence":4,"born":17})",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1","slots":6,"state":"ready","sequence":4,"born":17})",
             true},
-        EntryCase{"Draining",
-                  R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":6,"state":"draining","sequence":4})",
-                  true},
-        EntryCase{"UnknownState",
-                  R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":6,"state":"odd","sequence":4})",
-                  false},
-        EntryCase{"NoAddress", R"({"service":"s","zone":"z","slots":6,"state":"ready","sequence":4})", false},
-        EntryCase{"BadAddress",
-                  R"({"service":"s","address":"nowhere","zone":"z","slots":6,"state":"ready","sequence":4})",
-                  false},
-        EntryCase{"SlotsOfAnotherType",
-                  R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":"6","state":"ready","sequence":4})",
-                  false},
+        EntryCase{
+            "Draining",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1","slots":6,"state":"draining","sequence":4})",
+            true},
+        EntryCase{
+            "UnknownState",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1","slots":6,"state":"odd","sequence":4})",
+            false},
+        EntryCase{
+            "NoAddress", R"({"service":"s","zone":"z","version":"v1","slots":6,"state":"ready","sequence":4})", false},
+        EntryCase{
+            "BadAddress",
+            R"({"service":"s","address":"nowhere","zone":"z","version":"v1","slots":6,"state":"ready","sequence":4})",
+            false},
+        EntryCase{
+            "SlotsOfAnotherType",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1","slots":"6","state":"ready","sequence":4})",
+            false},
         EntryCase{
             "BornOfAnotherType",
-            R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":6,"state":"ready","sequence":4,"born":1.5})",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1","slots":6,"state":"ready","sequence":4,"born":1.5})",
+            false},
+        EntryCase{"NoVersion",
+                  R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":6,"state":"ready","sequence":4})",
+                  false},
+        EntryCase{
+            "VersionOfAnotherType",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":1,"slots":6,"state":"ready","sequence":4})",
             false},
         EntryCase{"Torn", R"({"service":"s","addre)", false},
         EntryCase{"NotAnObject", "7", false},
@@ -176,6 +188,17 @@
     EXPECT_EQ(request->headers_.count("connection"), 0U);
 }
 
+TEST(Ingress, RequestThatTakesAStreamUpIsDecoded)
+{
+    HttpRequest request = clientRequest();
+    request.headers_["last-event-id"] = "12";
+    request.headers_["resumes"] = "id0";
+    const std::optional<GatewayRequest> decoded = decodeRequest(request);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->lastEventId_, "12");
+    EXPECT_EQ(decoded->resumes_, "id0");
+}
+
 class SystemHeader : public testing::TestWithParam<const char *>
 {
 };
