--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -297,6 +297,39 @@
     }
 }
 
+void GatewayRig::publish(const std::function<void(Gateway &)> &change)
+{
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        if (!nodes_[i] || registryCuts_.count(i) != 0) {
+            continue;
+        }
+        const auto delay = registryDelays_.find(i);
+        if (delay == registryDelays_.end()) {
+            change(*nodes_[i]);
+            continue;
+        }
+        queue_.after(delay->second, [this, i, alive = alive_[i], change] {
+            if (*alive && registryCuts_.count(i) == 0) {
+                change(*nodes_[i]);
+            }
+        });
+    }
+}
+
+void GatewayRig::cutRegistry(std::size_t node, bool cut)
+{
+    if (cut) {
+        registryCuts_.insert(node);
+        nodes_[node]->setRegistryReachable(false);
+        return;
+    }
+    registryCuts_.erase(node);
+    for (const std::string &id : removedEndpoints_) {
+        nodes_[node]->removeEndpoint(id);
+    }
+    configure(*nodes_[node]);
+}
+
 void GatewayRig::kill(std::size_t node)
 {
     *alive_[node] = false;
@@ -320,7 +353,9 @@
     settings.fleet_.self_ = FleetMember{name, name, name, "domain" + std::to_string(node % 3)};
     nodes_[node] = std::make_unique<Gateway>(hooksOf(node), settings);
     nodes_[node]->start();
-    configure(*nodes_[node]);
+    if (registryCuts_.count(node) == 0) {
+        configure(*nodes_[node]);
+    }
 }
 
 void GatewayRig::addEndpoints(const std::string &service, const std::string &prefix, std::size_t count)
@@ -345,22 +380,16 @@
     const auto sameId = [&endpoint](const Endpoint &other) { return other.id_ == endpoint.id_; };
     endpoints_.erase(std::remove_if(endpoints_.begin(), endpoints_.end(), sameId), endpoints_.end());
     endpoints_.push_back(endpoint);
-    for (const std::unique_ptr<Gateway> &node : nodes_) {
-        if (node) {
-            node->updateEndpoint(endpoint);
-        }
-    }
+    removedEndpoints_.erase(endpoint.id_);
+    publish([endpoint](Gateway &node) { node.updateEndpoint(endpoint); });
 }
 
 void GatewayRig::removeEndpoint(const std::string &id)
 {
     const auto hasId = [&id](const Endpoint &endpoint) { return endpoint.id_ == id; };
     endpoints_.erase(std::remove_if(endpoints_.begin(), endpoints_.end(), hasId), endpoints_.end());
-    for (const std::unique_ptr<Gateway> &node : nodes_) {
-        if (node) {
-            node->removeEndpoint(id);
-        }
-    }
+    removedEndpoints_.insert(id);
+    publish([id](Gateway &node) { node.removeEndpoint(id); });
 }
 
 std::shared_ptr<ClientResponse> GatewayRig::send(std::size_t node, GatewayRequest request)
--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -52,6 +52,8 @@
     /** \brief Registers an endpoint, or a new state of it, at all nodes. */
     void setEndpoint(const Endpoint &endpoint);
     void removeEndpoint(const std::string &id);
+    /** \brief Cuts a node from the registry, or lets it read the registry again. */
+    void cutRegistry(std::size_t node, bool cut);
     std::shared_ptr<ClientResponse> send(std::size_t node, GatewayRequest request);
     /** \brief Puts a writer's spending record of a program into the store. */
     void putSpending(const std::string &program, const std::string &writer, const SpendingRecord &record);
@@ -76,6 +78,7 @@
     std::vector<ReceivedAttempt> attempts_;
     std::set<std::string> isolatedNodes_; ///< Nodes without a connection to any other node.
     std::set<std::string> unresponsiveNodes_; ///< Nodes that do not answer requests of other nodes.
+    std::map<std::size_t, Duration> registryDelays_; ///< By node; it learns of changes of endpoints so much later.
     std::map<std::string, Duration> appendDelays_; ///< By node; its appends reach the store so much later.
     double lostDatagrams_ = 0.0; ///< Share of the datagrams that are lost.
     std::function<void(std::size_t attempt)> onAttempt_; ///< If set, called within the call that starts an attempt.
@@ -86,12 +89,16 @@
     GatewayHooks hooksOf(std::size_t node);
     void configure(Gateway &gateway);
     std::string nameOfNode(std::size_t node) const;
+    /** \brief Tells all nodes that follow the registry of a change. */
+    void publish(const std::function<void(Gateway &)> &change);
 
     std::vector<std::shared_ptr<bool>> alive_; ///< By node; shared with its hooks, which do nothing after a kill.
     std::vector<Route> routes_;
     TurnStoreSettings turns_;
     std::size_t ledgerPartitions_;
     std::vector<Endpoint> endpoints_;
+    std::set<std::string> removedEndpoints_;
+    std::set<std::size_t> registryCuts_; ///< Nodes that can't read the registry.
     std::mt19937_64 random_{1};
     std::uint64_t starts_ = 0;
     std::uint64_t version_ = 1;
