Resume a stream within one answer only at the version that began it

Cause: placement of a resumed attempt doesn't look at the version. Class of fault: state that one endpoint has begun is taken for state of the service.

Change: a call notes service and version of the endpoint that made the first event (StreamOrigin); from then on only endpoints of that version are eligible. Limits of endpoints count over the eligible ones. If none is ready the answer is cut at once, so that the client can take the stream up while it has time.

Ruled out: asking the endpoint. Engines don't check the version, and an answer doesn't name it.

--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -196,28 +196,40 @@
     refuse(grant.decision_ == BudgetDecision::Exhausted ? RefusalReason::BudgetSpent : RefusalReason::BudgetUnknown);
 }
 
+bool GatewayCall::isEligible(const Endpoint &endpoint) const
+{
+    return !origin_ || endpoint.version_ == origin_->version_;
+}
+
 const Endpoint *GatewayCall::chooseEndpoint()
 {
     const std::vector<const Endpoint *> &candidates = gateway_->directory_.ready(serviceName_);
-    isLimited_ = !candidates.empty();
-    if (gateway_->limits_.isEmpty()) {
-        isLimited_ = false;
+    eligibleEndpoints_ = candidates.size();
+    isLimited_ = false;
+    if (gateway_->limits_.isEmpty() && !origin_) {
         return gateway_->placement_.choose(candidates, service_, *request_, excluded_);
     }
     const Time now = gateway_->hooks_.now_();
     std::unordered_set<std::string> excluded = excluded_;
+    std::size_t limited = 0;
     nextLimitedSend_.reset();
     for (const Endpoint *candidate : candidates) {
+        if (!isEligible(*candidate)) {
+            --eligibleEndpoints_;
+            excluded.insert(candidate->id_);
+            continue;
+        }
         const std::optional<Time> next = gateway_->limits_.nextSend(candidate->incarnation());
         if (next && *next <= now) {
-            isLimited_ = false;
             continue;
         }
+        ++limited;
         excluded.insert(candidate->id_);
         if (next && (!nextLimitedSend_ || *next < *nextLimitedSend_)) {
             nextLimitedSend_ = next;
         }
     }
+    isLimited_ = limited > 0 && limited == eligibleEndpoints_;
     return gateway_->placement_.choose(candidates, service_, *request_, excluded);
 }
 
@@ -275,8 +287,8 @@
         send(*endpoint);
         return;
     }
-    if (gateway_->directory_.ready(serviceName_).empty()) {
-        refuse(RefusalReason::NoEndpoint);
+    if (eligibleEndpoints_ == 0) {
+        refuse(origin_ ? RefusalReason::NoEndpointOfVersion : RefusalReason::NoEndpoint);
         return;
     }
     if (isLimited_) {
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -3,6 +3,7 @@
 
 #include "gateway/eventsplitter.h"
 #include "gateway/gatewayprivate.h"
+#include "gateway/streamorigin.h"
 
 #include <memory>
 #include <string>
@@ -54,6 +55,8 @@
     // Attempts.
     void place();
     const Endpoint *chooseEndpoint();
+    /** \brief True if the endpoint may run the request: if it resumes a stream, the version must be the same. */
+    bool isEligible(const Endpoint &endpoint) const;
     /** \brief Waits for an endpoint whose request limit is used up, or refuses the request. */
     void waitForLimits();
     /** \brief True if the request has ended too many endpoints to be sent to another one. */
@@ -138,7 +141,8 @@
     std::uint32_t runs_ = 0; ///< Attempts that the endpoint may have executed.
     std::uint32_t sends_ = 0; ///< Attempts, refused ones included.
     std::optional<Time> nextLimitedSend_; ///< Earliest time at which an endpoint with a request limit takes a request.
-    bool isLimited_ = false; ///< All endpoints have got as many requests as they take.
+    std::size_t eligibleEndpoints_ = 0; ///< Ready endpoints that may run the request, at the last choice.
+    bool isLimited_ = false; ///< All of them have got as many requests as they take.
     std::optional<Time> limitWaitEndsAt_; ///< Set once the request has waited for such an endpoint.
     BudgetGrant grant_;
     GrantBasis grantBasis_ = GrantBasis::None; ///< Of the granted turn, for the log.
@@ -146,6 +150,7 @@
     bool isRelayStarted_ = false; ///< The client has the head of a stream: it can only be completed or cut.
     std::uint64_t relayedEvents_ = 0; ///< Sent to the client, over all attempts.
     std::string lastEventId_;
+    std::optional<StreamOrigin> origin_; ///< Set once the client has an event of the stream.
     std::string output_; ///< Data of the events, collected if the turn is retained.
 };
 
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -105,6 +105,7 @@
         ++relayedEvents_;
         if (attemptEvents_++ == 0) {
             firstEventAt_ = now;
+            origin_ = StreamOrigin{serviceName_, version_};
             gateway_->hooks_.observe_("first_event_seconds", now - arrivedAt_);
             observeTimeToFirstEvent(now);
         }
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -137,6 +137,7 @@
     TurnUnknown,
     TurnTooLarge,
     NoEndpoint,
+    NoEndpointOfVersion, ///< None runs the version that began the stream.
     EndpointsFull,
     Overloaded,
     Stopping,
@@ -148,7 +149,7 @@
 template<>
 struct NameTable<RefusalReason>
 {
-    static constexpr std::array<std::pair<RefusalReason, std::string_view>, 15> entries{{
+    static constexpr std::array<std::pair<RefusalReason, std::string_view>, 16> entries{{
         {RefusalReason::NoConfiguration, "no_configuration"},
         {RefusalReason::NoRoute, "no_route"},
         {RefusalReason::InvalidRequest, "invalid_request"},
@@ -158,6 +159,7 @@
         {RefusalReason::TurnUnknown, "turn_unknown"},
         {RefusalReason::TurnTooLarge, "turn_too_large"},
         {RefusalReason::NoEndpoint, "no_endpoint"},
+        {RefusalReason::NoEndpointOfVersion, "no_endpoint_of_version"},
         {RefusalReason::EndpointsFull, "endpoints_full"},
         {RefusalReason::Overloaded, "overloaded"},
         {RefusalReason::Stopping, "stopping"},
