Resume a client's stream only at the version that began it, at any node

Cause: the node that gets the client's next attempt doesn't know which version made the events that the client has, and doesn't ask.

Change: StreamOrigins keeps service and version of each attempt that may begin a stream. While the service has several versions, or the node can't be sure that it has one, the origin goes to two other nodes when the attempt is sent, so before its first event. They are chosen by rendezvous hashing of the attempt id, in two failure domains. A node that is asked to resume a stream asks four nodes; if none knows it, the stream began at the only version that the service had for longer than a stream lasts, as far as this node or one of those has followed the registry. Otherwise the request is refused at once, with a status that says that it has not run. With one version nothing is sent, but a node that sees a second one shares the origins of the last seconds.

Ruled out: a version computed from the attempt id (nodes learn of a release at different times), records in the store for each turn (150 appends a second, and an origin is of no use once its stream's deadline has passed).

--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -6,6 +6,7 @@
 
 EndpointDirectory::EndpointDirectory(Clock now)
     : now_(std::move(now))
+    , versions_(now_)
 {
 }
 
@@ -22,7 +23,9 @@
         if (same) {
             return false;
         }
+        versions_.remove(old.service_, old.version_);
     }
+    versions_.add(endpoint.service_, endpoint.version_);
     endpoints_[endpoint.id_] = endpoint;
     const Endpoint *present = findAt(endpoint.address_);
     if (present == nullptr || present->startedAtMs_ <= endpoint.startedAtMs_) {
@@ -53,6 +56,7 @@
         reconnectedAt_ = now_();
     }
     reachable_ = reachable;
+    versions_.setFollowed(reachable);
 }
 
 bool EndpointDirectory::retire(const std::string &incarnation)
@@ -131,9 +135,15 @@
     if (at != idsByAddress_.end() && at->second == id) {
         idsByAddress_.erase(at);
     }
+    versions_.remove(known->second.service_, known->second.version_);
     endpoints_.erase(known);
 }
 
+ServiceVersions EndpointDirectory::versionsOf(const std::string &service, Duration window) const
+{
+    return versions_.versionsOf(service, window);
+}
+
 void EndpointDirectory::rebuild()
 {
     ready_.clear();
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -2,6 +2,7 @@
 #define FILBERTGW_GATEWAY_ENDPOINTDIRECTORY_H
 
 #include "gateway/gatewaytypes.h"
+#include "gateway/versionhistory.h"
 
 #include <map>
 #include <string>
@@ -41,6 +42,8 @@
     /** \brief Endpoints of a service that are not draining and not retired. */
     const std::vector<const Endpoint *> &ready(const std::string &service) const;
     std::size_t size() const;
+    /** \brief Versions of a service that were registered within \p window. */
+    ServiceVersions versionsOf(const std::string &service, Duration window) const;
 
     /** Time after the registry became reachable during which removed entries are kept. */
     static constexpr Duration removalGracePeriod{2'000'000};
@@ -58,6 +61,7 @@
     std::unordered_map<std::string, Time> pendingRemovals_; ///< End of the grace period, by id.
     std::unordered_map<std::string, std::vector<const Endpoint *>> ready_;
     std::unordered_map<std::string, Time> retired_; ///< When the incarnation was last registered or was retired.
+    VersionHistory versions_;
     bool reachable_ = false;
     Time reconnectedAt_{0};
 };
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -497,6 +497,30 @@
     return ahead < count;
 }
 
+std::vector<FleetMember> Fleet::ranked(const std::string &key, std::size_t count) const
+{
+    std::vector<std::pair<std::uint64_t, const FleetMember *>> live;
+    for (const std::pair<const std::string, internal::KnownNode> &entry : d_->nodes_) {
+        if (d_->isAlive(entry.second)) {
+            live.emplace_back(internal::weightOf(entry.second.member_, key), &entry.second.member_);
+        }
+    }
+    std::sort(live.begin(), live.end(), [](const auto &left, const auto &right) { return left.first > right.first; });
+    const auto isInOtherDomain = [&live](const std::pair<std::uint64_t, const FleetMember *> &node) {
+        return node.second->domain_ != live.front().second->domain_;
+    };
+    const auto second = std::find_if(live.begin(), live.end(), isInOtherDomain);
+    if (second != live.end()) {
+        std::rotate(live.begin() + 1, second, second + 1);
+    }
+    live.resize(std::min(live.size(), count));
+    std::vector<FleetMember> nodes;
+    for (const std::pair<std::uint64_t, const FleetMember *> &node : live) {
+        nodes.push_back(*node.second);
+    }
+    return nodes;
+}
+
 bool Fleet::isDiscoveryComplete() const
 {
     return d_->listCompleteAt_ != Time{0} && d_->hooks_.now_() - d_->listCompleteAt_ >= d_->settings_.discoveryTime_;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace filbertgw {
 
@@ -71,6 +72,12 @@
     std::optional<FleetMember> holderOf(const std::string &state) const;
     /** \brief True if this node is one of \p count live nodes that are chosen for a key by rendezvous hashing. */
     bool isChosen(const std::string &key, std::size_t count) const;
+    /**
+     * \brief Up to \p count other live nodes for a key, ranked by rendezvous hashing.
+     *
+     * The second is the first one of another failure domain than the first, if there is one.
+     */
+    std::vector<FleetMember> ranked(const std::string &key, std::size_t count) const;
     /** \brief True once the list of nodes has been read and the live ones have had discoveryTime_ to answer. */
     bool isDiscoveryComplete() const;
     /**
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,6 +44,7 @@
     , crashStream_(crashStreamHooks(), settings_.ledger_.writer_)
     , limits_(endpointLimitHooks(), settings_.limits_)
     , fleet_(fleetHooks(), settings_.fleet_)
+    , origins_(streamOriginsHooks(), settings_.origins_)
     , relayedStore_(
           hooks_.store_,
           BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_},
@@ -156,6 +157,19 @@
     return hooks;
 }
 
+StreamOriginsHooks Gateway::Private::streamOriginsHooks()
+{
+    StreamOriginsHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.after_ = hooks_.after_;
+    hooks.nodesFor_ = [this](const std::string &key, std::size_t count) { return fleet_.ranked(key, count); };
+    hooks.askPeer_ = hooks_.askPeer_;
+    hooks.versionsOf_ = [this](const std::string &service, Duration window) {
+        return directory_.versionsOf(service, window);
+    };
+    return hooks;
+}
+
 void Gateway::Private::recordCrash(const std::string &incarnation, const std::vector<std::string> &requests)
 {
     std::vector<CrashRecord> records;
@@ -327,6 +341,7 @@
     }
     placement_.expirePeers();
     limits_.expire();
+    origins_.update();
     maintainCrashes();
     discoverCaches();
     if (++housekeepingRuns_ % internal::housekeepingRunsPerLog == 0) {
@@ -457,7 +472,7 @@
                             const std::function<void(const nlohmann::json &)> &answer)
 {
     if (!d_->budget_.onPeerRequest(type, body, answer) && !d_->relayedStore_.onPeerRequest(type, body, answer)
-        && !d_->turns_.onPeerRequest(type, body, answer)) {
+        && !d_->turns_.onPeerRequest(type, body, answer) && !d_->origins_.onPeerRequest(type, body, answer)) {
         answer({});
     }
 }
@@ -475,6 +490,7 @@
             {"cached_turn_bytes", d_->turns_.cachedBytes()},
             {"endpoints_placed", d_->placement_.endpoints()},
             {"engines", d_->placement_.engines().state()},
+            {"stream_origins", d_->origins_.size()},
             {"suspected_requests", d_->quarantine_.requests()},
             {"stopping", d_->stopping_}};
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/quarantine.h"
 #include "gateway/retryafterpolicy.h"
 #include "gateway/routingtable.h"
+#include "gateway/streamorigins.h"
 #include "ledger/partitionedledger.h"
 #include "ledger/turnstore.h"
 
@@ -71,6 +72,8 @@
     QuarantineSettings quarantine_;
     CrashDetectorSettings crashDetector_;
     EndpointLimitSettings limits_;
+    StreamOriginsSettings origins_;
+    Duration minStreamLifetime_{10'000'000}; ///< Streams are taken to be resumed for at least this time.
     RetryAfterSettings retryAfter_;
     Duration endpointRetryDelay_{25'000}; ///< Delay until endpoints that refused as full are tried again.
     /** Longest time for which a request waits until an endpoint with a request limit takes it. */
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -62,6 +62,65 @@
         refuse(RefusalReason::Quarantined);
         return;
     }
+    if (resumesStream()) {
+        findOrigin();
+        return;
+    }
+    prepare();
+}
+
+bool GatewayCall::resumesStream() const
+{
+    return route_->kind_ == RouteKind::Streaming && route_->resumable_ && !request_->lastEventId_.empty();
+}
+
+/** A client may wait for as long at another node again. */
+Duration GatewayCall::streamLifetime() const
+{
+    const Duration timeout = route_->timeout_ > Duration{0} ? route_->timeout_ : gateway_->settings_.defaultTimeout_;
+    return std::max(gateway_->settings_.minStreamLifetime_, timeout * 2);
+}
+
+void GatewayCall::findOrigin()
+{
+    StreamQuery query;
+    query.attempt_ = request_->resumes_;
+    query.lifetime_ = streamLifetime();
+    for (const RouteTarget &target : route_->targets_) {
+        query.services_.push_back(target.service_);
+    }
+    gateway_->origins_.find(query, [self = shared_from_this()](const FoundOrigin &found) {
+        if (self->step_ == Step::Preparing) {
+            self->originFound(found);
+        }
+    });
+}
+
+void GatewayCall::originFound(const FoundOrigin &found)
+{
+    gateway_->hooks_.logEvent_("stream_taken_up",
+                               {{"request", request_->id_},
+                                {"program", request_->program_},
+                                {"resumes", request_->resumes_},
+                                {"source", nameOf(found.source_)},
+                                {"service", found.origin_.service_},
+                                {"version", found.origin_.version_},
+                                {"ms", toMilliseconds(gateway_->hooks_.now_() - arrivedAt_)}});
+    if (found.source_ == OriginSource::None) {
+        refuse(RefusalReason::OriginUnknown);
+        return;
+    }
+    const auto isOrigin = [&found](const RouteTarget &target) { return target.service_ == found.origin_.service_; };
+    if (std::none_of(route_->targets_.begin(), route_->targets_.end(), isOrigin)) {
+        refuse(RefusalReason::NoEndpointOfVersion);
+        return;
+    }
+    origin_ = found.origin_;
+    prepare();
+}
+
+void GatewayCall::prepare()
+{
     chooseService();
     if (!admitProgram()) {
         refuse(RefusalReason::Overloaded);
@@ -107,6 +166,11 @@
 
 void GatewayCall::chooseService()
 {
+    if (origin_) {
+        serviceName_ = origin_->service_;
+        service_ = routing_->service(serviceName_);
+        return;
+    }
     double total = 0.0;
     for (const RouteTarget &target : route_->targets_) {
         total += target.weight_;
@@ -336,6 +400,7 @@
     start_ = gateway_->placement_.started(endpoint, *request_);
     incarnation_ = endpoint.incarnation();
     version_ = endpoint.version_;
+    recordOrigin(endpoint);
     gateway_->limits_.sent(incarnation_);
     crashWatch_ = gateway_->crashDetector_.attemptStarted(endpoint, request_);
     AttemptHandlers handlers;
@@ -345,6 +410,20 @@
     attempt_ = gateway_->hooks_.startAttempt_(std::move(attempt), std::move(handlers));
 }
 
+void GatewayCall::recordOrigin(const Endpoint &endpoint)
+{
+    const bool mayBeResumed = route_->kind_ == RouteKind::Streaming && route_->resumable_ && !request_->id_.empty();
+    if (!mayBeResumed || origin_) {
+        return;
+    }
+    StreamStart start;
+    start.attempt_ = request_->id_;
+    start.origin_ = StreamOrigin{serviceName_, endpoint.version_};
+    start.lifetime_ = streamLifetime();
+    start.hasOtherServices_ = route_->targets_.size() > 1;
+    gateway_->origins_.record(start);
+}
+
 std::uint32_t GatewayCall::urgency() const
 {
     const bool isFirstTurn = gateway_->ledger_.ledgerOf(request_->program_).spent(request_->program_) <= grant_.tokens_;
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -41,6 +41,13 @@
     };
 
     // Before the first attempt.
+    /** \brief True if the client already has events of the stream, from another attempt. */
+    bool resumesStream() const;
+    /** \brief Time within which clients may resume a stream of the route. */
+    Duration streamLifetime() const;
+    void findOrigin();
+    void originFound(const FoundOrigin &found);
+    void prepare();
     /** \brief Draws one of the route's services by weight. */
     void chooseService();
     /** \brief True for the first turn of a program: none of its tokens are spent or reserved. */
@@ -55,6 +62,8 @@
     // Attempts.
     void place();
     const Endpoint *chooseEndpoint();
+    /** \brief Records that the stream begins at this endpoint, unless it has begun before. */
+    void recordOrigin(const Endpoint &endpoint);
     /** \brief True if the endpoint may run the request: if it resumes a stream, the version must be the same. */
     bool isEligible(const Endpoint &endpoint) const;
     /** \brief Waits for an endpoint whose request limit is used up, or refuses the request. */
@@ -150,7 +159,7 @@
     bool isRelayStarted_ = false; ///< The client has the head of a stream: it can only be completed or cut.
     std::uint64_t relayedEvents_ = 0; ///< Sent to the client, over all attempts.
     std::string lastEventId_;
-    std::optional<StreamOrigin> origin_; ///< Set once the client has an event of the stream.
+    std::optional<StreamOrigin> origin_; ///< Set if the client has an event of the stream.
     std::string output_; ///< Data of the events, collected if the turn is retained.
 };
 
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -40,6 +40,7 @@
     CrashDetectorHooks crashDetectorHooks();
     CrashStreamHooks crashStreamHooks();
     EndpointLimitHooks endpointLimitHooks();
+    StreamOriginsHooks streamOriginsHooks();
     /** \brief An endpoint ended while it ran these requests for this node. */
     void recordCrash(const std::string &incarnation, const std::vector<std::string> &requests);
     /** \brief Asks the engines of all services for the contents of their caches. */
@@ -65,6 +66,7 @@
     CrashStream crashStream_;
     EndpointLimits limits_;
     Fleet fleet_;
+    StreamOrigins origins_;
     RelayedStore relayedStore_;
     TurnStore turns_;
     BudgetController budget_;
--- a/src/gateway/gatewaytypes.cpp
+++ b/src/gateway/gatewaytypes.cpp
@@ -28,6 +28,7 @@
     case RefusalReason::BudgetUnknown:
     case RefusalReason::TurnUnknown:
     case RefusalReason::NoEndpoint:
+    case RefusalReason::OriginUnknown:
     case RefusalReason::NoEndpointOfVersion:
     case RefusalReason::EndpointsFull:
     case RefusalReason::Overloaded:
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -137,6 +137,7 @@
     TurnUnknown,
     TurnTooLarge,
     NoEndpoint,
+    OriginUnknown, ///< It is not known which version began the stream.
     NoEndpointOfVersion, ///< None runs the version that began the stream.
     EndpointsFull,
     Overloaded,
@@ -149,7 +150,7 @@
 template<>
 struct NameTable<RefusalReason>
 {
-    static constexpr std::array<std::pair<RefusalReason, std::string_view>, 16> entries{{
+    static constexpr std::array<std::pair<RefusalReason, std::string_view>, 17> entries{{
         {RefusalReason::NoConfiguration, "no_configuration"},
         {RefusalReason::NoRoute, "no_route"},
         {RefusalReason::InvalidRequest, "invalid_request"},
@@ -159,6 +160,7 @@
         {RefusalReason::TurnUnknown, "turn_unknown"},
         {RefusalReason::TurnTooLarge, "turn_too_large"},
         {RefusalReason::NoEndpoint, "no_endpoint"},
+        {RefusalReason::OriginUnknown, "stream_origin_unknown"},
         {RefusalReason::NoEndpointOfVersion, "no_endpoint_of_version"},
         {RefusalReason::EndpointsFull, "endpoints_full"},
         {RefusalReason::Overloaded, "overloaded"},
