Report origins of streams to all nodes, so that one node that is left knows them

Cause: an origin is at its node and at two others; all three are lost at once.

Change: the next two load reports (every 100 ms, to all nodes of a fleet of up to 25, to the group in a larger one) contain the origins that are shared. Only services with several versions have any. Links stay the first way: a stream can break before the next report.

Ruled out: the store, which would take an append of each node every 100 ms while versions mix, and a read for each stream taken up; an origin is of no use after some seconds. More holders over links: eleven messages for each stream.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -35,7 +35,7 @@
     bool publishedAlive_ = false; ///< Liveness as last passed to onLivenessChanged_.
     LedgerState ledger_;
     Time reportedAt_{0}; ///< Arrival of the last report that it sent to this node itself.
-    NodeReport report_; ///< That report, without prompt parts, crashes and limits.
+    NodeReport report_; ///< That report, without prompt parts, crashes, limits and origins.
 
     void markHeard(Time now, const LedgerState &ledger)
     {
@@ -319,6 +319,7 @@
     message.report_.cachedParts_.clear();
     message.report_.crashes_.clear();
     message.report_.limits_.clear();
+    message.report_.origins_.clear();
     sender.reportedAt_ = hooks_.now_();
     sender.report_ = std::move(message.report_);
 }
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -17,6 +17,7 @@
 const char *const pacesKey = "v";
 const char *const crashesKey = "x";
 const char *const limitsKey = "r";
+const char *const originsKey = "o";
 const char *const groupKey = "g";
 const char *const membersKey = "m";
 const char *const datagramAddressKey = "d";
@@ -169,6 +170,9 @@
         }
         body[internal::limitsKey] = std::move(limits);
     }
+    if (!message.report_.origins_.empty()) {
+        body[internal::originsKey] = encodeOrigins(message.report_.origins_);
+    }
     if (message.group_) {
         body[internal::groupKey] = {
             message.group_->domain_, message.group_->index_, message.group_->count_, message.report_.nodes_};
@@ -216,6 +220,9 @@
     if (internal::hasArray(body, internal::limitsKey)) {
         internal::decodeLimits(body[internal::limitsKey], message.report_);
     }
+    if (body.contains(internal::originsKey)) {
+        message.report_.origins_ = decodeOrigins(body[internal::originsKey]);
+    }
     if (body.contains(internal::groupKey)) {
         message.group_ = internal::decodeGroup(body[internal::groupKey]);
         if (!message.group_) {
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -5,6 +5,7 @@
 #include "gateway/pacetracker.h"
 #include "gateway/placement.h"
 #include "gateway/ratelimitnotice.h"
+#include "gateway/streamorigin.h"
 
 #include <cstdint>
 #include <optional>
@@ -40,6 +41,7 @@
     std::size_t nodes_ = 1; ///< Number of nodes that the report covers.
     std::vector<CrashRecord> crashes_; ///< What it has learned lately about requests that end endpoints.
     std::vector<RateLimitNotice> limits_; ///< What it has learned lately about limits of endpoints.
+    std::vector<StreamOriginNotice> origins_; ///< Of streams that it has begun lately.
 };
 
 /** \brief One of several groups into which the nodes of a failure domain are divided. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -211,6 +211,7 @@
         report.paces_ = pace_.localPaces();
         report.crashes_ = quarantine_.takeAnnouncements();
         report.limits_ = limits_.takeAnnouncements();
+        report.origins_ = origins_.takeAnnouncements();
         return report;
     };
 
@@ -231,6 +232,9 @@
         for (const RateLimitNotice &limit : report.limits_) {
             limits_.merge(limit);
         }
+        for (const StreamOriginNotice &origin : report.origins_) {
+            origins_.add(origin);
+        }
         for (const CachedPart &part : report.cachedParts_) {
             if (directory_.find(part.endpoint_) != nullptr) {
                 placement_.addCachedPart(part);
--- a/src/gateway/streamorigin.h
+++ b/src/gateway/streamorigin.h
@@ -1,7 +1,12 @@
 #ifndef FILBERTGW_GATEWAY_STREAMORIGIN_H
 #define FILBERTGW_GATEWAY_STREAMORIGIN_H
 
+#include "core/time.h"
+
+#include <nlohmann/json_fwd.hpp>
+
 #include <string>
+#include <vector>
 
 namespace filbertgw {
 
@@ -17,6 +22,18 @@
     std::string version_; ///< \sa Endpoint::version_
 };
 
+/** \brief Tells another node the origin of a stream. */
+struct StreamOriginNotice
+{
+    std::string attempt_; ///< Client attempt that began the stream.
+    StreamOrigin origin_;
+    Duration timeLeft_{0}; ///< Time within which the stream may be resumed.
+};
+
+nlohmann::json encodeOrigins(const std::vector<StreamOriginNotice> &origins);
+/** \brief Decodes notices, skipping malformed ones. */
+std::vector<StreamOriginNotice> decodeOrigins(const nlohmann::json &list);
+
 } // namespace filbertgw
 
 #endif
--- a/src/gateway/streamorigins.cpp
+++ b/src/gateway/streamorigins.cpp
@@ -1,6 +1,7 @@
 #include "gateway/streamorigins.h"
 
 #include <algorithm>
+#include <deque>
 #include <iterator>
 #include <utility>
 
@@ -30,6 +31,13 @@
     std::size_t shares_ = 0; ///< Times that it was sent to other nodes.
 };
 
+/** \brief An own origin that is to be contained in reports. */
+struct Announcement
+{
+    std::string attempt_;
+    std::size_t left_ = 0;
+};
+
 /** \brief A lookup that waits for the answers of other nodes. */
 struct PendingQuery
 {
@@ -110,12 +118,14 @@
     void ask(const StreamQuery &query, const std::shared_ptr<internal::PendingQuery> &pending);
     static void decide(internal::PendingQuery &pending);
     void expire(Time now);
-    void handleShare(const nlohmann::json &body);
+    void add(const StreamOriginNotice &notice);
+    StreamOriginNotice noticeOf(const std::string &attempt, const internal::KnownOrigin &origin) const;
     nlohmann::json handleFind(const nlohmann::json &body) const;
 
     StreamOriginsHooks hooks_;
     StreamOriginsSettings settings_;
     std::unordered_map<std::string, internal::KnownOrigin> origins_; ///< By attempt; own ones and copies.
+    std::deque<internal::Announcement> announcements_;
     std::map<std::string, std::vector<std::string>> batches_; ///< Attempts to send, by address of the holder.
     Time nextExpiry_{0};
     bool stopped_ = false;
@@ -132,7 +142,9 @@
 
 void StreamOrigins::Private::share(const std::string &attempt, internal::KnownOrigin &origin)
 {
-    ++origin.shares_;
+    if (origin.shares_++ == 0) {
+        announcements_.push_back(internal::Announcement{attempt, settings_.announcements_});
+    }
     const bool isFirst = batches_.empty();
     for (const FleetMember &holder : hooks_.nodesFor_(attempt, settings_.holders_)) {
         batches_[holder.linkAddress_].push_back(attempt);
@@ -156,14 +168,11 @@
 
 void StreamOrigins::Private::sendBatch(const std::string &holder, const std::vector<std::string> &attempts)
 {
-    nlohmann::json entries = nlohmann::json::array();
+    std::vector<StreamOriginNotice> notices;
     for (const std::string &attempt : attempts) {
         const auto known = origins_.find(attempt);
         if (known != origins_.end()) {
-            const internal::KnownOrigin &origin = known->second;
-            entries.push_back({attempt,
-                               {origin.origin_.service_, origin.origin_.version_},
-                               internal::milliseconds(origin.expires_ - hooks_.now_())});
+            notices.push_back(noticeOf(attempt, known->second));
         }
     }
     const auto onAnswer = [self = shared_from_this(), attempts](const std::optional<nlohmann::json> &answer) {
@@ -171,7 +180,7 @@
             self->shareAgain(attempts);
         }
     };
-    const nlohmann::json body = {{internal::originsKey, std::move(entries)}};
+    const nlohmann::json body = {{internal::originsKey, encodeOrigins(notices)}};
     hooks_.askPeer_(holder, internal::shareType, body, settings_.shareTimeout_, onAnswer);
 }
 
@@ -240,27 +249,24 @@
     }
 }
 
-void StreamOrigins::Private::handleShare(const nlohmann::json &body)
+void StreamOrigins::Private::add(const StreamOriginNotice &notice)
 {
-    if (!body.is_object() || !body.contains(internal::originsKey) || !body[internal::originsKey].is_array()) {
+    if (origins_.size() >= settings_.maxOrigins_ && origins_.count(notice.attempt_) == 0) {
         return;
     }
-    for (const nlohmann::json &entry : body[internal::originsKey]) {
-        if (!entry.is_array() || entry.size() != 3 || !entry[0].is_string()) {
-            continue;
-        }
-        const std::string attempt = entry[0].get<std::string>();
-        const std::optional<StreamOrigin> origin = internal::decodeOrigin(entry[1]);
-        const std::optional<Duration> left = internal::lifetimeOf(entry[2]);
-        const bool fits = origins_.size() < settings_.maxOrigins_ || origins_.count(attempt) != 0;
-        if (origin && left && fits) {
-            internal::KnownOrigin &known = origins_[attempt];
-            known.origin_ = *origin;
-            known.expires_ = hooks_.now_() + *left;
-        }
+    internal::KnownOrigin &known = origins_[notice.attempt_];
+    if (!known.isOwn_) {
+        known.origin_ = notice.origin_;
+        known.expires_ = hooks_.now_() + notice.timeLeft_;
     }
 }
 
+StreamOriginNotice StreamOrigins::Private::noticeOf(const std::string &attempt,
+                                                    const internal::KnownOrigin &origin) const
+{
+    return StreamOriginNotice{attempt, origin.origin_, origin.expires_ - hooks_.now_()};
+}
+
 nlohmann::json StreamOrigins::Private::handleFind(const nlohmann::json &body) const
 {
     const bool isQuery = body.is_object() && body.contains(internal::attemptKey)
@@ -343,12 +349,39 @@
     return d_->origins_.size();
 }
 
+std::vector<StreamOriginNotice> StreamOrigins::takeAnnouncements()
+{
+    std::vector<StreamOriginNotice> notices;
+    const std::size_t count = std::min(d_->announcements_.size(), d_->settings_.maxAnnounced_);
+    for (std::size_t i = 0; i < count; ++i) {
+        internal::Announcement next = std::move(d_->announcements_.front());
+        d_->announcements_.pop_front();
+        const auto known = d_->origins_.find(next.attempt_);
+        if (known == d_->origins_.end()) {
+            continue;
+        }
+        notices.push_back(d_->noticeOf(next.attempt_, known->second));
+        if (--next.left_ > 0) {
+            d_->announcements_.push_back(std::move(next));
+        }
+    }
+    return notices;
+}
+
+void StreamOrigins::add(const StreamOriginNotice &notice)
+{
+    d_->add(notice);
+}
+
 bool StreamOrigins::onPeerRequest(const std::string &type,
                                   const nlohmann::json &body,
                                   const std::function<void(const nlohmann::json &)> &answer)
 {
     if (type == internal::shareType) {
-        d_->handleShare(body);
+        const nlohmann::json list = body.is_object() ? body.value(internal::originsKey, nlohmann::json()) : body;
+        for (const StreamOriginNotice &notice : decodeOrigins(list)) {
+            d_->add(notice);
+        }
         answer({{"kept", true}});
         return true;
     }
--- a/src/gateway/streamorigins.h
+++ b/src/gateway/streamorigins.h
@@ -25,6 +25,8 @@
     std::size_t askedNodes_ = 4;
     Duration batchDelay_{2'000}; ///< Time for which origins are collected before they are sent.
     Duration shareTimeout_{400'000}; ///< After it, a copy goes to the nodes that are alive then.
+    std::size_t announcements_ = 2; ///< Reports to other nodes that contain an origin.
+    std::size_t maxAnnounced_ = 64; ///< Origins in one report.
     std::size_t maxShares_ = 3; ///< Times that a copy is sent at most.
     Duration queryTimeout_{200'000};
     Duration expiryPeriod_{1'000'000};
@@ -96,6 +98,8 @@
  * A node keeps the origins of its own streams. While a service has several versions, or may have, it also sends them to
  * a few other nodes that are chosen by rendezvous hashing, before the first event arrives. With one version there is
  * nothing to send: a stream that no node knows began at that version. Where neither is certain there is no origin.
+ *
+ * The next reports contain the same origins, since the nodes that hold one can be lost together.
  */
 class StreamOrigins
 {
@@ -110,6 +114,10 @@
     /** \brief Forgets old origins, and shares those of services that no longer have one version. */
     void update();
     std::size_t size() const;
+    /** \brief Returns the origins for the next report to other nodes. */
+    std::vector<StreamOriginNotice> takeAnnouncements();
+    /** \brief Keeps a copy of an origin of another node. */
+    void add(const StreamOriginNotice &notice);
     /** \brief Handles a request of another node. \return false if its type does not belong to this class. */
     bool onPeerRequest(const std::string &type,
                        const nlohmann::json &body,
--- a/test/gateway/fleetmessage.cpp
+++ b/test/gateway/fleetmessage.cpp
@@ -26,6 +26,7 @@
     message.report_.crashes_ = {CrashRecord{"request", "engine@1", true}};
     message.report_.limits_ = {RateLimitNotice{"engine@1", 2.5, std::chrono::milliseconds(40)},
                                RateLimitNotice{"engine@2", std::nullopt, std::chrono::milliseconds(7)}};
+    message.report_.origins_ = {StreamOriginNotice{"r1", StreamOrigin{"engines", "v2"}, std::chrono::seconds(6)}};
     message.group_ = FleetGroup{"domain", 1, 3};
     message.members_ = {GroupMember{"node", LedgerState{true, false}}, GroupMember{"mate", LedgerState{false, true}}};
     message.introduction_ = FleetMember{"node", "datagrams", "links", "domain"};
@@ -47,6 +48,9 @@
     EXPECT_EQ(decoded->report_.limits_[0].requestsPerSecond_, 2.5);
     EXPECT_EQ(decoded->report_.limits_[0].age_, std::chrono::milliseconds(40));
     EXPECT_FALSE(decoded->report_.limits_[1].requestsPerSecond_);
+    ASSERT_EQ(decoded->report_.origins_.size(), 1U);
+    EXPECT_EQ(decoded->report_.origins_[0].origin_.version_, "v2");
+    EXPECT_EQ(decoded->report_.origins_[0].timeLeft_, std::chrono::seconds(6));
     EXPECT_EQ(decoded->group_->name(), "group domain/1/3");
     EXPECT_EQ(decoded->introduction_->domain_, "domain");
 }
@@ -85,6 +89,8 @@
                                          MalformedField{
                                              "AbsurdNumberOfGroups", "g", {"domain", 1, 1ULL << 60, 1}, false},
                                          MalformedField{"GroupWithoutNodes", "g", {"domain", 1, 3}, false},
+                                         MalformedField{"Origins", "o", {{"r1", "engines", 2, 6000}, {"r1"}, 7}, true},
+                                         MalformedField{"OriginsOfAnotherType", "o", "none", true},
                                          MalformedField{"Members", "m", {{"node", true}, {1, true, true}}, true}),
                          [](const testing::TestParamInfo<MalformedField> &info) { return info.param.name_; });
 
--- a/test/gateway/streamversions.cpp
+++ b/test/gateway/streamversions.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <iostream>
 
@@ -213,4 +215,97 @@
                                          StreamCase{"LargerFleet", 195, 1, killNodesAsTheReleaseBegins}),
                          nameOfCase);
 
+/** \brief A message of another node that asks for origins or brings some. */
+struct OriginMessage
+{
+    const char *name_;
+    const char *type_;
+    nlohmann::json body_;
+};
+
+class MalformedOrigin : public testing::TestWithParam<OriginMessage>
+{
+};
+
+// Guards against a message of a peer that ends the node, or that leaves an origin which nobody has sent.
+TEST_P(MalformedOrigin, IsPassedOver)
+{
+    GatewayRig rig(1, {streamingRoute(false, 1, true)});
+    rig.addEndpoints("engines", "e", 2);
+    int answers = 0;
+    rig.nodes_[0]->onPeerRequest(GetParam().type_, GetParam().body_, [&answers](const nlohmann::json &) { ++answers; });
+    EXPECT_EQ(answers, 1);
+    EXPECT_EQ(rig.nodes_[0]->state()["stream_origins"], 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    MalformedOrigin,
+    testing::Values(OriginMessage{"Nothing", "stream_origins", {}},
+                    OriginMessage{"NoList", "stream_origins", {{"origins", 5}}},
+                    OriginMessage{"Entries", "stream_origins", {{"origins", {{"r1"}, 7, {"r1", 1, "v1", 5}}}}},
+                    OriginMessage{"NegativeTime", "stream_origins", {{"origins", {{"r1", "engines", "v1", -5}}}}},
+                    OriginMessage{"EmptyQuestion", "stream_origin_find", {}},
+                    OriginMessage{"QuestionWithoutTime", "stream_origin_find", {{"attempt", "r1"}, {"services", {}}}},
+                    OriginMessage{"ServicesOfAnotherType",
+                                  "stream_origin_find",
+                                  {{"attempt", "r1"}, {"services", {7}}, {"lifetime_ms", 5}}}),
+    [](const testing::TestParamInfo<OriginMessage> &info) { return info.param.name_; });
+
+// Guards against a stream that goes on at another service, where a route divides its requests between two.
+TEST(StreamTakenUp, StaysAtTheServiceThatBeganIt)
+{
+    Route route = streamingRoute(false, 1, true);
+    route.targets_ = {RouteTarget{"engines", 1.0}, RouteTarget{"services", 1.0}};
+    GatewayRig rig(2, {route});
+    rig.addEndpoints("engines", "e", 2);
+    rig.addEndpoints("services", "s", 2);
+    rig.run(seconds(12));
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        const std::size_t began = rig.attempts_.size();
+        rig.send(0, turn(id, "p" + id, "p" + id));
+        rig.run(milliseconds(50));
+        rig.stream(began, {"a"}, false);
+        rig.end(began, AttemptEnd::Broken);
+        GatewayRequest again = turn(id + "-2", "p" + id, "p" + id);
+        again.resumes_ = id;
+        again.lastEventId_ = "1";
+        rig.send(1, again);
+        rig.run(milliseconds(50));
+        ASSERT_EQ(rig.attempts_.size(), began + 2);
+        EXPECT_EQ(rig.attempts_[began].attempt_.endpoint_[0], rig.attempts_[began + 1].attempt_.endpoint_[0]);
+        rig.stream(began + 1, {"b"}, true, 2);
+    }
+}
+
+// Guards against a request that waits although no endpoint of its stream's version is left.
+TEST(StreamTakenUp, IsRefusedAtOnceIfItsVersionIsGone)
+{
+    GatewayRig rig(1, {streamingRoute(false, 1, true)});
+    Endpoint endpoint;
+    endpoint.id_ = endpoint.address_ = "e1";
+    endpoint.service_ = "engines";
+    endpoint.version_ = "v1";
+    rig.setEndpoint(endpoint);
+    rig.send(0, turn("r1", "p", "p"));
+    rig.run(milliseconds(50));
+    rig.stream(0, {"a"}, false);
+    rig.end(0, AttemptEnd::Broken);
+    endpoint.draining_ = true;
+    rig.setEndpoint(endpoint);
+    Endpoint next = endpoint;
+    next.id_ = next.address_ = "e2";
+    next.version_ = "v2";
+    next.draining_ = false;
+    rig.setEndpoint(next);
+    GatewayRequest again = turn("r2", "p", "p");
+    again.resumes_ = "r1";
+    again.lastEventId_ = "1";
+    const std::shared_ptr<ClientResponse> client = rig.send(0, again);
+    rig.run(milliseconds(5));
+    EXPECT_EQ(client->status_, 503);
+    EXPECT_EQ(rig.attempts_.size(), 1U);
+}
+
 } // namespace filbertgw::test
