Log that a node is cut off from all endpoints, and report it to other nodes

Change: EndpointReachability watches connections that fail and requests that stay unanswered. The events are endpoints_unreachable and endpoints_reachable; reports and summaries name the nodes concerned in a field that older nodes pass over. Placement and admission don't change yet.

--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -122,6 +122,17 @@
     return found == ready_.end() ? none : found->second;
 }
 
+std::vector<Endpoint> EndpointDirectory::allReady() const
+{
+    std::vector<Endpoint> endpoints;
+    for (const std::pair<const std::string, std::vector<const Endpoint *>> &service : ready_) {
+        for (const Endpoint *endpoint : service.second) {
+            endpoints.push_back(*endpoint);
+        }
+    }
+    return endpoints;
+}
+
 std::size_t EndpointDirectory::size() const
 {
     return endpoints_.size();
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -41,6 +41,8 @@
     const Endpoint *findAt(const std::string &address) const;
     /** \brief Endpoints of a service that are not draining and not retired. */
     const std::vector<const Endpoint *> &ready(const std::string &service) const;
+    /** \brief The same of all services. */
+    std::vector<Endpoint> allReady() const;
     std::size_t size() const;
     /** \brief Versions of a service that were registered within \p window. */
     ServiceVersions versionsOf(const std::string &service, Duration window) const;
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -34,14 +34,16 @@
     bool wasHeard_ = false; ///< heardAt_ is set.
     bool publishedAlive_ = false; ///< Liveness as last passed to onLivenessChanged_.
     LedgerState ledger_;
+    bool reachesEndpoints_ = true;
     Time reportedAt_{0}; ///< Arrival of the last report that it sent to this node itself.
     NodeReport report_; ///< That report, without prompt parts, crashes, limits and origins.
 
-    void markHeard(Time now, const LedgerState &ledger)
+    void markHeard(Time now, const LedgerState &ledger, bool reachesEndpoints)
     {
         heardAt_ = now;
         wasHeard_ = true;
         ledger_ = ledger;
+        reachesEndpoints_ = reachesEndpoints;
     }
 };
 
@@ -76,6 +78,9 @@
     bool isReporting(const internal::KnownNode &node) const;
     void publishLiveness();
     std::optional<FleetMember> choose(const std::string &program, bool requireCurrent, bool includeSelf) const;
+    std::vector<FleetMember> rank(const std::string &key,
+                                  std::size_t count,
+                                  const std::function<bool(const internal::KnownNode &)> &isWanted) const;
 
     FleetHooks hooks_;
     FleetSettings settings_;
@@ -194,7 +199,7 @@
     FleetMessage message = makeMessage(own);
     message.group_ = groups_->localGroup();
     if (withMembers) {
-        message.members_.push_back(GroupMember{settings_.self_.name_, own.ledger_});
+        message.members_.push_back(GroupMember{settings_.self_.name_, own.ledger_, own.reachesEndpoints_});
     }
     std::map<std::string, std::uint32_t> load(own.load_.begin(), own.load_.end());
     std::map<std::string, PaceSums> paces;
@@ -208,7 +213,7 @@
         }
         ++message.report_.nodes_;
         if (withMembers) {
-            message.members_.push_back(GroupMember{peer->name_, node.ledger_});
+            message.members_.push_back(GroupMember{peer->name_, node.ledger_, node.reachesEndpoints_});
         }
         for (const std::pair<std::string, std::uint32_t> &entry : node.report_.load_) {
             load[entry.first] += entry.second;
@@ -331,7 +336,7 @@
     for (const GroupMember &member : message.members_) {
         const auto known = nodes_.find(member.name_);
         if (known != nodes_.end()) {
-            known->second.markHeard(hooks_.now_(), member.ledger_);
+            known->second.markHeard(hooks_.now_(), member.ledger_, member.reachesEndpoints_);
         }
     }
     // If the number of groups in the domain has changed, clear the reports of the former groups.
@@ -378,6 +383,34 @@
     }
 }
 
+std::vector<FleetMember> Fleet::Private::rank(const std::string &key,
+                                              std::size_t count,
+                                              const std::function<bool(const internal::KnownNode &)> &isWanted) const
+{
+    using Ranked = std::pair<std::uint64_t, const FleetMember *>;
+    std::vector<Ranked> live;
+    for (const std::pair<const std::string, internal::KnownNode> &entry : nodes_) {
+        if (isAlive(entry.second) && isWanted(entry.second)) {
+            live.emplace_back(internal::weightOf(entry.second.member_, key), &entry.second.member_);
+        }
+    }
+    std::sort(
+        live.begin(), live.end(), [](const Ranked &left, const Ranked &right) { return left.first > right.first; });
+    const auto isInOtherDomain = [&live](const Ranked &node) {
+        return node.second->domain_ != live.front().second->domain_;
+    };
+    const auto second = std::find_if(live.begin(), live.end(), isInOtherDomain);
+    if (second != live.end()) {
+        std::rotate(live.begin() + 1, second, second + 1);
+    }
+    live.resize(std::min(live.size(), count));
+    std::vector<FleetMember> nodes;
+    for (const Ranked &node : live) {
+        nodes.push_back(*node.second);
+    }
+    return nodes;
+}
+
 std::optional<FleetMember>
 Fleet::Private::choose(const std::string &program, bool requireCurrent, bool includeSelf) const
 {
@@ -447,7 +480,7 @@
     if (sender == d_->nodes_.end()) {
         return;
     }
-    sender->second.markHeard(d_->hooks_.now_(), message->report_.ledger_);
+    sender->second.markHeard(d_->hooks_.now_(), message->report_.ledger_, message->report_.reachesEndpoints_);
     if (message->group_) {
         d_->applySummary(*message);
     } else {
@@ -500,26 +533,12 @@
 
 std::vector<FleetMember> Fleet::ranked(const std::string &key, std::size_t count) const
 {
-    std::vector<std::pair<std::uint64_t, const FleetMember *>> live;
-    for (const std::pair<const std::string, internal::KnownNode> &entry : d_->nodes_) {
-        if (d_->isAlive(entry.second)) {
-            live.emplace_back(internal::weightOf(entry.second.member_, key), &entry.second.member_);
-        }
-    }
-    std::sort(live.begin(), live.end(), [](const auto &left, const auto &right) { return left.first > right.first; });
-    const auto isInOtherDomain = [&live](const std::pair<std::uint64_t, const FleetMember *> &node) {
-        return node.second->domain_ != live.front().second->domain_;
-    };
-    const auto second = std::find_if(live.begin(), live.end(), isInOtherDomain);
-    if (second != live.end()) {
-        std::rotate(live.begin() + 1, second, second + 1);
-    }
-    live.resize(std::min(live.size(), count));
-    std::vector<FleetMember> nodes;
-    for (const std::pair<std::uint64_t, const FleetMember *> &node : live) {
-        nodes.push_back(*node.second);
-    }
-    return nodes;
+    return d_->rank(key, count, [](const internal::KnownNode &) { return true; });
+}
+
+std::vector<FleetMember> Fleet::reachingEndpoints(const std::string &key, std::size_t count) const
+{
+    return d_->rank(key, count, [](const internal::KnownNode &node) { return node.reachesEndpoints_; });
 }
 
 bool Fleet::isDiscoveryComplete() const
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -78,6 +78,8 @@
      * The second is the first one of another failure domain than the first, if there is one.
      */
     std::vector<FleetMember> ranked(const std::string &key, std::size_t count) const;
+    /** \brief The same of those nodes that reach endpoints, as far as is known. */
+    std::vector<FleetMember> reachingEndpoints(const std::string &key, std::size_t count) const;
     /** \brief True once the list of nodes has been read and the live ones have had discoveryTime_ to answer. */
     bool isDiscoveryComplete() const;
     /**
--- a/src/gateway/fleetmessage.cpp
+++ b/src/gateway/fleetmessage.cpp
@@ -18,6 +18,7 @@
 const char *const crashesKey = "x";
 const char *const limitsKey = "r";
 const char *const originsKey = "o";
+const char *const cutOffKey = "e"; ///< Nodes that reach no endpoint: the sender, or members of its group.
 const char *const groupKey = "g";
 const char *const membersKey = "m";
 const char *const datagramAddressKey = "d";
@@ -114,6 +115,18 @@
     return members;
 }
 
+void applyCutOff(const nlohmann::json &names, FleetMessage &message)
+{
+    for (const nlohmann::json &name : names) {
+        if (name == message.sender_) {
+            message.report_.reachesEndpoints_ = false;
+        }
+        for (GroupMember &member : message.members_) {
+            member.reachesEndpoints_ = member.reachesEndpoints_ && name != member.name_;
+        }
+    }
+}
+
 std::optional<FleetGroup> decodeGroup(const nlohmann::json &entry)
 {
     const bool isGroup = isTuple(entry, 4) && entry[0].is_string() && entry[1].is_number_unsigned()
@@ -170,6 +183,18 @@
         }
         body[internal::limitsKey] = std::move(limits);
     }
+    nlohmann::json cutOff = nlohmann::json::array();
+    if (!message.report_.reachesEndpoints_) {
+        cutOff.push_back(message.sender_);
+    }
+    for (const GroupMember &member : message.members_) {
+        if (!member.reachesEndpoints_ && member.name_ != message.sender_) {
+            cutOff.push_back(member.name_);
+        }
+    }
+    if (!cutOff.empty()) {
+        body[internal::cutOffKey] = std::move(cutOff);
+    }
     if (!message.report_.origins_.empty()) {
         body[internal::originsKey] = encodeOrigins(message.report_.origins_);
     }
@@ -233,6 +258,9 @@
     if (internal::hasArray(body, internal::membersKey)) {
         message.members_ = internal::decodeMembers(body[internal::membersKey]);
     }
+    if (internal::hasArray(body, internal::cutOffKey)) {
+        internal::applyCutOff(body[internal::cutOffKey], message);
+    }
     if (internal::hasString(body, internal::datagramAddressKey)
         && internal::hasString(body, internal::linkAddressKey)) {
         message.introduction_ = FleetMember{message.sender_,
--- a/src/gateway/fleetmessage.h
+++ b/src/gateway/fleetmessage.h
@@ -42,6 +42,7 @@
     std::vector<CrashRecord> crashes_; ///< What it has learned lately about requests that end endpoints.
     std::vector<RateLimitNotice> limits_; ///< What it has learned lately about limits of endpoints.
     std::vector<StreamOriginNotice> origins_; ///< Of streams that it has begun lately.
+    bool reachesEndpoints_ = true; ///< The node can open connections to endpoints.
 };
 
 /** \brief One of several groups into which the nodes of a failure domain are divided. */
@@ -59,6 +60,7 @@
 {
     std::string name_;
     LedgerState ledger_;
+    bool reachesEndpoints_ = true; ///< \sa NodeReport::reachesEndpoints_
 };
 
 /** \brief A datagram between nodes. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,6 +43,7 @@
     , crashDetector_(crashDetectorHooks(), settings_.crashDetector_)
     , crashStream_(crashStreamHooks(), settings_.ledger_.writer_)
     , limits_(endpointLimitHooks(), settings_.limits_)
+    , reachability_(reachabilityHooks(), settings_.reachability_)
     , fleet_(fleetHooks(), settings_.fleet_)
     , origins_(streamOriginsHooks(), settings_.origins_)
     , relayedStore_(
@@ -170,6 +171,31 @@
     return hooks;
 }
 
+ReachabilityHooks Gateway::Private::reachabilityHooks()
+{
+    ReachabilityHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.random_ = hooks_.random_;
+    hooks.endpoints_ = [this] { return directory_.allReady(); };
+    hooks.probe_ = hooks_.probeEndpoint_;
+    hooks.onChanged_ = [this](bool isCutOff) {
+        hooks_.logEvent_(isCutOff ? "endpoints_unreachable" : "endpoints_reachable",
+                         {{"endpoints", directory_.allReady().size()}, {"open_calls", calls_.size()}});
+    };
+    return hooks;
+}
+
+std::size_t Gateway::Private::silentEndpoints() const
+{
+    std::unordered_set<std::string> silent;
+    for (const std::shared_ptr<internal::GatewayCall> &call : calls_) {
+        if (call->unansweredFor() >= settings_.reachability_.silence_) {
+            silent.insert(call->endpoint());
+        }
+    }
+    return silent.size();
+}
+
 void Gateway::Private::recordCrash(const std::string &incarnation, const std::vector<std::string> &requests)
 {
     std::vector<CrashRecord> records;
@@ -212,6 +238,7 @@
         report.crashes_ = quarantine_.takeAnnouncements();
         report.limits_ = limits_.takeAnnouncements();
         report.origins_ = origins_.takeAnnouncements();
+        report.reachesEndpoints_ = !reachability_.isCutOff();
         return report;
     };
 
@@ -345,6 +372,7 @@
     }
     placement_.expirePeers();
     limits_.expire();
+    reachability_.update(silentEndpoints());
     origins_.update();
     maintainCrashes();
     discoverCaches();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/crashstream.h"
 #include "gateway/endpointdirectory.h"
 #include "gateway/endpointlimits.h"
+#include "gateway/endpointreachability.h"
 #include "gateway/fleet.h"
 #include "gateway/gatewaytypes.h"
 #include "gateway/pacetracker.h"
@@ -72,6 +73,7 @@
     QuarantineSettings quarantine_;
     CrashDetectorSettings crashDetector_;
     EndpointLimitSettings limits_;
+    ReachabilitySettings reachability_;
     StreamOriginsSettings origins_;
     Duration minStreamLifetime_{10'000'000}; ///< Streams are taken to be resumed for at least this time.
     RetryAfterSettings retryAfter_;
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -439,6 +439,7 @@
     }
     headReceived_ = true;
     head_ = head;
+    gateway_->reachability_.answered(endpoint_);
     if (head.isLeaving_) {
         gateway_->retireEndpoint(head.wrongInstance_ ? successorOf(endpoint_) : incarnation_, "leaving");
     }
@@ -481,6 +482,7 @@
     const std::string endpoint = endpoint_;
     releaseEndpoint(ended);
     if (ended == AttemptEnd::NotSent) {
+        gateway_->reachability_.connectFailed(endpoint);
         gateway_->placement_.failed(endpoint);
         excluded_.insert(endpoint);
         place();
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -25,6 +25,10 @@
     void start();
     /** \brief True while an attempt is in progress. */
     bool isReceiving() const;
+    /** \brief Endpoint of the attempt in progress; empty if there is none. */
+    const std::string &endpoint() const;
+    /** \brief Time for which that endpoint has answered nothing; 0 if it has. */
+    Duration unansweredFor() const;
     /** \brief Bytes of the endpoint's unfinished answer that this call holds. */
     std::size_t bufferedBytes() const;
     /** \brief Ends the attempt in progress as broken. */
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -41,6 +41,9 @@
     CrashStreamHooks crashStreamHooks();
     EndpointLimitHooks endpointLimitHooks();
     StreamOriginsHooks streamOriginsHooks();
+    ReachabilityHooks reachabilityHooks();
+    /** \brief Endpoints that have left a request of this node unanswered for some time. */
+    std::size_t silentEndpoints() const;
     /** \brief An endpoint ended while it ran these requests for this node. */
     void recordCrash(const std::string &incarnation, const std::vector<std::string> &requests);
     /** \brief Asks the engines of all services for the contents of their caches. */
@@ -65,6 +68,7 @@
     CrashDetector crashDetector_;
     CrashStream crashStream_;
     EndpointLimits limits_;
+    EndpointReachability reachability_;
     Fleet fleet_;
     StreamOrigins origins_;
     RelayedStore relayedStore_;
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -49,6 +49,16 @@
     return !endpoint_.empty();
 }
 
+const std::string &GatewayCall::endpoint() const
+{
+    return endpoint_;
+}
+
+Duration GatewayCall::unansweredFor() const
+{
+    return endpoint_.empty() || headReceived_ ? Duration{0} : gateway_->hooks_.now_() - sentAt_;
+}
+
 std::size_t GatewayCall::bufferedBytes() const
 {
     return responseBody_.size() + splitter_.bufferedBytes() + output_.size();
--- a/test/gateway/fleetmessage.cpp
+++ b/test/gateway/fleetmessage.cpp
@@ -28,7 +28,8 @@
                                RateLimitNotice{"engine@2", std::nullopt, std::chrono::milliseconds(7)}};
     message.report_.origins_ = {StreamOriginNotice{"r1", StreamOrigin{"engines", "v2"}, std::chrono::seconds(6)}};
     message.group_ = FleetGroup{"domain", 1, 3};
-    message.members_ = {GroupMember{"node", LedgerState{true, false}}, GroupMember{"mate", LedgerState{false, true}}};
+    message.members_ = {GroupMember{"node", LedgerState{true, false}},
+                        GroupMember{"mate", LedgerState{false, true}, false}};
     message.introduction_ = FleetMember{"node", "datagrams", "links", "domain"};
     return message;
 }
@@ -51,6 +52,10 @@
     ASSERT_EQ(decoded->report_.origins_.size(), 1U);
     EXPECT_EQ(decoded->report_.origins_[0].origin_.version_, "v2");
     EXPECT_EQ(decoded->report_.origins_[0].timeLeft_, std::chrono::seconds(6));
+    EXPECT_TRUE(decoded->report_.reachesEndpoints_);
+    ASSERT_EQ(decoded->members_.size(), 2U);
+    EXPECT_TRUE(decoded->members_[0].reachesEndpoints_);
+    EXPECT_FALSE(decoded->members_[1].reachesEndpoints_);
     EXPECT_EQ(decoded->group_->name(), "group domain/1/3");
     EXPECT_EQ(decoded->introduction_->domain_, "domain");
 }
@@ -91,6 +96,7 @@
                                          MalformedField{"GroupWithoutNodes", "g", {"domain", 1, 3}, false},
                                          MalformedField{"Origins", "o", {{"r1", "engines", 2, 6000}, {"r1"}, 7}, true},
                                          MalformedField{"OriginsOfAnotherType", "o", "none", true},
+                                         MalformedField{"NodesCutOff", "e", {1, {"node"}}, true},
                                          MalformedField{"Members", "m", {{"node", true}, {1, true, true}}, true}),
                          [](const testing::TestParamInfo<MalformedField> &info) { return info.param.name_; });
 
