Pass requests on to other nodes while a node is cut off from all endpoints

What callers saw: at nodes that lost their links to all endpoints nothing is served until the links are back.

Cause: a node's own connections are its only way to an endpoint, whatever its peers reach. Class of fault: a node takes its own view for that of the fleet.

Change: a node that is cut off (EndpointReachability) passes a request on, as its client sent it and with the time that is left, to a live node that reports that it reaches endpoints: over HTTP, at a port of those between nodes, so that events, cancellation and the end of the connection work as with an endpoint. The other node does all the rest: budget, chain, placement, limits, versions. It passes nothing on itself; if it is cut off or stopping it says so, and the next one is tried, four at most. A request that may have run goes to another node only if its route allows a further attempt, and then a refusal by that node isn't passed on as a promise that it has not run.

Ruled out: shorter time-outs (refused connections fare worse than silent ones); reporting the node as not ready (the platform uses all nodes of a zone of which fewer than half are ready); program owners as behind `serve` (no owner here).

--- /dev/null
+++ b/src/gateway/forwardedcall.cpp
@@ -0,0 +1,145 @@
+#include "gateway/gatewaycall.h"
+
+#include "core/numbers.h"
+
+#include <utility>
+
+// The part of GatewayCall that passes a request on to another node while this one is cut off from all endpoints.
+namespace filbertgw::internal {
+
+namespace {
+
+/** True for statuses that promise that the request has not run. */
+bool isPromiseNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+bool GatewayCall::mustForward() const
+{
+    const bool mayForward = gateway_->hooks_.forward_ && !request_->isForwarded_ && !isRelayStarted_;
+    return mayForward && gateway_->reachability_.isCutOff() && (runs_ == 0 || mayRetry());
+}
+
+bool GatewayCall::forward()
+{
+    if (triedNodes_.size() >= gateway_->settings_.maxForwards_ || timeLeft() <= Duration{0}) {
+        return false;
+    }
+    const std::size_t ranks = triedNodes_.size() + gateway_->settings_.maxForwards_;
+    for (const FleetMember &node : gateway_->fleet_.reachingEndpoints(request_->id_, ranks)) {
+        if (!triedNodes_.insert(node.name_).second) {
+            continue;
+        }
+        settleBudget(); // The other node reserves what the request needs.
+        step_ = Step::Forwarding;
+        forwardedTo_ = node.name_;
+        sentAt_ = gateway_->hooks_.now_();
+        head_ = AttemptHead();
+        responseBody_.clear();
+        ForwardedRequest forwarded;
+        forwarded.address_ = node.linkAddress_;
+        forwarded.request_ = request_;
+        forwarded.timeLeft_ = timeLeft();
+        forwarded.maxResponseBytes_ = gateway_->settings_.maxResponseBytes_;
+        forwarded.maxIdleAge_ = route_->isRetryable() ? gateway_->settings_.maxReuseIdleTimeRepeatable_
+                                                      : gateway_->settings_.maxReuseIdleTime_;
+        AttemptHandlers handlers;
+        handlers.onHead_ = [self = shared_from_this()](const AttemptHead &head) { self->forwardHeadReceived(head); };
+        handlers.onPart_ = [self = shared_from_this()](const std::string &part) { self->forwardPartReceived(part); };
+        handlers.onEnd_ = [self = shared_from_this()](AttemptEnd ended) { self->forwardEnded(ended); };
+        gateway_->hooks_.logEvent_(
+            "request_forwarded",
+            {{"request", request_->id_}, {"program", request_->program_}, {"peer", node.name_}, {"runs", runs_}});
+        forward_ = gateway_->hooks_.forward_(std::move(forwarded), std::move(handlers));
+        return true;
+    }
+    return false;
+}
+
+void GatewayCall::forwardHeadReceived(const AttemptHead &head)
+{
+    if (step_ != Step::Forwarding || forward_ == 0) {
+        return;
+    }
+    head_ = head;
+    if (route_->kind_ == RouteKind::Streaming && head.status_ / 100 == 2) {
+        startRelay();
+    }
+}
+
+void GatewayCall::forwardPartReceived(const std::string &part)
+{
+    if (forward_ == 0) {
+        return;
+    }
+    if (step_ == Step::Relaying) {
+        reply_->write(part);
+    } else if (step_ == Step::Forwarding) {
+        responseBody_ += part;
+        countBufferedBytes();
+    }
+}
+
+void GatewayCall::forwardEnded(AttemptEnd ended)
+{
+    if (forward_ == 0) {
+        return;
+    }
+    forward_ = 0;
+    const bool isWhole = ended == AttemptEnd::Complete && head_.status_ != 0;
+    const bool isRefusal = isWhole && isPromiseNotRun(head_.status_);
+    if (step_ == Step::Relaying) {
+        if (!isWhole) {
+            abortResponse("peer_broke_off");
+            return;
+        }
+        reply_->finish();
+        end("served_by_peer");
+        return;
+    }
+    if (isWhole && !head_.isMisdirected_ && (!isRefusal || runs_ == 0)) {
+        const std::string contentType = relayHeaders();
+        reply_->send(head_.status_, contentType, responseBody_);
+        end(head_.status_ / 100 == 2 ? "served_by_peer" : "refused_by_peer");
+        return;
+    }
+    const bool hasNotRun = isWhole || ended == AttemptEnd::NotSent;
+    runs_ += hasNotRun ? 0 : 1;
+    if ((runs_ == 0 || mayRetry()) && forward()) {
+        return;
+    }
+    refuseAfterForwards(ended);
+}
+
+void GatewayCall::refuseAfterForwards(AttemptEnd ended)
+{
+    if (runs_ == 0) {
+        refuse(RefusalReason::Unreachable);
+        return;
+    }
+    refuse(ended == AttemptEnd::TimedOut ? RefusalReason::TimedOut : RefusalReason::OutcomeUnknown);
+}
+
+void GatewayCall::endpointsLost()
+{
+    if (step_ == Step::Placing) {
+        if (mustForward()) {
+            forward();
+        }
+        return;
+    }
+    // The endpoint may have run it: it counts as an attempt.
+    const bool mayRunAgain = route_ != nullptr && route_->isRetryable() && runs_ + 1 < route_->maxAttempts_;
+    if (step_ != Step::Running || unansweredFor() < gateway_->settings_.reachability_.silence_ || !mayRunAgain) {
+        return;
+    }
+    gateway_->hooks_.cancelAttempt_(attempt_);
+    releaseEndpoint(AttemptEnd::Cancelled);
+    ++runs_;
+    place();
+}
+
+} // namespace filbertgw::internal
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -185,6 +185,14 @@
     return hooks;
 }
 
+void Gateway::Private::forwardWaiting()
+{
+    const std::vector<std::shared_ptr<internal::GatewayCall>> calls(calls_.begin(), calls_.end());
+    for (const std::shared_ptr<internal::GatewayCall> &call : calls) {
+        call->endpointsLost();
+    }
+}
+
 std::size_t Gateway::Private::silentEndpoints() const
 {
     std::unordered_set<std::string> silent;
@@ -238,7 +246,7 @@
         report.crashes_ = quarantine_.takeAnnouncements();
         report.limits_ = limits_.takeAnnouncements();
         report.origins_ = origins_.takeAnnouncements();
-        report.reachesEndpoints_ = !reachability_.isCutOff();
+        report.reachesEndpoints_ = !reachability_.isCutOff() && !stopping_;
         return report;
     };
 
@@ -283,6 +291,11 @@
     return fleet_.alive() == 0 ? fleet_.known() > 0 : fleet_.nodeWithCurrentLedger({}).has_value();
 }
 
+bool Gateway::Private::isReady() const
+{
+    return !stopping_ && routing_ != nullptr && directory_.size() > 0 && ledger_.isComplete() && !isPartitioned();
+}
+
 bool Gateway::Private::isStoreUnavailable() const
 {
     return !ledger_.isReachable() && !fleet_.nodeWithCurrentLedger({}).has_value();
@@ -373,6 +386,9 @@
     placement_.expirePeers();
     limits_.expire();
     reachability_.update(silentEndpoints());
+    if (reachability_.isCutOff()) {
+        forwardWaiting();
+    }
     origins_.update();
     maintainCrashes();
     discoverCaches();
@@ -474,8 +490,7 @@
 
 bool Gateway::isReady() const
 {
-    return !d_->stopping_ && d_->routing_ != nullptr && d_->directory_.size() > 0 && d_->ledger_.isComplete()
-        && !d_->isPartitioned();
+    return d_->isReady();
 }
 
 void Gateway::beginStop()
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -42,6 +42,8 @@
     RecordStore store_;
     std::function<std::uint64_t(EndpointAttempt, AttemptHandlers)> startAttempt_;
     std::function<void(std::uint64_t attempt)> cancelAttempt_;
+    /** \brief Passes a request on to another node; canceled by cancelAttempt_. May be empty. */
+    std::function<std::uint64_t(ForwardedRequest, AttemptHandlers)> forward_;
     /** \brief Lists the prompt parts in an engine's cache; may be empty. \sa CacheDiscoveryHooks::list_ */
     std::function<void(const Endpoint &endpoint, std::function<void(const std::vector<PromptPart> &)> done)> listCache_;
     /** \brief Reports whether a new connection to an endpoint can be opened; may be empty. \sa CrashDetectorHooks */
@@ -77,6 +79,7 @@
     StreamOriginsSettings origins_;
     Duration minStreamLifetime_{10'000'000}; ///< Streams are taken to be resumed for at least this time.
     RetryAfterSettings retryAfter_;
+    std::size_t maxForwards_ = 4; ///< Other nodes that a request is passed on to, one after the other.
     Duration endpointRetryDelay_{25'000}; ///< Delay until endpoints that refused as full are tried again.
     /** Longest time for which a request waits until an endpoint with a request limit takes it. */
     Duration maxLimitWait_{150'000};
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -62,6 +62,13 @@
         refuse(RefusalReason::Quarantined);
         return;
     }
+    if (request_->isForwarded_ && (gateway_->reachability_.isCutOff() || !gateway_->isReady())) {
+        refuse(RefusalReason::Unreachable);
+        return;
+    }
+    if (mustForward() && forward()) {
+        return;
+    }
     if (resumesStream()) {
         findOrigin();
         return;
@@ -341,6 +348,9 @@
         refuse(RefusalReason::Quarantined);
         return;
     }
+    if (mustForward() && forward()) {
+        return;
+    }
     step_ = Step::Placing;
     if (sends_ >= maxSends || timeLeft() < minAttemptTime) {
         refuse(runs_ > 0 ? RefusalReason::OutcomeUnknown : RefusalReason::EndpointsFull);
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -33,12 +33,15 @@
     std::size_t bufferedBytes() const;
     /** \brief Ends the attempt in progress as broken. */
     void cutAnswer();
+    /** \brief This node is cut off: passes the request on if it waits for an endpoint and may run at another one. */
+    void endpointsLost();
 
 private:
     enum class Step : std::uint8_t {
         Preparing, ///< Loads earlier turns and reserves budget.
         Placing, ///< Waits for an endpoint.
         Running, ///< Sent to an endpoint; nothing has been sent to the client.
+        Forwarding, ///< Passed on to another node; nothing has been sent to the client.
         Relaying, ///< The response head has been sent to the client.
         Storing, ///< All events have been relayed; the stream ends once the turn is durable.
         Ended,
@@ -90,6 +93,16 @@
     void handleFailure(AttemptEnd end);
     bool mayRetry() const;
 
+    // Passing the request on to another node, in forwardedcall.cpp.
+    /** \brief True if another node has to serve the request, because this one reaches no endpoint. */
+    bool mustForward() const;
+    /** \brief Passes the request on to the next node. \return false if there is none. */
+    bool forward();
+    void forwardHeadReceived(const AttemptHead &head);
+    void forwardPartReceived(const std::string &part);
+    void forwardEnded(AttemptEnd ended);
+    void refuseAfterForwards(AttemptEnd ended);
+
     // The response, in gatewayresponse.cpp.
     /** \brief Copies the endpoint's headers. \return the content type, which is set with the status. */
     std::string relayHeaders();
@@ -149,6 +162,10 @@
     std::uint64_t rateSampledEvents_ = 0; ///< Value of attemptEvents_ at rateSampledAt_.
     std::uint64_t attemptEvents_ = 0; ///< Events relayed from this attempt.
 
+    std::string forwardedTo_; ///< Name of the node that has the request; empty if it was not passed on.
+    std::uint64_t forward_ = 0; ///< Number of the exchange with that node; 0 if none is in progress.
+    std::unordered_set<std::string> triedNodes_;
+
     std::string fingerprint_; ///< Empty until it is needed. \sa fingerprintOf()
     std::unordered_set<std::string> excluded_; ///< Endpoints that refused the request or failed.
     std::uint32_t runs_ = 0; ///< Attempts that the endpoint may have executed.
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -42,6 +42,8 @@
     EndpointLimitHooks endpointLimitHooks();
     StreamOriginsHooks streamOriginsHooks();
     ReachabilityHooks reachabilityHooks();
+    /** \brief This node is cut off: what waits for an endpoint goes to other nodes, if it may. */
+    void forwardWaiting();
     /** \brief Endpoints that have left a request of this node unanswered for some time. */
     std::size_t silentEndpoints() const;
     /** \brief An endpoint ended while it ran these requests for this node. */
@@ -54,6 +56,8 @@
      * Then another node still reaches the store, or none of the other known nodes is alive.
      */
     bool isPartitioned() const;
+    /** \brief True if this node should get new connections. */
+    bool isReady() const;
     /** \brief True if neither this node nor any node that it hears of reaches the store. */
     bool isStoreUnavailable() const;
 
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+/** Tells the node that has passed a request on to try another one. */
+constexpr int misdirectedStatus = 421;
 /** Events over which the token rate of a stream is measured. */
 constexpr std::uint64_t eventsPerRateSample = 3;
 
@@ -190,7 +192,8 @@
     if (step_ == Step::Ended) {
         return;
     }
-    const int status = statusOf(reason);
+    const int status =
+        request_->isForwarded_ && reason == RefusalReason::Unreachable ? misdirectedStatus : statusOf(reason);
     if (isRelayStarted_) {
         abortResponse("no_endpoint_to_resume");
         return;
@@ -228,7 +231,7 @@
         abortResponse("timed_out_midway");
         return;
     }
-    refuse(runs_ > 0 || !endpoint_.empty() ? RefusalReason::TimedOut : RefusalReason::EndpointsFull);
+    refuse(runs_ > 0 || !endpoint_.empty() || forward_ != 0 ? RefusalReason::TimedOut : RefusalReason::EndpointsFull);
 }
 
 void GatewayCall::settleBudget()
@@ -249,6 +252,9 @@
         gateway_->hooks_.cancelAttempt_(attempt_);
     }
     releaseEndpoint(AttemptEnd::Cancelled);
+    if (forward_ != 0) {
+        gateway_->hooks_.cancelAttempt_(std::exchange(forward_, 0));
+    }
     if (storeOperation_ != 0) {
         gateway_->turns_.abandon(storeOperation_);
     }
@@ -276,6 +282,8 @@
          {"resumes", request_->resumes_},
          {"after_event", request_->lastEventId_},
          {"version", version_},
+         {"forwarded", request_->isForwarded_},
+         {"peer", forwardedTo_},
          {"budget", request_->tokenBudget_.value_or(0)},
          {"grant", nameOf(grantBasis_)},
          {"content", fingerprint_},
--- a/src/gateway/gatewaytypes.cpp
+++ b/src/gateway/gatewaytypes.cpp
@@ -31,6 +31,7 @@
     case RefusalReason::OriginUnknown:
     case RefusalReason::NoEndpointOfVersion:
     case RefusalReason::EndpointsFull:
+    case RefusalReason::Unreachable:
     case RefusalReason::Overloaded:
     case RefusalReason::Stopping:
         break;
--- a/src/gateway/gatewaytypes.h
+++ b/src/gateway/gatewaytypes.h
@@ -45,6 +45,7 @@
     std::string lastEventId_; ///< Of the last event that the client has; empty for a new stream.
     std::string resumes_; ///< Id of the attempt that brought the client the first event of this stream.
     std::string affinityKey_;
+    bool isForwarded_ = false; ///< Another node, which reaches no endpoint, has passed it on; it goes no further.
 };
 
 /** \brief An endpoint as listed in the registry. */
@@ -77,6 +78,16 @@
     Duration maxIdleAge_{0}; ///< Pooled connections that were idle for longer are not reused.
 };
 
+/** \brief A request that is passed on to another node. */
+struct ForwardedRequest
+{
+    std::string address_; ///< Of the other node's links. \sa FleetMember::linkAddress_
+    std::shared_ptr<const GatewayRequest> request_;
+    Duration timeLeft_{0};
+    std::size_t maxResponseBytes_ = 0;
+    Duration maxIdleAge_{0}; ///< \sa EndpointAttempt::maxIdleAge_
+};
+
 /** \brief What an answer says about the rate of requests that its endpoint takes. */
 enum class LimitStatement : std::uint8_t {
     None, ///< The endpoint names no limit.
@@ -91,6 +102,7 @@
     bool notRun_ = false; ///< The endpoint states that it did not execute the request.
     bool fromEndpoint_ = false; ///< The answer carries the endpoint's response stamp.
     bool wrongInstance_ = false; ///< Another incarnation now answers at this address.
+    bool isMisdirected_ = false; ///< Another node, to which the request was passed on, can't serve it.
     bool isLeaving_ = false; ///< The endpoint that answers is about to end and must not get further requests.
     LimitStatement limit_ = LimitStatement::None;
     double requestsPerSecond_ = 0.0; ///< Limit on the requests of all nodes together, if limit_ is Named.
@@ -140,6 +152,7 @@
     OriginUnknown, ///< It is not known which version began the stream.
     NoEndpointOfVersion, ///< None runs the version that began the stream.
     EndpointsFull,
+    Unreachable, ///< This node can't serve it now, another one may.
     Overloaded,
     Stopping,
     Quarantined,
@@ -150,7 +163,7 @@
 template<>
 struct NameTable<RefusalReason>
 {
-    static constexpr std::array<std::pair<RefusalReason, std::string_view>, 17> entries{{
+    static constexpr std::array<std::pair<RefusalReason, std::string_view>, 18> entries{{
         {RefusalReason::NoConfiguration, "no_configuration"},
         {RefusalReason::NoRoute, "no_route"},
         {RefusalReason::InvalidRequest, "invalid_request"},
@@ -163,6 +176,7 @@
         {RefusalReason::OriginUnknown, "stream_origin_unknown"},
         {RefusalReason::NoEndpointOfVersion, "no_endpoint_of_version"},
         {RefusalReason::EndpointsFull, "endpoints_full"},
+        {RefusalReason::Unreachable, "unreachable"},
         {RefusalReason::Overloaded, "overloaded"},
         {RefusalReason::Stopping, "stopping"},
         {RefusalReason::Quarantined, "quarantined"},
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -188,6 +188,111 @@
 
 } // namespace
 
+/** \brief Reply of a node to a request that another one has passed on; its parts arrive a network delay later. */
+class GatewayRig::Forward : public HttpReply, public std::enable_shared_from_this<GatewayRig::Forward>
+{
+public:
+    Forward(bench::EventQueue &queue, AttemptHandlers handlers)
+        : queue_(queue)
+        , handlers_(std::move(handlers))
+    {
+    }
+    void setHeader(const std::string &name, const std::string &value) override
+    {
+        head_.headers_[name] = value;
+    }
+    void send(int status, const std::string &contentType, const std::string &body) override
+    {
+        startStream(status, contentType);
+        write(body);
+        finish();
+    }
+    void startStream(int status, const std::string &) override
+    {
+        head_.status_ = status;
+        head_.isMisdirected_ = status == 421;
+        deliver([head = head_](const AttemptHandlers &handlers) { handlers.onHead_(head); });
+    }
+    void write(const std::string &part) override
+    {
+        deliver([part](const AttemptHandlers &handlers) { handlers.onPart_(part); });
+    }
+    void finish() override
+    {
+        end(AttemptEnd::Complete);
+    }
+    void abort() override
+    {
+        end(AttemptEnd::Broken);
+    }
+    void onClosed(std::function<void()> closed) override
+    {
+        closed_ = std::move(closed);
+    }
+    void end(AttemptEnd ended)
+    {
+        deliver([ended](const AttemptHandlers &handlers) { handlers.onEnd_(ended); });
+        hasEnded_ = true;
+    }
+    /** \brief The node that has passed the request on closes the connection. */
+    void close()
+    {
+        hasEnded_ = true;
+        const std::function<void()> closed = closed_;
+        if (closed) {
+            closed();
+        }
+    }
+    bool hasEnded() const
+    {
+        return hasEnded_;
+    }
+
+private:
+    void deliver(const std::function<void(const AttemptHandlers &)> &part)
+    {
+        if (!hasEnded_) {
+            queue_.after(std::chrono::milliseconds(1), [self = shared_from_this(), part] { part(self->handlers_); });
+        }
+    }
+
+    bench::EventQueue &queue_;
+    AttemptHandlers handlers_;
+    AttemptHead head_;
+    std::function<void()> closed_;
+    bool hasEnded_ = false;
+};
+
+std::uint64_t
+GatewayRig::startForward(const std::string &from, const ForwardedRequest &forwarded, const AttemptHandlers &handlers)
+{
+    const std::shared_ptr<Forward> reply = std::make_shared<Forward>(queue_, handlers);
+    forwards_.push_back(reply);
+    const std::uint64_t number = firstForward + forwards_.size();
+    const auto isReached = [this, from](const std::string &to) {
+        return isolatedNodes_.count(from) == 0 && isolatedNodes_.count(to) == 0;
+    };
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        if (!nodes_[i] || nameOfNode(i) != forwarded.address_ || !isReached(nameOfNode(i))) {
+            continue;
+        }
+        forwardedTo_[i].push_back(reply);
+        GatewayRequest request = *forwarded.request_;
+        request.timeLeft_ = forwarded.timeLeft_;
+        request.isForwarded_ = true;
+        queue_.after(std::chrono::milliseconds(1), [this, i, request, reply] {
+            if (nodes_[i]) {
+                nodes_[i]->onRequest(request, reply);
+            } else {
+                reply->end(AttemptEnd::NotSent);
+            }
+        });
+        return number;
+    }
+    reply->end(AttemptEnd::NotSent);
+    return number;
+}
+
 GatewayHooks GatewayRig::hooksOf(std::size_t node)
 {
     const std::string name = nameOfNode(node);
@@ -238,7 +343,16 @@
             }
         });
     };
-    hooks.cancelAttempt_ = [this](std::uint64_t attempt) { attempts_.at(attempt - 1).cancelled_ = true; };
+    hooks.cancelAttempt_ = [this](std::uint64_t attempt) {
+        if (attempt > firstForward) {
+            forwards_.at(attempt - firstForward - 1)->close();
+        } else {
+            attempts_.at(attempt - 1).cancelled_ = true;
+        }
+    };
+    hooks.forward_ = [this, name, alive](const ForwardedRequest &forwarded, const AttemptHandlers &handlers) {
+        return startForward(name, forwarded, handlersWhileAlive(handlers, alive));
+    };
     const auto reaches = [this, name](const std::string &other) {
         return isolatedNodes_.count(name) == 0 && isolatedNodes_.count(other) == 0;
     };
@@ -334,6 +448,10 @@
 {
     *alive_[node] = false;
     nodes_[node].reset();
+    for (const std::shared_ptr<Forward> &reply : forwardedTo_[node]) {
+        reply->end(AttemptEnd::Broken);
+    }
+    forwardedTo_.erase(node);
 }
 
 void GatewayRig::putSpending(const std::string &program, const std::string &writer, const SpendingRecord &record)
--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -86,12 +86,21 @@
     std::function<bool(std::size_t node, const std::string &address)> isReachable_;
 
 private:
+    class Forward;
+
+    /** Numbers of forwarded requests are above those of attempts. */
+    static constexpr std::uint64_t firstForward = 1ULL << 32;
+
     GatewayHooks hooksOf(std::size_t node);
+    std::uint64_t
+    startForward(const std::string &from, const ForwardedRequest &forwarded, const AttemptHandlers &handlers);
     void configure(Gateway &gateway);
     std::string nameOfNode(std::size_t node) const;
     /** \brief Tells all nodes that follow the registry of a change. */
     void publish(const std::function<void(Gateway &)> &change);
 
+    std::vector<std::shared_ptr<Forward>> forwards_;
+    std::map<std::size_t, std::vector<std::shared_ptr<Forward>>> forwardedTo_; ///< By node that serves them.
     std::vector<std::shared_ptr<bool>> alive_; ///< By node; shared with its hooks, which do nothing after a kill.
     std::vector<Route> routes_;
     TurnStoreSettings turns_;
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -249,6 +249,29 @@
     EXPECT_FALSE(decodeRequest(request));
 }
 
+// Guards against a request that changes, or gets more time, on its way through another node.
+TEST(EngineProtocol, ForwardedRequestKeepsWhatTheClientSent)
+{
+    HttpRequest client = clientRequest();
+    client.headers_["resumes"] = "id0";
+    client.headers_["last-event-id"] = "12";
+    ForwardedRequest forwarded;
+    forwarded.request_ = std::make_shared<const GatewayRequest>(*decodeRequest(client));
+    forwarded.timeLeft_ = std::chrono::milliseconds(700);
+    const HttpCall call = encodeForward(forwarded, "10.0.0.1:9", AttemptHandlers());
+    EXPECT_EQ(call.address_, "10.0.0.1:9");
+    const std::optional<GatewayRequest> decoded = decodeRequest(call.request_);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->id_, "id1");
+    EXPECT_EQ(decoded->target_, client.target_);
+    EXPECT_EQ(decoded->body_, client.body_);
+    EXPECT_EQ(decoded->timeLeft_, forwarded.timeLeft_);
+    EXPECT_EQ(decoded->tokenBudget_, 900U);
+    EXPECT_EQ(decoded->resumes_, "id0");
+    EXPECT_EQ(decoded->lastEventId_, "12");
+    EXPECT_EQ(decoded->headers_.at("x-other"), client.headers_.at("x-other"));
+}
+
 /** \brief Headers of an answer and what they say. */
 struct HeadCase
 {
