Take no endpoint for ended by a probe while no other endpoint can be reached

An attempt breaks, the probe that follows is refused by the cut, and three such records quarantine whatever ran.

Change: a refused probe counts only if one of two other endpoints, drawn at random, accepts a connection right after it. What the registry says, or another incarnation that answers, counts as before.

Ruled out: waiting for EndpointReachability (a node with one request under way doesn't suspect a cut yet); taking answers for proof (kept connections can outlive the path).

Measured: CrashesOfCutNodes.QuarantineNoRequest fails before (4 attempts where 5 are due) and passes; endpoints that ended are still reported, and PoisonRequest, BystanderRequest hold.

--- a/src/gateway/crashdetector.cpp
+++ b/src/gateway/crashdetector.cpp
@@ -71,6 +71,11 @@
     if (found == incarnations_.end()) {
         return;
     }
+    if (!isReachable && hooks_.checkPath_) {
+        hooks_.checkPath_(found->second.endpoint_,
+                          [this, incarnation](bool isPathUp) { pathChecked(incarnation, isPathUp); });
+        return;
+    }
     found->second.isProbed_ = false;
     if (!isReachable) {
         endpointEnded(incarnation, CrashEvidence::Unreachable);
@@ -85,6 +90,18 @@
     }
 }
 
+void CrashDetector::pathChecked(const std::string &incarnation, bool isPathUp)
+{
+    const auto found = incarnations_.find(incarnation);
+    if (found == incarnations_.end()) {
+        return;
+    }
+    found->second.isProbed_ = false;
+    if (isPathUp) {
+        endpointEnded(incarnation, CrashEvidence::Unreachable);
+    }
+}
+
 void CrashDetector::endpointEnded(const std::string &incarnation, CrashEvidence evidence)
 {
     if (!ended_.emplace(incarnation, hooks_.now_()).second) {
--- a/src/gateway/crashdetector.h
+++ b/src/gateway/crashdetector.h
@@ -43,6 +43,8 @@
     Clock now_;
     /** \brief Opens a connection to the endpoint; reports whether that succeeded. */
     std::function<void(const Endpoint &endpoint, std::function<void(bool isReachable)> done)> probe_;
+    /** \brief Reports whether this node reaches any endpoint other than \p suspect; may be empty if it always does. */
+    std::function<void(const Endpoint &suspect, std::function<void(bool isPathUp)> done)> checkPath_;
     /** \brief An endpoint has ended; \p requests are the fingerprints of what it ran for this node. */
     std::function<void(const std::string &incarnation, const std::vector<std::string> &requests)> onCrash_;
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
@@ -52,9 +54,9 @@
  * \brief Finds out which endpoints ended, and which requests of this node they ran then.
  *
  * A connection that breaks is no proof: answers are lost and connections are reset while their endpoint lives on. Proof
- * is that the endpoint refuses connections afterwards, that another incarnation answers, or what the registry says. It
- * may arrive seconds later, so failed attempts are remembered for some time. Each incarnation is reported once, so that
- * a node without a network adds at most one crash to each of its requests.
+ * is that the endpoint refuses connections afterwards while other endpoints accept them, that another incarnation
+ * answers, or what the registry says. It may arrive seconds later, so failed attempts are remembered for some time.
+ * Each incarnation is reported once, so that a node without a network adds at most one crash to each of its requests.
  */
 class CrashDetector
 {
@@ -85,6 +87,8 @@
 
     void probe(const std::string &incarnation);
     void probed(const std::string &incarnation, bool isReachable);
+    /** \brief The endpoint refuses connections: ended if the path to endpoints is up. */
+    void pathChecked(const std::string &incarnation, bool isPathUp);
 
     CrashDetectorHooks hooks_;
     CrashDetectorSettings settings_;
--- a/src/gateway/endpointreachability.cpp
+++ b/src/gateway/endpointreachability.cpp
@@ -10,7 +10,8 @@
 {
     void forgetOldFailures();
     bool isSuspicious(std::size_t silentEndpoints, std::size_t endpoints) const;
-    void probe(std::vector<Endpoint> endpoints);
+    std::vector<Endpoint> draw(std::vector<Endpoint> endpoints, std::size_t count) const;
+    void probe(const std::vector<Endpoint> &endpoints);
     void probed(bool isReachable);
     void setCutOff(bool isCutOff);
 
@@ -40,17 +41,23 @@
     return isSilent || failures_.size() >= std::min(settings_.suspiciousFailures_, endpoints);
 }
 
-/** Probes some endpoints, drawn at random. */
-void EndpointReachability::Private::probe(std::vector<Endpoint> endpoints)
+/** Some of the endpoints, drawn at random. */
+std::vector<Endpoint> EndpointReachability::Private::draw(std::vector<Endpoint> endpoints, std::size_t count) const
 {
-    const std::size_t count = std::min(settings_.probedEndpoints_, endpoints.size());
-    probesLeft_ = count;
-    isRoundReachable_ = false;
+    count = std::min(count, endpoints.size());
     for (std::size_t i = 0; i < count; ++i) {
         std::swap(endpoints[i], endpoints[i + hooks_.random_() % (endpoints.size() - i)]);
     }
-    for (std::size_t i = 0; i < count; ++i) {
-        hooks_.probe_(endpoints[i], [self = shared_from_this()](bool isReachable) {
+    endpoints.resize(count);
+    return endpoints;
+}
+
+void EndpointReachability::Private::probe(const std::vector<Endpoint> &endpoints)
+{
+    probesLeft_ = endpoints.size();
+    isRoundReachable_ = false;
+    for (const Endpoint &endpoint : endpoints) {
+        hooks_.probe_(endpoint, [self = shared_from_this()](bool isReachable) {
             if (!self->stopped_) {
                 self->probed(isReachable);
             }
@@ -98,6 +105,32 @@
     return d_->isCutOff_;
 }
 
+void EndpointReachability::check(const Endpoint &suspect, const std::function<void(bool isPathUp)> &done)
+{
+    std::vector<Endpoint> others = d_->hooks_.endpoints_();
+    const auto isSuspect = [&suspect](const Endpoint &other) { return other.address_ == suspect.address_; };
+    others.erase(std::remove_if(others.begin(), others.end(), isSuspect), others.end());
+    const std::vector<Endpoint> drawn = d_->draw(std::move(others), d_->settings_.checkedEndpoints_);
+    if (drawn.empty()) {
+        done(false);
+        return;
+    }
+    struct Check
+    {
+        std::size_t left_ = 0;
+        bool isPathUp_ = false;
+    };
+    const std::shared_ptr<Check> check = std::make_shared<Check>(Check{drawn.size(), false});
+    for (const Endpoint &endpoint : drawn) {
+        d_->hooks_.probe_(endpoint, [self = d_, check, done](bool isReachable) {
+            check->isPathUp_ = check->isPathUp_ || isReachable;
+            if (--check->left_ == 0 && !self->stopped_) {
+                done(check->isPathUp_);
+            }
+        });
+    }
+}
+
 void EndpointReachability::connectFailed(const std::string &endpoint)
 {
     d_->failures_[endpoint] = d_->hooks_.now_();
@@ -121,7 +154,7 @@
     }
     const std::vector<Endpoint> endpoints = d_->hooks_.endpoints_();
     if (!endpoints.empty() && (d_->isCutOff_ || d_->isSuspicious(silentEndpoints, endpoints.size()))) {
-        d_->probe(endpoints);
+        d_->probe(d_->draw(endpoints, d_->settings_.probedEndpoints_));
     }
 }
 
--- a/src/gateway/endpointreachability.h
+++ b/src/gateway/endpointreachability.h
@@ -18,6 +18,7 @@
     std::size_t suspiciousSilences_ = 2; ///< Endpoints that leave requests unanswered, from which on it probes.
     Duration silence_{500'000}; ///< A request without an answer for so long counts, if no other answer came meanwhile.
     std::size_t probedEndpoints_ = 3; ///< At once.
+    std::size_t checkedEndpoints_ = 2; ///< Of which one must accept a connection for check() to succeed.
     Duration probePause_{500'000}; ///< Between two rounds of probes.
 };
 
@@ -45,6 +46,8 @@
     ~EndpointReachability();
 
     bool isCutOff() const;
+    /** \brief Probes some endpoints other than \p suspect; reports whether one of them accepts a connection. */
+    void check(const Endpoint &suspect, const std::function<void(bool isPathUp)> &done);
     void connectFailed(const std::string &endpoint);
     void answered(const std::string &endpoint);
     /** \brief Decides whether to probe. \p silentEndpoints leave requests unanswered for longer than silence_. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -124,6 +124,9 @@
     CrashDetectorHooks hooks;
     hooks.now_ = hooks_.now_;
     hooks.probe_ = hooks_.probeEndpoint_;
+    hooks.checkPath_ = [this](const Endpoint &suspect, std::function<void(bool)> done) {
+        reachability_.check(suspect, done);
+    };
     hooks.onCrash_ = [this](const std::string &incarnation, const std::vector<std::string> &requests) {
         recordCrash(incarnation, requests);
     };
