--- a/test/gateway/crashworld.cpp
+++ b/test/gateway/crashworld.cpp
@@ -32,6 +32,12 @@
     return body.compare(0, 6, "poison") == 0;
 }
 
+/** A poison request's body is its name, and something else after a space. */
+std::string poisonOf(const std::string &body)
+{
+    return body.substr(0, body.find(' '));
+}
+
 } // namespace
 
 CrashWorld::CrashWorld(CrashWorldSettings settings)
@@ -128,7 +134,7 @@
 
 CrashWorld::Poison *CrashWorld::findPoison(const std::string &body)
 {
-    const auto hasBody = [&body](const Poison &poison) { return poison.body_ == body; };
+    const auto hasBody = [name = poisonOf(body)](const Poison &poison) { return poison.body_ == name; };
     const auto found = std::find_if(poisons_.begin(), poisons_.end(), hasBody);
     return found == poisons_.end() ? nullptr : &*found;
 }
@@ -139,13 +145,20 @@
     if (settings_.kind_ == RouteKind::Streaming) {
         GatewayRequest streaming = turn(id, "program-" + id, "program-" + id);
         streaming.body_ = body;
+        streaming.target_ = targetOf("/turns/", body);
         return streaming;
     }
     GatewayRequest plain = plainRequest(id);
     plain.body_ = body;
+    plain.target_ = targetOf("/plain/", body);
     return plain;
 }
 
+std::string CrashWorld::targetOf(const std::string &prefix, const std::string &body) const
+{
+    return prefix + (settings_.variesBody_ && isPoison(body) ? poisonOf(body) : "x");
+}
+
 std::size_t CrashWorld::randomNode()
 {
     std::size_t node = 0;
@@ -164,7 +177,8 @@
 {
     // A client has one request open at a time; a node that is killed answers nothing.
     if (rig_.queue_.now() >= poisonPausedUntil_) {
-        rig_.send(randomNode(), request(body));
+        const std::string other = settings_.variesBody_ ? ' ' + std::string(1 + random_() % 40, 'a') : std::string();
+        rig_.send(randomNode(), request(body + other));
     }
     rig_.queue_.after(findPoison(body)->retryDelay_, [this, body] { sendPoison(body); });
 }
--- a/test/gateway/crashworld.h
+++ b/test/gateway/crashworld.h
@@ -16,6 +16,7 @@
     RouteKind kind_ = RouteKind::Streaming;
     std::uint32_t maxAttempts_ = 1; ///< Of the route.
     double ordinaryPerSecond_ = 0.0; ///< Ordinary requests.
+    bool variesBody_ = false; ///< Each attempt of a poison request has another body, and a path of its own.
     bool areAlike_ = false; ///< The ordinary requests have the same path and an empty body.
     bool crashesSilently_ = false; ///< A crashed endpoint answers nothing instead of refusing connections.
     double brokenShare_ = 0.0; ///< Share of the ordinary answers that break off although the endpoint lives on.
@@ -94,6 +95,7 @@
     };
 
     GatewayRequest request(const std::string &body);
+    std::string targetOf(const std::string &prefix, const std::string &body) const;
     std::size_t randomNode();
     void sendPoison(const std::string &body);
     void arrive();
--- a/test/gateway/poisonrequests.cpp
+++ b/test/gateway/poisonrequests.cpp
@@ -23,6 +23,7 @@
     std::function<void(CrashWorld &world)> trouble_; ///< Runs for as long as the client tries again.
     int maxCrashes_ = fewestCrashes;
     bool crashesSilently_ = false;
+    bool variesBody_ = false;
 };
 
 class PoisonRequest : public testing::TestWithParam<PoisonCase>
@@ -37,6 +38,7 @@
     settings.kind_ = GetParam().kind_;
     settings.maxAttempts_ = GetParam().maxAttempts_;
     settings.crashesSilently_ = GetParam().crashesSilently_;
+    settings.variesBody_ = GetParam().variesBody_;
     CrashWorld world(settings);
     world.startPoison(poisonBody, retryDelay);
     GetParam().trouble_(world);
@@ -121,8 +123,26 @@
     world.run(std::chrono::seconds(8));
 }
 
+PoisonCase varying(const char *name, std::size_t nodes, RouteKind kind, void (*trouble)(CrashWorld &))
+{
+    PoisonCase varying{name, nodes, kind, 1, trouble};
+    varying.variesBody_ = true;
+    return varying;
+}
+
 } // namespace
 
+// Requests that come again with another body at the same path.
+INSTANTIATE_TEST_SUITE_P(VaryingBody,
+                         PoisonRequest,
+                         testing::Values(varying("Streaming", 12, RouteKind::Streaming, runCalmly),
+                                         varying("Idempotent", 12, RouteKind::Idempotent, runCalmly),
+                                         varying("NodesRestart", 12, RouteKind::Streaming, restartEachNode),
+                                         varying("AllNodesLost", 12, RouteKind::Streaming, loseAllNodes),
+                                         varying("DatagramsLost", 60, RouteKind::Streaming, loseDatagrams),
+                                         varying("StoreAway", 12, RouteKind::Streaming, takeStoreAway)),
+                         [](const testing::TestParamInfo<PoisonCase> &info) { return info.param.name_; });
+
 INSTANTIATE_TEST_SUITE_P(
     Table,
     PoisonRequest,
@@ -182,8 +202,49 @@
     EXPECT_GE(ordinary.served_ * 100, ordinary.sent_ * 98);
 }
 
+// Guards against a path at which nothing is served any more, because endpoints ended by themselves under its requests.
+TEST(SharedTarget, IsServedAgainAfterItsEndpointsEnded)
+{
+    constexpr std::size_t nodes = 3;
+    GatewayRig rig(nodes, {plainRoute(RouteKind::Idempotent, 1)});
+    rig.addEndpoints("services", "s", 12);
+    std::set<std::string> ended;
+    rig.isReachable_ = [&ended](std::size_t, const std::string &address) { return ended.count(address) == 0; };
+    for (std::size_t i = 0; i < nodes; ++i) {
+        GatewayRequest request = plainRequest("r" + std::to_string(i));
+        request.body_ = "body" + std::to_string(i);
+        rig.send(i, request);
+        ended.insert(rig.attempts_.back().attempt_.address_);
+        rig.end(rig.attempts_.size() - 1, AttemptEnd::Broken);
+    }
+    ended.clear();
+    const std::size_t before = rig.attempts_.size();
+    for (int i = 0; i < 60 && rig.attempts_.size() == before; ++i) {
+        rig.run(std::chrono::seconds(1));
+        GatewayRequest request = plainRequest("later" + std::to_string(i));
+        request.body_ = "later" + std::to_string(i);
+        rig.send(static_cast<std::size_t>(i) % nodes, request);
+    }
+    ASSERT_GT(rig.attempts_.size(), before);
+    rig.answer(before, 200, "done");
+    rig.run(std::chrono::seconds(1));
+    for (std::size_t node = 0; node < nodes; ++node) {
+        GatewayRequest request = plainRequest("last" + std::to_string(node));
+        rig.send(node, request);
+        EXPECT_EQ(rig.attempts_.size(), before + 2 + node);
+    }
+}
+
 namespace {
 
+CrashWorldSettings besideVaryingPoison()
+{
+    CrashWorldSettings settings;
+    settings.ordinaryPerSecond_ = 300.0;
+    settings.variesBody_ = true;
+    return settings;
+}
+
 CrashWorldSettings ordinaryLoad(RouteKind kind, bool areAlike, double brokenShare)
 {
     CrashWorldSettings settings;
@@ -201,6 +262,7 @@
     BystanderRequest,
     testing::Values(
         BystanderCase{"OnePoison", ordinaryLoad(RouteKind::Streaming, false, 0.0), 1, Duration{0}, 0},
+        BystanderCase{"FivePoisonsOfVaryingBody", besideVaryingPoison(), 5, Duration{0}, 2},
         BystanderCase{"FivePoisons", ordinaryLoad(RouteKind::Streaming, false, 0.0), 5, Duration{0}, 2},
         BystanderCase{"BrokenAnswers", ordinaryLoad(RouteKind::Streaming, false, 0.2), 0, Duration{0}, 0},
         BystanderCase{
