Suspect the target of a request too, so that another body is no way out

Cause: a suspect is known by a hash that covers the body. Class of fault: a name for "the same" that is finer than what comes again.

Change: an endpoint that ends gives two records for each of its requests, of its content as before and of its target (method, host, path and query), whose ends are counted apart. The target isn't suspected at nodes to which it was answered within a minute, so paths that many requests share never are. One node sends two requests with a quarantined target, 15 s and 30 s later; an answer excuses it at all nodes. Only records of content are as before, so older nodes read the new ones as records of requests that they never see.

Ruled out: the target alone (refuses innocents at shared paths); excusing by any answer without the trial (a quarantined path would get none).

--- a/src/gateway/crashdetector.cpp
+++ b/src/gateway/crashdetector.cpp
@@ -1,7 +1,5 @@
 #include "gateway/crashdetector.h"
 
-#include "gateway/requestfingerprint.h"
-
 #include <nlohmann/json.hpp>
 
 #include <iterator>
@@ -47,7 +45,7 @@
         }
         return;
     }
-    entry->second.fingerprint_ = fingerprintOf(*entry->second.request_);
+    entry->second.fingerprints_ = RequestFingerprints::of(*entry->second.request_);
     entry->second.request_.reset();
     entry->second.failedAt_ = hooks_.now_();
     if (ended == AttemptEnd::Broken) {
@@ -111,10 +109,10 @@
     if (found == incarnations_.end()) {
         return;
     }
-    std::vector<std::string> requests;
+    std::vector<RequestFingerprints> requests;
     for (const std::pair<const std::uint64_t, Attempt> &entry : found->second.attempts_) {
         const Attempt &attempt = entry.second;
-        requests.push_back(attempt.request_ ? fingerprintOf(*attempt.request_) : attempt.fingerprint_);
+        requests.push_back(attempt.request_ ? RequestFingerprints::of(*attempt.request_) : attempt.fingerprints_);
         incarnationOf_.erase(entry.first);
     }
     incarnations_.erase(found);
--- a/src/gateway/crashdetector.h
+++ b/src/gateway/crashdetector.h
@@ -2,6 +2,7 @@
 #define FILBERTGW_GATEWAY_CRASHDETECTOR_H
 
 #include "gateway/gatewaytypes.h"
+#include "gateway/requestfingerprint.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -46,7 +47,7 @@
     /** \brief Reports whether this node reaches any endpoint other than \p suspect; may be empty if it always does. */
     std::function<void(const Endpoint &suspect, std::function<void(bool isPathUp)> done)> checkPath_;
     /** \brief An endpoint has ended; \p requests are the fingerprints of what it ran for this node. */
-    std::function<void(const std::string &incarnation, const std::vector<std::string> &requests)> onCrash_;
+    std::function<void(const std::string &incarnation, const std::vector<RequestFingerprints> &requests)> onCrash_;
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
 };
 
@@ -75,7 +76,7 @@
     struct Attempt
     {
         std::shared_ptr<const GatewayRequest> request_; ///< Null once the attempt has failed.
-        std::string fingerprint_; ///< Set once the attempt has failed.
+        RequestFingerprints fingerprints_; ///< Set once the attempt has failed.
         std::optional<Time> failedAt_;
     };
     struct Incarnation
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,6 +39,7 @@
                                  [this](const std::string &program) { budget_.announceSpending(program); }},
               settings_.ledger_,
               settings_.ledgerPartitions_)
+    , answeredTargets_(hooks_.now_)
     , quarantine_(quarantineHooks(), settings_.quarantine_)
     , crashDetector_(crashDetectorHooks(), settings_.crashDetector_)
     , crashStream_(crashStreamHooks(), settings_.ledger_.writer_)
@@ -116,6 +117,7 @@
         hooks_.count_("requests_quarantined_total", {});
     };
     hooks.onExcused_ = [this](const std::vector<CrashRecord> &records) { crashStream_.append(records); };
+    hooks.isTrialNode_ = [this](const std::string &request) { return fleet_.isChosen(request, 1); };
     return hooks;
 }
 
@@ -127,7 +129,7 @@
     hooks.checkPath_ = [this](const Endpoint &suspect, std::function<void(bool)> done) {
         reachability_.check(suspect, done);
     };
-    hooks.onCrash_ = [this](const std::string &incarnation, const std::vector<std::string> &requests) {
+    hooks.onCrash_ = [this](const std::string &incarnation, const std::vector<RequestFingerprints> &requests) {
         recordCrash(incarnation, requests);
     };
     hooks.logEvent_ = hooks_.logEvent_;
@@ -207,14 +209,21 @@
     return silent.size();
 }
 
-void Gateway::Private::recordCrash(const std::string &incarnation, const std::vector<std::string> &requests)
+void Gateway::Private::recordCrash(const std::string &incarnation, const std::vector<RequestFingerprints> &requests)
 {
     std::vector<CrashRecord> records;
-    for (const std::string &request : requests) {
-        const CrashRecord record{request, incarnation, false};
+    const auto suspect = [this, &records, &incarnation](const std::string &fingerprint) {
+        const CrashRecord record{fingerprint, incarnation, false};
         if (quarantine_.add(record)) {
             records.push_back(record);
         }
+    };
+    for (const RequestFingerprints &request : requests) {
+        suspect(request.content_);
+        // Other requests share a target that is answered, so it is not the cause.
+        if (!answeredTargets_.contains(request.target_)) {
+            suspect(request.target_);
+        }
     }
     if (!records.empty()) {
         crashStream_.append(records);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 #define FILBERTGW_GATEWAY_GATEWAY_H
 
 #include "gateway/admission.h"
+#include "gateway/answeredtargets.h"
 #include "gateway/budgetcontroller.h"
 #include "gateway/cachediscovery.h"
 #include "gateway/crashdetector.h"
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -1,7 +1,6 @@
 #include "gateway/gatewaycall.h"
 
 #include "core/numbers.h"
-#include "gateway/requestfingerprint.h"
 
 #include <algorithm>
 
@@ -322,23 +321,36 @@
     });
 }
 
-const std::string &GatewayCall::fingerprint()
+const RequestFingerprints &GatewayCall::fingerprints()
 {
-    if (fingerprint_.empty()) {
-        fingerprint_ = fingerprintOf(*request_);
+    if (!fingerprints_) {
+        fingerprints_ = RequestFingerprints::of(*request_);
     }
-    return fingerprint_;
+    return *fingerprints_;
 }
 
 bool GatewayCall::isQuarantined()
 {
-    return !gateway_->quarantine_.isEmpty() && gateway_->quarantine_.isQuarantined(fingerprint());
+    Quarantine &quarantine = gateway_->quarantine_;
+    if (quarantine.isEmpty()) {
+        return false;
+    }
+    if (quarantine.isQuarantined(fingerprints().content_)) {
+        return true;
+    }
+    if (isTrial_ || !quarantine.isQuarantined(fingerprints().target_)) {
+        return false;
+    }
+    isTrial_ = quarantine.tryAgain(fingerprints().target_);
+    return !isTrial_;
 }
 
 void GatewayCall::reportAnswered()
 {
+    gateway_->answeredTargets_.add(*request_);
     if (!gateway_->quarantine_.isEmpty()) {
-        gateway_->quarantine_.requestAnswered(fingerprint());
+        gateway_->quarantine_.requestAnswered(fingerprints().content_);
+        gateway_->quarantine_.requestAnswered(fingerprints().target_);
     }
 }
 
@@ -548,7 +560,7 @@
     gateway_->hooks_.logEvent_("attempt_failed",
                                {{"request", request_->id_},
                                 {"program", request_->program_},
-                                {"content", fingerprint()},
+                                {"content", fingerprints().content_},
                                 {"endpoint", lastEndpoint_},
                                 {"end", nameOf(ended)},
                                 {"status", head_.status_},
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -77,7 +77,7 @@
     void waitForLimits();
     /** \brief True if the request has ended too many endpoints to be sent to another one. */
     bool isQuarantined();
-    const std::string &fingerprint();
+    const RequestFingerprints &fingerprints();
     /** \brief The incarnation that now has the address of an endpoint; empty if it is not registered yet. */
     std::string successorOf(const std::string &endpoint) const;
     /** \brief An endpoint has answered the request. */
@@ -166,7 +166,8 @@
     std::uint64_t forward_ = 0; ///< Number of the exchange with that node; 0 if none is in progress.
     std::unordered_set<std::string> triedNodes_;
 
-    std::string fingerprint_; ///< Empty until it is needed. \sa fingerprintOf()
+    bool isTrial_ = false; ///< It is sent although its target is quarantined. \sa Quarantine::tryAgain()
+    std::optional<RequestFingerprints> fingerprints_; ///< Not set until they are needed.
     std::unordered_set<std::string> excluded_; ///< Endpoints that refused the request or failed.
     std::uint32_t runs_ = 0; ///< Attempts that the endpoint may have executed.
     std::uint32_t sends_ = 0; ///< Attempts, refused ones included.
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -47,7 +47,7 @@
     /** \brief Endpoints that have left a request of this node unanswered for some time. */
     std::size_t silentEndpoints() const;
     /** \brief An endpoint ended while it ran these requests for this node. */
-    void recordCrash(const std::string &incarnation, const std::vector<std::string> &requests);
+    void recordCrash(const std::string &incarnation, const std::vector<RequestFingerprints> &requests);
     /** \brief Asks the engines of all services for the contents of their caches. */
     void discoverCaches();
     /**
@@ -68,6 +68,7 @@
     Placement placement_;
     CacheDiscovery cacheDiscovery_;
     PartitionedLedger ledger_;
+    AnsweredTargets answeredTargets_;
     Quarantine quarantine_;
     CrashDetector crashDetector_;
     CrashStream crashStream_;
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -286,7 +286,7 @@
          {"peer", forwardedTo_},
          {"budget", request_->tokenBudget_.value_or(0)},
          {"grant", nameOf(grantBasis_)},
-         {"content", fingerprint_},
+         {"content", fingerprints_ ? fingerprints_->content_ : std::string()},
          {"main_line", request_->session_ == request_->program_},
          {"most_tokens", request_->maxOutputTokens_},
          {"ms", toMilliseconds(took)}});
--- a/src/gateway/quarantine.cpp
+++ b/src/gateway/quarantine.cpp
@@ -56,6 +56,7 @@
     const bool wasQuarantined = suspect.isQuarantined_;
     suspect.isQuarantined_ = unexcused(suspect) >= settings_.crashLimit_;
     if (suspect.isQuarantined_ && !wasQuarantined) {
+        suspect.nextTrialAt_ = hooks_.now_() + settings_.trialInterval_;
         hooks_.onQuarantined_(record.request_);
     }
     return true;
@@ -119,6 +120,21 @@
     return suspect != suspects_.end() && suspect->second.isQuarantined_;
 }
 
+bool Quarantine::tryAgain(const std::string &request)
+{
+    const auto found = suspects_.find(request);
+    if (found == suspects_.end() || !hooks_.isTrialNode_ || !hooks_.isTrialNode_(request)) {
+        return false;
+    }
+    Suspect &suspect = found->second;
+    if (suspect.trials_ >= settings_.maxTrials_ || hooks_.now_() < suspect.nextTrialAt_) {
+        return false;
+    }
+    ++suspect.trials_;
+    suspect.nextTrialAt_ = hooks_.now_() + settings_.trialInterval_;
+    return true;
+}
+
 std::size_t Quarantine::crashes(const std::string &request) const
 {
     const auto suspect = suspects_.find(request);
--- a/src/gateway/quarantine.h
+++ b/src/gateway/quarantine.h
@@ -19,6 +19,8 @@
     std::size_t crashLimit_ = 3; ///< A request is quarantined once so many endpoints have ended while they ran it.
     Duration lifetime_{600'000'000}; ///< Of a request's records, since this node learned of the last one.
     std::size_t maxRequests_ = 4096; ///< Beyond it, an eighth of the requests is dropped: few crashes first, then old.
+    std::size_t maxTrials_ = 2; ///< Requests with a quarantined fingerprint that are sent nevertheless, by one node.
+    Duration trialInterval_{15'000'000}; ///< From the quarantine to the first of them, and between them.
     std::size_t announcements_ = 3; ///< Reports to other nodes that contain a new record.
     std::size_t maxAnnounced_ = 64; ///< Records in one report.
     /** A record that is not in the store after this time, and up to as much again, is stored by any node knowing it. */
@@ -30,6 +32,7 @@
     Clock now_;
     RandomSource random_;
     std::function<void(const std::string &request)> onQuarantined_; ///< The request has reached the limit.
+    std::function<bool(const std::string &request)> isTrialNode_; ///< This node sends its trials; false if empty.
     /** \brief This node has excused records of a suspect: others must learn of it. */
     std::function<void(const std::vector<CrashRecord> &)> onExcused_;
 };
@@ -41,6 +44,9 @@
  * of times. So nodes need no agreement; each merges what it observes with what others report and what is stored.
  * A request that was answered is not the cause of earlier crashes. This also holds for different requests with the same
  * fingerprint, such as lookups without a body.
+ *
+ * A request has two fingerprints, whose crashes are counted apart: that of its content, and that of its target, for one
+ * that comes again with another body.
  */
 class Quarantine
 {
@@ -56,6 +62,12 @@
     /** \brief True if no request is suspected, so that fingerprints need not be computed. */
     bool isEmpty() const;
     bool isQuarantined(const std::string &request) const;
+    /**
+     * \brief True if a quarantined request is to be sent for once, to find out whether endpoints still end under it.
+     *
+     * For fingerprints that innocent requests may share: its answer excuses them.
+     */
+    bool tryAgain(const std::string &request);
     /** \brief Number of endpoints that ended while they ran the request, and are not excused. */
     std::size_t crashes(const std::string &request) const;
     std::size_t requests() const;
@@ -82,6 +94,8 @@
         std::map<std::string, Crash> crashes_; ///< By incarnation of the endpoint.
         Time updatedAt_{0};
         bool isQuarantined_ = false;
+        Time nextTrialAt_{0}; ///< Set when it is quarantined.
+        std::size_t trials_ = 0;
     };
     struct Announcement
     {
--- a/src/gateway/requestfingerprint.h
+++ b/src/gateway/requestfingerprint.h
@@ -17,6 +17,22 @@
  */
 std::string fingerprintOf(const GatewayRequest &request);
 
+/**
+ * \brief Identifies requests of one target, whatever their bodies: a hash of method, host and target.
+ *
+ * \return 32 characters, of which the first is no hexadecimal digit.
+ */
+std::string targetFingerprintOf(const GatewayRequest &request);
+
+/** \brief Both fingerprints of a request. */
+struct RequestFingerprints
+{
+    std::string content_; ///< \sa fingerprintOf()
+    std::string target_; ///< \sa targetFingerprintOf()
+
+    static RequestFingerprints of(const GatewayRequest &request);
+};
+
 } // namespace filbertgw
 
 #endif
--- a/test/gateway/poisonrequests.cpp
+++ b/test/gateway/poisonrequests.cpp
@@ -205,9 +205,10 @@
 // Guards against a path at which nothing is served any more, because endpoints ended by themselves under its requests.
 TEST(SharedTarget, IsServedAgainAfterItsEndpointsEnded)
 {
-    constexpr std::size_t nodes = 3;
+    constexpr std::size_t nodes = 6;
+    constexpr std::size_t endpoints = 60;
     GatewayRig rig(nodes, {plainRoute(RouteKind::Idempotent, 1)});
-    rig.addEndpoints("services", "s", 12);
+    rig.addEndpoints("services", "s", endpoints);
     std::set<std::string> ended;
     rig.isReachable_ = [&ended](std::size_t, const std::string &address) { return ended.count(address) == 0; };
     for (std::size_t i = 0; i < nodes; ++i) {
@@ -217,7 +218,11 @@
         ended.insert(rig.attempts_.back().attempt_.address_);
         rig.end(rig.attempts_.size() - 1, AttemptEnd::Broken);
     }
+    rig.run(std::chrono::seconds(1));
     ended.clear();
+    GatewayRequest refused = plainRequest("refused");
+    refused.body_ = "refused";
+    EXPECT_EQ(rig.send(0, refused)->status_, 502);
     const std::size_t before = rig.attempts_.size();
     for (int i = 0; i < 60 && rig.attempts_.size() == before; ++i) {
         rig.run(std::chrono::seconds(1));
