--- a/src/gateway/budgetcontroller.h
+++ b/src/gateway/budgetcontroller.h
@@ -4,6 +4,7 @@
 #include "gateway/firstturnclaims.h"
 #include "gateway/fleet.h"
 #include "ledger/partitionedledger.h"
+#include "ledger/peerrequest.h"
 
 #include <nlohmann/json.hpp>
 
@@ -52,13 +53,7 @@
 
 struct BudgetControllerHooks
 {
-    /** \brief Sends a request to another node; \p answer gets nullopt if none arrives within \p timeout. */
-    std::function<void(const std::string &address,
-                       const std::string &type,
-                       const nlohmann::json &body,
-                       Duration timeout,
-                       std::function<void(const std::optional<nlohmann::json> &)> answer)>
-        askPeer_;
+    PeerRequest askPeer_;
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
 };
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "gateway/routingtable.h"
 #include "gateway/streamorigins.h"
 #include "ledger/partitionedledger.h"
+#include "ledger/peerrequest.h"
 #include "ledger/turnstore.h"
 
 #include <nlohmann/json.hpp>
@@ -50,13 +51,7 @@
     /** \brief Reports whether a new connection to an endpoint can be opened; may be empty. \sa CrashDetectorHooks */
     std::function<void(const Endpoint &endpoint, std::function<void(bool isReachable)> done)> probeEndpoint_;
     std::function<void(const std::string &address, const std::string &datagram)> sendDatagram_;
-    /** \sa BudgetControllerHooks::askPeer_ */
-    std::function<void(const std::string &address,
-                       const std::string &type,
-                       const nlohmann::json &body,
-                       Duration timeout,
-                       std::function<void(const std::optional<nlohmann::json> &)> answer)>
-        askPeer_;
+    PeerRequest askPeer_;
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
     std::function<void(const std::string &name, const std::string &label)> count_;
     std::function<void(const std::string &name, Duration)> observe_;
--- a/src/gateway/streamorigins.h
+++ b/src/gateway/streamorigins.h
@@ -4,6 +4,7 @@
 #include "gateway/fleetmessage.h"
 #include "gateway/streamorigin.h"
 #include "gateway/versionhistory.h"
+#include "ledger/peerrequest.h"
 
 #include <nlohmann/json.hpp>
 
@@ -39,13 +40,7 @@
     std::function<std::uint64_t(Duration, std::function<void()>)> after_;
     /** \brief Other live nodes for a key, the same and in the same order at every node. \sa Fleet::ranked */
     std::function<std::vector<FleetMember>(const std::string &key, std::size_t count)> nodesFor_;
-    /** \sa GatewayHooks::askPeer_ */
-    std::function<void(const std::string &address,
-                       const std::string &type,
-                       const nlohmann::json &body,
-                       Duration timeout,
-                       std::function<void(const std::optional<nlohmann::json> &)> answer)>
-        askPeer_;
+    PeerRequest askPeer_;
     /** \brief Versions of a service that this node has seen within some time. */
     std::function<ServiceVersions(const std::string &service, Duration window)> versionsOf_;
 };
--- a/src/ledger/turnpeers.h
+++ b/src/ledger/turnpeers.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_LEDGER_TURNPEERS_H
 #define FILBERTGW_LEDGER_TURNPEERS_H
 
+#include "ledger/peerrequest.h"
 #include "ledger/turnreplicas.h"
 
 #include <nlohmann/json.hpp>
@@ -23,13 +24,7 @@
     std::function<std::optional<std::string>(const std::string &partition)> holderOf_;
     /** \brief False until the live nodes are known; lookups wait until then. */
     std::function<bool()> knowsHolders_;
-    /** \sa GatewayHooks::askPeer_ */
-    std::function<void(const std::string &address,
-                       const std::string &type,
-                       const nlohmann::json &body,
-                       Duration timeout,
-                       std::function<void(const std::optional<nlohmann::json> &)> answer)>
-        askPeer_;
+    PeerRequest askPeer_;
 };
 
 struct TurnPeersSettings
--- a/src/ledger/turnstore.h
+++ b/src/ledger/turnstore.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_LEDGER_TURNSTORE_H
 #define FILBERTGW_LEDGER_TURNSTORE_H
 
+#include "ledger/peerrequest.h"
 #include "ledger/turnpeers.h"
 #include "ledger/turnreplicas.h"
 
@@ -45,12 +46,7 @@
     /** \sa TurnPeersHooks */
     std::function<std::optional<std::string>(const std::string &partition)> holderOf_;
     std::function<bool()> knowsHolders_;
-    std::function<void(const std::string &address,
-                       const std::string &type,
-                       const nlohmann::json &body,
-                       Duration timeout,
-                       std::function<void(const std::optional<nlohmann::json> &)> answer)>
-        askPeer_;
+    PeerRequest askPeer_;
 };
 
 struct TurnStoreSettings
