--- a/src/gateway/forwardedcall.cpp
+++ b/src/gateway/forwardedcall.cpp
@@ -25,43 +25,47 @@
 
 bool GatewayCall::forward()
 {
-    if (triedNodes_.size() >= gateway_->settings_.maxForwards_ || timeLeft() <= Duration{0}) {
+    const std::size_t maxForwards = gateway_->settings_.maxForwards_;
+    if (triedNodes_.size() >= maxForwards || timeLeft() <= Duration{0}) {
         return false;
     }
-    const std::size_t ranks = triedNodes_.size() + gateway_->settings_.maxForwards_;
-    for (const FleetMember &node : gateway_->fleet_.reachingEndpoints(request_->id_, ranks)) {
-        if (!triedNodes_.insert(node.name_).second) {
-            continue;
+    for (const FleetMember &node :
+         gateway_->fleet_.reachingEndpoints(request_->id_, triedNodes_.size() + maxForwards)) {
+        if (triedNodes_.insert(node.name_).second) {
+            forwardTo(node);
+            return true;
         }
-        settleBudget(); // The other node reserves what the request needs.
-        step_ = Step::Forwarding;
-        forwardedTo_ = node.name_;
-        sentAt_ = gateway_->hooks_.now_();
-        head_ = AttemptHead();
-        responseBody_.clear();
-        ForwardedRequest forwarded;
-        forwarded.address_ = node.linkAddress_;
-        forwarded.request_ = request_;
-        forwarded.timeLeft_ = timeLeft();
-        forwarded.maxResponseBytes_ = gateway_->settings_.maxResponseBytes_;
-        forwarded.maxIdleAge_ = route_->isRetryable() ? gateway_->settings_.maxReuseIdleTimeRepeatable_
-                                                      : gateway_->settings_.maxReuseIdleTime_;
-        AttemptHandlers handlers;
-        handlers.onHead_ = [self = shared_from_this()](const AttemptHead &head) { self->forwardHeadReceived(head); };
-        handlers.onPart_ = [self = shared_from_this()](const std::string &part) { self->forwardPartReceived(part); };
-        handlers.onEnd_ = [self = shared_from_this()](AttemptEnd ended) { self->forwardEnded(ended); };
-        gateway_->hooks_.logEvent_(
-            "request_forwarded",
-            {{"request", request_->id_}, {"program", request_->program_}, {"peer", node.name_}, {"runs", runs_}});
-        forward_ = gateway_->hooks_.forward_(std::move(forwarded), std::move(handlers));
-        return true;
     }
     return false;
 }
 
+void GatewayCall::forwardTo(const FleetMember &node)
+{
+    settleBudget(); // The other node reserves what the request needs.
+    step_ = Step::Forwarding;
+    forwardedTo_ = node.name_;
+    sentAt_ = gateway_->hooks_.now_();
+    head_ = AttemptHead();
+    responseBody_.clear();
+    ForwardedRequest forwarded;
+    forwarded.address_ = node.linkAddress_;
+    forwarded.request_ = request_;
+    forwarded.timeLeft_ = timeLeft();
+    forwarded.maxResponseBytes_ = gateway_->settings_.maxResponseBytes_;
+    forwarded.maxIdleAge_ = maxIdleAge();
+    AttemptHandlers handlers;
+    handlers.onHead_ = [self = shared_from_this()](const AttemptHead &head) { self->forwardHeadReceived(head); };
+    handlers.onPart_ = [self = shared_from_this()](const std::string &part) { self->forwardPartReceived(part); };
+    handlers.onEnd_ = [self = shared_from_this()](AttemptEnd ended) { self->forwardEnded(ended); };
+    gateway_->hooks_.logEvent_(
+        "request_forwarded",
+        {{"request", request_->id_}, {"program", request_->program_}, {"peer", node.name_}, {"runs", runs_}});
+    forwardAttempt_ = gateway_->hooks_.forward_(std::move(forwarded), std::move(handlers));
+}
+
 void GatewayCall::forwardHeadReceived(const AttemptHead &head)
 {
-    if (step_ != Step::Forwarding || forward_ == 0) {
+    if (step_ != Step::Forwarding || forwardAttempt_ == 0) {
         return;
     }
     head_ = head;
@@ -72,7 +76,7 @@
 
 void GatewayCall::forwardPartReceived(const std::string &part)
 {
-    if (forward_ == 0) {
+    if (forwardAttempt_ == 0) {
         return;
     }
     if (step_ == Step::Relaying) {
@@ -85,10 +89,10 @@
 
 void GatewayCall::forwardEnded(AttemptEnd ended)
 {
-    if (forward_ == 0) {
+    if (forwardAttempt_ == 0) {
         return;
     }
-    forward_ = 0;
+    forwardAttempt_ = 0;
     const bool isWhole = ended == AttemptEnd::Complete && head_.status_ != 0;
     const bool isRefusal = isWhole && isPromiseNotRun(head_.status_);
     if (step_ == Step::Relaying) {
@@ -123,7 +127,7 @@
     refuse(ended == AttemptEnd::TimedOut ? RefusalReason::TimedOut : RefusalReason::OutcomeUnknown);
 }
 
-void GatewayCall::endpointsLost()
+void GatewayCall::forwardIfWaiting()
 {
     if (step_ == Step::Placing) {
         if (mustForward()) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -194,7 +194,7 @@
 {
     const std::vector<std::shared_ptr<internal::GatewayCall>> calls(calls_.begin(), calls_.end());
     for (const std::shared_ptr<internal::GatewayCall> &call : calls) {
-        call->endpointsLost();
+        call->forwardIfWaiting();
     }
 }
 
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -414,8 +414,7 @@
     attempt.lastEventId_ = lastEventId_;
     attempt.timeLeft_ = timeLeft();
     attempt.maxResponseBytes_ = gateway_->settings_.maxResponseBytes_;
-    attempt.maxIdleAge_ =
-        route_->isRetryable() ? gateway_->settings_.maxReuseIdleTimeRepeatable_ : gateway_->settings_.maxReuseIdleTime_;
+    attempt.maxIdleAge_ = maxIdleAge();
     if (service_ != nullptr && service_->engine_) {
         attempt.urgency_ = urgency();
     }
@@ -555,6 +554,12 @@
         && timeLeft() >= minAttemptTime;
 }
 
+Duration GatewayCall::maxIdleAge() const
+{
+    const GatewaySettings &settings = gateway_->settings_;
+    return route_->isRetryable() ? settings.maxReuseIdleTimeRepeatable_ : settings.maxReuseIdleTime_;
+}
+
 void GatewayCall::handleFailure(AttemptEnd ended)
 {
     gateway_->hooks_.logEvent_("attempt_failed",
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -34,7 +34,7 @@
     /** \brief Ends the attempt in progress as broken. */
     void cutAnswer();
     /** \brief This node is cut off: passes the request on if it waits for an endpoint and may run at another one. */
-    void endpointsLost();
+    void forwardIfWaiting();
 
 private:
     enum class Step : std::uint8_t {
@@ -92,12 +92,15 @@
     void handleRefusal();
     void handleFailure(AttemptEnd end);
     bool mayRetry() const;
+    /** \brief Longest idle time of a pooled connection that may carry the request. */
+    Duration maxIdleAge() const;
 
     // Passing the request on to another node, in forwardedcall.cpp.
     /** \brief True if another node has to serve the request, because this one reaches no endpoint. */
     bool mustForward() const;
     /** \brief Passes the request on to the next node. \return false if there is none. */
     bool forward();
+    void forwardTo(const FleetMember &node);
     void forwardHeadReceived(const AttemptHead &head);
     void forwardPartReceived(const std::string &part);
     void forwardEnded(AttemptEnd ended);
@@ -163,7 +166,7 @@
     std::uint64_t attemptEvents_ = 0; ///< Events relayed from this attempt.
 
     std::string forwardedTo_; ///< Name of the node that has the request; empty if it was not passed on.
-    std::uint64_t forward_ = 0; ///< Number of the exchange with that node; 0 if none is in progress.
+    std::uint64_t forwardAttempt_ = 0; ///< Exchange with that node, for cancelAttempt_; 0 if none is in progress.
     std::unordered_set<std::string> triedNodes_;
 
     bool isTrial_ = false; ///< It is sent although its target is quarantined. \sa Quarantine::tryAgain()
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -231,7 +231,8 @@
         abortResponse("timed_out_midway");
         return;
     }
-    refuse(runs_ > 0 || !endpoint_.empty() || forward_ != 0 ? RefusalReason::TimedOut : RefusalReason::EndpointsFull);
+    refuse(runs_ > 0 || !endpoint_.empty() || forwardAttempt_ != 0 ? RefusalReason::TimedOut
+                                                                   : RefusalReason::EndpointsFull);
 }
 
 void GatewayCall::settleBudget()
@@ -252,8 +253,8 @@
         gateway_->hooks_.cancelAttempt_(attempt_);
     }
     releaseEndpoint(AttemptEnd::Cancelled);
-    if (forward_ != 0) {
-        gateway_->hooks_.cancelAttempt_(std::exchange(forward_, 0));
+    if (forwardAttempt_ != 0) {
+        gateway_->hooks_.cancelAttempt_(std::exchange(forwardAttempt_, 0));
     }
     if (storeOperation_ != 0) {
         gateway_->turns_.abandon(storeOperation_);
