Try a quarantined target once only

Found by reading: two trials at each node that is chosen for a target, and another node that takes over when the first one is lost, make four, where the rule allows three retries of a poison request.

Change: one trial, 15 s after the quarantine. If it breaks off for another reason, the target stays refused until its records expire or another node takes over.

Measured: Quarantine.TriesAQuarantinedRequestOnce (with two trials it gets a second one); PoisonRequest, BystanderRequest, SharedTarget pass.

--- a/src/gateway/quarantine.cpp
+++ b/src/gateway/quarantine.cpp
@@ -56,7 +56,7 @@
     const bool wasQuarantined = suspect.isQuarantined_;
     suspect.isQuarantined_ = unexcused(suspect) >= settings_.crashLimit_;
     if (suspect.isQuarantined_ && !wasQuarantined) {
-        suspect.nextTrialAt_ = hooks_.now_() + settings_.trialInterval_;
+        suspect.trialAt_ = hooks_.now_() + settings_.trialDelay_;
         hooks_.onQuarantined_(record.request_);
     }
     return true;
@@ -127,11 +127,10 @@
         return false;
     }
     Suspect &suspect = found->second;
-    if (suspect.trials_ >= settings_.maxTrials_ || hooks_.now_() < suspect.nextTrialAt_) {
+    if (suspect.wasTried_ || hooks_.now_() < suspect.trialAt_) {
         return false;
     }
-    ++suspect.trials_;
-    suspect.nextTrialAt_ = hooks_.now_() + settings_.trialInterval_;
+    suspect.wasTried_ = true;
     return true;
 }
 
--- a/src/gateway/quarantine.h
+++ b/src/gateway/quarantine.h
@@ -19,8 +19,7 @@
     std::size_t crashLimit_ = 3; ///< A request is quarantined once so many endpoints have ended while they ran it.
     Duration lifetime_{600'000'000}; ///< Of a request's records, since this node learned of the last one.
     std::size_t maxRequests_ = 4096; ///< Beyond it, an eighth of the requests is dropped: few crashes first, then old.
-    std::size_t maxTrials_ = 2; ///< Requests with a quarantined fingerprint that are sent nevertheless, by one node.
-    Duration trialInterval_{15'000'000}; ///< From the quarantine to the first of them, and between them.
+    Duration trialDelay_{15'000'000}; ///< From the quarantine to the request that is sent nevertheless, by one node.
     std::size_t announcements_ = 3; ///< Reports to other nodes that contain a new record.
     std::size_t maxAnnounced_ = 64; ///< Records in one report.
     /** A record that is not in the store after this time, and up to as much again, is stored by any node knowing it. */
@@ -63,9 +62,10 @@
     bool isEmpty() const;
     bool isQuarantined(const std::string &request) const;
     /**
-     * \brief True if a quarantined request is to be sent for once, to find out whether endpoints still end under it.
+     * \brief True if a quarantined request is to be sent once, to find out whether endpoints still end under it.
      *
-     * For fingerprints that innocent requests may share: its answer excuses them.
+     * For fingerprints that innocent requests may share: its answer excuses them. Each further one can end an endpoint,
+     * and another node may take over as the one that sends it.
      */
     bool tryAgain(const std::string &request);
     /** \brief Number of endpoints that ended while they ran the request, and are not excused. */
@@ -94,8 +94,8 @@
         std::map<std::string, Crash> crashes_; ///< By incarnation of the endpoint.
         Time updatedAt_{0};
         bool isQuarantined_ = false;
-        Time nextTrialAt_{0}; ///< Set when it is quarantined.
-        std::size_t trials_ = 0;
+        Time trialAt_{0}; ///< Set when it is quarantined.
+        bool wasTried_ = false;
     };
     struct Announcement
     {
--- a/test/gateway/quarantine.cpp
+++ b/test/gateway/quarantine.cpp
@@ -15,6 +15,7 @@
         hooks.now_ = [this] { return now_; };
         hooks.random_ = [] { return std::uint64_t{0}; };
         hooks.onQuarantined_ = [](const std::string &) {};
+        hooks.isTrialNode_ = [](const std::string &) { return true; };
         hooks.onExcused_ = [this](const std::vector<CrashRecord> &records) {
             excused_.insert(excused_.end(), records.begin(), records.end());
         };
@@ -102,4 +103,16 @@
     EXPECT_EQ(missing[0].endpoint_, "e1");
 }
 
+// Guards against a request that ends one endpoint after the other because it is tried again and again.
+TEST(Quarantine, TriesAQuarantinedRequestOnce)
+{
+    QuarantineRig rig;
+    rig.crash("request", 3);
+    EXPECT_FALSE(rig.quarantine_->tryAgain("request"));
+    rig.now_ += QuarantineSettings().trialDelay_;
+    EXPECT_TRUE(rig.quarantine_->tryAgain("request"));
+    rig.now_ += QuarantineSettings().lifetime_ / 2;
+    EXPECT_FALSE(rig.quarantine_->tryAgain("request"));
+}
+
 } // namespace filbertgw::test
