--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -388,6 +388,7 @@
         self.status = 0
         self.headers = {}
         self.body = b""
+        self.connected = False
         self.complete = False
         self.events = []  # (id, data)
 
@@ -409,6 +410,7 @@
         reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port), limit=1 << 22), 1.0)
     except (OSError, asyncio.TimeoutError):
         return answer
+    answer.connected = True
     try:
         lines = ["%s %s HTTP/1.1" % (method, target)] + ["%s: %s" % item for item in headers.items()]
         lines.append("Content-Length: %d" % len(body))
