--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -14,6 +14,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -640,6 +641,9 @@
 
     async def play():
         world = World(record_path)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             held = await asyncio.wait_for(case(world), 115)
             world.record.add("RESULT: the rule %s" % ("held" if held else "was broken"))
@@ -648,12 +652,14 @@
             world.record.add("could not run: %r" % error)
             print("could not run: %r" % (error,))
             return 2
+        except asyncio.CancelledError:
+            world.record.add("could not run: ended by a signal")
+            return 2
         finally:
             await world.stop()
-            if "KEEP_LOGS" not in os.environ:
-                shutil.rmtree(world.folder, ignore_errors=True)
+            if "KEEP_LOGS" in os.environ:
+                print("logs of the nodes: " + world.folder)
             else:
-                print(world.folder)
+                shutil.rmtree(world.folder, ignore_errors=True)
 
-    status = asyncio.run(play())
-    os._exit(status)
+    sys.exit(asyncio.run(play()))
