--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,7 +18,7 @@
 QUEUE = 2
 CLIENTS = 20
 GARBLE_S = 5.0
-TIMES = 4
+TIMES = 10
 WORK_S = 0.0694  # On average, as a buyer-invoice of the site; exponentially distributed.
 MOST_WORK_S = 0.297
 
@@ -151,7 +151,7 @@
     refusals = sum(engine.refusals for engine in world.engines)
     record.add("refusals of full engines: %d; answers while garbling: %d, sent a second time: %d" % (refusals, total, extras))
     record.add("attempts: %d, run: %d, run twice: %d, refused and run: %d" % (len(answers), len(runs), len(twice), len(refused)))
-    if len(runs) < 500:
+    if len(runs) < 1000:
         raise RuntimeError("too few requests were run")
     return not twice and not refused
 
