--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -207,10 +207,11 @@
         write(body);
         finish();
     }
-    void startStream(int status, const std::string &) override
+    void startStream(int status, const std::string &contentType) override
     {
         head_.status_ = status;
         head_.isMisdirected_ = status == 421;
+        head_.headers_["content-type"] = contentType;
         deliver([head = head_](const AttemptHandlers &handlers) { handlers.onHead_(head); });
     }
     void write(const std::string &part) override
@@ -364,7 +365,10 @@
         if (attempt > firstForward) {
             forwards_.at(attempt - firstForward - 1)->close();
         } else {
-            attempts_.at(attempt - 1).cancelled_ = true;
+            ReceivedAttempt &received = attempts_.at(attempt - 1);
+            received.cancelled_ = true;
+            // As HttpClient does: the end of a cancelled call is reported, but not from within the call.
+            queue_.after(Duration{0}, [onEnd = received.handlers_.onEnd_] { onEnd(AttemptEnd::Cancelled); });
         }
     };
     hooks.forward_ = [this, name, alive](const ForwardedRequest &forwarded, const AttemptHandlers &handlers) {
