Do not take the end of a cancelled attempt for the end of the next one

Callers lost requests whose first answer was no answer of the engine: the second engine was asked and given up at once, unseen and uncancelled.

Cause: HttpClient reports the end of a cancelled call in a later round of the loop. cutAnswer() cancels an attempt and places the request anew at once, so the report reached attemptEnded() while the next attempt ran. The handlers now belong to their attempt, and those of an exchange with another node to that exchange.

--- a/src/gateway/forwardedcall.cpp
+++ b/src/gateway/forwardedcall.cpp
@@ -53,14 +53,31 @@
     forwarded.timeLeft_ = timeLeft();
     forwarded.maxResponseBytes_ = gateway_->settings_.maxResponseBytes_;
     forwarded.maxIdleAge_ = maxIdleAge();
-    AttemptHandlers handlers;
-    handlers.onHead_ = [self = shared_from_this()](const AttemptHead &head) { self->forwardHeadReceived(head); };
-    handlers.onPart_ = [self = shared_from_this()](const std::string &part) { self->forwardPartReceived(part); };
-    handlers.onEnd_ = [self = shared_from_this()](AttemptEnd ended) { self->forwardEnded(ended); };
     gateway_->hooks_.logEvent_(
         "request_forwarded",
         {{"request", request_->id_}, {"program", request_->program_}, {"peer", node.name_}, {"runs", runs_}});
-    forwardAttempt_ = gateway_->hooks_.forward_(std::move(forwarded), std::move(handlers));
+    forwardAttempt_ = gateway_->hooks_.forward_(std::move(forwarded), handlersOfForward());
+}
+
+AttemptHandlers GatewayCall::handlersOfForward()
+{
+    AttemptHandlers handlers;
+    handlers.onHead_ = [self = shared_from_this(), number = triedNodes_.size()](const AttemptHead &head) {
+        if (self->triedNodes_.size() == number) {
+            self->forwardHeadReceived(head);
+        }
+    };
+    handlers.onPart_ = [self = shared_from_this(), number = triedNodes_.size()](const std::string &part) {
+        if (self->triedNodes_.size() == number) {
+            self->forwardPartReceived(part);
+        }
+    };
+    handlers.onEnd_ = [self = shared_from_this(), number = triedNodes_.size()](AttemptEnd ended) {
+        if (self->triedNodes_.size() == number) {
+            self->forwardEnded(ended);
+        }
+    };
+    return handlers;
 }
 
 void GatewayCall::forwardHeadReceived(const AttemptHead &head)
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -380,11 +380,28 @@
     recordOrigin(endpoint);
     gateway_->limits_.sent(incarnation_);
     crashWatch_ = gateway_->crashDetector_.attemptStarted(endpoint, request_);
+    attempt_ = gateway_->hooks_.startAttempt_(std::move(attempt), handlersOfAttempt());
+}
+
+AttemptHandlers GatewayCall::handlersOfAttempt()
+{
     AttemptHandlers handlers;
-    handlers.onHead_ = [self = shared_from_this()](const AttemptHead &head) { self->headReceived(head); };
-    handlers.onPart_ = [self = shared_from_this()](const std::string &part) { self->bodyReceived(part); };
-    handlers.onEnd_ = [self = shared_from_this()](AttemptEnd ended) { self->attemptEnded(ended); };
-    attempt_ = gateway_->hooks_.startAttempt_(std::move(attempt), std::move(handlers));
+    handlers.onHead_ = [self = shared_from_this(), number = sends_](const AttemptHead &head) {
+        if (self->sends_ == number) {
+            self->headReceived(head);
+        }
+    };
+    handlers.onPart_ = [self = shared_from_this(), number = sends_](const std::string &part) {
+        if (self->sends_ == number) {
+            self->bodyReceived(part);
+        }
+    };
+    handlers.onEnd_ = [self = shared_from_this(), number = sends_](AttemptEnd ended) {
+        if (self->sends_ == number) {
+            self->attemptEnded(ended);
+        }
+    };
+    return handlers;
 }
 
 std::uint32_t GatewayCall::urgency() const
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -85,6 +85,8 @@
 
     // Attempts.
     void place();
+    /** \brief Handlers of the attempt that begins now. They do nothing once another attempt has begun. */
+    AttemptHandlers handlersOfAttempt();
     const Endpoint *chooseEndpoint();
     /** \brief Waits for an endpoint whose request limit is used up, or refuses the request. */
     void waitForLimits();
@@ -111,6 +113,8 @@
     Duration maxIdleAge() const;
 
     // Passing the request on to another node, in forwardedcall.cpp.
+    /** \brief Handlers of the exchange with another node that begins now. \sa handlersOfAttempt() */
+    AttemptHandlers handlersOfForward();
     /** \brief True if another node has to serve the request, because this one reaches no endpoint. */
     bool mustForward() const;
     /** \brief Passes the request on to the next node. \return false if there is none. */
