--- a/test/gateway/continuedstreams.cpp
+++ b/test/gateway/continuedstreams.cpp
@@ -284,9 +284,9 @@
     rig.addEndpoints("engines", "e", 4);
     const std::shared_ptr<ClientResponse> client = rig.send(0, affordableTurn("t1"));
     rig.run(milliseconds(50));
-    AttemptHead unsigned_;
-    unsigned_.status_ = 200;
-    rig.attempts_[0].handlers_.onHead_(unsigned_);
+    AttemptHead unstamped;
+    unstamped.status_ = 200;
+    rig.attempts_[0].handlers_.onHead_(unstamped);
     rig.run(milliseconds(200));
     ASSERT_EQ(rig.attempts_.size(), 2U) << "the second run goes on";
     EXPECT_FALSE(rig.attempts_[1].cancelled_);
