--- a/src/gateway/continuedstream.cpp
+++ b/src/gateway/continuedstream.cpp
@@ -17,8 +17,8 @@
 
 bool GatewayCall::isStreamHead(const AttemptHead &head) const
 {
-    const bool isRest = !continuesStream() || head.status_ == 200;
-    return isRest && formatOf(head) != AnswerFormat::Other;
+    const bool isFirst = !continuesStream() && !isRelayStarted_;
+    return (isFirst || head.status_ == 200) && formatOf(head) != AnswerFormat::Other;
 }
 
 bool GatewayCall::isConfirmedEnd()
@@ -35,7 +35,7 @@
     if (splitter_.isInsideEvent()) {
         return false;
     }
-    if (!continuesStream() || attemptEvents_ > 0 || isConfirmedEnd()) {
+    if (attemptEvents_ > 0 || (continuesStream() && isConfirmedEnd())) {
         return true;
     }
     reportRejectedAnswer("no_event", {});
--- a/src/gateway/forwardedcall.cpp
+++ b/src/gateway/forwardedcall.cpp
@@ -90,7 +90,7 @@
     if (route_->kind_ != RouteKind::Streaming || head.status_ / 100 != 2) {
         return;
     }
-    if (isStreamHead(head)) {
+    if (head.fromEndpoint_ && isStreamHead(head)) {
         startRelay();
     } else {
         reportRejectedAnswer("not_a_stream", {});
@@ -141,7 +141,9 @@
         return;
     }
     forwardAttempt_ = 0;
-    const bool isWhole = ended == AttemptEnd::Complete && head_.status_ != 0;
+    // A node passes a success on with the endpoint's stamp.
+    const bool isStamped = head_.fromEndpoint_ || head_.status_ / 100 != 2;
+    const bool isWhole = ended == AttemptEnd::Complete && head_.status_ != 0 && isStamped;
     const bool isRefusal = isWhole && isPromiseNotRun(head_.status_);
     if (step_ == Step::Relaying) {
         if (!isWhole || splitter_.isInsideEvent()) {
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -360,6 +360,7 @@
     lastEndpoint_ = endpoint.id_;
     sentAt_ = gateway_->hooks_.now_();
     headReceived_ = false;
+    isNoStream_ = false;
     head_ = AttemptHead();
     responseBody_.clear();
     splitter_ = EventSplitter();
@@ -439,6 +440,7 @@
         return;
     }
     if (!isStreamHead(head)) {
+        isNoStream_ = true;
         reportRejectedAnswer("not_a_stream", {});
         cutAnswer();
         return;
@@ -469,7 +471,7 @@
     }
     const std::string endpoint = endpoint_;
     releaseEndpoint(ended);
-    if (ended != AttemptEnd::Complete) {
+    if (ended != AttemptEnd::Complete && !isNoStream_) {
         doubtEndpoint(endpoint);
     }
     if (ended == AttemptEnd::NotSent) {
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -202,6 +202,7 @@
     std::string version_; ///< Of the endpoint of the current or most recent attempt.
     AttemptHead head_;
     bool headReceived_ = false;
+    bool isNoStream_ = false; ///< The endpoint has answered, but not with the stream that was asked for.
     std::string responseBody_; ///< Of a response that is not a stream.
     Time sentAt_{0};
     DispatchState start_;
--- a/test/gateway/continuedstreams.cpp
+++ b/test/gateway/continuedstreams.cpp
@@ -262,6 +262,46 @@
     EXPECT_TRUE(client->ended_);
 }
 
+// Guards against an empty answer that is relayed, and retained, as a whole stream.
+TEST(Streams, FirstRunWithoutEventsIsNoStream)
+{
+    GatewayRig rig(1, {streamingRoute(true, 3, true)});
+    rig.addEndpoints("engines", "e", 4);
+    const std::shared_ptr<ClientResponse> client = rig.send(0, affordableTurn("t1"));
+    rig.run(milliseconds(50));
+    answerEvents(rig, 0, "");
+    rig.run(milliseconds(200));
+    ASSERT_EQ(rig.attempts_.size(), 2U);
+    answerWhole(rig, 1, 204, "", "");
+    rig.run(milliseconds(200));
+    ASSERT_EQ(rig.attempts_.size(), 3U);
+    rig.stream(2, texts(1, eventCount), true);
+    rig.run(seconds(1));
+    EXPECT_EQ(client->body_, bytesOf(1, eventCount));
+    EXPECT_TRUE(client->ended_);
+}
+
+// Guards against streams that can't go on because an engine has answered another request with something else.
+TEST(Streams, AnswerThatIsNoStreamLeavesNoDoubtAboutItsEndpoint)
+{
+    GatewayRig rig(1, {streamingRoute(false, 1, true)});
+    rig.addEndpoints("engines", "e", 1);
+    rig.run(seconds(12));
+    rig.send(0, affordableTurn("t1"));
+    rig.run(milliseconds(50));
+    rig.stream(0, texts(1, receivedEvents), false);
+    rig.run(milliseconds(50));
+    rig.send(0, affordableTurn("t2"));
+    rig.run(milliseconds(50));
+    answerWhole(rig, 1, 200, "application/json", "{}");
+    GatewayRequest again = affordableTurn("t3");
+    again.resumes_ = "t1";
+    again.lastEventId_ = std::to_string(receivedEvents);
+    rig.send(0, again);
+    rig.run(seconds(1));
+    EXPECT_EQ(rig.attempts_.size(), 3U);
+}
+
 // Guards against a success without events that is passed on as a stream.
 TEST(Streams, AnswerThatIsNoStreamIsAFailedRun)
 {
@@ -304,6 +344,7 @@
     AttemptEnd end_;
     std::string received_;
     bool isWhole_;
+    bool isStamped_ = true;
 };
 
 class StreamOfAnotherNode : public testing::TestWithParam<PeerAnswer>
@@ -330,7 +371,7 @@
     ASSERT_EQ(exchanges.size(), 1U);
     AttemptHead head;
     head.status_ = 200;
-    head.fromEndpoint_ = true;
+    head.fromEndpoint_ = GetParam().isStamped_;
     head.headers_["content-type"] = GetParam().type_;
     exchanges[0].onHead_(head);
     exchanges[0].onPart_(GetParam().bytes_);
@@ -368,7 +409,9 @@
                                AttemptEnd::Complete,
                                bytesOf(1, 2),
                                false},
-                    PeerAnswer{"NoStream", "application/json", "{}", AttemptEnd::Complete, "", false}),
+                    PeerAnswer{"NoStream", "application/json", "{}", AttemptEnd::Complete, "", false},
+                    PeerAnswer{
+                        "Unstamped", "text/event-stream", bytesOf(1, 3), AttemptEnd::Complete, "", false, false}),
     [](const testing::TestParamInfo<PeerAnswer> &info) { return info.param.name_; });
 
 } // namespace filbertgw::test
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -212,6 +212,7 @@
         head_.status_ = status;
         head_.isMisdirected_ = status == 421;
         head_.headers_["content-type"] = contentType;
+        head_.fromEndpoint_ = status / 100 == 2;
         deliver([head = head_](const AttemptHandlers &handlers) { handlers.onHead_(head); });
     }
     void write(const std::string &part) override
