--- a/test/node/processes.cpp
+++ b/test/node/processes.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -18,23 +19,37 @@
 
 } // namespace
 
-Process::Process(const std::string &program, const std::vector<std::string> &arguments, const std::string &errorFile)
+Process::Process(const std::string &program,
+                 const std::vector<std::string> &arguments,
+                 const std::string &errorFile,
+                 const std::map<std::string, std::string> &environment)
     : errorFile_(errorFile)
 {
-    std::vector<std::string> words{std::string(FILBERTGW_BUILD_DIR) + "/" + program};
+    const bool isPath = !program.empty() && program.front() == '/';
+    std::vector<std::string> words{isPath ? program : std::string(FILBERTGW_BUILD_DIR) + "/" + program};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char *> argv;
     for (std::string &word : words) {
         argv.push_back(word.data());
     }
     argv.push_back(nullptr);
+    const pid_t parent = getpid();
     pid_ = fork();
     if (pid_ != 0) {
         return;
     }
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent) {
+        _exit(127);
+    }
+    for (const std::pair<const std::string, std::string> &variable : environment) {
+        setenv(variable.first.c_str(), variable.second.c_str(), 1);
+    }
     const int file = open(errorFile.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
     dup2(file, STDERR_FILENO);
     dup2(file, STDOUT_FILENO);
+    // A socket of the test that a child has inherited would stay open when the test closes it.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(argv[0], argv.data());
     _exit(127);
 }
--- a/test/node/processes.h
+++ b/test/node/processes.h
@@ -19,8 +19,15 @@
 class Process
 {
 public:
-    /** \brief Starts a program of the build directory; its standard error goes to a file. */
-    Process(const std::string &program, const std::vector<std::string> &arguments, const std::string &errorFile);
+    /**
+     * \brief Starts a program of the build directory, or of any directory if its path is absolute.
+     *
+     * Its output and standard error go to a file. The kernel kills it if the test ends in another way.
+     */
+    Process(const std::string &program,
+            const std::vector<std::string> &arguments,
+            const std::string &errorFile,
+            const std::map<std::string, std::string> &environment = {});
     ~Process();
     Process(const Process &) = delete;
     Process &operator=(const Process &) = delete;
