--- a/test/platform/rulechecker.h
+++ b/test/platform/rulechecker.h
@@ -14,6 +14,9 @@
     std::string token_; ///< Of the client's request.
 };
 
+/** \brief The rule of a stream with events of two versions; unlike other cases of ORDER, two streams are allowed. */
+extern const char *const mixedVersions;
+
 /** \brief Checks what a client received: ORDER, MIXED, REFUSED. */
 std::vector<Violation> checkRequest(const ClientRequest &request, const EngineRecord &record);
 /** \brief Checks what the engines ran, for all requests of a deployment: TWICE, REFUSED, UNASKED, BUDGET. */
