Play late copies of refusals, and count streams that go on

LOST is checked where engines answer as they should: of 12 or more streams that clients take up, the share that goes on is at least half of the share of new streams that begin.

--- a/test/platform/processsoak.cpp
+++ b/test/platform/processsoak.cpp
@@ -102,6 +102,17 @@
     return trouble;
 }
 
+/** \brief The copy of a refusal stands where the answer to the next offer of the same request is expected. */
+SoakTrouble copiedRefusals()
+{
+    SoakTrouble trouble;
+    trouble.name_ = "CopiedRefusals";
+    trouble.copyShare_ = 0.7;
+    trouble.copies_ = {AnswerCopy::Late, AnswerCopy::Pieces};
+    trouble.fullShare_ = 0.6;
+    return trouble;
+}
+
 SoakTrouble twoVersions()
 {
     SoakTrouble trouble = brokenAnywhere("TwoVersions", {AnswerForm::Whole});
@@ -187,7 +198,9 @@
         std::cout << "seed " << seed << ": " << summary.requests_ << " requests, " << summary.served_ << " served, "
                   << summary.tries_ << " tries, " << summary.runs_ << " runs, " << summary.resumedRuns_ << " resumed, "
                   << summary.refusals_ << " refusals, " << summary.copies_ << " copies, " << summary.faults_
-                  << " faults, " << summary.streamsOfTwoVersions_ << " streams of two versions";
+                  << " faults, " << summary.streamsOfTwoVersions_ << " streams of two versions, "
+                  << summary.shares_.wentOn_ << " of " << summary.shares_.takenUp_ << " streams went on (tries "
+                  << summary.shares_.takeUpTriesServed_ << " of " << summary.shares_.takeUpTries_ << ')';
         for (const std::pair<const std::string, std::size_t> &rule : broken) {
             std::cout << ", " << rule.first << ' ' << rule.second;
         }
@@ -210,6 +223,7 @@
                                            brokenAnywhere("BreakAnywhereThenWhole", {AnswerForm::Whole}),
                                            failedAnswers(),
                                            copiedAnswers(),
+                                           copiedRefusals(),
                                            twoVersions(),
                                            upgradedEngines(),
                                            faultyNodes(),
--- a/test/platform/rulechecker.cpp
+++ b/test/platform/rulechecker.cpp
@@ -236,6 +236,50 @@
     return violations;
 }
 
+StreamShares countStreams(const std::vector<std::shared_ptr<ClientRequest>> &requests)
+{
+    StreamShares shares;
+    for (const std::shared_ptr<ClientRequest> &request : requests) {
+        if (!request->task().route_.isResumable_) {
+            continue;
+        }
+        bool hasBegun = false;
+        bool isTakenUp = false;
+        bool hasGoneOn = false;
+        for (const std::shared_ptr<ClientTry> &attempt : request->tries()) {
+            const bool isServed =
+                attempt->isSuccess() && (isComplete(*attempt) || !readEvents(attempt->body_).events_.empty());
+            if (attempt->lastEventId_.empty()) {
+                hasBegun = hasBegun || isServed;
+                continue;
+            }
+            isTakenUp = true;
+            hasGoneOn = hasGoneOn || isServed;
+            ++shares.takeUpTries_;
+            shares.takeUpTriesServed_ += isServed ? 1 : 0;
+        }
+        ++shares.sent_;
+        shares.begun_ += hasBegun ? 1 : 0;
+        shares.takenUp_ += isTakenUp ? 1 : 0;
+        shares.wentOn_ += hasGoneOn ? 1 : 0;
+    }
+    return shares;
+}
+
+std::vector<Violation> checkShares(const StreamShares &shares)
+{
+    constexpr std::size_t fewestStreams = 12;
+    const bool isLost =
+        shares.takenUp_ >= fewestStreams && shares.wentOn_ * shares.sent_ * 2 < shares.begun_ * shares.takenUp_;
+    if (!isLost) {
+        return {};
+    }
+    return {{"LOST",
+             std::to_string(shares.wentOn_) + " of " + std::to_string(shares.takenUp_)
+                 + " streams that were taken up went on",
+             {}}};
+}
+
 std::string traceOf(const ClientRequest &request, const EngineRecord &record, Time began)
 {
     std::vector<std::pair<Time, std::string>> lines;
--- a/test/platform/soakworld.cpp
+++ b/test/platform/soakworld.cpp
@@ -388,6 +388,12 @@
     if (streamsOfTwo.size() > allowedStreamsOfTwoVersions) {
         summary.violations_.insert(summary.violations_.end(), ofVersions.begin(), ofVersions.end());
     }
+    summary.shares_ = countStreams(requests_);
+    const bool isOdd = trouble_.oddShare_ > 0.0 && trouble_.odd_ != std::vector<AnswerForm>{AnswerForm::Whole};
+    if (!isOdd && trouble_.faults_.empty()) {
+        const std::vector<Violation> lost = checkShares(summary.shares_);
+        summary.violations_.insert(summary.violations_.end(), lost.begin(), lost.end());
+    }
     summary.runs_ = record_.runs_.size();
     summary.refusals_ = record_.refusals_;
     summary.copies_ = record_.copies_;
--- a/test/platform/soakworld.h
+++ b/test/platform/soakworld.h
@@ -65,6 +65,7 @@
     std::size_t runs_ = 0;
     std::size_t resumedRuns_ = 0;
     std::size_t streamsOfTwoVersions_ = 0;
+    StreamShares shares_;
     std::size_t refusals_ = 0; ///< By engines.
     std::size_t copies_ = 0; ///< Of answers.
     std::size_t faults_ = 0;
