--- a/test/platform/clientrequest.h
+++ b/test/platform/clientrequest.h
@@ -70,6 +70,7 @@
     std::string previousTurn_;
     Duration timeLeft_{3'000'000};
     std::size_t mostTries_ = 5;
+    std::size_t leavesAfter_ = 0; ///< Events after which the client closes its first connection; 0 for never.
 };
 
 /**
@@ -102,6 +103,8 @@
 private:
     void sendTry();
     void tryEnded();
+    /** \brief Closes the connection of the first attempt if the client wants to leave after the events that it has. */
+    void leaveIfPlanned(const ClientTry &attempt);
     bool mayRetry(const ClientTry &ended) const;
     Duration pauseAfter(const ClientTry &ended) const;
 
@@ -112,7 +115,9 @@
     std::vector<std::shared_ptr<ClientTry>> tries_;
     std::string lastEventId_;
     std::string origin_; ///< Attempt that brought the first event.
+    std::uint64_t call_ = 0; ///< The last one started.
     bool isServed_ = false;
+    bool hasLeft_ = false;
 };
 
 } // namespace filbertgw::testing
--- a/test/platform/soakworld.h
+++ b/test/platform/soakworld.h
@@ -35,6 +35,7 @@
     std::vector<AnswerCopy> copies_{AnswerCopy::None};
     double copyShare_ = 0.0;
     double fullShare_ = 0.0; ///< Of requests that an engine refuses.
+    double leavingShare_ = 0.0; ///< Of resumable streams whose client closes its connection and takes the stream up.
     std::vector<std::string> versions_{"v1"}; ///< Of the software of the engines, in turn.
     std::vector<SoakFault> faults_;
     Duration faultPeriod_{600'000};
