Reject an answer whose head contains a second status line

Cause: a copy of an earlier answer that ends within its reason or within the value of a header makes one head with the true answer that follows. It has the status and X-Filbertgw-Not-Executed of the copy, and, as the last value of a name counts, the id of the request: it passes for its refusal, or for a signed 503, 429, 408 or 421, which is passed on. A copied success before a true 500 became a signed 200.

Change: a reason or a header value that contains the start of a status line makes the answer invalid. The exchange ends as Interrupted, so that the request counts as one that may have run.

Copies that end elsewhere were told apart before.

--- a/src/net/httpanswerparser.cpp
+++ b/src/net/httpanswerparser.cpp
@@ -1,7 +1,10 @@
 #include "net/httpanswerparser.h"
 
+#include <boost/beast/http/error.hpp>
+
 #include <algorithm>
 #include <cctype>
+#include <string_view>
 
 namespace filbertgw::internal {
 
@@ -11,6 +14,16 @@
 
 constexpr std::uint32_t answerHeaderBytes = 32 * 1024;
 
+/** The start of a status line; a zero stands for any digit. */
+constexpr std::string_view statusLineForm = "HTTP/0.0 000";
+
+template<typename Text>
+bool containsStatusLine(const Text &text)
+{
+    const auto matches = [](unsigned char c, char form) { return form == '0' ? std::isdigit(c) != 0 : c == form; };
+    return std::search(text.begin(), text.end(), statusLineForm.begin(), statusLineForm.end(), matches) != text.end();
+}
+
 } // namespace
 
 HttpAnswerParser::HttpAnswerParser()
@@ -21,16 +34,24 @@
     eager(true);
 }
 
-void HttpAnswerParser::on_response_impl(int status, StringView, int, Error &)
+void HttpAnswerParser::on_response_impl(int status, StringView reason, int, Error &error)
 {
     head_.status_ = status;
+    if (containsStatusLine(reason)) {
+        error = http::error::bad_reason;
+    }
 }
 
-void HttpAnswerParser::on_field_impl(http::field, StringView name, StringView value, Error &)
+void HttpAnswerParser::on_field_impl(http::field, StringView name, StringView value, Error &error)
 {
     if (is_header_done()) {
         return; // A trailer: the head has been judged without it.
     }
+    // An answer that ends within its head makes one head with the next answer: its status, the other's headers.
+    if (containsStatusLine(value)) {
+        error = http::error::bad_value;
+        return;
+    }
     std::string key(name);
     std::transform(key.begin(), key.end(), key.begin(), [](unsigned char c) { return std::tolower(c); });
     head_.headers_.insert_or_assign(std::move(key), std::string(value));
--- a/test/net/loopfixture.cpp
+++ b/test/net/loopfixture.cpp
@@ -113,6 +113,13 @@
     }
 }
 
+void RawListener::write(const std::string &bytes)
+{
+    for (const std::pair<const int, std::string> &connection : connections_) {
+        (void)!::send(connection.first, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+}
+
 int RawListener::requests() const
 {
     return requests_;
--- a/test/net/loopfixture.h
+++ b/test/net/loopfixture.h
@@ -71,6 +71,8 @@
     std::uint16_t port() const;
     /** \brief Takes waiting connections and answers each request that has arrived on them. */
     void serve(const std::string &answer, bool closes);
+    /** \brief Sends bytes on each open connection, whether or not a request has arrived on it. */
+    void write(const std::string &bytes);
     /** \brief Requests that have arrived. */
     int requests() const;
 
