Expect no body of an answer to HEAD that follows another answer

Callers of a HEAD request waited until its deadline and got a 504 where the engine had written an interim answer, or a copy of an earlier answer, first.

Cause: only the parser of the first answer on a request was told that an answer to HEAD has no body. The one that follows a skipped or an interim answer awaited as many bytes as Content-Length names.

Change: one function makes both parsers. A copy with a body before the answer to HEAD still breaks the exchange off, since its body is read as the next answer; it counts as one that may have run.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -66,6 +66,13 @@
     return call.echoHeader_.empty() ? std::nullopt : std::optional<std::string>(call.echoValue_);
 }
 
+std::unique_ptr<HttpAnswerParser> parserFor(const HttpCall &call)
+{
+    std::unique_ptr<HttpAnswerParser> parser = std::make_unique<HttpAnswerParser>();
+    parser->skip(call.request_.method_ == "HEAD");
+    return parser;
+}
+
 } // namespace internal
 
 struct HttpClient::Private : std::enable_shared_from_this<HttpClient::Private>
@@ -202,8 +209,7 @@
 {
     exchange->output_ = internal::serialise(exchange->call_.request_, exchange->call_.address_);
     exchange->call_.request_.body_ = std::string();
-    exchange->parser_ = std::make_unique<internal::HttpAnswerParser>();
-    exchange->parser_->skip(exchange->call_.request_.method_ == "HEAD");
+    exchange->parser_ = internal::parserFor(exchange->call_);
     exchange->sent_ = true;
     if (!exchange->call_.echoHeader_.empty()) {
         exchange->wire_->addId(exchange->call_.echoValue_);
@@ -263,7 +269,7 @@
             break;
         }
         if (startsAnotherAnswer(exchange)) {
-            exchange->parser_ = std::make_unique<internal::HttpAnswerParser>();
+            exchange->parser_ = internal::parserFor(exchange->call_);
             exchange->skipping_ = false;
         }
     }
--- a/test/net/http.cpp
+++ b/test/net/http.cpp
@@ -339,6 +339,27 @@
     EXPECT_EQ(results_[0].body_, "right");
 }
 
+// Guards against a HEAD request whose answer seems to lack its body because another answer came before it.
+TEST_F(HttpFixture, AnswerToHeadAfterAnotherAnswerHasNoBody)
+{
+    for (const char *before : {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 503 Busy\r\nX-Id: old\r\n\r\n"}) {
+        RawListener listener;
+        HttpCall next = call("HEAD", "/", "body");
+        next.address_ = "127.0.0.1:" + std::to_string(listener.port());
+        next.echoHeader_ = "x-id";
+        next.echoValue_ = "new";
+        next.timeout_ = std::chrono::seconds(5);
+        results_.clear();
+        client_.start(next);
+        runUntil([this, &listener, before] {
+            listener.serve(std::string(before) + "HTTP/1.1 200 OK\r\nX-Id: new\r\nContent-Length: 9\r\n\r\n", false);
+            return results_.size() == 1;
+        });
+        EXPECT_EQ(results_[0].outcome_, HttpOutcome::Complete) << before;
+        EXPECT_EQ(results_[0].status_, 200) << before;
+    }
+}
+
 /** \brief A request that is sent again with the id that it had, after calls with other ids on the connection. */
 struct RepeatedIdCase
 {
