Never answer 503 to a request that an endpoint may have run

Callers of requests that may be repeated, and of streams that may be resumed, were answered 503 with the reason no_endpoint or no_endpoint_of_version, the promise that the request has not run, after an endpoint had begun it and broken off and then no endpoint was left.

Cause: three of the refusals in GatewayCall looked at the attempts that may have run, the two for a missing endpoint did not. Rule REFUSED names requests that aren't idempotent only; these are never placed a second time (case NonIdempotent, passed before too).

Change: refuse() itself turns a 503 into a 502 once an attempt may have run, and the three callers no longer decide it.

The case of no_endpoint_of_version was read in the code, not played.

--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -266,7 +266,7 @@
         limitWaitEndsAt_ = now + std::min(gateway_->settings_.maxLimitWait_, timeLeft() / 2);
     }
     if (!nextLimitedSend_ || *nextLimitedSend_ > *limitWaitEndsAt_ || now >= *limitWaitEndsAt_) {
-        refuse(runs_ > 0 ? RefusalReason::OutcomeUnknown : RefusalReason::EndpointsFull);
+        refuse(RefusalReason::EndpointsFull);
         return;
     }
     const Duration wait = std::max(*nextLimitedSend_ - now, gateway_->settings_.endpointRetryDelay_);
@@ -321,7 +321,7 @@
     }
     step_ = Step::Placing;
     if (sends_ >= maxSends || timeLeft() < minAttemptTime) {
-        refuse(runs_ > 0 ? RefusalReason::OutcomeUnknown : RefusalReason::EndpointsFull);
+        refuse(RefusalReason::EndpointsFull);
         return;
     }
     const Endpoint *endpoint = chooseEndpoint();
@@ -339,7 +339,7 @@
     }
     // Every endpoint refused or failed: retry them all while there is enough time left.
     if (timeLeft() < gateway_->settings_.endpointRetryDelay_ * 2) {
-        refuse(runs_ > 0 ? RefusalReason::OutcomeUnknown : RefusalReason::EndpointsFull);
+        refuse(RefusalReason::EndpointsFull);
         return;
     }
     excluded_.clear();
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -223,6 +223,10 @@
     if (step_ == Step::Ended) {
         return;
     }
+    // Whatever the reason is: a 503 promises that the request has not run.
+    if (runs_ > 0 && statusOf(reason) == 503) {
+        reason = RefusalReason::OutcomeUnknown;
+    }
     const int status =
         request_->isForwarded_ && reason == RefusalReason::Unreachable ? misdirectedStatus : statusOf(reason);
     if (isRelayStarted_) {
--- a/test/gateway/calls.cpp
+++ b/test/gateway/calls.cpp
@@ -74,6 +74,43 @@
     EXPECT_EQ(client->status_, 502);
 }
 
+/** \brief A request that an endpoint may have run before its service has no endpoint left. */
+struct RanBeforeCase
+{
+    const char *name_;
+    Route route_;
+    GatewayRequest request_;
+};
+
+class RanBefore : public testing::TestWithParam<RanBeforeCase>
+{
+};
+
+// Guards against the promise that a request has not run, for one that an endpoint may have run.
+TEST_P(RanBefore, IsNotSaidToHaveNotRun)
+{
+    GatewayRig rig(1, {GetParam().route_});
+    rig.addEndpoints(GetParam().route_.targets_[0].service_, "e", 2);
+    const std::shared_ptr<ClientResponse> client = rig.send(0, GetParam().request_);
+    rig.run(shortWait);
+    ASSERT_EQ(rig.attempts_.size(), 1U);
+    rig.removeEndpoint("e0");
+    rig.removeEndpoint("e1");
+    rig.end(0, AttemptEnd::Broken);
+    rig.run(std::chrono::seconds(4));
+    EXPECT_EQ(rig.attempts_.size(), 1U);
+    EXPECT_TRUE(client->ended_);
+    EXPECT_EQ(client->status_, 502);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    RanBefore,
+    testing::Values(RanBeforeCase{"Idempotent", plainRoute(RouteKind::Idempotent, 2), plainRequest("r1")},
+                    RanBeforeCase{"NonIdempotent", plainRoute(RouteKind::NonIdempotent, 2), plainRequest("r1")},
+                    RanBeforeCase{"StreamThatMayBeResumed", streamingRoute(false, 2, true), turn("t1", "p", "p")}),
+    [](const testing::TestParamInfo<RanBeforeCase> &info) { return info.param.name_; });
+
 // Guards against a failure of an endpoint that reaches the client with another status or body.
 TEST(Calls, FailureOfAnEndpointIsPassedOnAsItIs)
 {
