Report no status and headers of an answer whose head is cut

A server that stopped in the middle of its answer's head left the status and the header fields that had arrived in the result of the call, next to the outcome Interrupted. Users of the result read them: a probe or a cache listing took "leaving" from such a head and withdrew the endpoint, and a read of the newest records took a cut 404 for an empty partition.

Beast parses a head line by line, and the result was filled from whatever had been parsed. It is now filled only from a head that is whole.

The new test cuts twelve forms of answer after each byte, on a new and on a kept connection, with FIN and RST. The added forms of bad framing guard what holds already.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -367,7 +367,8 @@
     HttpResult result;
     result.outcome_ = outcome;
     result.reused_ = exchange.reused_;
-    if (exchange.parser_ && !exchange.skipping_) {
+    // Of a head that isn't whole nothing is known: what is missing may change the meaning of the rest.
+    if (exchange.parser_ && exchange.parser_->is_header_done() && !exchange.skipping_) {
         result.status_ = exchange.parser_->head_.status_;
         result.headers_ = std::move(exchange.parser_->head_.headers_);
         if (exchange.wire_) {
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -73,9 +73,9 @@
 struct HttpResult
 {
     HttpOutcome outcome_ = HttpOutcome::NotConnected;
-    int status_ = 0;
+    int status_ = 0; ///< 0 if no whole head has arrived.
     std::string body_; ///< Empty if parts were streamed.
-    std::map<std::string, std::string> headers_; ///< Names in lower case.
+    std::map<std::string, std::string> headers_; ///< Names in lower case; empty if no whole head has arrived.
     bool reused_ = false; ///< The connection had carried an exchange before.
 };
 
--- a/test/net/loopfixture.h
+++ b/test/net/loopfixture.h
@@ -54,11 +54,19 @@
     void close();
 
     std::string received_;
+    bool isReset_ = false; ///< The peer has closed with a reset.
 
 private:
     int descriptor_;
 };
 
+/** \brief What a server does after an answer. */
+enum class AfterAnswer : std::uint8_t {
+    KeepOpen,
+    Close,
+    Reset,
+};
+
 /** \brief A listening socket of a test's own, for answers that no well-behaved server would send. */
 class RawListener
 {
@@ -71,6 +79,7 @@
     std::uint16_t port() const;
     /** \brief Takes waiting connections and answers each request that has arrived on them. */
     void serve(const std::string &answer, bool closes);
+    void serve(const std::string &answer, AfterAnswer then);
     /** \brief Requests that have arrived. */
     int requests() const;
 
