--- a/test/platform/storeanswers.cpp
+++ b/test/platform/storeanswers.cpp
@@ -79,6 +79,7 @@
             "CutAndFramedAsWhole", HttpOutcome::Complete, 200, wholePage.substr(0, 60), StoreStatus::Unknown},
         StoreAnswerCase{"Empty", HttpOutcome::Complete, 200, "", StoreStatus::Unknown},
         StoreAnswerCase{"OtherJson", HttpOutcome::Complete, 200, R"({"error":"x"})", StoreStatus::Unknown},
+        StoreAnswerCase{"NoEnd", HttpOutcome::Complete, 200, R"({"items":[],"has_more":false})", StoreStatus::Unknown},
         StoreAnswerCase{"Unavailable", HttpOutcome::Complete, 503, "{}", StoreStatus::Rejected}),
     caseName);
 
