Repeat an append under the same number if the reason of its rejection is missing

A 409 to an append has two reasons: another writer's epoch, or a sequence number that the store does not expect, which it names. The second one tells a writer that an earlier attempt took effect. With the body missing or cut the expected number was read as 0, so that the writer took the rejection for the first reason, raised its epoch and appended the records a second time.

Such a 409 is now Unknown: the append is repeated under the same epoch and number, which takes effect once, and the store answers it again.

--- a/test/platform/storeanswers.cpp
+++ b/test/platform/storeanswers.cpp
@@ -145,6 +145,8 @@
         StoreAnswerCase{"Fenced", HttpOutcome::Complete, 409, R"({"why":"fenced"})", StoreStatus::Fenced},
         StoreAnswerCase{
             "OtherSequence", HttpOutcome::Complete, 409, R"({"why":"seq","sequence":8})", StoreStatus::Fenced, 0, 8},
+        StoreAnswerCase{"CutReason", HttpOutcome::Complete, 409, R"({"why":"se)", StoreStatus::Unknown},
+        StoreAnswerCase{"NoReason", HttpOutcome::Complete, 409, "", StoreStatus::Unknown},
         StoreAnswerCase{"CutRejection", HttpOutcome::Interrupted, 409, "", StoreStatus::Unknown}),
     caseName);
 
