Reset the connection of an HTTP/1.0 stream that breaks off

An HTTP/1.0 client knows the end of a stream by the close of the connection alone. A stream that was aborted, that was dropped because the client read too slowly, or that was still open when the process ended was closed with FIN, so that the client held what it had got for the whole answer.

The socket of such a stream is now set to reset when it is closed, from the head of the stream until the kernel has taken its last byte. The option is set for that whole time so that it also holds when the process is killed. Streams of HTTP/1.1 are chunked and need no change.

--- a/src/net/httpanswerencoder.h
+++ b/src/net/httpanswerencoder.h
@@ -37,6 +37,11 @@
     {
         return headOnly_;
     }
+    /** \brief True if only the end of the connection ends a stream. */
+    bool endsStreamsByClosing() const
+    {
+        return !chunked_;
+    }
 
 private:
     void appendHead(int status, const std::string &contentType);
--- a/src/net/httpconnection.cpp
+++ b/src/net/httpconnection.cpp
@@ -193,6 +193,10 @@
     state_ = State::Streaming;
     closeAfterAnswerIfStopping();
     encoder_.appendStreamHead(status, contentType);
+    if (encoder_.endsStreamsByClosing()) {
+        // Set for the whole stream, so that it also holds when the process is killed.
+        setResetOnClose(true);
+    }
     flushSoon();
 }
 
@@ -218,6 +222,13 @@
     answerEnded();
 }
 
+/** Any other close of a connection whose stream has no end in the protocol looks like the end of the stream. */
+void HttpConnection::setResetOnClose(bool isReset)
+{
+    Error ignored;
+    socket_.set_option(asio::socket_base::linger(isReset, 0), ignored);
+}
+
 void HttpConnection::closeAfterAnswerIfStopping()
 {
     if (server_->stopping_) {
@@ -318,6 +329,7 @@
         pending_.clear();
     }
     if (state_ == State::Draining) {
+        setResetOnClose(false);
         Error ignored;
         socket_.shutdown(Tcp::socket::shutdown_send, ignored);
         deadline_ = std::min(deadline_, std::chrono::steady_clock::now() + lingerTime);
--- a/src/net/httpconnection.h
+++ b/src/net/httpconnection.h
@@ -62,6 +62,7 @@
     void handle();
     void refuse(const Error &error);
     void refuse(int status, const std::string &type, const std::string &message);
+    void setResetOnClose(bool isReset);
     void closeAfterAnswerIfStopping();
     void answerEnded();
     void flushSoon();
