Send what was written before a stream is aborted

The last events of a stream that the gateway breaks off, such as those it has held back for copies on other nodes, were written to the connection and dropped by the close right after. The client had to have them made again at another node, although the turn's budget had paid for them.

abort() now hands the pending bytes to the kernel, without waiting, before it closes the connection. PartsWrittenBeforeAnAbortArrive failed before the change.

--- a/src/net/httpconnection.cpp
+++ b/src/net/httpconnection.cpp
@@ -240,6 +240,7 @@
 {
     if (isOpen(request)) {
         closed_ = nullptr; // The caller of abort() knows.
+        flush(); // What has been written may still be of use, such as the last events of a stream.
         close();
     }
 }
--- a/test/net/brokenstreams.cpp
+++ b/test/net/brokenstreams.cpp
@@ -127,3 +127,21 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Table, FinishedStream, ::testing::Values("1.0", "1.1"));
+
+// Guards against events that were written before the break and never reach the caller.
+TEST_F(LoopFixture, PartsWrittenBeforeAnAbortArrive)
+{
+    Result<std::unique_ptr<HttpServer>> server = HttpServer::listen(
+        loop_, "127.0.0.1:0", HttpLimits(), [](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+            reply->startStream(200, "text/event-stream");
+            reply->write("id: 1\n\n");
+            reply->abort();
+        });
+    ASSERT_TRUE(server);
+    RawSocket socket((*server)->port());
+    socket.send("GET / HTTP/1.1\r\n\r\n");
+    runUntil([&socket] { return !socket.receive(); });
+    EXPECT_NE(socket.received_.find("id: 1\n\n"), std::string::npos);
+    EXPECT_EQ(socket.received_.find("0\r\n\r\n"), std::string::npos);
+    EXPECT_EQ((*server)->openRequests(), 0U);
+}
