Test what a second engine may answer to a stream that broke off

A stream that is resumable breaks off and the next engine answers with something else: errors with and without a body, framed and not, signed and not, refusals, a cut head, bytes that are no answer, other kinds of body, 204, an event that was relayed before.

Eleven of fifteen forms break the client's stream, as they should: an answer with an error status never reaches the stream, because a second attempt relays only after a 2xx head. Four fail: any 2xx is taken for the rest of the stream. A 204 ends it as if it were complete, a text or a head in the body is relayed, and an event comes twice. No code changed.

--- a/test/platform/enginefaults.cpp
+++ b/test/platform/enginefaults.cpp
@@ -509,4 +509,61 @@
                                          NodeEndCase{"Http10Killed", SIGKILL, "1.0", one + "(reset)"}),
                          [](const testing::TestParamInfo<NodeEndCase> &info) { return info.param.name_; });
 
+/** \brief The answer of a second engine that does not continue the stream of the first one. */
+struct NoContinuationCase
+{
+    const char *name_;
+    EngineScript script_;
+};
+
+class NoContinuation : public NodeFixture, public testing::WithParamInterface<NoContinuationCase>
+{
+};
+
+// Guards against an error's text in the middle of a stream, and a broken stream that ends as if it were complete.
+TEST_P(NoContinuation, BreaksTheStream)
+{
+    engines_.scripts_ = {{streamHead + chunked + chunkOne, End::Close}, GetParam().script_};
+    startNode();
+    const std::string answer = askClient("/resume", "1.1");
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200") << answer;
+    EXPECT_EQ(answer.find("boom"), std::string::npos) << answer;
+    EXPECT_EQ(answer.substr(answer.size() - std::min(answer.size(), chunkOne.size())), chunkOne) << answer;
+    EXPECT_EQ(answer.find(chunkOne), answer.rfind(chunkOne)) << answer;
+    EXPECT_GE(engines_.requests_.size(), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    NoContinuation,
+    testing::Values(
+        NoContinuationCase{"Error", {"HTTP/1.1 500 No\r\n" + stamped + "Content-Length: 12\r\n\r\ndata: boom\n\n"}},
+        NoContinuationCase{"EmptyError", {"HTTP/1.1 500 No\r\n" + stamped + "Content-Length: 0\r\n\r\n"}},
+        NoContinuationCase{"ErrorInEvents",
+                           {"HTTP/1.1 500 No\r\nContent-Type: text/event-stream\r\n" + stamped
+                            + "Content-Length: 19\r\n\r\nid: 2\ndata: boom!\n\n"}},
+        NoContinuationCase{"UnframedError", {"HTTP/1.1 500 No\r\n" + stamped + "\r\nboom\n\n", End::Close}},
+        NoContinuationCase{"NotFound", {"HTTP/1.1 404 No\r\n" + stamped + "Content-Length: 6\r\n\r\nboom\n\n"}},
+        NoContinuationCase{"Unsigned", {"HTTP/1.1 500 No\r\nContent-Length: 6\r\n\r\nboom\n\n"}},
+        NoContinuationCase{"NotRun",
+                           {"HTTP/1.1 503 No\r\nX-Filbertgw-Attempt-Id: %ID%\r\nX-Filbertgw-Not-Executed: 1\r\n"
+                            "Content-Length: 6\r\n\r\nboom\n\n"}},
+        NoContinuationCase{"NotRunAndSigned",
+                           {"HTTP/1.1 503 No\r\n" + stamped
+                            + "X-Filbertgw-Not-Executed: 1\r\n"
+                              "Content-Length: 6\r\n\r\nboom\n\n"}},
+        NoContinuationCase{"NoContent", {"HTTP/1.1 204 No Content\r\n" + stamped + "\r\n"}},
+        NoContinuationCase{"AnotherKindOfBody",
+                           {"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + stamped
+                            + "Content-Length: 17\r\n\r\n{\"error\":\"boom\"}"}},
+        NoContinuationCase{
+            "TextThatEndsALine",
+            {"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + stamped + "Content-Length: 6\r\n\r\nboom\n\n"}},
+        NoContinuationCase{"CutHead", {streamHead + "X: boom", End::Close}},
+        NoContinuationCase{"NotHttp", {"boom\n\n", End::Close}},
+        NoContinuationCase{"HeadInItsBody",
+                           {streamHead + chunked + "15\r\n" + "HTTP/1.1 500 boom\r\n\r\n\r\n" + lastChunk}},
+        NoContinuationCase{"TheSameEventAgain", {streamHead + chunked + chunkOne + lastChunk}}),
+    [](const testing::TestParamInfo<NoContinuationCase> &info) { return info.param.name_; });
+
 } // namespace filbertgw::platform
