Don't take a refusal inside a cut head of success for one

An engine that stopped in the middle of the head of a 200 and then wrote a refusal on the same connection made one head out of both: status 200, the id of the request, its stamp and X-Filbertgw-Not-Executed. The request, which had run, was taken for not run: one that may run once was sent to engines twelve times, and the client was told 503, which promises that it has not run.

A refusal comes with an error status only (503, 429, 421, 400).

--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -406,6 +406,12 @@
                  false,
                  false},
         HeadCase{"NotRun", 503, {{"x-filbertgw-attempt-id", "id1"}, {"x-filbertgw-not-executed", "1"}}, false, true},
+        HeadCase{
+            "NotRunWithASuccess",
+            200,
+            {{"x-filbertgw-attempt-id", "id1"}, {"x-filbertgw-response-stamp", "s"}, {"x-filbertgw-not-executed", "1"}},
+            false,
+            false},
         HeadCase{"NotRunWithoutAnId", 503, {{"x-filbertgw-not-executed", "1"}}, false, false},
         HeadCase{"NotRunOfAnotherRequest",
                  503,
--- a/test/platform/enginefaults.cpp
+++ b/test/platform/enginefaults.cpp
@@ -411,6 +411,14 @@
             "}"},
         EngineFaultCase{
             "CutHeadAgain", "/again", {{cutHead, End::Close}, {wholeAnswer}}, 2, "HTTP/1.1 200", "\r\n\r\nhi"},
+        EngineFaultCase{"RefusalInCutHead",
+                        "/once",
+                        {{"HTTP/1.1 200 OK\r\n" + stamped
+                          + "X: aHTTP/1.1 503 No\r\nX-Filbertgw-Attempt-Id: %ID%\r\n"
+                            "X-Filbertgw-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nno"}},
+                        1,
+                        badGateway,
+                        "}"},
         EngineFaultCase{"CutStreamHead", "/stream", {{streamHead, End::Close}}, 1, badGateway, "}"},
         EngineFaultCase{"CutStreamHeadResumable",
                         "/resume",
