--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -412,6 +412,12 @@
             {{"x-filbertgw-attempt-id", "id1"}, {"x-filbertgw-response-stamp", "s"}, {"x-filbertgw-not-executed", "1"}},
             false,
             false},
+        HeadCase{
+            "NotRunWithAFailureOfARun",
+            504,
+            {{"x-filbertgw-attempt-id", "id1"}, {"x-filbertgw-response-stamp", "s"}, {"x-filbertgw-not-executed", "1"}},
+            false,
+            false},
         HeadCase{"NotRunWithoutAnId", 503, {{"x-filbertgw-not-executed", "1"}}, false, false},
         HeadCase{"NotRunOfAnotherRequest",
                  503,
