Reject a head that runs on into another head

An engine that stopped in the middle of a head and then wrote the next answer on the same connection made one head of both, with the status of the first and the last value of each field. A refusal of another request, cut before its id, and the answer of a request that had run became "not run" for that request: one that may run once was sent to engines twelve times, and the client was told 503.

A head in whose reason or in one of whose values a status line follows is now no answer. Cuts at other places, in a name, a status or between lines, were errors of the parser already.

ServerAnswer/HeadAfterACutValue and HeadAfterACutReason, and EngineFault/AnswerInCutRefusal, which saw the twelve requests, failed before the change. ProtocolNameInAValue guards against values that only name the protocol.

--- a/src/net/httpanswerparser.cpp
+++ b/src/net/httpanswerparser.cpp
@@ -15,6 +15,23 @@
 constexpr int lowestStatus = 100;
 constexpr int highestStatus = 599;
 
+/** \brief True if a status line such as `HTTP/1.1 200` follows in the text: a cut head runs on into another one. */
+bool containsStatusLine(const std::string &text)
+{
+    const std::string protocol = "HTTP/1.";
+    for (std::size_t at = text.find(protocol); at != std::string::npos; at = text.find(protocol, at + 1)) {
+        // The minor version, a space and three digits.
+        const std::string rest = text.substr(at + protocol.size(), 5);
+        const auto isDigit = [&rest](std::size_t index) {
+            return std::isdigit(static_cast<unsigned char>(rest[index]));
+        };
+        if (rest.size() == 5 && rest[1] == ' ' && isDigit(0) && isDigit(2) && isDigit(3) && isDigit(4)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 HttpAnswerParser::HttpAnswerParser()
@@ -25,10 +42,10 @@
     eager(true);
 }
 
-void HttpAnswerParser::on_response_impl(int status, StringView, int, Error &error)
+void HttpAnswerParser::on_response_impl(int status, StringView reason, int, Error &error)
 {
     head_.status_ = status;
-    if (status < lowestStatus || status > highestStatus) {
+    if (status < lowestStatus || status > highestStatus || containsStatusLine(std::string(reason))) {
         error = http::error::bad_status;
     }
 }
@@ -43,9 +60,14 @@
         error = http::error::bad_transfer_encoding;
         return;
     }
+    std::string text(value);
+    if (containsStatusLine(text)) {
+        error = http::error::bad_value;
+        return;
+    }
     std::string key(name);
     std::transform(key.begin(), key.end(), key.begin(), [](unsigned char c) { return std::tolower(c); });
-    head_.headers_.insert_or_assign(std::move(key), std::string(value));
+    head_.headers_.insert_or_assign(std::move(key), std::move(text));
 }
 
 } // namespace filbertgw::internal
