--- a/src/net/httpanswerparser.cpp
+++ b/src/net/httpanswerparser.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::uint32_t answerHeaderBytes = 32 * 1024;
+constexpr int lowestStatus = 100;
+constexpr int highestStatus = 599;
 
 /** The start of a status line; a zero stands for any digit. */
 constexpr std::string_view statusLineForm = "HTTP/0.0 000";
@@ -39,14 +41,21 @@
     head_.status_ = status;
     if (containsStatusLine(reason)) {
         error = http::error::bad_reason;
+    } else if (status < lowestStatus || status > highestStatus) {
+        error = http::error::bad_status;
     }
 }
 
-void HttpAnswerParser::on_field_impl(http::field, StringView name, StringView value, Error &error)
+void HttpAnswerParser::on_field_impl(http::field field, StringView name, StringView value, Error &error)
 {
     if (is_header_done()) {
         return; // A trailer: the head has been judged without it.
     }
+    // The body of another coding would be passed on undecoded; no request has asked for one.
+    if (field == http::field::transfer_encoding && !boost::beast::iequals(value, "chunked")) {
+        error = http::error::bad_transfer_encoding;
+        return;
+    }
     // An answer that ends within its head makes one head with the next answer: its status, the other's headers.
     if (containsStatusLine(value)) {
         error = http::error::bad_value;
@@ -54,7 +63,7 @@
     }
     std::string key(name);
     std::transform(key.begin(), key.end(), key.begin(), [](unsigned char c) { return std::tolower(c); });
-    head_.headers_.insert_or_assign(std::move(key), std::string(value));
+    head_.headers_.insert_or_assign(std::move(key), std::move(text));
 }
 
 } // namespace filbertgw::internal
--- a/test/net/loopfixture.h
+++ b/test/net/loopfixture.h
@@ -54,11 +54,19 @@
     void close();
 
     std::string received_;
+    bool isReset_ = false; ///< The peer has closed with a reset.
 
 private:
     int descriptor_;
 };
 
+/** \brief What a server does after an answer. */
+enum class AfterAnswer : std::uint8_t {
+    KeepOpen,
+    Close,
+    Reset,
+};
+
 /** \brief A listening socket of a test's own, for answers that no well-behaved server would send. */
 class RawListener
 {
@@ -73,6 +81,7 @@
     void serve(const std::string &answer, bool closes);
     /** \brief Sends bytes on each open connection, whether or not a request has arrived on it. */
     void write(const std::string &bytes);
+    void serve(const std::string &answer, AfterAnswer then);
     /** \brief Requests that have arrived. */
     int requests() const;
 
