--- a/src/net/httpanswerparser.cpp
+++ b/src/net/httpanswerparser.cpp
@@ -63,7 +63,7 @@
     }
     std::string key(name);
     std::transform(key.begin(), key.end(), key.begin(), [](unsigned char c) { return std::tolower(c); });
-    head_.headers_.insert_or_assign(std::move(key), std::move(text));
+    head_.headers_.insert_or_assign(std::move(key), std::string(value));
 }
 
 } // namespace filbertgw::internal
