Let turns wait for the store instead of refusing them at once in an outage

Callers whose programs began in an outage of the store, or outlasted their allowance in it, were told 503 up to six times and gave the program up.

Cause: since only the first turn of a program runs ahead of its record, its second one needs the store. It was refused at once, and with a Retry-After of 1.5 s the tries of a client end after some 5 s.

Who may grant what is as before, so nothing more can be forgotten.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -50,11 +50,11 @@
     , outputs_(streamOutputsHooks(), settings_.outputs_)
     , relayedStore_(
           hooks_.store_,
-          BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_},
+          BudgetControllerHooks{hooks_.askPeer_, hooks_.after_, hooks_.logEvent_},
           [this] { return ledger_.isReachable(); },
           fleet_)
     , turns_(turnStoreHooks(), settings_.turns_)
-    , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_}, hooks_.now_, ledger_, fleet_)
+    , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.after_, hooks_.logEvent_}, hooks_.now_, ledger_, fleet_)
     , admission_(settings_.admission_)
     , pace_(hooks_.now_, settings_.pace_)
     , retryAfter_(settings_.retryAfter_)
--- a/test/gateway/budget.cpp
+++ b/test/gateway/budget.cpp
@@ -648,4 +648,79 @@
     EXPECT_EQ(rig.attempts_.size(), 1U);
 }
 
+/** \brief What happens while a turn that no allowance covers waits in an outage of the store. */
+struct AwaitedStoreCase
+{
+    const char *name_;
+    bool storeReturns_;
+    bool clientLeaves_;
+    int status_; ///< Of the waiting turn after the outage or, if the store stays away, after a fifth of its time.
+    std::size_t runs_; ///< Turns that reach an engine, with one before the outage and one after it.
+};
+
+class AwaitedStore : public testing::TestWithParam<AwaitedStoreCase>
+{
+};
+
+// Guards against turns that are refused at once in an outage of the store: their clients give the program up after a
+// few refusals, long before the store is back.
+TEST_P(AwaitedStore, TurnIsHeldForAPartOfItsTime)
+{
+    Route route = streamingRoute(false, 1, false);
+    route.timeout_ = std::chrono::seconds(30);
+    GatewayRig rig(nodeCount, {route});
+    rig.addEndpoints("engines", "e", 4);
+    rig.run(claimsAreKnown);
+    const auto send = [&rig](const std::string &id) {
+        GatewayRequest request = turn(id, "p", "p");
+        request.tokenBudget_ = 600;
+        request.timeLeft_ = std::chrono::seconds(30);
+        return rig.send(1, std::move(request));
+    };
+    send("a");
+    rig.run(std::chrono::seconds(1));
+    completeTurns(rig, 0);
+    ASSERT_EQ(rig.attempts_.size(), 1U);
+    rig.store_.down_ = true;
+    rig.run(std::chrono::seconds(3));
+    const std::shared_ptr<ClientResponse> waiting = send("b");
+    rig.run(std::chrono::seconds(1));
+    EXPECT_EQ(waiting->status_, 0);
+    EXPECT_EQ(rig.attempts_.size(), 1U);
+    if (GetParam().clientLeaves_) {
+        waiting->closed_();
+    }
+    rig.store_.down_ = !GetParam().storeReturns_;
+    rig.run(std::chrono::seconds(5));
+    EXPECT_EQ(waiting->status_, GetParam().status_);
+    completeTurns(rig, 1);
+    rig.store_.down_ = false;
+    rig.run(std::chrono::seconds(4));
+    send("c");
+    rig.run(std::chrono::seconds(1));
+    EXPECT_EQ(rig.attempts_.size(), GetParam().runs_);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         AwaitedStore,
+                         testing::Values(AwaitedStoreCase{"StoreReturns", true, false, 0, 2},
+                                         AwaitedStoreCase{"StoreStaysAway", false, false, 503, 2},
+                                         AwaitedStoreCase{"ClientLeaves", true, true, 0, 2}),
+                         [](const testing::TestParamInfo<AwaitedStoreCase> &info) { return info.param.name_; });
+
+// Guards against a node that is stopped while turns wait for the store.
+TEST(Budget, NodeEndsWhileATurnWaitsForTheStore)
+{
+    GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 4);
+    rig.store_.down_ = true;
+    rig.run(std::chrono::seconds(3));
+    rig.send(1, turn("a", "p", "sub"));
+    rig.run(std::chrono::milliseconds(500));
+    rig.kill(1);
+    rig.store_.down_ = false;
+    rig.run(std::chrono::seconds(5));
+    EXPECT_EQ(rig.attempts_.size(), 0U);
+}
+
 } // namespace filbertgw::test
