Count no pace of programs until the ledger is current after an outage

Cause: what was seen of programs' pace is forgotten while the store is not reached, but turns wait 1.5 s longer, until grants of the outage are recorded. Programs that begin in this time are late through the wait alone.

Change: the pace is forgotten until the ledger is current.

It has no test of its own yet. Where a slow store makes the ledger outdated now and then, programs are refused less; not measured.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -407,7 +407,8 @@
         lastLedgerCurrent_ = hooks_.now_();
     }
     logLedgerStateChange();
-    if (!ledger_.isReachable()) {
+    // Also while grants of an outage are being recorded: turns wait for that too, and their programs are late.
+    if (!ledger_.isCurrent()) {
         pace_.reset();
     }
     for (const std::string &gone : directory_.expire()) {
