--- a/src/gateway/budgetcontroller.cpp
+++ b/src/gateway/budgetcontroller.cpp
@@ -21,8 +21,6 @@
 constexpr Duration decisionTimeout{900'000};
 /** Limit on the wait for the backup coordinator; a grant is given without its acknowledgement after this. */
 constexpr Duration spendingTimeout{150'000};
-/** Pause between two looks at whether a node reaches the store again. */
-constexpr Duration storeCheckInterval{100'000};
 
 BudgetDecision decodeDecision(const std::optional<nlohmann::json> &answer)
 {
@@ -96,54 +94,13 @@
 
 BudgetController::BudgetController(BudgetControllerHooks hooks, Clock now, PartitionedLedger &ledger, Fleet &fleet)
     : hooks_(std::move(hooks))
-    , now_(now)
     , ledger_(ledger)
     , fleet_(fleet)
     , claims_(std::move(now))
 {
 }
 
-void BudgetController::reserve(const TurnReservation &turn, const std::function<void(const BudgetGrant &)> &decided)
-{
-    const Time deadline = now_() + turn.patience_;
-    tryReserve(turn, [this, turn, deadline, decided](const BudgetGrant &grant) {
-        if (grant.decision_ == BudgetDecision::Unavailable && !isStoreUsable(turn.program_)) {
-            awaitStore(turn, deadline, grant, decided);
-        } else {
-            decided(grant);
-        }
-    });
-}
-
-bool BudgetController::isStoreUsable(const std::string &program) const
-{
-    return ledger_.ledgerOf(program).isCurrent() || fleet_.nodeWithCurrentLedger(program).has_value();
-}
-
-void BudgetController::awaitStore(const TurnReservation &turn,
-                                  Time deadline,
-                                  const BudgetGrant &refusal,
-                                  const Decided &decided)
-{
-    if (now_() >= deadline) {
-        decided(refusal);
-        return;
-    }
-    const std::weak_ptr<bool> alive = alive_;
-    hooks_.after_(internal::storeCheckInterval, [this, alive, turn, deadline, refusal, decided] {
-        if (alive.expired()) {
-            return;
-        }
-        if (isStoreUsable(turn.program_)) {
-            hooks_.logEvent_("budget_awaited", {{"program", turn.program_}});
-            tryReserve(turn, decided);
-        } else {
-            awaitStore(turn, deadline, refusal, decided);
-        }
-    });
-}
-
-void BudgetController::tryReserve(const TurnReservation &turn, const Decided &decided)
+void BudgetController::reserve(const TurnReservation &turn, std::function<void(const BudgetGrant &)> decided)
 {
     if (ledger_.ledgerOf(turn.program_).takeAllowance(turn)) {
         decided(BudgetGrant{BudgetDecision::Granted, turn.program_, turn.tokens_, {}, GrantBasis::Allowance});
--- a/src/gateway/budgetcontroller.h
+++ b/src/gateway/budgetcontroller.h
@@ -54,7 +54,6 @@
 struct BudgetControllerHooks
 {
     PeerRequest askPeer_;
-    std::function<std::uint64_t(Duration, std::function<void()>)> after_;
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
 };
 
@@ -71,17 +70,14 @@
  * What runs before it is recorded is forgotten if its nodes are lost, and the program can spend it again. So this is
  * one turn of a program at most: its first one, while nothing is known to be spent, at the node to which the program's
  * coordinator has granted the claim. A coordinator that may have forgotten a claim, or may not have been told of one,
- * grants none; the turn is then reserved in the store.
- *
- * A turn that none of these ways covers waits while no node reaches the store, for TurnReservation::patience_ at most.
- * Clients give a program up after a few refusals, so that an outage would end most programs that begin in it.
+ * grants none; the turn is then reserved in the store, or refused while no node reaches it.
  */
 class BudgetController
 {
 public:
     BudgetController(BudgetControllerHooks hooks, Clock now, PartitionedLedger &ledger, Fleet &fleet);
 
-    void reserve(const TurnReservation &turn, const std::function<void(const BudgetGrant &)> &decided);
+    void reserve(const TurnReservation &turn, std::function<void(const BudgetGrant &)> decided);
     /** \brief Replaces a granted reservation by the tokens that the turn has used. */
     void settle(const BudgetGrant &grant, std::uint64_t used);
     /** \brief Sends this node's spending, recorded or not, to the nodes that decide without the store. */
@@ -108,12 +104,6 @@
         Undecided, ///< It did not answer in time, or its allowance is not durable yet; it may still grant turns.
     };
 
-    /** \brief Decides on a turn with what is known now. */
-    void tryReserve(const TurnReservation &turn, const Decided &decided);
-    /** \brief True if this node or another one can reserve turns of a program in the store. */
-    bool isStoreUsable(const std::string &program) const;
-    /** \brief Decides on a turn again once a node reaches the store; \p refusal is its answer if none does. */
-    void awaitStore(const TurnReservation &turn, Time deadline, const BudgetGrant &refusal, const Decided &decided);
     /** \brief The first of several writers that is a live node. */
     std::optional<AllowanceHolder> findAliveHolder(const std::vector<std::string> &writers) const;
     void requestFromHolder(const AllowanceHolder &holder,
@@ -176,12 +166,10 @@
                        const std::function<void(const nlohmann::json &)> &answer);
 
     BudgetControllerHooks hooks_;
-    Clock now_;
     PartitionedLedger &ledger_;
     Fleet &fleet_;
     FirstTurnClaims claims_; ///< Of the programs that this node coordinates.
     std::set<std::string> endedWriters_; ///< Writers whose node has been restarted since.
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Expires with this object, for its timers.
 };
 
 } // namespace filbertgw
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -50,11 +50,11 @@
     , outputs_(streamOutputsHooks(), settings_.outputs_)
     , relayedStore_(
           hooks_.store_,
-          BudgetControllerHooks{hooks_.askPeer_, hooks_.after_, hooks_.logEvent_},
+          BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_},
           [this] { return ledger_.isReachable(); },
           fleet_)
     , turns_(turnStoreHooks(), settings_.turns_)
-    , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.after_, hooks_.logEvent_}, hooks_.now_, ledger_, fleet_)
+    , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_}, hooks_.now_, ledger_, fleet_)
     , admission_(settings_.admission_)
     , pace_(hooks_.now_, settings_.pace_)
     , retryAfter_(settings_.retryAfter_)
@@ -441,8 +441,7 @@
         lastLedgerCurrent_ = hooks_.now_();
     }
     logLedgerStateChange();
-    // Also while grants of an outage are being recorded: turns wait for that too, and their programs are late.
-    if (!ledger_.isCurrent()) {
+    if (!ledger_.isReachable()) {
         pace_.reset();
     }
     for (const std::string &gone : directory_.expire()) {
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -24,9 +24,6 @@
 constexpr std::int64_t turnTries = 3;
 constexpr Duration longestTurnPause{400'000};
 
-/** Share of the time left for which a turn waits for the store; the rest is for another try and for its run. */
-constexpr std::int64_t storeWaitDivisor = 6;
-
 std::string pathOf(const std::string &target)
 {
     return target.substr(0, target.find('?'));
@@ -212,7 +209,6 @@
     turn.tokens_ = request_->maxOutputTokens_;
     turn.isRootAgentTurn_ = request_->session_ == request_->program_;
     turn.repeatTime_ = std::min(TurnReservation::maxRepeatTime, turnRepeatTime());
-    turn.patience_ = timeLeft() / storeWaitDivisor;
     gateway_->budget_.reserve(turn, [self = shared_from_this()](const BudgetGrant &grant) {
         self->grant_ = grant;
         if (self->step_ == Step::Preparing) {
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -38,7 +38,6 @@
     std::uint64_t tokens_ = 0; ///< Maximum that this turn may generate.
     bool isRootAgentTurn_ = false; ///< False for a turn of a sub-agent. The root agent runs one turn at a time.
     Duration repeatTime_ = maxRepeatTime; ///< Time within which its client may send it again.
-    Duration patience_{0}; ///< Longest time for which it may wait for the store, if no node reaches it.
 
     static constexpr Duration maxRepeatTime{30'000'000};
 };
