Move the parts of src/gateway into modules of their own

Moves only: src/routing (requests and answers, routing table), src/streams, src/endpoints, src/placement, src/fleet; budgetcontroller and firstturnclaims go to src/ledger. FleetMember gets a header of its own, so that src/streams needs no header of src/fleet. Unit tests follow; tests that play a whole gateway stay in test/gateway. No logic is changed.

--- a/src/gateway/answeredtargets.cpp
+++ b/src/endpoints/answeredtargets.cpp
@@ -1,6 +1,6 @@
-#include "gateway/answeredtargets.h"
+#include "endpoints/answeredtargets.h"
 
-#include "gateway/requestfingerprint.h"
+#include "routing/requestfingerprint.h"
 
 namespace filbertgw {
 
--- a/src/gateway/answeredtargets.h
+++ b/src/endpoints/answeredtargets.h
@@ -1,7 +1,7 @@
-#ifndef FILBERTGW_GATEWAY_ANSWEREDTARGETS_H
-#define FILBERTGW_GATEWAY_ANSWEREDTARGETS_H
+#ifndef FILBERTGW_ENDPOINTS_ANSWEREDTARGETS_H
+#define FILBERTGW_ENDPOINTS_ANSWEREDTARGETS_H
 
-#include "gateway/gatewaytypes.h"
+#include "routing/gatewaytypes.h"
 
 #include <deque>
 #include <string>
--- a/src/gateway/crashdetector.cpp
+++ b/src/endpoints/crashdetector.cpp
@@ -1,4 +1,4 @@
-#include "gateway/crashdetector.h"
+#include "endpoints/crashdetector.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/gateway/crashdetector.h
+++ b/src/endpoints/crashdetector.h
@@ -1,8 +1,8 @@
-#ifndef FILBERTGW_GATEWAY_CRASHDETECTOR_H
-#define FILBERTGW_GATEWAY_CRASHDETECTOR_H
+#ifndef FILBERTGW_ENDPOINTS_CRASHDETECTOR_H
+#define FILBERTGW_ENDPOINTS_CRASHDETECTOR_H
 
-#include "gateway/gatewaytypes.h"
-#include "gateway/requestfingerprint.h"
+#include "routing/gatewaytypes.h"
+#include "routing/requestfingerprint.h"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/src/gateway/crashstream.cpp
+++ b/src/endpoints/crashstream.cpp
@@ -1,4 +1,4 @@
-#include "gateway/crashstream.h"
+#include "endpoints/crashstream.h"
 
 #include "core/cbor.h"
 
--- a/src/gateway/crashstream.h
+++ b/src/endpoints/crashstream.h
@@ -1,7 +1,7 @@
-#ifndef FILBERTGW_GATEWAY_CRASHSTREAM_H
-#define FILBERTGW_GATEWAY_CRASHSTREAM_H
+#ifndef FILBERTGW_ENDPOINTS_CRASHSTREAM_H
+#define FILBERTGW_ENDPOINTS_CRASHSTREAM_H
 
-#include "gateway/crashrecord.h"
+#include "endpoints/crashrecord.h"
 #include "ledger/batchappender.h"
 #include "store/streamtail.h"
 
--- a/src/gateway/endpointdirectory.cpp
+++ b/src/endpoints/endpointdirectory.cpp
@@ -1,4 +1,4 @@
-#include "gateway/endpointdirectory.h"
+#include "endpoints/endpointdirectory.h"
 
 #include <iterator>
 
--- a/src/gateway/endpointdirectory.h
+++ b/src/endpoints/endpointdirectory.h
@@ -1,8 +1,8 @@
-#ifndef FILBERTGW_GATEWAY_ENDPOINTDIRECTORY_H
-#define FILBERTGW_GATEWAY_ENDPOINTDIRECTORY_H
+#ifndef FILBERTGW_ENDPOINTS_ENDPOINTDIRECTORY_H
+#define FILBERTGW_ENDPOINTS_ENDPOINTDIRECTORY_H
 
-#include "gateway/gatewaytypes.h"
-#include "gateway/versionhistory.h"
+#include "endpoints/versionhistory.h"
+#include "routing/gatewaytypes.h"
 
 #include <map>
 #include <string>
--- a/src/gateway/endpointlimits.cpp
+++ b/src/endpoints/endpointlimits.cpp
@@ -1,4 +1,4 @@
-#include "gateway/endpointlimits.h"
+#include "endpoints/endpointlimits.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/endpointlimits.h
+++ b/src/endpoints/endpointlimits.h
@@ -1,9 +1,9 @@
-#ifndef FILBERTGW_GATEWAY_ENDPOINTLIMITS_H
-#define FILBERTGW_GATEWAY_ENDPOINTLIMITS_H
+#ifndef FILBERTGW_ENDPOINTS_ENDPOINTLIMITS_H
+#define FILBERTGW_ENDPOINTS_ENDPOINTLIMITS_H
 
 #include "core/time.h"
-#include "gateway/gatewaytypes.h"
-#include "gateway/ratelimitnotice.h"
+#include "endpoints/ratelimitnotice.h"
+#include "routing/gatewaytypes.h"
 
 #include <cstddef>
 #include <deque>
--- a/src/gateway/endpointreachability.h
+++ b/src/endpoints/endpointreachability.h
@@ -1,7 +1,7 @@
-#ifndef FILBERTGW_GATEWAY_ENDPOINTREACHABILITY_H
-#define FILBERTGW_GATEWAY_ENDPOINTREACHABILITY_H
+#ifndef FILBERTGW_ENDPOINTS_ENDPOINTREACHABILITY_H
+#define FILBERTGW_ENDPOINTS_ENDPOINTREACHABILITY_H
 
-#include "gateway/gatewaytypes.h"
+#include "routing/gatewaytypes.h"
 
 #include <functional>
 #include <map>
--- a/src/gateway/quarantine.h
+++ b/src/endpoints/quarantine.h
@@ -1,8 +1,8 @@
-#ifndef FILBERTGW_GATEWAY_QUARANTINE_H
-#define FILBERTGW_GATEWAY_QUARANTINE_H
+#ifndef FILBERTGW_ENDPOINTS_QUARANTINE_H
+#define FILBERTGW_ENDPOINTS_QUARANTINE_H
 
 #include "core/time.h"
-#include "gateway/crashrecord.h"
+#include "endpoints/crashrecord.h"
 
 #include <cstddef>
 #include <deque>
--- a/src/gateway/versionhistory.cpp
+++ b/src/endpoints/versionhistory.cpp
@@ -1,4 +1,4 @@
-#include "gateway/versionhistory.h"
+#include "endpoints/versionhistory.h"
 
 #include <iterator>
 
--- a/src/gateway/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -1,8 +1,8 @@
-#include "gateway/fleet.h"
+#include "fleet/fleet.h"
 
 #include "core/cbor.h"
 #include "core/stablehash.h"
-#include "gateway/fleetgroups.h"
+#include "fleet/fleetgroups.h"
 #include "store/streamtail.h"
 
 #include <nlohmann/json.hpp>
--- a/src/gateway/fleet.h
+++ b/src/fleet/fleet.h
@@ -1,7 +1,7 @@
-#ifndef FILBERTGW_GATEWAY_FLEET_H
-#define FILBERTGW_GATEWAY_FLEET_H
+#ifndef FILBERTGW_FLEET_FLEET_H
+#define FILBERTGW_FLEET_FLEET_H
 
-#include "gateway/fleetmessage.h"
+#include "fleet/fleetmessage.h"
 #include "store/recordstore.h"
 
 #include <functional>
--- a/src/gateway/fleetgroups.h
+++ b/src/fleet/fleetgroups.h
@@ -1,7 +1,7 @@
-#ifndef FILBERTGW_GATEWAY_FLEETGROUPS_H
-#define FILBERTGW_GATEWAY_FLEETGROUPS_H
+#ifndef FILBERTGW_FLEET_FLEETGROUPS_H
+#define FILBERTGW_FLEET_FLEETGROUPS_H
 
-#include "gateway/fleetmessage.h"
+#include "fleet/fleetmessage.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/gateway/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -1,4 +1,4 @@
-#include "gateway/fleetmessage.h"
+#include "fleet/fleetmessage.h"
 
 #include "core/cbor.h"
 
--- a/src/gateway/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -1,11 +1,12 @@
-#ifndef FILBERTGW_GATEWAY_FLEETMESSAGE_H
-#define FILBERTGW_GATEWAY_FLEETMESSAGE_H
+#ifndef FILBERTGW_FLEET_FLEETMESSAGE_H
+#define FILBERTGW_FLEET_FLEETMESSAGE_H
 
-#include "gateway/crashrecord.h"
-#include "gateway/pacetracker.h"
-#include "gateway/placement.h"
-#include "gateway/ratelimitnotice.h"
-#include "gateway/streamorigin.h"
+#include "endpoints/crashrecord.h"
+#include "endpoints/ratelimitnotice.h"
+#include "ledger/fleetmember.h"
+#include "placement/pacetracker.h"
+#include "placement/placement.h"
+#include "streams/streamorigin.h"
 
 #include <cstdint>
 #include <optional>
@@ -15,15 +16,6 @@
 
 namespace filbertgw {
 
-/** \brief A node, as registered in the record store. */
-struct FleetMember
-{
-    std::string name_;
-    std::string datagramAddress_; ///< `HOST:PORT` for reports.
-    std::string linkAddress_; ///< `HOST:PORT` for requests of other nodes.
-    std::string domain_; ///< Failure domain; empty for nodes of a version without groups.
-};
-
 /** \brief State of a node's ledger of program spending. */
 struct LedgerState
 {
--- a/src/gateway/relayedstore.cpp
+++ b/src/fleet/relayedstore.cpp
@@ -1,4 +1,4 @@
-#include "gateway/relayedstore.h"
+#include "fleet/relayedstore.h"
 
 namespace filbertgw {
 
--- a/src/gateway/relayedstore.h
+++ b/src/fleet/relayedstore.h
@@ -1,8 +1,8 @@
-#ifndef FILBERTGW_GATEWAY_RELAYEDSTORE_H
-#define FILBERTGW_GATEWAY_RELAYEDSTORE_H
+#ifndef FILBERTGW_FLEET_RELAYEDSTORE_H
+#define FILBERTGW_FLEET_RELAYEDSTORE_H
 
-#include "gateway/budgetcontroller.h"
-#include "gateway/fleet.h"
+#include "fleet/fleet.h"
+#include "ledger/budgetcontroller.h"
 #include "store/recordstore.h"
 
 #include <functional>
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -1,10 +1,10 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAYCALL_H
 #define FILBERTGW_GATEWAY_GATEWAYCALL_H
 
-#include "gateway/eventsplitter.h"
 #include "gateway/gatewayprivate.h"
-#include "gateway/streamorigin.h"
-#include "gateway/streamsequence.h"
+#include "streams/eventsplitter.h"
+#include "streams/streamorigin.h"
+#include "streams/streamsequence.h"
 
 #include <memory>
 #include <string>
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -1,9 +1,9 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAYPRIVATE_H
 #define FILBERTGW_GATEWAY_GATEWAYPRIVATE_H
 
+#include "endpoints/incarnationcheck.h"
+#include "fleet/relayedstore.h"
 #include "gateway/gateway.h"
-#include "gateway/incarnationcheck.h"
-#include "gateway/relayedstore.h"
 
 #include <unordered_set>
 
--- a/src/gateway/budgetcontroller.cpp
+++ b/src/ledger/budgetcontroller.cpp
@@ -1,4 +1,4 @@
-#include "gateway/budgetcontroller.h"
+#include "ledger/budgetcontroller.h"
 
 #include <algorithm>
 
--- a/src/gateway/budgetcontroller.h
+++ b/src/ledger/budgetcontroller.h
@@ -1,8 +1,8 @@
-#ifndef FILBERTGW_GATEWAY_BUDGETCONTROLLER_H
-#define FILBERTGW_GATEWAY_BUDGETCONTROLLER_H
+#ifndef FILBERTGW_LEDGER_BUDGETCONTROLLER_H
+#define FILBERTGW_LEDGER_BUDGETCONTROLLER_H
 
-#include "gateway/firstturnclaims.h"
-#include "gateway/fleet.h"
+#include "fleet/fleet.h"
+#include "ledger/firstturnclaims.h"
 #include "ledger/partitionedledger.h"
 #include "ledger/peerrequest.h"
 
--- a/src/gateway/firstturnclaims.cpp
+++ b/src/ledger/firstturnclaims.cpp
@@ -1,4 +1,4 @@
-#include "gateway/firstturnclaims.h"
+#include "ledger/firstturnclaims.h"
 
 namespace filbertgw {
 
--- a/src/gateway/cachediscovery.h
+++ b/src/placement/cachediscovery.h
@@ -1,7 +1,7 @@
-#ifndef FILBERTGW_GATEWAY_CACHEDISCOVERY_H
-#define FILBERTGW_GATEWAY_CACHEDISCOVERY_H
+#ifndef FILBERTGW_PLACEMENT_CACHEDISCOVERY_H
+#define FILBERTGW_PLACEMENT_CACHEDISCOVERY_H
 
-#include "gateway/gatewaytypes.h"
+#include "routing/gatewaytypes.h"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/src/gateway/cachemodel.cpp
+++ b/src/placement/cachemodel.cpp
@@ -1,4 +1,4 @@
-#include "gateway/cachemodel.h"
+#include "placement/cachemodel.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/enginemodel.h
+++ b/src/placement/enginemodel.h
@@ -1,9 +1,9 @@
-#ifndef FILBERTGW_GATEWAY_ENGINEMODEL_H
-#define FILBERTGW_GATEWAY_ENGINEMODEL_H
+#ifndef FILBERTGW_PLACEMENT_ENGINEMODEL_H
+#define FILBERTGW_PLACEMENT_ENGINEMODEL_H
 
 #include "core/nametable.h"
 #include "core/time.h"
-#include "gateway/trimmedregression.h"
+#include "placement/trimmedregression.h"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/src/gateway/placement.h
+++ b/src/placement/placement.h
@@ -1,11 +1,11 @@
-#ifndef FILBERTGW_GATEWAY_PLACEMENT_H
-#define FILBERTGW_GATEWAY_PLACEMENT_H
-
-#include "gateway/cachemodel.h"
-#include "gateway/enginemodel.h"
-#include "gateway/gatewaytypes.h"
-#include "gateway/promptindex.h"
-#include "gateway/routingtable.h"
+#ifndef FILBERTGW_PLACEMENT_PLACEMENT_H
+#define FILBERTGW_PLACEMENT_PLACEMENT_H
+
+#include "placement/cachemodel.h"
+#include "placement/enginemodel.h"
+#include "placement/promptindex.h"
+#include "routing/gatewaytypes.h"
+#include "routing/routingtable.h"
 
 #include <optional>
 #include <string>
--- a/src/gateway/promptindex.h
+++ b/src/placement/promptindex.h
@@ -1,7 +1,7 @@
-#ifndef FILBERTGW_GATEWAY_PROMPTINDEX_H
-#define FILBERTGW_GATEWAY_PROMPTINDEX_H
+#ifndef FILBERTGW_PLACEMENT_PROMPTINDEX_H
+#define FILBERTGW_PLACEMENT_PROMPTINDEX_H
 
-#include "gateway/gatewaytypes.h"
+#include "routing/gatewaytypes.h"
 
 #include <string>
 #include <unordered_map>
--- a/src/gateway/retryafterpolicy.cpp
+++ b/src/placement/retryafterpolicy.cpp
@@ -1,4 +1,4 @@
-#include "gateway/retryafterpolicy.h"
+#include "placement/retryafterpolicy.h"
 
 namespace filbertgw {
 
--- a/src/gateway/retryafterpolicy.h
+++ b/src/placement/retryafterpolicy.h
@@ -1,7 +1,7 @@
-#ifndef FILBERTGW_GATEWAY_RETRYAFTERPOLICY_H
-#define FILBERTGW_GATEWAY_RETRYAFTERPOLICY_H
+#ifndef FILBERTGW_PLACEMENT_RETRYAFTERPOLICY_H
+#define FILBERTGW_PLACEMENT_RETRYAFTERPOLICY_H
 
-#include "gateway/gatewaytypes.h"
+#include "routing/gatewaytypes.h"
 
 namespace filbertgw {
 
--- a/src/gateway/gatewaytypes.cpp
+++ b/src/routing/gatewaytypes.cpp
@@ -1,4 +1,4 @@
-#include "gateway/gatewaytypes.h"
+#include "routing/gatewaytypes.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/algorithm/string/trim.hpp>
--- a/src/gateway/requestfingerprint.cpp
+++ b/src/routing/requestfingerprint.cpp
@@ -1,4 +1,4 @@
-#include "gateway/requestfingerprint.h"
+#include "routing/requestfingerprint.h"
 
 #include "core/digest.h"
 
--- a/src/gateway/requestfingerprint.h
+++ b/src/routing/requestfingerprint.h
@@ -1,7 +1,7 @@
-#ifndef FILBERTGW_GATEWAY_REQUESTFINGERPRINT_H
-#define FILBERTGW_GATEWAY_REQUESTFINGERPRINT_H
+#ifndef FILBERTGW_ROUTING_REQUESTFINGERPRINT_H
+#define FILBERTGW_ROUTING_REQUESTFINGERPRINT_H
 
-#include "gateway/gatewaytypes.h"
+#include "routing/gatewaytypes.h"
 
 #include <string>
 
--- a/src/gateway/routingtable.cpp
+++ b/src/routing/routingtable.cpp
@@ -1,4 +1,4 @@
-#include "gateway/routingtable.h"
+#include "routing/routingtable.h"
 
 #include <algorithm>
 
--- a/src/gateway/streamorigin.cpp
+++ b/src/streams/streamorigin.cpp
@@ -1,4 +1,4 @@
-#include "gateway/streamorigin.h"
+#include "streams/streamorigin.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/gateway/streamorigins.cpp
+++ b/src/streams/streamorigins.cpp
@@ -1,4 +1,4 @@
-#include "gateway/streamorigins.h"
+#include "streams/streamorigins.h"
 
 #include <algorithm>
 #include <deque>
--- a/src/gateway/streamorigins.h
+++ b/src/streams/streamorigins.h
@@ -1,10 +1,10 @@
-#ifndef FILBERTGW_GATEWAY_STREAMORIGINS_H
-#define FILBERTGW_GATEWAY_STREAMORIGINS_H
+#ifndef FILBERTGW_STREAMS_STREAMORIGINS_H
+#define FILBERTGW_STREAMS_STREAMORIGINS_H
 
-#include "gateway/fleetmessage.h"
-#include "gateway/streamorigin.h"
-#include "gateway/versionhistory.h"
+#include "endpoints/versionhistory.h"
+#include "ledger/fleetmember.h"
 #include "ledger/peerrequest.h"
+#include "streams/streamorigin.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/gateway/streamoutputs.cpp
+++ b/src/streams/streamoutputs.cpp
@@ -1,4 +1,4 @@
-#include "gateway/streamoutputs.h"
+#include "streams/streamoutputs.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/gateway/streamoutputs.h
+++ b/src/streams/streamoutputs.h
@@ -1,7 +1,7 @@
-#ifndef FILBERTGW_GATEWAY_STREAMOUTPUTS_H
-#define FILBERTGW_GATEWAY_STREAMOUTPUTS_H
+#ifndef FILBERTGW_STREAMS_STREAMOUTPUTS_H
+#define FILBERTGW_STREAMS_STREAMOUTPUTS_H
 
-#include "gateway/fleetmessage.h"
+#include "ledger/fleetmember.h"
 #include "ledger/peerrequest.h"
 
 #include <nlohmann/json.hpp>
--- a/src/gateway/streamsequence.cpp
+++ b/src/streams/streamsequence.cpp
@@ -1,4 +1,4 @@
-#include "gateway/streamsequence.h"
+#include "streams/streamsequence.h"
 
 #include <charconv>
 #include <cstdint>
--- a/src/gateway/streamsequence.h
+++ b/src/streams/streamsequence.h
@@ -1,7 +1,7 @@
-#ifndef FILBERTGW_GATEWAY_STREAMSEQUENCE_H
-#define FILBERTGW_GATEWAY_STREAMSEQUENCE_H
+#ifndef FILBERTGW_STREAMS_STREAMSEQUENCE_H
+#define FILBERTGW_STREAMS_STREAMSEQUENCE_H
 
-#include "gateway/eventsplitter.h"
+#include "streams/eventsplitter.h"
 
 #include <string>
 
--- a/test/core/cbor.cpp
+++ b/test/core/cbor.cpp
@@ -1,6 +1,6 @@
 #include "core/cbor.h"
 
-#include "gateway/fleetmessage.h"
+#include "fleet/fleetmessage.h"
 #include "ledger/retainedturn.h"
 
 #include <gtest/gtest.h>
--- a/test/gateway/endpointreachability.cpp
+++ b/test/endpoints/endpointreachability.cpp
@@ -1,4 +1,4 @@
-#include "gateway/endpointreachability.h"
+#include "endpoints/endpointreachability.h"
 
 #include <gtest/gtest.h>
 
--- a/test/gateway/quarantine.cpp
+++ b/test/endpoints/quarantine.cpp
@@ -1,4 +1,4 @@
-#include "gateway/quarantine.h"
+#include "endpoints/quarantine.h"
 
 #include <gtest/gtest.h>
 
--- a/test/gateway/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -1,4 +1,4 @@
-#include "gateway/fleet.h"
+#include "fleet/fleet.h"
 
 #include "fakes/eventqueue.h"
 #include "fakes/fakestore.h"
--- a/test/gateway/fleetgroups.cpp
+++ b/test/fleet/fleetgroups.cpp
@@ -1,4 +1,4 @@
-#include "gateway/fleetgroups.h"
+#include "fleet/fleetgroups.h"
 
 #include <gtest/gtest.h>
 
--- a/test/gateway/endlessanswers.cpp
+++ b/test/gateway/endlessanswers.cpp
@@ -1,5 +1,5 @@
-#include "gateway/eventsplitter.h"
 #include "gatewayrig.h"
+#include "streams/eventsplitter.h"
 
 #include <gtest/gtest.h>
 
--- a/test/gateway/endpointlimits.cpp
+++ b/test/gateway/endpointlimits.cpp
@@ -1,6 +1,6 @@
 #include "gatewayrig.h"
 
-#include "gateway/endpointlimits.h"
+#include "endpoints/endpointlimits.h"
 
 #include <gtest/gtest.h>
 
--- a/test/gateway/formerversion.cpp
+++ b/test/gateway/formerversion.cpp
@@ -1,6 +1,6 @@
 #include "gatewayrig.h"
 
-#include "gateway/fleetmessage.h"
+#include "fleet/fleetmessage.h"
 #include "ledger/retainedturn.h"
 #include "ledger/spendingtable.h"
 
--- a/test/gateway/gatewaysimulation.h
+++ b/test/gateway/gatewaysimulation.h
@@ -3,10 +3,10 @@
 
 #include "fakes/eventqueue.h"
 #include "fakes/fakestore.h"
-#include "gateway/admission.h"
-#include "gateway/fleet.h"
-#include "gateway/pacetracker.h"
-#include "gateway/placement.h"
+#include "fleet/fleet.h"
+#include "placement/admission.h"
+#include "placement/pacetracker.h"
+#include "placement/placement.h"
 
 #include <deque>
 #include <memory>
--- a/test/gateway/staleversions.cpp
+++ b/test/gateway/staleversions.cpp
@@ -1,7 +1,7 @@
 #include "gatewayrig.h"
 
-#include "gateway/endpointdirectory.h"
-#include "gateway/versionhistory.h"
+#include "endpoints/endpointdirectory.h"
+#include "endpoints/versionhistory.h"
 
 #include <gtest/gtest.h>
 
--- a/test/gateway/admission.cpp
+++ b/test/placement/admission.cpp
@@ -1,4 +1,4 @@
-#include "gateway/admission.h"
+#include "placement/admission.h"
 
 #include <gtest/gtest.h>
 
--- a/test/gateway/cachediscovery.cpp
+++ b/test/placement/cachediscovery.cpp
@@ -1,4 +1,4 @@
-#include "gateway/cachediscovery.h"
+#include "placement/cachediscovery.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
--- a/test/gateway/enginemodel.cpp
+++ b/test/placement/enginemodel.cpp
@@ -1,4 +1,4 @@
-#include "gateway/enginemodel.h"
+#include "placement/enginemodel.h"
 
 #include <gtest/gtest.h>
 
--- a/test/gateway/pacetracker.cpp
+++ b/test/placement/pacetracker.cpp
@@ -1,4 +1,4 @@
-#include "gateway/pacetracker.h"
+#include "placement/pacetracker.h"
 
 #include <gtest/gtest.h>
 
--- a/test/gateway/placement.cpp
+++ b/test/placement/placement.cpp
@@ -1,4 +1,4 @@
-#include "gateway/placement.h"
+#include "placement/placement.h"
 
 #include <gtest/gtest.h>
 
--- a/test/gateway/promptindex.cpp
+++ b/test/placement/promptindex.cpp
@@ -1,4 +1,4 @@
-#include "gateway/promptindex.h"
+#include "placement/promptindex.h"
 
 #include <gtest/gtest.h>
 
--- a/test/gateway/trimmedregression.cpp
+++ b/test/placement/trimmedregression.cpp
@@ -1,4 +1,4 @@
-#include "gateway/trimmedregression.h"
+#include "placement/trimmedregression.h"
 
 #include <gtest/gtest.h>
 
--- a/test/gateway/eventsplitter.cpp
+++ b/test/streams/eventsplitter.cpp
@@ -1,4 +1,4 @@
-#include "gateway/eventsplitter.h"
+#include "streams/eventsplitter.h"
 
 #include <gtest/gtest.h>
 
