Identify the client account of each request by its key

Cause: the gateway knew no accounts, so keys reached engines, unknown keys were served, and a client's own account header was passed on. Change: src/accounts holds the accounts of a configuration (keys as digests only); each request is checked against the configuration in force; endpoints and other nodes get the account's name, never the key; the account's priority goes before the route's. A configuration without accounts is served as before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -495,7 +495,8 @@
     d_->hooks_.logEvent_("configuration_in_force",
                          {{"version", table->version()},
                           {"before", d_->routing_ ? d_->routing_->version() : 0},
-                          {"routes", table->routes().size()}});
+                          {"routes", table->routes().size()},
+                          {"accounts", table->accounts() != nullptr ? table->accounts()->accounts().size() : 0}});
     d_->routing_ = std::move(table);
 }
 
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -3,6 +3,7 @@
 #include "core/numbers.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace filbertgw::internal {
 
@@ -54,6 +55,10 @@
         refuse(RefusalReason::NoRoute);
         return;
     }
+    if (!identifyAccount()) {
+        refuse(RefusalReason::Unauthenticated);
+        return;
+    }
     Duration allowed = route_->timeout_ > Duration{0} ? route_->timeout_ : gateway_->settings_.defaultTimeout_;
     if (request_->timeLeft_) {
         allowed = std::min(allowed, *request_->timeLeft_);
@@ -81,6 +86,27 @@
     findOutput();
 }
 
+bool GatewayCall::identifyAccount()
+{
+    const AccountDirectory *accounts = routing_->accounts();
+    if (accounts == nullptr) {
+        return true;
+    }
+    const std::string key = std::exchange(request_->apiKey_, {});
+    request_->hasAccounts_ = true;
+    // The node that passed the request on has checked the key, which doesn't leave it.
+    account_ = request_->isForwarded_ ? accounts->findByName(request_->claimedAccount_) : accounts->findByKey(key);
+    if (account_ != nullptr) {
+        request_->account_ = account_->name_;
+    }
+    return account_ != nullptr || route_->isOpen_;
+}
+
+std::uint32_t GatewayCall::priority() const
+{
+    return account_ != nullptr ? account_->priority_.value_or(route_->priority_) : route_->priority_;
+}
+
 void GatewayCall::prepare()
 {
     chooseService();
@@ -103,7 +129,7 @@
         gateway_->pace_.turnStarted(serviceName_, request_->program_, finishIn, load.slowdown_);
         return true;
     }
-    if (!gateway_->admission_.admits(load, route_->priority_, Admission::drawOf(request_->program_))) {
+    if (!gateway_->admission_.admits(load, priority(), Admission::drawOf(request_->program_))) {
         gateway_->hooks_.logEvent_("program_refused",
                                    {{"request", request_->id_},
                                     {"program", request_->program_},
@@ -411,7 +437,7 @@
 {
     const bool isFirstTurn = gateway_->ledger_.ledgerOf(request_->program_).spent(request_->program_) <= grant_.tokens_;
     const std::uint32_t urgency =
-        highestUrgency + route_->priority_ * urgencyPerPriority + (isFirstTurn ? firstTurnUrgencyPenalty : 0);
+        highestUrgency + priority() * urgencyPerPriority + (isFirstTurn ? firstTurnUrgencyPenalty : 0);
     return std::min(urgency, lowestUrgency);
 }
 
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -77,6 +77,10 @@
 
     // Before the first attempt.
     void prepare();
+    /** \brief Finds the client account. \return false if the request needs a key and has no valid one. */
+    bool identifyAccount();
+    /** \brief Priority of the client account, or of the route if the account has none. */
+    std::uint32_t priority() const;
     /** \brief Draws one of the route's services by weight. */
     void chooseService();
     /** \brief True for the first turn of a program: none of its tokens are spent or reserved. */
@@ -183,6 +187,7 @@
     std::shared_ptr<GatewayRequest> request_;
     std::shared_ptr<HttpReply> reply_;
     const Route *route_ = nullptr;
+    const ClientAccount *account_ = nullptr; ///< Null on open routes and without accounts.
     const Service *service_ = nullptr;
     std::string serviceName_;
     std::shared_ptr<const std::string> body_;
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -320,6 +320,7 @@
         {{"request", request_->id_},
          {"program", request_->program_},
          {"route", route_ != nullptr ? route_->name_ : ""},
+         {"account", request_->account_},
          {"outcome", outcome},
          {"endpoint", lastEndpoint_},
          {"first_ms", firstEventAt_ > Time{0} ? toMilliseconds(firstEventAt_ - arrivedAt_) : 0.0},
--- a/src/routing/gatewaytypes.cpp
+++ b/src/routing/gatewaytypes.cpp
@@ -26,6 +26,10 @@
     case RefusalReason::NoRoute:
     case RefusalReason::TurnMissing:
         return 404;
+    case RefusalReason::Unauthenticated:
+        return 401;
+    case RefusalReason::RateLimited:
+        return 429;
     case RefusalReason::InvalidRequest:
         return 400;
     case RefusalReason::TurnTooLarge:
--- a/src/routing/gatewaytypes.h
+++ b/src/routing/gatewaytypes.h
@@ -45,6 +45,10 @@
     std::string lastEventId_; ///< Of the last event that the client has; empty for a new stream.
     std::string resumes_; ///< Id of the attempt that brought the client the first event of this stream.
     std::string affinityKey_;
+    std::string apiKey_; ///< Of a client account; cleared once the account is known. Never logged or passed on.
+    std::string account_; ///< Name of the client account; empty on open routes and without accounts.
+    std::string claimedAccount_; ///< As the client named it; only another node of the system is believed.
+    bool hasAccounts_ = false; ///< The configuration has client accounts.
     bool isForwarded_ = false; ///< Another node, which reaches no endpoint, has passed it on; it goes no further.
 };
 
@@ -151,6 +155,8 @@
 enum class RefusalReason : std::uint8_t {
     NoConfiguration,
     NoRoute,
+    Unauthenticated, ///< The request has no key of a client account.
+    RateLimited, ///< The client account has used up its quota.
     InvalidRequest,
     BudgetSpent,
     BudgetUnknown,
@@ -173,9 +179,11 @@
 template<>
 struct NameTable<RefusalReason>
 {
-    static constexpr std::array<std::pair<RefusalReason, std::string_view>, 19> entries{{
+    static constexpr std::array<std::pair<RefusalReason, std::string_view>, 21> entries{{
         {RefusalReason::NoConfiguration, "no_configuration"},
         {RefusalReason::NoRoute, "no_route"},
+        {RefusalReason::Unauthenticated, "unauthenticated"},
+        {RefusalReason::RateLimited, "rate_limited"},
         {RefusalReason::InvalidRequest, "invalid_request"},
         {RefusalReason::BudgetSpent, "budget_spent"},
         {RefusalReason::BudgetUnknown, "budget_unknown"},
--- a/src/routing/routingtable.cpp
+++ b/src/routing/routingtable.cpp
@@ -4,9 +4,13 @@
 
 namespace filbertgw {
 
-RoutingTable::RoutingTable(std::uint64_t version, std::vector<Route> routes, std::vector<Service> services)
+RoutingTable::RoutingTable(std::uint64_t version,
+                           std::vector<Route> routes,
+                           std::vector<Service> services,
+                           std::optional<AccountDirectory> accounts)
     : version_(version)
     , routes_(std::move(routes))
+    , accounts_(std::move(accounts))
 {
     for (Service &service : services) {
         const std::string name = service.name_;
@@ -47,6 +51,11 @@
     return found == services_.end() ? nullptr : &found->second;
 }
 
+const AccountDirectory *RoutingTable::accounts() const
+{
+    return accounts_ ? &*accounts_ : nullptr;
+}
+
 const std::map<std::string, Service> &RoutingTable::services() const
 {
     return services_;
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_ROUTING_ROUTINGTABLE_H
 #define FILBERTGW_ROUTING_ROUTINGTABLE_H
 
+#include "accounts/accountdirectory.h"
 #include "core/nametable.h"
 #include "core/time.h"
 
@@ -55,6 +56,7 @@
     bool retainsTurns_ = false; ///< Requests contain only what is new since the previous turn.
     bool resumable_ = false; ///< A stream may be continued on another endpoint after the last event received.
     bool hasAffinity_ = false;
+    bool isOpen_ = false; ///< Requests need no key of a client account.
 
     bool isRetryable() const
     {
@@ -78,16 +80,22 @@
     std::optional<EngineProfile> engine_; ///< Set for model engines.
 };
 
-/** \brief Routes and services of one version of the configuration. */
+/** \brief Routes, services and client accounts of one version of the configuration. */
 class RoutingTable
 {
 public:
-    RoutingTable(std::uint64_t version, std::vector<Route> routes, std::vector<Service> services);
+    /** \param accounts nothing if the configuration has no client accounts; then requests need no key. */
+    RoutingTable(std::uint64_t version,
+                 std::vector<Route> routes,
+                 std::vector<Service> services,
+                 std::optional<AccountDirectory> accounts = std::nullopt);
 
     std::uint64_t version() const;
     /** \brief The route of this host with the longest matching path prefix, or null. */
     const Route *find(const std::string &host, const std::string &path) const;
     const Service *service(const std::string &name) const;
+    /** \brief The client accounts, or null if the configuration has none. */
+    const AccountDirectory *accounts() const;
     const std::vector<Route> &routes() const;
     const std::map<std::string, Service> &services() const;
 
@@ -95,6 +103,7 @@
     std::uint64_t version_;
     std::vector<Route> routes_;
     std::map<std::string, Service> services_;
+    std::optional<AccountDirectory> accounts_;
     std::unordered_map<std::string, std::vector<const Route *>> byHost_; ///< Longest prefix first.
 };
 
