Scope all ids that clients choose by the client account

Cause: programs, turns, streams and quarantined requests were looked up by the client's id alone, so that two accounts with the same ids shared a budget, could continue each other's turns and take up each other's streams. Fingerprints include the account. Engines, clients and logs see the client's ids.

--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gatewaycall.h"
 
+#include "accounts/accountscope.h"
 #include "core/numbers.h"
 
 #include <algorithm>
@@ -55,8 +56,9 @@
         refuse(RefusalReason::NoRoute);
         return;
     }
-    if (!identifyAccount()) {
-        refuse(RefusalReason::Unauthenticated);
+    const std::optional<RefusalReason> refusal = request_->isForwarded_ ? adoptAccount() : identifyAccount();
+    if (refusal) {
+        refuse(*refusal);
         return;
     }
     Duration allowed = route_->timeout_ > Duration{0} ? route_->timeout_ : gateway_->settings_.defaultTimeout_;
@@ -86,20 +88,38 @@
     findOutput();
 }
 
-bool GatewayCall::identifyAccount()
+std::optional<RefusalReason> GatewayCall::identifyAccount()
 {
     const AccountDirectory *accounts = routing_->accounts();
     if (accounts == nullptr) {
-        return true;
+        return std::nullopt;
     }
     const std::string key = std::exchange(request_->apiKey_, {});
-    request_->hasAccounts_ = true;
-    // The node that passed the request on has checked the key, which doesn't leave it.
-    account_ = request_->isForwarded_ ? accounts->findByName(request_->claimedAccount_) : accounts->findByKey(key);
-    if (account_ != nullptr) {
-        request_->account_ = account_->name_;
+    return setAccount(accounts->findByKey(key)) ? std::nullopt : std::optional(RefusalReason::Unauthenticated);
+}
+
+/** The key does not leave the node that has checked it. */
+std::optional<RefusalReason> GatewayCall::adoptAccount()
+{
+    const AccountDirectory *accounts = routing_->accounts();
+    const std::optional<std::string> &name = request_->peerAccount_;
+    if (accounts == nullptr && !name) {
+        return std::nullopt;
     }
-    return account_ != nullptr || route_->isOpen_;
+    // Else the nodes have different versions of the configuration: another node may have that of the first.
+    const bool isComparable = accounts != nullptr && name;
+    const ClientAccount *account = isComparable ? accounts->findByName(*name) : nullptr;
+    const bool isKnown = isComparable && (account != nullptr || name->empty());
+    return isKnown && setAccount(account) ? std::nullopt : std::optional(RefusalReason::Unreachable);
+}
+
+bool GatewayCall::setAccount(const ClientAccount *account)
+{
+    request_->hasAccounts_ = true;
+    request_->account_ = account != nullptr ? account->name_ : std::string();
+    request_->scope_ = accountScope(request_->account_);
+    account_ = route_->isOpen_ ? nullptr : account;
+    return account != nullptr || route_->isOpen_;
 }
 
 std::uint32_t GatewayCall::priority() const
@@ -126,10 +146,10 @@
     const ServiceLoad load = gateway_->loadOf(serviceName_);
     const Duration finishIn = request_->finishIn_.value_or(Duration{0});
     if (!startsProgram()) {
-        gateway_->pace_.turnStarted(serviceName_, request_->program_, finishIn, load.slowdown_);
+        gateway_->pace_.turnStarted(serviceName_, request_->scopedProgram(), finishIn, load.slowdown_);
         return true;
     }
-    if (!gateway_->admission_.admits(load, priority(), Admission::drawOf(request_->program_))) {
+    if (!gateway_->admission_.admits(load, priority(), Admission::drawOf(request_->scopedProgram()))) {
         gateway_->hooks_.logEvent_("program_refused",
                                    {{"request", request_->id_},
                                     {"program", request_->program_},
@@ -138,7 +158,7 @@
                                     {"allowed", load.allowedSlowdown_.value_or(0.0)}});
         return false;
     }
-    gateway_->pace_.programStarted(request_->program_, finishIn);
+    gateway_->pace_.programStarted(request_->scopedProgram(), finishIn);
     return true;
 }
 
@@ -180,11 +200,16 @@
     service_ = routing_->service(serviceName_);
 }
 
+std::uint64_t GatewayCall::spentTokens() const
+{
+    const std::string program = request_->scopedProgram();
+    return gateway_->ledger_.ledgerOf(program).spent(program);
+}
+
 bool GatewayCall::startsProgram() const
 {
     return route_->kind_ == RouteKind::Streaming && !request_->program_.empty()
-        && request_->session_ == request_->program_ && request_->previousTurn_.empty()
-        && gateway_->ledger_.ledgerOf(request_->program_).spent(request_->program_) == 0;
+        && request_->session_ == request_->program_ && request_->previousTurn_.empty() && spentTokens() == 0;
 }
 
 void GatewayCall::loadChain()
@@ -194,7 +219,7 @@
         reserveBudget();
         return;
     }
-    gateway_->turns_.findChain(request_->previousTurn_, [self = shared_from_this()](const TurnChain &chain) {
+    gateway_->turns_.findChain(request_->scopedPreviousTurn(), [self = shared_from_this()](const TurnChain &chain) {
         if (self->step_ == Step::Preparing) {
             self->chainLoaded(chain);
         }
@@ -230,7 +255,8 @@
         return;
     }
     TurnReservation turn;
-    turn.program_ = request_->program_;
+    turn.program_ = request_->scopedProgram();
+    turn.clientProgram_ = request_->program_;
     turn.budget_ = *request_->tokenBudget_;
     turn.tokens_ = request_->maxOutputTokens_;
     turn.isRootAgentTurn_ = request_->session_ == request_->program_;
@@ -435,7 +461,7 @@
 
 std::uint32_t GatewayCall::urgency() const
 {
-    const bool isFirstTurn = gateway_->ledger_.ledgerOf(request_->program_).spent(request_->program_) <= grant_.tokens_;
+    const bool isFirstTurn = spentTokens() <= grant_.tokens_;
     const std::uint32_t urgency =
         highestUrgency + priority() * urgencyPerPriority + (isFirstTurn ? firstTurnUrgencyPenalty : 0);
     return std::min(urgency, lowestUrgency);
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -59,8 +59,8 @@
     void originFound(const FoundOrigin &found);
     void findOutput();
     void outputFound(const std::optional<StreamOutput> &output);
-    /** \brief Id of the client's attempt that began the stream. */
-    const std::string &streamId() const;
+    /** \brief Scoped id of the client's attempt that began the stream. */
+    std::string streamId() const;
     /** \brief True if another node may need the events that this one relays, to retain the turn. */
     bool sharesOutput() const;
     void shareOutput(std::vector<OutputEvent> events);
@@ -77,12 +77,18 @@
 
     // Before the first attempt.
     void prepare();
-    /** \brief Finds the client account. \return false if the request needs a key and has no valid one. */
-    bool identifyAccount();
+    /** \brief Finds the client account by the key. \return why the request is refused, or nothing. */
+    std::optional<RefusalReason> identifyAccount();
+    /** \brief Takes over the account that another node has found. \return why the request is refused, or nothing. */
+    std::optional<RefusalReason> adoptAccount();
+    /** \brief Sets the account of the request. \return false if its route needs one and there is none. */
+    bool setAccount(const ClientAccount *account);
     /** \brief Priority of the client account, or of the route if the account has none. */
     std::uint32_t priority() const;
     /** \brief Draws one of the route's services by weight. */
     void chooseService();
+    /** \brief Tokens of the program that are spent or reserved, as far as this node knows. */
+    std::uint64_t spentTokens() const;
     /** \brief True for the first turn of a program: none of its tokens are spent or reserved. */
     bool startsProgram() const;
     /** \brief Records the progress of the program. \return false if it is new and not admitted. */
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -208,7 +208,7 @@
     }
     step_ = Step::Storing;
     EndedTurn turn;
-    turn.id_ = request_->id_;
+    turn.id_ = request_->scopedAttempt();
     turn.chain_ = earlierTurns_;
     turn.text_ = request_->body_ + output_;
     turn.retention_ = route_->retention_;
--- a/src/gateway/resumedcall.cpp
+++ b/src/gateway/resumedcall.cpp
@@ -33,7 +33,7 @@
 {
     StreamQuery query;
     query.isRegistryCurrent_ = isRegistryCurrent;
-    query.attempt_ = request_->resumes_;
+    query.attempt_ = request_->scopedResumes();
     query.lifetime_ = streamLifetime();
     for (const RouteTarget &target : route_->targets_) {
         query.services_.push_back(target.service_);
@@ -80,7 +80,7 @@
             self->outputFound(output);
         }
     };
-    gateway_->outputs_.find(request_->resumes_, request_->lastEventId_, found);
+    gateway_->outputs_.find(request_->scopedResumes(), request_->lastEventId_, found);
 }
 
 void GatewayCall::outputFound(const std::optional<StreamOutput> &output)
@@ -104,9 +104,9 @@
     prepare();
 }
 
-const std::string &GatewayCall::streamId() const
+std::string GatewayCall::streamId() const
 {
-    return request_->lastEventId_.empty() ? request_->id_ : request_->resumes_;
+    return request_->lastEventId_.empty() ? request_->scopedAttempt() : request_->scopedResumes();
 }
 
 bool GatewayCall::sharesOutput() const
@@ -145,7 +145,7 @@
         if (self->step_ != Step::Placing) {
             return;
         }
-        if (self->gateway_->origins_.isCertain(self->request_->id_)) {
+        if (self->gateway_->origins_.isCertain(self->request_->scopedAttempt())) {
             self->place();
         } else {
             self->refuse(RefusalReason::OriginUnknown);
@@ -187,7 +187,7 @@
         return;
     }
     StreamStart start;
-    start.attempt_ = request_->id_;
+    start.attempt_ = request_->scopedAttempt();
     start.origin_ = StreamOrigin{serviceName_, endpoint.version_};
     start.incarnation_ = endpoint.incarnation();
     start.lifetime_ = streamLifetime();
--- a/src/ledger/budgetcontroller.cpp
+++ b/src/ledger/budgetcontroller.cpp
@@ -168,7 +168,7 @@
             endedWriters_.insert(holder.writer_);
         }
         hooks_.logEvent_("allowance_refused",
-                         {{"program", turn.program_},
+                         {{"program", turn.clientProgram_},
                           {"peer", holder.node_.name_},
                           {"answered", answer.has_value()},
                           {"gone", hasEnded}});
@@ -397,7 +397,7 @@
     const auto answered = [this, member, turn, withClaim, decided](const std::optional<nlohmann::json> &answer) {
         const BudgetDecision decision = internal::decodeDecision(answer);
         hooks_.logEvent_("budget_asked",
-                         {{"program", turn.program_},
+                         {{"program", turn.clientProgram_},
                           {"peer", member.name_},
                           {"answered", answer.has_value()},
                           {"decision", nameOf(decision)}});
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -38,6 +38,7 @@
     std::uint64_t tokens_ = 0; ///< Maximum that this turn may generate.
     bool isRootAgentTurn_ = false; ///< False for a turn of a sub-agent. The root agent runs one turn at a time.
     Duration repeatTime_ = maxRepeatTime; ///< Time within which its client may send it again.
+    std::string clientProgram_{}; ///< Id that the client has given the program, for the log.
 
     static constexpr Duration maxRepeatTime{30'000'000};
 };
--- a/src/routing/gatewaytypes.cpp
+++ b/src/routing/gatewaytypes.cpp
@@ -1,10 +1,32 @@
 #include "routing/gatewaytypes.h"
 
+#include "accounts/accountscope.h"
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/algorithm/string/trim.hpp>
 
 namespace filbertgw {
 
+std::string GatewayRequest::scopedAttempt() const
+{
+    return scopedId(scope_, id_);
+}
+
+std::string GatewayRequest::scopedProgram() const
+{
+    return scopedId(scope_, program_);
+}
+
+std::string GatewayRequest::scopedPreviousTurn() const
+{
+    return scopedId(scope_, previousTurn_);
+}
+
+std::string GatewayRequest::scopedResumes() const
+{
+    return scopedId(scope_, resumes_);
+}
+
 std::string Endpoint::incarnation() const
 {
     return id_ + '@' + std::to_string(startedAtMs_);
--- a/src/routing/gatewaytypes.h
+++ b/src/routing/gatewaytypes.h
@@ -46,10 +46,19 @@
     std::string resumes_; ///< Id of the attempt that brought the client the first event of this stream.
     std::string affinityKey_;
     std::string apiKey_; ///< Of a client account; cleared once the account is known. Never logged or passed on.
-    std::string account_; ///< Name of the client account; empty on open routes and without accounts.
-    std::string claimedAccount_; ///< As the client named it; only another node of the system is believed.
+    std::string account_; ///< Name of the client account; empty without a key on open routes and without accounts.
+    std::string claimedAccount_; ///< As the client named it; only passed on, and only without accounts.
+    /** Account that another node has found: empty for none on an open route, not set if that node has no accounts. */
+    std::optional<std::string> peerAccount_;
+    std::string scope_; ///< Of its ids; empty without accounts. \sa accountScope()
     bool hasAccounts_ = false; ///< The configuration has client accounts.
     bool isForwarded_ = false; ///< Another node, which reaches no endpoint, has passed it on; it goes no further.
+
+    // Ids under which state is kept. They differ between accounts whose clients chose the same ids.
+    std::string scopedAttempt() const;
+    std::string scopedProgram() const;
+    std::string scopedPreviousTurn() const;
+    std::string scopedResumes() const;
 };
 
 /** \brief An endpoint as listed in the registry. */
--- a/src/routing/requestfingerprint.cpp
+++ b/src/routing/requestfingerprint.cpp
@@ -12,7 +12,7 @@
 
 std::string targetText(const GatewayRequest &request)
 {
-    return request.method_ + '\n' + request.host_ + '\n' + request.target_ + '\n';
+    return request.scope_ + request.method_ + '\n' + request.host_ + '\n' + request.target_ + '\n';
 }
 
 } // namespace
--- a/src/routing/requestfingerprint.h
+++ b/src/routing/requestfingerprint.h
@@ -11,14 +11,15 @@
  * \brief Identifies what a request asks an endpoint to run, whichever attempt of the client it is.
  *
  * It is the same on every node: a hash of method, host, target, previous turn and body. It does not cover the ids of
- * attempt, program and session, which are new when a client sends the same request again.
+ * attempt, program and session, which are new when a client sends the same request again. Requests of two accounts are
+ * never the same.
  *
  * \return 32 hexadecimal digits.
  */
 std::string fingerprintOf(const GatewayRequest &request);
 
 /**
- * \brief Identifies requests of one target, whatever their bodies: a hash of method, host and target.
+ * \brief Identifies an account's requests of one target, whatever their bodies: a hash of method, host and target.
  *
  * \return 32 characters, of which the first is no hexadecimal digit.
  */
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -265,6 +265,23 @@
     bool hasEnded_ = false;
 };
 
+namespace {
+
+/** What another node decodes from a request that is passed on to it. */
+GatewayRequest asReceivedByPeer(GatewayRequest request)
+{
+    if (request.hasAccounts_) {
+        request.peerAccount_ = request.account_;
+        request.apiKey_.clear();
+    }
+    request.account_.clear();
+    request.scope_.clear();
+    request.hasAccounts_ = false;
+    return request;
+}
+
+} // namespace
+
 std::uint64_t
 GatewayRig::startForward(const std::string &from, const ForwardedRequest &forwarded, const AttemptHandlers &handlers)
 {
@@ -283,7 +300,7 @@
             continue;
         }
         forwardedTo_[i].push_back(reply);
-        GatewayRequest request = *forwarded.request_;
+        GatewayRequest request = asReceivedByPeer(*forwarded.request_);
         request.timeLeft_ = forwarded.timeLeft_;
         request.isForwarded_ = true;
         queue_.after(std::chrono::milliseconds(1), [this, i, request, reply] {
@@ -428,8 +445,12 @@
         }
         queue_.after(timeout, [answerIfAlive] { answerIfAlive(std::nullopt); });
     };
-    hooks.logEvent_ = [](const std::string &, const nlohmann::json &) {};
-    hooks.count_ = [](const std::string &, const std::string &) {};
+    hooks.logEvent_ = [this](const std::string &event, const nlohmann::json &fields) {
+        if (keepsLog_) {
+            log_.push_back(event + ' ' + fields.dump());
+        }
+    };
+    hooks.count_ = [this](const std::string &count, const std::string &label) { ++counts_[count + '/' + label]; };
     hooks.observe_ = [](const std::string &, Duration) {};
     return hooks;
 }
@@ -441,14 +462,29 @@
     engines.engine_ = EngineProfile{4, 100, 100'000};
     Service services;
     services.name_ = "services";
-    gateway.setRouting(
-        std::make_shared<const RoutingTable>(version_, routes_, std::vector<Service>{engines, services}));
+    std::optional<AccountDirectory> accounts;
+    if (accounts_) {
+        accounts = AccountDirectory::build(*accounts_).value();
+    }
+    gateway.setRouting(std::make_shared<const RoutingTable>(
+        version_, routes_, std::vector<Service>{engines, services}, std::move(accounts)));
     gateway.setRegistryReachable(true);
     for (const Endpoint &endpoint : endpoints_) {
         gateway.updateEndpoint(endpoint);
     }
 }
 
+void GatewayRig::setAccounts(const std::vector<ClientAccount> &accounts)
+{
+    accounts_ = accounts;
+    ++version_;
+    for (const std::unique_ptr<Gateway> &node : nodes_) {
+        if (node) {
+            configure(*node);
+        }
+    }
+}
+
 void GatewayRig::publish(const std::function<void(Gateway &)> &change)
 {
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -55,6 +55,8 @@
     void removeEndpoint(const std::string &id);
     /** \brief Cuts a node from the registry, or lets it read the registry again. */
     void cutRegistry(std::size_t node, bool cut);
+    /** \brief Publishes a new version of the configuration, with these client accounts, at all nodes. */
+    void setAccounts(const std::vector<ClientAccount> &accounts);
     std::shared_ptr<ClientResponse> send(std::size_t node, GatewayRequest request);
     /** \brief Puts a writer's spending record of a program into the store. */
     void putSpending(const std::string &program, const std::string &writer, const SpendingRecord &record);
@@ -90,6 +92,9 @@
     std::function<void(const ForwardedRequest &forwarded, const AttemptHandlers &handlers)> onForward_;
     /** Result of a node's probe of an endpoint; all succeed if it is not set. */
     std::function<bool(std::size_t node, const std::string &address)> isReachable_;
+    std::vector<std::string> log_; ///< Events of all nodes with their fields, if keepsLog_ is set.
+    std::map<std::string, std::size_t> counts_; ///< Of all nodes, by "name/label".
+    bool keepsLog_ = false;
 
 private:
     class Forward;
@@ -111,6 +116,7 @@
     std::map<std::size_t, std::vector<std::shared_ptr<Forward>>> forwardedTo_; ///< By node that serves them.
     std::vector<std::shared_ptr<bool>> alive_; ///< By node; shared with its hooks, which do nothing after a kill.
     std::vector<Route> routes_;
+    std::optional<std::vector<ClientAccount>> accounts_;
     TurnStoreSettings turns_;
     std::size_t ledgerPartitions_;
     std::vector<Endpoint> endpoints_;
