--- a/src/accounts/accountdirectory.cpp
+++ b/src/accounts/accountdirectory.cpp
@@ -26,21 +26,28 @@
     return std::isfinite(value) && value >= 0.0;
 }
 
-/** \brief Collects the faults of all accounts into one text. */
+/** Bounds the log line about a configuration that is wrong throughout. */
+constexpr std::size_t maxFaults = 20;
+
+/** \brief Collects the faults of the accounts into one text. */
 class FaultList
 {
 public:
     void add(const std::string &account, const char *fault)
     {
-        text_ += (text_.empty() ? "" : "; ") + std::string("account '") + account + "' " + fault;
+        if (++faults_ <= maxFaults) {
+            const std::string name = account.substr(0, maxNameBytes);
+            text_ += (text_.empty() ? "" : "; ") + std::string("account '") + name + "' " + fault;
+        }
     }
-    const std::string &text() const
+    std::string text() const
     {
-        return text_;
+        return faults_ <= maxFaults ? text_ : text_ + "; and " + std::to_string(faults_ - maxFaults) + " more";
     }
 
 private:
     std::string text_;
+    std::size_t faults_ = 0;
 };
 
 void checkAccount(const ClientAccount &account, FaultList &faults)
@@ -64,7 +71,7 @@
         const std::string name = account.name_;
         internal::checkAccount(account, faults);
         for (const std::string &key : account.keys_) {
-            if (!internal::isHeaderText(key, internal::maxKeyBytes)) {
+            if (!isKey(key)) {
                 faults.add(name, "has a key that is empty, too long or not printable");
             }
             const auto entry = directory.namesByDigest_.emplace(sha256(key), name);
@@ -83,6 +90,11 @@
     return directory;
 }
 
+bool AccountDirectory::isKey(const std::string &key)
+{
+    return internal::isHeaderText(key, internal::maxKeyBytes);
+}
+
 const ClientAccount *AccountDirectory::findByKey(const std::string &key) const
 {
     const auto found = namesByDigest_.find(sha256(key));
--- a/src/accounts/accountdirectory.h
+++ b/src/accounts/accountdirectory.h
@@ -22,6 +22,8 @@
     /** \brief Checks the accounts. \return an InvalidRequest failure that names every fault. */
     static Result<AccountDirectory> build(std::vector<ClientAccount> accounts);
 
+    /** \brief True if an account may have this key. */
+    static bool isKey(const std::string &key);
     /** \brief The account that holds a key, or null. */
     const ClientAccount *findByKey(const std::string &key) const;
     const ClientAccount *findByName(const std::string &name) const;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -481,6 +481,9 @@
         return;
     }
     sender->second.markHeard(d_->hooks_.now_(), message->report_.ledger_, message->report_.reachesEndpoints_);
+    if (message->report_.configurationVersion_ > 0 && d_->hooks_.onConfigurationOffered_) {
+        d_->hooks_.onConfigurationOffered_(sender->second.member_, message->report_.configurationVersion_);
+    }
     if (message->group_) {
         d_->applySummary(*message);
     } else {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -23,6 +23,8 @@
     /** \brief Called for the report of a node or the summary of a group. \p source is the node or group name. */
     std::function<void(const std::string &source, const NodeReport &)> onReport_;
     std::function<void(const std::string &node, bool alive)> onLivenessChanged_;
+    /** \brief Called for each message of a node that offers its configuration to others; may be empty. */
+    std::function<void(const FleetMember &node, std::uint64_t version)> onConfigurationOffered_;
 };
 
 struct FleetSettings
--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -21,6 +21,7 @@
 const char *const limitsKey = "r";
 const char *const originsKey = "o";
 const char *const cutOffKey = "e"; ///< Nodes that reach no endpoint: the sender, or members of its group.
+const char *const configurationKey = "f"; ///< Version that the sender offers; only with client accounts.
 const char *const groupKey = "g";
 const char *const membersKey = "m";
 const char *const datagramAddressKey = "d";
@@ -200,6 +201,9 @@
     if (!message.report_.origins_.empty()) {
         body[internal::originsKey] = encodeOrigins(message.report_.origins_);
     }
+    if (message.report_.configurationVersion_ > 0) {
+        body[internal::configurationKey] = message.report_.configurationVersion_;
+    }
     if (message.group_) {
         body[internal::groupKey] = {
             message.group_->domain_, message.group_->index_, message.group_->count_, message.report_.nodes_};
@@ -250,6 +254,9 @@
     if (body.contains(internal::originsKey)) {
         message.report_.origins_ = decodeOrigins(body[internal::originsKey]);
     }
+    if (body.contains(internal::configurationKey) && body[internal::configurationKey].is_number_unsigned()) {
+        message.report_.configurationVersion_ = body[internal::configurationKey].get<std::uint64_t>();
+    }
     if (body.contains(internal::groupKey)) {
         message.group_ = internal::decodeGroup(body[internal::groupKey]);
         if (!message.group_) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -27,6 +27,9 @@
 Gateway::Private::Private(GatewayHooks hooks, GatewaySettings settings)
     : hooks_(std::move(hooks))
     , settings_(std::move(settings))
+    , configurationPeers_(configurationPeersHooks(), settings_.configurationPeers_)
+    , accountLabels_(settings_.maxAccountLabels_)
+    , lastRunAt_(hooks_.now_())
     , directory_(hooks_.now_)
     , placement_(hooks_.now_, hooks_.random_, settings_.placement_)
     , cacheDiscovery_(cacheDiscoveryHooks(), settings_.cacheDiscovery_)
@@ -200,6 +203,54 @@
     return hooks;
 }
 
+ConfigurationPeersHooks Gateway::Private::configurationPeersHooks()
+{
+    ConfigurationPeersHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.askPeer_ = hooks_.askPeer_;
+    hooks.version_ = [this] { return routing_ ? routing_->version() : 0; };
+    hooks.apply_ = [this](const std::string &text) {
+        if (hooks_.applyConfiguration_) {
+            hooks_.applyConfiguration_(text);
+        }
+    };
+    hooks.logEvent_ = hooks_.logEvent_;
+    return hooks;
+}
+
+void Gateway::Private::checkSuspension()
+{
+    const Duration pause = hooks_.now_() - std::exchange(lastRunAt_, hooks_.now_());
+    const bool hasAccounts = routing_ && routing_->accounts() != nullptr;
+    if (pause <= settings_.maxSuspension_ || !hasAccounts || !hooks_.refreshConfiguration_) {
+        return;
+    }
+    if (std::exchange(isConfigurationInDoubt_, true)) {
+        return;
+    }
+    hooks_.refreshConfiguration_([self = shared_from_this(), pause](bool isCurrent) {
+        self->hooks_.logEvent_("configuration_checked",
+                               {{"pause_ms", toMilliseconds(pause)},
+                                {"current", isCurrent},
+                                {"version", self->routing_->version()},
+                                {"requests", self->waitingForConfiguration_.size()}});
+        self->isConfigurationInDoubt_ = false;
+        for (const std::function<void()> &task : std::exchange(self->waitingForConfiguration_, {})) {
+            task();
+        }
+    });
+}
+
+void Gateway::Private::withConfiguration(const std::function<void()> &task)
+{
+    checkSuspension();
+    if (isConfigurationInDoubt_) {
+        waitingForConfiguration_.push_back(task);
+    } else {
+        task();
+    }
+}
+
 void Gateway::Private::refreshRegistry(const std::function<void(bool isCurrent)> &done)
 {
     if (hooks_.refreshRegistry_) {
@@ -278,6 +329,7 @@
         report.limits_ = limits_.takeAnnouncements();
         report.origins_ = origins_.takeAnnouncements();
         report.reachesEndpoints_ = !reachability_.isCutOff() && !stopping_;
+        report.configurationVersion_ = configurationPeers_.offeredVersion();
         return report;
     };
 
@@ -307,6 +359,9 @@
             }
         }
     };
+    hooks.onConfigurationOffered_ = [this](const FleetMember &node, std::uint64_t version) {
+        configurationPeers_.reported(node, version);
+    };
     hooks.onLivenessChanged_ = [this](const std::string &node, bool alive) {
         hooks_.logEvent_(alive ? "peer_found" : "peer_lost", {{"peer", node}});
     };
@@ -437,6 +492,8 @@
 
 void Gateway::Private::runHousekeeping()
 {
+    checkSuspension();
+    configurationPeers_.update();
     if (ledger_.isCurrent()) {
         lastLedgerCurrent_ = hooks_.now_();
     }
@@ -487,7 +544,7 @@
     d_->runHousekeeping();
 }
 
-void Gateway::setRouting(std::shared_ptr<const RoutingTable> table)
+void Gateway::setRouting(std::shared_ptr<const RoutingTable> table, const std::string &text)
 {
     if (d_->routing_ && d_->routing_->version() >= table->version()) {
         return;
@@ -497,6 +554,7 @@
                           {"before", d_->routing_ ? d_->routing_->version() : 0},
                           {"routes", table->routes().size()},
                           {"accounts", table->accounts() != nullptr ? table->accounts()->accounts().size() : 0}});
+    d_->configurationPeers_.setCurrent(table->version(), table->accounts() != nullptr ? text : std::string());
     d_->routing_ = std::move(table);
 }
 
@@ -560,7 +618,7 @@
     const std::shared_ptr<internal::GatewayCall> call =
         std::make_shared<internal::GatewayCall>(d_, std::move(request), std::move(reply));
     d_->calls_.insert(call);
-    call->start();
+    d_->withConfiguration([call] { call->start(); });
 }
 
 bool Gateway::isReady() const
@@ -595,14 +653,17 @@
 {
     if (!d_->budget_.onPeerRequest(type, body, answer) && !d_->relayedStore_.onPeerRequest(type, body, answer)
         && !d_->turns_.onPeerRequest(type, body, answer) && !d_->origins_.onPeerRequest(type, body, answer)
-        && !d_->outputs_.onPeerRequest(type, body, answer)) {
+        && !d_->outputs_.onPeerRequest(type, body, answer)
+        && !d_->configurationPeers_.onPeerRequest(type, body, answer)) {
         answer({});
     }
 }
 
 nlohmann::json Gateway::state() const
 {
+    const AccountDirectory *accounts = d_->routing_ ? d_->routing_->accounts() : nullptr;
     return {{"configuration_version", d_->routing_ ? d_->routing_->version() : 0},
+            {"accounts", accounts != nullptr ? accounts->accounts().size() : 0},
             {"endpoints", d_->directory_.size()},
             {"open_calls", d_->calls_.size()},
             {"buffered_answer_bytes", d_->bufferedBytes_},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAY_H
 #define FILBERTGW_GATEWAY_GATEWAY_H
 
+#include "accounts/accountlabels.h"
 #include "endpoints/answeredtargets.h"
 #include "endpoints/crashdetector.h"
 #include "endpoints/crashstream.h"
@@ -8,6 +9,7 @@
 #include "endpoints/endpointlimits.h"
 #include "endpoints/endpointreachability.h"
 #include "endpoints/quarantine.h"
+#include "fleet/configurationpeers.h"
 #include "fleet/fleet.h"
 #include "ledger/budgetcontroller.h"
 #include "ledger/partitionedledger.h"
@@ -51,6 +53,10 @@
     std::function<std::uint64_t(ForwardedRequest, AttemptHandlers)> forward_;
     /** \brief Lists the prompt parts in an engine's cache; may be empty. \sa CacheDiscoveryHooks::list_ */
     std::function<void(const Endpoint &endpoint, std::function<void(const std::vector<PromptPart> &)> done)> listCache_;
+    /** \brief Decodes a configuration that another node has sent and applies it with setRouting(). May be empty. */
+    std::function<void(const std::string &text)> applyConfiguration_;
+    /** \brief Reads the configuration that is in the store now; false if that failed. May be empty. */
+    std::function<void(std::function<void(bool isCurrent)> done)> refreshConfiguration_;
     /** \brief Reads what the registry holds now; false if that failed. May be empty, if it is always read at once. */
     std::function<void(std::function<void(bool isCurrent)> done)> refreshRegistry_;
     /** \brief Reports whether a new connection to an endpoint can be opened; may be empty. \sa CrashDetectorHooks */
@@ -62,6 +68,8 @@
     PeerRequest askPeer_;
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
     std::function<void(const std::string &name, const std::string &label)> count_;
+    /** \brief Counts a request of an account; may be empty. \param account bounded number of labels */
+    std::function<void(const std::string &name, const std::string &account, const std::string &result)> countAccount_;
     std::function<void(const std::string &name, Duration)> observe_;
 };
 
@@ -82,6 +90,10 @@
     ReachabilitySettings reachability_;
     StreamOriginsSettings origins_;
     StreamOutputsSettings outputs_;
+    ConfigurationPeersSettings configurationPeers_;
+    /** With accounts, a node that was suspended for longer reads the configuration before it checks keys again. */
+    Duration maxSuspension_{2'000'000};
+    std::size_t maxAccountLabels_ = 100; ///< Accounts with counters of their own.
     Duration minStreamLifetime_{10'000'000}; ///< Streams are taken to be resumed for at least this time.
     RetryAfterSettings retryAfter_;
     std::size_t maxForwards_ = 4; ///< Other nodes that a request is passed on to, one after the other.
@@ -110,8 +122,11 @@
 
     void start();
 
-    /** \brief Replaces the configuration, unless \p table is not newer than the present one. */
-    void setRouting(std::shared_ptr<const RoutingTable> table);
+    /**
+     * \brief Replaces the configuration, unless \p table is not newer than the present one.
+     * \param text from which \p table was decoded, for other nodes that can't read it; kept only with accounts
+     */
+    void setRouting(std::shared_ptr<const RoutingTable> table, const std::string &text = {});
     /** \brief An entry was read. \sa EndpointDirectory::update */
     void updateEndpoint(const Endpoint &endpoint, Time writtenAfter = Time{0});
     void removeEndpoint(const std::string &id);
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -37,7 +37,6 @@
                          GatewayRequest request,
                          std::shared_ptr<HttpReply> reply)
     : gateway_(std::move(gateway))
-    , routing_(gateway_->routing_)
     , request_(std::make_shared<GatewayRequest>(std::move(request)))
     , reply_(std::move(reply))
     , arrivedAt_(gateway_->hooks_.now_())
@@ -47,6 +46,7 @@
 void GatewayCall::start()
 {
     reply_->onClosed([self = shared_from_this()] { self->clientDisconnected(); });
+    routing_ = gateway_->routing_;
     if (!routing_) {
         refuse(RefusalReason::NoConfiguration);
         return;
@@ -95,7 +95,10 @@
         return std::nullopt;
     }
     const std::string key = std::exchange(request_->apiKey_, {});
-    return setAccount(accounts->findByKey(key)) ? std::nullopt : std::optional(RefusalReason::Unauthenticated);
+    const ClientAccount *account = accounts->findByKey(key);
+    const KeyCheck withoutAccount = AccountDirectory::isKey(key) ? KeyCheck::Unknown : KeyCheck::Malformed;
+    keyCheck_ = key.empty() ? KeyCheck::Missing : account == nullptr ? withoutAccount : KeyCheck::Known;
+    return setAccount(account) ? std::nullopt : std::optional(RefusalReason::Unauthenticated);
 }
 
 /** The key does not leave the node that has checked it. */
@@ -109,6 +112,7 @@
     // Else the nodes have different versions of the configuration: another node may have that of the first.
     const bool isComparable = accounts != nullptr && name;
     const ClientAccount *account = isComparable ? accounts->findByName(*name) : nullptr;
+    keyCheck_ = KeyCheck::ByPeer;
     const bool isKnown = isComparable && (account != nullptr || name->empty());
     return isKnown && setAccount(account) ? std::nullopt : std::optional(RefusalReason::Unreachable);
 }
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAYCALL_H
 #define FILBERTGW_GATEWAY_GATEWAYCALL_H
 
+#include "accounts/keycheck.h"
 #include "gateway/gatewayprivate.h"
 #include "streams/eventsplitter.h"
 #include "streams/streamorigin.h"
@@ -77,7 +78,7 @@
 
     // Before the first attempt.
     void prepare();
-    /** \brief Finds the client account by the key. \return why the request is refused, or nothing. */
+    /** \brief Finds the account by the key. \return why the request is refused, or nothing. */
     std::optional<RefusalReason> identifyAccount();
     /** \brief Takes over the account that another node has found. \return why the request is refused, or nothing. */
     std::optional<RefusalReason> adoptAccount();
@@ -182,6 +183,8 @@
     void clientDisconnected();
     void timedOut();
     void end(const char *outcome);
+    /** \brief Counts the request for its account. */
+    void countForAccount(const std::string &outcome);
     void settleBudget();
     bool retainsTurn() const;
     /** \brief Time within which the client may send the turn again. */
@@ -189,11 +192,12 @@
     Duration timeLeft() const;
 
     std::shared_ptr<Gateway::Private> gateway_;
-    std::shared_ptr<const RoutingTable> routing_; ///< Version at the start of the call.
+    std::shared_ptr<const RoutingTable> routing_; ///< Version at the start of the call; null before.
     std::shared_ptr<GatewayRequest> request_;
     std::shared_ptr<HttpReply> reply_;
     const Route *route_ = nullptr;
     const ClientAccount *account_ = nullptr; ///< Null on open routes and without accounts.
+    KeyCheck keyCheck_ = KeyCheck::NotMade;
     const Service *service_ = nullptr;
     std::string serviceName_;
     std::shared_ptr<const std::string> body_;
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -44,6 +44,11 @@
     StreamOriginsHooks streamOriginsHooks();
     StreamOutputsHooks streamOutputsHooks();
     ReachabilityHooks reachabilityHooks();
+    ConfigurationPeersHooks configurationPeersHooks();
+    /** \brief Notices that this process was suspended for long, during which the configuration may have changed. */
+    void checkSuspension();
+    /** \brief Runs a task when the configuration is not in doubt, which takes the time of one read at most. */
+    void withConfiguration(const std::function<void()> &task);
     /** \brief Reads the registry as it is now; \p done gets false if that failed. */
     void refreshRegistry(const std::function<void(bool isCurrent)> &done);
     /** \brief Asks an endpoint whether it is the process of its entry; ends its doubt, or retires the incarnation. */
@@ -71,6 +76,11 @@
     GatewayHooks hooks_;
     GatewaySettings settings_;
     std::shared_ptr<const RoutingTable> routing_;
+    ConfigurationPeers configurationPeers_;
+    AccountLabels accountLabels_;
+    std::vector<std::function<void()>> waitingForConfiguration_;
+    bool isConfigurationInDoubt_ = false; ///< Being read again after a suspension.
+    Time lastRunAt_; ///< When this process was last seen to run.
     EndpointDirectory directory_;
     Placement placement_;
     CacheDiscovery cacheDiscovery_;
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -13,6 +13,8 @@
 
 /** Tells the node that has passed a request on to try another one. */
 constexpr int misdirectedStatus = 421;
+/** Outcomes "served" and "served_by_peer". */
+const std::string servedPrefix = "served";
 /** Events over which the token rate of a stream is measured. */
 constexpr std::uint64_t eventsPerRateSample = 3;
 
@@ -292,6 +294,21 @@
     grant_ = BudgetGrant();
 }
 
+void GatewayCall::countForAccount(const std::string &outcome)
+{
+    if (outcome == nameOf(RefusalReason::Unauthenticated)) {
+        gateway_->hooks_.count_("unauthenticated_total", std::string(nameOf(keyCheck_)));
+    }
+    if (!request_->hasAccounts_ || !gateway_->hooks_.countAccount_) {
+        return;
+    }
+    const bool isServed = outcome.compare(0, servedPrefix.size(), servedPrefix) == 0;
+    const bool isRefused = valueOf<RefusalReason>(outcome).has_value();
+    const char *const result = isServed ? "served" : isRefused ? "refused" : "failed";
+    gateway_->hooks_.countAccount_(
+        "account_requests_total", gateway_->accountLabels_.labelOf(request_->account_), result);
+}
+
 void GatewayCall::end(const char *outcome)
 {
     const std::shared_ptr<GatewayCall> self = shared_from_this();
@@ -314,6 +331,7 @@
     reply_->onClosed(nullptr);
     const Duration took = gateway_->hooks_.now_() - arrivedAt_;
     gateway_->hooks_.count_("requests_total", outcome);
+    countForAccount(outcome);
     gateway_->hooks_.observe_("request_seconds", took);
     gateway_->hooks_.logEvent_(
         "request_ended",
@@ -321,6 +339,8 @@
          {"program", request_->program_},
          {"route", route_ != nullptr ? route_->name_ : ""},
          {"account", request_->account_},
+         {"auth", nameOf(keyCheck_)}, // The logger hides fields with the name "key".
+         {"configuration", routing_ ? routing_->version() : 0},
          {"outcome", outcome},
          {"endpoint", lastEndpoint_},
          {"first_ms", firstEventAt_ > Time{0} ? toMilliseconds(firstEventAt_ - arrivedAt_) : 0.0},
--- a/test/gateway/formerversion.cpp
+++ b/test/gateway/formerversion.cpp
@@ -84,6 +84,19 @@
     EXPECT_EQ(read->report_.origins_[0].origin_.version_, "v1");
 }
 
+// Guards against a version of the configuration that changes the rest of a report, or is sent without accounts.
+TEST(FormerVersion, ConfigurationVersionIsAnOptionalField)
+{
+    const nlohmann::json before = nlohmann::json::from_cbor(encode(sampleReport()));
+    FleetMessage message = sampleReport();
+    message.report_.configurationVersion_ = 7;
+    nlohmann::json with = nlohmann::json::from_cbor(encode(message));
+    EXPECT_EQ(with["f"], 7U);
+    EXPECT_EQ(decodeFleetMessage(encode(message))->report_.configurationVersion_, 7U);
+    with.erase("f");
+    EXPECT_EQ(with, before);
+}
+
 /** \brief A request of a node of the version before, and the fields that it reads in the answer. */
 struct FormerRequest
 {
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -323,11 +323,19 @@
     GatewayHooks hooks;
     hooks.now_ = [this] { return queue_.now(); };
     hooks.random_ = [this] { return random_(); };
-    hooks.after_ = [this, alive](Duration delay, std::function<void()> task) {
-        queue_.after(delay, [alive, task = std::move(task)] {
+    hooks.after_ = [this, node, alive](Duration delay, std::function<void()> task) {
+        const auto runIfAlive = [alive, task = std::move(task)] {
             if (*alive) {
                 task();
             }
+        };
+        queue_.after(delay, [this, node, runIfAlive] {
+            const auto frozen = frozen_.find(node);
+            if (frozen == frozen_.end()) {
+                runIfAlive();
+            } else {
+                frozen->second.emplace_back(runIfAlive);
+            }
         });
         return std::uint64_t{0};
     };
@@ -376,6 +384,19 @@
             done(!isCut);
         });
     };
+    hooks.applyConfiguration_ = [this, node](const std::string &text) { applyConfiguration(node, text); };
+    hooks.refreshConfiguration_ = [this, node, alive](const std::function<void(bool)> &done) {
+        if (!configurationReadTime_) {
+            done(false);
+            return;
+        }
+        queue_.after(*configurationReadTime_, [this, node, alive, done] {
+            if (*alive) {
+                applyConfiguration(node, configurationText + std::to_string(version_));
+                done(true);
+            }
+        });
+    };
     hooks.askStart_ = [this, alive](const Endpoint &endpoint,
                                     const std::function<void(std::optional<std::uint64_t>)> &done) {
         if (!startOf_) {
@@ -428,6 +449,7 @@
                                             const nlohmann::json &body,
                                             Duration timeout,
                                             std::function<void(const std::optional<nlohmann::json> &)> answer) {
+        ++peerRequests_[type];
         const auto answerIfAlive = [alive, answer](const std::optional<nlohmann::json> &json) {
             if (*alive) {
                 answer(json);
@@ -455,22 +477,36 @@
     return hooks;
 }
 
-void GatewayRig::configure(Gateway &gateway)
-{
-    Service engines;
-    engines.name_ = "engines";
-    engines.engine_ = EngineProfile{4, 100, 100'000};
-    Service services;
-    services.name_ = "services";
-    std::optional<AccountDirectory> accounts;
-    if (accounts_) {
-        accounts = AccountDirectory::build(*accounts_).value();
+void GatewayRig::configure(std::size_t node)
+{
+    const std::string text = configurationText + std::to_string(version_);
+    if (configurations_.count(text) == 0) {
+        Service engines;
+        engines.name_ = "engines";
+        engines.engine_ = EngineProfile{4, 100, 100'000};
+        Service services;
+        services.name_ = "services";
+        std::optional<AccountDirectory> accounts;
+        if (accounts_) {
+            accounts = AccountDirectory::build(*accounts_).value();
+        }
+        configurations_[text] = std::make_shared<const RoutingTable>(
+            version_, routes_, std::vector<Service>{engines, services}, std::move(accounts));
     }
-    gateway.setRouting(std::make_shared<const RoutingTable>(
-        version_, routes_, std::vector<Service>{engines, services}, std::move(accounts)));
-    gateway.setRegistryReachable(true);
+    if (configurationCuts_.count(node) == 0) {
+        applyConfiguration(node, text);
+    }
+    nodes_[node]->setRegistryReachable(true);
     for (const Endpoint &endpoint : endpoints_) {
-        gateway.updateEndpoint(endpoint);
+        nodes_[node]->updateEndpoint(endpoint);
+    }
+}
+
+void GatewayRig::applyConfiguration(std::size_t node, const std::string &text)
+{
+    const auto known = configurations_.find(text);
+    if (known != configurations_.end()) {
+        nodes_[node]->setRouting(known->second, text);
     }
 }
 
@@ -478,13 +514,26 @@
 {
     accounts_ = accounts;
     ++version_;
-    for (const std::unique_ptr<Gateway> &node : nodes_) {
-        if (node) {
-            configure(*node);
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+        if (nodes_[node]) {
+            configure(node);
         }
     }
 }
 
+void GatewayRig::freeze(std::size_t node, bool frozen)
+{
+    if (frozen) {
+        frozen_[node];
+        return;
+    }
+    const auto tasks = frozen_.find(node);
+    for (const std::function<void()> &task : tasks->second) {
+        queue_.after(Duration{0}, task);
+    }
+    frozen_.erase(tasks);
+}
+
 void GatewayRig::publish(const std::function<void(Gateway &)> &change)
 {
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
@@ -526,7 +575,7 @@
     for (const std::string &id : removedEndpoints_) {
         nodes_[node]->removeEndpoint(id);
     }
-    configure(*nodes_[node]);
+    configure(node);
 }
 
 void GatewayRig::kill(std::size_t node)
@@ -557,7 +606,7 @@
     nodes_[node] = std::make_unique<Gateway>(hooksOf(node), settings);
     nodes_[node]->start();
     if (registryCuts_.count(node) == 0) {
-        configure(*nodes_[node]);
+        configure(node);
     }
 }
 
@@ -571,9 +620,9 @@
         endpoint.slots_ = 4;
         endpoints_.push_back(endpoint);
     }
-    for (const std::unique_ptr<Gateway> &node : nodes_) {
-        if (node) {
-            configure(*node);
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+        if (nodes_[node]) {
+            configure(node);
         }
     }
 }
--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -55,8 +55,10 @@
     void removeEndpoint(const std::string &id);
     /** \brief Cuts a node from the registry, or lets it read the registry again. */
     void cutRegistry(std::size_t node, bool cut);
-    /** \brief Publishes a new version of the configuration, with these client accounts, at all nodes. */
+    /** \brief Publishes a new version of the configuration, with these accounts, at all nodes that can read it. */
     void setAccounts(const std::vector<ClientAccount> &accounts);
+    /** \brief Stops the timers of a node, as if its process were suspended, or runs them again. */
+    void freeze(std::size_t node, bool frozen);
     std::shared_ptr<ClientResponse> send(std::size_t node, GatewayRequest request);
     /** \brief Puts a writer's spending record of a program into the store. */
     void putSpending(const std::string &program, const std::string &writer, const SpendingRecord &record);
@@ -95,6 +97,10 @@
     std::vector<std::string> log_; ///< Events of all nodes with their fields, if keepsLog_ is set.
     std::map<std::string, std::size_t> counts_; ///< Of all nodes, by "name/label".
     bool keepsLog_ = false;
+    std::set<std::size_t> configurationCuts_; ///< Nodes that can't read the configuration from the store.
+    std::map<std::string, std::size_t> peerRequests_; ///< Requests between nodes, by type.
+    std::optional<Duration> configurationReadTime_; ///< If set, nodes can read the configuration again in this time.
+    static constexpr const char *configurationText = "a text with keys, version "; ///< Begins each configuration.
 
 private:
     class Forward;
@@ -105,7 +111,9 @@
     GatewayHooks hooksOf(std::size_t node);
     std::uint64_t
     startForward(const std::string &from, const ForwardedRequest &forwarded, const AttemptHandlers &handlers);
-    void configure(Gateway &gateway);
+    void configure(std::size_t node);
+    /** \brief Applies a version of the configuration, as decoded from its text. */
+    void applyConfiguration(std::size_t node, const std::string &text);
     std::string nameOfNode(std::size_t node) const;
     /** \brief Tells all nodes that follow the registry of a change. */
     void publish(const std::function<void(Gateway &)> &change);
@@ -123,6 +131,8 @@
     std::set<std::string> removedEndpoints_;
     std::set<std::size_t> registryCuts_; ///< Nodes that can't read the registry.
     std::map<std::size_t, std::deque<std::function<void(Gateway &)>>> unreadChanges_; ///< Of the registry, by node.
+    std::map<std::string, std::shared_ptr<const RoutingTable>> configurations_; ///< All versions, by text.
+    std::map<std::size_t, std::vector<std::function<void()>>> frozen_; ///< Tasks of nodes that are frozen.
     std::mt19937_64 random_{1};
     std::uint64_t starts_ = 0;
     std::uint64_t version_ = 1;
--- a/test/platform/clientrequest.cpp
+++ b/test/platform/clientrequest.cpp
@@ -114,6 +114,11 @@
         headers[wire::finishIn] = "20000";
         headers[wire::tokenBudget] = "1000000";
     }
+    if (!task_.key_.empty()) {
+        headers[wire::apiKey] = task_.key_;
+        headers[wire::account] = "made-up";
+        headers[wire::peerAccount] = "made-up";
+    }
     if (!task_.previousTurn_.empty()) {
         headers[wire::previousTurn] = task_.previousTurn_;
     }
--- a/test/platform/clientrequest.h
+++ b/test/platform/clientrequest.h
@@ -68,6 +68,7 @@
     std::string engineBody_; ///< What an engine is to receive.
     std::string program_;
     std::string previousTurn_;
+    std::string key_; ///< Of a client account; empty for none.
     Duration timeLeft_{3'000'000};
     std::size_t mostTries_ = 5;
     std::size_t leavesAfter_ = 0; ///< Events after which the client closes its first connection; 0 for never.
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -248,6 +248,169 @@
     EXPECT_EQ(versionOf(R"({"version":7,"routes":[],"services":[]})"), 7U);
 }
 
+namespace {
+
+/** A sound configuration with one account, in which one text is replaced. */
+std::string configurationWith(const std::string &text, const std::string &replacement)
+{
+    std::string configuration = R"({"version":7,"routes":[{"host":"h","path_prefix":"/a/","service":"s",)"
+                                R"("timeout_ms":3000,"max_attempts":2,"priority":1,"no_auth":false}],)"
+                                R"("services":[{"name":"s","max_conns":170,"engine":{"slots":16}}],)"
+                                R"("tenants":[{"name":"a","api_keys":["sEcReT"],"priority":2,)"
+                                R"("rate_per_s":5.5,"burst":10}]})";
+    const std::size_t at = configuration.find(text);
+    EXPECT_NE(at, std::string::npos) << text;
+    return configuration.replace(at, text.size(), replacement);
+}
+
+/** \brief The text of the failure, or nothing if the configuration is valid. */
+std::string configurationFault(const std::string &text)
+{
+    return boost::leaf::try_handle_all(
+        [&text]() -> Result<std::string> {
+            BOOST_LEAF_CHECK(decodeConfiguration(text));
+            return std::string();
+        },
+        [](const Failure &failure) { return failure.detail_; },
+        [] { return std::string("another failure"); });
+}
+
+} // namespace
+
+/** \brief A value of a configuration, and the fault that is named; none if it is valid. */
+struct ConfigurationValue
+{
+    const char *name_;
+    const char *text_;
+    std::string replacement_;
+    const char *fault_;
+};
+
+class ConfigurationCheck : public testing::TestWithParam<ConfigurationValue>
+{
+};
+
+// Guards against a number that wraps to another one, a text that counts as a list, and a rejection that does not name
+// the field or quotes a key.
+TEST_P(ConfigurationCheck, NamesTheFieldAndNoKey)
+{
+    const std::string fault = configurationFault(configurationWith(GetParam().text_, GetParam().replacement_));
+    if (*GetParam().fault_ == 0) {
+        EXPECT_EQ(fault, "");
+    } else {
+        EXPECT_NE(fault.find(GetParam().fault_), std::string::npos) << fault;
+    }
+    EXPECT_EQ(fault.find("sEcReT"), std::string::npos) << fault;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ConfigurationCheck,
+    testing::Values(
+        ConfigurationValue{"Sound", "7", "8", ""},
+        ConfigurationValue{"NoLimit", "5.5", "0", ""},
+        ConfigurationValue{"NoAccounts",
+                           "[{\"name\":\"a\",\"api_keys\":[\"sEcReT\"],\"priority\":2,"
+                           "\"rate_per_s\":5.5,\"burst\":10}]",
+                           "null",
+                           ""},
+        ConfigurationValue{"LastKeyRemoved", "[\"sEcReT\"]", "[]", ""},
+        ConfigurationValue{"WholeNumberWithAPoint", "\"max_attempts\":2", "\"max_attempts\":2.0", ""},
+        ConfigurationValue{"NegativeVersion", "7", "-7", "/version must be"},
+        ConfigurationValue{"NoVersion", "\"version\":7,", "", "/version is missing"},
+        ConfigurationValue{"NegativePriority", "\"priority\":2", "\"priority\":-1", "/tenants/0/priority must be"},
+        ConfigurationValue{
+            "PriorityThatWraps", "\"priority\":2", "\"priority\":4294967296", "/tenants/0/priority must be"},
+        ConfigurationValue{"BrokenPriority", "\"priority\":2", "\"priority\":0.5", "/tenants/0/priority must be"},
+        ConfigurationValue{"NegativeRate", "5.5", "-5.5", "/tenants/0/rate_per_s must be"},
+        ConfigurationValue{"HugeRate", "5.5", "1e300", "/tenants/0/rate_per_s must be"},
+        ConfigurationValue{"RateBeyondADouble", "5.5", "1e400", "can't be read"},
+        ConfigurationValue{"RateAsText", "5.5", "\"5.5\"", "/tenants/0/rate_per_s must be"},
+        ConfigurationValue{"NegativeBurst", "\"burst\":10", "\"burst\":-10", "/tenants/0/burst must be"},
+        ConfigurationValue{"KeysAsText", "[\"sEcReT\"]", "\"sEcReT\"", "/tenants/0/api_keys must be a list"},
+        ConfigurationValue{"KeyAsNumber", "[\"sEcReT\"]", "[\"sEcReT\",7]", "/tenants/0/api_keys must be"},
+        ConfigurationValue{"AccountAsText", "[{\"name\":\"a\"", "[\"sEcReT\",{\"name\":\"a\"", "/tenants/0 must be"},
+        ConfigurationValue{"AccountsAsObject",
+                           "[{\"name\":\"a\",\"api_keys\":[\"sEcReT\"],\"priority\":2,"
+                           "\"rate_per_s\":5.5,\"burst\":10}]",
+                           "{\"a\":\"sEcReT\"}",
+                           "/tenants must be a list"},
+        ConfigurationValue{"EmptyAccounts",
+                           "[{\"name\":\"a\",\"api_keys\":[\"sEcReT\"],\"priority\":2,"
+                           "\"rate_per_s\":5.5,\"burst\":10}]",
+                           "[]",
+                           "/tenants must not be an empty list"},
+        ConfigurationValue{"NameAsNumber", "\"name\":\"a\"", "\"name\":7", "/tenants/0/name must be a text"},
+        ConfigurationValue{"NegativeAttempts", "\"max_attempts\":2", "\"max_attempts\":-2", "/routes/0/max_attempts"},
+        ConfigurationValue{"HugeTimeout", "3000", "1e200", "/routes/0/timeout_ms must be"},
+        ConfigurationValue{"OpenAsNumber", "\"no_auth\":false", "\"no_auth\":1", "/routes/0/no_auth must be"},
+        ConfigurationValue{"SlotsThatWrap", "\"slots\":16", "\"slots\":4294967297", "/services/0/engine/slots"},
+        ConfigurationValue{"TornAtAKey", "sEcReT\"],", "sEcReT", "no valid JSON at byte"}),
+    [](const testing::TestParamInfo<ConfigurationValue> &info) { return info.param.name_; });
+
+namespace {
+
+/** \brief A client's request with a key, and with headers that only the system may set. */
+GatewayRequest requestWithKey()
+{
+    HttpRequest request = clientRequest();
+    request.headers_["api-key"] = "sEcReT";
+    request.headers_["x-filbertgw-tenant"] = "made-up";
+    request.headers_["x-filbertgw-peer-account"] = "made-up";
+    return decodeRequest(request).value();
+}
+
+using SentHeaders = std::map<std::string, std::string>;
+
+SentHeaders headersForEndpoint(const GatewayRequest &request)
+{
+    EndpointAttempt attempt;
+    attempt.request_ = std::make_shared<GatewayRequest>(request);
+    attempt.body_ = std::make_shared<std::string>();
+    return encodeAttempt(attempt, AttemptHandlers()).request_.headers_;
+}
+
+SentHeaders headersForPeer(const GatewayRequest &request)
+{
+    ForwardedRequest forwarded;
+    forwarded.request_ = std::make_shared<GatewayRequest>(request);
+    return encodeForward(forwarded, "10.0.0.2:1", AttemptHandlers()).request_.headers_;
+}
+
+std::string headerOf(const SentHeaders &headers, const char *name)
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? "(none)" : found->second;
+}
+
+} // namespace
+
+// Guards against a key that leaves the node, and an account that the client has made up.
+TEST(Ingress, KeysAndAccountsAreNotPassedOn)
+{
+    GatewayRequest request = requestWithKey();
+    EXPECT_EQ(request.apiKey_, "sEcReT");
+    request.hasAccounts_ = true;
+    for (const char *account : {"a", ""}) {
+        request.account_ = account;
+        for (const SentHeaders &headers : {headersForEndpoint(request), headersForPeer(request)}) {
+            EXPECT_EQ(headerOf(headers, "api-key"), "(none)");
+            EXPECT_EQ(headerOf(headers, "x-filbertgw-tenant"), *account == 0 ? "(none)" : account);
+        }
+        EXPECT_EQ(headerOf(headersForEndpoint(request), "x-filbertgw-peer-account"), "(none)");
+        EXPECT_EQ(headerOf(headersForPeer(request), "x-filbertgw-peer-account"), account);
+    }
+}
+
+// Guards against headers that a deployment without accounts no longer passes on.
+TEST(Ingress, KeyAndAccountHeadersMeanNothingWithoutAccounts)
+{
+    const GatewayRequest request = requestWithKey();
+    EXPECT_EQ(headerOf(headersForEndpoint(request), "api-key"), "sEcReT");
+    EXPECT_EQ(headerOf(headersForEndpoint(request), "x-filbertgw-tenant"), "made-up");
+    EXPECT_EQ(headerOf(headersForPeer(request), "x-filbertgw-peer-account"), "(none)");
+}
+
 TEST(Ingress, RequestIsDecoded)
 {
     const std::optional<GatewayRequest> request = decodeRequest(clientRequest());
--- a/test/platform/gatewayfleet.cpp
+++ b/test/platform/gatewayfleet.cpp
@@ -188,6 +188,18 @@
     return nodes_[node].process_ && nodes_[node].process_->isRunning();
 }
 
+void GatewayFleet::askText(std::size_t node, const std::string &path, std::function<void(const std::string &text)> done)
+{
+    HttpCall call;
+    call.address_ = ports_.address(node + 1, ports_.readiness_);
+    call.request_.method_ = "GET";
+    call.request_.target_ = path;
+    call.timeout_ = Duration{2'000'000};
+    call.mayReuse_ = false;
+    call.onDone_ = [done = std::move(done)](const HttpResult &result) { done(result.body_); };
+    http_.start(std::move(call));
+}
+
 void GatewayFleet::askReadiness(std::size_t node, std::function<void(bool)> done)
 {
     HttpCall call;
--- a/test/platform/gatewayfleet.h
+++ b/test/platform/gatewayfleet.h
@@ -53,6 +53,8 @@
     std::string clientAddress(std::size_t node) const;
     /** \brief Asks a node whether it is ready. */
     void askReadiness(std::size_t node, std::function<void(bool)> done);
+    /** \brief Asks a node for its metrics or its state, by path. */
+    void askText(std::size_t node, const std::string &path, std::function<void(const std::string &text)> done);
     /** \brief Lines of the nodes' logs that contain one of the texts. */
     std::string logLines(const std::vector<std::string> &texts) const;
 
--- a/test/platform/processsoak.cpp
+++ b/test/platform/processsoak.cpp
@@ -162,6 +162,19 @@
     return trouble;
 }
 
+/** \brief Keys of client accounts come, go and move while nodes are killed, frozen and turned away by the store. */
+SoakTrouble changingKeys()
+{
+    SoakTrouble trouble = brokenAnywhere("ChangingKeys", {AnswerForm::Whole});
+    trouble.brokenShare_ = 0.1;
+    trouble.faults_ = {SoakFault::KillNode, SoakFault::PauseNode, SoakFault::BusyStore, SoakFault::SilentStore};
+    trouble.keyPeriod_ = Duration{500'000};
+    trouble.staleKeyShare_ = 0.5;
+    trouble.arrivalGap_ = Duration{40'000};
+    trouble.tasks_ = 2 * faultTasks; // For 24 s, so that most of the removed keys are to be refused.
+    return trouble;
+}
+
 SoakTrouble everything()
 {
     SoakTrouble trouble = brokenAnywhere("Everything", allOdd);
@@ -212,7 +225,8 @@
                   << summary.refusals_ << " refusals, " << summary.copies_ << " copies, " << summary.faults_
                   << " faults, " << summary.streamsOfTwoVersions_ << " streams of two versions, "
                   << summary.shares_.wentOn_ << " of " << summary.shares_.takenUp_ << " streams went on (tries "
-                  << summary.shares_.takeUpTriesServed_ << " of " << summary.shares_.takeUpTries_ << ')';
+                  << summary.shares_.takeUpTriesServed_ << " of " << summary.shares_.takeUpTries_ << "), "
+                  << summary.keyRefusals_ << " refused for their key";
         for (const std::pair<const std::string, std::size_t> &rule : broken) {
             std::cout << ", " << rule.first << ' ' << rule.second;
         }
@@ -241,6 +255,7 @@
                                            upgradedEngines(),
                                            faultyNodes(),
                                            faultyStore(),
+                                           changingKeys(),
                                            everything()),
                          nameOfCase);
 
--- a/test/platform/soakworld.cpp
+++ b/test/platform/soakworld.cpp
@@ -60,6 +60,7 @@
     , seed_(seed)
     , faultRandom_(seed)
     , fullRandom_(seed)
+    , keys_(seed)
     , directory_(::testing::TempDir() + "filbertgw-soak-" + trouble_.name_ + '-' + std::to_string(getpid()) + '-'
                  + std::to_string(seed))
     , http_(loop_)
@@ -120,7 +121,11 @@
                                 {"max_body_bytes", 4194304},
                                 {"header_timeout_ms", 3000},
                                 {"idle_timeout_ms", 15000}};
-    const nlohmann::json configuration{{"version", 7}, {"routes", routes}, {"services", services}, {"limits", limits}};
+    nlohmann::json configuration{
+        {"version", version_++}, {"routes", routes}, {"services", services}, {"limits", limits}};
+    if (trouble_.keyPeriod_) {
+        configuration["tenants"] = keys_.accounts();
+    }
     store_.put("keyed.op", "config", configuration.dump());
 }
 
@@ -145,6 +150,53 @@
     }
 }
 
+void SoakWorld::changeKeys()
+{
+    if (!isPlaying_ || !trouble_.keyPeriod_) {
+        return;
+    }
+    loop_.after(*trouble_.keyPeriod_, [this] {
+        keys_.change(loop_.now());
+        writeConfiguration();
+        changeKeys();
+    });
+}
+
+std::string SoakWorld::drawKey(const std::string &token, bool mayBeStale) const
+{
+    if (!trouble_.keyPeriod_) {
+        return {};
+    }
+    std::mt19937_64 random = sourceFor(token + "-key", 0);
+    const bool isStale = mayBeStale && std::bernoulli_distribution(trouble_.staleKeyShare_)(random);
+    return keys_.draw(random, isStale);
+}
+
+std::vector<Violation> SoakWorld::checkNodes()
+{
+    std::vector<Violation> violations;
+    const auto search = [&violations](const std::string &where, const std::string &text) {
+        const std::size_t at = text.find(KeySchedule::keyPrefix);
+        if (at != std::string::npos) {
+            violations.push_back({"KEY", where + " contains a key: " + text.substr(at, 40), {}});
+        }
+    };
+    search("a log", fleet_->logLines({KeySchedule::keyPrefix}));
+    std::size_t asked = 0;
+    std::size_t answered = 0;
+    for (std::size_t node = 0; node < nodes; ++node) {
+        for (const char *path : {"/metrics", "/state"}) {
+            ++asked;
+            fleet_->askText(node, path, [&search, &answered, path](const std::string &text) {
+                ++answered;
+                search(path, text);
+            });
+        }
+    }
+    runUntil([&answered, asked] { return answered == asked; }, playLimit);
+    return violations;
+}
+
 bool SoakWorld::start()
 {
     began_ = loop_.now();
@@ -243,6 +295,7 @@
     task.body_ = requestBody({task.token_, task.events_});
     task.engineBody_ = task.body_;
     task.program_ = nameOf("p", number);
+    task.key_ = drawKey(task.token_, false);
     std::mt19937_64 random = sourceFor("leaving", number);
     if (std::bernoulli_distribution(trouble_.leavingShare_)(random)) {
         task.leavesAfter_ = std::uniform_int_distribution<std::size_t>(1, task.events_ - 1)(random);
@@ -257,6 +310,7 @@
     task.token_ = nameOf("r", number);
     task.body_ = isIdempotent ? std::string() : requestBody({task.token_, 0});
     task.engineBody_ = task.body_;
+    task.key_ = drawKey(task.token_, true);
     send(std::move(task), [] {});
 }
 
@@ -270,6 +324,7 @@
     task.engineBody_ = program->chain_ + task.body_;
     task.program_ = program->id_;
     task.previousTurn_ = program->previousTurn_;
+    task.key_ = program->key_;
     const std::shared_ptr<std::weak_ptr<ClientRequest>> sent = std::make_shared<std::weak_ptr<ClientRequest>>();
     *sent = send(std::move(task), [this, program, sent] {
         const std::shared_ptr<ClientRequest> request = sent->lock();
@@ -307,11 +362,12 @@
     } else if (kind < 8) {
         const std::shared_ptr<ProgramState> program = std::make_shared<ProgramState>();
         program->id_ = nameOf("p", number);
+        program->key_ = drawKey(program->id_, false);
         startTurn(program);
     } else {
         startPlain(number, kind == 8);
     }
-    loop_.after(length.arrivalGap_, [this, number, length] { arrive(number + 1, length); });
+    loop_.after(trouble_.arrivalGap_, [this, number, length] { arrive(number + 1, length); });
 }
 
 void SoakWorld::injectFaults()
@@ -367,6 +423,7 @@
     length.tasks_ = length.tasks_ > 0 ? length.tasks_ : trouble_.tasks_;
     isPlaying_ = true;
     injectFaults();
+    changeKeys();
     arrive(0, length);
     SoakSummary summary;
     if (!runUntil([this, &length] { return open_ == 0 && arrivals_ == length.tasks_; }, playLimit)) {
@@ -407,6 +464,12 @@
     }
     const std::vector<Violation> found = checkRuns(requests_, record_);
     summary.violations_.insert(summary.violations_.end(), found.begin(), found.end());
+    if (trouble_.keyPeriod_) {
+        for (const std::vector<Violation> &broken : {keys_.check(requests_, record_), checkNodes()}) {
+            summary.violations_.insert(summary.violations_.end(), broken.begin(), broken.end());
+        }
+        summary.keyRefusals_ = KeySchedule::refusals(requests_);
+    }
     return summary;
 }
 
--- a/test/platform/soakworld.h
+++ b/test/platform/soakworld.h
@@ -3,6 +3,7 @@
 
 #include "engineprocess.h"
 #include "gatewayfleet.h"
+#include "keyschedule.h"
 #include "platformstore.h"
 #include "rulechecker.h"
 
@@ -42,6 +43,9 @@
     std::uint64_t events_ = 8; ///< Of each stream.
     std::uint64_t breakAfter_ = 0; ///< Events before a break; drawn if 0.
     std::size_t tasks_ = 150; ///< \sa SoakLength
+    Duration arrivalGap_{8'000};
+    std::optional<Duration> keyPeriod_; ///< There are client accounts, and a key changes each time.
+    double staleKeyShare_ = 0.0; ///< Of plain requests, whose key has been removed.
 };
 
 /** \brief Prints the name of a case in place of its bytes. */
@@ -54,7 +58,6 @@
 struct SoakLength
 {
     std::size_t tasks_ = 0; ///< Streams, programs of turns and plain requests; 0 for what the trouble says.
-    Duration arrivalGap_{8'000};
 };
 
 /** \brief Counts of one run. */
@@ -70,6 +73,7 @@
     std::size_t refusals_ = 0; ///< By engines.
     std::size_t copies_ = 0; ///< Of answers.
     std::size_t faults_ = 0;
+    std::size_t keyRefusals_ = 0; ///< Tries with a key that the node did not know.
     std::vector<Violation> violations_;
 };
 
@@ -95,6 +99,7 @@
     struct ProgramState
     {
         std::string id_;
+        std::string key_;
         std::string chain_;
         std::string previousTurn_;
         std::size_t turnsLeft_ = 3;
@@ -112,6 +117,11 @@
     void turnEnded(const std::shared_ptr<ProgramState> &program, const ClientRequest &request);
     std::shared_ptr<ClientRequest> send(ClientTask task, std::function<void()> onDone);
     std::string nameOf(const char *kind, std::uint64_t number) const;
+    void changeKeys();
+    /** \brief Key of a request that begins now; empty without accounts. */
+    std::string drawKey(const std::string &token, bool mayBeStale) const;
+    /** \brief Looks for keys in the logs, metrics and states of the nodes. */
+    std::vector<Violation> checkNodes();
     void injectFaults();
     void inject(SoakFault fault);
     std::uint64_t draw(std::uint64_t bound);
@@ -121,6 +131,8 @@
     std::uint64_t seed_;
     std::mt19937_64 faultRandom_;
     std::mt19937_64 fullRandom_;
+    KeySchedule keys_;
+    std::uint64_t version_ = 7; ///< Of the configuration.
     std::string directory_;
     IoLoop loop_;
     HttpClient http_;
