Add a soak of key changes under long faults of the store and of a process

Cause: the faults of the soak last up to 1.5 s, so that no node has to learn of removed keys from its peers, or after a suspension. Change: the store turns one node away and another one is frozen for 8 s each while keys change.

--- a/test/platform/processsoak.cpp
+++ b/test/platform/processsoak.cpp
@@ -175,6 +175,17 @@
     return trouble;
 }
 
+/** \brief Keys change while the store turns one node away for long and another one is frozen for long. */
+SoakTrouble keysUnderLongFaults()
+{
+    SoakTrouble trouble = changingKeys();
+    trouble.name_ = "KeysUnderLongFaults";
+    trouble.brokenShare_ = 0.0;
+    trouble.faults_ = {SoakFault::LongBusyStore, SoakFault::LongPause};
+    trouble.faultPeriod_ = Duration{1'000'000};
+    return trouble;
+}
+
 SoakTrouble everything()
 {
     SoakTrouble trouble = brokenAnywhere("Everything", allOdd);
@@ -256,6 +267,7 @@
                                            faultyNodes(),
                                            faultyStore(),
                                            changingKeys(),
+                                           keysUnderLongFaults(),
                                            everything()),
                          nameOfCase);
 
--- a/test/platform/soakworld.cpp
+++ b/test/platform/soakworld.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t firstEngineHost = 100;
 constexpr std::size_t firstStoreHost = 200;
 constexpr Duration longestFault{1'500'000};
+constexpr Duration longFault{8'000'000};
 constexpr Duration longestEntryDelay{800'000};
 constexpr Duration settleTime{500'000}; ///< Time for runs that begin after their client was answered.
 constexpr Duration startLimit{30'000'000};
@@ -379,6 +380,27 @@
     loop_.after(trouble_.faultPeriod_, [this] { injectFaults(); });
 }
 
+void SoakWorld::injectLong(SoakFault fault)
+{
+    if (!longFaults_.insert(fault).second) {
+        return;
+    }
+    const bool isPause = fault == SoakFault::LongPause;
+    if (isPause) {
+        fleet_->signal(1, SIGSTOP);
+    } else {
+        store_.setMode(0, StoreMode::Busy);
+    }
+    loop_.after(longFault, [this, fault, isPause] {
+        longFaults_.erase(fault);
+        if (isPause) {
+            fleet_->signal(1, SIGCONT);
+        } else {
+            store_.setMode(0, StoreMode::Up);
+        }
+    });
+}
+
 void SoakWorld::inject(SoakFault fault)
 {
     ++faults_;
@@ -410,6 +432,10 @@
             engine.restart(trouble_.versions_[next % trouble_.versions_.size()], entryDelay);
         });
         break;
+    case SoakFault::LongBusyStore:
+    case SoakFault::LongPause:
+        injectLong(fault);
+        break;
     case SoakFault::SilentStore:
     case SoakFault::BusyStore:
         store_.setMode(node, fault == SoakFault::BusyStore ? StoreMode::Busy : StoreMode::Silent);
--- a/test/platform/soakworld.h
+++ b/test/platform/soakworld.h
@@ -9,6 +9,7 @@
 
 #include <ostream>
 #include <random>
+#include <set>
 
 namespace filbertgw::testing {
 
@@ -21,6 +22,8 @@
     UpgradeEngine, ///< A start under the same id with the other version; it accepts connections before its entry.
     SilentStore, ///< For one node.
     BusyStore, ///< For one node.
+    LongBusyStore, ///< For the first node, for longer than changed keys may take.
+    LongPause, ///< Of the second node, for longer than changed keys may take.
 };
 
 /** \brief What happens in a run of the soak; forms, framings and cuts are drawn from the lists. */
@@ -124,6 +127,7 @@
     std::vector<Violation> checkNodes();
     void injectFaults();
     void inject(SoakFault fault);
+    void injectLong(SoakFault fault);
     std::uint64_t draw(std::uint64_t bound);
     std::mt19937_64 sourceFor(const std::string &name, std::uint64_t number) const;
 
@@ -133,6 +137,7 @@
     std::mt19937_64 fullRandom_;
     KeySchedule keys_;
     std::uint64_t version_ = 7; ///< Of the configuration.
+    std::set<SoakFault> longFaults_; ///< Those in progress.
     std::string directory_;
     IoLoop loop_;
     HttpClient http_;
