Refuse new programs by account in a shortage of capacity

Cause: when engines are short of capacity, Admission refuses the same share of all accounts' programs. A few accounts at several times their usual load cost all others their programs.

Change: with client accounts, nodes report running requests by account (new optional field of NodeReport, in one of five reports, bounded, summed in group summaries). AccountAdmission estimates each account's demand from them, and FairShares distributes the share that Admission refuses by weighted max-min fairness, with at least half of the mean service for each account. The draw stays fixed per program. A request for an engine whose remaining time is below half of the learned time of an idle engine is refused at once. Refusals are counted by account (100 series) and logged.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -3,6 +3,7 @@
 #include "core/cbor.h"
 #include "core/stablehash.h"
 #include "fleet/fleetgroups.h"
+#include "placement/accountadmission.h"
 #include "store/streamtail.h"
 
 #include <nlohmann/json.hpp>
@@ -26,6 +27,10 @@
 constexpr std::size_t reportsPerLivenessTimeout = 3;
 /** One in this many summaries lists the members of the group; an idle node sends one in this many reports. */
 constexpr std::size_t roundsPerFullReport = 3;
+/** One in this many rounds of reports contains the running requests by account, which change less than the load. */
+constexpr std::uint64_t roundsPerAccounts = 5;
+/** Accounts of each service in the summary of a group; the others are summed. */
+constexpr std::size_t maxSummaryAccounts = 32;
 
 struct KnownNode
 {
@@ -38,6 +43,7 @@
     bool reachesEndpoints_ = true;
     Time reportedAt_{0}; ///< Arrival of the last report that it sent to this node itself.
     NodeReport report_; ///< That report, without prompt parts, crashes, limits and origins.
+    Time accountsReportedAt_{0}; ///< Arrival of report_.accounts_, which are kept until the next ones.
 
     void markHeard(Time now, const LedgerState &ledger, bool reachesEndpoints)
     {
@@ -71,6 +77,7 @@
     NodeReport currentReport();
     FleetMessage makeMessage(NodeReport report) const;
     FleetMessage makeSummary(const NodeReport &own, bool withMembers) const;
+    std::vector<AccountLoad> groupAccounts(std::vector<AccountLoad> load) const;
     void send(const FleetMember &to, const std::string &datagram) const;
     std::size_t roundsToReach(std::size_t nodes) const;
     Duration livenessTimeout() const;
@@ -92,6 +99,7 @@
     std::optional<FleetGroups> groups_; ///< Not set in a small fleet.
     std::vector<const FleetMember *> groupedNodes_; ///< The nodes that groups_ was built from.
     std::uint64_t round_ = 0; ///< Number of reports to groups.
+    std::uint64_t reports_ = 0; ///< Number of rounds of reports.
     bool isIdle_ = false; ///< The last report contained no load and no prompt parts.
     std::map<std::string, std::uint64_t> groupCounts_; ///< Groups of each domain, as of its last summary.
     /** By report, the newest last; sent again until all direct targets have got them. */
@@ -174,6 +182,9 @@
 NodeReport Fleet::Private::currentReport()
 {
     NodeReport report = hooks_.report_();
+    if (reports_ % internal::roundsPerAccounts != 0) {
+        report.accounts_.reset();
+    }
     cachedParts_.push_back(std::move(report.cachedParts_));
     report.cachedParts_.clear();
     for (const std::vector<CachedPart> &parts : cachedParts_) {
@@ -227,11 +238,27 @@
     for (const std::pair<const std::string, PaceSums> &entry : paces) {
         message.report_.paces_.push_back(ServicePace{entry.first, entry.second});
     }
+    if (own.accounts_) {
+        message.report_.accounts_ = groupAccounts(*own.accounts_);
+    }
     std::vector<CachedPart> &parts = message.report_.cachedParts_;
     parts.insert(parts.end(), relayedParts_.begin(), relayedParts_.end());
     return message;
 }
 
+/** Running requests of the group by account, this node included. */
+std::vector<AccountLoad> Fleet::Private::groupAccounts(std::vector<AccountLoad> load) const
+{
+    const Time oldest = hooks_.now_() - settings_.reportPeriod_ * (2 * internal::roundsPerAccounts);
+    for (const FleetMember *peer : groups_->peers()) {
+        const internal::KnownNode &node = nodes_.at(peer->name_);
+        if (isReporting(node) && node.report_.accounts_ && node.accountsReportedAt_ >= oldest) {
+            load.insert(load.end(), node.report_.accounts_->begin(), node.report_.accounts_->end());
+        }
+    }
+    return largestLoads(sumOfLoads(load), internal::maxSummaryAccounts);
+}
+
 /** Determines the direct targets and, in a large fleet, the groups. */
 void Fleet::Private::updateTargets()
 {
@@ -299,6 +326,7 @@
     }
     updateTargets();
     if (!directTargets_.empty() || groups_) {
+        ++reports_;
         const NodeReport report = currentReport();
         reportToDirectTargets(report);
         reportToGroups(report);
@@ -326,6 +354,11 @@
     message.report_.limits_.clear();
     message.report_.origins_.clear();
     sender.reportedAt_ = hooks_.now_();
+    if (message.report_.accounts_) {
+        sender.accountsReportedAt_ = sender.reportedAt_;
+    } else {
+        message.report_.accounts_ = std::move(sender.report_.accounts_);
+    }
     sender.report_ = std::move(message.report_);
 }
 
--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
+#include <map>
 
 namespace filbertgw {
 
@@ -21,6 +23,7 @@
 const char *const limitsKey = "r";
 const char *const originsKey = "o";
 const char *const cutOffKey = "e"; ///< Nodes that reach no endpoint: the sender, or members of its group.
+const char *const accountsKey = "a";
 const char *const groupKey = "g";
 const char *const membersKey = "m";
 const char *const datagramAddressKey = "d";
@@ -105,6 +108,52 @@
     }
 }
 
+/** An entry is [service, [account, running, priority, ...]], with three numbers for each account. */
+nlohmann::json encodeAccounts(const std::vector<AccountLoad> &load)
+{
+    std::map<std::string, nlohmann::json> services;
+    for (const AccountLoad &entry : load) {
+        nlohmann::json &numbers = services.try_emplace(entry.service_, nlohmann::json::array()).first->second;
+        numbers.push_back(entry.account_);
+        numbers.push_back(entry.running_);
+        numbers.push_back(entry.priority_);
+    }
+    nlohmann::json list = nlohmann::json::array();
+    for (const std::pair<const std::string, nlohmann::json> &service : services) {
+        list.push_back({service.first, service.second});
+    }
+    return list;
+}
+
+std::optional<std::uint32_t> smallNumber(const nlohmann::json &value, std::uint32_t max)
+{
+    const bool isSmall = value.is_number_unsigned() && value <= max;
+    return isSmall ? std::optional<std::uint32_t>(value.get<std::uint32_t>()) : std::nullopt;
+}
+
+std::vector<AccountLoad> decodeAccounts(const nlohmann::json &list)
+{
+    constexpr std::uint32_t maxRunning = 1'000'000;
+    constexpr std::uint32_t maxPriority = 1'000;
+    constexpr std::size_t numbersPerAccount = 3;
+    std::vector<AccountLoad> load;
+    for (const nlohmann::json &entry : list) {
+        if (!isTuple(entry, 2) || !entry[0].is_string() || !entry[1].is_array()) {
+            continue;
+        }
+        const nlohmann::json &numbers = entry[1];
+        for (std::size_t i = 0; i + numbersPerAccount <= numbers.size(); i += numbersPerAccount) {
+            const auto account = smallNumber(numbers[i], std::numeric_limits<std::uint32_t>::max());
+            const auto running = smallNumber(numbers[i + 1], maxRunning);
+            const auto priority = smallNumber(numbers[i + 2], maxPriority);
+            if (account && running && priority) {
+                load.push_back(AccountLoad{entry[0].get<std::string>(), *account, *running, *priority});
+            }
+        }
+    }
+    return load;
+}
+
 std::vector<GroupMember> decodeMembers(const nlohmann::json &list)
 {
     std::vector<GroupMember> members;
@@ -200,6 +249,9 @@
     if (!message.report_.origins_.empty()) {
         body[internal::originsKey] = encodeOrigins(message.report_.origins_);
     }
+    if (message.report_.accounts_) {
+        body[internal::accountsKey] = internal::encodeAccounts(*message.report_.accounts_);
+    }
     if (message.group_) {
         body[internal::groupKey] = {
             message.group_->domain_, message.group_->index_, message.group_->count_, message.report_.nodes_};
@@ -257,6 +309,9 @@
         }
         message.report_.nodes_ = body[internal::groupKey][3].get<std::size_t>();
     }
+    if (internal::hasArray(body, internal::accountsKey)) {
+        message.report_.accounts_ = internal::decodeAccounts(body[internal::accountsKey]);
+    }
     if (internal::hasArray(body, internal::membersKey)) {
         message.members_ = internal::decodeMembers(body[internal::membersKey]);
     }
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -4,6 +4,7 @@
 #include "endpoints/crashrecord.h"
 #include "endpoints/ratelimitnotice.h"
 #include "ledger/fleetmember.h"
+#include "placement/accountload.h"
 #include "placement/pacetracker.h"
 #include "placement/placement.h"
 #include "streams/streamorigin.h"
@@ -35,6 +36,8 @@
     std::vector<RateLimitNotice> limits_; ///< What it has learned lately about limits of endpoints.
     std::vector<StreamOriginNotice> origins_; ///< Of streams that it has begun lately.
     bool reachesEndpoints_ = true; ///< The node can open connections to endpoints.
+    /** Running requests by account; not in every report, and never without client accounts. */
+    std::optional<std::vector<AccountLoad>> accounts_;
 };
 
 /** \brief One of several groups into which the nodes of a failure domain are divided. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint64_t housekeepingRunsPerLog = 50;
 /** Time without the store after which a node reports itself as not ready if others can take its connections. */
 constexpr Duration partitionTimeout{1'800'000};
+/** Accounts that have their own series in a metric; all others share one. */
+constexpr std::size_t maxAccountLabels = 100;
 /** Name of the state whose holder deletes expired crash records from the store. \sa Fleet::holderOf */
 const char *const crashState = "crashes";
 
@@ -56,6 +58,8 @@
     , turns_(turnStoreHooks(), settings_.turns_)
     , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_}, hooks_.now_, ledger_, fleet_)
     , admission_(settings_.admission_)
+    , accountAdmission_(hooks_.now_, settings_.accountAdmission_)
+    , accountLabels_("account", internal::maxAccountLabels)
     , pace_(hooks_.now_, settings_.pace_)
     , retryAfter_(settings_.retryAfter_)
 {
@@ -79,6 +83,23 @@
     return load;
 }
 
+AccountAdmission::RefusedShare Gateway::Private::refusedShareOf(const std::string &service)
+{
+    return [this, load = loadOf(service)](std::uint32_t priority) { return admission_.refusedShare(load, priority); };
+}
+
+void Gateway::Private::updateAccountAdmission()
+{
+    if (!routing_ || routing_->accounts() == nullptr) {
+        return;
+    }
+    for (const std::pair<const std::string, Service> &service : routing_->services()) {
+        if (service.second.engine_) {
+            accountAdmission_.update(service.first, refusedShareOf(service.first));
+        }
+    }
+}
+
 TurnStoreHooks Gateway::Private::turnStoreHooks()
 {
     TurnStoreHooks hooks;
@@ -278,6 +299,9 @@
         report.limits_ = limits_.takeAnnouncements();
         report.origins_ = origins_.takeAnnouncements();
         report.reachesEndpoints_ = !reachability_.isCutOff() && !stopping_;
+        if (routing_ && routing_->accounts() != nullptr) {
+            report.accounts_ = accountAdmission_.localLoad();
+        }
         return report;
     };
 
@@ -292,6 +316,9 @@
             [this](const std::pair<std::string, std::uint32_t> &at) { return directory_.find(at.first) != nullptr; });
         placement_.setPeerLoad(source, load, report.nodes_);
         pace_.setPeerPaces(source, report.paces_);
+        if (report.accounts_) {
+            accountAdmission_.setPeerLoad(source, *report.accounts_);
+        }
         for (const CrashRecord &crash : report.crashes_) {
             quarantine_.add(crash);
         }
@@ -449,6 +476,7 @@
         placement_.forget(gone);
     }
     placement_.expirePeers();
+    updateAccountAdmission();
     limits_.expire();
     reachability_.update(silentEndpoints());
     if (reachability_.isCutOff()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "ledger/partitionedledger.h"
 #include "ledger/peerrequest.h"
 #include "ledger/turnstore.h"
+#include "placement/accountadmission.h"
 #include "placement/admission.h"
 #include "placement/cachediscovery.h"
 #include "placement/pacetracker.h"
@@ -61,6 +62,7 @@
     std::function<void(const std::string &address, const std::string &datagram)> sendDatagram_;
     PeerRequest askPeer_;
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
+    /** \brief Counts an event; the label is a value, or a whole `name="value"`. \sa BoundedLabels */
     std::function<void(const std::string &name, const std::string &label)> count_;
     std::function<void(const std::string &name, Duration)> observe_;
 };
@@ -74,6 +76,7 @@
     FleetSettings fleet_;
     CacheDiscoverySettings cacheDiscovery_;
     AdmissionSettings admission_;
+    AccountAdmissionSettings accountAdmission_;
     Duration defaultTimeout_{30'000'000}; ///< Timeout of a request whose route sets none.
     PaceSettings pace_;
     QuarantineSettings quarantine_;
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -117,6 +117,43 @@
     loadChain();
 }
 
+double GatewayCall::refusedShare(const ServiceLoad &load) const
+{
+    const auto ofPriority = [this, &load](std::uint32_t priority) {
+        return gateway_->admission_.refusedShare(load, priority);
+    };
+    return account_ == nullptr
+        ? ofPriority(priority())
+        : gateway_->accountAdmission_.refusalProbability(serviceName_, account_->name_, priority(), ofPriority);
+}
+
+void GatewayCall::reportRefusedProgram(const ServiceLoad &load, double refusedShare) const
+{
+    nlohmann::json fields = {{"request", request_->id_},
+                             {"program", request_->program_},
+                             {"load", load.requestsPerSlot_},
+                             {"stretch", load.slowdown_},
+                             {"allowed", load.allowedSlowdown_.value_or(0.0)}};
+    if (account_ != nullptr) {
+        fields["account"] = account_->name_;
+        fields["refused_share"] = refusedShare;
+        gateway_->hooks_.count_("programs_refused_total", gateway_->accountLabels_.labelOf(account_->name_));
+    }
+    gateway_->hooks_.logEvent_("program_refused", fields);
+}
+
+bool GatewayCall::isTooLate() const
+{
+    if (account_ == nullptr || origin_ || request_->expectedOutputTokens_ == 0 || !service_ || !service_->engine_) {
+        return false;
+    }
+    const std::uint64_t tokens = request_->maxOutputTokens_ > 0
+        ? std::min(request_->expectedOutputTokens_, request_->maxOutputTokens_)
+        : request_->expectedOutputTokens_;
+    const std::optional<Duration> needed = gateway_->placement_.engines().minTurnTime(serviceName_, tokens);
+    return needed && timeLeft() < *needed;
+}
+
 bool GatewayCall::admitProgram()
 {
     const bool isRootAgentTurn = route_->kind_ == RouteKind::Streaming && request_->session_ == request_->program_;
@@ -129,13 +166,9 @@
         gateway_->pace_.turnStarted(serviceName_, request_->program_, finishIn, load.slowdown_);
         return true;
     }
-    if (!gateway_->admission_.admits(load, priority(), Admission::drawOf(request_->program_))) {
-        gateway_->hooks_.logEvent_("program_refused",
-                                   {{"request", request_->id_},
-                                    {"program", request_->program_},
-                                    {"load", load.requestsPerSlot_},
-                                    {"stretch", load.slowdown_},
-                                    {"allowed", load.allowedSlowdown_.value_or(0.0)}});
+    const double refused = refusedShare(load);
+    if (Admission::drawOf(request_->program_) < refused) {
+        reportRefusedProgram(load, refused);
         return false;
     }
     gateway_->pace_.programStarted(request_->program_, finishIn);
@@ -352,6 +385,11 @@
         refuse(RefusalReason::EndpointsFull);
         return;
     }
+    if (isTooLate()) {
+        gateway_->hooks_.count_("requests_too_late_total", gateway_->accountLabels_.labelOf(account_->name_));
+        refuse(RefusalReason::Overloaded);
+        return;
+    }
     const Endpoint *endpoint = chooseEndpoint();
     if (endpoint != nullptr) {
         origin_ ? sendRest(*endpoint) : send(*endpoint);
@@ -402,6 +440,10 @@
     attempt.maxIdleAge_ = maxIdleAge();
     if (service_ != nullptr && service_->engine_) {
         attempt.urgency_ = urgency();
+        isCountedForAccount_ = account_ != nullptr;
+    }
+    if (isCountedForAccount_) {
+        gateway_->accountAdmission_.started(serviceName_, account_->name_, priority());
     }
     start_ = gateway_->placement_.started(endpoint, *request_);
     incarnation_ = endpoint.incarnation();
@@ -486,6 +528,9 @@
     if (!endpoint_.empty()) {
         gateway_->placement_.ended(endpoint_);
         gateway_->crashDetector_.attemptEnded(crashWatch_, ended);
+        if (std::exchange(isCountedForAccount_, false)) {
+            gateway_->accountAdmission_.ended(serviceName_, account_->name_);
+        }
         endpoint_.clear();
     }
 }
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -85,6 +85,11 @@
     void chooseService();
     /** \brief True for the first turn of a program: none of its tokens are spent or reserved. */
     bool startsProgram() const;
+    /** \brief Probability at which a new program is to be refused. */
+    double refusedShare(const ServiceLoad &load) const;
+    void reportRefusedProgram(const ServiceLoad &load, double refusedShare) const;
+    /** \brief True if no engine can answer in the time left; only known with client accounts. */
+    bool isTooLate() const;
     /** \brief Records the progress of the program. \return false if it is new and not admitted. */
     bool admitProgram();
     void loadChain();
@@ -204,6 +209,7 @@
     std::uint64_t attempt_ = 0;
     std::uint64_t crashWatch_ = 0; ///< Of the attempt. \sa CrashDetector::attemptStarted
     std::string incarnation_; ///< Of the endpoint of the attempt.
+    bool isCountedForAccount_ = false; ///< The attempt was passed to AccountAdmission::started().
     std::string version_; ///< Of the endpoint of the current or most recent attempt.
     AttemptHead head_;
     bool headReceived_ = false;
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAYPRIVATE_H
 #define FILBERTGW_GATEWAY_GATEWAYPRIVATE_H
 
+#include "core/boundedlabels.h"
 #include "endpoints/incarnationcheck.h"
 #include "fleet/relayedstore.h"
 #include "gateway/gateway.h"
@@ -32,6 +33,10 @@
     void logLedgerStateChange();
     /** \brief Logs the estimates of the engine models, which explain placements and refusals. */
     void logEngineTimings();
+    /** \brief Share of the new programs of a service that Admission refuses, by priority. */
+    AccountAdmission::RefusedShare refusedShareOf(const std::string &service);
+    /** \brief Updates whose programs are to be refused; does nothing without client accounts. */
+    void updateAccountAdmission();
     /** \brief Load of a service from the requests of all nodes. */
     ServiceLoad loadOf(const std::string &service);
     FleetHooks fleetHooks();
@@ -88,6 +93,8 @@
     TurnStore turns_;
     BudgetController budget_;
     Admission admission_;
+    AccountAdmission accountAdmission_;
+    BoundedLabels accountLabels_; ///< Names of accounts in the labels of metrics.
     PaceTracker pace_;
     RetryAfterPolicy retryAfter_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
--- a/src/placement/admission.cpp
+++ b/src/placement/admission.cpp
@@ -14,6 +14,11 @@
 }
 
 bool Admission::admits(const ServiceLoad &load, std::uint32_t priority, double draw) const
+{
+    return draw >= refusedShare(load, priority);
+}
+
+double Admission::refusedShare(const ServiceLoad &load, std::uint32_t priority) const
 {
     const double headroom = settings_.headroomFactor_ / std::sqrt(std::max(1.0, load.slotsPerEndpoint_));
     const double threshold = 1.0 - headroom + (priority == 0 ? settings_.highPriorityOffset_ : 0.0);
@@ -25,7 +30,7 @@
             std::max(refusalProbability,
                      (load.slowdown_ / *load.allowedSlowdown_ - slowdownThreshold) / settings_.slowdownRange_);
     }
-    return draw >= std::clamp(refusalProbability, 0.0, 1.0);
+    return std::clamp(refusalProbability, 0.0, 1.0);
 }
 
 double Admission::drawOf(const std::string &program)
--- a/src/placement/admission.h
+++ b/src/placement/admission.h
@@ -62,6 +62,8 @@
      * \param draw uniformly distributed in [0, 1), the same for each retry of a program. \sa drawOf
      */
     bool admits(const ServiceLoad &load, std::uint32_t priority, double draw) const;
+    /** \brief Share of the new programs of a priority that are refused. */
+    double refusedShare(const ServiceLoad &load, std::uint32_t priority) const;
 
     /** \brief Draw derived from the program's id, equal on all nodes. */
     static double drawOf(const std::string &program);
--- a/src/placement/enginemodel.cpp
+++ b/src/placement/enginemodel.cpp
@@ -27,6 +27,9 @@
 constexpr double speedupShareWeight = 0.05;
 /** Larger slowdowns are not distinguished. */
 constexpr double maxSlowdown = 50.0;
+/** Step time of the fastest engine relative to the fitted one. Engines are up to 1.2 times as fast as usual; the rest
+ * is a margin for estimates of the answer's length that are too high. */
+constexpr double fastestStepShare = 0.5;
 /** Prefills of other requests delay output tokens but are not part of a step, so that the slower half is discarded. */
 constexpr QuantileRange stepQuantiles{0.05, 0.5};
 /** First events are late because of faults and, under load, of other prefills. Some are early, since the prompt was
@@ -229,6 +232,16 @@
     return names;
 }
 
+std::optional<Duration> EngineModel::minTurnTime(const std::string &service, std::uint64_t tokens) const
+{
+    const auto known = services_.find(service);
+    if (known == services_.end() || known->second.stepRegression_.size() < settings_.refitInterval_) {
+        return std::nullopt;
+    }
+    const double ms = static_cast<double>(tokens) * known->second.timings_.stepMs_ * internal::fastestStepShare;
+    return fromSeconds(ms / 1e3);
+}
+
 void EngineModel::forget(const std::string &endpoint)
 {
     for (std::pair<const std::string, ServiceModel> &entry : services_) {
--- a/src/placement/enginemodel.h
+++ b/src/placement/enginemodel.h
@@ -100,6 +100,13 @@
     std::vector<std::string> services() const;
     /** \brief Time of a request of mean size in a batch with others, divided by its time on an idle engine. */
     double slowdown(const std::string &service, double others) const;
+    /**
+     * \brief Least time in which an engine can generate this many tokens, by the learned timings.
+     *
+     * It assumes an idle engine of twice the usual speed with the whole prompt in its cache.
+     * \return nothing until enough was observed.
+     */
+    std::optional<Duration> minTurnTime(const std::string &service, std::uint64_t tokens) const;
     void forget(const std::string &endpoint);
     std::uint64_t rejected(RejectedObservation reason) const;
     nlohmann::json state() const;
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -37,6 +37,8 @@
         std::unique_ptr<Fleet> fleet_;
         std::uint32_t running_ = 0;
         std::map<std::string, std::uint32_t> reportedLoad_; ///< Requests at the endpoint, by source of the report.
+        std::optional<std::vector<AccountLoad>> accounts_;
+        std::map<std::string, std::vector<AccountLoad>> reportedAccounts_; ///< By source of the report.
         std::set<std::string> parts_;
         std::vector<CachedPart> partsToReport_;
         bool isIsolated_ = false;
@@ -49,6 +51,17 @@
             }
             return sum;
         }
+
+        std::uint32_t knownRequestsOf(std::uint32_t account) const
+        {
+            std::uint32_t sum = 0;
+            for (const auto &source : reportedAccounts_) {
+                for (const AccountLoad &entry : source.second) {
+                    sum += entry.account_ == account ? entry.running_ : 0;
+                }
+            }
+            return sum;
+        }
     };
 
     void add(std::size_t number, const std::string &domain)
@@ -79,10 +92,14 @@
             report.ledger_ = LedgerState{true, true};
             report.load_ = {{"engine", node.running_}};
             report.cachedParts_.swap(node.partsToReport_);
+            report.accounts_ = node.accounts_;
             return report;
         };
         hooks.ledgerComplete_ = [] { return true; };
         hooks.onReport_ = [&node](const std::string &source, const NodeReport &report) {
+            if (report.accounts_) {
+                node.reportedAccounts_[source] = *report.accounts_;
+            }
             node.reportedLoad_[source] = report.load_.empty() ? 0 : report.load_.front().second;
             for (const CachedPart &part : report.cachedParts_) {
                 node.parts_.insert(part.part_);
@@ -191,6 +208,34 @@
     EXPECT_EQ(rig_.nodes_.begin()->second.fleet_->alive(), GetParam().nodes_ - 1);
 }
 
+// Guards against nodes that know an account's requests at a part of the fleet only, and refuse the wrong accounts, and
+// against summaries whose size grows with the number of accounts.
+TEST_P(LoadReports, RequestsOfAccountsAreSummedOverTheFleet)
+{
+    constexpr std::uint32_t large = 1;
+    constexpr std::size_t maxEntries = 40;
+    std::uint32_t next = large;
+    for (std::pair<const std::string, FleetRig::Node> &node : rig_.nodes_) {
+        node.second.accounts_ = {{"engines", large, 3, 1}};
+        for (int i = 0; i < 10; ++i) {
+            node.second.accounts_->push_back(AccountLoad{"engines", ++next, 1, 1});
+        }
+    }
+    rig_.runFor(std::chrono::seconds(4));
+    const auto others = static_cast<std::uint32_t>(GetParam().nodes_ - 1);
+    for (const std::pair<const std::string, FleetRig::Node> &node : rig_.nodes_) {
+        EXPECT_EQ(node.second.knownRequestsOf(large), 3 * others) << node.first;
+        std::uint32_t all = 0;
+        for (const auto &source : node.second.reportedAccounts_) {
+            EXPECT_LE(source.second.size(), maxEntries);
+            for (const AccountLoad &entry : source.second) {
+                all += entry.running_;
+            }
+        }
+        EXPECT_EQ(all, 13 * others) << node.first;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Table,
                          LoadReports,
                          testing::Values(FleetSize{"Nodes12", 12, 0, turnTime},
--- a/test/fleet/fleetmessage.cpp
+++ b/test/fleet/fleetmessage.cpp
@@ -27,6 +27,7 @@
     message.report_.limits_ = {RateLimitNotice{"engine@1", 2.5, std::chrono::milliseconds(40)},
                                RateLimitNotice{"engine@2", std::nullopt, std::chrono::milliseconds(7)}};
     message.report_.origins_ = {StreamOriginNotice{"r1", StreamOrigin{"engines", "v2"}, std::chrono::seconds(6)}};
+    message.report_.accounts_ = {{"engines", 4'000'000'000U, 17, 2}, {"engines", 7, 1, 0}, {"tools", 7, 2, 0}};
     message.group_ = FleetGroup{"domain", 1, 3};
     message.members_ = {GroupMember{"node", LedgerState{true, false}},
                         GroupMember{"mate", LedgerState{false, true}, false}};
@@ -52,6 +53,12 @@
     ASSERT_EQ(decoded->report_.origins_.size(), 1U);
     EXPECT_EQ(decoded->report_.origins_[0].origin_.version_, "v2");
     EXPECT_EQ(decoded->report_.origins_[0].timeLeft_, std::chrono::seconds(6));
+    ASSERT_TRUE(decoded->report_.accounts_);
+    ASSERT_EQ(decoded->report_.accounts_->size(), 3U);
+    EXPECT_EQ(decoded->report_.accounts_->at(0).account_, 4'000'000'000U);
+    EXPECT_EQ(decoded->report_.accounts_->at(0).running_, 17U);
+    EXPECT_EQ(decoded->report_.accounts_->at(0).priority_, 2U);
+    EXPECT_EQ(decoded->report_.accounts_->at(2).service_, "tools");
     EXPECT_TRUE(decoded->report_.reachesEndpoints_);
     ASSERT_EQ(decoded->members_.size(), 2U);
     EXPECT_TRUE(decoded->members_[0].reachesEndpoints_);
@@ -96,6 +103,14 @@
                                          MalformedField{"GroupWithoutNodes", "g", {"domain", 1, 3}, false},
                                          MalformedField{"Origins", "o", {{"r1", "engines", 2, 6000}, {"r1"}, 7}, true},
                                          MalformedField{"OriginsOfAnotherType", "o", "none", true},
+                                         MalformedField{"Accounts",
+                                                        "a",
+                                                        {{"engines", {1, 2}},
+                                                         {"engines", {-1, 2, 0, 1, 2.5, 0, 1ULL << 40, 1, 0}},
+                                                         {3, {1, 1, 1}},
+                                                         "engines"},
+                                                        true},
+                                         MalformedField{"AccountsOfAnotherType", "a", 7, true},
                                          MalformedField{"NodesCutOff", "e", {1, {"node"}}, true},
                                          MalformedField{"Members", "m", {{"node", true}, {1, true, true}}, true}),
                          [](const testing::TestParamInfo<MalformedField> &info) { return info.param.name_; });
--- a/test/gateway/gatewaysimulation.cpp
+++ b/test/gateway/gatewaysimulation.cpp
@@ -40,6 +40,7 @@
 {
     std::string id_;
     std::size_t client_ = 0;
+    std::size_t account_ = 0; ///< Rank.
     std::string sharedPart_;
     int turns_ = 1;
     int finishedTurns_ = 0;
@@ -72,6 +73,7 @@
             [&simulation] { return simulation.queue_.now(); }, [&random] { return random(); }, PlacementSettings())
         , pace_([&simulation] { return simulation.queue_.now(); }, PaceSettings())
         , admission_(AdmissionSettings())
+        , accounts_([&simulation] { return simulation.queue_.now(); }, AccountAdmissionSettings())
     {
     }
 
@@ -79,6 +81,7 @@
     Placement placement_;
     PaceTracker pace_;
     Admission admission_;
+    AccountAdmission accounts_;
     std::unique_ptr<Fleet> fleet_;
 };
 
@@ -136,18 +139,24 @@
     hooks.sendDatagram_ = [this](const std::string &address, const std::string &datagram) {
         queue_.after(datagramDelay, [this, address, datagram] { byName_.at(address)->fleet_->onDatagram(datagram); });
     };
-    hooks.report_ = [&node] {
+    hooks.report_ = [this, &node] {
         NodeReport report;
         report.ledger_ = LedgerState{true, true};
         report.load_ = node.placement_.localLoad();
         report.cachedParts_ = node.placement_.takeCachedParts();
         report.paces_ = node.pace_.localPaces();
+        if (settings_.accounts_ > 0) {
+            report.accounts_ = node.accounts_.localLoad();
+        }
         return report;
     };
     hooks.ledgerComplete_ = [] { return true; };
     hooks.onReport_ = [&node](const std::string &source, const NodeReport &report) {
         node.placement_.setPeerLoad(source, report.load_, report.nodes_);
         node.pace_.setPeerPaces(source, report.paces_);
+        if (report.accounts_) {
+            node.accounts_.setPeerLoad(source, *report.accounts_);
+        }
         for (const CachedPart &part : report.cachedParts_) {
             node.placement_.addCachedPart(part);
         }
@@ -166,9 +175,45 @@
     for (const std::unique_ptr<Node> &node : nodes_) {
         node->placement_.expirePeers();
     }
+    updateAccounts();
     queue_.after(expiryPeriod, [this] { expirePeerLoads(); });
 }
 
+void GatewaySimulation::updateAccounts()
+{
+    if (settings_.accounts_ == 0) {
+        return;
+    }
+    for (const std::unique_ptr<Node> &node : nodes_) {
+        const ServiceLoad load = loadOf(*node);
+        node->accounts_.update(service_.name_, [&node, &load](std::uint32_t priority) {
+            return node->admission_.refusedShare(load, priority);
+        });
+    }
+}
+
+double GatewaySimulation::rateShareOf(std::size_t account) const
+{
+    constexpr double exponent = 1.2;
+    double sum = 0.0;
+    for (std::size_t rank = 1; rank <= settings_.accounts_; ++rank) {
+        sum += std::pow(static_cast<double>(rank), -exponent);
+    }
+    const bool isBurst = queue_.now() >= settings_.burstStart_ && queue_.now() < settings_.burstEnd_;
+    const auto hot = settings_.hotAccounts_.find(account);
+    const double factor = isBurst && hot != settings_.hotAccounts_.end() ? hot->second : 1.0;
+    return factor * std::pow(static_cast<double>(account + 1), -exponent) / sum;
+}
+
+std::size_t GatewaySimulation::drawAccount()
+{
+    std::vector<double> shares;
+    for (std::size_t account = 0; account < settings_.accounts_; ++account) {
+        shares.push_back(rateShareOf(account));
+    }
+    return std::discrete_distribution<std::size_t>(shares.begin(), shares.end())(random_);
+}
+
 GatewaySimulation::~GatewaySimulation() = default;
 
 double GatewaySimulation::uniform()
@@ -205,11 +250,19 @@
         + static_cast<double>(settings_.outputTokens_) * settings_.timings_.stepMs(0.0);
     program->timeAllowed_ =
         milliseconds(settings_.deadlineFactor_ * program->turns_ * (turnMs + toSeconds(settings_.pause_) * 1e3));
+    double hotLoad = 1.0;
+    if (settings_.accounts_ > 0) {
+        program->account_ = drawAccount();
+        hotLoad = 0.0;
+        for (std::size_t account = 0; account < settings_.accounts_; ++account) {
+            hotLoad += rateShareOf(account);
+        }
+    }
     programs_.push_back(program);
     ++openPrograms_;
     beginTurn(program);
     const bool isBurst = queue_.now() >= settings_.burstStart_ && queue_.now() < settings_.burstEnd_;
-    const double rate = settings_.programsPerSecond_ * (isBurst ? settings_.burstFactor_ : 1.0);
+    const double rate = settings_.programsPerSecond_ * hotLoad * (isBurst ? settings_.burstFactor_ : 1.0);
     queue_.after(fromSeconds(std::exponential_distribution<double>(rate)(random_)), [this] { arrive(); });
 }
 
@@ -229,19 +282,44 @@
     queue_.after(retryDelay, [this, program] { beginTurn(program); });
 }
 
-bool GatewaySimulation::admit(Node &node, Program &program)
+ServiceLoad GatewaySimulation::loadOf(const Node &node) const
 {
     ServiceLoad load;
     load.slowdown_ = node.placement_.engines().slowdown(service_.name_, runningPerEngine(node));
     load.requestsPerSlot_ = runningPerEngine(node) / settings_.slots_;
     load.slotsPerEndpoint_ = settings_.slots_;
     load.allowedSlowdown_ = node.pace_.allowedSlowdown(service_.name_);
+    return load;
+}
+
+std::uint32_t GatewaySimulation::priorityOf(const Program &program) const
+{
+    const auto found = settings_.priorities_.find(program.account_);
+    return found != settings_.priorities_.end() ? found->second : 1;
+}
+
+bool GatewaySimulation::mayStart(const Node &node, const Program &program, const ServiceLoad &load) const
+{
+    const auto refusedShare = [&node, &load](std::uint32_t priority) {
+        return node.admission_.refusedShare(load, priority);
+    };
+    const std::uint32_t priority = priorityOf(program);
+    const bool isByAccount = settings_.accounts_ > 0 && settings_.isFair_;
+    const double refused = isByAccount
+        ? node.accounts_.refusalProbability(service_.name_, std::to_string(program.account_), priority, refusedShare)
+        : refusedShare(priority);
+    return Admission::drawOf(program.id_) >= refused;
+}
+
+bool GatewaySimulation::admit(Node &node, Program &program)
+{
+    const ServiceLoad load = loadOf(node);
     const Duration finishIn = program.arrived_ + program.timeAllowed_ - queue_.now();
     if (program.finishedTurns_ > 0) {
         node.pace_.turnStarted(service_.name_, program.id_, finishIn, load.slowdown_);
         return true;
     }
-    if (settings_.hasAdmission_ && !node.admission_.admits(load, 1, Admission::drawOf(program.id_))) {
+    if (settings_.hasAdmission_ && !mayStart(node, program, load)) {
         return false;
     }
     node.pace_.programStarted(program.id_, finishIn);
@@ -273,6 +351,9 @@
     turn->endpoint_ = endpoint->id_;
     turn->start_ = node.placement_.started(*endpoint, request);
     turn->sentAt_ = queue_.now();
+    if (settings_.accounts_ > 0) {
+        node.accounts_.started(service_.name_, std::to_string(program->account_), priorityOf(*program));
+    }
     Engine &engine = *engines_[std::stoul(endpoint->id_)];
     turn->prompt_ = request.prompt_;
     engine.waiting_.push_back(std::move(turn));
@@ -305,9 +386,10 @@
 
 double GatewaySimulation::slownessOf(const Engine &engine) const
 {
-    return settings_.slowEngineInterval_ > 0 && engine.number_ % settings_.slowEngineInterval_ == 0
-        ? settings_.slowness_
-        : 1.0;
+    const double common =
+        queue_.now() >= settings_.slowFrom_ && queue_.now() < settings_.slowTo_ ? settings_.slowFactor_ : 1.0;
+    const bool isSlow = settings_.slowEngineInterval_ > 0 && engine.number_ % settings_.slowEngineInterval_ == 0;
+    return common * (isSlow ? settings_.slowness_ : 1.0);
 }
 
 /** Prefills a chunk of the first waiting prompt. */
@@ -386,6 +468,9 @@
 void GatewaySimulation::endTurn(Turn &turn)
 {
     turn.node_->placement_.ended(turn.endpoint_);
+    if (settings_.accounts_ > 0) {
+        turn.node_->accounts_.ended(service_.name_, std::to_string(turn.program_->account_));
+    }
     turn.node_->placement_.observeSize(service_.name_, turn.start_, turn.generated_);
     const std::shared_ptr<Program> program = turn.program_;
     if (++program->finishedTurns_ == program->turns_) {
@@ -409,6 +494,20 @@
     return result;
 }
 
+std::vector<SimulationResult> GatewaySimulation::arrivedByAccount(Time from, Time to) const
+{
+    std::vector<SimulationResult> results(settings_.accounts_);
+    for (const std::shared_ptr<Program> &program : programs_) {
+        if (program->arrived_ >= from && program->arrived_ < to) {
+            SimulationResult &result = results[program->account_];
+            ++result.arrivals_;
+            result.onTime_ += program->onTime_ ? 1 : 0;
+            result.refused_ += program->refused_ ? 1 : 0;
+        }
+    }
+    return results;
+}
+
 std::uint64_t GatewaySimulation::prefilledTokens() const
 {
     return prefilledTokens_;
--- a/test/gateway/gatewaysimulation.h
+++ b/test/gateway/gatewaysimulation.h
@@ -4,11 +4,13 @@
 #include "fakes/eventqueue.h"
 #include "fakes/fakestore.h"
 #include "fleet/fleet.h"
+#include "placement/accountadmission.h"
 #include "placement/admission.h"
 #include "placement/pacetracker.h"
 #include "placement/placement.h"
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -42,6 +44,14 @@
     Time burstStart_{0};
     Time burstEnd_{0};
     bool hasAdmission_ = false; ///< New programs may be refused by Admission.
+    std::size_t accounts_ = 0; ///< Client accounts with Zipf-like sizes of exponent 1.2; 0 for none.
+    /** Factors on the arrival rate of accounts, by rank, from burstStart_ to burstEnd_. */
+    std::map<std::size_t, double> hotAccounts_;
+    std::map<std::size_t, std::uint32_t> priorities_; ///< Of accounts, by rank; 1 if not listed.
+    bool isFair_ = true; ///< AccountAdmission decides whose programs are refused, if there are accounts.
+    Time slowFrom_{0}; ///< From this time to slowTo_ all engines are slow.
+    Time slowTo_{0};
+    double slowFactor_ = 1.0;
     std::uint64_t seed_ = 1;
 };
 
@@ -73,6 +83,8 @@
     /** \brief Generates arrivals until this time and runs until all programs have finished or were abandoned. */
     void run(Time until);
     SimulationResult arrivedWithin(Time from, Time to) const;
+    /** \brief The same by account, from the largest to the smallest. */
+    std::vector<SimulationResult> arrivedByAccount(Time from, Time to) const;
     /** \brief Prompt tokens that the engines have prefilled. */
     std::uint64_t prefilledTokens() const;
     /** \brief Number of prefills of a shared part. */
@@ -85,7 +97,12 @@
     struct Turn;
 
     void arrive();
+    /** \brief Arrivals of an account per second, relative to all at normal load. */
+    double rateShareOf(std::size_t account) const;
+    std::size_t drawAccount();
     void beginTurn(const std::shared_ptr<Program> &program);
+    std::uint32_t priorityOf(const Program &program) const;
+    bool mayStart(const Node &node, const Program &program, const ServiceLoad &load) const;
     bool admit(Node &node, Program &program);
     void place(Node &node, const std::shared_ptr<Program> &program);
     void step(Engine &engine);
@@ -94,6 +111,8 @@
     std::uint64_t cachedTokens(const Engine &engine, const std::vector<PromptPart> &prompt) const;
     void addToCache(Engine &engine, const PromptPart &part);
     double slownessOf(const Engine &engine) const;
+    ServiceLoad loadOf(const Node &node) const;
+    void updateAccounts();
     void endTurn(Turn &turn);
     void startFleet(Node &node, std::size_t number);
     void expirePeerLoads();
--- a/test/placement/enginemodel.cpp
+++ b/test/placement/enginemodel.cpp
@@ -231,4 +231,20 @@
                     RejectedCase{"MostTokens", ~0ULL, std::chrono::hours(300'000), RejectedObservation::OutOfRange}),
     [](const testing::TestParamInfo<RejectedCase> &info) { return info.param.name_; });
 
+// Guards against refusals by timings that are only assumed, and of turns that a fast engine finishes in time.
+TEST(EngineModel, LeastTimeOfATurnIsConservative)
+{
+    EngineModel model{EngineModelSettings()};
+    SyntheticEngine engine("e", EngineTimings{1.14, 0.08, 0.003});
+    engine.observe(model);
+    EXPECT_FALSE(model.minTurnTime("engines", 300));
+    for (int i = 0; i < 500; ++i) {
+        engine.observe(model);
+    }
+    ASSERT_TRUE(model.minTurnTime("engines", 300));
+    EXPECT_LE(*model.minTurnTime("engines", 300), SyntheticEngine::duration(300 * 1.14 / 1.2));
+    EXPECT_GE(*model.minTurnTime("engines", 300), SyntheticEngine::duration(300 * 1.14 / 3.0));
+    EXPECT_FALSE(model.minTurnTime("others", 300));
+}
+
 } // namespace filbertgw::test
