--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <utility>
 
@@ -34,6 +35,8 @@
     Time heardAt_{0}; ///< Last report of the node itself, or of its group with the node as a live member.
     bool wasHeard_ = false; ///< heardAt_ is set.
     bool publishedAlive_ = false; ///< Liveness as last passed to onLivenessChanged_.
+    Time lostAt_{0}; ///< When it was last found to be dead or to have been restarted; 0 if it never was.
+    bool introducesItself_ = true; ///< Its last report contained its addresses, as for some time after a start.
     LedgerState ledger_;
     bool reachesEndpoints_ = true;
     Time reportedAt_{0}; ///< Arrival of the last report that it sent to this node itself.
@@ -378,6 +381,9 @@
         const bool alive = isAlive(entry.second);
         if (alive != entry.second.publishedAlive_) {
             entry.second.publishedAlive_ = alive;
+            if (!alive) {
+                entry.second.lostAt_ = hooks_.now_();
+            }
             hooks_.onLivenessChanged_(entry.first, alive);
         }
     }
@@ -480,6 +486,11 @@
     if (sender == d_->nodes_.end()) {
         return;
     }
+    const bool wasRunning = sender->second.wasHeard_ && !sender->second.introducesItself_;
+    sender->second.introducesItself_ = message->introduction_.has_value();
+    if (wasRunning && sender->second.introducesItself_) {
+        sender->second.lostAt_ = d_->hooks_.now_();
+    }
     sender->second.markHeard(d_->hooks_.now_(), message->report_.ledger_, message->report_.reachesEndpoints_);
     if (message->group_) {
         d_->applySummary(*message);
@@ -517,6 +528,39 @@
     return d_->choose(program, false, false);
 }
 
+std::vector<FleetMember> Fleet::successorsOf(const std::string &program, std::size_t count) const
+{
+    using Ranked = std::pair<std::uint64_t, const FleetMember *>;
+    std::vector<Ranked> live;
+    for (const std::pair<const std::string, internal::KnownNode> &entry : d_->nodes_) {
+        if (entry.second.ledger_.complete_ && d_->isAlive(entry.second)) {
+            live.emplace_back(internal::weightOf(entry.second.member_, program), &entry.second.member_);
+        }
+    }
+    const auto end = live.begin() + static_cast<std::ptrdiff_t>(std::min(count, live.size()));
+    std::partial_sort(live.begin(), end, live.end(), std::greater<>());
+    std::vector<FleetMember> nodes;
+    for (auto node = live.begin(); node != end; ++node) {
+        nodes.push_back(*node->second);
+    }
+    return nodes;
+}
+
+std::size_t Fleet::lostSince(Time since) const
+{
+    return static_cast<std::size_t>(std::count_if(d_->nodes_.begin(), d_->nodes_.end(), [since](const auto &entry) {
+        return entry.second.lostAt_ != Time{0} && entry.second.lostAt_ >= since;
+    }));
+}
+
+bool Fleet::hasGrantWitness() const
+{
+    return std::any_of(d_->nodes_.begin(), d_->nodes_.end(), [this](const auto &entry) {
+        const internal::KnownNode &node = entry.second;
+        return d_->isReporting(node) && node.report_.ledger_.complete_ && !node.report_.mayMissGrants_;
+    });
+}
+
 std::optional<FleetMember> Fleet::holderOf(const std::string &state) const
 {
     const internal::KnownNode *holder = nullptr;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -69,6 +69,16 @@
      * Then it knows all that a coordinator has decided about the program in this time.
      */
     bool hasCoordinated(const std::string &program, Duration window) const;
+    /**
+     * \brief Up to \p count other nodes that become coordinator of a program if this one dies, in this order.
+     *
+     * By weight alone: nodes that each miss fewer than three nodes, and choose the first three, share one of them.
+     */
+    std::vector<FleetMember> successorsOf(const std::string &program, std::size_t count) const;
+    /** \brief Number of other nodes that were lost, or restarted, at or after a time. */
+    std::size_t lostSince(Time since) const;
+    /** \brief True if a live node with a complete ledger reports that it misses no grants of an outage. */
+    bool hasGrantWitness() const;
     /** \brief The other node that becomes coordinator of a program if this one dies. */
     std::optional<FleetMember> backupCoordinatorOf(const std::string &program) const;
     /**
--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -21,6 +21,7 @@
 const char *const limitsKey = "r";
 const char *const originsKey = "o";
 const char *const cutOffKey = "e"; ///< Nodes that reach no endpoint: the sender, or members of its group.
+const char *const missesGrantsKey = "f"; ///< Only sent if true; nodes of the version before neither send nor read it.
 const char *const groupKey = "g";
 const char *const membersKey = "m";
 const char *const datagramAddressKey = "d";
@@ -200,6 +201,9 @@
     if (!message.report_.origins_.empty()) {
         body[internal::originsKey] = encodeOrigins(message.report_.origins_);
     }
+    if (message.report_.mayMissGrants_) {
+        body[internal::missesGrantsKey] = true;
+    }
     if (message.group_) {
         body[internal::groupKey] = {
             message.group_->domain_, message.group_->index_, message.group_->count_, message.report_.nodes_};
@@ -247,6 +251,7 @@
     if (internal::hasArray(body, internal::limitsKey)) {
         internal::decodeLimits(body[internal::limitsKey], message.report_);
     }
+    message.report_.mayMissGrants_ = body.contains(internal::missesGrantsKey);
     if (body.contains(internal::originsKey)) {
         message.report_.origins_ = decodeOrigins(body[internal::originsKey]);
     }
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -35,6 +35,7 @@
     std::vector<RateLimitNotice> limits_; ///< What it has learned lately about limits of endpoints.
     std::vector<StreamOriginNotice> origins_; ///< Of streams that it has begun lately.
     bool reachesEndpoints_ = true; ///< The node can open connections to endpoints.
+    bool mayMissGrants_ = false; ///< \sa GrantWitness
 };
 
 /** \brief One of several groups into which the nodes of a failure domain are divided. */
--- a/src/fleet/relayedstore.cpp
+++ b/src/fleet/relayedstore.cpp
@@ -100,10 +100,7 @@
 } // namespace
 } // namespace internal
 
-RelayedStore::RelayedStore(RecordStore direct,
-                           BudgetControllerHooks hooks,
-                           std::function<bool()> isReachable,
-                           Fleet &fleet)
+RelayedStore::RelayedStore(RecordStore direct, RelayedStoreHooks hooks, std::function<bool()> isReachable, Fleet &fleet)
     : direct_(std::move(direct))
     , hooks_(std::move(hooks))
     , isReachable_(std::move(isReachable))
--- a/src/fleet/relayedstore.h
+++ b/src/fleet/relayedstore.h
@@ -2,14 +2,22 @@
 #define FILBERTGW_FLEET_RELAYEDSTORE_H
 
 #include "fleet/fleet.h"
-#include "ledger/budgetcontroller.h"
+#include "ledger/peerrequest.h"
 #include "store/recordstore.h"
 
+#include <nlohmann/json.hpp>
+
 #include <functional>
 #include <string>
 
 namespace filbertgw {
 
+struct RelayedStoreHooks
+{
+    PeerRequest askPeer_;
+    std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
+};
+
 /**
  * \brief Access to the record store that goes through another node while this one does not reach the store.
  *
@@ -18,7 +26,7 @@
 class RelayedStore
 {
 public:
-    RelayedStore(RecordStore direct, BudgetControllerHooks hooks, std::function<bool()> isReachable, Fleet &fleet);
+    RelayedStore(RecordStore direct, RelayedStoreHooks hooks, std::function<bool()> isReachable, Fleet &fleet);
 
     /** \brief The store with relaying; must not outlive this object. */
     RecordStore access();
@@ -36,7 +44,7 @@
     void serveNewest(const nlohmann::json &body, const std::function<void(const nlohmann::json &)> &answer);
 
     RecordStore direct_;
-    BudgetControllerHooks hooks_;
+    RelayedStoreHooks hooks_;
     std::function<bool()> isReachable_;
     Fleet &fleet_;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -50,11 +50,12 @@
     , outputs_(streamOutputsHooks(), settings_.outputs_)
     , relayedStore_(
           hooks_.store_,
-          BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_},
+          RelayedStoreHooks{hooks_.askPeer_, hooks_.logEvent_},
           [this] { return ledger_.isReachable(); },
           fleet_)
     , turns_(turnStoreHooks(), settings_.turns_)
-    , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_}, hooks_.now_, ledger_, fleet_)
+    , grantWitness_(grantWitnessHooks())
+    , budget_(budgetHooks(), ledger_)
     , admission_(settings_.admission_)
     , pace_(hooks_.now_, settings_.pace_)
     , retryAfter_(settings_.retryAfter_)
@@ -261,6 +262,45 @@
     }
 }
 
+GrantWitnessHooks Gateway::Private::grantWitnessHooks()
+{
+    GrantWitnessHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.isComplete_ = [this] { return ledger_.isComplete(); };
+    hooks.hasRecords_ = [this] { return ledger_.hasRecords(); };
+    hooks.isRecorded_ = [this] { return ledger_.isCurrent() && fleet_.allGrantsRecorded(); };
+    hooks.alive_ = [this] { return fleet_.alive(); };
+    hooks.lostSince_ = [this](Time since) { return fleet_.lostSince(since); };
+    hooks.hasWitness_ = [this] { return fleet_.hasGrantWitness(); };
+    return hooks;
+}
+
+BudgetControllerHooks Gateway::Private::budgetHooks()
+{
+    BudgetControllerHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.askPeer_ = hooks_.askPeer_;
+    hooks.logEvent_ = hooks_.logEvent_;
+    BudgetNodes &nodes = hooks.nodes_;
+    nodes.findAlive_ = [this](const std::string &name) { return fleet_.findAlive(name); };
+    nodes.withCurrentLedger_ = [this](const std::string &program) { return fleet_.nodeWithCurrentLedger(program); };
+    nodes.coordinatorOf_ = [this](const std::string &program) { return fleet_.coordinatorOf(program); };
+    nodes.backupCoordinatorOf_ = [this](const std::string &program) { return fleet_.backupCoordinatorOf(program); };
+    nodes.successorsOf_ = [this](const std::string &program, std::size_t count) {
+        return fleet_.successorsOf(program, count);
+    };
+    nodes.hasCoordinated_ = [this](const std::string &program, Duration window) {
+        return fleet_.hasCoordinated(program, window);
+    };
+    nodes.isSelf_ = [this](const FleetMember &member) { return fleet_.isSelf(member); };
+    nodes.mayMissGrants_ = [this] {
+        grantWitness_.update();
+        return grantWitness_.mayMissGrants();
+    };
+    nodes.copies_ = [this] { return grantWitness_.copies(); };
+    return hooks;
+}
+
 FleetHooks Gateway::Private::fleetHooks()
 {
     FleetHooks hooks;
@@ -277,6 +317,7 @@
         report.crashes_ = quarantine_.takeAnnouncements();
         report.limits_ = limits_.takeAnnouncements();
         report.origins_ = origins_.takeAnnouncements();
+        report.mayMissGrants_ = grantWitness_.mayMissGrants();
         report.reachesEndpoints_ = !reachability_.isCutOff() && !stopping_;
         return report;
     };
@@ -441,6 +482,8 @@
         lastLedgerCurrent_ = hooks_.now_();
     }
     logLedgerStateChange();
+    grantWitness_.update();
+    budget_.releaseReserves();
     if (!ledger_.isReachable()) {
         pace_.reset();
     }
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -4,6 +4,7 @@
 #include "endpoints/incarnationcheck.h"
 #include "fleet/relayedstore.h"
 #include "gateway/gateway.h"
+#include "ledger/grantwitness.h"
 
 #include <unordered_set>
 
@@ -35,6 +36,8 @@
     /** \brief Load of a service from the requests of all nodes. */
     ServiceLoad loadOf(const std::string &service);
     FleetHooks fleetHooks();
+    GrantWitnessHooks grantWitnessHooks();
+    BudgetControllerHooks budgetHooks();
     TurnStoreHooks turnStoreHooks();
     CacheDiscoveryHooks cacheDiscoveryHooks();
     QuarantineHooks quarantineHooks();
@@ -86,6 +89,7 @@
     StreamOutputs outputs_;
     RelayedStore relayedStore_;
     TurnStore turns_;
+    GrantWitness grantWitness_;
     BudgetController budget_;
     Admission admission_;
     PaceTracker pace_;
--- a/src/ledger/budgetcontroller.cpp
+++ b/src/ledger/budgetcontroller.cpp
@@ -12,6 +12,16 @@
 const char *const claimType = "budget_first_turn";
 const char *const settleType = "budget_settle";
 const char *const allowanceType = "budget_allowance";
+/** Fields of requests and answers that nodes of ddb871d neither send nor read. */
+const char *const reserveKey = "reserve"; ///< Outage reserve in tokens; in a request, that the node records one.
+const char *const stateKey = "state"; ///< A replica is to keep the whole state of a program, and answers what it knows.
+const char *const laterKey = "later"; ///< The granted turn is not the first one of its program.
+const char *const endedKey = "ended"; ///< A turn that was granted without the store has ended.
+/** In place of a writer: a first turn was reserved in the store without a claim, so that nobody may run it unrecorded.
+ */
+const char *const storeWriter = "store";
+/** Programs whose outage reserve is released in one run, so that the messages are spread over some time. */
+constexpr std::size_t maxReleases = 50;
 const char *const repeatTimeKey = "repeat_ms"; ///< Nodes of the version before do not send it.
 /** Limit on the wait for the holder of an allowance. */
 constexpr Duration allowanceTimeout{300'000};
@@ -75,6 +85,15 @@
             {"claim", spending.version_}};
 }
 
+nlohmann::json toJson(const std::vector<WriterSpending> &spending)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const WriterSpending &entry : spending) {
+        list.push_back(toJson(entry));
+    }
+    return list;
+}
+
 std::optional<WriterSpending> decodeSpending(const nlohmann::json &body)
 {
     const bool isComplete = body.is_object() && hasString(body, "writer") && hasUnsigned(body, "tokens")
@@ -92,11 +111,11 @@
 } // namespace
 } // namespace internal
 
-BudgetController::BudgetController(BudgetControllerHooks hooks, Clock now, PartitionedLedger &ledger, Fleet &fleet)
+BudgetController::BudgetController(BudgetControllerHooks hooks, PartitionedLedger &ledger)
     : hooks_(std::move(hooks))
     , ledger_(ledger)
-    , fleet_(fleet)
-    , claims_(std::move(now))
+    , claims_(hooks_.now_)
+    , outagePrograms_(hooks_.now_)
 {
 }
 
@@ -136,7 +155,7 @@
 BudgetController::findAliveHolder(const std::vector<std::string> &writers) const
 {
     for (const std::string &writer : writers) {
-        const std::optional<FleetMember> node = fleet_.findAlive(internal::nodeOfWriter(writer));
+        const std::optional<FleetMember> node = hooks_.nodes_.findAlive_(internal::nodeOfWriter(writer));
         if (node && endedWriters_.count(writer) == 0) {
             return AllowanceHolder{writer, *node};
         }
@@ -196,12 +215,15 @@
                                            const std::function<void(ReservationOptions)> &undecided)
 {
     if (!ledger_.ledgerOf(turn.program_).isFirstTurn(turn)) {
-        undecided(ReservationOptions());
+        undecided(optionsFor(turn, 0));
         return;
     }
-    claimFirstTurn(turn, [this, turn, granted, undecided](const std::string &holder) {
-        ReservationOptions options;
-        options.mayRunUnrecorded_ = holder == ledger_.writer();
+    claimFirstTurn(turn, [this, turn, granted, undecided](const std::string &holder, std::uint64_t outageReserve) {
+        ReservationOptions options = optionsFor(turn, outageReserve);
+        options.mayRunUnrecorded_ = holder == ledger_.writer() && outageReserve == 0;
+        if (options.mayRunUnrecorded_) {
+            options.outageReserve_ = 0; // The coordinator knows that nothing was granted before.
+        }
         const std::optional<AllowanceHolder> other =
             holder.empty() || options.mayRunUnrecorded_ ? std::nullopt : findAliveHolder({holder});
         if (!other) {
@@ -213,20 +235,22 @@
 }
 
 void BudgetController::claimFirstTurn(const TurnReservation &turn,
-                                      const std::function<void(const std::string &holder)> &claimed)
+                                      const std::function<void(const std::string &, std::uint64_t)> &claimed)
 {
-    const std::optional<FleetMember> coordinator = fleet_.coordinatorOf(turn.program_);
+    const std::optional<FleetMember> coordinator = hooks_.nodes_.coordinatorOf_(turn.program_);
     if (!coordinator) {
-        claimed({});
+        claimed({}, openReserve(turn.program_));
         return;
     }
-    if (fleet_.isSelf(*coordinator)) {
-        claimed(decideClaim(turn, ledger_.writer()));
+    if (hooks_.nodes_.isSelf_(*coordinator)) {
+        claimed(decideClaimOrStore(turn, ledger_.writer()), openReserve(turn.program_));
         return;
     }
     const auto answered = [claimed](const std::optional<nlohmann::json> &answer) {
         const bool isAnswer = answer && answer->is_object() && internal::hasString(*answer, "holder");
-        claimed(isAnswer ? (*answer)["holder"].get<std::string>() : std::string());
+        const bool hasReserve = isAnswer && internal::hasUnsigned(*answer, internal::reserveKey);
+        claimed(isAnswer ? (*answer)["holder"].get<std::string>() : std::string(),
+                hasReserve ? (*answer)[internal::reserveKey].get<std::uint64_t>() : 0);
     };
     hooks_.askPeer_(coordinator->linkAddress_,
                     internal::claimType,
@@ -244,14 +268,36 @@
         return holder;
     }
     // An earlier claim may have been made at another node, or at this one before it started.
-    const bool knowsClaims = fleet_.hasCoordinated(turn.program_, turn.repeatTime_);
+    const bool knowsClaims =
+        !hooks_.nodes_.mayMissGrants_() && hooks_.nodes_.hasCoordinated_(turn.program_, turn.repeatTime_);
     return knowsClaims ? claims_.claim(turn.program_, writer) : std::string();
 }
 
+std::string BudgetController::decideClaimOrStore(const TurnReservation &turn, const std::string &writer)
+{
+    const std::string holder = decideClaim(turn, writer);
+    return holder.empty() ? claims_.claim(turn.program_, internal::storeWriter) : holder;
+}
+
+ReservationOptions BudgetController::optionsFor(const TurnReservation &turn, std::uint64_t outageReserve) const
+{
+    ReservationOptions options;
+    options.outageReserve_ = outageReserve;
+    if (hooks_.nodes_.mayMissGrants_()) {
+        options.outageReserve_ = std::max(outageReserve, ProgramLedger::outageReserveOf(turn.budget_));
+    }
+    return options;
+}
+
+std::uint64_t BudgetController::openReserve(const std::string &program) const
+{
+    return outagePrograms_.contains(program) ? ledger_.ledgerOf(program).outageReserve(program) : 0;
+}
+
 void BudgetController::releaseFirstTurn(const std::string &program)
 {
-    const std::optional<FleetMember> coordinator = fleet_.coordinatorOf(program);
-    if (!coordinator || fleet_.isSelf(*coordinator)) {
+    const std::optional<FleetMember> coordinator = hooks_.nodes_.coordinatorOf_(program);
+    if (!coordinator || hooks_.nodes_.isSelf_(*coordinator)) {
         claims_.release(program, ledger_.writer());
         return;
     }
@@ -275,7 +321,7 @@
     TurnReservation turn;
     turn.program_ = program;
     turn.repeatTime_ = internal::decodeRepeatTime(body);
-    return decideClaim(turn, writer);
+    return decideClaimOrStore(turn, writer);
 }
 
 void BudgetController::reserveInLedger(const TurnReservation &turn,
@@ -315,17 +361,17 @@
 
 void BudgetController::reserveAtPeer(const TurnReservation &turn, const Decided &decided)
 {
-    const std::optional<FleetMember> current = fleet_.nodeWithCurrentLedger(turn.program_);
+    const std::optional<FleetMember> current = hooks_.nodes_.withCurrentLedger_(turn.program_);
     if (!current && !turn.isRootAgentTurn_) {
         decided(BudgetGrant{BudgetDecision::Unavailable, turn.program_, 0, {}});
         return;
     }
-    const std::optional<FleetMember> chosen = current ? current : fleet_.coordinatorOf(turn.program_);
+    const std::optional<FleetMember> chosen = current ? current : hooks_.nodes_.coordinatorOf_(turn.program_);
     if (!chosen) {
         decided(BudgetGrant{BudgetDecision::Unavailable, turn.program_, 0, {}});
         return;
     }
-    if (fleet_.isSelf(*chosen)) {
+    if (hooks_.nodes_.isSelf_(*chosen)) {
         decideWithoutStore(turn, decided);
     } else {
         requestDecision(*chosen, turn, !current, decided);
@@ -334,17 +380,179 @@
 
 void BudgetController::decideWithoutStore(const TurnReservation &turn, const Decided &decided)
 {
-    const bool isClaimed = decideClaim(turn, ledger_.writer()) == ledger_.writer();
+    ProgramLedger &ledger = ledger_.ledgerOf(turn.program_);
+    const GrantBasis basis = basisWithoutStore(turn, ledger_.writer());
     const BudgetDecision decision =
-        isClaimed ? ledger_.ledgerOf(turn.program_).reserveWithoutStore(turn) : BudgetDecision::Unavailable;
-    replicateToBackup(turn.program_, [decision, turn, decided] {
-        decided(BudgetGrant{decision, turn.program_, turn.tokens_, {}, GrantBasis::Coordinator});
+        basis == GrantBasis::None ? BudgetDecision::Unavailable : ledger.reserveWithoutStore(turn);
+    if (decision != BudgetDecision::Granted) {
+        replicateToBackup(turn.program_, [decision, turn, decided] {
+            decided(BudgetGrant{decision, turn.program_, 0, {}});
+        });
+        return;
+    }
+    if (basis == GrantBasis::Coordinator && mayOpen(turn.program_)) {
+        ledger.setOutageReserve(turn.program_, ProgramLedger::outageReserveOf(turn.budget_));
+        outagePrograms_.add(turn.program_);
+    }
+    confirmWithReplicas(turn, ledger_.writer(), basis, [this, turn, basis, decided](bool confirmed) {
+        if (!confirmed) {
+            ledger_.ledgerOf(turn.program_).settle(turn.program_, turn.tokens_, 0);
+        }
+        const BudgetDecision decision = confirmed ? BudgetDecision::Granted : BudgetDecision::Unavailable;
+        decided(BudgetGrant{decision, turn.program_, turn.tokens_, {}, basis});
+    });
+}
+
+bool BudgetController::mayOpen(const std::string &program) const
+{
+    // While the ledger is empty, nodes that start after a loss could not tell that anything was granted.
+    return !hooks_.nodes_.mayMissGrants_() && ledger_.hasRecords() && ledger_.ledgerOf(program).knowsGrants();
+}
+
+GrantBasis BudgetController::basisWithoutStore(const TurnReservation &turn, const std::string &writer)
+{
+    if (hooks_.nodes_.mayMissGrants_()) {
+        return GrantBasis::None;
+    }
+    const ProgramLedger &ledger = ledger_.ledgerOf(turn.program_);
+    if (outagePrograms_.contains(turn.program_)) {
+        const std::string running = outagePrograms_.runningWriter(turn.program_);
+        const bool runs = !running.empty() && (running == ledger_.writer() || findAliveHolder({running}));
+        return runs || ledger.outageReserve(turn.program_) == 0 ? GrantBasis::None : GrantBasis::Replicas;
+    }
+    if (ledger.outageReserve(turn.program_) > 0) {
+        return GrantBasis::None; // Charged for an earlier outage, or granted by a coordinator that this node missed.
+    }
+    return decideClaim(turn, writer) == writer ? GrantBasis::Coordinator : GrantBasis::None;
+}
+
+void BudgetController::confirmWithReplicas(const TurnReservation &turn,
+                                           const std::string &writer,
+                                           GrantBasis basis,
+                                           const std::function<void(bool confirmed)> &done)
+{
+    if (!outagePrograms_.contains(turn.program_)) {
+        replicateToBackup(turn.program_, [done] { done(true); });
+        return;
+    }
+    outagePrograms_.beginTurn(turn.program_, writer);
+    replicateState(turn.program_, [this, turn, writer, basis, done](bool acknowledged) {
+        // What the replicas know has been merged, so that of two coordinators one sees the other's grant.
+        const bool isWithin = ledger_.ledgerOf(turn.program_).isWithinReserve(turn);
+        const bool confirmed = basis == GrantBasis::Coordinator || (acknowledged && isWithin);
+        if (!confirmed) {
+            outagePrograms_.endTurn(turn.program_, writer);
+        }
+        hooks_.logEvent_("budget_granted_by_replicas",
+                         {{"program", turn.program_},
+                          {"first_turn", basis == GrantBasis::Coordinator},
+                          {"acknowledged", acknowledged},
+                          {"granted", confirmed},
+                          {"tokens", ledger_.ledgerOf(turn.program_).granted(turn.program_)},
+                          {"reserve", ledger_.ledgerOf(turn.program_).outageReserve(turn.program_)}});
+        done(confirmed);
     });
 }
 
+nlohmann::json BudgetController::stateOf(const std::string &program)
+{
+    return internal::toJson(ledger_.ledgerOf(program).spendingByWriter(program));
+}
+
+void BudgetController::replicateState(const std::string &program, const std::function<void(bool acknowledged)> &done)
+{
+    const std::size_t needed = hooks_.nodes_.copies_() - 1;
+    const std::vector<FleetMember> replicas = hooks_.nodes_.successorsOf_(program, needed);
+    if (needed == 0 || replicas.size() < needed) {
+        done(needed == 0);
+        return;
+    }
+    struct Progress
+    {
+        std::size_t pending_ = 0;
+        bool acknowledged_ = true;
+    };
+    const auto progress = std::make_shared<Progress>(Progress{needed, true});
+    const auto answered = [this, program, progress, done](const std::optional<nlohmann::json> &answer) {
+        const bool isState = answer && answer->is_object() && answer->contains("spent");
+        progress->acknowledged_ = progress->acknowledged_ && isState;
+        if (isState) {
+            applySpending(program, *answer);
+        }
+        if (--progress->pending_ == 0) {
+            done(progress->acknowledged_);
+        }
+    };
+    const nlohmann::json body = {{"program", program}, {"spent", stateOf(program)}, {internal::stateKey, true}};
+    for (const FleetMember &replica : replicas) {
+        hooks_.askPeer_(replica.linkAddress_, internal::spendingType, body, internal::spendingTimeout, answered);
+    }
+}
+
+void BudgetController::reportEnd(const std::string &program)
+{
+    outagePrograms_.endTurn(program, ledger_.writer());
+    const std::optional<FleetMember> coordinator = hooks_.nodes_.coordinatorOf_(program);
+    if (!coordinator || hooks_.nodes_.isSelf_(*coordinator)) {
+        return;
+    }
+    const nlohmann::json spent = internal::toJson(ledger_.ledgerOf(program).ownReport(program));
+    hooks_.askPeer_(coordinator->linkAddress_,
+                    internal::spendingType,
+                    {{"program", program}, {"spent", spent}, {internal::endedKey, ledger_.writer()}},
+                    internal::spendingTimeout,
+                    [](const std::optional<nlohmann::json> &) {});
+}
+
+nlohmann::json BudgetController::applySpendingRequest(const std::string &program, const nlohmann::json &body)
+{
+    applySpending(program, body);
+    if (internal::hasString(body, internal::endedKey)) {
+        outagePrograms_.endTurn(program, body[internal::endedKey].get<std::string>());
+    }
+    nlohmann::json answer = {{"noted", true}};
+    if (body.contains(internal::stateKey) && !hooks_.nodes_.mayMissGrants_()) {
+        outagePrograms_.add(program);
+        answer["spent"] = stateOf(program);
+    }
+    return answer;
+}
+
+void BudgetController::releaseReserves()
+{
+    outagePrograms_.expire();
+    if (hooks_.nodes_.mayMissGrants_()) {
+        outagePrograms_.clear(); // What is known of these programs may not be all.
+        return;
+    }
+    std::size_t released = 0;
+    for (const std::string &program : outagePrograms_.programs()) {
+        const ProgramLedger &ledger = ledger_.ledgerOf(program);
+        if (released >= internal::maxReleases || !ledger.isCurrent() || !ledger.isRecorded(program)) {
+            continue;
+        }
+        if (ledger.outageReserve(program) == 0) {
+            outagePrograms_.remove(program);
+            continue;
+        }
+        const std::optional<FleetMember> coordinator = hooks_.nodes_.coordinatorOf_(program);
+        if (!coordinator || !hooks_.nodes_.isSelf_(*coordinator)) {
+            continue;
+        }
+        ++released;
+        replicateState(program, [this, program](bool acknowledged) {
+            ProgramLedger &known = ledger_.ledgerOf(program);
+            if (acknowledged && known.isRecorded(program) && outagePrograms_.contains(program)) {
+                known.releaseOutageReserve(program);
+                outagePrograms_.remove(program);
+            }
+        });
+    }
+}
+
 void BudgetController::replicateToBackup(const std::string &program, const std::function<void()> &done)
 {
-    const std::optional<FleetMember> backup = fleet_.backupCoordinatorOf(program);
+    const std::optional<FleetMember> backup = hooks_.nodes_.backupCoordinatorOf_(program);
     if (!backup) {
         done();
         return;
@@ -357,10 +565,7 @@
                                     const std::vector<WriterSpending> &spending,
                                     const std::function<void()> &done)
 {
-    nlohmann::json spent = nlohmann::json::array();
-    for (const WriterSpending &entry : spending) {
-        spent.push_back(internal::toJson(entry));
-    }
+    const nlohmann::json spent = internal::toJson(spending);
     hooks_.askPeer_(member.linkAddress_,
                     internal::spendingType,
                     {{"program", program}, {"spent", spent}},
@@ -370,10 +575,10 @@
 
 void BudgetController::announceSpending(const std::string &program)
 {
-    const std::optional<FleetMember> coordinator = fleet_.coordinatorOf(program);
-    if (coordinator && !fleet_.isSelf(*coordinator)) {
+    const std::optional<FleetMember> coordinator = hooks_.nodes_.coordinatorOf_(program);
+    if (coordinator && !hooks_.nodes_.isSelf_(*coordinator)) {
         // Only its own spending: of other writers the coordinator may have newer data.
-        sendSpending(*coordinator, program, {ledger_.ledgerOf(program).ownSpending(program)}, [] {});
+        sendSpending(*coordinator, program, ledger_.ledgerOf(program).ownReport(program), [] {});
     } else if (coordinator) {
         replicateToBackup(program, [] {});
     }
@@ -389,31 +594,43 @@
                            {"tokens", turn.tokens_},
                            {"main_line", turn.isRootAgentTurn_},
                            {internal::repeatTimeKey, internal::milliseconds(turn.repeatTime_)}};
+    ProgramLedger &ledger = ledger_.ledgerOf(turn.program_);
+    const bool hadReserve = ledger.outageReserve(turn.program_) > 0;
     if (withClaim) {
+        // Set before the turn is counted, so that no record of it can reach the store without the reserve.
+        ledger.setOutageReserve(turn.program_, ProgramLedger::outageReserveOf(turn.budget_));
+        body[internal::reserveKey] = ledger.outageReserve(turn.program_);
         // Counted before it is granted, so that each claim includes all turns that wait for a decision.
         ledger_.ledgerOf(turn.program_).addPending(turn.program_, turn.tokens_);
         body["claim"] = internal::toJson(ledger_.ledgerOf(turn.program_).ownSpending(turn.program_));
     }
-    const auto answered = [this, member, turn, withClaim, decided](const std::optional<nlohmann::json> &answer) {
-        const BudgetDecision decision = internal::decodeDecision(answer);
-        hooks_.logEvent_("budget_asked",
-                         {{"program", turn.program_},
-                          {"peer", member.name_},
-                          {"answered", answer.has_value()},
-                          {"decision", nameOf(decision)}});
-        const bool isOwnReservation = decision == BudgetDecision::Granted && !internal::isDurable(*answer);
-        if (withClaim && !isOwnReservation) {
-            ledger_.ledgerOf(turn.program_).settle(turn.program_, turn.tokens_, 0);
-        }
-        BudgetGrant grant{decision, turn.program_, turn.tokens_, member.linkAddress_, GrantBasis::Peer};
-        if (isOwnReservation) {
-            grant.holder_.clear();
-            grant.basis_ = GrantBasis::Coordinator;
-        } else if (answer && answer->is_object() && internal::hasString(*answer, "holder")) {
-            grant.holder_ = (*answer)["holder"].get<std::string>();
-        }
-        decided(grant);
-    };
+    const auto answered =
+        [this, member, turn, withClaim, hadReserve, decided](const std::optional<nlohmann::json> &answer) {
+            const BudgetDecision decision = internal::decodeDecision(answer);
+            hooks_.logEvent_("budget_asked",
+                             {{"program", turn.program_},
+                              {"peer", member.name_},
+                              {"answered", answer.has_value()},
+                              {"decision", nameOf(decision)}});
+            const bool isOwnReservation = decision == BudgetDecision::Granted && !internal::isDurable(*answer);
+            if (withClaim && !isOwnReservation) {
+                ledger_.ledgerOf(turn.program_).settle(turn.program_, turn.tokens_, 0);
+            }
+            const bool hasReserve = answer && answer->is_object() && answer->contains(internal::reserveKey);
+            ProgramLedger &ledger = ledger_.ledgerOf(turn.program_);
+            if (withClaim && !hadReserve && !hasReserve && (answer || ledger.own(turn.program_) == 0)) {
+                ledger.dropUnsentReserve(turn.program_);
+            }
+            BudgetGrant grant{decision, turn.program_, turn.tokens_, member.linkAddress_, GrantBasis::Peer};
+            if (isOwnReservation) {
+                grant.holder_.clear();
+                const bool isLater = answer->contains(internal::laterKey);
+                grant.basis_ = isLater ? GrantBasis::Replicas : GrantBasis::Coordinator;
+            } else if (answer && answer->is_object() && internal::hasString(*answer, "holder")) {
+                grant.holder_ = (*answer)["holder"].get<std::string>();
+            }
+            decided(grant);
+        };
     hooks_.askPeer_(member.linkAddress_, internal::reserveType, body, internal::decisionTimeout, answered);
 }
 
@@ -428,7 +645,9 @@
     }
     if (grant.holder_.empty()) {
         ledger_.ledgerOf(grant.program_).settle(grant.program_, grant.tokens_, used);
-        if (!ledger_.ledgerOf(grant.program_).isCurrent()) {
+        if (grant.basis_ == GrantBasis::Coordinator || grant.basis_ == GrantBasis::Replicas) {
+            reportEnd(grant.program_);
+        } else if (!ledger_.ledgerOf(grant.program_).isCurrent()) {
             announceSpending(grant.program_);
         }
         return;
@@ -444,6 +663,7 @@
 
 void BudgetController::decideForPeer(const TurnReservation &turn,
                                      const std::optional<WriterSpending> &claim,
+                                     bool recordsReserve,
                                      const std::function<void(const nlohmann::json &)> &answer)
 {
     if (ledger_.ledgerOf(turn.program_).isCurrent()) {
@@ -464,16 +684,51 @@
         return;
     }
     const std::optional<FleetMember> coordinator =
-        fleet_.nodeWithCurrentLedger(turn.program_) ? std::nullopt : fleet_.coordinatorOf(turn.program_);
-    const bool isCoordinator = coordinator && fleet_.isSelf(*coordinator);
+        hooks_.nodes_.withCurrentLedger_(turn.program_) ? std::nullopt : hooks_.nodes_.coordinatorOf_(turn.program_);
+    const bool isCoordinator = coordinator && hooks_.nodes_.isSelf_(*coordinator);
     const bool mayDecide = isCoordinator && turn.isRootAgentTurn_ && claim;
-    if (!mayDecide || decideClaim(turn, claim->writer_) != claim->writer_) {
+    if (!mayDecide) {
         answer({{"decision", nameOf(BudgetDecision::Unavailable)}, {"durable", false}});
         return;
     }
-    const BudgetDecision decision = ledger_.ledgerOf(turn.program_).decideForPeer(turn, *claim);
-    replicateToBackup(turn.program_, [decision, answer] {
-        answer({{"decision", nameOf(decision)}, {"durable", false}});
+    grantToPeer(turn, *claim, recordsReserve, answer);
+}
+
+void BudgetController::grantToPeer(const TurnReservation &turn,
+                                   const WriterSpending &claim,
+                                   bool recordsReserve,
+                                   const std::function<void(const nlohmann::json &)> &answer)
+{
+    ProgramLedger &ledger = ledger_.ledgerOf(turn.program_);
+    const GrantBasis basis = basisWithoutStore(turn, claim.writer_);
+    // A node of ddb871d would record its part without the reserve.
+    const bool mayRun = basis == GrantBasis::Coordinator || (basis == GrantBasis::Replicas && recordsReserve);
+    const BudgetDecision decision = mayRun ? ledger.decideForPeer(turn, claim) : BudgetDecision::Unavailable;
+    nlohmann::json reply = {{"decision", nameOf(decision)}, {"durable", false}};
+    if (decision != BudgetDecision::Granted) {
+        if (openReserve(turn.program_) > 0) {
+            reply[internal::reserveKey] = openReserve(turn.program_);
+        }
+        answer(reply);
+        return;
+    }
+    if (basis == GrantBasis::Coordinator && recordsReserve && mayOpen(turn.program_)) {
+        ledger.setOutageReserve(turn.program_, ProgramLedger::outageReserveOf(turn.budget_));
+        outagePrograms_.add(turn.program_);
+    }
+    confirmWithReplicas(turn, claim.writer_, basis, [this, turn, claim, basis, answer](bool confirmed) {
+        if (!confirmed) {
+            ledger_.ledgerOf(turn.program_).revokeForPeer(turn, claim);
+        }
+        const BudgetDecision decision = confirmed ? BudgetDecision::Granted : BudgetDecision::Unavailable;
+        nlohmann::json reply = {{"decision", nameOf(decision)}, {"durable", false}};
+        if (openReserve(turn.program_) > 0) {
+            reply[internal::reserveKey] = openReserve(turn.program_);
+        }
+        if (basis == GrantBasis::Replicas) {
+            reply[internal::laterKey] = true;
+        }
+        answer(reply);
     });
 }
 
@@ -534,7 +789,11 @@
         return true;
     }
     if (type == internal::claimType) {
-        answer({{"holder", applyClaim(program, body)}});
+        nlohmann::json reply = {{"holder", applyClaim(program, body)}};
+        if (openReserve(program) > 0) {
+            reply[internal::reserveKey] = openReserve(program);
+        }
+        answer(reply);
         return true;
     }
     if (type == internal::allowanceType) {
@@ -542,8 +801,7 @@
         return true;
     }
     if (type == internal::spendingType) {
-        applySpending(program, body);
-        answer({{"noted", true}});
+        answer(applySpendingRequest(program, body));
         return true;
     }
     const bool isComplete = internal::hasUnsigned(body, "budget") && internal::hasUnsigned(body, "tokens")
@@ -559,7 +817,7 @@
                                internal::decodeRepeatTime(body)};
     const std::optional<WriterSpending> claim =
         body.contains("claim") ? internal::decodeSpending(body["claim"]) : std::nullopt;
-    decideForPeer(turn, claim, answer);
+    decideForPeer(turn, claim, body.contains(internal::reserveKey), answer);
     return true;
 }
 
--- a/src/ledger/budgetcontroller.h
+++ b/src/ledger/budgetcontroller.h
@@ -1,8 +1,9 @@
 #ifndef FILBERTGW_LEDGER_BUDGETCONTROLLER_H
 #define FILBERTGW_LEDGER_BUDGETCONTROLLER_H
 
-#include "fleet/fleet.h"
 #include "ledger/firstturnclaims.h"
+#include "ledger/fleetmember.h"
+#include "ledger/outageprograms.h"
 #include "ledger/partitionedledger.h"
 #include "ledger/peerrequest.h"
 
@@ -13,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace filbertgw {
 
@@ -24,13 +26,14 @@
     FirstTurn, ///< Nothing is known to be spent; the reservation is recorded while the turn runs.
     Store, ///< A reservation that this node has recorded.
     Peer, ///< A reservation that another node has recorded.
-    Coordinator, ///< The coordinator's decision without the store.
+    Coordinator, ///< The coordinator's decision without the store, on a first turn.
+    Replicas, ///< The same on a later turn, which replicas of the coordinator have acknowledged.
 };
 
 template<>
 struct NameTable<GrantBasis>
 {
-    static constexpr std::array<std::pair<GrantBasis, std::string_view>, 7> entries{{
+    static constexpr std::array<std::pair<GrantBasis, std::string_view>, 8> entries{{
         {GrantBasis::None, "none"},
         {GrantBasis::Allowance, "allowance"},
         {GrantBasis::PeerAllowance, "peer_allowance"},
@@ -38,6 +41,7 @@
         {GrantBasis::Store, "store"},
         {GrantBasis::Peer, "peer"},
         {GrantBasis::Coordinator, "coordinator"},
+        {GrantBasis::Replicas, "replicas"},
     }};
 };
 
@@ -51,10 +55,27 @@
     GrantBasis basis_ = GrantBasis::None;
 };
 
+/** \brief The other nodes, as far as decisions on budgets need them. \sa Fleet */
+struct BudgetNodes
+{
+    std::function<std::optional<FleetMember>(const std::string &name)> findAlive_;
+    std::function<std::optional<FleetMember>(const std::string &program)> withCurrentLedger_;
+    /** \brief The node that decides on a program without the store; nothing unless most known nodes are heard. */
+    std::function<std::optional<FleetMember>(const std::string &program)> coordinatorOf_;
+    std::function<std::optional<FleetMember>(const std::string &program)> backupCoordinatorOf_;
+    std::function<std::vector<FleetMember>(const std::string &program, std::size_t count)> successorsOf_;
+    std::function<bool(const std::string &program, Duration window)> hasCoordinated_;
+    std::function<bool(const FleetMember &member)> isSelf_;
+    std::function<bool()> mayMissGrants_; ///< \sa GrantWitness
+    std::function<std::size_t()> copies_; ///< Number of nodes that keep what is granted without the store.
+};
+
 struct BudgetControllerHooks
 {
+    Clock now_;
     PeerRequest askPeer_;
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
+    BudgetNodes nodes_;
 };
 
 /**
@@ -65,23 +86,28 @@
  * - In the store, by this node if its ledger is current, else by a node whose ledger is. The first turn of a program
  * runs before it is recorded, at one node only, which the program's coordinator decides.
  * - Without the store, if no node reaches it: by the program's coordinator, which must hear of most nodes. It accounts
- *   the tokens that it grants to the requesting node, and replicates them to a backup coordinator.
+ *   the tokens that it grants to the requesting node, and replicates them to those that would decide next. A program
+ *   that begins without the store also gets later turns so, up to its outage reserve, once replicas have acknowledged.
  *
  * What runs before it is recorded is forgotten if its nodes are lost, and the program can spend it again. So this is
  * one turn of a program at most: its first one, while nothing is known to be spent, at the node to which the program's
  * coordinator has granted the claim. A coordinator that may have forgotten a claim, or may not have been told of one,
- * grants none; the turn is then reserved in the store, or refused while no node reaches it.
+ * grants none; the turn is then reserved in the store, or refused while no node reaches it. Later turns that run ahead
+ * of their record are covered by the outage reserve, which is in the store with the first record of the program, or is
+ * charged by nodes that may have forgotten what the outage granted.
  */
 class BudgetController
 {
 public:
-    BudgetController(BudgetControllerHooks hooks, Clock now, PartitionedLedger &ledger, Fleet &fleet);
+    BudgetController(BudgetControllerHooks hooks, PartitionedLedger &ledger);
 
     void reserve(const TurnReservation &turn, std::function<void(const BudgetGrant &)> decided);
     /** \brief Replaces a granted reservation by the tokens that the turn has used. */
     void settle(const BudgetGrant &grant, std::uint64_t used);
     /** \brief Sends this node's spending, recorded or not, to the nodes that decide without the store. */
     void announceSpending(const std::string &program);
+    /** \brief Releases outage reserves that are not needed any more. Called periodically. */
+    void releaseReserves();
     /** \brief Handles a request of another node. \return false if the type is not one of this class. */
     bool onPeerRequest(const std::string &type,
                        const nlohmann::json &body,
@@ -131,7 +157,34 @@
      * \brief Claims a first turn at the coordinator of its program.
      * \param claimed is called with the writer whose claim stands, or with an empty name if that is not known.
      */
-    void claimFirstTurn(const TurnReservation &turn, const std::function<void(const std::string &holder)> &claimed);
+    void claimFirstTurn(const TurnReservation &turn,
+                        const std::function<void(const std::string &holder, std::uint64_t outageReserve)> &claimed);
+    /** \brief Options for a turn that is to be reserved in the store, with the reserve that it has to record. */
+    ReservationOptions optionsFor(const TurnReservation &turn, std::uint64_t outageReserve) const;
+    /** \brief Handles a claim of a node that reserves in the store if it gets none. */
+    std::string decideClaimOrStore(const TurnReservation &turn, const std::string &writer);
+    /** \brief Outage reserve that this node knows as coordinator or replica of a program; 0 if there is none. */
+    std::uint64_t openReserve(const std::string &program) const;
+    /** \brief True if this node, as coordinator, may let the program go on without the store. */
+    bool mayOpen(const std::string &program) const;
+    /** \brief What a turn without the store relies on; None if it must not run now. */
+    GrantBasis basisWithoutStore(const TurnReservation &turn, const std::string &writer);
+    /** \brief Completes a turn that was granted from local knowledge, once others know it. */
+    void confirmWithReplicas(const TurnReservation &turn,
+                             const std::string &writer,
+                             GrantBasis basis,
+                             const std::function<void(bool confirmed)> &done);
+    /** \brief Sends all that is known of a program to its replicas, and merges what they know. */
+    void replicateState(const std::string &program, const std::function<void(bool acknowledged)> &done);
+    nlohmann::json stateOf(const std::string &program);
+    /** \brief Tells the coordinator that a turn has ended that was granted without the store. */
+    void reportEnd(const std::string &program);
+    /** \brief Grants and answers as coordinator for another node. */
+    void grantToPeer(const TurnReservation &turn,
+                     const WriterSpending &claim,
+                     bool recordsReserve,
+                     const std::function<void(const nlohmann::json &)> &answer);
+    nlohmann::json applySpendingRequest(const std::string &program, const nlohmann::json &body);
     /**
      * \brief Decides on a claim as coordinator.
      * \return the writer whose claim stands; empty if an earlier claim may not be known here.
@@ -160,15 +213,16 @@
     void
     requestDecision(const FleetMember &member, const TurnReservation &turn, bool withClaim, const Decided &decided);
     void applySpending(const std::string &program, const nlohmann::json &body);
-    /** \brief Decides for a node that does not reach the store. */
+    /** \brief Decides for a node that does not reach the store; \p recordsReserve if it knows outage reserves. */
     void decideForPeer(const TurnReservation &turn,
                        const std::optional<WriterSpending> &claim,
+                       bool recordsReserve,
                        const std::function<void(const nlohmann::json &)> &answer);
 
     BudgetControllerHooks hooks_;
     PartitionedLedger &ledger_;
-    Fleet &fleet_;
     FirstTurnClaims claims_; ///< Of the programs that this node coordinates.
+    OutagePrograms outagePrograms_;
     std::set<std::string> endedWriters_; ///< Writers whose node has been restarted since.
 };
 
--- /dev/null
+++ b/src/ledger/grantwitness.cpp
@@ -0,0 +1,60 @@
+#include "ledger/grantwitness.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertgw {
+
+GrantWitness::GrantWitness(GrantWitnessHooks hooks)
+    : hooks_(std::move(hooks))
+    , startedAt_(hooks_.now_())
+{
+}
+
+void GrantWitness::update()
+{
+    const Time now = hooks_.now_();
+    if (completeAt_ == Time{0} && hooks_.isComplete_()) {
+        completeAt_ = now;
+        // An empty ledger is that of a new deployment: nothing is granted without the store while it is empty.
+        missesPast_ = hooks_.hasRecords_();
+    }
+    if (missesPast_ && completeAt_ != Time{0} && isResolved(completeAt_)) {
+        missesPast_ = false;
+    }
+    if (!hooks_.isRecorded_()) {
+        outageSince_ = outageSince_ == Time{0} ? now - outageMargin : outageSince_;
+        recordedAt_ = Time{0};
+    } else if (outageSince_ != Time{0} && recordedAt_ == Time{0}) {
+        recordedAt_ = now;
+    }
+    if (outageSince_ != Time{0} && hooks_.lostSince_(outageSince_) >= copies()) {
+        lossAt_ = now;
+    }
+    if (recordedAt_ != Time{0} && now - recordedAt_ >= outageMargin) {
+        outageSince_ = Time{0};
+        recordedAt_ = Time{0};
+    }
+    if (lossAt_ != Time{0} && outageSince_ == Time{0} && isResolved(lossAt_)) {
+        lossAt_ = Time{0};
+    }
+}
+
+bool GrantWitness::isResolved(Time since) const
+{
+    const Duration age = hooks_.now_() - since;
+    return age >= programLifetime || (age >= witnessDelay && hooks_.hasWitness_());
+}
+
+bool GrantWitness::mayMissGrants() const
+{
+    return missesPast_ || lossAt_ != Time{0};
+}
+
+std::size_t GrantWitness::copies() const
+{
+    const std::size_t lost = outageSince_ == Time{0} ? 0 : hooks_.lostSince_(outageSince_);
+    return std::min(maxCopies, hooks_.alive_() + lost + 1);
+}
+
+} // namespace filbertgw
--- /dev/null
+++ b/src/ledger/grantwitness.h
@@ -0,0 +1,67 @@
+#ifndef FILBERTGW_LEDGER_GRANTWITNESS_H
+#define FILBERTGW_LEDGER_GRANTWITNESS_H
+
+#include "core/time.h"
+
+#include <cstddef>
+#include <functional>
+
+namespace filbertgw {
+
+/** \brief Dependencies of a GrantWitness. */
+struct GrantWitnessHooks
+{
+    Clock now_; ///< Includes the time during which the VM is suspended.
+    std::function<bool()> isComplete_; ///< The ledger has been read to its end once.
+    std::function<bool()> hasRecords_; ///< The ledger had a record of a program when it was read.
+    /** \brief The store is reached, and no live node has grants to record. */
+    std::function<bool()> isRecorded_;
+    std::function<std::size_t()> alive_; ///< Number of other live nodes.
+    std::function<std::size_t(Time since)> lostSince_; ///< Number of nodes that were lost or restarted since a time.
+    std::function<bool()> hasWitness_; ///< A live node reports that it misses no grants.
+};
+
+/**
+ * \brief Whether this node may miss tokens that were granted in an outage of the store and are recorded nowhere.
+ *
+ * Such grants are known to a few nodes only. This node may miss them if it has started and no live node knows the time
+ * before, or if in an outage as many nodes were lost as there are copies.
+ *
+ * \sa BudgetController
+ */
+class GrantWitness
+{
+public:
+    explicit GrantWitness(GrantWitnessHooks hooks);
+
+    /** \brief Time after which a program that was not heard of has ended; the ledger removes its records then. */
+    static constexpr Duration programLifetime{120'000'000};
+    /** \brief A witness is believed after this time, when it must have noticed the loss of other nodes itself. */
+    static constexpr Duration witnessDelay{3'000'000};
+    /** \brief An outage that is noticed now may have begun this long ago; it ends this long after all is recorded. */
+    static constexpr Duration outageMargin{2'000'000};
+    /** \brief Nodes that keep the spending of a program in an outage, if there are as many. */
+    static constexpr std::size_t maxCopies = 3;
+
+    /** \brief Called periodically, and when the store or other nodes are lost. */
+    void update();
+    bool mayMissGrants() const;
+    /** \brief Number of nodes, this one included, that have to keep the spending of a program. */
+    std::size_t copies() const;
+
+private:
+    /** \brief Resolves a doubt that has arisen at \p since. \return true if it is resolved. */
+    bool isResolved(Time since) const;
+
+    GrantWitnessHooks hooks_;
+    Time startedAt_;
+    Time completeAt_{0}; ///< When the ledger was first complete.
+    bool missesPast_ = true; ///< The time before the start of this node may be known to nobody.
+    Time outageSince_{0}; ///< Begin of the outage that lasts; 0 if there is none.
+    Time recordedAt_{0}; ///< Since when all has been recorded again; 0 if it is not.
+    Time lossAt_{0}; ///< When too many nodes were last missed in an outage; 0 if they were not.
+};
+
+} // namespace filbertgw
+
+#endif
--- a/src/ledger/partitionedledger.cpp
+++ b/src/ledger/partitionedledger.cpp
@@ -81,6 +81,13 @@
     return allOf(&ProgramLedger::knowsGrants);
 }
 
+bool PartitionedLedger::hasRecords() const
+{
+    return std::any_of(ledgers_.begin(), ledgers_.end(), [](const std::unique_ptr<ProgramLedger> &ledger) {
+        return ledger->hasRecords();
+    });
+}
+
 bool PartitionedLedger::isReachable() const
 {
     return allOf(&ProgramLedger::isReachable);
--- a/src/ledger/partitionedledger.h
+++ b/src/ledger/partitionedledger.h
@@ -46,6 +46,8 @@
     Duration age() const;
     bool isComplete() const;
     bool knowsGrants() const;
+    /** \brief True if any partition has records. */
+    bool hasRecords() const;
     bool isReachable() const;
     void releaseAllowances();
     bool isFlushed() const;
--- a/src/ledger/programledger.cpp
+++ b/src/ledger/programledger.cpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -22,6 +23,10 @@
 /** Maximum number of own spending records in an append; further ones follow in the next append. */
 constexpr std::size_t maxBatchRecords = 2000;
 constexpr Duration idleCheckInterval{5'000'000};
+/** A program's budget is 1.5 times the most that it needs, so that it can end although this part counts as spent. */
+constexpr std::uint64_t outageReserveDivisor = 3;
+/** Records are not relied on to exist for this time before they may be deleted; longer than an outage. */
+constexpr Duration retentionMargin{30'000'000};
 
 /** \brief A turn that waits until its reservation and all records before it have been read back. */
 struct WaitingTurn
@@ -59,6 +64,7 @@
     Duration batchDelay() const;
     void scheduleFlush(Duration delay);
     void flush();
+    static KeyedRecord reserveRecord(const std::string &program, std::optional<std::string> value);
     void reportUnrecorded();
     void onBatchDurable();
     void decideTurns(const std::string &program, const SpendingRecord &own);
@@ -77,6 +83,8 @@
     std::map<std::string, internal::OwnRecord> ownInSnapshot_; ///< By program; not decided by yet.
     std::unique_ptr<BatchAppender> appender_;
     std::vector<std::pair<std::string, SpendingRecord>> ownInBatch_; ///< Own spending in the current batch, by program.
+    Time recordReadAt_{0}; ///< When a record of a program was last read.
+    std::set<std::string> sentReserves_; ///< Programs whose outage reserve has been sent to the store.
     Time firstReachedAt_{0}; ///< When the store was reached for the first time.
     Time regainedAt_{0}; ///< End of the last outage that was longer than maxAge_.
     Time flushAt_{0}; ///< When the next batch is due; 0 if none is scheduled.
@@ -97,6 +105,9 @@
         return;
     }
     if (record.key_[0] == internal::spendingPrefix) {
+        if (record.value_) {
+            recordReadAt_ = hooks_.now_();
+        }
         onSpending(record);
     }
 }
@@ -136,6 +147,9 @@
 {
     for (const ProgramSpending &grant : spending_.unrecordedGrants()) {
         const SpendingRecord record{grant.spending_.tokens_, grant.spending_.batch_, 0, true};
+        if (grant.spending_.writer_ == SpendingTable::outageReserveWriter) {
+            sentReserves_.insert(grant.program_);
+        }
         otherRecords_.push_back(
             KeyedRecord{internal::spendingPrefix + grant.program_ + '/' + grant.spending_.writer_, record.encode()});
     }
@@ -225,6 +239,11 @@
     for (const std::pair<std::string, SpendingRecord> &entry : ownInBatch_) {
         batch.push_back(
             KeyedRecord{internal::spendingPrefix + entry.first + '/' + settings_.writer_, entry.second.encode()});
+        // In the same append: the store must never show a part of what an outage granted without the reserve.
+        if (const std::optional<SpendingRecord> reserve = spending_.unrecordedReserve(entry.first)) {
+            batch.push_back(reserveRecord(entry.first, reserve->encode()));
+            sentReserves_.insert(entry.first);
+        }
     }
     // Turns of programs whose spending did not fit into this batch wait for a later one.
     for (auto turn = waiting_.begin(); turn != waiting_.end();) {
@@ -239,6 +258,11 @@
     appender_->append(std::move(batch));
 }
 
+KeyedRecord ProgramLedger::Private::reserveRecord(const std::string &program, std::optional<std::string> value)
+{
+    return KeyedRecord{internal::spendingPrefix + program + '/' + SpendingTable::outageReserveWriter, std::move(value)};
+}
+
 /** Reports the programs with spending that is not recorded yet. */
 void ProgramLedger::Private::reportUnrecorded()
 {
@@ -358,6 +382,9 @@
     for (const std::string &program : spending_.removeIdle(hooks_.now_() - settings_.retention_)) {
         otherRecords_.push_back(
             KeyedRecord{internal::spendingPrefix + program + '/' + settings_.writer_, std::nullopt});
+        if (sentReserves_.erase(program) > 0) {
+            otherRecords_.push_back(reserveRecord(program, std::nullopt));
+        }
     }
     if (!otherRecords_.empty()) {
         scheduleFlush(batchDelay());
@@ -427,6 +454,57 @@
     return isComplete() && d_->tail_->currentAsOf() - d_->firstReachedAt_ >= d_->settings_.recoveryDelay_;
 }
 
+bool ProgramLedger::hasRecords() const
+{
+    return d_->recordReadAt_ != Time{0}
+    && d_->hooks_.now_() - d_->recordReadAt_ < d_->settings_.retention_ - internal::retentionMargin;
+}
+
+std::uint64_t ProgramLedger::outageReserveOf(std::uint64_t budget)
+{
+    return budget / internal::outageReserveDivisor;
+}
+
+void ProgramLedger::setOutageReserve(const std::string &program, std::uint64_t tokens)
+{
+    d_->spending_.setOutageReserve(program, tokens);
+}
+
+std::uint64_t ProgramLedger::outageReserve(const std::string &program) const
+{
+    return d_->spending_.outageReserve(program);
+}
+
+void ProgramLedger::dropUnsentReserve(const std::string &program)
+{
+    if (d_->sentReserves_.count(program) == 0 && d_->spending_.unrecordedReserve(program)) {
+        d_->spending_.applyRecord(program, SpendingTable::outageReserveWriter, std::nullopt);
+    }
+}
+
+void ProgramLedger::releaseOutageReserve(const std::string &program)
+{
+    d_->spending_.applyRecord(program, SpendingTable::outageReserveWriter, std::nullopt);
+    d_->sentReserves_.erase(program);
+    d_->otherRecords_.push_back(Private::reserveRecord(program, std::nullopt));
+    d_->scheduleFlush(d_->batchDelay());
+}
+
+std::uint64_t ProgramLedger::own(const std::string &program) const
+{
+    return d_->spending_.own(program);
+}
+
+std::uint64_t ProgramLedger::granted(const std::string &program) const
+{
+    return spent(program) - outageReserve(program);
+}
+
+bool ProgramLedger::isRecorded(const std::string &program) const
+{
+    return d_->spending_.isRecorded(program);
+}
+
 bool ProgramLedger::isReachable() const
 {
     return d_->tail_->isReachable();
@@ -478,6 +556,9 @@
         onDecision(BudgetDecision::Granted);
         return;
     }
+    if (options.outageReserve_ > 0 && spent(turn.program_) == 0) {
+        setOutageReserve(turn.program_, options.outageReserve_);
+    }
     const std::uint64_t spentBefore = spent(turn.program_);
     const bool runsUnrecorded = options.mayRunUnrecorded_ && isFirstTurn(turn);
     const std::uint64_t fromAllowance = d_->spending_.takeWholeAllowance(turn.program_);
@@ -513,27 +594,39 @@
 
 BudgetDecision ProgramLedger::reserveWithoutStore(const TurnReservation &turn)
 {
-    if (!knowsGrants() || !isFirstTurn(turn)) {
+    const std::uint64_t before = granted(turn.program_);
+    const bool mayContinue = before <= outageReserve(turn.program_);
+    if (!knowsGrants() || !turn.isRootAgentTurn_ || !mayContinue) {
         return BudgetDecision::Unavailable;
     }
-    if (spent(turn.program_) + turn.tokens_ > turn.budget_) {
+    if (before + turn.tokens_ > turn.budget_) {
         return BudgetDecision::Exhausted;
     }
     addPending(turn.program_, turn.tokens_);
     return BudgetDecision::Granted;
 }
 
+bool ProgramLedger::isWithinReserve(const TurnReservation &turn) const
+{
+    const std::uint64_t total = granted(turn.program_);
+    return total <= turn.budget_ && total <= outageReserve(turn.program_) + turn.tokens_;
+}
+
+void ProgramLedger::revokeForPeer(const TurnReservation &turn, const WriterSpending &spending)
+{
+    d_->spending_.revokeGrant(turn.program_, spending, turn.tokens_);
+}
+
 BudgetDecision ProgramLedger::decideForPeer(const TurnReservation &turn, const WriterSpending &spending)
 {
     if (!knowsGrants()) {
         return BudgetDecision::Unavailable;
     }
     d_->spending_.applyGrant(turn.program_, spending);
-    const bool isFirst = spent(turn.program_) <= turn.tokens_;
     BudgetDecision decision = BudgetDecision::Granted;
-    if (spent(turn.program_) > turn.budget_) {
+    if (granted(turn.program_) > turn.budget_) {
         decision = BudgetDecision::Exhausted;
-    } else if (!isFirst) {
+    } else if (!isWithinReserve(turn)) {
         decision = BudgetDecision::Unavailable;
     }
     if (decision != BudgetDecision::Granted) {
@@ -558,6 +651,15 @@
     return d_->spending_.nextOwnSpending(program);
 }
 
+std::vector<WriterSpending> ProgramLedger::ownReport(const std::string &program)
+{
+    std::vector<WriterSpending> report{ownSpending(program)};
+    if (const std::uint64_t reserve = outageReserve(program)) {
+        report.push_back(WriterSpending{SpendingTable::outageReserveWriter, reserve, 0, 0, 1, 0});
+    }
+    return report;
+}
+
 std::vector<WriterSpending> ProgramLedger::spendingByWriter(const std::string &program)
 {
     return d_->spending_.byWriter(program);
--- a/src/ledger/programledger.h
+++ b/src/ledger/programledger.h
@@ -48,6 +48,8 @@
     bool mayAcquireAllowance_ = false; ///< Also reserve an allowance for later turns if the budget permits.
     /** Grant the first turn of a program at once. Only one node may do so for a program, since others don't see it. */
     bool mayRunUnrecorded_ = false;
+    /** Tokens that count as spent from now on if nothing is known to be spent; recorded with the turn. */
+    std::uint64_t outageReserve_ = 0;
 };
 
 /** \brief Dependencies and callbacks of a ProgramLedger. */
@@ -113,6 +115,26 @@
     /** \brief True if the last call to the store succeeded. */
     bool isReachable() const;
 
+    /** \brief True if a record of a program has been read lately enough to be in the store still. */
+    bool hasRecords() const;
+
+    /** \brief What an outage of the store may grant to a program beyond its first turn. */
+    static std::uint64_t outageReserveOf(std::uint64_t budget);
+    /** \brief Sets the outage reserve of a program; it is recorded together with the next record of the program. */
+    void setOutageReserve(const std::string &program, std::uint64_t tokens);
+    /** \brief Outage reserve of a program; 0 if it has none. */
+    std::uint64_t outageReserve(const std::string &program) const;
+    /** \brief Removes an outage reserve that is neither recorded nor on its way to the store. */
+    void dropUnsentReserve(const std::string &program);
+    /** \brief Deletes an outage reserve, also from the store. */
+    void releaseOutageReserve(const std::string &program);
+    /** \brief Tokens that turns of this node have used or reserved. */
+    std::uint64_t own(const std::string &program) const;
+    /** \brief Tokens that turns have used or reserved, without the outage reserve. */
+    std::uint64_t granted(const std::string &program) const;
+    /** \brief True if all spending on a program is in the store, as far as known. */
+    bool isRecorded(const std::string &program) const;
+
     /** \brief True for the first turn of a program, as far as known. */
     bool isFirstTurn(const TurnReservation &turn) const;
     /** \brief Takes the tokens of a turn from this node's allowance. \return false if it is too small. */
@@ -130,10 +152,11 @@
                  const ReservationOptions &options,
                  const std::function<void(BudgetDecision)> &onDecision);
     /**
-     * \brief Decides on the first turn of a program at this node from local knowledge, without the store.
+     * \brief Decides on a turn of a program at this node from local knowledge, without the store.
      *
-     * Safe only on the single node that decides for the program while no node reaches the store. Other turns are
-     * Unavailable: if all nodes are lost, what ran without a record is forgotten, and that may be one turn at most.
+     * Safe only on the single node that decides for the program while no node reaches the store. Later turns than the
+     * first are granted up to the outage reserve; without one they are Unavailable: if all nodes are lost, what ran
+     * without a record is forgotten, and beyond the reserve that may be one turn at most.
      */
     BudgetDecision reserveWithoutStore(const TurnReservation &turn);
     /**
@@ -142,12 +165,18 @@
      * when the store is back; if its record does not appear, this node records it instead.
      */
     BudgetDecision decideForPeer(const TurnReservation &turn, const WriterSpending &spending);
+    /** \brief True if turns that were granted without the store, \p turn included, exceed no limit. */
+    bool isWithinReserve(const TurnReservation &turn) const;
+    /** \brief Takes back a turn that decideForPeer() has granted. */
+    void revokeForPeer(const TurnReservation &turn, const WriterSpending &spending);
     /** \brief Counts the reported spending of another node, and records it for that node if necessary. */
     void applyGrant(const std::string &program, const WriterSpending &spending);
     /** \brief Counts tokens of a turn that waits for the decision of another node. */
     void addPending(const std::string &program, std::uint64_t tokens);
     /** \brief What this node has spent on a program, as a new version. */
     WriterSpending ownSpending(const std::string &program);
+    /** \brief The same with the outage reserve, if there is one: a node that records the one also records the other. */
+    std::vector<WriterSpending> ownReport(const std::string &program);
     /** \brief What each writer has spent on a program, as far as known. */
     std::vector<WriterSpending> spendingByWriter(const std::string &program);
     /** \brief Writer name of this node. */
--- a/src/ledger/spendingtable.cpp
+++ b/src/ledger/spendingtable.cpp
@@ -92,6 +92,50 @@
     return found == nullptr ? 0 : found->own_;
 }
 
+const SpendingTable::Writer *SpendingTable::findWriter(const std::string &program, const std::string &writer) const
+{
+    if (const Program *found = find(program)) {
+        for (const Writer &other : found->others_) {
+            if (other.spending_.writer_ == writer) {
+                return &other;
+            }
+        }
+    }
+    return nullptr;
+}
+
+std::uint64_t SpendingTable::outageReserve(const std::string &program) const
+{
+    const Writer *reserve = findWriter(program, outageReserveWriter);
+    return reserve == nullptr ? 0 : reserve->spending_.tokens_;
+}
+
+void SpendingTable::setOutageReserve(const std::string &program, std::uint64_t tokens)
+{
+    applyGrant(program, WriterSpending{outageReserveWriter, tokens, 0, 0, 1, 0});
+}
+
+std::optional<SpendingRecord> SpendingTable::unrecordedReserve(const std::string &program) const
+{
+    const Writer *reserve = findWriter(program, outageReserveWriter);
+    if (reserve == nullptr || !reserve->hasUnrecordedGrant_) {
+        return std::nullopt;
+    }
+    return SpendingRecord{reserve->spending_.tokens_, reserve->spending_.batch_, 0, true};
+}
+
+bool SpendingTable::isRecorded(const std::string &program) const
+{
+    const Program *found = find(program);
+    if (found == nullptr) {
+        return true;
+    }
+    const bool ownIsRecorded = !found->dirty_ && found->ownRecorded_ == found->own_;
+    return ownIsRecorded && std::none_of(found->others_.begin(), found->others_.end(), [](const Writer &other) {
+               return other.hasUnrecordedGrant_;
+           });
+}
+
 std::vector<WriterSpending> SpendingTable::byWriter(const std::string &program)
 {
     std::vector<WriterSpending> result;
@@ -308,6 +352,9 @@
     if (spending.writer_ == ownWriter_) {
         return;
     }
+    if (spending.writer_ == outageReserveWriter && outageReserve(program) >= spending.tokens_) {
+        return; // It never changes, and may have been recorded since.
+    }
     Writer &entry = findOrAddWriter(program, spending.writer_);
     const bool isRecorded = !entry.hasUnrecordedGrant_ && entry.spending_.batch_ > spending.batch_;
     // Reports of several nodes about one version of the writer's spending can differ by refused tokens.
@@ -316,6 +363,10 @@
     if (isRecorded || isOlder) {
         return;
     }
+    if (!entry.hasUnrecordedGrant_ && entry.spending_.tokens_ == spending.tokens_) {
+        entry.spending_.version_ = spending.version_; // The record that was read has the same total.
+        return;
+    }
     const std::uint64_t allowance = entry.spending_.allowance_;
     entry.spending_ = spending;
     entry.spending_.allowance_ = allowance;
--- a/src/ledger/spendingtable.h
+++ b/src/ledger/spendingtable.h
@@ -53,6 +53,16 @@
     std::uint64_t total(const std::string &program) const;
     std::uint64_t totalOfOthers(const std::string &program) const;
     std::uint64_t own(const std::string &program) const;
+    /** \brief Writer name of the outage reserve: tokens that count as spent because an outage may have granted them. */
+    static constexpr const char *outageReserveWriter = "outage-reserve";
+    /** \brief Outage reserve of a program; 0 if it has none. */
+    std::uint64_t outageReserve(const std::string &program) const;
+    /** \brief Sets the outage reserve, which is to be recorded with the next record of the program. */
+    void setOutageReserve(const std::string &program, std::uint64_t tokens);
+    /** \brief The record of an outage reserve that has not been read yet. */
+    std::optional<SpendingRecord> unrecordedReserve(const std::string &program) const;
+    /** \brief True if all spending on a program is in the store, as far as known. */
+    bool isRecorded(const std::string &program) const;
     /** \brief Spending of each writer, this node's as a new version. */
     std::vector<WriterSpending> byWriter(const std::string &program);
     /** \brief What this node has spent, as a new version. */
@@ -127,6 +137,7 @@
         std::uint64_t totalOfOthers() const;
     };
 
+    const Writer *findWriter(const std::string &program, const std::string &writer) const;
     Writer &findOrAddWriter(const std::string &program, const std::string &writer);
     const Program *find(const std::string &program) const;
 
