--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -25,6 +25,7 @@
 const char *const cutOffKey = "e"; ///< Nodes that reach no endpoint: the sender, or members of its group.
 const char *const configurationKey = "f"; ///< Version that the sender offers; only with client accounts.
 const char *const accountsKey = "a";
+const char *const missesGrantsKey = "w"; ///< Only sent if true; nodes of the version before neither send nor read it.
 const char *const groupKey = "g";
 const char *const membersKey = "m";
 const char *const datagramAddressKey = "d";
@@ -256,6 +257,9 @@
     if (message.report_.accounts_) {
         body[internal::accountsKey] = internal::encodeAccounts(*message.report_.accounts_);
     }
+    if (message.report_.mayMissGrants_) {
+        body[internal::missesGrantsKey] = true;
+    }
     if (message.group_) {
         body[internal::groupKey] = {
             message.group_->domain_, message.group_->index_, message.group_->count_, message.report_.nodes_};
@@ -303,6 +307,7 @@
     if (internal::hasArray(body, internal::limitsKey)) {
         internal::decodeLimits(body[internal::limitsKey], message.report_);
     }
+    message.report_.mayMissGrants_ = body.contains(internal::missesGrantsKey);
     if (body.contains(internal::originsKey)) {
         message.report_.origins_ = decodeOrigins(body[internal::originsKey]);
     }
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -5,6 +5,7 @@
 #include "endpoints/incarnationcheck.h"
 #include "fleet/relayedstore.h"
 #include "gateway/gateway.h"
+#include "ledger/grantwitness.h"
 
 #include <unordered_set>
 
@@ -40,6 +41,8 @@
     /** \brief Load of a service from the requests of all nodes. */
     ServiceLoad loadOf(const std::string &service);
     FleetHooks fleetHooks();
+    GrantWitnessHooks grantWitnessHooks();
+    BudgetControllerHooks budgetHooks();
     TurnStoreHooks turnStoreHooks();
     CacheDiscoveryHooks cacheDiscoveryHooks();
     QuarantineHooks quarantineHooks();
@@ -101,6 +104,7 @@
     StreamOutputs outputs_;
     RelayedStore relayedStore_;
     TurnStore turns_;
+    GrantWitness grantWitness_;
     BudgetController budget_;
     Admission admission_;
     AccountAdmission accountAdmission_;
