--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,8 +18,6 @@
 constexpr std::uint64_t housekeepingRunsPerLog = 50;
 /** Time without the store after which a node reports itself as not ready if others can take its connections. */
 constexpr Duration partitionTimeout{1'800'000};
-/** Accounts that have their own series in a metric; all others share one. */
-constexpr std::size_t maxAccountLabels = 100;
 /** Name of the state whose holder deletes expired crash records from the store. \sa Fleet::holderOf */
 const char *const crashState = "crashes";
 
@@ -63,7 +61,6 @@
     , budget_(budgetHooks(), ledger_)
     , admission_(settings_.admission_)
     , accountAdmission_(hooks_.now_, settings_.accountAdmission_)
-    , accountLabels_("account", internal::maxAccountLabels)
     , pace_(hooks_.now_, settings_.pace_)
     , retryAfter_(settings_.retryAfter_)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -68,7 +68,6 @@
     std::function<void(const std::string &address, const std::string &datagram)> sendDatagram_;
     PeerRequest askPeer_;
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
-    /** \brief Counts an event; the label is a value, or a whole `name="value"`. \sa BoundedLabels */
     std::function<void(const std::string &name, const std::string &label)> count_;
     /** \brief Counts a request of an account; may be empty. \param account bounded number of labels */
     std::function<void(const std::string &name, const std::string &account, const std::string &result)> countAccount_;
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -161,7 +161,8 @@
     if (account_ != nullptr) {
         fields["account"] = account_->name_;
         fields["refused_share"] = refusedShare;
-        gateway_->hooks_.count_("programs_refused_total", gateway_->accountLabels_.labelOf(account_->name_));
+        gateway_->hooks_.countAccount_(
+            "account_refusals_total", gateway_->accountLabels_.labelOf(account_->name_), "fair_share");
     }
     gateway_->hooks_.logEvent_("program_refused", fields);
 }
@@ -416,7 +417,8 @@
         return;
     }
     if (isTooLate()) {
-        gateway_->hooks_.count_("requests_too_late_total", gateway_->accountLabels_.labelOf(account_->name_));
+        gateway_->hooks_.countAccount_(
+            "account_refusals_total", gateway_->accountLabels_.labelOf(account_->name_), "too_late");
         refuse(RefusalReason::Overloaded);
         return;
     }
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -1,7 +1,6 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAYPRIVATE_H
 #define FILBERTGW_GATEWAY_GATEWAYPRIVATE_H
 
-#include "core/boundedlabels.h"
 #include "endpoints/incarnationcheck.h"
 #include "fleet/relayedstore.h"
 #include "gateway/gateway.h"
@@ -108,7 +107,6 @@
     BudgetController budget_;
     Admission admission_;
     AccountAdmission accountAdmission_;
-    BoundedLabels accountLabels_; ///< Names of accounts in the labels of metrics.
     PaceTracker pace_;
     RetryAfterPolicy retryAfter_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
