Read the configuration again if a suspension interrupts the read after a suspension

Cause: a process that was frozen a second time while it read the configuration took the read for failed and checked the waiting requests by the version from before both pauses (seen in the soak: a pause of 16 s, current=false, and 4 requests served by version 9). Change: a read that took longer than a suspension may is repeated. Measured: AccountKeys.AreReadAgainAfterASuspension fails without the change and passes with it.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -228,7 +228,16 @@
     if (std::exchange(isConfigurationInDoubt_, true)) {
         return;
     }
-    hooks_.refreshConfiguration_([self = shared_from_this(), pause](bool isCurrent) {
+    refreshConfiguration(pause);
+}
+
+void Gateway::Private::refreshConfiguration(Duration pause)
+{
+    hooks_.refreshConfiguration_([self = shared_from_this(), pause, began = hooks_.now_()](bool isCurrent) {
+        if (!isCurrent && self->hooks_.now_() - began > self->settings_.maxSuspension_) {
+            self->refreshConfiguration(pause); // The process was suspended again meanwhile.
+            return;
+        }
         self->hooks_.logEvent_("configuration_checked",
                                {{"pause_ms", toMilliseconds(pause)},
                                 {"current", isCurrent},
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -47,6 +47,8 @@
     ConfigurationPeersHooks configurationPeersHooks();
     /** \brief Notices that this process was suspended for long, during which the configuration may have changed. */
     void checkSuspension();
+    /** \brief Reads the configuration, then runs the tasks that wait for it. \param pause for the log */
+    void refreshConfiguration(Duration pause);
     /** \brief Runs a task when the configuration is not in doubt, which takes the time of one read at most. */
     void withConfiguration(const std::function<void()> &task);
     /** \brief Reads the registry as it is now; \p done gets false if that failed. */
--- a/test/gateway/accountkeys.cpp
+++ b/test/gateway/accountkeys.cpp
@@ -185,23 +185,29 @@
 }
 
 // Guards against a node that accepts a removed key when it runs again after a suspension, before it has read what
-// changed in the meantime.
+// changed in the meantime; also if it is suspended a second time while it reads.
 TEST_F(AccountKeys, AreReadAgainAfterASuspension)
 {
-    rig_.setAccounts({account("a", {"old"})});
-    rig_.configurationReadTime_ = milliseconds(20);
-    rig_.run(seconds(1));
-    rig_.freeze(1, true);
-    rig_.configurationCuts_ = {1};
-    rig_.setAccounts({account("a", {"new"})});
-    rig_.run(seconds(4));
-    const std::size_t before = rig_.attempts_.size();
-    const std::shared_ptr<ClientResponse> response = rig_.send(1, request("/plain/x", "old"));
-    rig_.freeze(1, false);
-    rig_.run(milliseconds(300));
-    EXPECT_EQ(rig_.attempts_.size(), before);
-    EXPECT_EQ(response->status_, 401);
-    EXPECT_EQ(resultOf(1, "new"), "sent as 'a'");
+    std::string key = "key0";
+    for (const Duration secondPause : {Duration{0}, Duration{seconds(4)}}) {
+        rig_.configurationCuts_.clear();
+        rig_.setAccounts({account("a", {key})});
+        rig_.configurationReadTime_ = milliseconds(20);
+        rig_.run(seconds(1));
+        rig_.freeze(1, true);
+        rig_.configurationCuts_ = {1};
+        const std::string old = std::exchange(key, key + "'");
+        rig_.setAccounts({account("a", {key})});
+        rig_.run(seconds(4));
+        const std::size_t before = rig_.attempts_.size();
+        const std::shared_ptr<ClientResponse> response = rig_.send(1, request("/plain/x", old));
+        rig_.run(secondPause);
+        rig_.freeze(1, false);
+        rig_.run(milliseconds(300));
+        EXPECT_EQ(rig_.attempts_.size(), before);
+        EXPECT_EQ(response->status_, 401);
+        EXPECT_EQ(resultOf(1, key), "sent as 'a'");
+    }
 }
 
 // Guards against a request of an account that another node runs without it, or refuses for a key that it can't see.
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -391,7 +391,10 @@
             return;
         }
         queue_.after(*configurationReadTime_, [this, node, alive, done] {
-            if (*alive) {
+            const auto frozen = frozen_.find(node);
+            if (frozen != frozen_.end()) {
+                frozen->second.emplace_back([done] { done(false); }); // The time for the read is over.
+            } else if (*alive) {
                 applyConfiguration(node, configurationText + std::to_string(version_));
                 done(true);
             }
