--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint64_t housekeepingRunsPerLog = 50;
 /** Time without the store after which a node reports itself as not ready if others can take its connections. */
 constexpr Duration partitionTimeout{1'800'000};
+/** Accounts that have their own series in a metric; all others share one. */
+constexpr std::size_t maxAccountLabels = 100;
 /** Name of the state whose holder deletes expired crash records from the store. \sa Fleet::holderOf */
 const char *const crashState = "crashes";
 
@@ -53,12 +55,15 @@
     , outputs_(streamOutputsHooks(), settings_.outputs_)
     , relayedStore_(
           hooks_.store_,
-          BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_},
+          RelayedStoreHooks{hooks_.askPeer_, hooks_.logEvent_},
           [this] { return ledger_.isReachable(); },
           fleet_)
     , turns_(turnStoreHooks(), settings_.turns_)
-    , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_}, hooks_.now_, ledger_, fleet_)
+    , grantWitness_(grantWitnessHooks())
+    , budget_(budgetHooks(), ledger_)
     , admission_(settings_.admission_)
+    , accountAdmission_(hooks_.now_, settings_.accountAdmission_)
+    , accountLabels_("account", internal::maxAccountLabels)
     , pace_(hooks_.now_, settings_.pace_)
     , retryAfter_(settings_.retryAfter_)
 {
@@ -82,6 +87,23 @@
     return load;
 }
 
+AccountAdmission::RefusedShare Gateway::Private::refusedShareOf(const std::string &service)
+{
+    return [this, load = loadOf(service)](std::uint32_t priority) { return admission_.refusedShare(load, priority); };
+}
+
+void Gateway::Private::updateAccountAdmission()
+{
+    if (!routing_ || routing_->accounts() == nullptr) {
+        return;
+    }
+    for (const std::pair<const std::string, Service> &service : routing_->services()) {
+        if (service.second.engine_) {
+            accountAdmission_.update(service.first, refusedShareOf(service.first));
+        }
+    }
+}
+
 TurnStoreHooks Gateway::Private::turnStoreHooks()
 {
     TurnStoreHooks hooks;
@@ -321,6 +343,45 @@
     }
 }
 
+GrantWitnessHooks Gateway::Private::grantWitnessHooks()
+{
+    GrantWitnessHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.isComplete_ = [this] { return ledger_.isComplete(); };
+    hooks.hasRecords_ = [this] { return ledger_.hasRecords(); };
+    hooks.isRecorded_ = [this] { return ledger_.isCurrent() && fleet_.allGrantsRecorded(); };
+    hooks.alive_ = [this] { return fleet_.alive(); };
+    hooks.lostSince_ = [this](Time since) { return fleet_.lostSince(since); };
+    hooks.hasWitness_ = [this] { return fleet_.hasGrantWitness(); };
+    return hooks;
+}
+
+BudgetControllerHooks Gateway::Private::budgetHooks()
+{
+    BudgetControllerHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.askPeer_ = hooks_.askPeer_;
+    hooks.logEvent_ = hooks_.logEvent_;
+    BudgetNodes &nodes = hooks.nodes_;
+    nodes.findAlive_ = [this](const std::string &name) { return fleet_.findAlive(name); };
+    nodes.withCurrentLedger_ = [this](const std::string &program) { return fleet_.nodeWithCurrentLedger(program); };
+    nodes.coordinatorOf_ = [this](const std::string &program) { return fleet_.coordinatorOf(program); };
+    nodes.backupCoordinatorOf_ = [this](const std::string &program) { return fleet_.backupCoordinatorOf(program); };
+    nodes.successorsOf_ = [this](const std::string &program, std::size_t count) {
+        return fleet_.successorsOf(program, count);
+    };
+    nodes.hasCoordinated_ = [this](const std::string &program, Duration window) {
+        return fleet_.hasCoordinated(program, window);
+    };
+    nodes.isSelf_ = [this](const FleetMember &member) { return fleet_.isSelf(member); };
+    nodes.mayMissGrants_ = [this] {
+        grantWitness_.update();
+        return grantWitness_.mayMissGrants();
+    };
+    nodes.copies_ = [this] { return grantWitness_.copies(); };
+    return hooks;
+}
+
 FleetHooks Gateway::Private::fleetHooks()
 {
     FleetHooks hooks;
@@ -337,8 +398,12 @@
         report.crashes_ = quarantine_.takeAnnouncements();
         report.limits_ = limits_.takeAnnouncements();
         report.origins_ = origins_.takeAnnouncements();
+        report.mayMissGrants_ = grantWitness_.mayMissGrants();
         report.reachesEndpoints_ = !reachability_.isCutOff() && !stopping_;
         report.configurationVersion_ = configurationPeers_.offeredVersion();
+        if (routing_ && routing_->accounts() != nullptr) {
+            report.accounts_ = accountAdmission_.localLoad();
+        }
         return report;
     };
 
@@ -353,6 +418,9 @@
             [this](const std::pair<std::string, std::uint32_t> &at) { return directory_.find(at.first) != nullptr; });
         placement_.setPeerLoad(source, load, report.nodes_);
         pace_.setPeerPaces(source, report.paces_);
+        if (report.accounts_) {
+            accountAdmission_.setPeerLoad(source, *report.accounts_);
+        }
         for (const CrashRecord &crash : report.crashes_) {
             quarantine_.add(crash);
         }
@@ -507,6 +575,8 @@
         lastLedgerCurrent_ = hooks_.now_();
     }
     logLedgerStateChange();
+    grantWitness_.update();
+    budget_.releaseReserves();
     if (!ledger_.isReachable()) {
         pace_.reset();
     }
@@ -515,6 +585,7 @@
         placement_.forget(gone);
     }
     placement_.expirePeers();
+    updateAccountAdmission();
     limits_.expire();
     reachability_.update(silentEndpoints());
     if (reachability_.isCutOff()) {
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -1,9 +1,11 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAYPRIVATE_H
 #define FILBERTGW_GATEWAY_GATEWAYPRIVATE_H
 
+#include "core/boundedlabels.h"
 #include "endpoints/incarnationcheck.h"
 #include "fleet/relayedstore.h"
 #include "gateway/gateway.h"
+#include "ledger/grantwitness.h"
 
 #include <unordered_set>
 
@@ -32,9 +34,15 @@
     void logLedgerStateChange();
     /** \brief Logs the estimates of the engine models, which explain placements and refusals. */
     void logEngineTimings();
+    /** \brief Share of the new programs of a service that Admission refuses, by priority. */
+    AccountAdmission::RefusedShare refusedShareOf(const std::string &service);
+    /** \brief Updates whose programs are to be refused; does nothing without client accounts. */
+    void updateAccountAdmission();
     /** \brief Load of a service from the requests of all nodes. */
     ServiceLoad loadOf(const std::string &service);
     FleetHooks fleetHooks();
+    GrantWitnessHooks grantWitnessHooks();
+    BudgetControllerHooks budgetHooks();
     TurnStoreHooks turnStoreHooks();
     CacheDiscoveryHooks cacheDiscoveryHooks();
     QuarantineHooks quarantineHooks();
@@ -98,8 +106,11 @@
     StreamOutputs outputs_;
     RelayedStore relayedStore_;
     TurnStore turns_;
+    GrantWitness grantWitness_;
     BudgetController budget_;
     Admission admission_;
+    AccountAdmission accountAdmission_;
+    BoundedLabels accountLabels_; ///< Names of accounts in the labels of metrics.
     PaceTracker pace_;
     RetryAfterPolicy retryAfter_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
