Use one class for bounded labels of accounts

Cause: the merge left two members accountLabels_ in Gateway::Private, of AccountLabels and of BoundedLabels, so that main did not build. Change: BoundedLabels is used, AccountLabels and the hook countAccount_ are removed. Measured: filbertgw builds.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,7 +1,6 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAY_H
 #define FILBERTGW_GATEWAY_GATEWAY_H
 
-#include "accounts/accountlabels.h"
 #include "endpoints/answeredtargets.h"
 #include "endpoints/crashdetector.h"
 #include "endpoints/crashstream.h"
@@ -70,8 +69,6 @@
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
     /** \brief Counts an event; the label is a value, or a whole `name="value"`. \sa BoundedLabels */
     std::function<void(const std::string &name, const std::string &label)> count_;
-    /** \brief Counts a request of an account; may be empty. \param account bounded number of labels */
-    std::function<void(const std::string &name, const std::string &account, const std::string &result)> countAccount_;
     std::function<void(const std::string &name, Duration)> observe_;
 };
 
@@ -96,7 +93,6 @@
     ConfigurationPeersSettings configurationPeers_;
     /** With accounts, a node that was suspended for longer reads the configuration before it checks keys again. */
     Duration maxSuspension_{2'000'000};
-    std::size_t maxAccountLabels_ = 100; ///< Accounts with counters of their own.
     Duration minStreamLifetime_{10'000'000}; ///< Streams are taken to be resumed for at least this time.
     RetryAfterSettings retryAfter_;
     std::size_t maxForwards_ = 4; ///< Other nodes that a request is passed on to, one after the other.
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -87,7 +87,6 @@
     GatewaySettings settings_;
     std::shared_ptr<const RoutingTable> routing_;
     ConfigurationPeers configurationPeers_;
-    AccountLabels accountLabels_;
     std::vector<std::function<void()>> waitingForConfiguration_;
     bool isConfigurationInDoubt_ = false; ///< Being read again after a suspension.
     Time lastRunAt_; ///< When this process was last seen to run.
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -299,14 +299,18 @@
     if (outcome == nameOf(RefusalReason::Unauthenticated)) {
         gateway_->hooks_.count_("unauthenticated_total", std::string(nameOf(keyCheck_)));
     }
-    if (!request_->hasAccounts_ || !gateway_->hooks_.countAccount_) {
+    if (!request_->hasAccounts_) {
         return;
     }
-    const bool isServed = outcome.compare(0, servedPrefix.size(), servedPrefix) == 0;
-    const bool isRefused = valueOf<RefusalReason>(outcome).has_value();
-    const char *const result = isServed ? "served" : isRefused ? "refused" : "failed";
-    gateway_->hooks_.countAccount_(
-        "account_requests_total", gateway_->accountLabels_.labelOf(request_->account_), result);
+    std::string result = "failed";
+    if (outcome.compare(0, servedPrefix.size(), servedPrefix) == 0) {
+        result = "served";
+    } else if (valueOf<RefusalReason>(outcome)) {
+        result = "refused";
+    }
+    const std::string account = request_->account_.empty() ? "none" : request_->account_;
+    gateway_->hooks_.count_("account_requests_total",
+                            gateway_->accountLabels_.labelOf(account) + ",result=\"" + result + '"');
 }
 
 void GatewayCall::end(const char *outcome)
--- a/test/gateway/accountkeys.cpp
+++ b/test/gateway/accountkeys.cpp
@@ -89,6 +89,8 @@
     for (const char *key : {"", "key-c", "key-", "key-a, key-a", "key-a, key-b", " ", "b"}) {
         EXPECT_EQ(resultOf(0, key), "401") << '"' << key << '"';
     }
+    EXPECT_EQ(rig_.counts_["account_requests_total/account=\"a\",result=\"served\""], 2U);
+    EXPECT_EQ(rig_.counts_["account_requests_total/account=\"none\",result=\"refused\""], 7U);
     EXPECT_EQ(rig_.counts_["unauthenticated_total/missing"], 1U);
     EXPECT_EQ(rig_.counts_["unauthenticated_total/unknown"], 3U);
     EXPECT_EQ(rig_.counts_["unauthenticated_total/malformed"], 3U);
