Limit the requests of client accounts over all nodes

Cause: an account with a rate limit could use it at each node, as no node knew what the others ran.

Change: a coordinator per account, chosen by rendezvous hashing over the live nodes, grants permits from a token bucket (src/accounts: QuotaBucket, QuotaCoordinator, QuotaLeases, QuotaController). GatewayCall obtains a permit before it loads the chain and checks it again right before it sends; requests beyond the limit get 429 with a Retry-After. The bounds quota_window_s, quota_over and quota_slack are read from the settings file.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -567,6 +567,19 @@
     });
 }
 
+std::vector<HeardMember> Fleet::heardWithin(Duration window) const
+{
+    std::vector<HeardMember> members;
+    const Time since = d_->hooks_.now_() - window;
+    for (const std::pair<const std::string, internal::KnownNode> &entry : d_->nodes_) {
+        const internal::KnownNode &node = entry.second;
+        if (node.wasHeard_ && node.heardAt_ >= since) {
+            members.push_back(HeardMember{node.member_, node.heardAt_, d_->isAlive(node)});
+        }
+    }
+    return members;
+}
+
 std::optional<FleetMember> Fleet::findAlive(const std::string &name) const
 {
     const auto found = d_->nodes_.find(name);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -25,6 +25,14 @@
     std::function<void(const std::string &node, bool alive)> onLivenessChanged_;
 };
 
+/** \brief Another node, and when it was last heard of. */
+struct HeardMember
+{
+    FleetMember member_;
+    Time heardAt_{0}; ///< By its own report or its group's.
+    bool isAlive_ = false;
+};
+
 struct FleetSettings
 {
     FleetMember self_;
@@ -94,6 +102,8 @@
      * Nodes whose ledger has not been complete since their start are ignored: they have granted nothing.
      */
     bool allGrantsRecorded() const;
+    /** \brief The other nodes that were heard of within \p window, in order of their names. */
+    std::vector<HeardMember> heardWithin(Duration window) const;
     /** \brief Finds a node by name, if it is alive. */
     std::optional<FleetMember> findAlive(const std::string &name) const;
     bool isSelf(const FleetMember &member) const;
--- a/src/gateway/forwardedcall.cpp
+++ b/src/gateway/forwardedcall.cpp
@@ -42,6 +42,7 @@
 void GatewayCall::forwardTo(const FleetMember &node)
 {
     settleBudget(); // The other node reserves what the request needs.
+    returnPermit();
     step_ = Step::Forwarding;
     forwardedTo_ = node.name_;
     sentAt_ = gateway_->hooks_.now_();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,14 @@
 /** Name of the state whose holder deletes expired crash records from the store. \sa Fleet::holderOf */
 const char *const crashState = "crashes";
 
+bool hasQuotas(const AccountDirectory *accounts)
+{
+    return accounts != nullptr
+        && std::any_of(accounts->accounts().begin(), accounts->accounts().end(), [](const auto &entry) {
+               return entry.second.hasQuota();
+           });
+}
+
 } // namespace
 } // namespace internal
 
@@ -58,6 +66,7 @@
     , admission_(settings_.admission_)
     , pace_(hooks_.now_, settings_.pace_)
     , retryAfter_(settings_.retryAfter_)
+    , quota_(quotaHooks(), settings_.quota_)
 {
 }
 
@@ -457,6 +466,7 @@
     origins_.update();
     outputs_.expire();
     maintainCrashes();
+    quota_.tick();
     discoverCaches();
     if (++housekeepingRuns_ % internal::housekeepingRunsPerLog == 0) {
         logEngineTimings();
@@ -498,6 +508,7 @@
                           {"routes", table->routes().size()},
                           {"accounts", table->accounts() != nullptr ? table->accounts()->accounts().size() : 0}});
     d_->routing_ = std::move(table);
+    d_->hasQuotas_ = internal::hasQuotas(d_->routing_->accounts());
 }
 
 void Gateway::updateEndpoint(const Endpoint &endpoint, Time writtenAfter)
@@ -571,6 +582,7 @@
 void Gateway::beginStop()
 {
     d_->stopping_ = true;
+    d_->quota_.beginStop();
     d_->ledger_.releaseAllowances();
 }
 
@@ -595,7 +607,7 @@
 {
     if (!d_->budget_.onPeerRequest(type, body, answer) && !d_->relayedStore_.onPeerRequest(type, body, answer)
         && !d_->turns_.onPeerRequest(type, body, answer) && !d_->origins_.onPeerRequest(type, body, answer)
-        && !d_->outputs_.onPeerRequest(type, body, answer)) {
+        && !d_->outputs_.onPeerRequest(type, body, answer) && !d_->quota_.onPeerRequest(type, body, answer)) {
         answer({});
     }
 }
@@ -616,6 +628,7 @@
             {"stream_origins", d_->origins_.size()},
             {"stream_output_bytes", d_->outputs_.bytes()},
             {"suspected_requests", d_->quarantine_.requests()},
+            {"quota_levels", d_->quota_.state()},
             {"stopping", d_->stopping_}};
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAY_H
 #define FILBERTGW_GATEWAY_GATEWAY_H
 
+#include "accounts/quotacontroller.h"
 #include "endpoints/answeredtargets.h"
 #include "endpoints/crashdetector.h"
 #include "endpoints/crashstream.h"
@@ -60,6 +61,8 @@
         askStart_;
     std::function<void(const std::string &address, const std::string &datagram)> sendDatagram_;
     PeerRequest askPeer_;
+    /** \brief Tries to connect to another node that does not answer; may be empty. \sa QuotaControllerHooks::probe_ */
+    std::function<void(const std::string &linkAddress, std::function<void(NodeProbe)> done)> probeNode_;
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
     std::function<void(const std::string &name, const std::string &label)> count_;
     std::function<void(const std::string &name, Duration)> observe_;
@@ -84,6 +87,7 @@
     StreamOutputsSettings outputs_;
     Duration minStreamLifetime_{10'000'000}; ///< Streams are taken to be resumed for at least this time.
     RetryAfterSettings retryAfter_;
+    QuotaSettings quota_;
     std::size_t maxForwards_ = 4; ///< Other nodes that a request is passed on to, one after the other.
     Duration endpointRetryDelay_{25'000}; ///< Delay until endpoints that refused as full are tried again.
     /** Longest time for which a request waits until an endpoint with a request limit takes it. */
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -110,11 +110,13 @@
 void GatewayCall::prepare()
 {
     chooseService();
-    if (!admitProgram()) {
-        refuse(RefusalReason::Overloaded);
-        return;
-    }
-    loadChain();
+    acquirePermit([this] {
+        if (!admitProgram()) {
+            refuse(RefusalReason::Overloaded);
+            return;
+        }
+        loadChain();
+    });
 }
 
 bool GatewayCall::admitProgram()
@@ -380,6 +382,11 @@
 
 void GatewayCall::send(const Endpoint &endpoint)
 {
+    if (!usePermit()) {
+        step_ = Step::Placing;
+        acquirePermit([this] { place(); });
+        return;
+    }
     step_ = Step::Running;
     ++sends_;
     endpoint_ = endpoint.id_;
@@ -501,6 +508,7 @@
         doubtEndpoint(endpoint);
     }
     if (ended == AttemptEnd::NotSent) {
+        keepPermit();
         gateway_->reachability_.connectFailed(endpoint);
         gateway_->placement_.failed(endpoint);
         excluded_.insert(endpoint);
@@ -509,6 +517,7 @@
     }
     const bool refused = ended == AttemptEnd::Complete && (head_.notRun_ || head_.wrongInstance_);
     if (refused) {
+        keepPermit();
         if (head_.wrongInstance_) {
             gateway_->retireEndpoint(incarnation_, "replaced");
             gateway_->crashDetector_.endpointEnded(incarnation_, CrashEvidence::Replaced);
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -92,6 +92,19 @@
     void reserveBudget();
     void budgetDecided(const BudgetGrant &grant);
 
+    // The quota of the client account, in quotacall.cpp.
+    /** \brief The quota that limits the request; nothing if there is none. */
+    std::optional<QuotaLimit> quotaLimit() const;
+    /** \brief Obtains a permit if the account has a quota, then continues; or refuses the request. */
+    void acquirePermit(const std::function<void()> &granted);
+    void permitDecided(const QuotaDecision &decision, Step step, const std::function<void()> &granted);
+    /** \brief Uses the permit for the attempt that begins now. \return false if a new one has to be obtained first. */
+    bool usePermit();
+    /** \brief The attempt has not run: its permit may be used again. */
+    void keepPermit();
+    /** \brief Returns the permit, unless it was used. */
+    void returnPermit();
+
     // Attempts.
     void place();
     /** \brief Handlers of the attempt that begins now. They do nothing once another attempt has begun. */
@@ -230,6 +243,10 @@
     std::size_t eligibleEndpoints_ = 0; ///< Ready endpoints that may run the request, at the last choice.
     bool isLimited_ = false; ///< All of them have got as many requests as they take.
     std::optional<Time> limitWaitEndsAt_; ///< Set once the request has waited for such an endpoint.
+    std::optional<Time> permit_; ///< Deadline of a permit that no attempt has used.
+    std::optional<Time> usedPermit_; ///< Deadline of the permit of the attempt in progress.
+    bool isAskingPermit_ = false;
+    Duration quotaRetryAfter_{0}; ///< Of the last refusal for the quota.
     BudgetGrant grant_;
     GrantBasis grantBasis_ = GrantBasis::None; ///< Of the granted turn, for the log.
     std::size_t countedBytes_ = 0; ///< Part of Gateway::Private::bufferedBytes_ that this call has added.
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -44,6 +44,7 @@
     StreamOriginsHooks streamOriginsHooks();
     StreamOutputsHooks streamOutputsHooks();
     ReachabilityHooks reachabilityHooks();
+    QuotaControllerHooks quotaHooks();
     /** \brief Reads the registry as it is now; \p done gets false if that failed. */
     void refreshRegistry(const std::function<void(bool isCurrent)> &done);
     /** \brief Asks an endpoint whether it is the process of its entry; ends its doubt, or retires the incarnation. */
@@ -90,11 +91,13 @@
     Admission admission_;
     PaceTracker pace_;
     RetryAfterPolicy retryAfter_;
+    QuotaController quota_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
     std::size_t bufferedBytes_ = 0; ///< Of the unfinished answers of all calls.
     std::uint64_t housekeepingRuns_ = 0;
     Time lastLedgerCurrent_{0}; ///< When the ledger was last current.
     bool ledgerWasCurrent_ = false; ///< At the last call of logLedgerStateChange().
+    bool hasQuotas_ = false; ///< An account of the configuration in force has a quota.
     bool stopping_ = false;
     bool stopped_ = false;
 };
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -234,8 +234,8 @@
     if (step_ == Step::Ended) {
         return;
     }
-    // Whatever the reason is: a 503 promises that the request has not run.
-    if (runs_ > 0 && statusOf(reason) == 503) {
+    // Whatever the reason is: a 503 or 429 promises that the request has not run.
+    if (runs_ > 0 && (statusOf(reason) == 503 || statusOf(reason) == 429)) {
         reason = RefusalReason::OutcomeUnknown;
     }
     const int status =
@@ -249,6 +249,9 @@
             reason, gateway_->isStoreUnavailable(), drawFrom(gateway_->hooks_.random_));
         reply_->setHeader("Retry-After", secondsText(after));
     }
+    if (status == 429) {
+        reply_->setHeader("Retry-After", secondsText(quotaRetryAfter_));
+    }
     reply_->send(status, "application/json", "{\"error\":\"" + std::string(nameOf(reason)) + "\"}");
     end(std::string(nameOf(reason)).c_str());
 }
@@ -310,6 +313,7 @@
         gateway_->turns_.abandon(storeOperation_);
     }
     settleBudget();
+    returnPermit();
     countBufferedBytes();
     reply_->onClosed(nullptr);
     const Duration took = gateway_->hooks_.now_() - arrivedAt_;
--- a/test/core/explain.cpp
+++ b/test/core/explain.cpp
@@ -22,4 +22,16 @@
     EXPECT_LT(out.str().find("time=2"), out.str().find("time=3"));
 }
 
+// Guards against a 429 whose cause the operators can't see.
+TEST(Explain, TellsWhyARequestWasRateLimited)
+{
+    std::istringstream logs("time=2 node=a event=request_ended request=r1 outcome=rate_limited account=a1\n"
+                            "time=1 node=a event=request_rate_limited request=r1 account=a1 rate=20 decided_by=b\n"
+                            "time=1 node=a event=request_rate_limited request=r2 account=a2 rate=10 decided_by=b\n");
+    std::ostringstream out;
+    EXPECT_EQ(explainRequest("r1", logs, out), 2U);
+    EXPECT_EQ(out.str().find("time=1 node=a event=request_rate_limited request=r1 account=a1 rate=20 decided_by=b"),
+              0U);
+}
+
 } // namespace filbertgw
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -411,6 +411,7 @@
                                             const nlohmann::json &body,
                                             Duration timeout,
                                             std::function<void(const std::optional<nlohmann::json> &)> answer) {
+        ++peerRequests_[type];
         const auto answerIfAlive = [alive, answer](const std::optional<nlohmann::json> &json) {
             if (*alive) {
                 answer(json);
@@ -441,14 +442,31 @@
     engines.engine_ = EngineProfile{4, 100, 100'000};
     Service services;
     services.name_ = "services";
-    gateway.setRouting(
-        std::make_shared<const RoutingTable>(version_, routes_, std::vector<Service>{engines, services}));
+    std::optional<AccountDirectory> accounts;
+    if (!accounts_.empty()) {
+        Result<AccountDirectory> built = AccountDirectory::build(accounts_);
+        ASSERT_TRUE(built);
+        accounts = std::move(built.value());
+    }
+    gateway.setRouting(std::make_shared<const RoutingTable>(
+        version_, routes_, std::vector<Service>{engines, services}, std::move(accounts)));
     gateway.setRegistryReachable(true);
     for (const Endpoint &endpoint : endpoints_) {
         gateway.updateEndpoint(endpoint);
     }
 }
 
+void GatewayRig::setAccounts(std::vector<ClientAccount> accounts)
+{
+    accounts_ = std::move(accounts);
+    ++version_;
+    for (const std::unique_ptr<Gateway> &node : nodes_) {
+        if (node) {
+            configure(*node);
+        }
+    }
+}
+
 void GatewayRig::publish(const std::function<void(Gateway &)> &change)
 {
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -58,6 +58,8 @@
     std::shared_ptr<ClientResponse> send(std::size_t node, GatewayRequest request);
     /** \brief Puts a writer's spending record of a program into the store. */
     void putSpending(const std::string &program, const std::string &writer, const SpendingRecord &record);
+    /** \brief Puts a new version of the configuration with these client accounts into force at all nodes. */
+    void setAccounts(std::vector<ClientAccount> accounts);
     void run(Duration time);
     /** \brief Ends a node without a shutdown. */
     void kill(std::size_t node);
@@ -75,6 +77,7 @@
 
     bench::EventQueue queue_;
     bench::FakeStore store_;
+    std::map<std::string, std::size_t> peerRequests_; ///< Requests of nodes to each other, by type.
     std::vector<std::unique_ptr<Gateway>> nodes_;
     std::vector<ReceivedAttempt> attempts_;
     std::set<std::string> isolatedNodes_; ///< Nodes without a connection to any other node.
@@ -111,6 +114,7 @@
     std::map<std::size_t, std::vector<std::shared_ptr<Forward>>> forwardedTo_; ///< By node that serves them.
     std::vector<std::shared_ptr<bool>> alive_; ///< By node; shared with its hooks, which do nothing after a kill.
     std::vector<Route> routes_;
+    std::vector<ClientAccount> accounts_;
     TurnStoreSettings turns_;
     std::size_t ledgerPartitions_;
     std::vector<Endpoint> endpoints_;
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -79,6 +79,27 @@
     EXPECT_NE(faultsOf("{"), "");
 }
 
+// Guards against bounds of the quota that are ignored, and against settings of a former version that name none.
+TEST(SettingsFile, BoundsOfTheQuotaHaveDefaults)
+{
+    const auto windowOf = [](const std::string &bounds) {
+        const std::string text = std::string(wholeSettings)
+                                     .replace(std::string(wholeSettings).find("\"grace_s\":6.5"),
+                                              std::string("\"grace_s\":6.5").size(),
+                                              bounds);
+        return boost::leaf::try_handle_all(
+            [&text]() -> Result<std::vector<double>> {
+                BOOST_LEAF_AUTO(settings, parseSettings(text));
+                return std::vector<double>{toSeconds(settings.quotaWindow_), settings.quotaOver_, settings.quotaSlack_};
+            },
+            [] { return std::vector<double>(); });
+    };
+    EXPECT_EQ(windowOf("\"grace_s\":6.5"), (std::vector<double>{5.0, 0.1, 20.0}));
+    EXPECT_EQ(windowOf("\"quota_window_s\":8,\"quota_over\":0.2,\"quota_slack\":5"),
+              (std::vector<double>{8.0, 0.2, 5.0}));
+    EXPECT_TRUE(windowOf("\"quota_window_s\":0").empty());
+}
+
 namespace {
 
 /** A sound entry in which one field has another value. */
