--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -265,6 +265,23 @@
     bool hasEnded_ = false;
 };
 
+namespace {
+
+/** What another node decodes from a request that is passed on to it. */
+GatewayRequest asReceivedByPeer(GatewayRequest request)
+{
+    if (request.hasAccounts_) {
+        request.peerAccount_ = request.account_;
+        request.apiKey_.clear();
+    }
+    request.account_.clear();
+    request.scope_.clear();
+    request.hasAccounts_ = false;
+    return request;
+}
+
+} // namespace
+
 std::uint64_t
 GatewayRig::startForward(const std::string &from, const ForwardedRequest &forwarded, const AttemptHandlers &handlers)
 {
@@ -283,7 +300,7 @@
             continue;
         }
         forwardedTo_[i].push_back(reply);
-        GatewayRequest request = *forwarded.request_;
+        GatewayRequest request = asReceivedByPeer(*forwarded.request_);
         request.timeLeft_ = forwarded.timeLeft_;
         request.isForwarded_ = true;
         queue_.after(std::chrono::milliseconds(1), [this, i, request, reply] {
@@ -429,8 +446,12 @@
         }
         queue_.after(timeout, [answerIfAlive] { answerIfAlive(std::nullopt); });
     };
-    hooks.logEvent_ = [](const std::string &, const nlohmann::json &) {};
-    hooks.count_ = [](const std::string &, const std::string &) {};
+    hooks.logEvent_ = [this](const std::string &event, const nlohmann::json &fields) {
+        if (keepsLog_) {
+            log_.push_back(event + ' ' + fields.dump());
+        }
+    };
+    hooks.count_ = [this](const std::string &count, const std::string &label) { ++counts_[count + '/' + label]; };
     hooks.observe_ = [](const std::string &, Duration) {};
     return hooks;
 }
@@ -443,10 +464,8 @@
     Service services;
     services.name_ = "services";
     std::optional<AccountDirectory> accounts;
-    if (!accounts_.empty()) {
-        Result<AccountDirectory> built = AccountDirectory::build(accounts_);
-        ASSERT_TRUE(built);
-        accounts = std::move(built.value());
+    if (accounts_) {
+        accounts = AccountDirectory::build(*accounts_).value();
     }
     gateway.setRouting(std::make_shared<const RoutingTable>(
         version_, routes_, std::vector<Service>{engines, services}, std::move(accounts)));
@@ -456,9 +475,9 @@
     }
 }
 
-void GatewayRig::setAccounts(std::vector<ClientAccount> accounts)
+void GatewayRig::setAccounts(const std::vector<ClientAccount> &accounts)
 {
-    accounts_ = std::move(accounts);
+    accounts_ = accounts;
     ++version_;
     for (const std::unique_ptr<Gateway> &node : nodes_) {
         if (node) {
