--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Duration housekeepingInterval{100'000};
+/** Accounts with series of their own in the metrics; the others share one. */
+constexpr std::size_t maxAccountLabels = 100;
 /** Runs of the housekeeping between two log entries on the engine models. */
 constexpr std::uint64_t housekeepingRunsPerLog = 50;
 /** Time without the store after which a node reports itself as not ready if others can take its connections. */
@@ -21,6 +23,14 @@
 /** Name of the state whose holder deletes expired crash records from the store. \sa Fleet::holderOf */
 const char *const crashState = "crashes";
 
+bool hasQuotas(const AccountDirectory *accounts)
+{
+    return accounts != nullptr
+        && std::any_of(accounts->accounts().begin(), accounts->accounts().end(), [](const auto &entry) {
+               return entry.second.hasQuota();
+           });
+}
+
 } // namespace
 } // namespace internal
 
@@ -60,8 +70,10 @@
     , budget_(budgetHooks(), ledger_)
     , admission_(settings_.admission_)
     , accountAdmission_(hooks_.now_, settings_.accountAdmission_)
+    , accountLabels_("account", internal::maxAccountLabels)
     , pace_(hooks_.now_, settings_.pace_)
     , retryAfter_(settings_.retryAfter_)
+    , quota_(quotaHooks(), settings_.quota_)
 {
 }
 
@@ -590,6 +602,7 @@
     origins_.update();
     outputs_.expire();
     maintainCrashes();
+    quota_.tick();
     discoverCaches();
     if (++housekeepingRuns_ % internal::housekeepingRunsPerLog == 0) {
         logEngineTimings();
@@ -632,6 +645,7 @@
                           {"accounts", table->accounts() != nullptr ? table->accounts()->accounts().size() : 0}});
     d_->configurationPeers_.setCurrent(table->version(), table->accounts() != nullptr ? text : std::string());
     d_->routing_ = std::move(table);
+    d_->hasQuotas_ = internal::hasQuotas(d_->routing_->accounts());
 }
 
 void Gateway::updateEndpoint(const Endpoint &endpoint, Time writtenAfter)
@@ -705,6 +719,7 @@
 void Gateway::beginStop()
 {
     d_->stopping_ = true;
+    d_->quota_.beginStop();
     d_->ledger_.releaseAllowances();
 }
 
@@ -729,8 +744,8 @@
 {
     if (!d_->budget_.onPeerRequest(type, body, answer) && !d_->relayedStore_.onPeerRequest(type, body, answer)
         && !d_->turns_.onPeerRequest(type, body, answer) && !d_->origins_.onPeerRequest(type, body, answer)
-        && !d_->outputs_.onPeerRequest(type, body, answer)
-        && !d_->configurationPeers_.onPeerRequest(type, body, answer)) {
+        && !d_->outputs_.onPeerRequest(type, body, answer) && !d_->configurationPeers_.onPeerRequest(type, body, answer)
+        && !d_->quota_.onPeerRequest(type, body, answer)) {
         answer({});
     }
 }
@@ -753,6 +768,7 @@
             {"stream_origins", d_->origins_.size()},
             {"stream_output_bytes", d_->outputs_.bytes()},
             {"suspected_requests", d_->quarantine_.requests()},
+            {"quota_levels", d_->quota_.state()},
             {"stopping", d_->stopping_}};
 }
 
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -134,11 +134,13 @@
 void GatewayCall::prepare()
 {
     chooseService();
-    if (!admitProgram()) {
-        refuse(RefusalReason::Overloaded);
-        return;
-    }
-    loadChain();
+    acquirePermit([this] {
+        if (!admitProgram()) {
+            refuse(RefusalReason::Overloaded);
+            return;
+        }
+        loadChain();
+    });
 }
 
 double GatewayCall::refusedShare(const ServiceLoad &load) const
@@ -161,8 +163,8 @@
     if (account_ != nullptr) {
         fields["account"] = account_->name_;
         fields["refused_share"] = refusedShare;
-        gateway_->hooks_.countAccount_(
-            "account_refusals_total", gateway_->accountLabels_.labelOf(account_->name_), "fair_share");
+        gateway_->hooks_.count_("account_refusals_total",
+                                gateway_->accountLabels_.labelOf(account_->name_) + ",cause=\"fair_share\"");
     }
     gateway_->hooks_.logEvent_("program_refused", fields);
 }
@@ -417,8 +419,8 @@
         return;
     }
     if (isTooLate()) {
-        gateway_->hooks_.countAccount_(
-            "account_refusals_total", gateway_->accountLabels_.labelOf(account_->name_), "too_late");
+        gateway_->hooks_.count_("account_refusals_total",
+                                gateway_->accountLabels_.labelOf(account_->name_) + ",cause=\"too_late\"");
         refuse(RefusalReason::Overloaded);
         return;
     }
@@ -450,6 +452,11 @@
 
 void GatewayCall::send(const Endpoint &endpoint)
 {
+    if (!usePermit()) {
+        step_ = Step::Placing;
+        acquirePermit([this] { place(); });
+        return;
+    }
     step_ = Step::Running;
     ++sends_;
     endpoint_ = endpoint.id_;
@@ -578,6 +585,7 @@
         doubtEndpoint(endpoint);
     }
     if (ended == AttemptEnd::NotSent) {
+        keepPermit();
         gateway_->reachability_.connectFailed(endpoint);
         gateway_->placement_.failed(endpoint);
         excluded_.insert(endpoint);
@@ -586,6 +594,7 @@
     }
     const bool refused = ended == AttemptEnd::Complete && (head_.notRun_ || head_.wrongInstance_);
     if (refused) {
+        keepPermit();
         if (head_.wrongInstance_) {
             gateway_->retireEndpoint(incarnation_, "replaced");
             gateway_->crashDetector_.endpointEnded(incarnation_, CrashEvidence::Replaced);
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAYPRIVATE_H
 #define FILBERTGW_GATEWAY_GATEWAYPRIVATE_H
 
+#include "core/boundedlabels.h"
 #include "endpoints/incarnationcheck.h"
 #include "fleet/relayedstore.h"
 #include "gateway/gateway.h"
@@ -58,6 +59,7 @@
     void refreshConfiguration(Duration pause);
     /** \brief Runs a task when the configuration is not in doubt, which takes the time of one read at most. */
     void withConfiguration(const std::function<void()> &task);
+    QuotaControllerHooks quotaHooks();
     /** \brief Reads the registry as it is now; \p done gets false if that failed. */
     void refreshRegistry(const std::function<void(bool isCurrent)> &done);
     /** \brief Asks an endpoint whether it is the process of its entry; ends its doubt, or retires the incarnation. */
@@ -108,13 +110,16 @@
     BudgetController budget_;
     Admission admission_;
     AccountAdmission accountAdmission_;
+    BoundedLabels accountLabels_; ///< Names of accounts in the labels of metrics.
     PaceTracker pace_;
     RetryAfterPolicy retryAfter_;
+    QuotaController quota_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
     std::size_t bufferedBytes_ = 0; ///< Of the unfinished answers of all calls.
     std::uint64_t housekeepingRuns_ = 0;
     Time lastLedgerCurrent_{0}; ///< When the ledger was last current.
     bool ledgerWasCurrent_ = false; ///< At the last call of logLedgerStateChange().
+    bool hasQuotas_ = false; ///< An account of the configuration in force has a quota.
     bool stopping_ = false;
     bool stopped_ = false;
 };
--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -79,6 +79,7 @@
 
     bench::EventQueue queue_;
     bench::FakeStore store_;
+    std::map<std::string, std::size_t> peerRequests_; ///< Requests of nodes to each other, by type.
     std::vector<std::unique_ptr<Gateway>> nodes_;
     std::vector<ReceivedAttempt> attempts_;
     std::set<std::string> isolatedNodes_; ///< Nodes without a connection to any other node.
