--- a/test/node/processes.cpp
+++ b/test/node/processes.cpp
@@ -88,6 +88,11 @@
     return waitFor([this] { return !isRunning(); }) ? status_ : -1;
 }
 
+pid_t Process::pid() const
+{
+    return pid_;
+}
+
 const std::string &Process::errorFile() const
 {
     return errorFile_;
--- a/test/node/processes.h
+++ b/test/node/processes.h
@@ -36,6 +36,7 @@
     /** \brief Waits until the process exits. \return the exit status, or -1 if a signal ended it or it hangs. */
     int wait();
     bool isRunning();
+    pid_t pid() const;
     const std::string &errorFile() const;
 
 private:
--- a/test/platform/gatewayfleet.cpp
+++ b/test/platform/gatewayfleet.cpp
@@ -93,6 +93,17 @@
     return nodes_.size();
 }
 
+void GatewayFleet::setLimits(std::uint32_t memoryMb, std::uint32_t descriptors)
+{
+    memoryMb_ = memoryMb;
+    descriptors_ = descriptors;
+}
+
+pid_t GatewayFleet::pid(std::size_t node) const
+{
+    return nodes_[node].process_->pid();
+}
+
 std::string GatewayFleet::nameOf(std::size_t node)
 {
     return std::string("edge-") + zones[node % zones.size()] + '-' + std::to_string(node + 1);
@@ -113,8 +124,8 @@
     const bool isFirstStart = nodes_[node].logs_.empty();
     const nlohmann::json limits{{"cpu_share", 0.25},
                                 {"cores", 1},
-                                {"memory_mb", 290},
-                                {"max_fds", 8200},
+                                {"memory_mb", memoryMb_},
+                                {"max_fds", descriptors_},
                                 {"bandwidth_mbps", 1000.0},
                                 {"disk_mb", 0}};
     const nlohmann::json bounds{{"contact_ms", 3000},
--- a/test/platform/gatewayfleet.h
+++ b/test/platform/gatewayfleet.h
@@ -44,6 +44,10 @@
     ~GatewayFleet();
 
     std::size_t size() const;
+    /** \brief Memory and descriptors that the settings name, from the next start of a node. */
+    void setLimits(std::uint32_t memoryMb, std::uint32_t descriptors);
+    /** \brief Process id of a node that was started. */
+    pid_t pid(std::size_t node) const;
     /** \brief Starts a node; any process of it that still runs is killed first. */
     void start(std::size_t node);
     void signal(std::size_t node, int number);
@@ -72,6 +76,8 @@
     std::string program_;
     std::vector<std::string> storeAddresses_;
     std::vector<Node> nodes_;
+    std::uint32_t memoryMb_ = 290;
+    std::uint32_t descriptors_ = 8200;
     HttpClient http_;
 };
 
