Add one memory budget for the connections of a process

Cause: a connection could hold a body of 8 MB and 8 MB of responses, whatever the memory of its VM, and the state was answered without end to a client that reads nothing. Bodies are moved into the request and sent without a copy. Transfers are judged by bytes over time (memory/progressdeadline). Trailers no longer become headers.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 
 namespace filbertgw {
@@ -37,6 +38,7 @@
     Tcp::resolver resolver_;
     std::unique_ptr<HttpAnswerParser> parser_;
     std::string output_;
+    std::shared_ptr<const std::string> body_; ///< Sent after output_.
     std::string part_;
     std::size_t received_ = 0; ///< Bytes of the body that were passed on.
     std::size_t consumed_ = 0; ///< Bytes from the connection, with all framing and skipped answers.
@@ -207,7 +209,8 @@
 
 void HttpClient::Private::write(const internal::ExchangePointer &exchange)
 {
-    exchange->output_ = internal::serialise(exchange->call_.request_, exchange->call_.address_);
+    exchange->body_ = std::move(exchange->call_.body_);
+    exchange->output_ = internal::serialise(exchange->call_.request_, exchange->call_.address_, exchange->body_.get());
     exchange->call_.request_.body_ = std::string();
     exchange->parser_ = internal::parserFor(exchange->call_);
     exchange->sent_ = true;
@@ -217,6 +220,7 @@
     const auto written = [self = shared_from_this(), exchange](const boost::system::error_code &error,
                                                                std::size_t size) {
         exchange->output_ = std::string();
+        exchange->body_ = nullptr;
         if (error && !exchange->done_ && size == 0) {
             // The kernel took no byte of it.
             exchange->sent_ = false;
@@ -224,7 +228,10 @@
         }
         // After another error the read below still finds an early answer such as 413, or the end.
     };
-    boost::asio::async_write(exchange->wire_->socket_, boost::asio::buffer(exchange->output_), written);
+    const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(exchange->output_),
+                                                           exchange->body_ ? boost::asio::buffer(*exchange->body_)
+                                                                           : boost::asio::const_buffer()};
+    boost::asio::async_write(exchange->wire_->socket_, buffers, written);
     readAnswer(exchange);
 }
 
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -12,6 +12,7 @@
 {
     std::string address_; ///< host:port
     HttpRequest request_;
+    std::shared_ptr<const std::string> body_; ///< Sent without a copy, in place of the request's own body.
     Duration connectTimeout_{1'000'000};
     Duration timeout_{60'000'000}; ///< For the whole exchange.
     std::size_t maxResponseBytes_ = 16 * 1024 * 1024; ///< A longer answer is Interrupted.
--- a/src/net/httpconnection.cpp
+++ b/src/net/httpconnection.cpp
@@ -2,7 +2,6 @@
 
 #include "net/httpserverreply.h"
 
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
@@ -23,6 +22,26 @@
 constexpr std::chrono::seconds stopGrace{1};
 /** \brief An answer of this size is written at once; shorter ones wait for the end of the loop's current round. */
 constexpr std::size_t flushBytes = 64 * 1024;
+/** \brief Memory of an open connection besides its buffers: socket, timers, handlers. */
+constexpr std::size_t connectionBytes = 2 * 1024;
+/** \brief Unread response bytes from which a connection counts as one that waits for its peer to read. */
+constexpr std::size_t unreadThreshold = 64 * 1024;
+/** \brief Copies of a head while a request runs: decoded, as passed on, as text. */
+constexpr std::size_t headCopies = 3;
+/**
+ * \brief Chunk headers, extensions and trailers may be so many times as long as the body, and framingBytes more.
+ *
+ * A body in one-byte chunks has five bytes of framing for each of its own.
+ */
+constexpr std::size_t framingPerBodyByte = 16;
+constexpr std::size_t framingBytes = 64 * 1024;
+/** \brief Seconds after which a request that was refused for its memory may be sent again. */
+const char *const retryAfter = "0.5";
+
+Time steadyNow()
+{
+    return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch());
+}
 
 } // namespace
 
@@ -30,6 +49,7 @@
     : server_(std::move(server))
     , socket_(std::move(socket))
     , input_(std::max(readBytes, server_->limits_.headerBytes_))
+    , claim_(server_->limits_.budget_, server_.get(), [this](MemoryUse use) { evict(use); })
 {
 }
 
@@ -41,6 +61,41 @@
     socket_.non_blocking(true, ignored);
     setDeadline(server_->limits_.idleSeconds_);
     read();
+    updateClaim(0);
+}
+
+void HttpConnection::evict(MemoryUse use)
+{
+    if (use == MemoryUse::Receiving && state_ == State::Reading) {
+        refuseForMemory();
+    } else {
+        close();
+    }
+}
+
+std::size_t HttpConnection::unreadBytes() const
+{
+    return pending_.size() + writing_.size() - writtenBytes_;
+}
+
+/** States to the budget what is held; the connection may be refused or closed when this returns. */
+void HttpConnection::updateClaim(std::size_t moved)
+{
+    if (!claim_.isCounted() || state_ == State::Closed) {
+        return;
+    }
+    const std::size_t unread = unreadBytes();
+    MemoryUse use = unread > 0 ? MemoryUse::Sending : MemoryUse::Idle;
+    std::size_t bytes = connectionBytes + input_.capacity() + pending_.size() + writing_.size();
+    if (state_ == State::Reading) {
+        use = MemoryUse::Receiving;
+        bytes += parser_->bodyBytes() + parser_->headBytes_;
+    } else if (state_ == State::Handling || state_ == State::Streaming) {
+        // Closing the connection of an unread response also ends its request.
+        use = unread > unreadThreshold ? MemoryUse::Sending : MemoryUse::Running;
+        bytes += runningBytes_;
+    }
+    claim_.update(use, bytes, moved);
 }
 
 void HttpConnection::setDeadline(std::uint32_t seconds)
@@ -90,6 +145,10 @@
     }
     parsing_ = true;
     while (input_.size() > 0 && (state_ == State::Idle || state_ == State::Reading)) {
+        // A peer that doesn't read its responses gets no more of them; flush() comes back here.
+        if (claim_.isCounted() && state_ == State::Idle && unreadBytes() > unreadThreshold) {
+            break;
+        }
         if (!parseSome()) {
             break;
         }
@@ -103,7 +162,11 @@
     if (state_ == State::Idle) {
         state_ = State::Reading;
         parser_ = std::make_unique<HttpRequestParser>(server_->limits_);
-        setDeadline(server_->limits_.readSeconds_);
+        hasDeadline_ = false;
+        wireBytes_ = 0;
+        seenBytes_ = 0;
+        readDeadline_.start(
+            steadyNow(), std::chrono::seconds(server_->limits_.readSeconds_), server_->limits_.leastBytesPerSecond_);
     }
     const bool hadHeader = parser_->is_header_done();
     std::size_t used = 0;
@@ -112,6 +175,13 @@
         refuse(error);
         return true;
     }
+    if (hasTooMuchFraming(used)) {
+        refuse(413, "too_large", "the framing of the request body is too long");
+        return true;
+    }
+    if (runsOutOfMemory()) {
+        return true;
+    }
     if (parser_->is_done()) {
         handle();
         return true;
@@ -135,15 +205,42 @@
     return input_.size() < input_.max_size() ? Error() : Error(http::error::header_limit);
 }
 
+bool HttpConnection::hasTooMuchFraming(std::size_t used)
+{
+    wireBytes_ += used;
+    const std::size_t body = parser_->bodyBytes();
+    return claim_.isCounted() && parser_->is_header_done()
+        && wireBytes_ > server_->limits_.headerBytes_ + framingBytes + body * (1 + framingPerBodyByte);
+}
+
+/** Reports what has been read to the budget. \return true if the request was refused. */
+bool HttpConnection::runsOutOfMemory()
+{
+    // Of a body its own bytes are progress, and not its framing; of a head every byte.
+    const std::size_t seen = parser_->is_header_done() ? parser_->bodyBytes() : input_.size();
+    const std::size_t moved = seen - std::min(seen, seenBytes_);
+    seenBytes_ = seen;
+    readDeadline_.addBytes(steadyNow(), moved);
+    updateClaim(moved);
+    if (state_ == State::Reading && parser_->is_done()) {
+        const std::size_t running = parser_->bodyBytes() + headCopies * parser_->headBytes_;
+        if (!claim_.mayRun(running)) {
+            refuseForMemory();
+        }
+        runningBytes_ = running;
+    }
+    return state_ != State::Reading;
+}
+
 void HttpConnection::handle()
 {
     state_ = State::Handling;
-    hasDeadline_ = false;
     const std::unique_ptr<HttpRequestParser> parser = std::move(parser_);
     encoder_.begin(parser->http10_, parser->request_.method_ == "HEAD", parser->keep_alive());
     ++request_;
     ++server_->openRequests_;
-    server_->handler_(parser->request_, std::make_shared<HttpServerReply>(shared_from_this(), request_));
+    updateClaim(0);
+    server_->handler_(std::move(parser->request_), std::make_shared<HttpServerReply>(shared_from_this(), request_));
 }
 
 void HttpConnection::refuse(const Error &error)
@@ -163,11 +260,18 @@
     encoder_.appendWhole(status, "application/json", refusalBody(type, message));
     parser_.reset();
     state_ = State::Draining;
+    updateClaim(0);
     deadline_ = std::chrono::steady_clock::now() + lingerTime;
     hasDeadline_ = true;
     flushSoon();
 }
 
+void HttpConnection::refuseForMemory()
+{
+    encoder_.addHeader("Retry-After", retryAfter);
+    refuse(503, "overloaded", "the memory for requests is used up");
+}
+
 void HttpConnection::setHeader(std::uint64_t request, const std::string &name, const std::string &value)
 {
     if (isOpen(request) && state_ == State::Handling) {
@@ -211,6 +315,9 @@
     }
     encoder_.appendPart(part);
     flushSoon();
+    if (unreadBytes() > unreadThreshold) {
+        updateClaim(0);
+    }
 }
 
 void HttpConnection::finish(std::uint64_t request)
@@ -260,6 +367,7 @@
 void HttpConnection::answerEnded()
 {
     ++unsentAnswers_;
+    runningBytes_ = 0;
     const std::function<void()> dropped = std::move(closed_);
     closed_ = nullptr;
     if (encoder_.keepsAlive()) {
@@ -270,12 +378,15 @@
             closeSoonIfIdle();
         }
         flushSoon();
+        // Also where nothing can be flushed, because an earlier response has not been read.
+        updateClaim(0);
         parse();
         return;
     }
     state_ = State::Draining;
     setDeadline(server_->limits_.idleSeconds_);
     flushSoon();
+    updateClaim(0);
     read();
 }
 
@@ -312,16 +423,25 @@
         return;
     }
     writeInProgress_ = true;
-    writing_ = pending_.substr(sent);
+    writing_ = std::move(pending_);
     pending_ = std::string();
-    writeDeadline_ = std::chrono::steady_clock::now() + std::chrono::seconds(server_->limits_.idleSeconds_);
-    asio::async_write(socket_, asio::buffer(writing_), [self = shared_from_this()](const Error &error, std::size_t) {
-        self->written(error);
-    });
+    writtenBytes_ = sent;
+    writeDeadline_.start(
+        steadyNow(), std::chrono::seconds(server_->limits_.idleSeconds_), server_->limits_.leastBytesPerSecond_);
+    writeRest();
+    updateClaim(sent);
+}
+
+void HttpConnection::writeRest()
+{
+    socket_.async_write_some(
+        asio::buffer(writing_) + writtenBytes_,
+        [self = shared_from_this()](const Error &error, std::size_t size) { self->written(error, size); });
 }
 
 void HttpConnection::allWritten()
 {
+    const bool heldBack = state_ == State::Idle && claim_.isCounted() && input_.size() > 0;
     server_->openRequests_ -= unsentAnswers_;
     unsentAnswers_ = 0;
     if (pending_.capacity() > flushBytes) {
@@ -336,11 +456,25 @@
         deadline_ = std::min(deadline_, std::chrono::steady_clock::now() + lingerTime);
         read();
     }
+    updateClaim(0);
+    if (heldBack) {
+        parse();
+    }
 }
 
-void HttpConnection::written(const Error &error)
+void HttpConnection::written(const Error &error, std::size_t size)
 {
+    writtenBytes_ += size;
+    if (!error && writtenBytes_ < writing_.size() && state_ != State::Closed) {
+        writeDeadline_.addBytes(steadyNow(), size);
+        updateClaim(size);
+        if (state_ != State::Closed) {
+            writeRest();
+        }
+        return;
+    }
     writeInProgress_ = false;
+    writtenBytes_ = 0;
     writing_ = std::string();
     if (error) {
         close();
@@ -364,6 +498,8 @@
     Error ignored;
     socket_.close(ignored);
     pending_ = std::string();
+    parser_.reset();
+    claim_.release();
     server_->connections_.erase(self);
     if (closed_) {
         reportClosed(std::move(closed_));
@@ -390,8 +526,9 @@
 
 void HttpConnection::closeIfExpired(SteadyTime now)
 {
-    const bool late = hasDeadline_ && now >= deadline_;
-    const bool stuck = writeInProgress_ && now >= writeDeadline_;
+    const Time steady = std::chrono::duration_cast<Time>(now.time_since_epoch());
+    const bool late = state_ == State::Reading ? readDeadline_.hasPassed(steady) : hasDeadline_ && now >= deadline_;
+    const bool stuck = writeInProgress_ && writeDeadline_.hasPassed(steady);
     if (stuck) {
         close();
     } else if (late && state_ == State::Reading) {
--- a/src/net/httpconnection.h
+++ b/src/net/httpconnection.h
@@ -5,6 +5,8 @@
 #include "net/httprequestparser.h"
 #include "net/httpserverprivate.h"
 
+#include "memory/progressdeadline.h"
+
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <chrono>
@@ -60,14 +62,21 @@
     bool parseSome();
     Error put(std::size_t &used);
     void handle();
+    bool hasTooMuchFraming(std::size_t used);
+    bool runsOutOfMemory();
     void refuse(const Error &error);
     void refuse(int status, const std::string &type, const std::string &message);
+    void refuseForMemory();
     void setResetOnClose(bool isReset);
     void closeAfterAnswerIfStopping();
     void answerEnded();
     void flushSoon();
     void allWritten();
-    void written(const Error &error);
+    void writeRest();
+    void written(const Error &error, std::size_t size);
+    void evict(MemoryUse use);
+    std::size_t unreadBytes() const;
+    void updateClaim(std::size_t moved);
     void setDeadline(std::uint32_t seconds);
     void reportClosed(std::function<void()> closed);
     bool isOpen(std::uint64_t request) const;
@@ -86,10 +95,16 @@
     bool parsing_ = false;
     bool flushScheduled_ = false;
     SteadyTime deadline_;
-    SteadyTime writeDeadline_;
+    ProgressDeadline readDeadline_; ///< While a request is read.
+    ProgressDeadline writeDeadline_;
+    std::size_t writtenBytes_ = 0; ///< Of writing_, as far as the kernel has taken them.
+    std::size_t wireBytes_ = 0; ///< Of the current request, with its framing.
+    std::size_t seenBytes_ = 0; ///< Of the current request, counted as progress.
+    std::size_t runningBytes_ = 0; ///< Of the request that is being handled.
     std::uint64_t request_ = 0;
     std::size_t unsentAnswers_ = 0; ///< Ended, but not yet taken by the kernel: they count as open requests.
     std::function<void()> closed_;
+    MemoryClaim claim_;
 };
 
 } // namespace filbertgw::internal
--- a/src/net/httprequestparser.cpp
+++ b/src/net/httprequestparser.cpp
@@ -13,6 +13,8 @@
 
 /** \brief Most that is reserved for a body before any of it has arrived. */
 constexpr std::size_t bodyReserveBytes = 16 * 1024;
+/** \brief Memory of a header field besides its text: a map's node with two strings. */
+constexpr std::size_t fieldOverhead = 128;
 
 std::string lowerCase(beast::string_view text)
 {
@@ -52,6 +54,10 @@
         error = http::error::bad_transfer_encoding;
         return;
     }
+    if (is_header_done()) {
+        return; // A trailer: the head has been judged without it, and trailers without end would collect.
+    }
+    headBytes_ += name.size() + value.size() + fieldOverhead;
     std::string &stored = request_.headers_[lowerCase(name)];
     if (!stored.empty()) {
         stored += ", ";
--- a/src/net/httprequestparser.h
+++ b/src/net/httprequestparser.h
@@ -15,6 +15,13 @@
     HttpRequest request_;
     bool http10_ = false;
     bool expectsContinue_ = false;
+    std::size_t headBytes_ = 0; ///< Memory of the decoded head, with the overhead of each field.
+
+    /** \brief Size of the body as far as it has arrived. */
+    std::size_t bodyBytes() const
+    {
+        return request_.body_.size();
+    }
 
 private:
     // Beast's names. NOLINTBEGIN(readability-identifier-naming)
--- a/src/net/httprequesttext.cpp
+++ b/src/net/httprequesttext.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::size_t headReserveBytes = 512;
+
 /** \brief True if the text can't end a header line early. */
 bool isHeaderText(const std::string &text)
 {
@@ -35,10 +37,11 @@
                        });
 }
 
-std::string serialise(const HttpRequest &request, const std::string &address)
+std::string serialise(const HttpRequest &request, const std::string &address, const std::string *body)
 {
+    const std::size_t bodySize = body != nullptr ? body->size() : request.body_.size();
     std::string result;
-    result.reserve(request.body_.size() + 512);
+    result.reserve((body != nullptr ? 0 : bodySize) + headReserveBytes);
     result += request.method_;
     result += ' ';
     result += request.target_;
@@ -55,13 +58,15 @@
         result += header.second;
         result += "\r\n";
     }
-    if (!request.body_.empty() || request.method_ != "GET") {
+    if (bodySize > 0 || request.method_ != "GET") {
         result += "Content-Length: ";
-        result += std::to_string(request.body_.size());
+        result += std::to_string(bodySize);
         result += "\r\n";
     }
     result += "\r\n";
-    result += request.body_;
+    if (body == nullptr) {
+        result += request.body_;
+    }
     return result;
 }
 
--- a/src/net/httprequesttext.h
+++ b/src/net/httprequesttext.h
@@ -9,11 +9,11 @@
 bool isValid(const HttpRequest &request);
 
 /**
- * \brief The request as HTTP/1.1 text with its body.
+ * \brief The request as HTTP/1.1 text, with its own body if \p body is null; otherwise that one follows the text.
  *
  * `Host` is the address unless the request has one. Headers of the framing and the connection are those of this hop.
  */
-std::string serialise(const HttpRequest &request, const std::string &address);
+std::string serialise(const HttpRequest &request, const std::string &address, const std::string *body);
 
 } // namespace filbertgw::internal
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -80,9 +80,19 @@
     });
 }
 
+std::size_t HttpServer::Private::drainingConnections() const
+{
+    // A connection that was refused stays for a moment, so that its peer can read the refusal.
+    constexpr std::size_t drainingPart = 8;
+    return limits_.budget_ ? limits_.connections_ / drainingPart : 0;
+}
+
 void HttpServer::Private::accepted(Tcp::socket socket)
 {
-    if (connections_.size() >= limits_.connections_) {
+    if (connections_.size() >= limits_.connections_ && limits_.budget_) {
+        limits_.budget_->evictOne(this);
+    }
+    if (connections_.size() >= limits_.connections_ + drainingConnections()) {
         boost::system::error_code ignored;
         static const std::string body = internal::refusalBody("overloaded", "too many connections");
         static const std::string full =
--- a/src/net/httpserverprivate.h
+++ b/src/net/httpserverprivate.h
@@ -29,6 +29,8 @@
     void open(const Tcp::endpoint &endpoint, boost::system::error_code &error);
     void accept();
     void accepted(Tcp::socket socket);
+    /** \brief Connections beyond the limit that are about to be closed. */
+    std::size_t drainingConnections() const;
     /** \brief Accepts what the kernel has already established. */
     void acceptWaiting();
     void sweep();
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -1,6 +1,8 @@
 #ifndef FILBERTGW_NET_HTTPTYPES_H
 #define FILBERTGW_NET_HTTPTYPES_H
 
+#include "memory/memorybudget.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -40,7 +42,8 @@
     virtual void onClosed(std::function<void()> closed) = 0;
 };
 
-using HttpHandler = std::function<void(const HttpRequest &, const std::shared_ptr<HttpReply> &)>;
+/** \brief The handler may take the request's parts; it usually takes a constant reference. */
+using HttpHandler = std::function<void(HttpRequest &&, const std::shared_ptr<HttpReply> &)>;
 
 /** \brief Bounds of an HTTP server. */
 struct HttpLimits
@@ -51,6 +54,13 @@
     std::uint32_t idleSeconds_ = 60;
     std::uint32_t readSeconds_ = 15; ///< For a whole request once it has begun.
     std::size_t connections_ = 4096;
+    /** If set, bytes held by connections count towards it, and it decides which of them are refused or closed. */
+    std::shared_ptr<MemoryBudget> budget_;
+    /**
+     * If not 0, a transfer at this rate goes on: readSeconds_ and idleSeconds_ then limit the time without progress.
+     * \sa ProgressDeadline
+     */
+    std::size_t leastBytesPerSecond_ = 0;
 };
 
 /** \brief How an HTTP exchange ended at the client's side. */
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -492,7 +492,8 @@
     EXPECT_EQ(call.request_.headers_.at("x-filbertgw-time-left-ms"), "700");
     EXPECT_EQ(call.request_.headers_.at("x-filbertgw-request-priority"), "4");
     EXPECT_EQ(call.request_.headers_.at("last-event-id"), "12");
-    EXPECT_EQ(call.request_.body_, "body");
+    EXPECT_EQ(*call.body_, "body");
+    EXPECT_EQ(call.body_, attempt.body_) << "not copied";
     EXPECT_EQ(call.echoValue_, "id1");
 }
 
