Free the memory of texts that are emptied

Cause: libstdc++ keeps the memory of a text to which an empty one is assigned, so that buffers of closed connections and of responses that were cut off stayed allocated as long as their objects. With 250 clients that read nothing, a node told 88 MB took 229 to 358 MB, 8 of them counted. Change: releaseText() in net and for the response of a call in gateway.

--- a/src/gateway/forwardedcall.cpp
+++ b/src/gateway/forwardedcall.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewaycall.h"
 
 #include "core/numbers.h"
+#include "memory/releasetext.h"
 
 #include <utility>
 
@@ -46,7 +47,7 @@
     forwardedTo_ = node.name_;
     sentAt_ = gateway_->hooks_.now_();
     head_ = AttemptHead();
-    responseBody_.clear();
+    releaseText(responseBody_);
     splitter_ = EventSplitter();
     ForwardedRequest forwarded;
     forwarded.address_ = node.linkAddress_;
@@ -157,6 +158,7 @@
     if (isWhole && !head_.isMisdirected_ && (!isRefusal || runs_ == 0)) {
         const std::string contentType = relayHeaders();
         reply_->send(head_.status_, contentType, responseBody_);
+        releaseText(responseBody_); // Timers may keep the ended call for a while.
         end(head_.status_ / 100 == 2 ? "served_by_peer" : "refused_by_peer");
         return;
     }
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -1,4 +1,5 @@
 #include "gateway/gatewaycall.h"
+#include "memory/releasetext.h"
 
 #include "core/numbers.h"
 
@@ -388,7 +389,7 @@
     headReceived_ = false;
     isNoStream_ = false;
     head_ = AttemptHead();
-    responseBody_.clear();
+    releaseText(responseBody_);
     splitter_ = EventSplitter();
     attemptEvents_ = 0;
     EndpointAttempt attempt;
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewaycall.h"
 
 #include "core/numbers.h"
+#include "memory/releasetext.h"
 
 #include <array>
 #include <cstdio>
@@ -78,7 +79,7 @@
 void GatewayCall::cutAnswer()
 {
     gateway_->hooks_.cancelAttempt_(attempt_);
-    responseBody_.clear();
+    releaseText(responseBody_);
     splitter_ = EventSplitter();
     attemptEnded(AttemptEnd::Broken);
     countBufferedBytes();
@@ -196,6 +197,7 @@
 {
     const std::string contentType = relayHeaders();
     reply_->send(head_.status_, contentType, responseBody_);
+    releaseText(responseBody_); // Timers may keep the ended call for a while.
     end(head_.status_ / 100 == 2 ? "served" : "endpoint_error");
 }
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "net/httpclient.h"
 
+#include "memory/releasetext.h"
 #include "net/address.h"
 #include "net/httpanswerparser.h"
 #include "net/httpconnectionpool.h"
@@ -211,7 +212,7 @@
 {
     exchange->body_ = std::move(exchange->call_.body_);
     exchange->output_ = internal::serialise(exchange->call_.request_, exchange->call_.address_, exchange->body_.get());
-    exchange->call_.request_.body_ = std::string();
+    releaseText(exchange->call_.request_.body_);
     exchange->parser_ = internal::parserFor(exchange->call_);
     exchange->sent_ = true;
     if (!exchange->call_.echoHeader_.empty()) {
@@ -219,7 +220,7 @@
     }
     const auto written = [self = shared_from_this(), exchange](const boost::system::error_code &error,
                                                                std::size_t size) {
-        exchange->output_ = std::string();
+        releaseText(exchange->output_);
         exchange->body_ = nullptr;
         if (error && !exchange->done_ && size == 0) {
             // The kernel took no byte of it.
--- a/src/net/httpconnection.cpp
+++ b/src/net/httpconnection.cpp
@@ -1,5 +1,6 @@
 #include "net/httpconnection.h"
 
+#include "memory/releasetext.h"
 #include "net/httpserverreply.h"
 
 #include <boost/beast/http/error.hpp>
@@ -424,7 +425,7 @@
     }
     writeInProgress_ = true;
     writing_ = std::move(pending_);
-    pending_ = std::string();
+    releaseText(pending_);
     writtenBytes_ = sent;
     writeDeadline_.start(
         steadyNow(), std::chrono::seconds(server_->limits_.idleSeconds_), server_->limits_.leastBytesPerSecond_);
@@ -445,7 +446,7 @@
     server_->openRequests_ -= unsentAnswers_;
     unsentAnswers_ = 0;
     if (pending_.capacity() > flushBytes) {
-        pending_ = std::string();
+        releaseText(pending_);
     } else {
         pending_.clear();
     }
@@ -475,7 +476,7 @@
     }
     writeInProgress_ = false;
     writtenBytes_ = 0;
-    writing_ = std::string();
+    releaseText(writing_);
     if (error) {
         close();
         return;
@@ -497,7 +498,7 @@
     state_ = State::Closed;
     Error ignored;
     socket_.close(ignored);
-    pending_ = std::string();
+    releaseText(pending_);
     parser_.reset();
     claim_.release();
     server_->connections_.erase(self);
