--- a/test/platform/hostilecrowd.cpp
+++ b/test/platform/hostilecrowd.cpp
@@ -320,6 +320,7 @@
     const Time ready = loop_.now();
     sendCrowd(clients);
     const Time sent = loop_.now();
+    const long ticks = usedTicks();
     std::size_t served = 0;
     for (std::size_t i = 0; i < requests; ++i) {
         served += askOnce(1024) == 200 ? 1 : 0;
@@ -331,7 +332,8 @@
     std::cout << "crowd door=" << nameOf(GetParam().door_) << " form=" << GetParam().form_.name_
               << " clients=" << clients << " peak_mb=" << double(peakMemory()) / double(megabyte)
               << " descriptors=" << mostDescriptors_ << " served=" << served << '/' << requests
-              << " start_s=" << toSeconds(ready - began) << " crowd_s=" << toSeconds(sent - ready) << std::endl;
+              << " start_s=" << toSeconds(ready - began) << " crowd_s=" << toSeconds(sent - ready)
+              << " request_ticks=" << usedTicks() - ticks << std::endl;
 }
 
 INSTANTIATE_TEST_SUITE_P(Table, HostileCrowd, ::testing::ValuesIn(cases()), [](const auto &info) {
