Count and log what an outage grants, and play random faults against budgets

Counters outage_turns_total and outage_reserves_released_total, the log lines budget_granted_by_replicas, grants_may_be_missed and grants_known.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -281,6 +281,7 @@
     hooks.now_ = hooks_.now_;
     hooks.askPeer_ = hooks_.askPeer_;
     hooks.logEvent_ = hooks_.logEvent_;
+    hooks.count_ = hooks_.count_;
     BudgetNodes &nodes = hooks.nodes_;
     nodes.findAlive_ = [this](const std::string &name) { return fleet_.findAlive(name); };
     nodes.withCurrentLedger_ = [this](const std::string &program) { return fleet_.nodeWithCurrentLedger(program); };
@@ -476,13 +477,22 @@
     }
 }
 
+void Gateway::Private::updateGrantWitness()
+{
+    grantWitness_.update();
+    if (std::exchange(mayHaveMissedGrants_, grantWitness_.mayMissGrants()) != grantWitness_.mayMissGrants()) {
+        hooks_.logEvent_(grantWitness_.mayMissGrants() ? "grants_may_be_missed" : "grants_known",
+                         {{"peers_alive", fleet_.alive()}, {"copies", grantWitness_.copies()}});
+    }
+}
+
 void Gateway::Private::runHousekeeping()
 {
     if (ledger_.isCurrent()) {
         lastLedgerCurrent_ = hooks_.now_();
     }
     logLedgerStateChange();
-    grantWitness_.update();
+    updateGrantWitness();
     budget_.releaseReserves();
     if (!ledger_.isReachable()) {
         pace_.reset();
@@ -653,6 +663,7 @@
             {"peers_alive", d_->fleet_.alive()},
             {"programs", d_->ledger_.programCount()},
             {"ledger_current", d_->ledger_.isCurrent()},
+            {"may_miss_grants", d_->grantWitness_.mayMissGrants()},
             {"cached_turn_bytes", d_->turns_.cachedBytes()},
             {"endpoints_placed", d_->placement_.endpoints()},
             {"engines", d_->placement_.engines().state()},
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -31,6 +31,8 @@
     void maintainCrashes();
     /** \brief Logs when the ledger becomes current or outdated. */
     void logLedgerStateChange();
+    /** \brief Logs when it changes whether this node may miss grants of an outage. */
+    void updateGrantWitness();
     /** \brief Logs the estimates of the engine models, which explain placements and refusals. */
     void logEngineTimings();
     /** \brief Load of a service from the requests of all nodes. */
@@ -98,6 +100,7 @@
     std::size_t bufferedBytes_ = 0; ///< Of the unfinished answers of all calls.
     std::uint64_t housekeepingRuns_ = 0;
     Time lastLedgerCurrent_{0}; ///< When the ledger was last current.
+    bool mayHaveMissedGrants_ = true; ///< At the last call of updateGrantWitness().
     bool ledgerWasCurrent_ = false; ///< At the last call of logLedgerStateChange().
     bool stopping_ = false;
     bool stopped_ = false;
--- a/src/ledger/budgetcontroller.cpp
+++ b/src/ledger/budgetcontroller.cpp
@@ -443,6 +443,8 @@
         if (!confirmed) {
             outagePrograms_.endTurn(turn.program_, writer);
         }
+        const char *const granted = basis == GrantBasis::Coordinator ? "first_turn" : "later_turn";
+        hooks_.count_("outage_turns_total", confirmed ? granted : "refused");
         hooks_.logEvent_("budget_granted_by_replicas",
                          {{"program", turn.program_},
                           {"first_turn", basis == GrantBasis::Coordinator},
@@ -543,6 +545,7 @@
         replicateState(program, [this, program](bool acknowledged) {
             ProgramLedger &known = ledger_.ledgerOf(program);
             if (acknowledged && known.isRecorded(program) && outagePrograms_.contains(program)) {
+                hooks_.count_("outage_reserves_released_total", {});
                 known.releaseOutageReserve(program);
                 outagePrograms_.remove(program);
             }
--- a/src/ledger/budgetcontroller.h
+++ b/src/ledger/budgetcontroller.h
@@ -75,6 +75,7 @@
     Clock now_;
     PeerRequest askPeer_;
     std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_;
+    std::function<void(const std::string &counter, const std::string &label)> count_;
     BudgetNodes nodes_;
 };
 
--- a/test/gateway/formerversion.cpp
+++ b/test/gateway/formerversion.cpp
@@ -84,6 +84,61 @@
     EXPECT_EQ(read->report_.origins_[0].origin_.version_, "v1");
 }
 
+// Guards against a report whose new field is lost, or is set in reports of the version before.
+TEST(FormerVersion, ReportsSayWhetherGrantsMayBeMissed)
+{
+    FleetMessage message = sampleReport();
+    EXPECT_FALSE(decodeFleetMessage(encode(message))->report_.mayMissGrants_);
+    message.report_.mayMissGrants_ = true;
+    EXPECT_TRUE(decodeFleetMessage(encode(message))->report_.mayMissGrants_);
+}
+
+// Guards against an outage reserve that the version before does not count: it must read as the spending of a writer.
+TEST(FormerVersion, OutageReserveIsASpendingRecord)
+{
+    SpendingTable table("self", [] { return Time{std::chrono::seconds(100)}; });
+    table.setOutageReserve("p", 1200);
+    ASSERT_TRUE(table.unrecordedReserve("p"));
+    EXPECT_EQ(table.unrecordedReserve("p")->encode(), "1200 0 0 v");
+    table.applyRecord("p", SpendingTable::outageReserveWriter, SpendingRecord::decode("1200 0 0 v"));
+    EXPECT_FALSE(table.unrecordedReserve("p"));
+    EXPECT_EQ(table.total("p"), 1200U);
+}
+
+// Guards against later turns in an outage for a node of the version before, which would record its part of the spending
+// without the outage reserve.
+TEST(FormerVersion, NodeThatRecordsNoReserveGetsOneTurnInAnOutage)
+{
+    GatewayRig rig(3, {streamingRoute(false, 1, false)});
+    rig.addEndpoints("engines", "e", 1);
+    rig.run(std::chrono::seconds(11));
+    rig.send(0, turn("other", "other", "other"));
+    rig.run(std::chrono::seconds(1));
+    rig.store_.down_ = true;
+    rig.run(std::chrono::seconds(2));
+    std::vector<std::uint64_t> granted;
+    for (std::uint64_t turns = 1; turns <= 4; ++turns) {
+        const nlohmann::json claim = {
+            {"writer", "node9.1"}, {"tokens", 300 * turns}, {"recorded", 0U}, {"group", 0U}, {"claim", turns}};
+        for (const std::unique_ptr<Gateway> &node : rig.nodes_) {
+            node->onPeerRequest("budget_reserve",
+                                {{"program", "p"},
+                                 {"budget", 6000U},
+                                 {"tokens", 300U},
+                                 {"main_line", true},
+                                 {"repeat_ms", 9000U},
+                                 {"claim", claim}},
+                                [&granted, turns](const nlohmann::json &answer) {
+                                    if (answer["decision"] == "granted") {
+                                        granted.push_back(turns);
+                                    }
+                                });
+        }
+        rig.run(std::chrono::milliseconds(500));
+    }
+    EXPECT_EQ(granted, std::vector<std::uint64_t>{1});
+}
+
 /** \brief A request of a node of the version before, and the fields that it reads in the answer. */
 struct FormerRequest
 {
--- /dev/null
+++ b/test/gateway/grantwitness.cpp
@@ -0,0 +1,107 @@
+#include "ledger/grantwitness.h"
+
+#include <gtest/gtest.h>
+
+namespace filbertgw::test {
+
+namespace {
+
+using std::chrono::seconds;
+
+/** \brief A GrantWitness and what it is told. */
+struct WitnessRig
+{
+    explicit WitnessRig(bool hasRecords)
+        : hasRecords_(hasRecords)
+        , witness_(GrantWitnessHooks{[this] { return now_; },
+                                     [] { return true; },
+                                     [this] { return hasRecords_; },
+                                     [this] { return isRecorded_; },
+                                     [this] { return alive_; },
+                                     [this](Time since) { return lostAt_ >= since ? lost_ : 0; },
+                                     [this] { return hasWitness_; }})
+    {
+    }
+
+    bool mayMissAfter(Duration time)
+    {
+        for (const Time ends = now_ + time; now_ < ends; now_ += std::chrono::milliseconds(100)) {
+            witness_.update();
+        }
+        return witness_.mayMissGrants();
+    }
+
+    void lose(std::size_t nodes)
+    {
+        lost_ = nodes;
+        alive_ -= nodes;
+        lostAt_ = now_;
+    }
+
+    Time now_{seconds(1000)};
+    bool hasRecords_;
+    bool isRecorded_ = true;
+    std::size_t alive_ = 6;
+    std::size_t lost_ = 0;
+    Time lostAt_{0};
+    bool hasWitness_ = false;
+    GrantWitness witness_;
+};
+
+} // namespace
+
+// Guards against a new deployment that charges programs for outages that it can't have had.
+TEST(GrantWitness, EmptyLedgerHasNoPast)
+{
+    WitnessRig rig(false);
+    EXPECT_FALSE(rig.mayMissAfter(std::chrono::milliseconds(200)));
+}
+
+// Guards against nodes that start after the loss of all others and take what they do not know for not granted, and
+// against a doubt that outlasts the programs or the word of a node that knows.
+TEST(GrantWitness, StartedNodeMayMissGrantsUntilAWitnessOrTheEndOfAllPrograms)
+{
+    WitnessRig alone(true);
+    EXPECT_TRUE(alone.mayMissAfter(seconds(119)));
+    EXPECT_FALSE(alone.mayMissAfter(seconds(2)));
+    WitnessRig vouchedFor(true);
+    vouchedFor.hasWitness_ = true;
+    EXPECT_TRUE(vouchedFor.mayMissAfter(seconds(2)));
+    EXPECT_FALSE(vouchedFor.mayMissAfter(seconds(2)));
+}
+
+/** \brief Nodes that are lost in an outage. */
+struct LossCase
+{
+    const char *name_;
+    std::size_t lost_;
+    bool inOutage_;
+    bool mayMiss_;
+};
+
+class GrantWitnessLoss : public testing::TestWithParam<LossCase>
+{
+};
+
+// Guards against survivors that rely on copies of which all may be lost, and against doubts without an outage.
+TEST_P(GrantWitnessLoss, CountsCopies)
+{
+    WitnessRig rig(false);
+    rig.mayMissAfter(seconds(1));
+    rig.isRecorded_ = !GetParam().inOutage_;
+    rig.mayMissAfter(seconds(3));
+    rig.lose(GetParam().lost_);
+    EXPECT_EQ(rig.mayMissAfter(seconds(1)), GetParam().mayMiss_);
+    rig.isRecorded_ = true;
+    EXPECT_EQ(rig.mayMissAfter(seconds(60)), GetParam().mayMiss_);
+    EXPECT_FALSE(rig.mayMissAfter(seconds(70)));
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         GrantWitnessLoss,
+                         testing::Values(LossCase{"TwoInAnOutage", 2, true, false},
+                                         LossCase{"ThreeInAnOutage", 3, true, true},
+                                         LossCase{"ThreeInCalm", 3, false, false}),
+                         [](const testing::TestParamInfo<LossCase> &info) { return info.param.name_; });
+
+} // namespace filbertgw::test
--- a/test/gateway/outagespending.cpp
+++ b/test/gateway/outagespending.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <iostream>
+#include <random>
 
 namespace filbertgw::test {
 
@@ -173,4 +174,84 @@
                            }}),
     [](const testing::TestParamInfo<OutageSpendingCase> &info) { return info.param.name_; });
 
+namespace {
+
+/** Brings about one random fault or its end, or lets the program run. */
+void playRandomStep(SerialProgram &program, std::mt19937_64 &random)
+{
+    GatewayRig &rig = program.rig_;
+    const std::size_t node = random() % rig.nodes_.size();
+    const std::string name = "node" + std::to_string(node);
+    switch (random() % 12) {
+    case 0:
+    case 1:
+        rig.store_.down_ = true;
+        break;
+    case 2:
+        rig.store_.down_ = false;
+        break;
+    case 3:
+        rig.kill(node);
+        rig.restart(node);
+        break;
+    case 4:
+        if (random() % 3 == 0) {
+            program.killAll();
+            rig.run(milliseconds(random() % 3'000));
+            program.restartAll();
+        }
+        break;
+    case 5:
+        rig.store_.refuses_[name] = random() % 3 == 0;
+        break;
+    case 6:
+        if (random() % 2 == 0 || !rig.isolatedNodes_.insert(name).second) {
+            rig.isolatedNodes_.erase(name);
+        }
+        break;
+    case 7:
+        rig.store_.loseAnswers_ = random() % 4;
+        break;
+    case 8:
+        rig.appendDelays_[name] = milliseconds(random() % 2 == 0 ? 0 : random() % 3'000);
+        break;
+    case 9:
+        rig.run(milliseconds(random() % 6'000));
+        break;
+    default:
+        program.run(milliseconds(random() % 3'000), node);
+        break;
+    }
+}
+
+} // namespace
+
+class RandomOutageSpending : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+// Guards against combinations of faults in which spending is forgotten or not counted: the program gets more than its
+// budget and the most of one turn.
+TEST_P(RandomOutageSpending, NeverExceedsTheBudgetAndOneTurn)
+{
+    std::mt19937_64 random(GetParam());
+    SerialProgram program(1 + random() % 9, budget);
+    program.runOtherProgram();
+    if (random() % 2 == 0) {
+        program.rig_.store_.down_ = true;
+        program.rig_.run(milliseconds(1500));
+    }
+    for (int step = 0; step < 25; ++step) {
+        playRandomStep(program, random);
+    }
+    program.rig_.store_.down_ = false;
+    program.rig_.store_.refuses_.clear();
+    program.rig_.isolatedNodes_.clear();
+    program.rig_.appendDelays_.clear();
+    program.run(seconds(60));
+    EXPECT_LE(program.tokens_, budget + turnTokens);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RandomOutageSpending, testing::Range(std::uint64_t{1}, std::uint64_t{101}));
+
 } // namespace filbertgw::test
