--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -32,6 +32,8 @@
     void maintainCrashes();
     /** \brief Logs when the ledger becomes current or outdated. */
     void logLedgerStateChange();
+    /** \brief Logs when it changes whether this node may miss grants of an outage. */
+    void updateGrantWitness();
     /** \brief Logs the estimates of the engine models, which explain placements and refusals. */
     void logEngineTimings();
     /** \brief Share of the new programs of a service that Admission refuses, by priority. */
@@ -118,6 +120,7 @@
     std::size_t bufferedBytes_ = 0; ///< Of the unfinished answers of all calls.
     std::uint64_t housekeepingRuns_ = 0;
     Time lastLedgerCurrent_{0}; ///< When the ledger was last current.
+    bool mayHaveMissedGrants_ = true; ///< At the last call of updateGrantWitness().
     bool ledgerWasCurrent_ = false; ///< At the last call of logLedgerStateChange().
     bool hasQuotas_ = false; ///< An account of the configuration in force has a quota.
     bool stopping_ = false;
