Send later turns of programs before first ones that wait for the same service

Cause: engines take requests in order of arrival, so the urgency that is sent along has no effect there. When all endpoints refuse as full, first turns asked again as soon as later ones, and took slots for which running programs wait.

Change: with client accounts, a first turn that waits for an endpoint of a model engine does not ask while a later turn waits at the same node. Without accounts nothing changes.

Result: LaterTurnsGoBeforeFirstOnes sees the first turn sent first without the rule.

--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -416,6 +416,10 @@
         refuse(RefusalReason::Overloaded);
         return;
     }
+    if (mustYield()) {
+        waitForEndpoint();
+        return;
+    }
     const Endpoint *endpoint = chooseEndpoint();
     if (endpoint != nullptr) {
         origin_ ? sendRest(*endpoint) : send(*endpoint);
@@ -430,18 +434,36 @@
         return;
     }
     // Every endpoint refused or failed: retry them all while there is enough time left.
+    waitForEndpoint();
+}
+
+void GatewayCall::waitForEndpoint()
+{
     if (timeLeft() < gateway_->settings_.endpointRetryDelay_ * 2) {
         refuse(RefusalReason::EndpointsFull);
         return;
     }
     excluded_.clear();
-    gateway_->hooks_.after_(gateway_->settings_.endpointRetryDelay_, [self = shared_from_this()] {
+    const bool isLaterTurn = account_ != nullptr && route_->kind_ == RouteKind::Streaming && !isFirstTurn();
+    gateway_->waitingTurns_[serviceName_] += isLaterTurn ? 1 : 0;
+    gateway_->hooks_.after_(gateway_->settings_.endpointRetryDelay_, [self = shared_from_this(), isLaterTurn] {
+        self->gateway_->waitingTurns_[self->serviceName_] -= isLaterTurn ? 1 : 0;
         if (self->step_ == Step::Placing) {
             self->place();
         }
     });
 }
 
+bool GatewayCall::mustYield() const
+{
+    const bool isRun = service_ != nullptr && service_->engine_ && route_->kind_ == RouteKind::Streaming;
+    if (account_ == nullptr || !isRun || origin_ || !isFirstTurn()) {
+        return false;
+    }
+    const auto waiting = gateway_->waitingTurns_.find(serviceName_);
+    return waiting != gateway_->waitingTurns_.end() && waiting->second > 0;
+}
+
 void GatewayCall::send(const Endpoint &endpoint)
 {
     step_ = Step::Running;
@@ -501,11 +523,15 @@
     return handlers;
 }
 
+bool GatewayCall::isFirstTurn() const
+{
+    return spentTokens() <= grant_.tokens_;
+}
+
 std::uint32_t GatewayCall::urgency() const
 {
-    const bool isFirstTurn = spentTokens() <= grant_.tokens_;
     const std::uint32_t urgency =
-        highestUrgency + priority() * urgencyPerPriority + (isFirstTurn ? firstTurnUrgencyPenalty : 0);
+        highestUrgency + priority() * urgencyPerPriority + (isFirstTurn() ? firstTurnUrgencyPenalty : 0);
     return std::min(urgency, lowestUrgency);
 }
 
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -108,6 +108,11 @@
     /** \brief Handlers of the attempt that begins now. They do nothing once another attempt has begun. */
     AttemptHandlers handlersOfAttempt();
     const Endpoint *chooseEndpoint();
+    /** \brief Chooses an endpoint again a little later, or refuses the request if there is no time for that. */
+    void waitForEndpoint();
+    /** \brief True for a first turn while later ones wait here: engines take requests in order of arrival. */
+    bool mustYield() const;
+    bool isFirstTurn() const;
     /** \brief Waits for an endpoint whose request limit is used up, or refuses the request. */
     void waitForLimits();
     /** \brief True if the request has ended too many endpoints to be sent to another one. */
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -6,6 +6,7 @@
 #include "fleet/relayedstore.h"
 #include "gateway/gateway.h"
 
+#include <unordered_map>
 #include <unordered_set>
 
 namespace filbertgw {
@@ -98,6 +99,8 @@
     PaceTracker pace_;
     RetryAfterPolicy retryAfter_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
+    /** Later turns of programs of client accounts that wait for an endpoint, by service. */
+    std::unordered_map<std::string, std::size_t> waitingTurns_;
     std::size_t bufferedBytes_ = 0; ///< Of the unfinished answers of all calls.
     std::uint64_t housekeepingRuns_ = 0;
     Time lastLedgerCurrent_{0}; ///< When the ledger was last current.
--- a/test/gateway/accountadmission.cpp
+++ b/test/gateway/accountadmission.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t engines = 10; // With 4 slots each.
+constexpr std::size_t manyEngines = 10; // With 4 slots each.
 
 ClientAccount account(const std::string &name)
 {
@@ -23,7 +23,7 @@
 class AccountRig : public GatewayRig
 {
 public:
-    AccountRig()
+    explicit AccountRig(std::size_t engines)
         : GatewayRig(2, {route()})
     {
         addEndpoints("engines", "e", engines);
@@ -73,7 +73,7 @@
 // node. Without accounts, each of these programs is refused: their draws are below the refused share.
 TEST(AccountAdmissionOfNodes, ProgramsOfTheLargeAccountAreRefused)
 {
-    AccountRig rig;
+    AccountRig rig(manyEngines);
     for (const std::string &program : AccountRig::programs("hot", 34, 0.5, 1.0)) {
         rig.send(0, AccountRig::turnOf("hot", program));
     }
@@ -97,7 +97,7 @@
 // Guards against a request that takes up a slot although no engine can answer it in the time left.
 TEST(AccountAdmissionOfNodes, RequestsWithTooLittleTimeAreRefusedAtOnce)
 {
-    AccountRig rig;
+    AccountRig rig(manyEngines);
     rig.send(0, AccountRig::turnOf("small", "learned"));
     rig.run(std::chrono::milliseconds(500));
     ASSERT_EQ(rig.attempts_.size(), 1U);
@@ -120,4 +120,28 @@
     EXPECT_EQ(rig.attempts_.size(), 2U);
 }
 
+// Guards against first turns that take the slots for which turns of running programs wait: engines take requests in
+// order of arrival, and the work of a program that ends midway is lost.
+TEST(AccountAdmissionOfNodes, LaterTurnsGoBeforeFirstOnes)
+{
+    AccountRig rig(1);
+    rig.send(0, AccountRig::turnOf("small", "old"));
+    rig.run(std::chrono::milliseconds(200));
+    rig.stream(0, {"output"}, true);
+    rig.run(std::chrono::milliseconds(500));
+    rig.send(0, AccountRig::turnOf("hot", "new"));
+    rig.run(std::chrono::milliseconds(10));
+    GatewayRequest later = AccountRig::turnOf("small", "old");
+    later.id_ = "old-2";
+    rig.send(0, later);
+    rig.run(std::chrono::milliseconds(5));
+    ASSERT_EQ(rig.attempts_.size(), 3U);
+    rig.refuse(1);
+    rig.refuse(2);
+    rig.run(std::chrono::milliseconds(200));
+    ASSERT_EQ(rig.attempts_.size(), 5U);
+    EXPECT_EQ(rig.attempts_[3].attempt_.request_->id_, "old-2");
+    EXPECT_EQ(rig.attempts_[4].attempt_.request_->id_, "new-1");
+}
+
 } // namespace filbertgw::test
