--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -99,7 +99,6 @@
     std::map<std::string, std::size_t> counts_; ///< Of all nodes, by "name/label".
     bool keepsLog_ = false;
     std::set<std::size_t> configurationCuts_; ///< Nodes that can't read the configuration from the store.
-    std::map<std::string, std::size_t> peerRequests_; ///< Requests between nodes, by type.
     std::optional<Duration> configurationReadTime_; ///< If set, nodes can read the configuration again in this time.
     static constexpr const char *configurationText = "a text with keys, version "; ///< Begins each configuration.
 
