--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,15 +14,23 @@
 namespace {
 
 constexpr Duration housekeepingInterval{100'000};
+/** Accounts with series of their own in the metrics; the others share one. */
+constexpr std::size_t maxAccountLabels = 100;
 /** Runs of the housekeeping between two log entries on the engine models. */
 constexpr std::uint64_t housekeepingRunsPerLog = 50;
 /** Time without the store after which a node reports itself as not ready if others can take its connections. */
 constexpr Duration partitionTimeout{1'800'000};
-/** Accounts that have their own series in a metric; all others share one. */
-constexpr std::size_t maxAccountLabels = 100;
 /** Name of the state whose holder deletes expired crash records from the store. \sa Fleet::holderOf */
 const char *const crashState = "crashes";
 
+bool hasQuotas(const AccountDirectory *accounts)
+{
+    return accounts != nullptr
+        && std::any_of(accounts->accounts().begin(), accounts->accounts().end(), [](const auto &entry) {
+               return entry.second.hasQuota();
+           });
+}
+
 } // namespace
 } // namespace internal
 
@@ -65,6 +73,7 @@
     , accountLabels_("account", internal::maxAccountLabels)
     , pace_(hooks_.now_, settings_.pace_)
     , retryAfter_(settings_.retryAfter_)
+    , quota_(quotaHooks(), settings_.quota_)
 {
 }
 
@@ -361,6 +370,7 @@
     hooks.now_ = hooks_.now_;
     hooks.askPeer_ = hooks_.askPeer_;
     hooks.logEvent_ = hooks_.logEvent_;
+    hooks.count_ = hooks_.count_;
     BudgetNodes &nodes = hooks.nodes_;
     nodes.findAlive_ = [this](const std::string &name) { return fleet_.findAlive(name); };
     nodes.withCurrentLedger_ = [this](const std::string &program) { return fleet_.nodeWithCurrentLedger(program); };
@@ -566,6 +576,15 @@
     }
 }
 
+void Gateway::Private::updateGrantWitness()
+{
+    grantWitness_.update();
+    if (std::exchange(mayHaveMissedGrants_, grantWitness_.mayMissGrants()) != grantWitness_.mayMissGrants()) {
+        hooks_.logEvent_(grantWitness_.mayMissGrants() ? "grants_may_be_missed" : "grants_known",
+                         {{"peers_alive", fleet_.alive()}, {"copies", grantWitness_.copies()}});
+    }
+}
+
 void Gateway::Private::runHousekeeping()
 {
     checkSuspension();
@@ -574,7 +593,7 @@
         lastLedgerCurrent_ = hooks_.now_();
     }
     logLedgerStateChange();
-    grantWitness_.update();
+    updateGrantWitness();
     budget_.releaseReserves();
     if (!ledger_.isReachable()) {
         pace_.reset();
@@ -593,6 +612,7 @@
     origins_.update();
     outputs_.expire();
     maintainCrashes();
+    quota_.tick();
     discoverCaches();
     if (++housekeepingRuns_ % internal::housekeepingRunsPerLog == 0) {
         logEngineTimings();
@@ -635,6 +655,7 @@
                           {"accounts", table->accounts() != nullptr ? table->accounts()->accounts().size() : 0}});
     d_->configurationPeers_.setCurrent(table->version(), table->accounts() != nullptr ? text : std::string());
     d_->routing_ = std::move(table);
+    d_->hasQuotas_ = internal::hasQuotas(d_->routing_->accounts());
 }
 
 void Gateway::updateEndpoint(const Endpoint &endpoint, Time writtenAfter)
@@ -708,6 +729,7 @@
 void Gateway::beginStop()
 {
     d_->stopping_ = true;
+    d_->quota_.beginStop();
     d_->ledger_.releaseAllowances();
 }
 
@@ -732,8 +754,8 @@
 {
     if (!d_->budget_.onPeerRequest(type, body, answer) && !d_->relayedStore_.onPeerRequest(type, body, answer)
         && !d_->turns_.onPeerRequest(type, body, answer) && !d_->origins_.onPeerRequest(type, body, answer)
-        && !d_->outputs_.onPeerRequest(type, body, answer)
-        && !d_->configurationPeers_.onPeerRequest(type, body, answer)) {
+        && !d_->outputs_.onPeerRequest(type, body, answer) && !d_->configurationPeers_.onPeerRequest(type, body, answer)
+        && !d_->quota_.onPeerRequest(type, body, answer)) {
         answer({});
     }
 }
@@ -750,12 +772,14 @@
             {"peers_alive", d_->fleet_.alive()},
             {"programs", d_->ledger_.programCount()},
             {"ledger_current", d_->ledger_.isCurrent()},
+            {"may_miss_grants", d_->grantWitness_.mayMissGrants()},
             {"cached_turn_bytes", d_->turns_.cachedBytes()},
             {"endpoints_placed", d_->placement_.endpoints()},
             {"engines", d_->placement_.engines().state()},
             {"stream_origins", d_->origins_.size()},
             {"stream_output_bytes", d_->outputs_.bytes()},
             {"suspected_requests", d_->quarantine_.requests()},
+            {"quota_levels", d_->quota_.state()},
             {"stopping", d_->stopping_}};
 }
 
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -1,4 +1,5 @@
 #include "gateway/gatewaycall.h"
+#include "memory/releasetext.h"
 
 #include "accounts/accountscope.h"
 #include "core/numbers.h"
@@ -134,11 +135,13 @@
 void GatewayCall::prepare()
 {
     chooseService();
-    if (!admitProgram()) {
-        refuse(RefusalReason::Overloaded);
-        return;
-    }
-    loadChain();
+    acquirePermit([this] {
+        if (!admitProgram()) {
+            refuse(RefusalReason::Overloaded);
+            return;
+        }
+        loadChain();
+    });
 }
 
 double GatewayCall::refusedShare(const ServiceLoad &load) const
@@ -161,7 +164,8 @@
     if (account_ != nullptr) {
         fields["account"] = account_->name_;
         fields["refused_share"] = refusedShare;
-        gateway_->hooks_.count_("programs_refused_total", gateway_->accountLabels_.labelOf(account_->name_));
+        gateway_->hooks_.count_("account_refusals_total",
+                                gateway_->accountLabels_.labelOf(account_->name_) + ",cause=\"fair_share\"");
     }
     gateway_->hooks_.logEvent_("program_refused", fields);
 }
@@ -416,10 +420,15 @@
         return;
     }
     if (isTooLate()) {
-        gateway_->hooks_.count_("requests_too_late_total", gateway_->accountLabels_.labelOf(account_->name_));
+        gateway_->hooks_.count_("account_refusals_total",
+                                gateway_->accountLabels_.labelOf(account_->name_) + ",cause=\"too_late\"");
         refuse(RefusalReason::Overloaded);
         return;
     }
+    if (mustYield()) {
+        waitForEndpoint();
+        return;
+    }
     const Endpoint *endpoint = chooseEndpoint();
     if (endpoint != nullptr) {
         origin_ ? sendRest(*endpoint) : send(*endpoint);
@@ -434,20 +443,43 @@
         return;
     }
     // Every endpoint refused or failed: retry them all while there is enough time left.
+    waitForEndpoint();
+}
+
+void GatewayCall::waitForEndpoint()
+{
     if (timeLeft() < gateway_->settings_.endpointRetryDelay_ * 2) {
         refuse(RefusalReason::EndpointsFull);
         return;
     }
     excluded_.clear();
-    gateway_->hooks_.after_(gateway_->settings_.endpointRetryDelay_, [self = shared_from_this()] {
+    const bool isLaterTurn = account_ != nullptr && route_->kind_ == RouteKind::Streaming && !isFirstTurn();
+    gateway_->waitingTurns_[serviceName_] += isLaterTurn ? 1 : 0;
+    gateway_->hooks_.after_(gateway_->settings_.endpointRetryDelay_, [self = shared_from_this(), isLaterTurn] {
+        self->gateway_->waitingTurns_[self->serviceName_] -= isLaterTurn ? 1 : 0;
         if (self->step_ == Step::Placing) {
             self->place();
         }
     });
 }
 
+bool GatewayCall::mustYield() const
+{
+    const bool isRun = service_ != nullptr && service_->engine_ && route_->kind_ == RouteKind::Streaming;
+    if (account_ == nullptr || !isRun || origin_ || !isFirstTurn()) {
+        return false;
+    }
+    const auto waiting = gateway_->waitingTurns_.find(serviceName_);
+    return waiting != gateway_->waitingTurns_.end() && waiting->second > 0;
+}
+
 void GatewayCall::send(const Endpoint &endpoint)
 {
+    if (!usePermit()) {
+        step_ = Step::Placing;
+        acquirePermit([this] { place(); });
+        return;
+    }
     step_ = Step::Running;
     ++sends_;
     endpoint_ = endpoint.id_;
@@ -456,7 +488,7 @@
     headReceived_ = false;
     isNoStream_ = false;
     head_ = AttemptHead();
-    responseBody_.clear();
+    releaseText(responseBody_);
     splitter_ = EventSplitter();
     attemptEvents_ = 0;
     EndpointAttempt attempt;
@@ -505,11 +537,15 @@
     return handlers;
 }
 
+bool GatewayCall::isFirstTurn() const
+{
+    return spentTokens() <= grant_.tokens_;
+}
+
 std::uint32_t GatewayCall::urgency() const
 {
-    const bool isFirstTurn = spentTokens() <= grant_.tokens_;
     const std::uint32_t urgency =
-        highestUrgency + priority() * urgencyPerPriority + (isFirstTurn ? firstTurnUrgencyPenalty : 0);
+        highestUrgency + priority() * urgencyPerPriority + (isFirstTurn() ? firstTurnUrgencyPenalty : 0);
     return std::min(urgency, lowestUrgency);
 }
 
@@ -576,6 +612,7 @@
         doubtEndpoint(endpoint);
     }
     if (ended == AttemptEnd::NotSent) {
+        keepPermit();
         gateway_->reachability_.connectFailed(endpoint);
         gateway_->placement_.failed(endpoint);
         excluded_.insert(endpoint);
@@ -584,6 +621,7 @@
     }
     const bool refused = ended == AttemptEnd::Complete && (head_.notRun_ || head_.wrongInstance_);
     if (refused) {
+        keepPermit();
         if (head_.wrongInstance_) {
             gateway_->retireEndpoint(incarnation_, "replaced");
             gateway_->crashDetector_.endpointEnded(incarnation_, CrashEvidence::Replaced);
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -7,6 +7,7 @@
 #include "gateway/gateway.h"
 #include "ledger/grantwitness.h"
 
+#include <unordered_map>
 #include <unordered_set>
 
 namespace filbertgw {
@@ -32,6 +33,8 @@
     void maintainCrashes();
     /** \brief Logs when the ledger becomes current or outdated. */
     void logLedgerStateChange();
+    /** \brief Logs when it changes whether this node may miss grants of an outage. */
+    void updateGrantWitness();
     /** \brief Logs the estimates of the engine models, which explain placements and refusals. */
     void logEngineTimings();
     /** \brief Share of the new programs of a service that Admission refuses, by priority. */
@@ -59,6 +62,7 @@
     void refreshConfiguration(Duration pause);
     /** \brief Runs a task when the configuration is not in doubt, which takes the time of one read at most. */
     void withConfiguration(const std::function<void()> &task);
+    QuotaControllerHooks quotaHooks();
     /** \brief Reads the registry as it is now; \p done gets false if that failed. */
     void refreshRegistry(const std::function<void(bool isCurrent)> &done);
     /** \brief Asks an endpoint whether it is the process of its entry; ends its doubt, or retires the incarnation. */
@@ -112,11 +116,16 @@
     BoundedLabels accountLabels_; ///< Names of accounts in the labels of metrics.
     PaceTracker pace_;
     RetryAfterPolicy retryAfter_;
+    QuotaController quota_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
+    /** Later turns of programs of client accounts that wait for an endpoint, by service. */
+    std::unordered_map<std::string, std::size_t> waitingTurns_;
     std::size_t bufferedBytes_ = 0; ///< Of the unfinished answers of all calls.
     std::uint64_t housekeepingRuns_ = 0;
     Time lastLedgerCurrent_{0}; ///< When the ledger was last current.
+    bool mayHaveMissedGrants_ = true; ///< At the last call of updateGrantWitness().
     bool ledgerWasCurrent_ = false; ///< At the last call of logLedgerStateChange().
+    bool hasQuotas_ = false; ///< An account of the configuration in force has a quota.
     bool stopping_ = false;
     bool stopped_ = false;
 };
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewaycall.h"
 
 #include "core/numbers.h"
+#include "memory/releasetext.h"
 
 #include <array>
 #include <cstdio>
@@ -80,7 +81,7 @@
 void GatewayCall::cutAnswer()
 {
     gateway_->hooks_.cancelAttempt_(attempt_);
-    responseBody_.clear();
+    releaseText(responseBody_);
     splitter_ = EventSplitter();
     attemptEnded(AttemptEnd::Broken);
     countBufferedBytes();
@@ -198,6 +199,7 @@
 {
     const std::string contentType = relayHeaders();
     reply_->send(head_.status_, contentType, responseBody_);
+    releaseText(responseBody_); // Timers may keep the ended call for a while.
     end(head_.status_ / 100 == 2 ? "served" : "endpoint_error");
 }
 
@@ -236,8 +238,8 @@
     if (step_ == Step::Ended) {
         return;
     }
-    // Whatever the reason is: a 503 promises that the request has not run.
-    if (runs_ > 0 && statusOf(reason) == 503) {
+    // Whatever the reason is: a 503 or 429 promises that the request has not run.
+    if (runs_ > 0 && (statusOf(reason) == 503 || statusOf(reason) == 429)) {
         reason = RefusalReason::OutcomeUnknown;
     }
     const int status =
@@ -251,6 +253,9 @@
             reason, gateway_->isStoreUnavailable(), drawFrom(gateway_->hooks_.random_));
         reply_->setHeader("Retry-After", secondsText(after));
     }
+    if (status == 429) {
+        reply_->setHeader("Retry-After", secondsText(quotaRetryAfter_));
+    }
     reply_->send(status, "application/json", "{\"error\":\"" + std::string(nameOf(reason)) + "\"}");
     end(std::string(nameOf(reason)).c_str());
 }
@@ -331,6 +336,7 @@
         gateway_->turns_.abandon(storeOperation_);
     }
     settleBudget();
+    returnPermit();
     countBufferedBytes();
     reply_->onClosed(nullptr);
     const Duration took = gateway_->hooks_.now_() - arrivedAt_;
--- a/test/gateway/gatewayrig.h
+++ b/test/gateway/gatewayrig.h
@@ -79,6 +79,7 @@
 
     bench::EventQueue queue_;
     bench::FakeStore store_;
+    std::map<std::string, std::size_t> peerRequests_; ///< Requests of nodes to each other, by type.
     std::vector<std::unique_ptr<Gateway>> nodes_;
     std::vector<ReceivedAttempt> attempts_;
     std::set<std::string> isolatedNodes_; ///< Nodes without a connection to any other node.
@@ -98,7 +99,6 @@
     std::map<std::string, std::size_t> counts_; ///< Of all nodes, by "name/label".
     bool keepsLog_ = false;
     std::set<std::size_t> configurationCuts_; ///< Nodes that can't read the configuration from the store.
-    std::map<std::string, std::size_t> peerRequests_; ///< Requests between nodes, by type.
     std::optional<Duration> configurationReadTime_; ///< If set, nodes can read the configuration again in this time.
     static constexpr const char *configurationText = "a text with keys, version "; ///< Begins each configuration.
 
