Grant permits once when a coordinator is slow rather than gone

Cause: a coordinator that answers after more than 30 ms was replaced for 1 s each time, and its deputy began with the initial level each time, while the slow one went on granting.

Change: a report that arrives after the suspicion ends it; a node that took over and released an account within the window begins with an empty bucket. Until it is certain that the former coordinator is gone, the deputy grants 0.3 of the rate and tells refused clients to return after 1 s.

--- a/src/accounts/quotacontroller.cpp
+++ b/src/accounts/quotacontroller.cpp
@@ -18,8 +18,6 @@
 /** Part of the rate that a node grants while the coordinator before it has just stopped answering: it may still grant
  * permits to others, until reports show after about a second that it is gone. */
 constexpr double unsureRate = 0.3;
-/** The same if its address accepts connections: it is probably frozen, and grants nothing. */
-constexpr double frozenRate = 0.6;
 /** A node that has not read the list of nodes takes the fleet to be this large. */
 constexpr double assumedNodes = 64.0;
 /** The list of nodes is read again after this time. */
@@ -196,7 +194,12 @@
 bool QuotaController::isPassedOver(const QuotaNode &node) const
 {
     const auto found = suspicions_.find(node.name_);
-    return found != suspicions_.end() && (hooks_.now_() < found->second.until_ || isProvenDead(node));
+    if (found == suspicions_.end()) {
+        return false;
+    }
+    // A process that goes on reporting is busy, not frozen or gone: it still grants permits to others.
+    const bool isBusy = !found->second.isUnable_ && node.heardAt_ > found->second.since_ + internal::reportDelay;
+    return (hooks_.now_() < found->second.until_ && !isBusy) || isProvenDead(node);
 }
 
 std::uint64_t QuotaController::weightOf(std::uint64_t nodeHash, const std::string &account)
@@ -263,7 +266,7 @@
         const bool isSuspected = suspicion != suspicions_.end() && !suspicion->second.isUnable_
             && isPassedOver(nodes[i]) && !isProvenDead(nodes[i]);
         if (nodes[i].isAlive_ && isSuspected && weightOf(nodeHashes_[i], account) > own) {
-            unsure = std::min(unsure, suspicion->second.isAccepting_ ? internal::frozenRate : internal::unsureRate);
+            unsure = internal::unsureRate;
         }
     }
     const double part = aliveNodes_ / (aliveNodes_ + silentNodes_);
@@ -452,8 +455,7 @@
         return;
     }
     forgetView();
-    suspicion =
-        Suspicion{now, now + (isUnable ? internal::unableTime : settings_.suspicionTime_), false, false, isUnable};
+    suspicion = Suspicion{now, now + (isUnable ? internal::unableTime : settings_.suspicionTime_), false, isUnable};
     hooks_.logEvent_("quota_node_unanswering", {{"peer", node.name_}, {"without_quotas", isUnable}});
     if (hooks_.probe_ && !isUnable) {
         probedAt_[node.name_] = now;
@@ -468,15 +470,11 @@
 void QuotaController::probed(const QuotaNode &node, NodeProbe result)
 {
     if (result != NodeProbe::Refused) {
-        const auto suspicion = suspicions_.find(node.name_);
-        if (suspicion != suspicions_.end()) {
-            suspicion->second.isAccepting_ = result == NodeProbe::Accepted;
-        }
         return;
     }
     const Time now = hooks_.now_();
     hooks_.logEvent_("quota_node_dead", {{"peer", node.name_}});
-    suspicions_[node.name_] = Suspicion{now, now, true, false, false};
+    suspicions_[node.name_] = Suspicion{now, now, true, false};
     forgetView();
 }
 
--- a/src/accounts/quotacontroller.h
+++ b/src/accounts/quotacontroller.h
@@ -99,7 +99,6 @@
         Time since_{0};
         Time until_{0};
         bool isDead_ = false; ///< Its address refuses connections.
-        bool isAccepting_ = false; ///< Its address accepts connections: the process is frozen or busy, not cut off.
         bool isUnable_ = false; ///< It answers, but is of a version without quotas.
     };
     using Answer = std::function<void(const nlohmann::json &)>;
--- a/src/accounts/quotacoordinator.cpp
+++ b/src/accounts/quotacoordinator.cpp
@@ -22,7 +22,7 @@
 constexpr Duration shortestPause{20'000};
 constexpr Duration longestPause{250'000};
 /** After about this time it is certain whether a former coordinator is gone, and the whole rate is granted again. */
-constexpr Duration unsurePause{700'000};
+constexpr Duration unsurePause{1'000'000};
 /** Refused requests are told to return within this time after the next permit is free. */
 constexpr Duration longestPromise{2'000'000};
 
@@ -41,7 +41,10 @@
     const Time now = now_();
     auto found = accounts_.find(name);
     if (found == accounts_.end()) {
-        const double level = settings_.initialLevel(limit, share, now);
+        // A node that takes over and releases an account again and again adds the initial level once in a window.
+        const auto released = released_.find(name);
+        const bool isRepeated = released != released_.end() && now - released->second <= settings_.window_;
+        const double level = isRepeated ? 0.0 : settings_.initialLevel(limit, share, now);
         found = accounts_.emplace(name, Account(level, internal::minProgramBurst, now)).first;
     }
     Account &account = found->second;
@@ -193,6 +196,7 @@
     }
     const QuotaState state{found->second.bucket_.level(), requestsPerProgram(found->second)};
     accounts_.erase(found);
+    released_[name] = now_();
     return state;
 }
 
@@ -205,6 +209,9 @@
 
 void QuotaCoordinator::expire()
 {
+    for (auto entry = released_.begin(); entry != released_.end();) {
+        entry = now_() - entry->second > settings_.window_ ? released_.erase(entry) : std::next(entry);
+    }
     for (auto entry = accounts_.begin(); entry != accounts_.end();) {
         const QuotaLimit &limit = entry->second.limit_;
         const double rate = std::max(limit.requestsPerSecond_, 0.01);
--- a/src/accounts/quotacoordinator.h
+++ b/src/accounts/quotacoordinator.h
@@ -98,6 +98,7 @@
     Clock now_;
     QuotaSettings settings_;
     std::map<std::string, Account> accounts_;
+    std::map<std::string, Time> released_; ///< Accounts that were released within the window.
 };
 
 } // namespace filbertgw
--- a/test/accounts/quotacontroller.cpp
+++ b/test/accounts/quotacontroller.cpp
@@ -97,6 +97,14 @@
              fleet.run(std::chrono::seconds(6));
          },
          0.6},
+        {"CoordinatorSlow",
+         [at](QuotaFleet &fleet) {
+             const std::size_t node = at(fleet, 0);
+             fleet.setSlow(node, std::chrono::milliseconds(60));
+             fleet.run(std::chrono::seconds(8));
+             fleet.setSlow(node, Duration{0});
+         },
+         0.6},
         {"OtherNodeFrozen",
          [at](QuotaFleet &fleet) {
              const std::size_t node = at(fleet, 2);
--- a/test/accounts/quotafleet.cpp
+++ b/test/accounts/quotafleet.cpp
@@ -33,6 +33,7 @@
     Time resumedAt_{0};
     bool frozen_ = false;
     bool silent_ = false;
+    Duration slowness_{0};
 
     bool isRunning() const
     {
@@ -118,6 +119,11 @@
     }
 }
 
+void QuotaFleet::setSlow(std::size_t node, Duration delay)
+{
+    nodes_[node]->slowness_ = delay;
+}
+
 void QuotaFleet::setGroup(std::size_t node, int group)
 {
     for (const std::unique_ptr<Node> &other : nodes_) {
@@ -220,7 +226,9 @@
         if (!reaches(node, to)) {
             return;
         }
-        queue_.after(networkDelay, [this, to, type, body, finish] {
+        const Duration slowness = nodes_[to]->slowness_;
+        const Duration delay(slowness > Duration{0} ? static_cast<std::int64_t>(random_() % slowness.count()) : 0);
+        queue_.after(networkDelay + delay, [this, to, type, body, finish] {
             atNode(to, [this, to, type, body, finish] {
                 nodes_[to]->controller_->onPeerRequest(type, body, [this, finish](const nlohmann::json &result) {
                     messageBytes_ += result.dump().size();
--- a/test/accounts/quotafleet.h
+++ b/test/accounts/quotafleet.h
@@ -60,6 +60,8 @@
     void add();
     void freeze(std::size_t node);
     void resume(std::size_t node);
+    /** \brief Requests of other nodes reach the node after up to \p delay. */
+    void setSlow(std::size_t node, Duration delay);
     /** \brief Nodes of different groups don't reach each other; 0 at the start. */
     void setGroup(std::size_t node, int group);
     /** \brief Rank by which a node coordinates an account if all are alive, 0 for the coordinator. */
