--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Duration housekeepingInterval{100'000};
+/** Accounts with series of their own in the metrics; the others share one. */
+constexpr std::size_t maxAccountLabels = 100;
 /** Runs of the housekeeping between two log entries on the engine models. */
 constexpr std::uint64_t housekeepingRunsPerLog = 50;
 /** Time without the store after which a node reports itself as not ready if others can take its connections. */
@@ -35,6 +37,8 @@
 Gateway::Private::Private(GatewayHooks hooks, GatewaySettings settings)
     : hooks_(std::move(hooks))
     , settings_(std::move(settings))
+    , configurationPeers_(configurationPeersHooks(), settings_.configurationPeers_)
+    , lastRunAt_(hooks_.now_())
     , directory_(hooks_.now_)
     , placement_(hooks_.now_, hooks_.random_, settings_.placement_)
     , cacheDiscovery_(cacheDiscoveryHooks(), settings_.cacheDiscovery_)
@@ -58,12 +62,15 @@
     , outputs_(streamOutputsHooks(), settings_.outputs_)
     , relayedStore_(
           hooks_.store_,
-          BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_},
+          RelayedStoreHooks{hooks_.askPeer_, hooks_.logEvent_},
           [this] { return ledger_.isReachable(); },
           fleet_)
     , turns_(turnStoreHooks(), settings_.turns_)
-    , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_}, hooks_.now_, ledger_, fleet_)
+    , grantWitness_(grantWitnessHooks())
+    , budget_(budgetHooks(), ledger_)
     , admission_(settings_.admission_)
+    , accountAdmission_(hooks_.now_, settings_.accountAdmission_)
+    , accountLabels_("account", internal::maxAccountLabels)
     , pace_(hooks_.now_, settings_.pace_)
     , retryAfter_(settings_.retryAfter_)
     , quota_(quotaHooks(), settings_.quota_)
@@ -88,6 +95,23 @@
     return load;
 }
 
+AccountAdmission::RefusedShare Gateway::Private::refusedShareOf(const std::string &service)
+{
+    return [this, load = loadOf(service)](std::uint32_t priority) { return admission_.refusedShare(load, priority); };
+}
+
+void Gateway::Private::updateAccountAdmission()
+{
+    if (!routing_ || routing_->accounts() == nullptr) {
+        return;
+    }
+    for (const std::pair<const std::string, Service> &service : routing_->services()) {
+        if (service.second.engine_) {
+            accountAdmission_.update(service.first, refusedShareOf(service.first));
+        }
+    }
+}
+
 TurnStoreHooks Gateway::Private::turnStoreHooks()
 {
     TurnStoreHooks hooks;
@@ -209,6 +233,63 @@
     return hooks;
 }
 
+ConfigurationPeersHooks Gateway::Private::configurationPeersHooks()
+{
+    ConfigurationPeersHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.askPeer_ = hooks_.askPeer_;
+    hooks.version_ = [this] { return routing_ ? routing_->version() : 0; };
+    hooks.apply_ = [this](const std::string &text) {
+        if (hooks_.applyConfiguration_) {
+            hooks_.applyConfiguration_(text);
+        }
+    };
+    hooks.logEvent_ = hooks_.logEvent_;
+    return hooks;
+}
+
+void Gateway::Private::checkSuspension()
+{
+    const Duration pause = hooks_.now_() - std::exchange(lastRunAt_, hooks_.now_());
+    const bool hasAccounts = routing_ && routing_->accounts() != nullptr;
+    if (pause <= settings_.maxSuspension_ || !hasAccounts || !hooks_.refreshConfiguration_) {
+        return;
+    }
+    if (std::exchange(isConfigurationInDoubt_, true)) {
+        return;
+    }
+    refreshConfiguration(pause);
+}
+
+void Gateway::Private::refreshConfiguration(Duration pause)
+{
+    hooks_.refreshConfiguration_([self = shared_from_this(), pause, began = hooks_.now_()](bool isCurrent) {
+        if (!isCurrent && self->hooks_.now_() - began > self->settings_.maxSuspension_) {
+            self->refreshConfiguration(pause); // The process was suspended again meanwhile.
+            return;
+        }
+        self->hooks_.logEvent_("configuration_checked",
+                               {{"pause_ms", toMilliseconds(pause)},
+                                {"current", isCurrent},
+                                {"version", self->routing_->version()},
+                                {"requests", self->waitingForConfiguration_.size()}});
+        self->isConfigurationInDoubt_ = false;
+        for (const std::function<void()> &task : std::exchange(self->waitingForConfiguration_, {})) {
+            task();
+        }
+    });
+}
+
+void Gateway::Private::withConfiguration(const std::function<void()> &task)
+{
+    checkSuspension();
+    if (isConfigurationInDoubt_) {
+        waitingForConfiguration_.push_back(task);
+    } else {
+        task();
+    }
+}
+
 void Gateway::Private::refreshRegistry(const std::function<void(bool isCurrent)> &done)
 {
     if (hooks_.refreshRegistry_) {
@@ -270,6 +351,46 @@
     }
 }
 
+GrantWitnessHooks Gateway::Private::grantWitnessHooks()
+{
+    GrantWitnessHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.isComplete_ = [this] { return ledger_.isComplete(); };
+    hooks.hasRecords_ = [this] { return ledger_.hasRecords(); };
+    hooks.isRecorded_ = [this] { return ledger_.isCurrent() && fleet_.allGrantsRecorded(); };
+    hooks.alive_ = [this] { return fleet_.alive(); };
+    hooks.lostSince_ = [this](Time since) { return fleet_.lostSince(since); };
+    hooks.hasWitness_ = [this] { return fleet_.hasGrantWitness(); };
+    return hooks;
+}
+
+BudgetControllerHooks Gateway::Private::budgetHooks()
+{
+    BudgetControllerHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.askPeer_ = hooks_.askPeer_;
+    hooks.logEvent_ = hooks_.logEvent_;
+    hooks.count_ = hooks_.count_;
+    BudgetNodes &nodes = hooks.nodes_;
+    nodes.findAlive_ = [this](const std::string &name) { return fleet_.findAlive(name); };
+    nodes.withCurrentLedger_ = [this](const std::string &program) { return fleet_.nodeWithCurrentLedger(program); };
+    nodes.coordinatorOf_ = [this](const std::string &program) { return fleet_.coordinatorOf(program); };
+    nodes.backupCoordinatorOf_ = [this](const std::string &program) { return fleet_.backupCoordinatorOf(program); };
+    nodes.successorsOf_ = [this](const std::string &program, std::size_t count) {
+        return fleet_.successorsOf(program, count);
+    };
+    nodes.hasCoordinated_ = [this](const std::string &program, Duration window) {
+        return fleet_.hasCoordinated(program, window);
+    };
+    nodes.isSelf_ = [this](const FleetMember &member) { return fleet_.isSelf(member); };
+    nodes.mayMissGrants_ = [this] {
+        grantWitness_.update();
+        return grantWitness_.mayMissGrants();
+    };
+    nodes.copies_ = [this] { return grantWitness_.copies(); };
+    return hooks;
+}
+
 FleetHooks Gateway::Private::fleetHooks()
 {
     FleetHooks hooks;
@@ -286,7 +407,12 @@
         report.crashes_ = quarantine_.takeAnnouncements();
         report.limits_ = limits_.takeAnnouncements();
         report.origins_ = origins_.takeAnnouncements();
+        report.mayMissGrants_ = grantWitness_.mayMissGrants();
         report.reachesEndpoints_ = !reachability_.isCutOff() && !stopping_;
+        report.configurationVersion_ = configurationPeers_.offeredVersion();
+        if (routing_ && routing_->accounts() != nullptr) {
+            report.accounts_ = accountAdmission_.localLoad();
+        }
         return report;
     };
 
@@ -301,6 +427,9 @@
             [this](const std::pair<std::string, std::uint32_t> &at) { return directory_.find(at.first) != nullptr; });
         placement_.setPeerLoad(source, load, report.nodes_);
         pace_.setPeerPaces(source, report.paces_);
+        if (report.accounts_) {
+            accountAdmission_.setPeerLoad(source, *report.accounts_);
+        }
         for (const CrashRecord &crash : report.crashes_) {
             quarantine_.add(crash);
         }
@@ -316,6 +445,9 @@
             }
         }
     };
+    hooks.onConfigurationOffered_ = [this](const FleetMember &node, std::uint64_t version) {
+        configurationPeers_.reported(node, version);
+    };
     hooks.onLivenessChanged_ = [this](const std::string &node, bool alive) {
         hooks_.logEvent_(alive ? "peer_found" : "peer_lost", {{"peer", node}});
     };
@@ -444,12 +576,25 @@
     }
 }
 
+void Gateway::Private::updateGrantWitness()
+{
+    grantWitness_.update();
+    if (std::exchange(mayHaveMissedGrants_, grantWitness_.mayMissGrants()) != grantWitness_.mayMissGrants()) {
+        hooks_.logEvent_(grantWitness_.mayMissGrants() ? "grants_may_be_missed" : "grants_known",
+                         {{"peers_alive", fleet_.alive()}, {"copies", grantWitness_.copies()}});
+    }
+}
+
 void Gateway::Private::runHousekeeping()
 {
+    checkSuspension();
+    configurationPeers_.update();
     if (ledger_.isCurrent()) {
         lastLedgerCurrent_ = hooks_.now_();
     }
     logLedgerStateChange();
+    updateGrantWitness();
+    budget_.releaseReserves();
     if (!ledger_.isReachable()) {
         pace_.reset();
     }
@@ -458,6 +603,7 @@
         placement_.forget(gone);
     }
     placement_.expirePeers();
+    updateAccountAdmission();
     limits_.expire();
     reachability_.update(silentEndpoints());
     if (reachability_.isCutOff()) {
@@ -497,7 +643,7 @@
     d_->runHousekeeping();
 }
 
-void Gateway::setRouting(std::shared_ptr<const RoutingTable> table)
+void Gateway::setRouting(std::shared_ptr<const RoutingTable> table, const std::string &text)
 {
     if (d_->routing_ && d_->routing_->version() >= table->version()) {
         return;
@@ -507,6 +653,7 @@
                           {"before", d_->routing_ ? d_->routing_->version() : 0},
                           {"routes", table->routes().size()},
                           {"accounts", table->accounts() != nullptr ? table->accounts()->accounts().size() : 0}});
+    d_->configurationPeers_.setCurrent(table->version(), table->accounts() != nullptr ? text : std::string());
     d_->routing_ = std::move(table);
     d_->hasQuotas_ = internal::hasQuotas(d_->routing_->accounts());
 }
@@ -571,7 +718,7 @@
     const std::shared_ptr<internal::GatewayCall> call =
         std::make_shared<internal::GatewayCall>(d_, std::move(request), std::move(reply));
     d_->calls_.insert(call);
-    call->start();
+    d_->withConfiguration([call] { call->start(); });
 }
 
 bool Gateway::isReady() const
@@ -607,14 +754,17 @@
 {
     if (!d_->budget_.onPeerRequest(type, body, answer) && !d_->relayedStore_.onPeerRequest(type, body, answer)
         && !d_->turns_.onPeerRequest(type, body, answer) && !d_->origins_.onPeerRequest(type, body, answer)
-        && !d_->outputs_.onPeerRequest(type, body, answer) && !d_->quota_.onPeerRequest(type, body, answer)) {
+        && !d_->outputs_.onPeerRequest(type, body, answer) && !d_->configurationPeers_.onPeerRequest(type, body, answer)
+        && !d_->quota_.onPeerRequest(type, body, answer)) {
         answer({});
     }
 }
 
 nlohmann::json Gateway::state() const
 {
+    const AccountDirectory *accounts = d_->routing_ ? d_->routing_->accounts() : nullptr;
     return {{"configuration_version", d_->routing_ ? d_->routing_->version() : 0},
+            {"accounts", accounts != nullptr ? accounts->accounts().size() : 0},
             {"endpoints", d_->directory_.size()},
             {"open_calls", d_->calls_.size()},
             {"buffered_answer_bytes", d_->bufferedBytes_},
@@ -622,6 +772,7 @@
             {"peers_alive", d_->fleet_.alive()},
             {"programs", d_->ledger_.programCount()},
             {"ledger_current", d_->ledger_.isCurrent()},
+            {"may_miss_grants", d_->grantWitness_.mayMissGrants()},
             {"cached_turn_bytes", d_->turns_.cachedBytes()},
             {"endpoints_placed", d_->placement_.endpoints()},
             {"engines", d_->placement_.engines().state()},
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -1,4 +1,5 @@
 #include "gateway/gatewaycall.h"
+#include "memory/releasetext.h"
 
 #include "accounts/accountscope.h"
 #include "core/numbers.h"
@@ -37,7 +38,6 @@
                          GatewayRequest request,
                          std::shared_ptr<HttpReply> reply)
     : gateway_(std::move(gateway))
-    , routing_(gateway_->routing_)
     , request_(std::make_shared<GatewayRequest>(std::move(request)))
     , reply_(std::move(reply))
     , arrivedAt_(gateway_->hooks_.now_())
@@ -47,6 +47,7 @@
 void GatewayCall::start()
 {
     reply_->onClosed([self = shared_from_this()] { self->clientDisconnected(); });
+    routing_ = gateway_->routing_;
     if (!routing_) {
         refuse(RefusalReason::NoConfiguration);
         return;
@@ -95,7 +96,10 @@
         return std::nullopt;
     }
     const std::string key = std::exchange(request_->apiKey_, {});
-    return setAccount(accounts->findByKey(key)) ? std::nullopt : std::optional(RefusalReason::Unauthenticated);
+    const ClientAccount *account = accounts->findByKey(key);
+    const KeyCheck withoutAccount = AccountDirectory::isKey(key) ? KeyCheck::Unknown : KeyCheck::Malformed;
+    keyCheck_ = key.empty() ? KeyCheck::Missing : account == nullptr ? withoutAccount : KeyCheck::Known;
+    return setAccount(account) ? std::nullopt : std::optional(RefusalReason::Unauthenticated);
 }
 
 /** The key does not leave the node that has checked it. */
@@ -109,6 +113,7 @@
     // Else the nodes have different versions of the configuration: another node may have that of the first.
     const bool isComparable = accounts != nullptr && name;
     const ClientAccount *account = isComparable ? accounts->findByName(*name) : nullptr;
+    keyCheck_ = KeyCheck::ByPeer;
     const bool isKnown = isComparable && (account != nullptr || name->empty());
     return isKnown && setAccount(account) ? std::nullopt : std::optional(RefusalReason::Unreachable);
 }
@@ -139,6 +144,44 @@
     });
 }
 
+double GatewayCall::refusedShare(const ServiceLoad &load) const
+{
+    const auto ofPriority = [this, &load](std::uint32_t priority) {
+        return gateway_->admission_.refusedShare(load, priority);
+    };
+    return account_ == nullptr
+        ? ofPriority(priority())
+        : gateway_->accountAdmission_.refusalProbability(serviceName_, account_->name_, priority(), ofPriority);
+}
+
+void GatewayCall::reportRefusedProgram(const ServiceLoad &load, double refusedShare) const
+{
+    nlohmann::json fields = {{"request", request_->id_},
+                             {"program", request_->program_},
+                             {"load", load.requestsPerSlot_},
+                             {"stretch", load.slowdown_},
+                             {"allowed", load.allowedSlowdown_.value_or(0.0)}};
+    if (account_ != nullptr) {
+        fields["account"] = account_->name_;
+        fields["refused_share"] = refusedShare;
+        gateway_->hooks_.count_("account_refusals_total",
+                                gateway_->accountLabels_.labelOf(account_->name_) + ",cause=\"fair_share\"");
+    }
+    gateway_->hooks_.logEvent_("program_refused", fields);
+}
+
+bool GatewayCall::isTooLate() const
+{
+    if (account_ == nullptr || origin_ || request_->expectedOutputTokens_ == 0 || !service_ || !service_->engine_) {
+        return false;
+    }
+    const std::uint64_t tokens = request_->maxOutputTokens_ > 0
+        ? std::min(request_->expectedOutputTokens_, request_->maxOutputTokens_)
+        : request_->expectedOutputTokens_;
+    const std::optional<Duration> needed = gateway_->placement_.engines().minTurnTime(serviceName_, tokens);
+    return needed && timeLeft() < *needed;
+}
+
 bool GatewayCall::admitProgram()
 {
     const bool isRootAgentTurn = route_->kind_ == RouteKind::Streaming && request_->session_ == request_->program_;
@@ -151,13 +194,9 @@
         gateway_->pace_.turnStarted(serviceName_, request_->scopedProgram(), finishIn, load.slowdown_);
         return true;
     }
-    if (!gateway_->admission_.admits(load, priority(), Admission::drawOf(request_->scopedProgram()))) {
-        gateway_->hooks_.logEvent_("program_refused",
-                                   {{"request", request_->id_},
-                                    {"program", request_->program_},
-                                    {"load", load.requestsPerSlot_},
-                                    {"stretch", load.slowdown_},
-                                    {"allowed", load.allowedSlowdown_.value_or(0.0)}});
+    const double refused = refusedShare(load);
+    if (Admission::drawOf(request_->scopedProgram()) < refused) {
+        reportRefusedProgram(load, refused);
         return false;
     }
     gateway_->pace_.programStarted(request_->scopedProgram(), finishIn);
@@ -380,6 +419,16 @@
         refuse(RefusalReason::EndpointsFull);
         return;
     }
+    if (isTooLate()) {
+        gateway_->hooks_.count_("account_refusals_total",
+                                gateway_->accountLabels_.labelOf(account_->name_) + ",cause=\"too_late\"");
+        refuse(RefusalReason::Overloaded);
+        return;
+    }
+    if (mustYield()) {
+        waitForEndpoint();
+        return;
+    }
     const Endpoint *endpoint = chooseEndpoint();
     if (endpoint != nullptr) {
         origin_ ? sendRest(*endpoint) : send(*endpoint);
@@ -394,18 +443,36 @@
         return;
     }
     // Every endpoint refused or failed: retry them all while there is enough time left.
+    waitForEndpoint();
+}
+
+void GatewayCall::waitForEndpoint()
+{
     if (timeLeft() < gateway_->settings_.endpointRetryDelay_ * 2) {
         refuse(RefusalReason::EndpointsFull);
         return;
     }
     excluded_.clear();
-    gateway_->hooks_.after_(gateway_->settings_.endpointRetryDelay_, [self = shared_from_this()] {
+    const bool isLaterTurn = account_ != nullptr && route_->kind_ == RouteKind::Streaming && !isFirstTurn();
+    gateway_->waitingTurns_[serviceName_] += isLaterTurn ? 1 : 0;
+    gateway_->hooks_.after_(gateway_->settings_.endpointRetryDelay_, [self = shared_from_this(), isLaterTurn] {
+        self->gateway_->waitingTurns_[self->serviceName_] -= isLaterTurn ? 1 : 0;
         if (self->step_ == Step::Placing) {
             self->place();
         }
     });
 }
 
+bool GatewayCall::mustYield() const
+{
+    const bool isRun = service_ != nullptr && service_->engine_ && route_->kind_ == RouteKind::Streaming;
+    if (account_ == nullptr || !isRun || origin_ || !isFirstTurn()) {
+        return false;
+    }
+    const auto waiting = gateway_->waitingTurns_.find(serviceName_);
+    return waiting != gateway_->waitingTurns_.end() && waiting->second > 0;
+}
+
 void GatewayCall::send(const Endpoint &endpoint)
 {
     if (!usePermit()) {
@@ -421,7 +488,7 @@
     headReceived_ = false;
     isNoStream_ = false;
     head_ = AttemptHead();
-    responseBody_.clear();
+    releaseText(responseBody_);
     splitter_ = EventSplitter();
     attemptEvents_ = 0;
     EndpointAttempt attempt;
@@ -435,6 +502,10 @@
     attempt.maxIdleAge_ = maxIdleAge();
     if (service_ != nullptr && service_->engine_) {
         attempt.urgency_ = urgency();
+        isCountedForAccount_ = account_ != nullptr;
+    }
+    if (isCountedForAccount_) {
+        gateway_->accountAdmission_.started(serviceName_, account_->name_, priority());
     }
     start_ = gateway_->placement_.started(endpoint, *request_);
     incarnation_ = endpoint.incarnation();
@@ -466,11 +537,15 @@
     return handlers;
 }
 
+bool GatewayCall::isFirstTurn() const
+{
+    return spentTokens() <= grant_.tokens_;
+}
+
 std::uint32_t GatewayCall::urgency() const
 {
-    const bool isFirstTurn = spentTokens() <= grant_.tokens_;
     const std::uint32_t urgency =
-        highestUrgency + priority() * urgencyPerPriority + (isFirstTurn ? firstTurnUrgencyPenalty : 0);
+        highestUrgency + priority() * urgencyPerPriority + (isFirstTurn() ? firstTurnUrgencyPenalty : 0);
     return std::min(urgency, lowestUrgency);
 }
 
@@ -519,6 +594,9 @@
     if (!endpoint_.empty()) {
         gateway_->placement_.ended(endpoint_);
         gateway_->crashDetector_.attemptEnded(crashWatch_, ended);
+        if (std::exchange(isCountedForAccount_, false)) {
+            gateway_->accountAdmission_.ended(serviceName_, account_->name_);
+        }
         endpoint_.clear();
     }
 }
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAYCALL_H
 #define FILBERTGW_GATEWAY_GATEWAYCALL_H
 
+#include "accounts/keycheck.h"
 #include "gateway/gatewayprivate.h"
 #include "streams/eventsplitter.h"
 #include "streams/streamorigin.h"
@@ -77,7 +78,7 @@
 
     // Before the first attempt.
     void prepare();
-    /** \brief Finds the client account by the key. \return why the request is refused, or nothing. */
+    /** \brief Finds the account by the key. \return why the request is refused, or nothing. */
     std::optional<RefusalReason> identifyAccount();
     /** \brief Takes over the account that another node has found. \return why the request is refused, or nothing. */
     std::optional<RefusalReason> adoptAccount();
@@ -91,6 +92,11 @@
     std::uint64_t spentTokens() const;
     /** \brief True for the first turn of a program: none of its tokens are spent or reserved. */
     bool startsProgram() const;
+    /** \brief Probability at which a new program is to be refused. */
+    double refusedShare(const ServiceLoad &load) const;
+    void reportRefusedProgram(const ServiceLoad &load, double refusedShare) const;
+    /** \brief True if no engine can answer in the time left; only known with client accounts. */
+    bool isTooLate() const;
     /** \brief Records the progress of the program. \return false if it is new and not admitted. */
     bool admitProgram();
     void loadChain();
@@ -116,6 +122,11 @@
     /** \brief Handlers of the attempt that begins now. They do nothing once another attempt has begun. */
     AttemptHandlers handlersOfAttempt();
     const Endpoint *chooseEndpoint();
+    /** \brief Chooses an endpoint again a little later, or refuses the request if there is no time for that. */
+    void waitForEndpoint();
+    /** \brief True for a first turn while later ones wait here: engines take requests in order of arrival. */
+    bool mustYield() const;
+    bool isFirstTurn() const;
     /** \brief Waits for an endpoint whose request limit is used up, or refuses the request. */
     void waitForLimits();
     /** \brief True if the request has ended too many endpoints to be sent to another one. */
@@ -195,6 +206,8 @@
     void clientDisconnected();
     void timedOut();
     void end(const char *outcome);
+    /** \brief Counts the request for its account. */
+    void countForAccount(const std::string &outcome);
     void settleBudget();
     bool retainsTurn() const;
     /** \brief Time within which the client may send the turn again. */
@@ -202,11 +215,12 @@
     Duration timeLeft() const;
 
     std::shared_ptr<Gateway::Private> gateway_;
-    std::shared_ptr<const RoutingTable> routing_; ///< Version at the start of the call.
+    std::shared_ptr<const RoutingTable> routing_; ///< Version at the start of the call; null before.
     std::shared_ptr<GatewayRequest> request_;
     std::shared_ptr<HttpReply> reply_;
     const Route *route_ = nullptr;
     const ClientAccount *account_ = nullptr; ///< Null on open routes and without accounts.
+    KeyCheck keyCheck_ = KeyCheck::NotMade;
     const Service *service_ = nullptr;
     std::string serviceName_;
     std::shared_ptr<const std::string> body_;
@@ -223,6 +237,7 @@
     std::uint64_t attempt_ = 0;
     std::uint64_t crashWatch_ = 0; ///< Of the attempt. \sa CrashDetector::attemptStarted
     std::string incarnation_; ///< Of the endpoint of the attempt.
+    bool isCountedForAccount_ = false; ///< The attempt was passed to AccountAdmission::started().
     std::string version_; ///< Of the endpoint of the current or most recent attempt.
     AttemptHead head_;
     bool headReceived_ = false;
