--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -23,6 +23,16 @@
     /** \brief Called for the report of a node or the summary of a group. \p source is the node or group name. */
     std::function<void(const std::string &source, const NodeReport &)> onReport_;
     std::function<void(const std::string &node, bool alive)> onLivenessChanged_;
+    /** \brief Called for each message of a node that offers its configuration to others; may be empty. */
+    std::function<void(const FleetMember &node, std::uint64_t version)> onConfigurationOffered_;
+};
+
+/** \brief Another node, and when it was last heard of. */
+struct HeardMember
+{
+    FleetMember member_;
+    Time heardAt_{0}; ///< By its own report or its group's.
+    bool isAlive_ = false;
 };
 
 struct FleetSettings
@@ -69,6 +79,16 @@
      * Then it knows all that a coordinator has decided about the program in this time.
      */
     bool hasCoordinated(const std::string &program, Duration window) const;
+    /**
+     * \brief Up to \p count other nodes that become coordinator of a program if this one dies, in this order.
+     *
+     * By weight alone: nodes that each miss fewer than three nodes, and choose the first three, share one of them.
+     */
+    std::vector<FleetMember> successorsOf(const std::string &program, std::size_t count) const;
+    /** \brief Number of other nodes that were lost, or restarted, at or after a time. */
+    std::size_t lostSince(Time since) const;
+    /** \brief True if a live node with a complete ledger reports that it misses no grants of an outage. */
+    bool hasGrantWitness() const;
     /** \brief The other node that becomes coordinator of a program if this one dies. */
     std::optional<FleetMember> backupCoordinatorOf(const std::string &program) const;
     /**
@@ -94,6 +114,8 @@
      * Nodes whose ledger has not been complete since their start are ignored: they have granted nothing.
      */
     bool allGrantsRecorded() const;
+    /** \brief The other nodes that were heard of within \p window, in order of their names. */
+    std::vector<HeardMember> heardWithin(Duration window) const;
     /** \brief Finds a node by name, if it is alive. */
     std::optional<FleetMember> findAlive(const std::string &name) const;
     bool isSelf(const FleetMember &member) const;
--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -23,7 +23,9 @@
 const char *const limitsKey = "r";
 const char *const originsKey = "o";
 const char *const cutOffKey = "e"; ///< Nodes that reach no endpoint: the sender, or members of its group.
+const char *const configurationKey = "f"; ///< Version that the sender offers; only with client accounts.
 const char *const accountsKey = "a";
+const char *const missesGrantsKey = "w"; ///< Only sent if true; nodes of the version before neither send nor read it.
 const char *const groupKey = "g";
 const char *const membersKey = "m";
 const char *const datagramAddressKey = "d";
@@ -249,9 +251,15 @@
     if (!message.report_.origins_.empty()) {
         body[internal::originsKey] = encodeOrigins(message.report_.origins_);
     }
+    if (message.report_.configurationVersion_ > 0) {
+        body[internal::configurationKey] = message.report_.configurationVersion_;
+    }
     if (message.report_.accounts_) {
         body[internal::accountsKey] = internal::encodeAccounts(*message.report_.accounts_);
     }
+    if (message.report_.mayMissGrants_) {
+        body[internal::missesGrantsKey] = true;
+    }
     if (message.group_) {
         body[internal::groupKey] = {
             message.group_->domain_, message.group_->index_, message.group_->count_, message.report_.nodes_};
@@ -299,9 +307,13 @@
     if (internal::hasArray(body, internal::limitsKey)) {
         internal::decodeLimits(body[internal::limitsKey], message.report_);
     }
+    message.report_.mayMissGrants_ = body.contains(internal::missesGrantsKey);
     if (body.contains(internal::originsKey)) {
         message.report_.origins_ = decodeOrigins(body[internal::originsKey]);
     }
+    if (body.contains(internal::configurationKey) && body[internal::configurationKey].is_number_unsigned()) {
+        message.report_.configurationVersion_ = body[internal::configurationKey].get<std::uint64_t>();
+    }
     if (body.contains(internal::groupKey)) {
         message.group_ = internal::decodeGroup(body[internal::groupKey]);
         if (!message.group_) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,21 +14,31 @@
 namespace {
 
 constexpr Duration housekeepingInterval{100'000};
+/** Accounts with series of their own in the metrics; the others share one. */
+constexpr std::size_t maxAccountLabels = 100;
 /** Runs of the housekeeping between two log entries on the engine models. */
 constexpr std::uint64_t housekeepingRunsPerLog = 50;
 /** Time without the store after which a node reports itself as not ready if others can take its connections. */
 constexpr Duration partitionTimeout{1'800'000};
-/** Accounts that have their own series in a metric; all others share one. */
-constexpr std::size_t maxAccountLabels = 100;
 /** Name of the state whose holder deletes expired crash records from the store. \sa Fleet::holderOf */
 const char *const crashState = "crashes";
 
+bool hasQuotas(const AccountDirectory *accounts)
+{
+    return accounts != nullptr
+        && std::any_of(accounts->accounts().begin(), accounts->accounts().end(), [](const auto &entry) {
+               return entry.second.hasQuota();
+           });
+}
+
 } // namespace
 } // namespace internal
 
 Gateway::Private::Private(GatewayHooks hooks, GatewaySettings settings)
     : hooks_(std::move(hooks))
     , settings_(std::move(settings))
+    , configurationPeers_(configurationPeersHooks(), settings_.configurationPeers_)
+    , lastRunAt_(hooks_.now_())
     , directory_(hooks_.now_)
     , placement_(hooks_.now_, hooks_.random_, settings_.placement_)
     , cacheDiscovery_(cacheDiscoveryHooks(), settings_.cacheDiscovery_)
@@ -52,16 +62,18 @@
     , outputs_(streamOutputsHooks(), settings_.outputs_)
     , relayedStore_(
           hooks_.store_,
-          BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_},
+          RelayedStoreHooks{hooks_.askPeer_, hooks_.logEvent_},
           [this] { return ledger_.isReachable(); },
           fleet_)
     , turns_(turnStoreHooks(), settings_.turns_)
-    , budget_(BudgetControllerHooks{hooks_.askPeer_, hooks_.logEvent_}, hooks_.now_, ledger_, fleet_)
+    , grantWitness_(grantWitnessHooks())
+    , budget_(budgetHooks(), ledger_)
     , admission_(settings_.admission_)
     , accountAdmission_(hooks_.now_, settings_.accountAdmission_)
     , accountLabels_("account", internal::maxAccountLabels)
     , pace_(hooks_.now_, settings_.pace_)
     , retryAfter_(settings_.retryAfter_)
+    , quota_(quotaHooks(), settings_.quota_)
 {
 }
 
@@ -221,6 +233,63 @@
     return hooks;
 }
 
+ConfigurationPeersHooks Gateway::Private::configurationPeersHooks()
+{
+    ConfigurationPeersHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.askPeer_ = hooks_.askPeer_;
+    hooks.version_ = [this] { return routing_ ? routing_->version() : 0; };
+    hooks.apply_ = [this](const std::string &text) {
+        if (hooks_.applyConfiguration_) {
+            hooks_.applyConfiguration_(text);
+        }
+    };
+    hooks.logEvent_ = hooks_.logEvent_;
+    return hooks;
+}
+
+void Gateway::Private::checkSuspension()
+{
+    const Duration pause = hooks_.now_() - std::exchange(lastRunAt_, hooks_.now_());
+    const bool hasAccounts = routing_ && routing_->accounts() != nullptr;
+    if (pause <= settings_.maxSuspension_ || !hasAccounts || !hooks_.refreshConfiguration_) {
+        return;
+    }
+    if (std::exchange(isConfigurationInDoubt_, true)) {
+        return;
+    }
+    refreshConfiguration(pause);
+}
+
+void Gateway::Private::refreshConfiguration(Duration pause)
+{
+    hooks_.refreshConfiguration_([self = shared_from_this(), pause, began = hooks_.now_()](bool isCurrent) {
+        if (!isCurrent && self->hooks_.now_() - began > self->settings_.maxSuspension_) {
+            self->refreshConfiguration(pause); // The process was suspended again meanwhile.
+            return;
+        }
+        self->hooks_.logEvent_("configuration_checked",
+                               {{"pause_ms", toMilliseconds(pause)},
+                                {"current", isCurrent},
+                                {"version", self->routing_->version()},
+                                {"requests", self->waitingForConfiguration_.size()}});
+        self->isConfigurationInDoubt_ = false;
+        for (const std::function<void()> &task : std::exchange(self->waitingForConfiguration_, {})) {
+            task();
+        }
+    });
+}
+
+void Gateway::Private::withConfiguration(const std::function<void()> &task)
+{
+    checkSuspension();
+    if (isConfigurationInDoubt_) {
+        waitingForConfiguration_.push_back(task);
+    } else {
+        task();
+    }
+}
+
 void Gateway::Private::refreshRegistry(const std::function<void(bool isCurrent)> &done)
 {
     if (hooks_.refreshRegistry_) {
@@ -282,6 +351,46 @@
     }
 }
 
+GrantWitnessHooks Gateway::Private::grantWitnessHooks()
+{
+    GrantWitnessHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.isComplete_ = [this] { return ledger_.isComplete(); };
+    hooks.hasRecords_ = [this] { return ledger_.hasRecords(); };
+    hooks.isRecorded_ = [this] { return ledger_.isCurrent() && fleet_.allGrantsRecorded(); };
+    hooks.alive_ = [this] { return fleet_.alive(); };
+    hooks.lostSince_ = [this](Time since) { return fleet_.lostSince(since); };
+    hooks.hasWitness_ = [this] { return fleet_.hasGrantWitness(); };
+    return hooks;
+}
+
+BudgetControllerHooks Gateway::Private::budgetHooks()
+{
+    BudgetControllerHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.askPeer_ = hooks_.askPeer_;
+    hooks.logEvent_ = hooks_.logEvent_;
+    hooks.count_ = hooks_.count_;
+    BudgetNodes &nodes = hooks.nodes_;
+    nodes.findAlive_ = [this](const std::string &name) { return fleet_.findAlive(name); };
+    nodes.withCurrentLedger_ = [this](const std::string &program) { return fleet_.nodeWithCurrentLedger(program); };
+    nodes.coordinatorOf_ = [this](const std::string &program) { return fleet_.coordinatorOf(program); };
+    nodes.backupCoordinatorOf_ = [this](const std::string &program) { return fleet_.backupCoordinatorOf(program); };
+    nodes.successorsOf_ = [this](const std::string &program, std::size_t count) {
+        return fleet_.successorsOf(program, count);
+    };
+    nodes.hasCoordinated_ = [this](const std::string &program, Duration window) {
+        return fleet_.hasCoordinated(program, window);
+    };
+    nodes.isSelf_ = [this](const FleetMember &member) { return fleet_.isSelf(member); };
+    nodes.mayMissGrants_ = [this] {
+        grantWitness_.update();
+        return grantWitness_.mayMissGrants();
+    };
+    nodes.copies_ = [this] { return grantWitness_.copies(); };
+    return hooks;
+}
+
 FleetHooks Gateway::Private::fleetHooks()
 {
     FleetHooks hooks;
@@ -298,7 +407,9 @@
         report.crashes_ = quarantine_.takeAnnouncements();
         report.limits_ = limits_.takeAnnouncements();
         report.origins_ = origins_.takeAnnouncements();
+        report.mayMissGrants_ = grantWitness_.mayMissGrants();
         report.reachesEndpoints_ = !reachability_.isCutOff() && !stopping_;
+        report.configurationVersion_ = configurationPeers_.offeredVersion();
         if (routing_ && routing_->accounts() != nullptr) {
             report.accounts_ = accountAdmission_.localLoad();
         }
@@ -334,6 +445,9 @@
             }
         }
     };
+    hooks.onConfigurationOffered_ = [this](const FleetMember &node, std::uint64_t version) {
+        configurationPeers_.reported(node, version);
+    };
     hooks.onLivenessChanged_ = [this](const std::string &node, bool alive) {
         hooks_.logEvent_(alive ? "peer_found" : "peer_lost", {{"peer", node}});
     };
@@ -462,12 +576,25 @@
     }
 }
 
+void Gateway::Private::updateGrantWitness()
+{
+    grantWitness_.update();
+    if (std::exchange(mayHaveMissedGrants_, grantWitness_.mayMissGrants()) != grantWitness_.mayMissGrants()) {
+        hooks_.logEvent_(grantWitness_.mayMissGrants() ? "grants_may_be_missed" : "grants_known",
+                         {{"peers_alive", fleet_.alive()}, {"copies", grantWitness_.copies()}});
+    }
+}
+
 void Gateway::Private::runHousekeeping()
 {
+    checkSuspension();
+    configurationPeers_.update();
     if (ledger_.isCurrent()) {
         lastLedgerCurrent_ = hooks_.now_();
     }
     logLedgerStateChange();
+    updateGrantWitness();
+    budget_.releaseReserves();
     if (!ledger_.isReachable()) {
         pace_.reset();
     }
@@ -485,6 +612,7 @@
     origins_.update();
     outputs_.expire();
     maintainCrashes();
+    quota_.tick();
     discoverCaches();
     if (++housekeepingRuns_ % internal::housekeepingRunsPerLog == 0) {
         logEngineTimings();
@@ -515,7 +643,7 @@
     d_->runHousekeeping();
 }
 
-void Gateway::setRouting(std::shared_ptr<const RoutingTable> table)
+void Gateway::setRouting(std::shared_ptr<const RoutingTable> table, const std::string &text)
 {
     if (d_->routing_ && d_->routing_->version() >= table->version()) {
         return;
@@ -525,7 +653,9 @@
                           {"before", d_->routing_ ? d_->routing_->version() : 0},
                           {"routes", table->routes().size()},
                           {"accounts", table->accounts() != nullptr ? table->accounts()->accounts().size() : 0}});
+    d_->configurationPeers_.setCurrent(table->version(), table->accounts() != nullptr ? text : std::string());
     d_->routing_ = std::move(table);
+    d_->hasQuotas_ = internal::hasQuotas(d_->routing_->accounts());
 }
 
 void Gateway::updateEndpoint(const Endpoint &endpoint, Time writtenAfter)
@@ -588,7 +718,7 @@
     const std::shared_ptr<internal::GatewayCall> call =
         std::make_shared<internal::GatewayCall>(d_, std::move(request), std::move(reply));
     d_->calls_.insert(call);
-    call->start();
+    d_->withConfiguration([call] { call->start(); });
 }
 
 bool Gateway::isReady() const
@@ -599,6 +729,7 @@
 void Gateway::beginStop()
 {
     d_->stopping_ = true;
+    d_->quota_.beginStop();
     d_->ledger_.releaseAllowances();
 }
 
@@ -623,14 +754,17 @@
 {
     if (!d_->budget_.onPeerRequest(type, body, answer) && !d_->relayedStore_.onPeerRequest(type, body, answer)
         && !d_->turns_.onPeerRequest(type, body, answer) && !d_->origins_.onPeerRequest(type, body, answer)
-        && !d_->outputs_.onPeerRequest(type, body, answer)) {
+        && !d_->outputs_.onPeerRequest(type, body, answer) && !d_->configurationPeers_.onPeerRequest(type, body, answer)
+        && !d_->quota_.onPeerRequest(type, body, answer)) {
         answer({});
     }
 }
 
 nlohmann::json Gateway::state() const
 {
+    const AccountDirectory *accounts = d_->routing_ ? d_->routing_->accounts() : nullptr;
     return {{"configuration_version", d_->routing_ ? d_->routing_->version() : 0},
+            {"accounts", accounts != nullptr ? accounts->accounts().size() : 0},
             {"endpoints", d_->directory_.size()},
             {"open_calls", d_->calls_.size()},
             {"buffered_answer_bytes", d_->bufferedBytes_},
@@ -638,12 +772,14 @@
             {"peers_alive", d_->fleet_.alive()},
             {"programs", d_->ledger_.programCount()},
             {"ledger_current", d_->ledger_.isCurrent()},
+            {"may_miss_grants", d_->grantWitness_.mayMissGrants()},
             {"cached_turn_bytes", d_->turns_.cachedBytes()},
             {"endpoints_placed", d_->placement_.endpoints()},
             {"engines", d_->placement_.engines().state()},
             {"stream_origins", d_->origins_.size()},
             {"stream_output_bytes", d_->outputs_.bytes()},
             {"suspected_requests", d_->quarantine_.requests()},
+            {"quota_levels", d_->quota_.state()},
             {"stopping", d_->stopping_}};
 }
 
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -1,4 +1,5 @@
 #include "gateway/gatewaycall.h"
+#include "memory/releasetext.h"
 
 #include "accounts/accountscope.h"
 #include "core/numbers.h"
@@ -37,7 +38,6 @@
                          GatewayRequest request,
                          std::shared_ptr<HttpReply> reply)
     : gateway_(std::move(gateway))
-    , routing_(gateway_->routing_)
     , request_(std::make_shared<GatewayRequest>(std::move(request)))
     , reply_(std::move(reply))
     , arrivedAt_(gateway_->hooks_.now_())
@@ -47,6 +47,7 @@
 void GatewayCall::start()
 {
     reply_->onClosed([self = shared_from_this()] { self->clientDisconnected(); });
+    routing_ = gateway_->routing_;
     if (!routing_) {
         refuse(RefusalReason::NoConfiguration);
         return;
@@ -95,7 +96,10 @@
         return std::nullopt;
     }
     const std::string key = std::exchange(request_->apiKey_, {});
-    return setAccount(accounts->findByKey(key)) ? std::nullopt : std::optional(RefusalReason::Unauthenticated);
+    const ClientAccount *account = accounts->findByKey(key);
+    const KeyCheck withoutAccount = AccountDirectory::isKey(key) ? KeyCheck::Unknown : KeyCheck::Malformed;
+    keyCheck_ = key.empty() ? KeyCheck::Missing : account == nullptr ? withoutAccount : KeyCheck::Known;
+    return setAccount(account) ? std::nullopt : std::optional(RefusalReason::Unauthenticated);
 }
 
 /** The key does not leave the node that has checked it. */
@@ -109,6 +113,7 @@
     // Else the nodes have different versions of the configuration: another node may have that of the first.
     const bool isComparable = accounts != nullptr && name;
     const ClientAccount *account = isComparable ? accounts->findByName(*name) : nullptr;
+    keyCheck_ = KeyCheck::ByPeer;
     const bool isKnown = isComparable && (account != nullptr || name->empty());
     return isKnown && setAccount(account) ? std::nullopt : std::optional(RefusalReason::Unreachable);
 }
@@ -130,11 +135,13 @@
 void GatewayCall::prepare()
 {
     chooseService();
-    if (!admitProgram()) {
-        refuse(RefusalReason::Overloaded);
-        return;
-    }
-    loadChain();
+    acquirePermit([this] {
+        if (!admitProgram()) {
+            refuse(RefusalReason::Overloaded);
+            return;
+        }
+        loadChain();
+    });
 }
 
 double GatewayCall::refusedShare(const ServiceLoad &load) const
@@ -157,7 +164,8 @@
     if (account_ != nullptr) {
         fields["account"] = account_->name_;
         fields["refused_share"] = refusedShare;
-        gateway_->hooks_.count_("programs_refused_total", gateway_->accountLabels_.labelOf(account_->name_));
+        gateway_->hooks_.count_("account_refusals_total",
+                                gateway_->accountLabels_.labelOf(account_->name_) + ",cause=\"fair_share\"");
     }
     gateway_->hooks_.logEvent_("program_refused", fields);
 }
@@ -412,7 +420,8 @@
         return;
     }
     if (isTooLate()) {
-        gateway_->hooks_.count_("requests_too_late_total", gateway_->accountLabels_.labelOf(account_->name_));
+        gateway_->hooks_.count_("account_refusals_total",
+                                gateway_->accountLabels_.labelOf(account_->name_) + ",cause=\"too_late\"");
         refuse(RefusalReason::Overloaded);
         return;
     }
@@ -466,6 +475,11 @@
 
 void GatewayCall::send(const Endpoint &endpoint)
 {
+    if (!usePermit()) {
+        step_ = Step::Placing;
+        acquirePermit([this] { place(); });
+        return;
+    }
     step_ = Step::Running;
     ++sends_;
     endpoint_ = endpoint.id_;
@@ -474,7 +488,7 @@
     headReceived_ = false;
     isNoStream_ = false;
     head_ = AttemptHead();
-    responseBody_.clear();
+    releaseText(responseBody_);
     splitter_ = EventSplitter();
     attemptEvents_ = 0;
     EndpointAttempt attempt;
@@ -598,6 +612,7 @@
         doubtEndpoint(endpoint);
     }
     if (ended == AttemptEnd::NotSent) {
+        keepPermit();
         gateway_->reachability_.connectFailed(endpoint);
         gateway_->placement_.failed(endpoint);
         excluded_.insert(endpoint);
@@ -606,6 +621,7 @@
     }
     const bool refused = ended == AttemptEnd::Complete && (head_.notRun_ || head_.wrongInstance_);
     if (refused) {
+        keepPermit();
         if (head_.wrongInstance_) {
             gateway_->retireEndpoint(incarnation_, "replaced");
             gateway_->crashDetector_.endpointEnded(incarnation_, CrashEvidence::Replaced);
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAYCALL_H
 #define FILBERTGW_GATEWAY_GATEWAYCALL_H
 
+#include "accounts/keycheck.h"
 #include "gateway/gatewayprivate.h"
 #include "streams/eventsplitter.h"
 #include "streams/streamorigin.h"
@@ -77,7 +78,7 @@
 
     // Before the first attempt.
     void prepare();
-    /** \brief Finds the client account by the key. \return why the request is refused, or nothing. */
+    /** \brief Finds the account by the key. \return why the request is refused, or nothing. */
     std::optional<RefusalReason> identifyAccount();
     /** \brief Takes over the account that another node has found. \return why the request is refused, or nothing. */
     std::optional<RefusalReason> adoptAccount();
@@ -103,6 +104,19 @@
     void reserveBudget();
     void budgetDecided(const BudgetGrant &grant);
 
+    // The quota of the client account, in quotacall.cpp.
+    /** \brief The quota that limits the request; nothing if there is none. */
+    std::optional<QuotaLimit> quotaLimit() const;
+    /** \brief Obtains a permit if the account has a quota, then continues; or refuses the request. */
+    void acquirePermit(const std::function<void()> &granted);
+    void permitDecided(const QuotaDecision &decision, Step step, const std::function<void()> &granted);
+    /** \brief Uses the permit for the attempt that begins now. \return false if a new one has to be obtained first. */
+    bool usePermit();
+    /** \brief The attempt has not run: its permit may be used again. */
+    void keepPermit();
+    /** \brief Returns the permit, unless it was used. */
+    void returnPermit();
+
     // Attempts.
     void place();
     /** \brief Handlers of the attempt that begins now. They do nothing once another attempt has begun. */
@@ -192,6 +206,8 @@
     void clientDisconnected();
     void timedOut();
     void end(const char *outcome);
+    /** \brief Counts the request for its account. */
+    void countForAccount(const std::string &outcome);
     void settleBudget();
     bool retainsTurn() const;
     /** \brief Time within which the client may send the turn again. */
@@ -199,11 +215,12 @@
     Duration timeLeft() const;
 
     std::shared_ptr<Gateway::Private> gateway_;
-    std::shared_ptr<const RoutingTable> routing_; ///< Version at the start of the call.
+    std::shared_ptr<const RoutingTable> routing_; ///< Version at the start of the call; null before.
     std::shared_ptr<GatewayRequest> request_;
     std::shared_ptr<HttpReply> reply_;
     const Route *route_ = nullptr;
     const ClientAccount *account_ = nullptr; ///< Null on open routes and without accounts.
+    KeyCheck keyCheck_ = KeyCheck::NotMade;
     const Service *service_ = nullptr;
     std::string serviceName_;
     std::shared_ptr<const std::string> body_;
@@ -247,6 +264,10 @@
     std::size_t eligibleEndpoints_ = 0; ///< Ready endpoints that may run the request, at the last choice.
     bool isLimited_ = false; ///< All of them have got as many requests as they take.
     std::optional<Time> limitWaitEndsAt_; ///< Set once the request has waited for such an endpoint.
+    std::optional<Time> permit_; ///< Deadline of a permit that no attempt has used.
+    std::optional<Time> usedPermit_; ///< Deadline of the permit of the attempt in progress.
+    bool isAskingPermit_ = false;
+    Duration quotaRetryAfter_{0}; ///< Of the last refusal for the quota.
     BudgetGrant grant_;
     GrantBasis grantBasis_ = GrantBasis::None; ///< Of the granted turn, for the log.
     std::size_t countedBytes_ = 0; ///< Part of Gateway::Private::bufferedBytes_ that this call has added.
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -5,6 +5,7 @@
 #include "endpoints/incarnationcheck.h"
 #include "fleet/relayedstore.h"
 #include "gateway/gateway.h"
+#include "ledger/grantwitness.h"
 
 #include <unordered_map>
 #include <unordered_set>
@@ -32,6 +33,8 @@
     void maintainCrashes();
     /** \brief Logs when the ledger becomes current or outdated. */
     void logLedgerStateChange();
+    /** \brief Logs when it changes whether this node may miss grants of an outage. */
+    void updateGrantWitness();
     /** \brief Logs the estimates of the engine models, which explain placements and refusals. */
     void logEngineTimings();
     /** \brief Share of the new programs of a service that Admission refuses, by priority. */
@@ -41,6 +44,8 @@
     /** \brief Load of a service from the requests of all nodes. */
     ServiceLoad loadOf(const std::string &service);
     FleetHooks fleetHooks();
+    GrantWitnessHooks grantWitnessHooks();
+    BudgetControllerHooks budgetHooks();
     TurnStoreHooks turnStoreHooks();
     CacheDiscoveryHooks cacheDiscoveryHooks();
     QuarantineHooks quarantineHooks();
@@ -50,6 +55,14 @@
     StreamOriginsHooks streamOriginsHooks();
     StreamOutputsHooks streamOutputsHooks();
     ReachabilityHooks reachabilityHooks();
+    ConfigurationPeersHooks configurationPeersHooks();
+    /** \brief Notices that this process was suspended for long, during which the configuration may have changed. */
+    void checkSuspension();
+    /** \brief Reads the configuration, then runs the tasks that wait for it. \param pause for the log */
+    void refreshConfiguration(Duration pause);
+    /** \brief Runs a task when the configuration is not in doubt, which takes the time of one read at most. */
+    void withConfiguration(const std::function<void()> &task);
+    QuotaControllerHooks quotaHooks();
     /** \brief Reads the registry as it is now; \p done gets false if that failed. */
     void refreshRegistry(const std::function<void(bool isCurrent)> &done);
     /** \brief Asks an endpoint whether it is the process of its entry; ends its doubt, or retires the incarnation. */
@@ -77,6 +90,10 @@
     GatewayHooks hooks_;
     GatewaySettings settings_;
     std::shared_ptr<const RoutingTable> routing_;
+    ConfigurationPeers configurationPeers_;
+    std::vector<std::function<void()>> waitingForConfiguration_;
+    bool isConfigurationInDoubt_ = false; ///< Being read again after a suspension.
+    Time lastRunAt_; ///< When this process was last seen to run.
     EndpointDirectory directory_;
     Placement placement_;
     CacheDiscovery cacheDiscovery_;
@@ -92,19 +109,23 @@
     StreamOutputs outputs_;
     RelayedStore relayedStore_;
     TurnStore turns_;
+    GrantWitness grantWitness_;
     BudgetController budget_;
     Admission admission_;
     AccountAdmission accountAdmission_;
     BoundedLabels accountLabels_; ///< Names of accounts in the labels of metrics.
     PaceTracker pace_;
     RetryAfterPolicy retryAfter_;
+    QuotaController quota_;
     std::unordered_set<std::shared_ptr<internal::GatewayCall>> calls_;
     /** Later turns of programs of client accounts that wait for an endpoint, by service. */
     std::unordered_map<std::string, std::size_t> waitingTurns_;
     std::size_t bufferedBytes_ = 0; ///< Of the unfinished answers of all calls.
     std::uint64_t housekeepingRuns_ = 0;
     Time lastLedgerCurrent_{0}; ///< When the ledger was last current.
+    bool mayHaveMissedGrants_ = true; ///< At the last call of updateGrantWitness().
     bool ledgerWasCurrent_ = false; ///< At the last call of logLedgerStateChange().
+    bool hasQuotas_ = false; ///< An account of the configuration in force has a quota.
     bool stopping_ = false;
     bool stopped_ = false;
 };
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewaycall.h"
 
 #include "core/numbers.h"
+#include "memory/releasetext.h"
 
 #include <array>
 #include <cstdio>
@@ -13,6 +14,8 @@
 
 /** Tells the node that has passed a request on to try another one. */
 constexpr int misdirectedStatus = 421;
+/** Outcomes "served" and "served_by_peer". */
+const std::string servedPrefix = "served";
 /** Events over which the token rate of a stream is measured. */
 constexpr std::uint64_t eventsPerRateSample = 3;
 
@@ -78,7 +81,7 @@
 void GatewayCall::cutAnswer()
 {
     gateway_->hooks_.cancelAttempt_(attempt_);
-    responseBody_.clear();
+    releaseText(responseBody_);
     splitter_ = EventSplitter();
     attemptEnded(AttemptEnd::Broken);
     countBufferedBytes();
@@ -196,6 +199,7 @@
 {
     const std::string contentType = relayHeaders();
     reply_->send(head_.status_, contentType, responseBody_);
+    releaseText(responseBody_); // Timers may keep the ended call for a while.
     end(head_.status_ / 100 == 2 ? "served" : "endpoint_error");
 }
 
@@ -234,8 +238,8 @@
     if (step_ == Step::Ended) {
         return;
     }
-    // Whatever the reason is: a 503 promises that the request has not run.
-    if (runs_ > 0 && statusOf(reason) == 503) {
+    // Whatever the reason is: a 503 or 429 promises that the request has not run.
+    if (runs_ > 0 && (statusOf(reason) == 503 || statusOf(reason) == 429)) {
         reason = RefusalReason::OutcomeUnknown;
     }
     const int status =
@@ -249,6 +253,9 @@
             reason, gateway_->isStoreUnavailable(), drawFrom(gateway_->hooks_.random_));
         reply_->setHeader("Retry-After", secondsText(after));
     }
+    if (status == 429) {
+        reply_->setHeader("Retry-After", secondsText(quotaRetryAfter_));
+    }
     reply_->send(status, "application/json", "{\"error\":\"" + std::string(nameOf(reason)) + "\"}");
     end(std::string(nameOf(reason)).c_str());
 }
@@ -292,6 +299,25 @@
     grant_ = BudgetGrant();
 }
 
+void GatewayCall::countForAccount(const std::string &outcome)
+{
+    if (outcome == nameOf(RefusalReason::Unauthenticated)) {
+        gateway_->hooks_.count_("unauthenticated_total", std::string(nameOf(keyCheck_)));
+    }
+    if (!request_->hasAccounts_) {
+        return;
+    }
+    std::string result = "failed";
+    if (outcome.compare(0, servedPrefix.size(), servedPrefix) == 0) {
+        result = "served";
+    } else if (valueOf<RefusalReason>(outcome)) {
+        result = "refused";
+    }
+    const std::string account = request_->account_.empty() ? "none" : request_->account_;
+    gateway_->hooks_.count_("account_requests_total",
+                            gateway_->accountLabels_.labelOf(account) + ",result=\"" + result + '"');
+}
+
 void GatewayCall::end(const char *outcome)
 {
     const std::shared_ptr<GatewayCall> self = shared_from_this();
@@ -310,10 +336,12 @@
         gateway_->turns_.abandon(storeOperation_);
     }
     settleBudget();
+    returnPermit();
     countBufferedBytes();
     reply_->onClosed(nullptr);
     const Duration took = gateway_->hooks_.now_() - arrivedAt_;
     gateway_->hooks_.count_("requests_total", outcome);
+    countForAccount(outcome);
     gateway_->hooks_.observe_("request_seconds", took);
     gateway_->hooks_.logEvent_(
         "request_ended",
@@ -321,6 +349,8 @@
          {"program", request_->program_},
          {"route", route_ != nullptr ? route_->name_ : ""},
          {"account", request_->account_},
+         {"auth", nameOf(keyCheck_)}, // The logger hides fields with the name "key".
+         {"configuration", routing_ ? routing_->version() : 0},
          {"outcome", outcome},
          {"endpoint", lastEndpoint_},
          {"first_ms", firstEventAt_ > Time{0} ? toMilliseconds(firstEventAt_ - arrivedAt_) : 0.0},
