--- a/test/platform/hostilecrowd.cpp
+++ b/test/platform/hostilecrowd.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t bodyBytes = 4 * megabyte; ///< The limit on a body.
 constexpr std::size_t shortOf = 2 * 1024; ///< Missing bytes of a body that stops short of its end.
 constexpr std::size_t chunkBytes = 16 * 1024;
+constexpr int manyFields = 1900; ///< A head of these is just within its limit.
 constexpr std::uint32_t memoryMb = 88; ///< Of the smallest VM.
 constexpr std::uint32_t descriptors = 1024;
 constexpr std::size_t connectionsPerClient = 3;
@@ -69,7 +70,12 @@
     const std::string unread = "GET /large HTTP/1.1\r\nHost: h\r\n\r\n";
     const std::string pipelined = "GET /none HTTP/1.1\r\nHost: h\r\nX-Filbertgw-Attempt-Id: hostile\r\n\r\n";
     const std::string state = "GET /state HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::string fields; // Short fields take much more memory than their text.
+    for (int i = 0; i < manyFields; ++i) {
+        fields += 'x' + std::to_string(i) + ":\r\n";
+    }
     return {
+        {"ManyFields", headOf(fields + "Content-Length: 100000\r\n\r\n"), large, chunkBytes},
         {"HeadOverLimit", headOf("X-Long: " + std::string(100'000, 'a') + "\r\n\r\n"), {}, 0},
         {"HeadWithoutEnd", headOf(""), "X-Name: value\r\n", 2 * megabyte},
         {"EmptyLines", "\r\n", "\r\n", 2 * megabyte},
