Spend outage reserves on one side of a partition only

Change: nodes that were heard of within 120 s and are not alive count as missing; reserves are spent only while fewer are missing than there are copies. One side of a partition at most is in that case (GrantWitness.OneSideOfAPartitionSpendsReserves).

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -553,6 +553,14 @@
     }));
 }
 
+std::size_t Fleet::missingSince(Time since) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(d_->nodes_.begin(), d_->nodes_.end(), [this, since](const auto &entry) {
+            return entry.second.wasHeard_ && entry.second.heardAt_ >= since && !d_->isAlive(entry.second);
+        }));
+}
+
 bool Fleet::hasGrantWitness() const
 {
     return std::any_of(d_->nodes_.begin(), d_->nodes_.end(), [this](const auto &entry) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -77,6 +77,8 @@
     std::vector<FleetMember> successorsOf(const std::string &program, std::size_t count) const;
     /** \brief Number of other nodes that were lost, or restarted, at or after a time. */
     std::size_t lostSince(Time since) const;
+    /** \brief Number of other nodes that are not alive, and were heard of at or after a time. */
+    std::size_t missingSince(Time since) const;
     /** \brief True if a live node with a complete ledger reports that it misses no grants of an outage. */
     bool hasGrantWitness() const;
     /** \brief The other node that becomes coordinator of a program if this one dies. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -271,6 +271,7 @@
     hooks.isRecorded_ = [this] { return ledger_.isCurrent() && fleet_.allGrantsRecorded(); };
     hooks.alive_ = [this] { return fleet_.alive(); };
     hooks.lostSince_ = [this](Time since) { return fleet_.lostSince(since); };
+    hooks.missingSince_ = [this](Time since) { return fleet_.missingSince(since); };
     hooks.hasWitness_ = [this] { return fleet_.hasGrantWitness(); };
     return hooks;
 }
@@ -298,6 +299,7 @@
         grantWitness_.update();
         return grantWitness_.mayMissGrants();
     };
+    nodes.maySpendReserves_ = [this] { return grantWitness_.maySpendReserves(); };
     nodes.copies_ = [this] { return grantWitness_.copies(); };
     return hooks;
 }
--- a/src/ledger/budgetcontroller.cpp
+++ b/src/ledger/budgetcontroller.cpp
@@ -406,7 +406,7 @@
 bool BudgetController::mayOpen(const std::string &program) const
 {
     // While the ledger is empty, nodes that start after a loss could not tell that anything was granted.
-    return !hooks_.nodes_.mayMissGrants_() && ledger_.hasRecords() && ledger_.ledgerOf(program).knowsGrants();
+    return hooks_.nodes_.maySpendReserves_() && ledger_.hasRecords() && ledger_.ledgerOf(program).knowsGrants();
 }
 
 GrantBasis BudgetController::basisWithoutStore(const TurnReservation &turn, const std::string &writer)
@@ -418,7 +418,8 @@
     if (outagePrograms_.contains(turn.program_)) {
         const std::string running = outagePrograms_.runningWriter(turn.program_);
         const bool runs = !running.empty() && (running == ledger_.writer() || findAliveHolder({running}));
-        return runs || ledger.outageReserve(turn.program_) == 0 ? GrantBasis::None : GrantBasis::Replicas;
+        const bool mayRun = !runs && ledger.outageReserve(turn.program_) > 0 && hooks_.nodes_.maySpendReserves_();
+        return mayRun ? GrantBasis::Replicas : GrantBasis::None;
     }
     if (ledger.outageReserve(turn.program_) > 0) {
         return GrantBasis::None; // Charged for an earlier outage, or granted by a coordinator that this node missed.
--- a/src/ledger/budgetcontroller.h
+++ b/src/ledger/budgetcontroller.h
@@ -67,6 +67,7 @@
     std::function<bool(const std::string &program, Duration window)> hasCoordinated_;
     std::function<bool(const FleetMember &member)> isSelf_;
     std::function<bool()> mayMissGrants_; ///< \sa GrantWitness
+    std::function<bool()> maySpendReserves_; ///< \sa GrantWitness
     std::function<std::size_t()> copies_; ///< Number of nodes that keep what is granted without the store.
 };
 
--- a/src/ledger/grantwitness.cpp
+++ b/src/ledger/grantwitness.cpp
@@ -51,6 +51,12 @@
     return missesPast_ || lossAt_ != Time{0};
 }
 
+bool GrantWitness::maySpendReserves() const
+{
+    const std::size_t missing = hooks_.missingSince_(hooks_.now_() - programLifetime);
+    return !mayMissGrants() && missing < std::min(maxCopies, hooks_.alive_() + 1);
+}
+
 std::size_t GrantWitness::copies() const
 {
     const std::size_t lost = outageSince_ == Time{0} ? 0 : hooks_.lostSince_(outageSince_);
--- a/src/ledger/grantwitness.h
+++ b/src/ledger/grantwitness.h
@@ -18,6 +18,7 @@
     std::function<bool()> isRecorded_;
     std::function<std::size_t()> alive_; ///< Number of other live nodes.
     std::function<std::size_t(Time since)> lostSince_; ///< Number of nodes that were lost or restarted since a time.
+    std::function<std::size_t(Time since)> missingSince_; ///< Nodes that are not alive and were heard of since a time.
     std::function<bool()> hasWitness_; ///< A live node reports that it misses no grants.
 };
 
@@ -46,6 +47,13 @@
     /** \brief Called periodically, and when the store or other nodes are lost. */
     void update();
     bool mayMissGrants() const;
+    /**
+     * \brief True if no other node can grant later turns without the store that this one and its replicas miss.
+     *
+     * Nodes that are missing may be partitioned from this one instead of dead. Of two sides of a partition one has at
+     * least as many missing nodes as it has copies.
+     */
+    bool maySpendReserves() const;
     /** \brief Number of nodes, this one included, that have to keep the spending of a program. */
     std::size_t copies() const;
 
--- a/test/gateway/grantwitness.cpp
+++ b/test/gateway/grantwitness.cpp
@@ -19,6 +19,7 @@
                                      [this] { return isRecorded_; },
                                      [this] { return alive_; },
                                      [this](Time since) { return lostAt_ >= since ? lost_ : 0; },
+                                     [this](Time since) { return lostAt_ >= since ? lost_ : 0; },
                                      [this] { return hasWitness_; }})
     {
     }
@@ -70,6 +71,24 @@
     EXPECT_FALSE(vouchedFor.mayMissAfter(seconds(2)));
 }
 
+// Guards against two sides of a partition that both spend the reserve of a program.
+TEST(GrantWitness, OneSideOfAPartitionSpendsReserves)
+{
+    for (std::size_t nodes = 1; nodes <= 12; ++nodes) {
+        for (std::size_t other = 0; other <= nodes / 2; ++other) {
+            WitnessRig larger(false);
+            WitnessRig smaller(false);
+            larger.alive_ = smaller.alive_ = nodes - 1;
+            larger.lose(other);
+            smaller.lose(std::min(nodes - other, nodes - 1));
+            larger.mayMissAfter(seconds(20));
+            smaller.mayMissAfter(seconds(20));
+            const bool both = larger.witness_.maySpendReserves() && smaller.witness_.maySpendReserves();
+            EXPECT_TRUE(!both || other == 0) << nodes << " nodes, " << other;
+        }
+    }
+}
+
 /** \brief Nodes that are lost in an outage. */
 struct LossCase
 {
--- a/test/gateway/outagespending.cpp
+++ b/test/gateway/outagespending.cpp
@@ -252,6 +252,8 @@
     EXPECT_LE(program.tokens_, budget + turnTokens);
 }
 
+// Nodes that are cut from all others for some time before the outage, and each take themselves for the coordinator.
+INSTANTIATE_TEST_SUITE_P(NodesCutLongBefore, RandomOutageSpending, testing::Values(std::uint64_t{2194}));
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomOutageSpending, testing::Range(std::uint64_t{1}, std::uint64_t{101}));
 
 } // namespace filbertgw::test
