--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Duration housekeepingInterval{100'000};
+/** Accounts with series of their own in the metrics; the others share one. */
+constexpr std::size_t maxAccountLabels = 100;
 /** Runs of the housekeeping between two log entries on the engine models. */
 constexpr std::uint64_t housekeepingRunsPerLog = 50;
 /** Time without the store after which a node reports itself as not ready if others can take its connections. */
@@ -21,12 +23,22 @@
 /** Name of the state whose holder deletes expired crash records from the store. \sa Fleet::holderOf */
 const char *const crashState = "crashes";
 
+bool hasQuotas(const AccountDirectory *accounts)
+{
+    return accounts != nullptr
+        && std::any_of(accounts->accounts().begin(), accounts->accounts().end(), [](const auto &entry) {
+               return entry.second.hasQuota();
+           });
+}
+
 } // namespace
 } // namespace internal
 
 Gateway::Private::Private(GatewayHooks hooks, GatewaySettings settings)
     : hooks_(std::move(hooks))
     , settings_(std::move(settings))
+    , configurationPeers_(configurationPeersHooks(), settings_.configurationPeers_)
+    , lastRunAt_(hooks_.now_())
     , directory_(hooks_.now_)
     , placement_(hooks_.now_, hooks_.random_, settings_.placement_)
     , cacheDiscovery_(cacheDiscoveryHooks(), settings_.cacheDiscovery_)
@@ -57,8 +69,11 @@
     , grantWitness_(grantWitnessHooks())
     , budget_(budgetHooks(), ledger_)
     , admission_(settings_.admission_)
+    , accountAdmission_(hooks_.now_, settings_.accountAdmission_)
+    , accountLabels_("account", internal::maxAccountLabels)
     , pace_(hooks_.now_, settings_.pace_)
     , retryAfter_(settings_.retryAfter_)
+    , quota_(quotaHooks(), settings_.quota_)
 {
 }
 
@@ -80,6 +95,23 @@
     return load;
 }
 
+AccountAdmission::RefusedShare Gateway::Private::refusedShareOf(const std::string &service)
+{
+    return [this, load = loadOf(service)](std::uint32_t priority) { return admission_.refusedShare(load, priority); };
+}
+
+void Gateway::Private::updateAccountAdmission()
+{
+    if (!routing_ || routing_->accounts() == nullptr) {
+        return;
+    }
+    for (const std::pair<const std::string, Service> &service : routing_->services()) {
+        if (service.second.engine_) {
+            accountAdmission_.update(service.first, refusedShareOf(service.first));
+        }
+    }
+}
+
 TurnStoreHooks Gateway::Private::turnStoreHooks()
 {
     TurnStoreHooks hooks;
@@ -201,6 +233,63 @@
     return hooks;
 }
 
+ConfigurationPeersHooks Gateway::Private::configurationPeersHooks()
+{
+    ConfigurationPeersHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.askPeer_ = hooks_.askPeer_;
+    hooks.version_ = [this] { return routing_ ? routing_->version() : 0; };
+    hooks.apply_ = [this](const std::string &text) {
+        if (hooks_.applyConfiguration_) {
+            hooks_.applyConfiguration_(text);
+        }
+    };
+    hooks.logEvent_ = hooks_.logEvent_;
+    return hooks;
+}
+
+void Gateway::Private::checkSuspension()
+{
+    const Duration pause = hooks_.now_() - std::exchange(lastRunAt_, hooks_.now_());
+    const bool hasAccounts = routing_ && routing_->accounts() != nullptr;
+    if (pause <= settings_.maxSuspension_ || !hasAccounts || !hooks_.refreshConfiguration_) {
+        return;
+    }
+    if (std::exchange(isConfigurationInDoubt_, true)) {
+        return;
+    }
+    refreshConfiguration(pause);
+}
+
+void Gateway::Private::refreshConfiguration(Duration pause)
+{
+    hooks_.refreshConfiguration_([self = shared_from_this(), pause, began = hooks_.now_()](bool isCurrent) {
+        if (!isCurrent && self->hooks_.now_() - began > self->settings_.maxSuspension_) {
+            self->refreshConfiguration(pause); // The process was suspended again meanwhile.
+            return;
+        }
+        self->hooks_.logEvent_("configuration_checked",
+                               {{"pause_ms", toMilliseconds(pause)},
+                                {"current", isCurrent},
+                                {"version", self->routing_->version()},
+                                {"requests", self->waitingForConfiguration_.size()}});
+        self->isConfigurationInDoubt_ = false;
+        for (const std::function<void()> &task : std::exchange(self->waitingForConfiguration_, {})) {
+            task();
+        }
+    });
+}
+
+void Gateway::Private::withConfiguration(const std::function<void()> &task)
+{
+    checkSuspension();
+    if (isConfigurationInDoubt_) {
+        waitingForConfiguration_.push_back(task);
+    } else {
+        task();
+    }
+}
+
 void Gateway::Private::refreshRegistry(const std::function<void(bool isCurrent)> &done)
 {
     if (hooks_.refreshRegistry_) {
@@ -322,6 +411,10 @@
         report.origins_ = origins_.takeAnnouncements();
         report.mayMissGrants_ = grantWitness_.mayMissGrants();
         report.reachesEndpoints_ = !reachability_.isCutOff() && !stopping_;
+        report.configurationVersion_ = configurationPeers_.offeredVersion();
+        if (routing_ && routing_->accounts() != nullptr) {
+            report.accounts_ = accountAdmission_.localLoad();
+        }
         return report;
     };
 
@@ -336,6 +429,9 @@
             [this](const std::pair<std::string, std::uint32_t> &at) { return directory_.find(at.first) != nullptr; });
         placement_.setPeerLoad(source, load, report.nodes_);
         pace_.setPeerPaces(source, report.paces_);
+        if (report.accounts_) {
+            accountAdmission_.setPeerLoad(source, *report.accounts_);
+        }
         for (const CrashRecord &crash : report.crashes_) {
             quarantine_.add(crash);
         }
@@ -351,6 +447,9 @@
             }
         }
     };
+    hooks.onConfigurationOffered_ = [this](const FleetMember &node, std::uint64_t version) {
+        configurationPeers_.reported(node, version);
+    };
     hooks.onLivenessChanged_ = [this](const std::string &node, bool alive) {
         hooks_.logEvent_(alive ? "peer_found" : "peer_lost", {{"peer", node}});
     };
@@ -490,6 +589,8 @@
 
 void Gateway::Private::runHousekeeping()
 {
+    checkSuspension();
+    configurationPeers_.update();
     if (ledger_.isCurrent()) {
         lastLedgerCurrent_ = hooks_.now_();
     }
@@ -504,6 +605,7 @@
         placement_.forget(gone);
     }
     placement_.expirePeers();
+    updateAccountAdmission();
     limits_.expire();
     reachability_.update(silentEndpoints());
     if (reachability_.isCutOff()) {
@@ -512,6 +614,7 @@
     origins_.update();
     outputs_.expire();
     maintainCrashes();
+    quota_.tick();
     discoverCaches();
     if (++housekeepingRuns_ % internal::housekeepingRunsPerLog == 0) {
         logEngineTimings();
@@ -542,7 +645,7 @@
     d_->runHousekeeping();
 }
 
-void Gateway::setRouting(std::shared_ptr<const RoutingTable> table)
+void Gateway::setRouting(std::shared_ptr<const RoutingTable> table, const std::string &text)
 {
     if (d_->routing_ && d_->routing_->version() >= table->version()) {
         return;
@@ -552,7 +655,9 @@
                           {"before", d_->routing_ ? d_->routing_->version() : 0},
                           {"routes", table->routes().size()},
                           {"accounts", table->accounts() != nullptr ? table->accounts()->accounts().size() : 0}});
+    d_->configurationPeers_.setCurrent(table->version(), table->accounts() != nullptr ? text : std::string());
     d_->routing_ = std::move(table);
+    d_->hasQuotas_ = internal::hasQuotas(d_->routing_->accounts());
 }
 
 void Gateway::updateEndpoint(const Endpoint &endpoint, Time writtenAfter)
@@ -615,7 +720,7 @@
     const std::shared_ptr<internal::GatewayCall> call =
         std::make_shared<internal::GatewayCall>(d_, std::move(request), std::move(reply));
     d_->calls_.insert(call);
-    call->start();
+    d_->withConfiguration([call] { call->start(); });
 }
 
 bool Gateway::isReady() const
@@ -626,6 +731,7 @@
 void Gateway::beginStop()
 {
     d_->stopping_ = true;
+    d_->quota_.beginStop();
     d_->ledger_.releaseAllowances();
 }
 
@@ -650,14 +756,17 @@
 {
     if (!d_->budget_.onPeerRequest(type, body, answer) && !d_->relayedStore_.onPeerRequest(type, body, answer)
         && !d_->turns_.onPeerRequest(type, body, answer) && !d_->origins_.onPeerRequest(type, body, answer)
-        && !d_->outputs_.onPeerRequest(type, body, answer)) {
+        && !d_->outputs_.onPeerRequest(type, body, answer) && !d_->configurationPeers_.onPeerRequest(type, body, answer)
+        && !d_->quota_.onPeerRequest(type, body, answer)) {
         answer({});
     }
 }
 
 nlohmann::json Gateway::state() const
 {
+    const AccountDirectory *accounts = d_->routing_ ? d_->routing_->accounts() : nullptr;
     return {{"configuration_version", d_->routing_ ? d_->routing_->version() : 0},
+            {"accounts", accounts != nullptr ? accounts->accounts().size() : 0},
             {"endpoints", d_->directory_.size()},
             {"open_calls", d_->calls_.size()},
             {"buffered_answer_bytes", d_->bufferedBytes_},
@@ -672,6 +781,7 @@
             {"stream_origins", d_->origins_.size()},
             {"stream_output_bytes", d_->outputs_.bytes()},
             {"suspected_requests", d_->quarantine_.requests()},
+            {"quota_levels", d_->quota_.state()},
             {"stopping", d_->stopping_}};
 }
 
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gatewaycall.h"
+#include "memory/releasetext.h"
 
+#include "accounts/accountscope.h"
 #include "core/numbers.h"
 
 #include <algorithm>
@@ -36,7 +38,6 @@
                          GatewayRequest request,
                          std::shared_ptr<HttpReply> reply)
     : gateway_(std::move(gateway))
-    , routing_(gateway_->routing_)
     , request_(std::make_shared<GatewayRequest>(std::move(request)))
     , reply_(std::move(reply))
     , arrivedAt_(gateway_->hooks_.now_())
@@ -46,6 +47,7 @@
 void GatewayCall::start()
 {
     reply_->onClosed([self = shared_from_this()] { self->clientDisconnected(); });
+    routing_ = gateway_->routing_;
     if (!routing_) {
         refuse(RefusalReason::NoConfiguration);
         return;
@@ -55,8 +57,9 @@
         refuse(RefusalReason::NoRoute);
         return;
     }
-    if (!identifyAccount()) {
-        refuse(RefusalReason::Unauthenticated);
+    const std::optional<RefusalReason> refusal = request_->isForwarded_ ? adoptAccount() : identifyAccount();
+    if (refusal) {
+        refuse(*refusal);
         return;
     }
     Duration allowed = route_->timeout_ > Duration{0} ? route_->timeout_ : gateway_->settings_.defaultTimeout_;
@@ -86,20 +89,42 @@
     findOutput();
 }
 
-bool GatewayCall::identifyAccount()
+std::optional<RefusalReason> GatewayCall::identifyAccount()
 {
     const AccountDirectory *accounts = routing_->accounts();
     if (accounts == nullptr) {
-        return true;
+        return std::nullopt;
     }
     const std::string key = std::exchange(request_->apiKey_, {});
-    request_->hasAccounts_ = true;
-    // The node that passed the request on has checked the key, which doesn't leave it.
-    account_ = request_->isForwarded_ ? accounts->findByName(request_->claimedAccount_) : accounts->findByKey(key);
-    if (account_ != nullptr) {
-        request_->account_ = account_->name_;
+    const ClientAccount *account = accounts->findByKey(key);
+    const KeyCheck withoutAccount = AccountDirectory::isKey(key) ? KeyCheck::Unknown : KeyCheck::Malformed;
+    keyCheck_ = key.empty() ? KeyCheck::Missing : account == nullptr ? withoutAccount : KeyCheck::Known;
+    return setAccount(account) ? std::nullopt : std::optional(RefusalReason::Unauthenticated);
+}
+
+/** The key does not leave the node that has checked it. */
+std::optional<RefusalReason> GatewayCall::adoptAccount()
+{
+    const AccountDirectory *accounts = routing_->accounts();
+    const std::optional<std::string> &name = request_->peerAccount_;
+    if (accounts == nullptr && !name) {
+        return std::nullopt;
     }
-    return account_ != nullptr || route_->isOpen_;
+    // Else the nodes have different versions of the configuration: another node may have that of the first.
+    const bool isComparable = accounts != nullptr && name;
+    const ClientAccount *account = isComparable ? accounts->findByName(*name) : nullptr;
+    keyCheck_ = KeyCheck::ByPeer;
+    const bool isKnown = isComparable && (account != nullptr || name->empty());
+    return isKnown && setAccount(account) ? std::nullopt : std::optional(RefusalReason::Unreachable);
+}
+
+bool GatewayCall::setAccount(const ClientAccount *account)
+{
+    request_->hasAccounts_ = true;
+    request_->account_ = account != nullptr ? account->name_ : std::string();
+    request_->scope_ = accountScope(request_->account_);
+    account_ = route_->isOpen_ ? nullptr : account;
+    return account != nullptr || route_->isOpen_;
 }
 
 std::uint32_t GatewayCall::priority() const
@@ -110,11 +135,51 @@
 void GatewayCall::prepare()
 {
     chooseService();
-    if (!admitProgram()) {
-        refuse(RefusalReason::Overloaded);
-        return;
+    acquirePermit([this] {
+        if (!admitProgram()) {
+            refuse(RefusalReason::Overloaded);
+            return;
+        }
+        loadChain();
+    });
+}
+
+double GatewayCall::refusedShare(const ServiceLoad &load) const
+{
+    const auto ofPriority = [this, &load](std::uint32_t priority) {
+        return gateway_->admission_.refusedShare(load, priority);
+    };
+    return account_ == nullptr
+        ? ofPriority(priority())
+        : gateway_->accountAdmission_.refusalProbability(serviceName_, account_->name_, priority(), ofPriority);
+}
+
+void GatewayCall::reportRefusedProgram(const ServiceLoad &load, double refusedShare) const
+{
+    nlohmann::json fields = {{"request", request_->id_},
+                             {"program", request_->program_},
+                             {"load", load.requestsPerSlot_},
+                             {"stretch", load.slowdown_},
+                             {"allowed", load.allowedSlowdown_.value_or(0.0)}};
+    if (account_ != nullptr) {
+        fields["account"] = account_->name_;
+        fields["refused_share"] = refusedShare;
+        gateway_->hooks_.count_("account_refusals_total",
+                                gateway_->accountLabels_.labelOf(account_->name_) + ",cause=\"fair_share\"");
     }
-    loadChain();
+    gateway_->hooks_.logEvent_("program_refused", fields);
+}
+
+bool GatewayCall::isTooLate() const
+{
+    if (account_ == nullptr || origin_ || request_->expectedOutputTokens_ == 0 || !service_ || !service_->engine_) {
+        return false;
+    }
+    const std::uint64_t tokens = request_->maxOutputTokens_ > 0
+        ? std::min(request_->expectedOutputTokens_, request_->maxOutputTokens_)
+        : request_->expectedOutputTokens_;
+    const std::optional<Duration> needed = gateway_->placement_.engines().minTurnTime(serviceName_, tokens);
+    return needed && timeLeft() < *needed;
 }
 
 bool GatewayCall::admitProgram()
@@ -126,19 +191,15 @@
     const ServiceLoad load = gateway_->loadOf(serviceName_);
     const Duration finishIn = request_->finishIn_.value_or(Duration{0});
     if (!startsProgram()) {
-        gateway_->pace_.turnStarted(serviceName_, request_->program_, finishIn, load.slowdown_);
+        gateway_->pace_.turnStarted(serviceName_, request_->scopedProgram(), finishIn, load.slowdown_);
         return true;
     }
-    if (!gateway_->admission_.admits(load, priority(), Admission::drawOf(request_->program_))) {
-        gateway_->hooks_.logEvent_("program_refused",
-                                   {{"request", request_->id_},
-                                    {"program", request_->program_},
-                                    {"load", load.requestsPerSlot_},
-                                    {"stretch", load.slowdown_},
-                                    {"allowed", load.allowedSlowdown_.value_or(0.0)}});
+    const double refused = refusedShare(load);
+    if (Admission::drawOf(request_->scopedProgram()) < refused) {
+        reportRefusedProgram(load, refused);
         return false;
     }
-    gateway_->pace_.programStarted(request_->program_, finishIn);
+    gateway_->pace_.programStarted(request_->scopedProgram(), finishIn);
     return true;
 }
 
@@ -180,11 +241,16 @@
     service_ = routing_->service(serviceName_);
 }
 
+std::uint64_t GatewayCall::spentTokens() const
+{
+    const std::string program = request_->scopedProgram();
+    return gateway_->ledger_.ledgerOf(program).spent(program);
+}
+
 bool GatewayCall::startsProgram() const
 {
     return route_->kind_ == RouteKind::Streaming && !request_->program_.empty()
-        && request_->session_ == request_->program_ && request_->previousTurn_.empty()
-        && gateway_->ledger_.ledgerOf(request_->program_).spent(request_->program_) == 0;
+        && request_->session_ == request_->program_ && request_->previousTurn_.empty() && spentTokens() == 0;
 }
 
 void GatewayCall::loadChain()
@@ -194,7 +260,7 @@
         reserveBudget();
         return;
     }
-    gateway_->turns_.findChain(request_->previousTurn_, [self = shared_from_this()](const TurnChain &chain) {
+    gateway_->turns_.findChain(request_->scopedPreviousTurn(), [self = shared_from_this()](const TurnChain &chain) {
         if (self->step_ == Step::Preparing) {
             self->chainLoaded(chain);
         }
@@ -230,7 +296,8 @@
         return;
     }
     TurnReservation turn;
-    turn.program_ = request_->program_;
+    turn.program_ = request_->scopedProgram();
+    turn.clientProgram_ = request_->program_;
     turn.budget_ = *request_->tokenBudget_;
     turn.tokens_ = request_->maxOutputTokens_;
     turn.isRootAgentTurn_ = request_->session_ == request_->program_;
@@ -352,6 +419,16 @@
         refuse(RefusalReason::EndpointsFull);
         return;
     }
+    if (isTooLate()) {
+        gateway_->hooks_.count_("account_refusals_total",
+                                gateway_->accountLabels_.labelOf(account_->name_) + ",cause=\"too_late\"");
+        refuse(RefusalReason::Overloaded);
+        return;
+    }
+    if (mustYield()) {
+        waitForEndpoint();
+        return;
+    }
     const Endpoint *endpoint = chooseEndpoint();
     if (endpoint != nullptr) {
         origin_ ? sendRest(*endpoint) : send(*endpoint);
@@ -366,20 +443,43 @@
         return;
     }
     // Every endpoint refused or failed: retry them all while there is enough time left.
+    waitForEndpoint();
+}
+
+void GatewayCall::waitForEndpoint()
+{
     if (timeLeft() < gateway_->settings_.endpointRetryDelay_ * 2) {
         refuse(RefusalReason::EndpointsFull);
         return;
     }
     excluded_.clear();
-    gateway_->hooks_.after_(gateway_->settings_.endpointRetryDelay_, [self = shared_from_this()] {
+    const bool isLaterTurn = account_ != nullptr && route_->kind_ == RouteKind::Streaming && !isFirstTurn();
+    gateway_->waitingTurns_[serviceName_] += isLaterTurn ? 1 : 0;
+    gateway_->hooks_.after_(gateway_->settings_.endpointRetryDelay_, [self = shared_from_this(), isLaterTurn] {
+        self->gateway_->waitingTurns_[self->serviceName_] -= isLaterTurn ? 1 : 0;
         if (self->step_ == Step::Placing) {
             self->place();
         }
     });
 }
 
+bool GatewayCall::mustYield() const
+{
+    const bool isRun = service_ != nullptr && service_->engine_ && route_->kind_ == RouteKind::Streaming;
+    if (account_ == nullptr || !isRun || origin_ || !isFirstTurn()) {
+        return false;
+    }
+    const auto waiting = gateway_->waitingTurns_.find(serviceName_);
+    return waiting != gateway_->waitingTurns_.end() && waiting->second > 0;
+}
+
 void GatewayCall::send(const Endpoint &endpoint)
 {
+    if (!usePermit()) {
+        step_ = Step::Placing;
+        acquirePermit([this] { place(); });
+        return;
+    }
     step_ = Step::Running;
     ++sends_;
     endpoint_ = endpoint.id_;
@@ -388,7 +488,7 @@
     headReceived_ = false;
     isNoStream_ = false;
     head_ = AttemptHead();
-    responseBody_.clear();
+    releaseText(responseBody_);
     splitter_ = EventSplitter();
     attemptEvents_ = 0;
     EndpointAttempt attempt;
@@ -402,6 +502,10 @@
     attempt.maxIdleAge_ = maxIdleAge();
     if (service_ != nullptr && service_->engine_) {
         attempt.urgency_ = urgency();
+        isCountedForAccount_ = account_ != nullptr;
+    }
+    if (isCountedForAccount_) {
+        gateway_->accountAdmission_.started(serviceName_, account_->name_, priority());
     }
     start_ = gateway_->placement_.started(endpoint, *request_);
     incarnation_ = endpoint.incarnation();
@@ -433,11 +537,15 @@
     return handlers;
 }
 
+bool GatewayCall::isFirstTurn() const
+{
+    return spentTokens() <= grant_.tokens_;
+}
+
 std::uint32_t GatewayCall::urgency() const
 {
-    const bool isFirstTurn = gateway_->ledger_.ledgerOf(request_->program_).spent(request_->program_) <= grant_.tokens_;
     const std::uint32_t urgency =
-        highestUrgency + priority() * urgencyPerPriority + (isFirstTurn ? firstTurnUrgencyPenalty : 0);
+        highestUrgency + priority() * urgencyPerPriority + (isFirstTurn() ? firstTurnUrgencyPenalty : 0);
     return std::min(urgency, lowestUrgency);
 }
 
@@ -486,6 +594,9 @@
     if (!endpoint_.empty()) {
         gateway_->placement_.ended(endpoint_);
         gateway_->crashDetector_.attemptEnded(crashWatch_, ended);
+        if (std::exchange(isCountedForAccount_, false)) {
+            gateway_->accountAdmission_.ended(serviceName_, account_->name_);
+        }
         endpoint_.clear();
     }
 }
@@ -501,6 +612,7 @@
         doubtEndpoint(endpoint);
     }
     if (ended == AttemptEnd::NotSent) {
+        keepPermit();
         gateway_->reachability_.connectFailed(endpoint);
         gateway_->placement_.failed(endpoint);
         excluded_.insert(endpoint);
@@ -509,6 +621,7 @@
     }
     const bool refused = ended == AttemptEnd::Complete && (head_.notRun_ || head_.wrongInstance_);
     if (refused) {
+        keepPermit();
         if (head_.wrongInstance_) {
             gateway_->retireEndpoint(incarnation_, "replaced");
             gateway_->crashDetector_.endpointEnded(incarnation_, CrashEvidence::Replaced);
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTGW_GATEWAY_GATEWAYCALL_H
 #define FILBERTGW_GATEWAY_GATEWAYCALL_H
 
+#include "accounts/keycheck.h"
 #include "gateway/gatewayprivate.h"
 #include "streams/eventsplitter.h"
 #include "streams/streamorigin.h"
@@ -59,8 +60,8 @@
     void originFound(const FoundOrigin &found);
     void findOutput();
     void outputFound(const std::optional<StreamOutput> &output);
-    /** \brief Id of the client's attempt that began the stream. */
-    const std::string &streamId() const;
+    /** \brief Scoped id of the client's attempt that began the stream. */
+    std::string streamId() const;
     /** \brief True if another node may need the events that this one relays, to retain the turn. */
     bool sharesOutput() const;
     void shareOutput(std::vector<OutputEvent> events);
@@ -77,14 +78,25 @@
 
     // Before the first attempt.
     void prepare();
-    /** \brief Finds the client account. \return false if the request needs a key and has no valid one. */
-    bool identifyAccount();
+    /** \brief Finds the account by the key. \return why the request is refused, or nothing. */
+    std::optional<RefusalReason> identifyAccount();
+    /** \brief Takes over the account that another node has found. \return why the request is refused, or nothing. */
+    std::optional<RefusalReason> adoptAccount();
+    /** \brief Sets the account of the request. \return false if its route needs one and there is none. */
+    bool setAccount(const ClientAccount *account);
     /** \brief Priority of the client account, or of the route if the account has none. */
     std::uint32_t priority() const;
     /** \brief Draws one of the route's services by weight. */
     void chooseService();
+    /** \brief Tokens of the program that are spent or reserved, as far as this node knows. */
+    std::uint64_t spentTokens() const;
     /** \brief True for the first turn of a program: none of its tokens are spent or reserved. */
     bool startsProgram() const;
+    /** \brief Probability at which a new program is to be refused. */
+    double refusedShare(const ServiceLoad &load) const;
+    void reportRefusedProgram(const ServiceLoad &load, double refusedShare) const;
+    /** \brief True if no engine can answer in the time left; only known with client accounts. */
+    bool isTooLate() const;
     /** \brief Records the progress of the program. \return false if it is new and not admitted. */
     bool admitProgram();
     void loadChain();
@@ -92,11 +104,29 @@
     void reserveBudget();
     void budgetDecided(const BudgetGrant &grant);
 
+    // The quota of the client account, in quotacall.cpp.
+    /** \brief The quota that limits the request; nothing if there is none. */
+    std::optional<QuotaLimit> quotaLimit() const;
+    /** \brief Obtains a permit if the account has a quota, then continues; or refuses the request. */
+    void acquirePermit(const std::function<void()> &granted);
+    void permitDecided(const QuotaDecision &decision, Step step, const std::function<void()> &granted);
+    /** \brief Uses the permit for the attempt that begins now. \return false if a new one has to be obtained first. */
+    bool usePermit();
+    /** \brief The attempt has not run: its permit may be used again. */
+    void keepPermit();
+    /** \brief Returns the permit, unless it was used. */
+    void returnPermit();
+
     // Attempts.
     void place();
     /** \brief Handlers of the attempt that begins now. They do nothing once another attempt has begun. */
     AttemptHandlers handlersOfAttempt();
     const Endpoint *chooseEndpoint();
+    /** \brief Chooses an endpoint again a little later, or refuses the request if there is no time for that. */
+    void waitForEndpoint();
+    /** \brief True for a first turn while later ones wait here: engines take requests in order of arrival. */
+    bool mustYield() const;
+    bool isFirstTurn() const;
     /** \brief Waits for an endpoint whose request limit is used up, or refuses the request. */
     void waitForLimits();
     /** \brief True if the request has ended too many endpoints to be sent to another one. */
@@ -176,6 +206,8 @@
     void clientDisconnected();
     void timedOut();
     void end(const char *outcome);
+    /** \brief Counts the request for its account. */
+    void countForAccount(const std::string &outcome);
     void settleBudget();
     bool retainsTurn() const;
     /** \brief Time within which the client may send the turn again. */
@@ -183,11 +215,12 @@
     Duration timeLeft() const;
 
     std::shared_ptr<Gateway::Private> gateway_;
-    std::shared_ptr<const RoutingTable> routing_; ///< Version at the start of the call.
+    std::shared_ptr<const RoutingTable> routing_; ///< Version at the start of the call; null before.
     std::shared_ptr<GatewayRequest> request_;
     std::shared_ptr<HttpReply> reply_;
     const Route *route_ = nullptr;
     const ClientAccount *account_ = nullptr; ///< Null on open routes and without accounts.
+    KeyCheck keyCheck_ = KeyCheck::NotMade;
     const Service *service_ = nullptr;
     std::string serviceName_;
     std::shared_ptr<const std::string> body_;
@@ -204,6 +237,7 @@
     std::uint64_t attempt_ = 0;
     std::uint64_t crashWatch_ = 0; ///< Of the attempt. \sa CrashDetector::attemptStarted
     std::string incarnation_; ///< Of the endpoint of the attempt.
+    bool isCountedForAccount_ = false; ///< The attempt was passed to AccountAdmission::started().
     std::string version_; ///< Of the endpoint of the current or most recent attempt.
     AttemptHead head_;
     bool headReceived_ = false;
@@ -230,6 +264,10 @@
     std::size_t eligibleEndpoints_ = 0; ///< Ready endpoints that may run the request, at the last choice.
     bool isLimited_ = false; ///< All of them have got as many requests as they take.
     std::optional<Time> limitWaitEndsAt_; ///< Set once the request has waited for such an endpoint.
+    std::optional<Time> permit_; ///< Deadline of a permit that no attempt has used.
+    std::optional<Time> usedPermit_; ///< Deadline of the permit of the attempt in progress.
+    bool isAskingPermit_ = false;
+    Duration quotaRetryAfter_{0}; ///< Of the last refusal for the quota.
     BudgetGrant grant_;
     GrantBasis grantBasis_ = GrantBasis::None; ///< Of the granted turn, for the log.
     std::size_t countedBytes_ = 0; ///< Part of Gateway::Private::bufferedBytes_ that this call has added.
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -265,6 +265,23 @@
     bool hasEnded_ = false;
 };
 
+namespace {
+
+/** What another node decodes from a request that is passed on to it. */
+GatewayRequest asReceivedByPeer(GatewayRequest request)
+{
+    if (request.hasAccounts_) {
+        request.peerAccount_ = request.account_;
+        request.apiKey_.clear();
+    }
+    request.account_.clear();
+    request.scope_.clear();
+    request.hasAccounts_ = false;
+    return request;
+}
+
+} // namespace
+
 std::uint64_t
 GatewayRig::startForward(const std::string &from, const ForwardedRequest &forwarded, const AttemptHandlers &handlers)
 {
@@ -283,7 +300,7 @@
             continue;
         }
         forwardedTo_[i].push_back(reply);
-        GatewayRequest request = *forwarded.request_;
+        GatewayRequest request = asReceivedByPeer(*forwarded.request_);
         request.timeLeft_ = forwarded.timeLeft_;
         request.isForwarded_ = true;
         queue_.after(std::chrono::milliseconds(1), [this, i, request, reply] {
@@ -306,11 +323,19 @@
     GatewayHooks hooks;
     hooks.now_ = [this] { return queue_.now(); };
     hooks.random_ = [this] { return random_(); };
-    hooks.after_ = [this, alive](Duration delay, std::function<void()> task) {
-        queue_.after(delay, [alive, task = std::move(task)] {
+    hooks.after_ = [this, node, alive](Duration delay, std::function<void()> task) {
+        const auto runIfAlive = [alive, task = std::move(task)] {
             if (*alive) {
                 task();
             }
+        };
+        queue_.after(delay, [this, node, runIfAlive] {
+            const auto frozen = frozen_.find(node);
+            if (frozen == frozen_.end()) {
+                runIfAlive();
+            } else {
+                frozen->second.emplace_back(runIfAlive);
+            }
         });
         return std::uint64_t{0};
     };
@@ -359,6 +384,22 @@
             done(!isCut);
         });
     };
+    hooks.applyConfiguration_ = [this, node](const std::string &text) { applyConfiguration(node, text); };
+    hooks.refreshConfiguration_ = [this, node, alive](const std::function<void(bool)> &done) {
+        if (!configurationReadTime_) {
+            done(false);
+            return;
+        }
+        queue_.after(*configurationReadTime_, [this, node, alive, done] {
+            const auto frozen = frozen_.find(node);
+            if (frozen != frozen_.end()) {
+                frozen->second.emplace_back([done] { done(false); }); // The time for the read is over.
+            } else if (*alive) {
+                applyConfiguration(node, configurationText + std::to_string(version_));
+                done(true);
+            }
+        });
+    };
     hooks.askStart_ = [this, alive](const Endpoint &endpoint,
                                     const std::function<void(std::optional<std::uint64_t>)> &done) {
         if (!startOf_) {
@@ -411,6 +452,7 @@
                                             const nlohmann::json &body,
                                             Duration timeout,
                                             std::function<void(const std::optional<nlohmann::json> &)> answer) {
+        ++peerRequests_[type];
         const auto answerIfAlive = [alive, answer](const std::optional<nlohmann::json> &json) {
             if (*alive) {
                 answer(json);
@@ -428,25 +470,71 @@
         }
         queue_.after(timeout, [answerIfAlive] { answerIfAlive(std::nullopt); });
     };
-    hooks.logEvent_ = [](const std::string &, const nlohmann::json &) {};
-    hooks.count_ = [](const std::string &, const std::string &) {};
+    hooks.logEvent_ = [this](const std::string &event, const nlohmann::json &fields) {
+        if (keepsLog_) {
+            log_.push_back(event + ' ' + fields.dump());
+        }
+    };
+    hooks.count_ = [this](const std::string &count, const std::string &label) { ++counts_[count + '/' + label]; };
     hooks.observe_ = [](const std::string &, Duration) {};
     return hooks;
 }
 
-void GatewayRig::configure(Gateway &gateway)
+void GatewayRig::configure(std::size_t node)
 {
-    Service engines;
-    engines.name_ = "engines";
-    engines.engine_ = EngineProfile{4, 100, 100'000};
-    Service services;
-    services.name_ = "services";
-    gateway.setRouting(
-        std::make_shared<const RoutingTable>(version_, routes_, std::vector<Service>{engines, services}));
-    gateway.setRegistryReachable(true);
+    const std::string text = configurationText + std::to_string(version_);
+    if (configurations_.count(text) == 0) {
+        Service engines;
+        engines.name_ = "engines";
+        engines.engine_ = EngineProfile{4, 100, 100'000};
+        Service services;
+        services.name_ = "services";
+        std::optional<AccountDirectory> accounts;
+        if (accounts_) {
+            accounts = AccountDirectory::build(*accounts_).value();
+        }
+        configurations_[text] = std::make_shared<const RoutingTable>(
+            version_, routes_, std::vector<Service>{engines, services}, std::move(accounts));
+    }
+    if (configurationCuts_.count(node) == 0) {
+        applyConfiguration(node, text);
+    }
+    nodes_[node]->setRegistryReachable(true);
     for (const Endpoint &endpoint : endpoints_) {
-        gateway.updateEndpoint(endpoint);
+        nodes_[node]->updateEndpoint(endpoint);
+    }
+}
+
+void GatewayRig::applyConfiguration(std::size_t node, const std::string &text)
+{
+    const auto known = configurations_.find(text);
+    if (known != configurations_.end()) {
+        nodes_[node]->setRouting(known->second, text);
+    }
+}
+
+void GatewayRig::setAccounts(const std::vector<ClientAccount> &accounts)
+{
+    accounts_ = accounts;
+    ++version_;
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+        if (nodes_[node]) {
+            configure(node);
+        }
+    }
+}
+
+void GatewayRig::freeze(std::size_t node, bool frozen)
+{
+    if (frozen) {
+        frozen_[node];
+        return;
+    }
+    const auto tasks = frozen_.find(node);
+    for (const std::function<void()> &task : tasks->second) {
+        queue_.after(Duration{0}, task);
     }
+    frozen_.erase(tasks);
 }
 
 void GatewayRig::publish(const std::function<void(Gateway &)> &change)
@@ -490,7 +578,7 @@
     for (const std::string &id : removedEndpoints_) {
         nodes_[node]->removeEndpoint(id);
     }
-    configure(*nodes_[node]);
+    configure(node);
 }
 
 void GatewayRig::kill(std::size_t node)
@@ -521,7 +609,7 @@
     nodes_[node] = std::make_unique<Gateway>(hooksOf(node), settings);
     nodes_[node]->start();
     if (registryCuts_.count(node) == 0) {
-        configure(*nodes_[node]);
+        configure(node);
     }
 }
 
@@ -535,9 +623,9 @@
         endpoint.slots_ = 4;
         endpoints_.push_back(endpoint);
     }
-    for (const std::unique_ptr<Gateway> &node : nodes_) {
-        if (node) {
-            configure(*node);
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+        if (nodes_[node]) {
+            configure(node);
         }
     }
 }
--- a/test/platform/gatewayfleet.h
+++ b/test/platform/gatewayfleet.h
@@ -44,6 +44,10 @@
     ~GatewayFleet();
 
     std::size_t size() const;
+    /** \brief Memory and descriptors that the settings name, from the next start of a node. */
+    void setLimits(std::uint32_t memoryMb, std::uint32_t descriptors);
+    /** \brief Process id of a node that was started. */
+    pid_t pid(std::size_t node) const;
     /** \brief Starts a node; any process of it that still runs is killed first. */
     void start(std::size_t node);
     void signal(std::size_t node, int number);
@@ -53,6 +57,8 @@
     std::string clientAddress(std::size_t node) const;
     /** \brief Asks a node whether it is ready. */
     void askReadiness(std::size_t node, std::function<void(bool)> done);
+    /** \brief Asks a node for its metrics or its state, by path. */
+    void askText(std::size_t node, const std::string &path, std::function<void(const std::string &text)> done);
     /** \brief Lines of the nodes' logs that contain one of the texts. */
     std::string logLines(const std::vector<std::string> &texts) const;
 
@@ -72,6 +78,8 @@
     std::string program_;
     std::vector<std::string> storeAddresses_;
     std::vector<Node> nodes_;
+    std::uint32_t memoryMb_ = 290;
+    std::uint32_t descriptors_ = 8200;
     HttpClient http_;
 };
 
