Correct comments on witnesses, retries, shares of memory and tracked accounts

Some comments said other things than the code: the retry delay follows every request, shares are parts of the available memory, and the limit of accounts does not cover local ones. Lifetimes and allocator thresholds now have their meaning.

--- a/src/fleet/configurationpeers.h
+++ b/src/fleet/configurationpeers.h
@@ -29,7 +29,7 @@
     /** Time for which a newer version is known before a peer is asked: nodes that reach the store read it sooner. */
     Duration grace_{1'000'000};
     Duration timeout_{500'000}; ///< Of a request to a peer.
-    Duration retryDelay_{300'000}; ///< After a request that did not bring a newer version.
+    Duration retryDelay_{300'000}; ///< Between the end of a request and the next one.
 };
 
 /**
--- a/src/ledger/grantwitness.h
+++ b/src/ledger/grantwitness.h
@@ -58,13 +58,13 @@
     std::size_t copies() const;
 
 private:
-    /** \brief Resolves a doubt that has arisen at \p since. \return true if it is resolved. */
+    /** \brief True if grants that may have been missed at \p since no longer matter, or a live node knows them. */
     bool isResolved(Time since) const;
 
     GrantWitnessHooks hooks_;
     Time startedAt_;
     Time completeAt_{0}; ///< When the ledger was first complete.
-    bool missesPast_ = true; ///< The time before the start of this node may be known to nobody.
+    bool missesPast_ = true; ///< No live node may know what was granted before the start of this node.
     Time outageSince_{0}; ///< Begin of the outage that lasts; 0 if there is none.
     Time recordedAt_{0}; ///< Since when all has been recorded again; 0 if it is not.
     Time lossAt_{0}; ///< When too many nodes were last missed in an outage; 0 if they were not.
--- a/src/ledger/outageprograms.h
+++ b/src/ledger/outageprograms.h
@@ -22,8 +22,9 @@
 public:
     explicit OutagePrograms(Clock now);
 
-    /** \brief Time after which a program is forgotten, and after which a turn counts as ended. */
+    /** \brief Time without a turn after which a program is forgotten. \sa GrantWitness::programLifetime */
     static constexpr Duration lifetime{120'000'000};
+    /** \brief Time after which a turn counts as ended, since the message about its end may be lost. */
     static constexpr Duration turnLifetime{30'000'000};
 
     void add(const std::string &program);
@@ -36,7 +37,7 @@
     std::string runningWriter(const std::string &program) const;
     void beginTurn(const std::string &program, const std::string &writer);
     void endTurn(const std::string &program, const std::string &writer);
-    /** \brief Removes programs that are not used any more. */
+    /** \brief Removes programs without a turn within lifetime. */
     void expire();
 
 private:
--- a/src/memory/memorybudget.h
+++ b/src/memory/memorybudget.h
@@ -11,13 +11,14 @@
 
 namespace filbertgw {
 
-/** \brief Limits of a MemoryBudget; shares are parts of the total. */
+/** \brief Limits of a MemoryBudget; shares are parts of what is available. \sa MemoryBudget::setAvailable() */
 struct MemoryBudgetSettings
 {
     std::size_t totalBytes_ = 0; ///< For all connections of the process.
     double receivingShare_ = 0.5; ///< Of requests that are not complete.
     double runningShare_ = 0.5; ///< Of requests that were handed over.
-    double smallRunningShare_ = 0.75; ///< The same, for small requests: a part of it is theirs alone.
+    double smallRunningShare_ =
+        0.75; ///< Up to this share small requests still run; what exceeds runningShare_ is theirs alone.
     std::size_t smallBytes_ = 64 * 1024; ///< Size of a small request.
     std::size_t slowBytesPerSecond_ = 16 * 1024; ///< Progress that halves the weight of a claim.
 };
@@ -60,7 +61,7 @@
     std::size_t claims() const;
     /** \brief Asks whether a complete request of this size may be run, and reports the refusal if not. */
     bool mayRun(std::size_t bytes) const;
-    /** \brief Evicts the claim of a group with the greatest weight. \return false if there is none. */
+    /** \brief Evicts the claim with the greatest weight of a group. \return false if none can be evicted. */
     bool evictOne(const void *group);
 
 private:
--- a/src/placement/accountadmission.cpp
+++ b/src/placement/accountadmission.cpp
@@ -109,7 +109,7 @@
     peers_[source] = PeerReport{now_(), std::move(load)};
 }
 
-/** Running requests that other nodes have reported lately, by account. */
+/** Sums the running requests of the peers' reports that have not expired, by account id. */
 std::unordered_map<std::uint32_t, AccountLoad> AccountAdmission::reportedLoad(const std::string &service) const
 {
     std::unordered_map<std::uint32_t, AccountLoad> sums;
--- a/src/placement/accountadmission.h
+++ b/src/placement/accountadmission.h
@@ -29,8 +29,8 @@
     Duration peerTimeout_{2'500'000}; ///< Age from which reports are ignored: three of them were lost.
     double maxRefusalCorrection_ = 10.0; ///< Largest estimated demand relative to the running requests.
     std::size_t maxReported_ = 16; ///< Accounts that this node reports for each service.
-    std::size_t maxAccounts_ = 256; ///< Accounts that are tracked for each service.
-    std::size_t maxReportedServices_ = 8;
+    std::size_t maxAccounts_ = 256; ///< Accounts of reports that are tracked for each service, besides the local ones.
+    std::size_t maxReportedServices_ = 8; ///< Services that this node reports, the first ones by name.
 };
 
 /**
