Explain the terms and factors of the account quota in its headers

The factors that divide the tolerated requests had no reason beside them; they now name the table of the design note. Functions that grant, pass over, relay and hand over say what they do, and levels have units.

--- a/src/accounts/quotacontroller.h
+++ b/src/accounts/quotacontroller.h
@@ -79,7 +79,7 @@
 
     /** \brief Asks for a permit for one request; \p decided may be called within the call. */
     void acquire(const std::string &account, const QuotaLimit &limit, QuotaKind kind, Decided decided);
-    /** \brief The request of a permit was not run. */
+    /** \brief Returns the permit of a request that was not run, so that it can be used until its deadline. */
     void putBack(const std::string &account, const QuotaLimit &limit, Time deadline);
     /** \brief Returns expired permits and hands accounts over. To be called every 100 ms. */
     void tick();
@@ -104,10 +104,13 @@
     using Answer = std::function<void(const nlohmann::json &)>;
 
     void noteActivity();
+    /** \brief The other nodes, read again if the list is older than 20 ms. */
     const std::vector<QuotaNode> &view();
     /** \brief Reads the list of nodes again at the next use. */
     void forgetView();
+    /** \brief True if the node is suspected or dead, so that another one has to coordinate in its place. */
     bool isPassedOver(const QuotaNode &node) const;
+    /** \brief True if its address has refused a connection and it has not reported since. */
     bool isProvenDead(const QuotaNode &node) const;
     static std::uint64_t weightOf(std::uint64_t nodeHash, const std::string &account);
     std::uint64_t ownWeight(const std::string &account) const;
@@ -120,6 +123,7 @@
     QuotaShare ownShareOf(const std::string &account);
     /** \brief The process did not run for some time: its buckets start anew. */
     void noticeFreeze();
+    /** \brief Live nodes that rank before the coordinator of an account and are passed over. */
     std::vector<std::string> passedOver(const std::string &account);
 
     void decide(const std::shared_ptr<Ask> &ask);
@@ -128,14 +132,17 @@
     void grantHere(const std::shared_ptr<Ask> &ask);
     void useOwnShare(const std::shared_ptr<Ask> &ask);
     void finish(const std::shared_ptr<Ask> &ask, const QuotaGrant &grant, const std::string &decidedBy);
+    /** \brief Asks for permits in advance if those of an account run low and no such request is in progress. */
     void prefetch(const std::string &account, const QuotaLimit &limit);
     void suspect(const QuotaNode &node, bool isUnable);
     void probed(const QuotaNode &node, NodeProbe result);
     void probeSilentNodes();
     void returnExpired();
+    /** \brief Sends the bucket levels of accounts that another node coordinates now to that node. */
     void handOver();
 
     void answerAsk(const nlohmann::json &body, const Answer &answer);
+    /** \brief Asks the first node in rank on behalf of one that does not reach it, and grants here if it is silent. */
     void relay(const QuotaNode &first, const nlohmann::json &body, const Answer &answer);
     nlohmann::json grantToPeer(const nlohmann::json &body, const QuotaLimit &limit);
 
--- a/src/accounts/quotacoordinator.cpp
+++ b/src/accounts/quotacoordinator.cpp
@@ -17,7 +17,7 @@
 constexpr double minProgramBurst = 8.0;
 /** Permits are granted in advance only while the bucket is at least this full. */
 constexpr double advanceShare = 0.5;
-/** A node asks again after a refusal when this share of the bucket can have been refilled. */
+/** A node asks again after a refusal when this share of the bucket can have been refilled, within the two limits. */
 constexpr double pauseShare = 0.25;
 constexpr Duration shortestPause{20'000};
 constexpr Duration longestPause{250'000};
--- a/src/accounts/quotacoordinator.h
+++ b/src/accounts/quotacoordinator.h
@@ -21,10 +21,11 @@
     double requestsPerProgram_ = 0.0; ///< As the node learned it from an earlier answer; 0 if unknown.
 };
 
+/** \brief Answer of a coordinator to a QuotaAsk. */
 struct QuotaGrant
 {
     bool isGranted_ = false; ///< The waiting request has a permit.
-    std::uint32_t advance_ = 0;
+    std::uint32_t advance_ = 0; ///< Permits for requests that the node expects.
     Duration retryAfter_{0}; ///< If the waiting request was refused: when a permit will be free for it.
     Duration pause_{0}; ///< For this time the node refuses further requests of the kind by itself.
     double requestsPerProgram_ = 0.0;
@@ -80,8 +81,8 @@
         Time promisedUntil_{0}; ///< Refused requests have been told to return until then.
         QuotaLimit limit_;
         QuotaShare share_;
-        double requests_ = 0.0; ///< Granted lately.
-        double firstTurns_ = 0.0; ///< Of these.
+        double requests_ = 0.0; ///< Granted, decaying with a time constant of 20 s.
+        double firstTurns_ = 0.0; ///< First turns among requests_.
         std::deque<std::pair<Time, std::uint32_t>> advances_; ///< Granted in advance within the lease time.
     };
 
--- a/src/accounts/quotaleases.h
+++ b/src/accounts/quotaleases.h
@@ -25,7 +25,7 @@
     /** \brief Takes a permit and counts the use. \return its deadline, or nothing if the node holds none. */
     std::optional<Time> take(const std::string &account);
     void add(const std::string &account, std::uint32_t permits, Time deadline);
-    /** \brief A request with a permit was not run. */
+    /** \brief Takes back the permit of a request that was not run; it keeps its deadline. */
     void putBack(const std::string &account, Time deadline);
     /** \brief Counts the use of a permit that was granted to a waiting request. */
     void noteUse(const std::string &account);
@@ -38,7 +38,7 @@
     std::map<std::string, std::uint32_t> takeAllExpired();
 
     void noteRefusal(const std::string &account, QuotaKind kind, Duration pause, Duration retryAfter);
-    /** \brief Time after which to retry, while requests of this kind are refused without asking. */
+    /** \brief Retry-After of requests of this kind; nothing if the coordinator is to be asked. */
     std::optional<Duration> refusal(const std::string &account, QuotaKind kind);
     void noteRequestsPerProgram(const std::string &account, double requests);
     double requestsPerProgram(const std::string &account) const;
@@ -53,7 +53,7 @@
     {
         std::map<Time, std::uint32_t> permits_; ///< By deadline.
         std::uint32_t expired_ = 0;
-        double uses_ = 0.0; ///< Within about the averaging time.
+        double uses_ = 0.0; ///< Decaying number of uses, with a time constant of 2 s.
         Time usedAt_{0};
         double requestsPerProgram_ = 0.0;
         std::array<Refusal, 2> refusals_; ///< By QuotaKind.
--- a/src/accounts/quotatypes.h
+++ b/src/accounts/quotatypes.h
@@ -45,11 +45,17 @@
     Time since_{0}; ///< Since then no other node can have granted it.
 };
 
-/** \brief Stated bound on the requests of an account in any window, and how the decisions use what it tolerates. */
+/**
+ * \brief Stated bound on the requests of an account in any window, and how the decisions use what it tolerates.
+ *
+ * The factors in the functions divide the tolerated requests among permits in advance, reserve, initial level and
+ * parts of the quota, so that their sum stays within the bound in each failure: docs/design/account-quota.md, "How A is
+ * used". Levels, capacities and permits are requests.
+ */
 struct QuotaSettings
 {
     Duration window_{5'000'000};
-    double over_ = 0.1; ///< Tolerated share above rate x window + burst.
+    double over_ = 0.1; ///< Tolerated excess as a share of rate x window + burst.
     double slack_ = 20.0; ///< Tolerated requests above that.
     Duration leaseTime_{500'000}; ///< For this time after it was asked for, a permit may be used.
     Duration freezeTimeout_{400'000}; ///< A longer time between two ticks means that the process did not run.
@@ -72,11 +78,12 @@
     {
         return toleratedRate(limit) * 0.2 + slack_ * 0.4;
     }
+    /** \brief Capacity of the bucket of a coordinator with the whole quota. */
     double capacity(const QuotaLimit &limit) const
     {
         return limit.burst_ + reserve(limit);
     }
-    /** \brief The same of a part of the quota. An account that was unused for long has a full bucket. */
+    /** \brief Initial level of a part of the quota. It is full once nobody can have granted permits for long enough. */
     double initialLevel(const QuotaLimit &limit, const QuotaShare &share, Time now) const
     {
         const double accrued = limit.requestsPerSecond_ * toSeconds(std::max(now - share.since_, Duration{0}));
@@ -104,6 +111,7 @@
     }
 
 private:
+    /** \brief Requests that the rate's part of the bound tolerates in a window, without those of burst and slack. */
     double toleratedRate(const QuotaLimit &limit) const
     {
         return over_ * limit.requestsPerSecond_ * toSeconds(window_);
