State what becomes of a permit that is taken back

At the coordinator of an account it goes back to the bucket, and its deadline no longer counts. Elsewhere the node keeps it until the deadline.

--- a/src/accounts/quotacontroller.h
+++ b/src/accounts/quotacontroller.h
@@ -79,7 +79,10 @@
 
     /** \brief Asks for a permit for one request; \p decided may be called within the call. */
     void acquire(const std::string &account, const QuotaLimit &limit, QuotaKind kind, Decided decided);
-    /** \brief Returns the permit of a request that was not run, so that it can be used until its deadline. */
+    /**
+     * \brief Takes back the permit of a request that was not run.
+     * \param deadline until when another request may use it; ignored if this node coordinates the account.
+     */
     void putBack(const std::string &account, const QuotaLimit &limit, Time deadline);
     /** \brief Returns expired permits and hands accounts over. To be called every 100 ms. */
     void tick();
