--- a/src/accounts/keycheck.h
+++ b/src/accounts/keycheck.h
@@ -8,7 +8,7 @@
 
 namespace filbertgw {
 
-/** \brief What came of the key of a request, for logs and counters, which must not contain the key. */
+/** \brief Result of the check of a request's key, for logs and counters, which must not contain the key. */
 enum class KeyCheck : std::uint8_t {
     NotMade, ///< There are no accounts, or the request was refused before.
     Missing,
--- a/src/accounts/quotacontroller.cpp
+++ b/src/accounts/quotacontroller.cpp
@@ -28,7 +28,9 @@
 constexpr Duration unableTime{10'000'000};
 /** Expired permits are returned, and silent nodes probed, in one of this many ticks. */
 constexpr std::uint64_t ticksPerReturn = 5;
+/** Silent nodes that are probed in such a tick, so that a large partition causes no burst of connections. */
 constexpr std::size_t probesPerTick = 4;
+/** Time between two probes of one silent node. */
 constexpr Duration probeInterval{2'000'000};
 /** Accounts whose coordinator is remembered until the live nodes change. */
 constexpr std::size_t maxCoordinators = 30'000;
