--- a/src/memory/memorybudget.h
+++ b/src/memory/memorybudget.h
@@ -17,8 +17,8 @@
     std::size_t totalBytes_ = 0; ///< For all connections of the process.
     double receivingShare_ = 0.5; ///< Of requests that are not complete.
     double runningShare_ = 0.5; ///< Of requests that were handed over.
-    double smallRunningShare_ =
-        0.75; ///< Up to this share small requests still run; what exceeds runningShare_ is theirs alone.
+    /** Up to this share small requests still run; what exceeds runningShare_ is theirs alone. */
+    double smallRunningShare_ = 0.75;
     std::size_t smallBytes_ = 64 * 1024; ///< Size of a small request.
     std::size_t slowBytesPerSecond_ = 16 * 1024; ///< Progress that halves the weight of a claim.
 };
