Mend what a newcomer's read of the quota, admission and reports has found

A waiting turn now releases the count of the service it was added to; the count could wrap. Permits whose lease has ended are not returned. Priorities up to the configuration's maximum pass between nodes. Probe times of nodes that are gone are dropped.

--- a/src/accounts/quotacontroller.cpp
+++ b/src/accounts/quotacontroller.cpp
@@ -442,6 +442,9 @@
 
 void QuotaController::putBack(const std::string &account, const QuotaLimit &limit, Time deadline)
 {
+    if (deadline <= hooks_.now_()) {
+        return; // Its lease has ended: another coordinator may have granted it anew.
+    }
     if (coordinatorOf(account)) {
         leases_.putBack(account, deadline);
     } else {
@@ -488,6 +491,9 @@
     const Time now = hooks_.now_();
     std::size_t probes = 0;
     const std::vector<QuotaNode> nodes = view();
+    for (auto entry = probedAt_.begin(); entry != probedAt_.end();) {
+        entry = now - entry->second > internal::probeInterval ? probedAt_.erase(entry) : std::next(entry);
+    }
     for (const QuotaNode &node : nodes) {
         const auto probedAt = probedAt_.find(node.name_);
         const bool isDue = probedAt == probedAt_.end() || now - probedAt->second >= internal::probeInterval;
--- a/src/accounts/quotacoordinator.cpp
+++ b/src/accounts/quotacoordinator.cpp
@@ -180,7 +180,9 @@
 void QuotaCoordinator::takeOver(const std::string &name, const QuotaLimit &limit, const QuotaState &state)
 {
     const auto known = accounts_.find(name);
-    Account &account = find(name, limit, known == accounts_.end() ? QuotaShare() : known->second.share_);
+    QuotaShare share;
+    share.since_ = now_(); // The former coordinator has granted permits until now.
+    Account &account = find(name, limit, known == accounts_.end() ? share : known->second.share_);
     account.bucket_.putBack(std::max(state.level_, 0.0), settings_.capacity(limit));
     if (state.requestsPerProgram_ > 1.0 && requestsPerProgram(account) < 1.0) {
         account.firstTurns_ = internal::minFirstTurns;
--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -136,7 +136,7 @@
 std::vector<AccountLoad> decodeAccounts(const nlohmann::json &list)
 {
     constexpr std::uint32_t maxRunning = 1'000'000;
-    constexpr std::uint32_t maxPriority = 1'000;
+    constexpr std::uint32_t maxPriority = 1'000'000; // As the configuration allows.
     constexpr std::size_t numbersPerAccount = 3;
     std::vector<AccountLoad> load;
     for (const nlohmann::json &entry : list) {
@@ -307,7 +307,7 @@
     if (internal::hasArray(body, internal::limitsKey)) {
         internal::decodeLimits(body[internal::limitsKey], message.report_);
     }
-    message.report_.mayMissGrants_ = body.contains(internal::missesGrantsKey);
+    message.report_.mayMissGrants_ = body.value(internal::missesGrantsKey, nlohmann::json()) == true;
     if (body.contains(internal::originsKey)) {
         message.report_.origins_ = decodeOrigins(body[internal::originsKey]);
     }
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -455,12 +455,14 @@
     excluded_.clear();
     const bool isLaterTurn = account_ != nullptr && route_->kind_ == RouteKind::Streaming && !isFirstTurn();
     gateway_->waitingTurns_[serviceName_] += isLaterTurn ? 1 : 0;
-    gateway_->hooks_.after_(gateway_->settings_.endpointRetryDelay_, [self = shared_from_this(), isLaterTurn] {
-        self->gateway_->waitingTurns_[self->serviceName_] -= isLaterTurn ? 1 : 0;
+    // The service of the call may change while it waits.
+    const auto retry = [self = shared_from_this(), isLaterTurn, service = serviceName_] {
+        self->gateway_->waitingTurns_[service] -= isLaterTurn ? 1 : 0;
         if (self->step_ == Step::Placing) {
             self->place();
         }
-    });
+    };
+    gateway_->hooks_.after_(gateway_->settings_.endpointRetryDelay_, retry);
 }
 
 bool GatewayCall::mustYield() const
--- a/src/ledger/grantwitness.cpp
+++ b/src/ledger/grantwitness.cpp
@@ -7,7 +7,6 @@
 
 GrantWitness::GrantWitness(GrantWitnessHooks hooks)
     : hooks_(std::move(hooks))
-    , startedAt_(hooks_.now_())
 {
 }
 
--- a/src/ledger/grantwitness.h
+++ b/src/ledger/grantwitness.h
@@ -62,7 +62,6 @@
     bool isResolved(Time since) const;
 
     GrantWitnessHooks hooks_;
-    Time startedAt_;
     Time completeAt_{0}; ///< When the ledger was first complete.
     bool missesPast_ = true; ///< No live node may know what was granted before the start of this node.
     Time outageSince_{0}; ///< Begin of the outage that lasts; 0 if there is none.
