Check the body of a request that is passed on to another node

The memory budget had moved the body into a field of its own, after which the round trip compared two empty bodies. The test now sends a body and compares it.

--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -529,6 +529,7 @@
     HttpRequest client = clientRequest();
     client.headers_["resumes"] = "id0";
     client.headers_["last-event-id"] = "12";
+    client.body_ = "the body";
     ForwardedRequest forwarded;
     forwarded.request_ = std::make_shared<const GatewayRequest>(*decodeRequest(client));
     forwarded.timeLeft_ = std::chrono::milliseconds(700);
@@ -538,7 +539,8 @@
     ASSERT_TRUE(decoded);
     EXPECT_EQ(decoded->id_, "id1");
     EXPECT_EQ(decoded->target_, client.target_);
-    EXPECT_EQ(decoded->body_, client.body_);
+    ASSERT_TRUE(call.body_);
+    EXPECT_EQ(*call.body_, "the body");
     EXPECT_EQ(decoded->timeLeft_, forwarded.timeLeft_);
     EXPECT_EQ(decoded->tokenBudget_, 900U);
     EXPECT_EQ(decoded->resumes_, "id0");
