--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -610,6 +610,9 @@
     }
     const std::string endpoint = endpoint_;
     releaseEndpoint(ended);
+    if (ended != AttemptEnd::Complete) {
+        gateway_->hooks_.count_("endpoint_failures_total", std::string(nameOf(ended)));
+    }
     if (ended != AttemptEnd::Complete && !isNoStream_) {
         doubtEndpoint(endpoint);
     }
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -321,6 +321,7 @@
 void GatewayCall::end(const char *outcome)
 {
     const std::shared_ptr<GatewayCall> self = shared_from_this();
+    const Duration unansweredFor = this->unansweredFor();
     step_ = Step::Ended;
     if (timer_ != 0) {
         gateway_->hooks_.cancelTimer_(timer_);
@@ -357,6 +358,9 @@
          {"sent_ms", sends_ > 0 ? toMilliseconds(sentAt_ - arrivedAt_) : 0.0},
          {"status", head_.status_},
          {"sends", sends_},
+         {"unanswered_ms", toMilliseconds(unansweredFor)},
+         {"prompt", request_->totalPromptTokens()},
+         {"chain", earlierTurns_.size()},
          {"unread", start_.uncachedTokens_},
          {"others", start_.otherRequests_},
          {"runs", runs_},
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -21,15 +21,6 @@
 constexpr double defaultRequestMs = 50.0;
 constexpr double defaultOutputTokens = 250.0;
 
-std::uint64_t promptTokens(const GatewayRequest &request)
-{
-    std::uint64_t tokens = 0;
-    for (const PromptPart &part : request.prompt_) {
-        tokens = saturatingSum(tokens, part.tokens_);
-    }
-    return tokens;
-}
-
 void updateAverage(double &value, double observed)
 {
     value = value == 0.0 ? observed : value + averageWeight * (observed - value);
@@ -145,7 +136,7 @@
     } else if (request.maxOutputTokens_ > 0) {
         inputs.outputTokens_ = std::min(internal::defaultOutputTokens, static_cast<double>(request.maxOutputTokens_));
     }
-    inputs.promptTokens_ = internal::promptTokens(request);
+    inputs.promptTokens_ = request.totalPromptTokens();
     return inputs;
 }
 
@@ -203,7 +194,7 @@
     const EndpointNumber number = numberOf(endpoint.id_);
     EndpointStats &stats = stats_[number];
     const std::uint64_t cached = prompts_.cachedTokensOn(number, request.prompt_, cacheCutoffs());
-    const DispatchState state{internal::promptTokens(request) - cached, stats.localRequests_ + stats.peerRequests_};
+    const DispatchState state{request.totalPromptTokens() - cached, stats.localRequests_ + stats.peerRequests_};
     if (!request.prompt_.empty()) {
         caches_.observe(endpoint.service_, state.uncachedTokens_, request.prompt_.back().tokens_);
     }
--- a/src/routing/gatewaytypes.cpp
+++ b/src/routing/gatewaytypes.cpp
@@ -1,6 +1,7 @@
 #include "routing/gatewaytypes.h"
 
 #include "accounts/accountscope.h"
+#include "core/numbers.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/algorithm/string/trim.hpp>
@@ -27,6 +28,15 @@
     return scopedId(scope_, resumes_);
 }
 
+std::uint64_t GatewayRequest::totalPromptTokens() const
+{
+    std::uint64_t tokens = 0;
+    for (const PromptPart &part : prompt_) {
+        tokens = saturatingSum(tokens, part.tokens_);
+    }
+    return tokens;
+}
+
 std::string Endpoint::incarnation() const
 {
     return id_ + '@' + std::to_string(startedAtMs_);
--- a/src/routing/gatewaytypes.h
+++ b/src/routing/gatewaytypes.h
@@ -59,6 +59,9 @@
     std::string scopedProgram() const;
     std::string scopedPreviousTurn() const;
     std::string scopedResumes() const;
+
+    /** \brief Tokens of all parts of the prompt. */
+    std::uint64_t totalPromptTokens() const;
 };
 
 /** \brief An endpoint as listed in the registry. */
