Eject endpoints that fail far more requests than others, for all nodes

Cause: what one node learns of an endpoint stays with it. Each of 73 nodes found out alone, backed off alone and tried again, also with requests that must not be repeated. Change: nodes report the outcomes at endpoints that fail requests, nothing in calm. An endpoint is ejected when two or more reports show four failures, 0.3 of its requests and three standard deviations above the better half of its service; at most 0.3 of a service at a time. The ejection is announced. Two nodes try it with requests that can run elsewhere, and announce its return. Nodes that fail at 0.8 of the endpoints that they use report nothing. Tried: a ratio of two to the other endpoints' share; an application that fails four in ten by itself then had endpoints ejected at the begin of a spell.

--- a/src/endpoints/endpointdirectory.cpp
+++ b/src/endpoints/endpointdirectory.cpp
@@ -134,6 +134,12 @@
     return found == endpoints_.end() ? nullptr : &found->second;
 }
 
+const Endpoint *EndpointDirectory::findIncarnation(const std::string &incarnation) const
+{
+    const Endpoint *endpoint = find(incarnation.substr(0, incarnation.rfind('@')));
+    return endpoint != nullptr && endpoint->incarnation() == incarnation ? endpoint : nullptr;
+}
+
 const Endpoint *EndpointDirectory::findAt(const std::string &address) const
 {
     const auto found = idsByAddress_.find(address);
--- a/src/endpoints/endpointdirectory.h
+++ b/src/endpoints/endpointdirectory.h
@@ -52,6 +52,8 @@
     std::vector<std::string> expire();
 
     const Endpoint *find(const std::string &id) const;
+    /** \brief The endpoint of an incarnation, or null if another one has its id now. */
+    const Endpoint *findIncarnation(const std::string &incarnation) const;
     /** \brief The endpoint at an address that started last, or null. */
     const Endpoint *findAt(const std::string &address) const;
     /** \brief Endpoints of a service that are not draining and not retired. */
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -33,6 +33,8 @@
 constexpr std::uint64_t roundsPerAccounts = 8;
 /** Accounts of each service in the summary of a group; the others are summed. */
 constexpr std::size_t maxSummaryAccounts = 16;
+/** Endpoints that fail requests in the summary of a group. */
+constexpr std::size_t maxSummaryOutcomes = 64;
 
 struct KnownNode
 {
@@ -82,6 +84,7 @@
     FleetMessage makeMessage(NodeReport report) const;
     FleetMessage makeSummary(const NodeReport &own, bool withMembers) const;
     std::vector<AccountLoad> groupAccounts(std::vector<AccountLoad> load) const;
+    std::vector<EndpointOutcomes> groupOutcomes(const std::vector<EndpointOutcomes> &own) const;
     void send(const FleetMember &to, const std::string &datagram) const;
     std::size_t roundsToReach(std::size_t nodes) const;
     Duration livenessTimeout() const;
@@ -244,6 +247,7 @@
     for (const std::pair<const std::string, PaceSums> &entry : paces) {
         message.report_.paces_.push_back(ServicePace{entry.first, entry.second});
     }
+    message.report_.outcomes_ = groupOutcomes(own.outcomes_);
     if (own.accounts_) {
         message.report_.accounts_ = groupAccounts(*own.accounts_);
     }
@@ -252,6 +256,37 @@
     return message;
 }
 
+/** Outcomes at endpoints that fail requests, of all nodes of the group, those that fail most first. */
+std::vector<EndpointOutcomes> Fleet::Private::groupOutcomes(const std::vector<EndpointOutcomes> &own) const
+{
+    std::map<std::string, EndpointOutcomes> sums;
+    const auto add = [&sums](const std::vector<EndpointOutcomes> &outcomes) {
+        for (const EndpointOutcomes &entry : outcomes) {
+            EndpointOutcomes &sum = sums[entry.endpoint_];
+            sum.endpoint_ = entry.endpoint_;
+            sum.requests_ += entry.requests_;
+            sum.failures_ += entry.failures_;
+        }
+    };
+    add(own);
+    for (const FleetMember *peer : groups_->peers()) {
+        const internal::KnownNode &node = nodes_.at(peer->name_);
+        if (isReporting(node)) {
+            add(node.report_.outcomes_);
+        }
+    }
+    std::vector<EndpointOutcomes> result;
+    for (const std::pair<const std::string, EndpointOutcomes> &entry : sums) {
+        result.push_back(entry.second);
+    }
+    const auto failsMore = [](const EndpointOutcomes &a, const EndpointOutcomes &b) {
+        return a.failures_ > b.failures_;
+    };
+    std::sort(result.begin(), result.end(), failsMore);
+    result.resize(std::min(result.size(), internal::maxSummaryOutcomes));
+    return result;
+}
+
 /** Running requests of the group by account, this node included. */
 std::vector<AccountLoad> Fleet::Private::groupAccounts(std::vector<AccountLoad> load) const
 {
@@ -309,7 +344,9 @@
         return;
     }
     const bool isFullRound = ++round_ % internal::roundsPerFullReport == 0;
-    const bool wasIdle = std::exchange(isIdle_, report.load_.empty() && report.cachedParts_.empty());
+    const bool isIdle =
+        report.load_.empty() && report.cachedParts_.empty() && report.outcomes_.empty() && report.ejections_.empty();
+    const bool wasIdle = std::exchange(isIdle_, isIdle);
     if (!wasIdle || !isIdle_ || isFullRound) {
         const std::string own = encode(makeMessage(report));
         for (const FleetMember *peer : groups_->peers()) {
@@ -358,6 +395,7 @@
     message.report_.cachedParts_.clear();
     message.report_.crashes_.clear();
     message.report_.limits_.clear();
+    message.report_.ejections_.clear();
     message.report_.origins_.clear();
     sender.reportedAt_ = hooks_.now_();
     if (message.report_.accounts_) {
--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <map>
 
@@ -21,6 +22,9 @@
 const char *const pacesKey = "v";
 const char *const crashesKey = "x";
 const char *const limitsKey = "r";
+/** Nodes of 7dee4eb neither send nor read these two. */
+const char *const outcomesKey = "h";
+const char *const ejectionsKey = "j";
 const char *const originsKey = "o";
 const char *const cutOffKey = "e"; ///< Nodes that reach no endpoint: the sender, or members of its group.
 const char *const configurationKey = "f"; ///< Version that the sender offers; only with client accounts.
@@ -33,6 +37,8 @@
 const char *const domainKey = "z";
 /** Upper bound on the groups of a domain; a message with a larger count is invalid. */
 constexpr std::uint64_t maxGroups = 1024;
+/** Notices with a greater age are invalid. */
+constexpr std::uint64_t maxNoticeAgeMs = 3'600'000;
 
 bool hasString(const nlohmann::json &body, const char *key)
 {
@@ -93,10 +99,9 @@
 /** An entry is [endpoint, age in milliseconds, requests a second]; the last is null if the limit has ended. */
 void decodeLimits(const nlohmann::json &list, NodeReport &report)
 {
-    constexpr std::uint64_t maxAgeMs = 3'600'000;
     for (const nlohmann::json &entry : list) {
         const bool isNotice = isTuple(entry, 3) && entry[0].is_string() && entry[1].is_number_unsigned()
-            && entry[1] <= maxAgeMs && (entry[2].is_null() || (entry[2].is_number() && entry[2] >= 0.0));
+            && entry[1] <= maxNoticeAgeMs && (entry[2].is_null() || (entry[2].is_number() && entry[2] >= 0.0));
         if (!isNotice) {
             continue;
         }
@@ -110,6 +115,53 @@
     }
 }
 
+/** An entry is [endpoint, requests, failures], the numbers in hundredths. */
+nlohmann::json encodeOutcomes(const std::vector<EndpointOutcomes> &outcomes)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const EndpointOutcomes &entry : outcomes) {
+        list.push_back({entry.endpoint_, std::llround(entry.requests_ * 100.0), std::llround(entry.failures_ * 100.0)});
+    }
+    return list;
+}
+
+void decodeOutcomes(const nlohmann::json &list, NodeReport &report)
+{
+    constexpr std::uint64_t maxHundredths = 100'000'000;
+    for (const nlohmann::json &entry : list) {
+        const bool isValid = isTuple(entry, 3) && entry[0].is_string() && entry[1].is_number_unsigned()
+            && entry[2].is_number_unsigned() && entry[2] <= entry[1] && entry[1] <= maxHundredths;
+        if (isValid) {
+            report.outcomes_.push_back(EndpointOutcomes{
+                entry[0].get<std::string>(), entry[1].get<double>() / 100.0, entry[2].get<double>() / 100.0});
+        }
+    }
+}
+
+/** An entry is [endpoint, age in milliseconds, whether it is ejected]. */
+nlohmann::json encodeEjections(const std::vector<EjectionNotice> &ejections)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const EjectionNotice &notice : ejections) {
+        const auto ageMs = static_cast<std::uint64_t>(std::max<std::int64_t>(0, notice.age_.count()) / 1000);
+        list.push_back({notice.endpoint_, ageMs, notice.isEjected_});
+    }
+    return list;
+}
+
+void decodeEjections(const nlohmann::json &list, NodeReport &report)
+{
+    for (const nlohmann::json &entry : list) {
+        const bool isNotice = isTuple(entry, 3) && entry[0].is_string() && entry[1].is_number_unsigned()
+            && entry[1] <= maxNoticeAgeMs && entry[2].is_boolean();
+        if (isNotice) {
+            report.ejections_.push_back(EjectionNotice{entry[0].get<std::string>(),
+                                                       entry[2].get<bool>(),
+                                                       std::chrono::milliseconds(entry[1].get<std::uint64_t>())});
+        }
+    }
+}
+
 /** An entry is [service, [account, running, priority, ...]], with three numbers for each account. */
 nlohmann::json encodeAccounts(const std::vector<AccountLoad> &load)
 {
@@ -248,6 +300,12 @@
     if (!cutOff.empty()) {
         body[internal::cutOffKey] = std::move(cutOff);
     }
+    if (!message.report_.outcomes_.empty()) {
+        body[internal::outcomesKey] = internal::encodeOutcomes(message.report_.outcomes_);
+    }
+    if (!message.report_.ejections_.empty()) {
+        body[internal::ejectionsKey] = internal::encodeEjections(message.report_.ejections_);
+    }
     if (!message.report_.origins_.empty()) {
         body[internal::originsKey] = encodeOrigins(message.report_.origins_);
     }
@@ -307,6 +365,12 @@
     if (internal::hasArray(body, internal::limitsKey)) {
         internal::decodeLimits(body[internal::limitsKey], message.report_);
     }
+    if (internal::hasArray(body, internal::outcomesKey)) {
+        internal::decodeOutcomes(body[internal::outcomesKey], message.report_);
+    }
+    if (internal::hasArray(body, internal::ejectionsKey)) {
+        internal::decodeEjections(body[internal::ejectionsKey], message.report_);
+    }
     message.report_.mayMissGrants_ = body.value(internal::missesGrantsKey, nlohmann::json()) == true;
     if (body.contains(internal::originsKey)) {
         message.report_.origins_ = decodeOrigins(body[internal::originsKey]);
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -2,6 +2,7 @@
 #define FILBERTGW_FLEET_FLEETMESSAGE_H
 
 #include "endpoints/crashrecord.h"
+#include "endpoints/endpointoutcomes.h"
 #include "endpoints/ratelimitnotice.h"
 #include "ledger/fleetmember.h"
 #include "placement/accountload.h"
@@ -34,6 +35,8 @@
     std::size_t nodes_ = 1; ///< Number of nodes that the report covers.
     std::vector<CrashRecord> crashes_; ///< What it has learned lately about requests that end endpoints.
     std::vector<RateLimitNotice> limits_; ///< What it has learned lately about limits of endpoints.
+    std::vector<EndpointOutcomes> outcomes_; ///< Of requests to endpoints that lately failed some; none in calm.
+    std::vector<EjectionNotice> ejections_; ///< What it has learned lately about ejected endpoints.
     std::vector<StreamOriginNotice> origins_; ///< Of streams that it has begun lately.
     bool reachesEndpoints_ = true; ///< The node can open connections to endpoints.
     std::uint64_t configurationVersion_ = 0; ///< That the sender offers to others; 0 for none. \sa ConfigurationPeers
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -56,6 +56,7 @@
     , crashDetector_(crashDetectorHooks(), settings_.crashDetector_)
     , crashStream_(crashStreamHooks(), settings_.ledger_.writer_)
     , limits_(endpointLimitHooks(), settings_.limits_)
+    , outliers_(outlierDetectorHooks(), settings_.outliers_)
     , reachability_(reachabilityHooks(), settings_.reachability_)
     , fleet_(fleetHooks(), settings_.fleet_)
     , origins_(streamOriginsHooks(), settings_.origins_)
@@ -197,6 +198,31 @@
     return hooks;
 }
 
+OutlierDetectorHooks Gateway::Private::outlierDetectorHooks()
+{
+    OutlierDetectorHooks hooks;
+    hooks.now_ = hooks_.now_;
+    hooks.isChosen_ = [this](const std::string &key, std::size_t count) { return fleet_.isChosen(key, count); };
+    hooks.nodes_ = [this] { return fleet_.alive() + 1; };
+    hooks.endpoints_ = [this](const std::string &service) { return directory_.ready(service).size(); };
+    hooks.serviceOf_ = [this](const std::string &incarnation) {
+        const Endpoint *endpoint = directory_.findIncarnation(incarnation);
+        return endpoint != nullptr ? endpoint->service_ : std::string();
+    };
+    hooks.onEjected_ = [this](const EndpointOutcomes &outcomes) {
+        hooks_.count_("endpoint_ejections_total", {});
+        hooks_.logEvent_("endpoint_ejected",
+                         {{"endpoint", outcomes.endpoint_},
+                          {"by_peer", outcomes.requests_ == 0.0},
+                          {"requests", outcomes.requests_},
+                          {"failures", outcomes.failures_}});
+    };
+    hooks.onReadmitted_ = [this](const std::string &incarnation) {
+        hooks_.logEvent_("endpoint_readmitted", {{"endpoint", incarnation}});
+    };
+    return hooks;
+}
+
 StreamOriginsHooks Gateway::Private::streamOriginsHooks()
 {
     StreamOriginsHooks hooks;
@@ -408,6 +434,8 @@
         report.paces_ = pace_.localPaces();
         report.crashes_ = quarantine_.takeAnnouncements();
         report.limits_ = limits_.takeAnnouncements();
+        report.outcomes_ = outliers_.localOutcomes();
+        report.ejections_ = outliers_.takeAnnouncements();
         report.origins_ = origins_.takeAnnouncements();
         report.mayMissGrants_ = grantWitness_.mayMissGrants();
         report.reachesEndpoints_ = !reachability_.isCutOff() && !stopping_;
@@ -438,6 +466,10 @@
         for (const RateLimitNotice &limit : report.limits_) {
             limits_.merge(limit);
         }
+        outliers_.setPeerOutcomes(source, report.outcomes_);
+        for (const EjectionNotice &ejection : report.ejections_) {
+            outliers_.merge(ejection);
+        }
         for (const StreamOriginNotice &origin : report.origins_) {
             origins_.add(origin);
         }
@@ -607,6 +639,7 @@
     placement_.expirePeers();
     updateAccountAdmission();
     limits_.expire();
+    outliers_.update();
     reachability_.update(silentEndpoints());
     if (reachability_.isCutOff()) {
         forwardWaiting();
@@ -780,6 +813,7 @@
             {"engines", d_->placement_.engines().state()},
             {"stream_origins", d_->origins_.size()},
             {"stream_output_bytes", d_->outputs_.bytes()},
+            {"ejected_endpoints", d_->outliers_.ejected()},
             {"suspected_requests", d_->quarantine_.requests()},
             {"quota_levels", d_->quota_.state()},
             {"stopping", d_->stopping_}};
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "endpoints/endpointdirectory.h"
 #include "endpoints/endpointlimits.h"
 #include "endpoints/endpointreachability.h"
+#include "endpoints/outlierdetector.h"
 #include "endpoints/quarantine.h"
 #include "fleet/configurationpeers.h"
 #include "fleet/fleet.h"
@@ -90,6 +91,7 @@
     QuarantineSettings quarantine_;
     CrashDetectorSettings crashDetector_;
     EndpointLimitSettings limits_;
+    OutlierSettings outliers_;
     ReachabilitySettings reachability_;
     StreamOriginsSettings origins_;
     StreamOutputsSettings outputs_;
@@ -106,6 +108,8 @@
     /** Longest idle time of a pooled connection that may carry a request which must not be repeated. */
     Duration maxReuseIdleTime_{5'000'000};
     Duration maxReuseIdleTimeRepeatable_{15'000'000}; ///< The same for a request that may be repeated.
+    /** A request that ends without an answer after so long counts as failed by its endpoint. */
+    Duration silentAfter_{1'000'000};
     std::size_t maxResponseBytes_ = 4 * 1024 * 1024; ///< Limit on a response.
     std::size_t maxBufferedBytes_ = 4 * 1024 * 1024; ///< Limit on the unfinished responses of all requests together.
 };
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -322,56 +322,6 @@
     refuse(grant.decision_ == BudgetDecision::Exhausted ? RefusalReason::BudgetSpent : RefusalReason::BudgetUnknown);
 }
 
-const Endpoint *GatewayCall::chooseEndpoint()
-{
-    const std::vector<const Endpoint *> &candidates = gateway_->directory_.ready(serviceName_);
-    eligibleEndpoints_ = candidates.size();
-    isLimited_ = false;
-    if (gateway_->limits_.isEmpty() && !origin_) {
-        return gateway_->placement_.choose(candidates, service_, *request_, excluded_);
-    }
-    const Time now = gateway_->hooks_.now_();
-    std::unordered_set<std::string> excluded = excluded_;
-    std::size_t limited = 0;
-    nextLimitedSend_.reset();
-    for (const Endpoint *candidate : candidates) {
-        if (!isEligible(*candidate)) {
-            --eligibleEndpoints_;
-            excluded.insert(candidate->id_);
-            continue;
-        }
-        const std::optional<Time> next = gateway_->limits_.nextSend(candidate->incarnation());
-        if (next && *next <= now) {
-            continue;
-        }
-        ++limited;
-        excluded.insert(candidate->id_);
-        if (next && (!nextLimitedSend_ || *next < *nextLimitedSend_)) {
-            nextLimitedSend_ = next;
-        }
-    }
-    isLimited_ = limited > 0 && limited == eligibleEndpoints_;
-    return gateway_->placement_.choose(candidates, service_, *request_, excluded);
-}
-
-void GatewayCall::waitForLimits()
-{
-    const Time now = gateway_->hooks_.now_();
-    if (!limitWaitEndsAt_) {
-        limitWaitEndsAt_ = now + std::min(gateway_->settings_.maxLimitWait_, timeLeft() / 2);
-    }
-    if (!nextLimitedSend_ || *nextLimitedSend_ > *limitWaitEndsAt_ || now >= *limitWaitEndsAt_) {
-        refuse(RefusalReason::EndpointsFull);
-        return;
-    }
-    const Duration wait = std::max(*nextLimitedSend_ - now, gateway_->settings_.endpointRetryDelay_);
-    gateway_->hooks_.after_(wait, [self = shared_from_this()] {
-        if (self->step_ == Step::Placing) {
-            self->place();
-        }
-    });
-}
-
 const RequestFingerprints &GatewayCall::fingerprints()
 {
     if (!fingerprints_) {
@@ -637,6 +587,7 @@
         return;
     }
     ++runs_;
+    reportOutcome(ended);
     if (ended == AttemptEnd::Complete && head_.fromEndpoint_ && step_ == Step::Running && !isRelayStarted_) {
         gateway_->placement_.succeeded(endpoint);
         gateway_->placement_.observeRequestTime(endpoint, gateway_->hooks_.now_() - sentAt_);
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -121,14 +121,11 @@
     void place();
     /** \brief Handlers of the attempt that begins now. They do nothing once another attempt has begun. */
     AttemptHandlers handlersOfAttempt();
-    const Endpoint *chooseEndpoint();
     /** \brief Chooses an endpoint again a little later, or refuses the request if there is no time for that. */
     void waitForEndpoint();
     /** \brief True for a first turn while later ones wait here: engines take requests in order of arrival. */
     bool mustYield() const;
     bool isFirstTurn() const;
-    /** \brief Waits for an endpoint whose request limit is used up, or refuses the request. */
-    void waitForLimits();
     /** \brief True if the request has ended too many endpoints to be sent to another one. */
     bool isQuarantined();
     const RequestFingerprints &fingerprints();
@@ -151,6 +148,20 @@
     /** \brief Longest idle time of a pooled connection that may carry the request. */
     Duration maxIdleAge() const;
 
+    // The choice of an endpoint, in endpointchoice.cpp.
+    /** \brief The endpoint to send the request to, or null if none may get it now. */
+    const Endpoint *chooseEndpoint();
+    /** \brief True if the request may be a trial of an ejected endpoint. */
+    bool mayTryOutlier(const Endpoint &endpoint) const;
+    /** \brief True if the endpoint's answer is an error of its own; 503 and 504 tell of load. */
+    bool isServerError() const;
+    /** \brief Tells the outlier detector how the attempt has ended. */
+    void reportOutcome(AttemptEnd ended);
+    /** \brief The call ends while its attempt runs: reports a failure if no answer has begun for long. */
+    void reportSilence();
+    /** \brief Waits for an endpoint whose request limit is used up, or refuses the request. */
+    void waitForLimits();
+
     // Passing the request on to another node, in forwardedcall.cpp.
     /** \brief Handlers of the exchange with another node that begins now. \sa handlersOfAttempt() */
     AttemptHandlers handlersOfForward();
@@ -237,6 +248,7 @@
     std::uint64_t attempt_ = 0;
     std::uint64_t crashWatch_ = 0; ///< Of the attempt. \sa CrashDetector::attemptStarted
     std::string incarnation_; ///< Of the endpoint of the attempt.
+    bool isOutlierTrial_ = false; ///< The attempt goes to an ejected endpoint. \sa OutlierDetector
     bool isCountedForAccount_ = false; ///< The attempt was passed to AccountAdmission::started().
     std::string version_; ///< Of the endpoint of the current or most recent attempt.
     AttemptHead head_;
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -52,6 +52,7 @@
     CrashDetectorHooks crashDetectorHooks();
     CrashStreamHooks crashStreamHooks();
     EndpointLimitHooks endpointLimitHooks();
+    OutlierDetectorHooks outlierDetectorHooks();
     StreamOriginsHooks streamOriginsHooks();
     StreamOutputsHooks streamOutputsHooks();
     ReachabilityHooks reachabilityHooks();
@@ -103,6 +104,7 @@
     CrashDetector crashDetector_;
     CrashStream crashStream_;
     EndpointLimits limits_;
+    OutlierDetector outliers_;
     EndpointReachability reachability_;
     Fleet fleet_;
     StreamOrigins origins_;
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -328,6 +328,7 @@
     }
     if (!endpoint_.empty()) {
         gateway_->hooks_.cancelAttempt_(attempt_);
+        reportSilence();
     }
     releaseEndpoint(AttemptEnd::Cancelled);
     if (forwardAttempt_ != 0) {
--- a/test/fleet/fleetmessage.cpp
+++ b/test/fleet/fleetmessage.cpp
@@ -26,6 +26,9 @@
     message.report_.crashes_ = {CrashRecord{"request", "engine@1", true}};
     message.report_.limits_ = {RateLimitNotice{"engine@1", 2.5, std::chrono::milliseconds(40)},
                                RateLimitNotice{"engine@2", std::nullopt, std::chrono::milliseconds(7)}};
+    message.report_.outcomes_ = {EndpointOutcomes{"engine@1", 12.25, 3.5}};
+    message.report_.ejections_ = {EjectionNotice{"engine@2", true, std::chrono::milliseconds(30)},
+                                  EjectionNotice{"engine@3", false, std::chrono::milliseconds(8)}};
     message.report_.origins_ = {StreamOriginNotice{"r1", StreamOrigin{"engines", "v2"}, std::chrono::seconds(6)}};
     message.report_.accounts_ = {{"engines", 4'000'000'000U, 17, 2}, {"engines", 7, 1, 0}, {"tools", 7, 2, 0}};
     message.group_ = FleetGroup{"domain", 1, 3};
@@ -50,6 +53,13 @@
     EXPECT_EQ(decoded->report_.limits_[0].requestsPerSecond_, 2.5);
     EXPECT_EQ(decoded->report_.limits_[0].age_, std::chrono::milliseconds(40));
     EXPECT_FALSE(decoded->report_.limits_[1].requestsPerSecond_);
+    ASSERT_EQ(decoded->report_.outcomes_.size(), 1U);
+    EXPECT_EQ(decoded->report_.outcomes_[0].requests_, 12.25);
+    EXPECT_EQ(decoded->report_.outcomes_[0].failures_, 3.5);
+    ASSERT_EQ(decoded->report_.ejections_.size(), 2U);
+    EXPECT_TRUE(decoded->report_.ejections_[0].isEjected_);
+    EXPECT_FALSE(decoded->report_.ejections_[1].isEjected_);
+    EXPECT_EQ(decoded->report_.ejections_[1].age_, std::chrono::milliseconds(8));
     ASSERT_EQ(decoded->report_.origins_.size(), 1U);
     EXPECT_EQ(decoded->report_.origins_[0].origin_.version_, "v2");
     EXPECT_EQ(decoded->report_.origins_[0].timeLeft_, std::chrono::seconds(6));
@@ -89,31 +99,32 @@
     EXPECT_EQ(decodeFleetMessage(cborOf(body)).has_value(), GetParam().isMessage_);
 }
 
-INSTANTIATE_TEST_SUITE_P(Table,
-                         Malformed,
-                         testing::Values(MalformedField{"Sender", "n", 5, false},
-                                         MalformedField{"LedgerState", "c", "yes", false},
-                                         MalformedField{"Load", "l", "none", false},
-                                         MalformedField{"LoadEntries", "l", {{"engine", -1}, {"engine"}, 7}, true},
-                                         MalformedField{"Parts", "p", {{"engine", "part", "long"}}, true},
-                                         MalformedField{"Group", "g", "domain", false},
-                                         MalformedField{"GroupBeyondTheirNumber", "g", {"domain", 3, 3, 1}, false},
-                                         MalformedField{
-                                             "AbsurdNumberOfGroups", "g", {"domain", 1, 1ULL << 60, 1}, false},
-                                         MalformedField{"GroupWithoutNodes", "g", {"domain", 1, 3}, false},
-                                         MalformedField{"Origins", "o", {{"r1", "engines", 2, 6000}, {"r1"}, 7}, true},
-                                         MalformedField{"OriginsOfAnotherType", "o", "none", true},
-                                         MalformedField{"Accounts",
-                                                        "a",
-                                                        {{"engines", {1, 2}},
-                                                         {"engines", {-1, 2, 0, 1, 2.5, 0, 1ULL << 40, 1, 0}},
-                                                         {3, {1, 1, 1}},
-                                                         "engines"},
-                                                        true},
-                                         MalformedField{"AccountsOfAnotherType", "a", 7, true},
-                                         MalformedField{"NodesCutOff", "e", {1, {"node"}}, true},
-                                         MalformedField{"Members", "m", {{"node", true}, {1, true, true}}, true}),
-                         [](const testing::TestParamInfo<MalformedField> &info) { return info.param.name_; });
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    Malformed,
+    testing::Values(
+        MalformedField{"Sender", "n", 5, false},
+        MalformedField{"LedgerState", "c", "yes", false},
+        MalformedField{"Load", "l", "none", false},
+        MalformedField{"LoadEntries", "l", {{"engine", -1}, {"engine"}, 7}, true},
+        MalformedField{"Parts", "p", {{"engine", "part", "long"}}, true},
+        MalformedField{"Group", "g", "domain", false},
+        MalformedField{"GroupBeyondTheirNumber", "g", {"domain", 3, 3, 1}, false},
+        MalformedField{"AbsurdNumberOfGroups", "g", {"domain", 1, 1ULL << 60, 1}, false},
+        MalformedField{"GroupWithoutNodes", "g", {"domain", 1, 3}, false},
+        MalformedField{"Origins", "o", {{"r1", "engines", 2, 6000}, {"r1"}, 7}, true},
+        MalformedField{"OriginsOfAnotherType", "o", "none", true},
+        MalformedField{
+            "Accounts",
+            "a",
+            {{"engines", {1, 2}}, {"engines", {-1, 2, 0, 1, 2.5, 0, 1ULL << 40, 1, 0}}, {3, {1, 1, 1}}, "engines"},
+            true},
+        MalformedField{"Outcomes", "h", {{"e@1", 1, 2}, {"e@1", -1, 0}, {"e@1"}, 7}, true},
+        MalformedField{"Ejections", "j", {{"e@1", 5, 1}, {"e@1", -1, true}, 7}, true},
+        MalformedField{"AccountsOfAnotherType", "a", 7, true},
+        MalformedField{"NodesCutOff", "e", {1, {"node"}}, true},
+        MalformedField{"Members", "m", {{"node", true}, {1, true, true}}, true}),
+    [](const testing::TestParamInfo<MalformedField> &info) { return info.param.name_; });
 
 // Guards against a crash on truncated datagrams.
 TEST(FleetMessage, CutDatagramIsNoMessage)
--- a/test/gateway/faultyendpoints.cpp
+++ b/test/gateway/faultyendpoints.cpp
@@ -64,4 +64,79 @@
                                          FaultyCase{"Silent73", 73, 68, FaultForm::Silent}),
                          [](const testing::TestParamInfo<FaultyCase> &info) { return info.param.name_; });
 
+/** \brief Failures that are no reason to eject endpoints. */
+struct SoundCase
+{
+    const char *name_;
+    std::function<void(FaultyWorld &world)> run_;
+};
+
+class SoundEndpoints : public testing::TestWithParam<SoundCase>
+{
+};
+
+// Guards against endpoints that are taken out for what a node, the application or a few broken answers cause.
+TEST_P(SoundEndpoints, AreNotEjected)
+{
+    FaultyWorldSettings settings;
+    FaultyWorld world(settings);
+    GetParam().run_(world);
+    EXPECT_EQ(world.rig_.counts_["endpoint_ejections_total/"], 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    SoundEndpoints,
+    testing::Values(SoundCase{"SomeBreakOffOneAnswerIn18",
+                              [](FaultyWorld &world) { world.spell(0, 14, 0.055, FaultForm::Reset, seconds(20)); }},
+                    SoundCase{"ApplicationFailsFourInTen",
+                              [](FaultyWorld &world) { world.spell(0, 24, 0.4, FaultForm::Error, seconds(10)); }},
+                    SoundCase{"OneNodeReachesNone", [](FaultyWorld &world) { world.cutNode(3, seconds(10)); }}),
+    [](const testing::TestParamInfo<SoundCase> &info) { return info.param.name_; });
+
+class EjectedEndpoints : public testing::TestWithParam<FaultForm>
+{
+};
+
+// Guards against endpoints that stay out after they have become sound.
+TEST_P(EjectedEndpoints, GetTheirShareAgainAfterTheSpell)
+{
+    constexpr std::size_t faulty = 3;
+    FaultyWorldSettings settings;
+    FaultyWorld world(settings);
+    world.spell(0, faulty, 1.0, GetParam(), seconds(8));
+    world.run(seconds(6));
+    world.resetArrivals();
+    world.run(seconds(4));
+    int all = 0;
+    for (const std::pair<const std::string, int> &endpoint : world.arrivals()) {
+        all += endpoint.second;
+    }
+    const int fairShare = all / static_cast<int>(settings.endpoints_);
+    for (std::size_t i = 0; i < faulty; ++i) {
+        const auto arrivals = world.arrivals().find("s" + std::to_string(i));
+        ASSERT_NE(arrivals, world.arrivals().end());
+        EXPECT_GE(arrivals->second, fairShare / 2);
+    }
+}
+
+// Guards against a service that is left with too few endpoints when many of them fail.
+TEST_P(EjectedEndpoints, AreFewerThanAThirdOfTheirService)
+{
+    FaultyWorldSettings settings;
+    FaultyWorld world(settings);
+    const std::size_t before = world.rig_.counts_["endpoint_ejections_total/"];
+    world.spell(0, 16, 1.0, GetParam(), seconds(6));
+    const std::size_t ejections = world.rig_.counts_["endpoint_ejections_total/"] - before;
+    EXPECT_LE(ejections, settings.nodes_ * settings.endpoints_ / 3);
+    EXPECT_GT(ejections, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         EjectedEndpoints,
+                         testing::Values(FaultForm::Reset, FaultForm::Error),
+                         [](const testing::TestParamInfo<FaultForm> &info) {
+                             return info.param == FaultForm::Reset ? "Reset" : "Error";
+                         });
+
 } // namespace filbertgw::test
