Send requests that may be repeated elsewhere after an error of an endpoint

Callers' lookups ended on a 500 that one endpoint of many answers to everything. Change: an answer of 500 or above, but 503 and 504, is a failure for placement and no sample of speed. A request that may be repeated goes to another endpoint, within a retry budget of a tenth of the requests of its service. An application that fails on its own is told so by the second answer.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "endpoints/endpointreachability.h"
 #include "endpoints/outlierdetector.h"
 #include "endpoints/quarantine.h"
+#include "endpoints/retrybudget.h"
 #include "fleet/configurationpeers.h"
 #include "fleet/fleet.h"
 #include "ledger/budgetcontroller.h"
@@ -92,6 +93,7 @@
     CrashDetectorSettings crashDetector_;
     EndpointLimitSettings limits_;
     OutlierSettings outliers_;
+    RetryBudgetSettings retries_;
     ReachabilitySettings reachability_;
     StreamOriginsSettings origins_;
     StreamOutputsSettings outputs_;
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -464,6 +464,9 @@
     version_ = endpoint.version_;
     recordOrigin(endpoint);
     gateway_->limits_.sent(incarnation_);
+    if (sends_ == 1) {
+        gateway_->retries_.requestSent(serviceName_);
+    }
     crashWatch_ = gateway_->crashDetector_.attemptStarted(endpoint, request_);
     attempt_ = gateway_->hooks_.startAttempt_(std::move(attempt), handlersOfAttempt());
 }
@@ -589,10 +592,7 @@
     ++runs_;
     reportOutcome(ended);
     if (ended == AttemptEnd::Complete && head_.fromEndpoint_ && step_ == Step::Running && !isRelayStarted_) {
-        gateway_->placement_.succeeded(endpoint);
-        gateway_->placement_.observeRequestTime(endpoint, gateway_->hooks_.now_() - sentAt_);
-        reportAnswered();
-        relayResponse();
+        answerReceived(endpoint);
         return;
     }
     if (ended == AttemptEnd::Complete && step_ == Step::Relaying && endsStream()) {
@@ -611,6 +611,25 @@
     handleFailure(ended);
 }
 
+void GatewayCall::answerReceived(const std::string &endpoint)
+{
+    reportAnswered();
+    if (!isServerError()) {
+        gateway_->placement_.succeeded(endpoint);
+        gateway_->placement_.observeRequestTime(endpoint, gateway_->hooks_.now_() - sentAt_);
+        relayResponse();
+        return;
+    }
+    // An error comes at once, so its time says nothing of the endpoint's speed.
+    gateway_->placement_.failed(endpoint);
+    if (mayRetry() && gateway_->retries_.take(serviceName_)) {
+        excluded_.insert(endpoint);
+        place();
+        return;
+    }
+    relayResponse();
+}
+
 void GatewayCall::handleRefusal()
 {
     gateway_->hooks_.count_("endpoint_refusals_total", {});
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -145,6 +145,8 @@
     void handleRefusal();
     void handleFailure(AttemptEnd end);
     bool mayRetry() const;
+    /** \brief Relays a whole answer that is no stream, or sends the request to another endpoint if it is an error. */
+    void answerReceived(const std::string &endpoint);
     /** \brief Longest idle time of a pooled connection that may carry the request. */
     Duration maxIdleAge() const;
 
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -105,6 +105,7 @@
     CrashStream crashStream_;
     EndpointLimits limits_;
     OutlierDetector outliers_;
+    RetryBudget retries_; ///< Of requests that were answered with an error, or not at all.
     EndpointReachability reachability_;
     Fleet fleet_;
     StreamOrigins origins_;
