Ask another endpoint when an answer to an idempotent request does not begin

Callers lost programs to lookups whose answer was lost: each waited for the client's whole time (1,500 ms) at one endpoint, although answers begin within 217 ms in the 99th percentile. Cause: an attempt got all of the time left, so there was none for the second. Change: if no head has come after a third of the time left, the attempt is ended and the request goes to another endpoint, within max_attempts and the retry budget. The silence counts as a failure for the outlier detector.

--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -13,6 +13,8 @@
 
 /** A request with less time left is not sent any more. */
 constexpr Duration minAttemptTime{15'000};
+/** An answer that does not begin within the time left divided by this may have been lost: another endpoint is asked. */
+constexpr std::int64_t silenceDivisor = 3;
 /** Limit on the attempts of a request, refused ones included. */
 constexpr std::uint32_t maxSends = 12;
 /** Urgency of the most important routes. Each lower priority adds urgencyPerPriority, which exceeds
@@ -469,6 +471,30 @@
     }
     crashWatch_ = gateway_->crashDetector_.attemptStarted(endpoint, request_);
     attempt_ = gateway_->hooks_.startAttempt_(std::move(attempt), handlersOfAttempt());
+    watchForAnswer();
+}
+
+void GatewayCall::watchForAnswer()
+{
+    const bool canRunElsewhere = route_->kind_ == RouteKind::Idempotent && runs_ + 1 < route_->maxAttempts_;
+    if (!canRunElsewhere || step_ != Step::Running) {
+        return;
+    }
+    gateway_->hooks_.after_(timeLeft() / silenceDivisor, [self = shared_from_this(), number = sends_] {
+        if (self->sends_ == number) {
+            self->replaceSilentAttempt();
+        }
+    });
+}
+
+void GatewayCall::replaceSilentAttempt()
+{
+    const bool isSilent = step_ == Step::Running && !endpoint_.empty() && !headReceived_;
+    if (isSilent && gateway_->retries_.take(serviceName_)) {
+        gateway_->hooks_.count_("silent_attempts_replaced_total", {});
+        gateway_->hooks_.cancelAttempt_(attempt_);
+        attemptEnded(AttemptEnd::TimedOut);
+    }
 }
 
 AttemptHandlers GatewayCall::handlersOfAttempt()
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -145,6 +145,10 @@
     void handleRefusal();
     void handleFailure(AttemptEnd end);
     bool mayRetry() const;
+    /** \brief Sets the time at which another endpoint is asked if the attempt that begins now gets no answer. */
+    void watchForAnswer();
+    /** \brief Ends an attempt to which no answer has begun, and asks another endpoint. */
+    void replaceSilentAttempt();
     /** \brief Relays a whole answer that is no stream, or sends the request to another endpoint if it is an error. */
     void answerReceived(const std::string &endpoint);
     /** \brief Longest idle time of a pooled connection that may carry the request. */
