Limit the unfinished answers that come by way of another node

A node that is cut off from all endpoints keeps plain answers of other nodes until they are whole. Cause: only calls with an attempt at an endpoint were cut. Change: the limits on one answer and on all of them apply to exchanges too. EndlessForwardedAnswer Body, UnsignedBody and Event failed before, with 4,210,688 bytes held of 4,194,304; the direct way (EndlessAnswer) held already.

--- a/src/gateway/forwardedcall.cpp
+++ b/src/gateway/forwardedcall.cpp
@@ -110,6 +110,11 @@
     } else if (step_ == Step::Forwarding) {
         responseBody_ += part;
         countBufferedBytes();
+        if (responseBody_.size() > gateway_->settings_.maxResponseBytes_) {
+            cutForward();
+        } else {
+            gateway_->limitBufferedBytes();
+        }
     }
 }
 
@@ -128,12 +133,17 @@
     if (!isValid) {
         reportRejectedAnswer("out_of_order", event.id_);
         cutForward();
+    } else {
+        gateway_->limitBufferedBytes();
     }
 }
 
 void GatewayCall::cutForward()
 {
     gateway_->hooks_.cancelAttempt_(forwardAttempt_);
+    releaseText(responseBody_);
+    splitter_ = EventSplitter();
+    countBufferedBytes();
     forwardEnded(AttemptEnd::Broken);
 }
 
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -25,7 +25,7 @@
     GatewayCall(std::shared_ptr<Gateway::Private> gateway, GatewayRequest request, std::shared_ptr<HttpReply> reply);
 
     void start();
-    /** \brief True while an attempt is in progress. */
+    /** \brief True while an attempt, or an exchange with another node, is in progress. */
     bool isReceiving() const;
     /** \brief Endpoint of the attempt in progress; empty if there is none. */
     const std::string &endpoint() const;
@@ -33,7 +33,7 @@
     Duration unansweredFor() const;
     /** \brief Bytes of the endpoint's unfinished answer that this call holds. */
     std::size_t bufferedBytes() const;
-    /** \brief Ends the attempt in progress as broken. */
+    /** \brief Ends the attempt or exchange in progress as broken. */
     void cutAnswer();
     /** \brief This node is cut off: passes the request on if it waits for an endpoint and may run at another one. */
     void forwardIfWaiting();
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -53,7 +53,7 @@
 
 bool GatewayCall::isReceiving() const
 {
-    return !endpoint_.empty();
+    return !endpoint_.empty() || forwardAttempt_ != 0;
 }
 
 const std::string &GatewayCall::endpoint() const
@@ -80,6 +80,10 @@
 
 void GatewayCall::cutAnswer()
 {
+    if (forwardAttempt_ != 0) {
+        cutForward();
+        return;
+    }
     gateway_->hooks_.cancelAttempt_(attempt_);
     releaseText(responseBody_);
     splitter_ = EventSplitter();
--- a/test/gateway/endlessanswers.cpp
+++ b/test/gateway/endlessanswers.cpp
@@ -89,6 +89,61 @@
                     EndlessCase{"Events", RouteKind::Streaming, true, "data: " + std::string(partBytes, 'x') + "\n\n"}),
     [](const testing::TestParamInfo<EndlessCase> &info) { return info.param.name_; });
 
+class EndlessForwardedAnswer : public EndlessAnswer
+{
+protected:
+    /** \brief Lets node 0 find out that it reaches no endpoint, and holds the requests that it passes on. */
+    void cutOff(GatewayRig &rig)
+    {
+        rig.isReachable_ = [](std::size_t node, const std::string &) { return node != 0; };
+        rig.onAttempt_ = [&rig](std::size_t attempt) {
+            rig.queue_.after(std::chrono::milliseconds(1), [&rig, attempt] { rig.end(attempt, AttemptEnd::NotSent); });
+        };
+        rig.send(0, request(endpoints));
+        rig.run(std::chrono::seconds(4));
+        rig.onForward_ = [this](const ForwardedRequest &, const AttemptHandlers &handlers) {
+            exchanges_.push_back(handlers);
+        };
+    }
+
+    std::vector<AttemptHandlers> exchanges_;
+};
+
+// Guards against answers without end that come by way of another node and use up the memory of this one.
+TEST_P(EndlessForwardedAnswer, IsCutWithinTheMemoryForAnswers)
+{
+    const bool isStream = GetParam().kind_ == RouteKind::Streaming;
+    GatewayRig rig(2, {isStream ? streamingRoute(true, 1, false) : plainRoute(GetParam().kind_, 1)});
+    rig.addEndpoints(isStream ? "engines" : "services", "x", 4);
+    cutOff(rig);
+    std::vector<std::shared_ptr<ClientResponse>> clients;
+    for (std::size_t i = 0; i < endpoints; ++i) {
+        clients.push_back(rig.send(0, request(i)));
+    }
+    rig.run(std::chrono::milliseconds(50));
+    ASSERT_EQ(exchanges_.size(), endpoints);
+    for (const AttemptHandlers &exchange : exchanges_) {
+        AttemptHead head = headOf(GetParam().fromEndpoint_);
+        head.headers_["content-type"] = isStream ? "text/event-stream" : "text/plain";
+        exchange.onHead_(head);
+    }
+    for (std::size_t round = 0; round < 512; ++round) {
+        for (std::size_t i = 0; i < endpoints; ++i) {
+            exchanges_[i].onPart_(GetParam().part_);
+            ASSERT_LE(bufferedBytes(rig), mostBufferedBytes);
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    EndlessForwardedAnswer,
+    testing::Values(EndlessCase{"Body", RouteKind::NonIdempotent, true, std::string(partBytes, 'x')},
+                    EndlessCase{"UnsignedBody", RouteKind::NonIdempotent, false, std::string(partBytes, 'x')},
+                    EndlessCase{"UnsignedStream", RouteKind::Streaming, false, std::string(partBytes, 'x')},
+                    EndlessCase{"Event", RouteKind::Streaming, true, std::string(partBytes, 'x')}),
+    [](const testing::TestParamInfo<EndlessCase> &info) { return info.param.name_; });
+
 // Guards against an unfinished event that is searched from its begin for each byte that arrives.
 TEST(EventSplitter, LongEventInManyPiecesIsScannedOnce)
 {
