Keep a silent attempt where no other endpoint could take its request

Calls.EntryThatLapsedInAnOutageMayComeBack failed since: with one endpoint in the service the request was ended there and sent to it again. Change: an attempt without an answer is replaced only if another ready endpoint has not been tried. Fleet.ReportsOfOthersBringNoEndpointBack expects one attempt of a request that is never answered; its request now must not be repeated, so that the test still shows what it is for, the reports of load.

--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -490,7 +490,11 @@
 void GatewayCall::replaceSilentAttempt()
 {
     const bool isSilent = step_ == Step::Running && !endpoint_.empty() && !headReceived_;
-    if (isSilent && gateway_->retries_.take(serviceName_)) {
+    const std::vector<const Endpoint *> &candidates = gateway_->directory_.ready(serviceName_);
+    const bool hasOther = std::any_of(candidates.begin(), candidates.end(), [this](const Endpoint *candidate) {
+        return candidate->id_ != endpoint_ && excluded_.count(candidate->id_) == 0;
+    });
+    if (isSilent && hasOther && gateway_->retries_.take(serviceName_)) {
         gateway_->hooks_.count_("silent_attempts_replaced_total", {});
         gateway_->hooks_.cancelAttempt_(attempt_);
         attemptEnded(AttemptEnd::TimedOut);
