Refuse requests that could outlast a planned stop, and answer all others

Cause: nothing compared the time that a request may take with the time left. Change: from a third of the grace period on, a request that may take longer than the rest of it is refused at once (503), and what is open before the exit is answered: 503 if it has not run, 502 if it may have. Requests that other nodes pass on were refused already. Not played: slow uploads on real processes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Duration housekeepingInterval{100'000};
+/** In the first part of the grace period of a stop, requests are accepted that may outlast it; most are short. */
+constexpr std::int64_t graceDivisor = 3;
 /** Accounts with series of their own in the metrics; the others share one. */
 constexpr std::size_t maxAccountLabels = 100;
 /** Runs of the housekeeping between two log entries on the engine models. */
@@ -489,6 +491,12 @@
     return hooks;
 }
 
+bool Gateway::Private::isTooLateForStop(Duration time) const
+{
+    const Time now = hooks_.now_();
+    return stopping_ && now >= acceptsAnyUntil_ && now + time > stopEndsAt_;
+}
+
 bool Gateway::Private::isPartitioned() const
 {
     if (hooks_.now_() - lastLedgerCurrent_ < internal::partitionTimeout) {
@@ -762,13 +770,23 @@
     return d_->isReady();
 }
 
-void Gateway::beginStop()
+void Gateway::beginStop(Duration grace)
 {
     d_->stopping_ = true;
+    d_->stopEndsAt_ = d_->hooks_.now_() + grace;
+    d_->acceptsAnyUntil_ = d_->hooks_.now_() + grace / internal::graceDivisor;
     d_->quota_.beginStop();
     d_->ledger_.releaseAllowances();
 }
 
+void Gateway::endCalls()
+{
+    const std::vector<std::shared_ptr<internal::GatewayCall>> calls(d_->calls_.begin(), d_->calls_.end());
+    for (const std::shared_ptr<internal::GatewayCall> &call : calls) {
+        call->endForStop();
+    }
+}
+
 bool Gateway::isIdle() const
 {
     return d_->calls_.empty() && d_->ledger_.isFlushed();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -149,8 +149,13 @@
 
     /** \brief True if this node should get new connections. */
     bool isReady() const;
-    /** \brief Begins a planned shutdown: the node is no longer ready, but still serves requests. */
-    void beginStop();
+    /**
+     * \brief Begins a planned shutdown: the node is no longer ready, but still serves requests.
+     * \param grace time after which no request may be open. One that comes late in it is refused if it may last longer.
+     */
+    void beginStop(Duration grace);
+    /** \brief Ends all calls before the process exits: with a refusal, or an error if they may have run. */
+    void endCalls();
     /** \brief True if no call is open and nothing waits to be stored. */
     bool isIdle() const;
     std::size_t openCalls() const;
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -69,6 +69,10 @@
         allowed = std::min(allowed, *request_->timeLeft_);
     }
     deadline_ = arrivedAt_ + allowed;
+    if (gateway_->isTooLateForStop(allowed)) {
+        refuse(RefusalReason::Stopping);
+        return;
+    }
     timer_ = gateway_->hooks_.after_(allowed, [self = shared_from_this()] { self->timedOut(); });
     if (resumesStream()) {
         sequence_.continueAfter(request_->lastEventId_);
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -33,6 +33,8 @@
     Duration unansweredFor() const;
     /** \brief Bytes of the endpoint's unfinished answer that this call holds. */
     std::size_t bufferedBytes() const;
+    /** \brief Ends the call because the process is about to exit. */
+    void endForStop();
     /** \brief Ends the attempt or exchange in progress as broken. */
     void cutAnswer();
     /** \brief This node is cut off: passes the request on if it waits for an endpoint and may run at another one. */
@@ -222,6 +224,8 @@
     void abortResponse(const char *outcome);
     void clientDisconnected();
     void timedOut();
+    /** \brief True if an endpoint or another node may have run the request. */
+    bool mayHaveRun() const;
     void end(const char *outcome);
     /** \brief Counts the request for its account. */
     void countForAccount(const std::string &outcome);
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -83,6 +83,8 @@
      * Then another node still reaches the store, or none of the other known nodes is alive.
      */
     bool isPartitioned() const;
+    /** \brief True if a request that may take so long could be cut by the end of a planned stop. */
+    bool isTooLateForStop(Duration time) const;
     /** \brief True if this node should get new connections. */
     bool isReady() const;
     /** \brief True if neither this node nor any node that it hears of reaches the store. */
@@ -130,6 +132,8 @@
     bool ledgerWasCurrent_ = false; ///< At the last call of logLedgerStateChange().
     bool hasQuotas_ = false; ///< An account of the configuration in force has a quota.
     bool stopping_ = false;
+    Time stopEndsAt_{0}; ///< Of a planned stop, as the next.
+    Time acceptsAnyUntil_{0}; ///< From then on requests that may last beyond stopEndsAt_ are refused.
     bool stopped_ = false;
 };
 
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -282,6 +282,23 @@
     end("client_left");
 }
 
+void GatewayCall::endForStop()
+{
+    if (step_ == Step::Ended) {
+        return;
+    }
+    if (isRelayStarted_) {
+        abortResponse("stopped_midway");
+        return;
+    }
+    refuse(mayHaveRun() ? RefusalReason::OutcomeUnknown : RefusalReason::Stopping);
+}
+
+bool GatewayCall::mayHaveRun() const
+{
+    return runs_ > 0 || !endpoint_.empty() || forwardAttempt_ != 0;
+}
+
 void GatewayCall::timedOut()
 {
     timer_ = 0;
@@ -292,8 +309,7 @@
         abortResponse("timed_out_midway");
         return;
     }
-    refuse(runs_ > 0 || !endpoint_.empty() || forwardAttempt_ != 0 ? RefusalReason::TimedOut
-                                                                   : RefusalReason::EndpointsFull);
+    refuse(mayHaveRun() ? RefusalReason::TimedOut : RefusalReason::EndpointsFull);
 }
 
 void GatewayCall::settleBudget()
--- a/test/gateway/budget.cpp
+++ b/test/gateway/budget.cpp
@@ -369,7 +369,7 @@
     GatewayRig rig(nodeCount, {streamingRoute(false, 1, false)});
     rig.addEndpoints("engines", "e", 4);
     beginProgram(rig);
-    rig.nodes_[0]->beginStop();
+    rig.nodes_[0]->beginStop(std::chrono::seconds(8));
     rig.run(std::chrono::seconds(1));
     rig.kill(0);
     rig.run(std::chrono::seconds(2));
