--- a/src/endpoints/endpointlimits.cpp
+++ b/src/endpoints/endpointlimits.cpp
@@ -18,6 +18,7 @@
 EndpointLimits::EndpointLimits(EndpointLimitHooks hooks, EndpointLimitSettings settings)
     : hooks_(std::move(hooks))
     , settings_(settings)
+    , announcements_(settings.announcements_)
 {
 }
 
@@ -93,13 +94,7 @@
 void EndpointLimits::announce(const std::string &incarnation, Limit &limit)
 {
     limit.announcedAt_ = hooks_.now_();
-    const auto isSame = [&incarnation](const Announcement &entry) { return entry.incarnation_ == incarnation; };
-    const auto queued = std::find_if(announcements_.begin(), announcements_.end(), isSame);
-    if (queued != announcements_.end()) {
-        queued->left_ = settings_.announcements_;
-        return;
-    }
-    announcements_.push_back(Announcement{incarnation, settings_.announcements_});
+    announcements_.add(incarnation);
 }
 
 bool EndpointLimits::isEmpty() const
@@ -150,18 +145,11 @@
 std::vector<RateLimitNotice> EndpointLimits::takeAnnouncements()
 {
     std::vector<RateLimitNotice> notices;
-    const std::size_t count = std::min(announcements_.size(), settings_.maxAnnounced_);
-    for (std::size_t i = 0; i < count; ++i) {
-        Announcement next = std::move(announcements_.front());
-        announcements_.pop_front();
-        const auto limit = limits_.find(next.incarnation_);
-        if (limit == limits_.end()) {
-            continue;
-        }
-        const Duration age = hooks_.now_() - limit->second.observedAt_;
-        notices.push_back(RateLimitNotice{next.incarnation_, limit->second.requestsPerSecond_, age});
-        if (--next.left_ > 0) {
-            announcements_.push_back(std::move(next));
+    for (const std::string &incarnation : announcements_.take(settings_.maxAnnounced_)) {
+        const auto limit = limits_.find(incarnation);
+        if (limit != limits_.end()) {
+            const Duration age = hooks_.now_() - limit->second.observedAt_;
+            notices.push_back(RateLimitNotice{incarnation, limit->second.requestsPerSecond_, age});
         }
     }
     return notices;
--- a/src/endpoints/endpointlimits.h
+++ b/src/endpoints/endpointlimits.h
@@ -2,11 +2,11 @@
 #define FILBERTGW_ENDPOINTS_ENDPOINTLIMITS_H
 
 #include "core/time.h"
+#include "endpoints/announcementqueue.h"
 #include "endpoints/ratelimitnotice.h"
 #include "routing/gatewaytypes.h"
 
 #include <cstddef>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -75,11 +75,6 @@
         Time earliest_{0}; ///< When the next request is due at the rate of this node.
         std::size_t unnamed_ = 0; ///< Consecutive answers without it.
     };
-    struct Announcement
-    {
-        std::string incarnation_;
-        std::size_t left_ = 0;
-    };
 
     bool isLimited(const std::string &incarnation) const;
     std::size_t senders(const Limit &limit) const;
@@ -90,7 +85,7 @@
     EndpointLimitHooks hooks_;
     EndpointLimitSettings settings_;
     std::map<std::string, Limit> limits_; ///< By incarnation.
-    std::deque<Announcement> announcements_;
+    AnnouncementQueue announcements_; ///< By endpoint.
 };
 
 } // namespace filbertgw
--- a/src/endpoints/outlierdetector.cpp
+++ b/src/endpoints/outlierdetector.cpp
@@ -23,6 +23,7 @@
 OutlierDetector::OutlierDetector(OutlierDetectorHooks hooks, OutlierSettings settings)
     : hooks_(std::move(hooks))
     , settings_(settings)
+    , announcements_(settings.announcements_)
 {
 }
 
@@ -295,30 +296,17 @@
 void OutlierDetector::announce(const std::string &endpoint, Ejection &ejection)
 {
     ejection.announcedAt_ = hooks_.now_();
-    const auto isSame = [&endpoint](const Announcement &entry) { return entry.endpoint_ == endpoint; };
-    const auto queued = std::find_if(announcements_.begin(), announcements_.end(), isSame);
-    if (queued != announcements_.end()) {
-        queued->left_ = settings_.announcements_;
-        return;
-    }
-    announcements_.push_back(Announcement{endpoint, settings_.announcements_});
+    announcements_.add(endpoint);
 }
 
 std::vector<EjectionNotice> OutlierDetector::takeAnnouncements()
 {
     std::vector<EjectionNotice> notices;
-    const std::size_t count = std::min(announcements_.size(), settings_.maxReported_);
-    for (std::size_t i = 0; i < count; ++i) {
-        Announcement next = std::move(announcements_.front());
-        announcements_.pop_front();
-        const auto ejection = ejections_.find(next.endpoint_);
-        if (ejection == ejections_.end()) {
-            continue;
-        }
-        const Duration age = hooks_.now_() - ejection->second.changedAt_;
-        notices.push_back(EjectionNotice{next.endpoint_, ejection->second.isEjected_, age});
-        if (--next.left_ > 0) {
-            announcements_.push_back(std::move(next));
+    for (const std::string &endpoint : announcements_.take(settings_.maxReported_)) {
+        const auto ejection = ejections_.find(endpoint);
+        if (ejection != ejections_.end()) {
+            const Duration age = hooks_.now_() - ejection->second.changedAt_;
+            notices.push_back(EjectionNotice{endpoint, ejection->second.isEjected_, age});
         }
     }
     return notices;
--- a/src/endpoints/outlierdetector.h
+++ b/src/endpoints/outlierdetector.h
@@ -1,10 +1,10 @@
 #ifndef FILBERTGW_ENDPOINTS_OUTLIERDETECTOR_H
 #define FILBERTGW_ENDPOINTS_OUTLIERDETECTOR_H
 
+#include "endpoints/announcementqueue.h"
 #include "endpoints/endpointoutcomes.h"
 
 #include <cstddef>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -117,11 +117,6 @@
         Duration trialDelay_{0};
         std::size_t successes_ = 0; ///< Of trials of this node, in a row.
     };
-    struct Announcement
-    {
-        std::string endpoint_;
-        std::size_t left_ = 0;
-    };
 
     double decayFactor(Time since) const;
     /** \brief True if this node fails at most endpoints that it uses, so that its own path is the likely cause. */
@@ -142,7 +137,7 @@
     std::unordered_map<std::string, Reported> peers_;
     std::map<std::string, Time> suspectedAt_; ///< By endpoint.
     std::map<std::string, Ejection> ejections_; ///< By endpoint.
-    std::deque<Announcement> announcements_;
+    AnnouncementQueue announcements_; ///< By endpoint.
 };
 
 } // namespace filbertgw
