Replace a silent attempt only after a cut of the node would be noticed

A node that is cut off from all endpoints notices it by requests that have had no answer for 0.5 s. Change: an attempt is replaced after 0.7 s at the earliest.

--- a/src/endpoints/outlierdetector.h
+++ b/src/endpoints/outlierdetector.h
@@ -7,7 +7,6 @@
 #include <cstddef>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -19,7 +18,7 @@
     Duration decayTime_{1'200'000}; ///< Time constant of the exponential decay of outcomes.
     double minFailures_ = 4.0; ///< Failures over all nodes below which no endpoint is ejected.
     std::size_t minSources_ = 2; ///< Nodes or groups that must have seen failures, if there are so many nodes.
-    double minFailureShare_ = 0.3;
+    double minFailureShare_ = 0.3; ///< Of the requests to the endpoint.
     /**
      * Standard deviations by which the failures exceed those that the better half of the service's endpoints would
      * have: an application may fail on its own.
@@ -69,7 +68,7 @@
 public:
     OutlierDetector(OutlierDetectorHooks hooks, OutlierSettings settings);
 
-    /** \brief A request of this node to an endpoint has ended. */
+    /** \brief A request of this node to an endpoint has ended. \param isTrial \sa trialBegan() */
     void requestEnded(const std::string &endpoint, bool failed, bool isTrial);
     /** \brief Replaces what a node or a group of nodes has reported. */
     void setPeerOutcomes(const std::string &source, std::vector<EndpointOutcomes> outcomes);
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -15,6 +15,7 @@
 constexpr Duration minAttemptTime{15'000};
 /** An answer that does not begin within the time left divided by this may have been lost: another endpoint is asked. */
 constexpr std::int64_t silenceDivisor = 3;
+constexpr Duration silenceMargin{200'000};
 /** Limit on the attempts of a request, refused ones included. */
 constexpr std::uint32_t maxSends = 12;
 /** Urgency of the most important routes. Each lower priority adds urgencyPerPriority, which exceeds
@@ -484,11 +485,14 @@
     if (!canRunElsewhere || step_ != Step::Running) {
         return;
     }
-    gateway_->hooks_.after_(timeLeft() / silenceDivisor, [self = shared_from_this(), number = sends_] {
-        if (self->sends_ == number) {
-            self->replaceSilentAttempt();
-        }
-    });
+    // Not before the silence is noticed that a node meets which is cut off from all endpoints.
+    const Duration noticed = gateway_->settings_.reachability_.silence_ + silenceMargin;
+    gateway_->hooks_.after_(std::max(timeLeft() / silenceDivisor, noticed),
+                            [self = shared_from_this(), number = sends_] {
+                                if (self->sends_ == number) {
+                                    self->replaceSilentAttempt();
+                                }
+                            });
 }
 
 void GatewayCall::replaceSilentAttempt()
