Do not take an answer that waited through a suspension for the newest state

Cause, from the node's log: a read of the configuration was answered as an 8 s suspension began; the answer was processed after it, reached the end of the stream as of then, and counted as current with version 40 where 57 was in force. Change: an answer after the refresh's time limit is not current, so the check is repeated. RefreshThatEndsAfterASuspensionIsNotCurrent failed before.

--- a/src/store/streamtail.cpp
+++ b/src/store/streamtail.cpp
@@ -298,9 +298,11 @@
         return;
     }
     applyRecords(sent, page);
+    // An answer that comes later has waited while this process was suspended: the stream may have grown since.
+    const bool isLate = hooks_.now_() > refreshDeadline_;
     if (position_ >= page.end_) {
-        endRefresh(true);
-    } else if (page.records_.empty() || hooks_.now_() >= refreshDeadline_) {
+        endRefresh(!isLate);
+    } else if (page.records_.empty() || isLate) {
         endRefresh(false);
     } else {
         readRefresh();
--- a/test/store/streamtail.cpp
+++ b/test/store/streamtail.cpp
@@ -34,6 +34,10 @@
             return std::uint64_t{0};
         };
         hooks.store_ = store_.access("n");
+        hooks.store_.read_ = [this, read = hooks.store_.read_](const StoreRead &request,
+                                                               std::function<void(const StorePage &)> done) {
+            read(request, [this, done](const StorePage &page) { deliver([done, page] { done(page); }); });
+        };
         hooks.onRecord_ = [this](const KeyedRecord &record) { onRecord(record); };
         hooks.onReachable_ = [this](bool reachable) { reachability_.push_back(reachable); };
         StreamTailSettings settings;
@@ -47,6 +51,20 @@
         queue_.runUntil(queue_.now() + time);
     }
 
+    /** \brief Answers to reads wait from now on, as in the socket of a suspended process, until they are released. */
+    void holdAnswers()
+    {
+        holdsAnswers_ = true;
+    }
+
+    void releaseAnswers()
+    {
+        holdsAnswers_ = false;
+        for (const std::function<void()> &answer : std::exchange(heldAnswers_, {})) {
+            answer();
+        }
+    }
+
     /** \brief Adds reads that use all bandwidth of the store, so that each response is delayed by the given time. */
     void delayAnswers(Duration delay)
     {
@@ -93,6 +111,15 @@
     static constexpr std::size_t otherReadOverhead = 44; ///< Field names and key, in bytes.
     static constexpr Duration otherReadPeriod = 10ms;
 
+    void deliver(const std::function<void()> &answer)
+    {
+        if (holdsAnswers_) {
+            heldAnswers_.push_back(answer);
+        } else {
+            answer();
+        }
+    }
+
     void addLoad()
     {
         ++otherReadCount_;
@@ -105,6 +132,9 @@
         queue_.after(otherReadPeriod, [this] { keepAddingLoad(); });
     }
 
+    bool holdsAnswers_ = false;
+    std::vector<std::function<void()>> heldAnswers_;
+
     void onRecord(const KeyedRecord &record)
     {
         EXPECT_GE(record.offset_, lastOffset_) << "offsets of records go back";
@@ -270,6 +300,24 @@
                                          AnswerDelay{"BeyondWaitAndCall", 1800ms}),
                          [](const testing::TestParamInfo<AnswerDelay> &info) { return info.param.name_; });
 
+// Guards against an answer that waited while the process was suspended and is taken for the present state.
+TEST(StreamTail, RefreshThatEndsAfterASuspensionIsNotCurrent)
+{
+    TailRig rig;
+    rig.store_.put(rig.partition_, "k", "a");
+    rig.tail_->start();
+    rig.run(1s);
+    std::vector<bool> results;
+    rig.holdAnswers();
+    rig.tail_->refresh([&results](bool isCurrent) { results.push_back(isCurrent); });
+    rig.run(100ms);
+    rig.store_.put(rig.partition_, "k", "b");
+    rig.run(8s);
+    rig.releaseAnswers();
+    rig.run(1ms);
+    EXPECT_EQ(results, std::vector<bool>{false});
+}
+
 // Guards against repeated reads of the same records from a store that is slow because it sends too many bytes.
 TEST(StreamTail, SlowStoreSendsRecordsOnce)
 {
