--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -493,6 +493,9 @@
             route("lot-release", "/puxa403/", "non_idempotent", PLAIN_SERVICE, max_attempts=1),
         ]
 
+    def tenants(self):
+        return []
+
     def write_configuration(self):
         engine = {"slots": 16, "kv_capacity": 585539, "kv_token_bytes": 18432,
                   "tokens_per_event": TOKENS_PER_EVENT, "most": 12, "models": [{"name": "m"}]}
@@ -502,6 +505,8 @@
                          {"name": PLAIN_SERVICE, "health_path": "/health", "max_conns": 100}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
                        "idle_timeout_ms": 15000}}
+        if self.tenants():
+            configuration["tenants"] = self.tenants()
         self.version += 1
         self.store.put("keyed.op", "config", json.dumps(configuration).encode())
 
