--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 
 GATEWAYS = 10  # As on the site.
 JOINING = 9  # Added while the others serve (add_nodes); it freezes later.
-PROGRAMS = 120
+PROGRAMS = 240
 FREEZE_S = 3.5  # The site's node_freeze: share 0.11 of 10 machines, for_s 3.5.
 
 
@@ -65,7 +65,8 @@
                                 "subagent", 1.0)
     if len(lines) < PROGRAMS * 0.9 or sum(answer.is_whole for answer in subagents) < PROGRAMS * 0.9:
         raise RuntimeError("the deployment did not serve in calm")
-    await world.sleep_until(50.0)
+    read_at = world.record.now()  # The holders have read the records of the first turns by now.
+    await world.sleep_until(read_at + 41.0)
     if world.trouble:
         world.signal(JOINING, signal.SIGSTOP)
     # The second turn of each program, at machines that are sound; its client asks again if it is told to.
@@ -91,7 +92,7 @@
     if world.trouble:
         world.signal(JOINING, signal.SIGCONT)
     # The third turn, less than retain_s after the second one.
-    await world.sleep_until(103.0)
+    await world.sleep_until(read_at + 93.0)
     thirds = await all_turns(world, lines, lambda line: 7 + line.number % 2, lambda line: line.second.attempt,
                              "third", 2.0)
     lost = 0
