Add review case 7, from an entry: streams of two software versions

An engine that was started again with other software under its id ends before its entry shows the version; its streams go on at the version that the registry named.

--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -247,6 +247,7 @@
         self.zone = world.zones[number % len(world.zones)]
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.version = "v1"
         self.servers = {}
         self.blocked = {}
         self.writers = {}
@@ -305,7 +306,7 @@
     def entry(self):
         self.sequence += 1
         return json.dumps({
-            "service": self.service, "address": f"{self.host}:{self.first_port}", "zone": self.zone, "version": "v1",
+            "service": self.service, "address": f"{self.host}:{self.first_port}", "zone": self.zone, "version": self.version,
             "slots": 16 if self.service == MODEL_SERVICE else 6, "state": "ready", "cold_left_ms": 0,
             "sequence": self.sequence, "stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}],
             "born": self.born}).encode()
@@ -333,7 +334,7 @@
             return
         run = {"attempt": attempt, "engine": self.id, "path": request.path, "body": request.body, "node": node,
                "events": 0, "previous": request.headers.get("x-filbertgw-previous-turn", ""), "ended": False, "at": 0.0}
-        plan = self.world.plan(request)
+        plan, version = self.world.plan(request), self.version
         self.active += 1
         try:
             await asyncio.sleep(plan["begin_s"])
@@ -351,7 +352,7 @@
                     f"{ATTEMPT}: {attempt}\r\n{STAMP}: {self.stamp(attempt)}\r\n"
                     f"X-Filbertgw-Weight-Versions: 1\r\n\r\n").encode()
             for number in range(after + 1, plan["events"] + 1):
-                event = f"id: {number}\ndata: {self.data(attempt, number)}\n\n".encode()
+                event = f"id: {number}\ndata: {version}|{self.data(attempt, number)}\n\n".encode()
                 run["events"] += 1
                 chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
                 await self.path(node)
@@ -451,6 +452,7 @@
         self.processes = [None] * nodes
         self.logs = [0] * nodes
         self.runs = []
+        self.beating = {engine.id for engine in self.engines}  # Engines that write their entries.
         self.version = 1
         self.tasks = []
         self.random = random.Random(pid)
@@ -580,7 +582,8 @@
     async def heartbeats(self):
         while True:
             for engine in self.engines:
-                self.store.put("keyed.servers", engine.id, engine.entry())
+                if engine.id in self.beating:
+                    self.store.put("keyed.servers", engine.id, engine.entry())
             await asyncio.sleep(1.2)
 
     async def open(self, first_nodes):
