--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -128,6 +128,7 @@
     };
     hooks.knowsHolders_ = [this] { return fleet_.isDiscoveryComplete(); };
     hooks.askPeer_ = hooks_.askPeer_;
+    hooks.logEvent_ = hooks_.logEvent_;
     return hooks;
 }
 
--- a/src/ledger/budgetcontroller.cpp
+++ b/src/ledger/budgetcontroller.cpp
@@ -350,9 +350,17 @@
 
 void BudgetController::refuse(const TurnReservation &turn, HolderResponse response, const Decided &decided)
 {
-    const auto refused = [turn, decided, response](HolderResponse result) {
+    const auto refused = [this, turn, decided, response](HolderResponse result) {
         const bool isUndecided = std::max(result, response) == HolderResponse::Undecided;
         const BudgetDecision decision = isUndecided ? BudgetDecision::Unavailable : BudgetDecision::Exhausted;
+        const ProgramLedger &ledger = ledger_.ledgerOf(turn.program_);
+        hooks_.logEvent_("budget_refused",
+                         {{"program", turn.clientProgram_},
+                          {"budget", turn.budget_},
+                          {"tokens", turn.tokens_},
+                          {"spent", ledger.spent(turn.program_)},
+                          {"own", ledger.own(turn.program_)},
+                          {"decision", nameOf(decision)}});
         decided(BudgetGrant{decision, turn.program_, 0, {}});
     };
     // Also those whose recorded allowance is too small: unused tokens may have been returned to it since.
--- a/src/ledger/turnreplicas.cpp
+++ b/src/ledger/turnreplicas.cpp
@@ -1,5 +1,6 @@
 #include "ledger/turnreplicas.h"
 
+#include "core/numbers.h"
 #include "core/stablehash.h"
 
 #include <algorithm>
@@ -31,6 +32,13 @@
     std::optional<std::uint64_t> offset_; ///< Empty if the turn was announced and its record not read.
 };
 
+/** \brief Turns that were removed from a copy. */
+struct ExpiredTurns
+{
+    std::vector<KeyedRecord> deletions_; ///< Records that delete them from the store.
+    Duration knownFor_ = Duration::max(); ///< Shortest time for which this node has known one of them.
+};
+
 /** \brief This node's copy of one partition. */
 struct Replica
 {
@@ -71,7 +79,7 @@
     void scheduleRetry(std::uint32_t partition);
     void expireLookups(std::uint32_t partition);
     void sweep();
-    std::vector<KeyedRecord> removeExpired(internal::Replica &replica);
+    internal::ExpiredTurns removeExpired(internal::Replica &replica);
     void deleteExpired(std::uint32_t partition);
     void evictPartitions();
 
@@ -338,21 +346,24 @@
     });
 }
 
-/** Removes expired turns from memory. \return the records that delete them from the store. */
-std::vector<KeyedRecord> TurnReplicas::Private::removeExpired(internal::Replica &replica)
+/** Removes expired turns from memory. */
+internal::ExpiredTurns TurnReplicas::Private::removeExpired(internal::Replica &replica)
 {
     const Time now = hooks_.now_();
-    std::vector<KeyedRecord> deletions;
+    internal::ExpiredTurns expired;
     for (auto turn = replica.turns_.begin(); turn != replica.turns_.end();) {
         if (turn->second.found_.expires_ > now) {
             ++turn;
             continue;
         }
-        deletions.push_back(KeyedRecord{turn->first, std::nullopt});
-        bytes_ -= turn->second.found_.turn_->bytes();
+        const FoundTurn &found = turn->second.found_;
+        expired.deletions_.push_back(KeyedRecord{turn->first, std::nullopt});
+        expired.knownFor_ =
+            std::min(expired.knownFor_, now - found.expires_ + found.turn_->retention_ + retentionSlack);
+        bytes_ -= found.turn_->bytes();
         turn = replica.turns_.erase(turn);
     }
-    return deletions;
+    return expired;
 }
 
 /** Deletes expired turns from the store, right after a read so that a turn that was rewritten is kept. */
@@ -360,10 +371,15 @@
 {
     StoreAppend append;
     append.to_ = partitionId(partition);
-    append.records_ = removeExpired(replicas_[partition]);
+    internal::ExpiredTurns expired = removeExpired(replicas_[partition]);
+    append.records_ = std::move(expired.deletions_);
     if (append.records_.empty()) {
         return;
     }
+    hooks_.logEvent_("turns_deleted",
+                     {{"partition", append.to_.stream_ + '/' + std::to_string(append.to_.partition_)},
+                      {"turns", append.records_.size()},
+                      {"known_ms", toMilliseconds(expired.knownFor_)}});
     hooks_.store_.append_(std::move(append), [self = shared_from_this(), partition](const StoreAppendResult &result) {
         if (result.status_ != StoreStatus::Ok && !self->stopped_) {
             self->replicas_[partition].loaded_ = false; // Turns that were not deleted are read and deleted again.
--- a/src/ledger/turnreplicas.h
+++ b/src/ledger/turnreplicas.h
@@ -5,6 +5,8 @@
 #include "ledger/retainedturn.h"
 #include "store/recordstore.h"
 
+#include <nlohmann/json.hpp>
+
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -38,6 +40,8 @@
     RecordStore store_;
     /** \brief True if this node holds the copy of a partition for all other nodes, and so deletes its expired turns. */
     std::function<bool(const PartitionId &partition)> isHolder_;
+    std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_ =
+        [](const std::string &, const nlohmann::json &) {};
 };
 
 struct TurnReplicasSettings
--- a/src/ledger/turnstore.cpp
+++ b/src/ledger/turnstore.cpp
@@ -1,5 +1,7 @@
 #include "ledger/turnstore.h"
 
+#include "core/numbers.h"
+
 #include <algorithm>
 #include <deque>
 #include <unordered_map>
@@ -80,7 +82,8 @@
     , replicas_(TurnReplicasHooks{hooks_.now_,
                                   hooks_.after_,
                                   hooks_.store_,
-                                  [this](const PartitionId &partition) { return peers_.isHolder(partition); }},
+                                  [this](const PartitionId &partition) { return peers_.isHolder(partition); },
+                                  hooks_.logEvent_},
                 settings_.replicas_)
     , peers_(TurnPeersHooks{hooks_.now_, hooks_.after_, hooks_.holderOf_, hooks_.knowsHolders_, hooks_.askPeer_},
              settings_.peers_,
@@ -262,9 +265,23 @@
     const auto expiresTooEarly = [requiredExpiry](const ChainTurn &ancestor) {
         return ancestor.found_.expires_ < requiredExpiry;
     };
+    const auto expiresEarlier = [](const ChainTurn &left, const ChainTurn &right) {
+        return left.found_.expires_ < right.found_.expires_;
+    };
     const bool mustRenew = std::any_of(turn.chain_.begin(), turn.chain_.end(), expiresTooEarly);
     EndedTurn toStore = mustRenew ? internal::mergeChain(turn) : turn;
-    if (mustRenew && !fits(toStore)) {
+    const bool isMerged = mustRenew && fits(toStore);
+    if (mustRenew) {
+        const ChainTurn &first = *std::min_element(turn.chain_.begin(), turn.chain_.end(), expiresEarlier);
+        d_->hooks_.logEvent_(
+            "chain_renewed",
+            {{"turn", turn.id_},
+             {"turns", turn.chain_.size()},
+             {"first", first.id_},
+             {"left_ms", toMilliseconds(std::max(Duration{0}, first.found_.expires_ - d_->hooks_.now_()))},
+             {"merged", isMerged}});
+    }
+    if (mustRenew && !isMerged) {
         toStore = turn;
         for (const ChainTurn &ancestor : turn.chain_) {
             if (expiresTooEarly(ancestor)) {
--- a/src/ledger/turnstore.h
+++ b/src/ledger/turnstore.h
@@ -47,6 +47,8 @@
     std::function<std::optional<std::string>(const std::string &partition)> holderOf_;
     std::function<bool()> knowsHolders_;
     PeerRequest askPeer_;
+    std::function<void(const std::string &event, const nlohmann::json &fields)> logEvent_ =
+        [](const std::string &, const nlohmann::json &) {};
 };
 
 struct TurnStoreSettings
