Count how long a retained turn is kept from the time in its record

Cause: a node that reads a partition gives each record the whole retention from its own read, however old the record is, and uses this one time both for deletion, where late is safe, and as a promise, where it is not. A node that reads a partition because its holder is silent takes an old turn for a new one, does not renew the chain of the next turn, and the holder deletes the first turn by its own earlier read. The lines turns_deleted and chain_renewed showed it: no second turn that was lost had renewed its chain, and the holder deleted 90 s after its read. Ruled out: a deletion of a renewed record, a clock that jumped, a record that is not found.

Change: the record has the time of day at which it was written. Whoever reads it from the store or from another node counts from there, less 10 s for the difference of two clocks; without a time, or with one of the future, the chain counts as about to be deleted and is stored again with the next turn. Deletion still goes by the deleting node's elapsed time. An append counts from when it was sent, not from its acknowledgement. The 15 s of the renewal margin are now 10 s for clocks and 5 s for the next lookup. The field is optional: former versions skip it, and their records and answers lack it.

Tried before and dropped: to count only from what a node has seen itself, without clocks.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -120,6 +120,7 @@
 {
     TurnStoreHooks hooks;
     hooks.now_ = hooks_.now_;
+    hooks.timeOfDay_ = hooks_.timeOfDay_;
     hooks.after_ = hooks_.after_;
     hooks.store_ = relayedStore_.access();
     hooks.holderOf_ = [this](const std::string &partition) -> std::optional<std::string> {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,6 +46,7 @@
 struct GatewayHooks
 {
     Clock now_; ///< Includes the time during which the VM is suspended.
+    Clock timeOfDay_; ///< Since the Unix epoch; close to that of other nodes, and may step.
     RandomSource random_;
     std::function<std::uint64_t(Duration, std::function<void()>)> after_;
     std::function<void(std::uint64_t timer)> cancelTimer_;
--- a/src/ledger/retainedturn.cpp
+++ b/src/ledger/retainedturn.cpp
@@ -20,9 +20,13 @@
 nlohmann::json RetainedTurn::toJson() const
 {
     const std::uint64_t retentionMs = static_cast<std::uint64_t>(retention_.count()) / 1'000;
-    return {{"ancestors", ancestors_},
-            {"keep_ms", retentionMs},
-            {"text", nlohmann::json::binary({text_.begin(), text_.end()})}};
+    nlohmann::json json = {{"ancestors", ancestors_},
+                           {"keep_ms", retentionMs},
+                           {"text", nlohmann::json::binary({text_.begin(), text_.end()})}};
+    if (storedAt_ > Time{0}) {
+        json["stored_ms"] = static_cast<std::uint64_t>(storedAt_.count()) / 1'000;
+    }
+    return json;
 }
 
 std::optional<RetainedTurn> RetainedTurn::fromJson(const nlohmann::json &json)
@@ -42,6 +46,9 @@
     }
     const std::uint64_t retentionMs = json["keep_ms"].get<std::uint64_t>();
     turn.retention_ = std::chrono::milliseconds(std::min(retentionMs, maxRetentionMs));
+    if (json.contains("stored_ms") && json["stored_ms"].is_number_unsigned()) {
+        turn.storedAt_ = std::chrono::milliseconds(std::min(json["stored_ms"].get<std::uint64_t>(), maxTimeMs));
+    }
     const nlohmann::json::binary_t &text = json["text"].get_binary();
     turn.text_.assign(text.begin(), text.end());
     return turn;
--- a/src/ledger/retainedturn.h
+++ b/src/ledger/retainedturn.h
@@ -24,9 +24,13 @@
      */
     std::string text_;
     Duration retention_{0}; ///< How long the turn is kept after its end.
+    /** By the time of day of the node that wrote the record, in whole milliseconds; 0 in records of former versions. */
+    Time storedAt_{0};
 
     /** A day; longer retentions are clamped. */
     static constexpr std::uint64_t maxRetentionMs = 86'400'000;
+    /** The year 2286; later times are clamped. */
+    static constexpr std::uint64_t maxTimeMs = 9'999'999'999'999;
 
     /** \brief Approximate size in memory, in bytes. */
     std::size_t bytes() const;
--- a/src/ledger/turnpeers.cpp
+++ b/src/ledger/turnpeers.cpp
@@ -58,26 +58,20 @@
     return false;
 }
 
+/** The time left is for nodes of the former version; others go by the time in the record. */
 nlohmann::json encodeTurn(const FoundTurn &found, Time now)
 {
-    const Duration left = std::max<Duration>(Duration{0}, found.expires_ - now);
+    const Duration left = std::max<Duration>(Duration{0}, found.keptUntil_ - now);
     return {{"turn", found.turn_->toJson()}, {"left_ms", static_cast<std::uint64_t>(left.count()) / 1'000}};
 }
 
-FoundTurn decodeTurn(const nlohmann::json &answer, const std::string &id, Time now)
+std::optional<RetainedTurn> decodeTurn(const nlohmann::json &answer, const std::string &id)
 {
     if (!answer.contains("turns") || !answer["turns"].is_object() || !answer["turns"].contains(id)) {
         return {};
     }
     const nlohmann::json &entry = answer["turns"][id];
-    const bool isEntry = entry.is_object() && entry.contains("turn") && entry.contains("left_ms")
-        && entry["left_ms"].is_number_unsigned();
-    std::optional<RetainedTurn> turn = isEntry ? RetainedTurn::fromJson(entry["turn"]) : std::nullopt;
-    if (!turn) {
-        return {};
-    }
-    const std::uint64_t leftMs = std::min(entry["left_ms"].get<std::uint64_t>(), RetainedTurn::maxRetentionMs);
-    return FoundTurn{std::make_shared<const RetainedTurn>(std::move(*turn)), now + std::chrono::milliseconds(leftMs)};
+    return entry.is_object() && entry.contains("turn") ? RetainedTurn::fromJson(entry["turn"]) : std::nullopt;
 }
 
 } // namespace
@@ -180,9 +174,10 @@
 {
     internal::TurnQuery pending{{}, query.deadline_, query.onResult_};
     for (const std::string &turn : query.turns_) {
-        const FoundTurn found = internal::decodeTurn(answer, turn, hooks_.now_());
-        if (found.turn_) {
-            query.onResult_(turn, ChainStatus::Found, found);
+        std::optional<RetainedTurn> found = internal::decodeTurn(answer, turn);
+        if (found) {
+            const RetainedTurnPointer shared = std::make_shared<const RetainedTurn>(std::move(*found));
+            query.onResult_(turn, ChainStatus::Found, replicas_.found(shared));
         } else if (internal::containsId(answer, "missing", turn)) {
             query.onResult_(turn, ChainStatus::Missing, FoundTurn());
         } else if (internal::containsId(answer, "unavailable", turn)) {
--- a/src/ledger/turnreplicas.cpp
+++ b/src/ledger/turnreplicas.cpp
@@ -29,7 +29,14 @@
 struct ReplicaTurn
 {
     FoundTurn found_;
+    Time knownSince_{0}; ///< When this node learned of the record, which was written before.
     std::optional<std::uint64_t> offset_; ///< Empty if the turn was announced and its record not read.
+
+    /** \brief When the turn may be deleted from the store. */
+    Time deletableAt() const
+    {
+        return knownSince_ + found_.turn_->retention_ + TurnReplicas::retentionSlack;
+    }
 };
 
 /** \brief Turns that were removed from a copy. */
@@ -65,6 +72,7 @@
                 const std::string &id,
                 RetainedTurnPointer turn,
                 std::optional<std::uint64_t> offset);
+    FoundTurn found(RetainedTurnPointer turn) const;
     void applyRecord(internal::Replica &replica, const KeyedRecord &record);
     void erase(internal::Replica &replica, const std::string &id);
     void enqueue(std::uint32_t partition);
@@ -113,9 +121,18 @@
         return; // The same record read again does not extend the retention.
     }
     erase(replica, id); // A rewritten record extends the retention.
-    const Time expires = hooks_.now_() + turn->retention_ + retentionSlack;
     bytes_ += turn->bytes();
-    replica.turns_.emplace(id, internal::ReplicaTurn{FoundTurn{std::move(turn), expires}, offset});
+    replica.turns_.emplace(id, internal::ReplicaTurn{found(std::move(turn)), hooks_.now_(), offset});
+}
+
+FoundTurn TurnReplicas::Private::found(RetainedTurnPointer turn) const
+{
+    const Duration age = hooks_.timeOfDay_() - turn->storedAt_;
+    // The clock of the writer is wrong, or this one.
+    const bool isFuture = age < -maxClockDifference;
+    const Duration left = turn->retention_ + retentionSlack - maxClockDifference - age;
+    const bool isKnown = turn->storedAt_ != Time{0} && !isFuture && left > Duration{0};
+    return FoundTurn{std::move(turn), isKnown ? hooks_.now_() + left : Time{0}};
 }
 
 void TurnReplicas::Private::applyRecord(internal::Replica &replica, const KeyedRecord &record)
@@ -322,7 +339,7 @@
     for (std::pair<const std::uint32_t, internal::Replica> &entry : replicas_) {
         internal::Replica &replica = entry.second;
         const bool hasExpired = std::any_of(replica.turns_.begin(), replica.turns_.end(), [now](const auto &turn) {
-            return turn.second.found_.expires_ <= now;
+            return turn.second.deletableAt() <= now;
         });
         if (!hasExpired || now - replica.lastCleanup_ < settings_.cleanupInterval_) {
             continue;
@@ -352,15 +369,13 @@
     const Time now = hooks_.now_();
     internal::ExpiredTurns expired;
     for (auto turn = replica.turns_.begin(); turn != replica.turns_.end();) {
-        if (turn->second.found_.expires_ > now) {
+        if (turn->second.deletableAt() > now) {
             ++turn;
             continue;
         }
-        const FoundTurn &found = turn->second.found_;
         expired.deletions_.push_back(KeyedRecord{turn->first, std::nullopt});
-        expired.knownFor_ =
-            std::min(expired.knownFor_, now - found.expires_ + found.turn_->retention_ + retentionSlack);
-        bytes_ -= found.turn_->bytes();
+        expired.knownFor_ = std::min(expired.knownFor_, now - turn->second.knownSince_);
+        bytes_ -= turn->second.found_.turn_->bytes();
         turn = replica.turns_.erase(turn);
     }
     return expired;
@@ -468,6 +483,11 @@
     d_->insert(replica, id, std::move(turn), std::nullopt);
 }
 
+FoundTurn TurnReplicas::found(RetainedTurnPointer turn) const
+{
+    return d_->found(std::move(turn));
+}
+
 std::size_t TurnReplicas::bytes() const
 {
     return d_->bytes_;
--- a/src/ledger/turnreplicas.h
+++ b/src/ledger/turnreplicas.h
@@ -36,6 +36,7 @@
 struct TurnReplicasHooks
 {
     Clock now_;
+    Clock timeOfDay_; ///< Since the Unix epoch.
     std::function<std::uint64_t(Duration, std::function<void()>)> after_;
     RecordStore store_;
     /** \brief True if this node holds the copy of a partition for all other nodes, and so deletes its expired turns. */
@@ -63,16 +64,20 @@
 struct FoundTurn
 {
     RetainedTurnPointer turn_; ///< Empty if the turn was not found.
-    Time expires_{0};
+    Time keptUntil_{0}; ///< 0 if it is not known when the turn was stored.
 };
 
 /**
  * \brief This node's copies of partitions of retained turns.
  *
  * The id of a turn determines its partition. A partition is read as a whole when one of its turns is first looked up.
- * After that, only the records appended since are read, and only to look up a turn that is not in memory. The holder of
- * a partition deletes a turn once it has known the turn's newest record for the retention and retentionSlack, so that
- * deletion depends neither on the node that wrote the turn nor on a correct time of day.
+ * After that, only the records appended since are read, and only to look up a turn that is not in memory.
+ *
+ * The holder of a partition deletes a turn once it has known the turn's newest record for the retention and
+ * retentionSlack, so that deletion depends neither on the node that wrote the turn nor on a correct time of day. A node
+ * that reads the record later does not know since when the holder, or a former one, has known it. So how long a turn is
+ * kept counts from the time in its record, which assumes that the times of day of nodes differ by maxClockDifference at
+ * most.
  */
 class TurnReplicas
 {
@@ -80,6 +85,8 @@
     using LookupCallback = std::function<void(ChainStatus, const FoundTurn &)>;
     /** Time for which a turn stays in the store beyond its retention, since clocks differ and requests are delayed. */
     static constexpr Duration retentionSlack{30'000'000};
+    /** Largest assumed difference between the times of day of two nodes. */
+    static constexpr Duration maxClockDifference{10'000'000};
 
     TurnReplicas(TurnReplicasHooks hooks, TurnReplicasSettings settings);
     ~TurnReplicas();
@@ -91,6 +98,8 @@
     void find(const std::string &turn, LookupCallback onResult);
     /** \brief Adds a turn that is known to be in the store, without reading it. */
     void insert(const std::string &id, RetainedTurnPointer turn);
+    /** \brief A turn with the time until which it is kept, by the time in its record. */
+    FoundTurn found(RetainedTurnPointer turn) const;
     /** \brief Drops all turns and lookups; no hook is called afterwards. */
     void stop();
     /** \brief Bytes of the turns in memory. */
--- a/src/ledger/turnstore.cpp
+++ b/src/ledger/turnstore.cpp
@@ -12,10 +12,11 @@
 namespace {
 
 /**
- * Ancestors that would expire earlier than this after the retention of the new turn are stored again: the whole chain
- * is merged into the record of the new turn or, if that is too large, only those ancestors are appended again.
+ * Ancestors that may be deleted earlier than this after the retention of the new turn are stored again: the whole chain
+ * is merged into the record of the new turn or, if that is too large, only those ancestors are appended again. Covers
+ * the time from the end of a response to the lookup for the next turn.
  */
-constexpr Duration renewalMargin{15'000'000};
+constexpr Duration renewalMargin{5'000'000};
 
 /** \brief One lookup of a chain. */
 struct Lookup
@@ -58,7 +59,7 @@
     FoundTurn cached(const std::string &id) const;
     static RetainedTurnPointer recordOf(const EndedTurn &turn);
     void appendRecord(std::uint64_t number, const std::string &id);
-    void onAppended(std::uint64_t number, const std::string &id, StoreStatus status);
+    void onAppended(std::uint64_t number, const std::string &id, const FoundTurn &stored, StoreStatus status);
     void lookUp(const LookupPointer &lookup, const std::vector<std::string> &turns);
     void onTurnResult(const LookupPointer &lookup, const std::string &id, ChainStatus status, const FoundTurn &turn);
     void lookUpAncestors(const LookupPointer &lookup);
@@ -80,6 +81,7 @@
     : hooks_(std::move(hooks))
     , settings_(settings)
     , replicas_(TurnReplicasHooks{hooks_.now_,
+                                  hooks_.timeOfDay_,
                                   hooks_.after_,
                                   hooks_.store_,
                                   [this](const PartitionId &partition) { return peers_.isHolder(partition); },
@@ -95,7 +97,7 @@
 {
     const auto entry = cached_.find(id);
     if (entry != cached_.end()) {
-        entry->second.expires_ = std::max(entry->second.expires_, turn.expires_);
+        entry->second.keptUntil_ = std::max(entry->second.keptUntil_, turn.keptUntil_);
         return;
     }
     cached_.emplace(id, turn);
@@ -132,18 +134,26 @@
     if (pending == pending_.end() || stopped_) {
         return;
     }
+    RetainedTurn record = *pending->second.remaining_.at(id).turn_;
+    record.storedAt_ = hooks_.timeOfDay_();
     StoreAppend append;
     append.to_ = replicas_.partitionId(replicas_.partitionOf(id));
     append.timeout_ = settings_.appendTimeout_;
-    append.records_.push_back(KeyedRecord{id, pending->second.remaining_.at(id).turn_->encode()});
-    hooks_.store_.append_(std::move(append), [self = shared_from_this(), number, id](const StoreAppendResult &result) {
+    append.records_.push_back(KeyedRecord{id, record.encode()});
+    const Time keptUntil = hooks_.now_() + record.retention_ + TurnReplicas::retentionSlack;
+    const FoundTurn stored{std::make_shared<const RetainedTurn>(std::move(record)), keptUntil};
+    const auto onResult = [self = shared_from_this(), number, id, stored](const StoreAppendResult &result) {
         if (!self->stopped_) {
-            self->onAppended(number, id, result.status_);
+            self->onAppended(number, id, stored, result.status_);
         }
-    });
+    };
+    hooks_.store_.append_(std::move(append), onResult);
 }
 
-void TurnStore::Private::onAppended(std::uint64_t number, const std::string &id, StoreStatus status)
+void TurnStore::Private::onAppended(std::uint64_t number,
+                                    const std::string &id,
+                                    const FoundTurn &stored,
+                                    StoreStatus status)
 {
     const auto found = pending_.find(number);
     if (found == pending_.end()) {
@@ -155,11 +165,9 @@
         return;
     }
     internal::PendingStore &pending = found->second;
-    FoundTurn turn = std::move(pending.remaining_.at(id));
     pending.remaining_.erase(id);
-    turn.expires_ = hooks_.now_() + turn.turn_->retention_ + TurnReplicas::retentionSlack;
-    cache(id, turn);
-    peers_.announce(id, turn.turn_);
+    cache(id, stored);
+    peers_.announce(id, stored.turn_);
     if (pending.remaining_.empty()) {
         const std::function<void()> onDurable = std::move(pending.onDurable_);
         pending_.erase(found);
@@ -261,12 +269,12 @@
     const std::uint64_t number = d_->nextNumber_++;
     internal::PendingStore pending;
     pending.onDurable_ = std::move(onDurable);
-    const Time requiredExpiry = d_->hooks_.now_() + turn.retention_ + internal::renewalMargin;
-    const auto expiresTooEarly = [requiredExpiry](const ChainTurn &ancestor) {
-        return ancestor.found_.expires_ < requiredExpiry;
+    const Time mustBeKeptUntil = d_->hooks_.now_() + turn.retention_ + internal::renewalMargin;
+    const auto expiresTooEarly = [mustBeKeptUntil](const ChainTurn &ancestor) {
+        return ancestor.found_.keptUntil_ < mustBeKeptUntil;
     };
     const auto expiresEarlier = [](const ChainTurn &left, const ChainTurn &right) {
-        return left.found_.expires_ < right.found_.expires_;
+        return left.found_.keptUntil_ < right.found_.keptUntil_;
     };
     const bool mustRenew = std::any_of(turn.chain_.begin(), turn.chain_.end(), expiresTooEarly);
     EndedTurn toStore = mustRenew ? internal::mergeChain(turn) : turn;
@@ -278,7 +286,7 @@
             {{"turn", turn.id_},
              {"turns", turn.chain_.size()},
              {"first", first.id_},
-             {"left_ms", toMilliseconds(std::max(Duration{0}, first.found_.expires_ - d_->hooks_.now_()))},
+             {"left_ms", toMilliseconds(std::max(Duration{0}, first.found_.keptUntil_ - d_->hooks_.now_()))},
              {"merged", isMerged}});
     }
     if (mustRenew && !isMerged) {
--- a/src/ledger/turnstore.h
+++ b/src/ledger/turnstore.h
@@ -41,6 +41,7 @@
 struct TurnStoreHooks
 {
     Clock now_;
+    Clock timeOfDay_; ///< Since the Unix epoch.
     std::function<std::uint64_t(Duration, std::function<void()>)> after_;
     RecordStore store_;
     /** \sa TurnPeersHooks */
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -322,6 +322,7 @@
     const std::shared_ptr<bool> alive = alive_[node];
     GatewayHooks hooks;
     hooks.now_ = [this] { return queue_.now(); };
+    hooks.timeOfDay_ = hooks.now_;
     hooks.random_ = [this] { return random_(); };
     hooks.after_ = [this, node, alive](Duration delay, std::function<void()> task) {
         const auto runIfAlive = [alive, task = std::move(task)] {
--- a/test/gateway/turnrecovery.cpp
+++ b/test/gateway/turnrecovery.cpp
@@ -98,6 +98,7 @@
     {
         TurnStoreHooks hooks;
         hooks.now_ = [this] { return rig_.queue_.now(); };
+        hooks.timeOfDay_ = hooks.now_;
         hooks.after_ = [this](Duration delay, std::function<void()> task) {
             rig_.queue_.after(delay, std::move(task));
             return std::uint64_t{0};
--- a/test/gateway/turnstorelifetime.cpp
+++ b/test/gateway/turnstorelifetime.cpp
@@ -16,6 +16,7 @@
     {
         TurnStoreHooks hooks;
         hooks.now_ = [this] { return queue_.now(); };
+        hooks.timeOfDay_ = hooks.now_;
         hooks.after_ = [this](Duration delay, std::function<void()> task) {
             queue_.after(delay, std::move(task));
             return std::uint64_t{0};
