Do not relay a 402 of another node if an attempt may have run

Cause: such a node gives up on an attempt that stays silent, which may have run, and passes the request on. It relays the other node's refusal unless the status is one of 408, 421, 429 and 503; 402 is a promise of the same kind and was missing there, as it was in GatewayCall::refuse(), which knew 503 and 429 only. request_ended outcome=refused_by_peer status=402 runs=1 at the cut node showed it. Ruled out: a 402 of an engine (none has one).

RefusalOfAPeer Status402 failed before (402 where 502 is due); 408, 421, 429 and 503 held before.

--- a/src/gateway/forwardedcall.cpp
+++ b/src/gateway/forwardedcall.cpp
@@ -8,16 +8,6 @@
 // The part of GatewayCall that passes a request on to another node while this one is cut off from all endpoints.
 namespace filbertgw::internal {
 
-namespace {
-
-/** True for statuses that promise that the request has not run. */
-bool isPromiseNotRun(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
-} // namespace
-
 bool GatewayCall::mustForward() const
 {
     const bool mayForward = gateway_->hooks_.forward_ && !request_->isForwarded_ && !isRelayStarted_;
@@ -156,7 +146,7 @@
     // A node passes a success on with the endpoint's stamp.
     const bool isStamped = head_.fromEndpoint_ || head_.status_ / 100 != 2;
     const bool isWhole = ended == AttemptEnd::Complete && head_.status_ != 0 && isStamped;
-    const bool isRefusal = isWhole && isPromiseNotRun(head_.status_);
+    const bool isRefusal = isWhole && promisesNotRun(head_.status_);
     if (step_ == Step::Relaying) {
         if (!isWhole || splitter_.isInsideEvent()) {
             abortResponse("peer_broke_off");
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -242,10 +242,7 @@
     if (step_ == Step::Ended) {
         return;
     }
-    // Whatever the reason is: a 503 or 429 promises that the request has not run.
-    if (runs_ > 0 && (statusOf(reason) == 503 || statusOf(reason) == 429)) {
-        reason = RefusalReason::OutcomeUnknown;
-    }
+    reason = truthfulReason(reason, mayHaveRun());
     const int status =
         request_->isForwarded_ && reason == RefusalReason::Unreachable ? misdirectedStatus : statusOf(reason);
     if (isRelayStarted_) {
--- a/src/routing/gatewaytypes.cpp
+++ b/src/routing/gatewaytypes.cpp
@@ -89,4 +89,14 @@
     return 503;
 }
 
+bool promisesNotRun(int status)
+{
+    return status == 402 || status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+RefusalReason truthfulReason(RefusalReason reason, bool mayHaveRun)
+{
+    return mayHaveRun && promisesNotRun(statusOf(reason)) ? RefusalReason::OutcomeUnknown : reason;
+}
+
 } // namespace filbertgw
--- a/src/routing/gatewaytypes.h
+++ b/src/routing/gatewaytypes.h
@@ -219,6 +219,16 @@
 /** \brief HTTP status code for a refusal. */
 int statusOf(RefusalReason reason);
 
+/** \brief True for status codes that promise that the request has not run and never will. */
+bool promisesNotRun(int status);
+
+/**
+ * \brief The reason that a client may be told.
+ *
+ * If an attempt may have run, this is OutcomeUnknown in place of each reason whose status promises the opposite.
+ */
+RefusalReason truthfulReason(RefusalReason reason, bool mayHaveRun);
+
 } // namespace filbertgw
 
 #endif
