Let another node run a turn within the reservation of the first one

Cause: the node releases the reservation of a turn when it passes the request on, but the release is recorded 150 ms later at the earliest. The other node reserves the turn a second time and finds the budget spent: budget_refused budget=628 tokens=264 spent=528 own=0, where 264 are the turn's own first reservation. Ruled out: tokens of the first turn that were never released (the same turns are served without the cut).

Change: the node keeps its reservation, says so in a header between nodes, and settles it by the events that its client has got; the other node then reserves nothing. Tokens count at the node that hands them out, so that two runs of one attempt count once. If the targets of a route make events of different sizes, the largest counts. A node of the version before reserves again: its 402 is not relayed while this node holds the reservation.

--- a/src/gateway/forwardedcall.cpp
+++ b/src/gateway/forwardedcall.cpp
@@ -32,7 +32,6 @@
 
 void GatewayCall::forwardTo(const FleetMember &node)
 {
-    settleBudget(); // The other node reserves what the request needs.
     returnPermit();
     step_ = Step::Forwarding;
     forwardedTo_ = node.name_;
@@ -44,6 +43,7 @@
     forwarded.address_ = node.linkAddress_;
     forwarded.request_ = request_;
     forwarded.timeLeft_ = timeLeft();
+    forwarded.isBudgetReserved_ = grant_.decision_ == BudgetDecision::Granted;
     forwarded.maxResponseBytes_ = gateway_->settings_.maxResponseBytes_;
     forwarded.maxIdleAge_ = maxIdleAge();
     gateway_->hooks_.logEvent_(
@@ -108,7 +108,7 @@
     }
 }
 
-/** The other node accounts for the events and retains the turn. */
+/** The other node retains the turn, and reserves its tokens if this one has not. */
 void GatewayCall::relayForwardedEvents(const std::string &part)
 {
     bool isValid = splitter_.add(part);
@@ -116,6 +116,7 @@
     while (isValid && splitter_.next(event)) {
         isValid = sequence_.take(event);
         if (isValid) {
+            ++relayedEvents_;
             reply_->write(event.bytes_);
         }
     }
@@ -147,6 +148,9 @@
     const bool isStamped = head_.fromEndpoint_ || head_.status_ / 100 != 2;
     const bool isWhole = ended == AttemptEnd::Complete && head_.status_ != 0 && isStamped;
     const bool isRefusal = isWhole && promisesNotRun(head_.status_);
+    // A node of the version before reserves the turn again and may find the budget spent by this node's reservation.
+    const bool isFalseRefusal =
+        head_.status_ == statusOf(RefusalReason::BudgetSpent) && grant_.decision_ == BudgetDecision::Granted;
     if (step_ == Step::Relaying) {
         if (!isWhole || splitter_.isInsideEvent()) {
             abortResponse("peer_broke_off");
@@ -156,7 +160,7 @@
         end("served_by_peer");
         return;
     }
-    if (isWhole && !head_.isMisdirected_ && (!isRefusal || runs_ == 0)) {
+    if (isWhole && !head_.isMisdirected_ && !isFalseRefusal && (!isRefusal || runs_ == 0)) {
         const std::string contentType = relayHeaders();
         reply_->send(head_.status_, contentType, responseBody_);
         releaseText(responseBody_); // Timers may keep the ended call for a while.
--- a/src/gateway/gatewaycall.cpp
+++ b/src/gateway/gatewaycall.cpp
@@ -302,6 +302,11 @@
         place();
         return;
     }
+    if (request_->isForwarded_ && request_->isBudgetReserved_) {
+        grantBasis_ = GrantBasis::ForwardingNode;
+        place();
+        return;
+    }
     TurnReservation turn;
     turn.program_ = request_->scopedProgram();
     turn.clientProgram_ = request_->program_;
--- a/src/gateway/gatewaycall.h
+++ b/src/gateway/gatewaycall.h
@@ -229,7 +229,10 @@
     void end(const char *outcome);
     /** \brief Counts the request for its account. */
     void countForAccount(const std::string &outcome);
+    /** \brief Replaces the reservation of the turn by the tokens that the client has got. */
     void settleBudget();
+    /** \brief Tokens of an event; of a request that was passed on, the most that any target of its route makes. */
+    std::uint64_t mostTokensPerEvent() const;
     bool retainsTurn() const;
     /** \brief Time within which the client may send the turn again. */
     Duration turnRepeatTime() const;
--- a/src/gateway/gatewayresponse.cpp
+++ b/src/gateway/gatewayresponse.cpp
@@ -3,6 +3,7 @@
 #include "core/numbers.h"
 #include "memory/releasetext.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -309,10 +310,30 @@
     refuse(mayHaveRun() ? RefusalReason::TimedOut : RefusalReason::EndpointsFull);
 }
 
+namespace {
+
+std::uint64_t tokensPerEvent(const Service *service)
+{
+    return service != nullptr && service->engine_ ? service->engine_->tokensPerEvent_ : 1;
+}
+
+} // namespace
+
+std::uint64_t GatewayCall::mostTokensPerEvent() const
+{
+    if (forwardedTo_.empty()) {
+        return tokensPerEvent(service_);
+    }
+    std::uint64_t most = 1;
+    for (const RouteTarget &target : route_->targets_) {
+        most = std::max(most, tokensPerEvent(routing_->service(target.service_)));
+    }
+    return most;
+}
+
 void GatewayCall::settleBudget()
 {
-    const std::uint64_t each = service_ != nullptr && service_->engine_ ? service_->engine_->tokensPerEvent_ : 1;
-    gateway_->budget_.settle(grant_, relayedEvents_ * each);
+    gateway_->budget_.settle(grant_, relayedEvents_ * mostTokensPerEvent());
     grant_ = BudgetGrant();
 }
 
--- a/src/ledger/budgetcontroller.h
+++ b/src/ledger/budgetcontroller.h
@@ -28,12 +28,13 @@
     Peer, ///< A reservation that another node has recorded.
     Coordinator, ///< The coordinator's decision without the store, on a first turn.
     Replicas, ///< The same on a later turn, which replicas of the coordinator have acknowledged.
+    ForwardingNode, ///< The node that has passed the request on holds the reservation.
 };
 
 template<>
 struct NameTable<GrantBasis>
 {
-    static constexpr std::array<std::pair<GrantBasis, std::string_view>, 8> entries{{
+    static constexpr std::array<std::pair<GrantBasis, std::string_view>, 9> entries{{
         {GrantBasis::None, "none"},
         {GrantBasis::Allowance, "allowance"},
         {GrantBasis::PeerAllowance, "peer_allowance"},
@@ -42,6 +43,7 @@
         {GrantBasis::Peer, "peer"},
         {GrantBasis::Coordinator, "coordinator"},
         {GrantBasis::Replicas, "replicas"},
+        {GrantBasis::ForwardingNode, "forwarding_node"},
     }};
 };
 
--- a/src/routing/gatewaytypes.h
+++ b/src/routing/gatewaytypes.h
@@ -53,6 +53,7 @@
     std::string scope_; ///< Of its ids; empty without accounts. \sa accountScope()
     bool hasAccounts_ = false; ///< The configuration has client accounts.
     bool isForwarded_ = false; ///< Another node, which reaches no endpoint, has passed it on; it goes no further.
+    bool isBudgetReserved_ = false; ///< That node holds the reservation of the turn's tokens, and settles it.
 
     // Ids under which state is kept. They differ between accounts whose clients chose the same ids.
     std::string scopedAttempt() const;
@@ -100,6 +101,7 @@
     std::string address_; ///< Of the other node's links. \sa FleetMember::linkAddress_
     std::shared_ptr<const GatewayRequest> request_;
     Duration timeLeft_{0};
+    bool isBudgetReserved_ = false; ///< \sa GatewayRequest::isBudgetReserved_
     std::size_t maxResponseBytes_ = 0;
     Duration maxIdleAge_{0}; ///< \sa EndpointAttempt::maxIdleAge_
 };
--- a/test/gateway/forwardedbudgets.cpp
+++ b/test/gateway/forwardedbudgets.cpp
@@ -49,6 +49,12 @@
         rig_.run(milliseconds(2'900));
         return client;
     }
+    std::shared_ptr<ClientResponse> servedTurn(std::size_t node, const std::string &id, const std::string &program)
+    {
+        const std::shared_ptr<ClientResponse> client = rig_.send(node, turnWithin(id, program));
+        rig_.run(seconds(2));
+        return client;
+    }
 
     GatewayRig rig_{nodes, {streamingRoute(false, 2, true)}};
     LostAttempt lostAttempt_ = LostAttempt::Silent;
@@ -69,6 +75,43 @@
 
 } // namespace
 
+/** \brief A second turn that another node runs, and what its program gets afterwards. */
+struct ForwardedTurnCase
+{
+    const char *name_;
+    LostAttempt lostAttempt_;
+    std::size_t events_; ///< Of the second turn.
+    int thirdStatus_;
+};
+
+class ForwardedTurn : public testing::TestWithParam<ForwardedTurnCase>
+{
+};
+
+// Guards against a turn that is refused for its own reservation when another node goes on with it, and against turns of
+// other nodes that are not counted.
+TEST_P(ForwardedTurn, UsesTheReservationOfTheNodeThatPassesItOn)
+{
+    CutNode world;
+    ASSERT_EQ(world.servedTurn(0, "t1", "p")->status_, 200);
+    world.isCut_ = true;
+    world.lostAttempt_ = GetParam().lostAttempt_;
+    world.events_ = GetParam().events_;
+    const std::shared_ptr<ClientResponse> second = world.secondTurn("p");
+    EXPECT_EQ(second->status_, 200) << second->body_;
+    EXPECT_TRUE(second->ended_);
+    world.rig_.run(seconds(2));
+    EXPECT_EQ(world.servedTurn(1, "t3", "p")->status_, GetParam().thirdStatus_);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         ForwardedTurn,
+                         testing::Values(ForwardedTurnCase{"Silent", LostAttempt::Silent, 3, 402},
+                                         ForwardedTurnCase{"NotSent", LostAttempt::NotSent, 3, 402},
+                                         ForwardedTurnCase{"SilentShort", LostAttempt::Silent, 1, 200},
+                                         ForwardedTurnCase{"NotSentShort", LostAttempt::NotSent, 1, 200}),
+                         [](const testing::TestParamInfo<ForwardedTurnCase> &info) { return info.param.name_; });
+
 class RefusalOfAPeer : public testing::TestWithParam<int>
 {
 };
--- a/test/gateway/gatewayrig.cpp
+++ b/test/gateway/gatewayrig.cpp
@@ -303,6 +303,7 @@
         GatewayRequest request = asReceivedByPeer(*forwarded.request_);
         request.timeLeft_ = forwarded.timeLeft_;
         request.isForwarded_ = true;
+        request.isBudgetReserved_ = forwarded.isBudgetReserved_;
         queue_.after(std::chrono::milliseconds(1), [this, i, request, reply] {
             if (nodes_[i]) {
                 nodes_[i]->onRequest(request, reply);
