Do not take the end of a reset connection for the end of an answer

Cause: a socket reports its error once. While the upload waits for room, one reactor event serves the write before the read; the write takes ECONNRESET and its handler leaves everything to the read, which meets a plain end of the connection, and that ends an answer without a length. The same reset after the whole upload, or with a length or chunks, was noticed before, which rules out the parser.

Change: an answer without a length counts as whole only if its connection ends and the whole request has been written. If the connection ends while the write still runs, the write decides: an engine that closes only its side and reads on has given a whole answer. Early answers with a length or chunks count as before. All answers of engines, probes, cache lists, the store and other nodes are read by HttpClient.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -23,6 +23,13 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
+/** \brief Progress of writing a request. */
+enum class WriteState : std::uint8_t {
+    Running,
+    Whole,
+    Failed,
+};
+
 /** \brief A call and the state of its exchange. */
 struct Exchange
 {
@@ -44,6 +51,8 @@
     std::size_t received_ = 0; ///< Bytes of the body that were passed on.
     std::size_t consumed_ = 0; ///< Bytes from the connection, with all framing and skipped answers.
     bool sent_ = false; ///< At least one byte may have been sent.
+    WriteState write_ = WriteState::Running;
+    bool awaitsWrite_ = false; ///< The connection has ended: whether the answer is whole depends on the write.
     bool reused_ = false;
     bool headReported_ = false;
     bool skipping_ = false; ///< The answer that arrives belongs to another request.
@@ -92,6 +101,8 @@
     void write(const internal::ExchangePointer &exchange);
     void readAnswer(const internal::ExchangePointer &exchange);
     void received(const internal::ExchangePointer &exchange, bool atEnd);
+    /** \brief The write of the request has ended, completely or with an error. */
+    void written(const internal::ExchangePointer &exchange, internal::WriteState state, std::size_t size);
     /** \brief Passes the head on, once. \return false if the hook ended the exchange. */
     bool reportHead(const internal::ExchangePointer &exchange);
     /** \brief Passes the body bytes of the last read on. \return false if the hook ended the exchange. */
@@ -218,24 +229,37 @@
     if (!exchange->call_.echoHeader_.empty()) {
         exchange->wire_->addId(exchange->call_.echoValue_);
     }
-    const auto written = [self = shared_from_this(), exchange](const boost::system::error_code &error,
-                                                               std::size_t size) {
-        releaseText(exchange->output_);
-        exchange->body_ = nullptr;
-        if (error && !exchange->done_ && size == 0) {
-            // The kernel took no byte of it.
-            exchange->sent_ = false;
-            self->end(exchange, HttpOutcome::NotConnected);
-        }
-        // After another error the read below still finds an early answer such as 413, or the end.
+    const auto onWritten = [self = shared_from_this(), exchange](const boost::system::error_code &error,
+                                                                 std::size_t size) {
+        self->written(exchange, error ? internal::WriteState::Failed : internal::WriteState::Whole, size);
     };
     const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(exchange->output_),
                                                            exchange->body_ ? boost::asio::buffer(*exchange->body_)
                                                                            : boost::asio::const_buffer()};
-    boost::asio::async_write(exchange->wire_->socket_, buffers, written);
+    boost::asio::async_write(exchange->wire_->socket_, buffers, onWritten);
     readAnswer(exchange);
 }
 
+void HttpClient::Private::written(const internal::ExchangePointer &exchange,
+                                  internal::WriteState state,
+                                  std::size_t size)
+{
+    releaseText(exchange->output_);
+    exchange->body_ = nullptr;
+    if (exchange->done_) {
+        return;
+    }
+    exchange->write_ = state;
+    if (state == internal::WriteState::Failed && size == 0) {
+        // The kernel took no byte of it.
+        exchange->sent_ = false;
+        end(exchange, HttpOutcome::NotConnected);
+    } else if (exchange->awaitsWrite_) {
+        received(exchange, true);
+    }
+    // After another error the read still finds an early answer such as 413, or the end.
+}
+
 void HttpClient::Private::readAnswer(const internal::ExchangePointer &exchange)
 {
     internal::HttpWire &wire = *exchange->wire_;
@@ -282,7 +306,8 @@
         }
     }
     if (atEnd && !exchange->parser_->is_done()) {
-        if (!exchange->parser_->got_some()) {
+        // The write may have taken the error of a reset from the socket; the read then meets a plain end.
+        if (!exchange->parser_->got_some() || exchange->write_ != internal::WriteState::Whole) {
             return false;
         }
         exchange->parser_->put_eof(error);
@@ -346,6 +371,12 @@
 
 void HttpClient::Private::received(const internal::ExchangePointer &exchange, bool atEnd)
 {
+    const internal::HttpAnswerParser &started = *exchange->parser_;
+    const bool endsWithConnection = started.is_header_done() && !started.is_done() && started.need_eof();
+    if (atEnd && endsWithConnection && exchange->write_ == internal::WriteState::Running) {
+        exchange->awaitsWrite_ = true;
+        return;
+    }
     if (!parse(exchange, atEnd)) {
         end(exchange, HttpOutcome::Interrupted);
         return;
--- a/test/platform/enginefaults.cpp
+++ b/test/platform/enginefaults.cpp
@@ -330,11 +330,13 @@
 
     std::string askClient(const std::string &path,
                           const std::string &version,
-                          const std::function<void(const std::string &)> &onBytes = nullptr)
+                          const std::function<void(const std::string &)> &onBytes = nullptr,
+                          std::size_t uploadBytes = 0)
     {
         return ask(clientPort_,
                    "POST " + path + " HTTP/" + version + "\r\nHost: h\r\nConnection: close\r\n"
-                       + "X-Filbertgw-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n",
+                       + "X-Filbertgw-Attempt-Id: a1\r\nContent-Length: " + std::to_string(uploadBytes) + "\r\n\r\n"
+                       + std::string(uploadBytes, 'x'),
                    onBytes);
     }
 
@@ -359,6 +361,7 @@
     std::string start_;
     std::string end_;
     const char *version_ = "1.1";
+    std::size_t uploadBytes_ = 0; ///< Of the request's body. Engines read its first bytes only.
 };
 
 class EngineFault : public NodeFixture, public testing::WithParamInterface<EngineFaultCase>
@@ -370,7 +373,7 @@
 {
     engines_.scripts_ = GetParam().scripts_;
     startNode();
-    const std::string answer = askClient(GetParam().path_, GetParam().version_);
+    const std::string answer = askClient(GetParam().path_, GetParam().version_, nullptr, GetParam().uploadBytes_);
     EXPECT_EQ(answer.substr(0, GetParam().start_.size()), GetParam().start_) << answer;
     const std::string end = answer.substr(answer.size() - std::min(answer.size(), GetParam().end_.size()));
     EXPECT_EQ(end, GetParam().end_) << answer;
@@ -392,6 +395,8 @@
 const std::string lastChunk = "0\r\n\r\n";
 const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
 const std::string badGateway = "HTTP/1.1 502";
+const std::string unframedAnswer = "HTTP/1.1 200 OK\r\n" + stamped + "\r\nthe begin of a text";
+constexpr std::size_t uploadBytes = 3'000'000;
 
 } // namespace
 
@@ -485,6 +490,49 @@
             chunkOne + chunkTwo + lastChunk}),
     [](const testing::TestParamInfo<EngineFaultCase> &info) { return info.param.name_; });
 
+// An engine that answers a long upload before it has read it. A reset may take the place of the rest of its answer.
+INSTANTIATE_TEST_SUITE_P(
+    Upload,
+    EngineFault,
+    testing::Values(
+        EngineFaultCase{"ResetOnce", "/once", {{unframedAnswer, End::Reset}}, 1, badGateway, "}", "1.1", uploadBytes},
+        EngineFaultCase{"ClosedOnce", "/once", {{unframedAnswer, End::Close}}, 1, badGateway, "}", "1.1", uploadBytes},
+        EngineFaultCase{"ResetAgain",
+                        "/again",
+                        {{unframedAnswer, End::Reset}, {wholeAnswer}},
+                        2,
+                        "HTTP/1.1 200",
+                        "\r\n\r\nhi",
+                        "1.1",
+                        uploadBytes},
+        EngineFaultCase{"StreamReset",
+                        "/stream",
+                        {{streamHead + "\r\n" + one, End::Reset}},
+                        1,
+                        "HTTP/1.1 200",
+                        chunkOne,
+                        "1.1",
+                        uploadBytes},
+        EngineFaultCase{"StreamResumed",
+                        "/resume",
+                        {{streamHead + "\r\n" + one, End::Reset}, {streamHead + chunked + chunkTwo + lastChunk}},
+                        2,
+                        "HTTP/1.1 200",
+                        chunkOne + chunkTwo + lastChunk,
+                        "1.1",
+                        uploadBytes},
+        EngineFaultCase{"WholeRefusalReset",
+                        "/once",
+                        {{"HTTP/1.1 413 Large\r\n" + stamped + "Content-Length: 2\r\n\r\nno", End::Reset}},
+                        1,
+                        "HTTP/1.1 413",
+                        "\r\n\r\nno",
+                        "1.1",
+                        uploadBytes},
+        EngineFaultCase{
+            "WholeAnswerKept", "/once", {{wholeAnswer}}, 1, "HTTP/1.1 200", "\r\n\r\nhi", "1.1", uploadBytes}),
+    [](const testing::TestParamInfo<EngineFaultCase> &info) { return info.param.name_; });
+
 /** \brief How the node ends while it relays a stream. */
 struct NodeEndCase
 {
