Reject answers with a line of the head that begins with a blank

Callers could get an engine's answer in which a field line with a blank before its name stands in the value of the field before it; where that line is the length, the body ends with the connection instead (users' report on MIXED, field names with a blank).

Cause: Beast joins such a line to the value before it, as HTTP allows a recipient to do with folded lines. The sender may have meant a field, so neither the head nor the body is surely the engine's.

Change: a head with such a line is no answer, wherever answers are read, interim answers and late answers to other requests included.

--- a/src/net/httpanswerparser.cpp
+++ b/src/net/httpanswerparser.cpp
@@ -36,6 +36,16 @@
     eager(true);
 }
 
+bool HttpAnswerParser::hasFoldedLine(std::string_view bytes)
+{
+    const std::size_t end = bytes.find("\r\n\r\n");
+    if (end == std::string_view::npos) {
+        return false;
+    }
+    const std::string_view head = bytes.substr(0, end);
+    return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
 void HttpAnswerParser::on_response_impl(int status, StringView reason, int, Error &error)
 {
     head_.status_ = status;
--- a/src/net/httpanswerparser.h
+++ b/src/net/httpanswerparser.h
@@ -4,6 +4,8 @@
 #include "net/httpbodyparser.h"
 #include "net/httptypes.h"
 
+#include <string_view>
+
 namespace filbertgw::internal {
 
 /** \brief Collects the body bytes that one read brought; included by the .cpp files of this module only. */
@@ -12,6 +14,9 @@
 public:
     HttpAnswerParser();
 
+    /** \brief True if these bytes begin with a whole head of which a line begins with a blank. */
+    static bool hasFoldedLine(std::string_view bytes);
+
     HttpHead head_;
     std::string body_;
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -72,6 +72,11 @@
 
 using ExchangePointer = std::shared_ptr<Exchange>;
 
+std::string_view textOf(const boost::beast::flat_buffer &buffer)
+{
+    return {static_cast<const char *>(buffer.cdata().data()), buffer.size()};
+}
+
 /** \return the id that the server echoes, if the call has one. */
 std::optional<std::string> idOf(const HttpCall &call)
 {
@@ -288,6 +293,11 @@
     internal::HttpWire &wire = *exchange->wire_;
     boost::system::error_code error;
     while (wire.input_.size() > 0 && !exchange->parser_->is_done()) {
+        // Beast would join the line to the value before it, though its sender may have meant a field.
+        if (!exchange->parser_->is_header_done()
+            && internal::HttpAnswerParser::hasFoldedLine(internal::textOf(wire.input_))) {
+            return false;
+        }
         const std::size_t used = exchange->parser_->put(wire.input_.data(), error);
         wire.input_.consume(used);
         exchange->consumed_ += used;
