--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -111,6 +111,15 @@
         node.fleet_ = std::make_unique<Fleet>(std::move(hooks), std::move(settings));
     }
 
+    /** \brief Ends a node and starts it again at once, with nothing of what it knew. */
+    void restart(std::size_t number)
+    {
+        const std::string domain = "domain" + std::to_string(number % 5);
+        nodes_["node" + std::to_string(number)].fleet_.reset();
+        add(number, domain);
+        nodes_["node" + std::to_string(number)].fleet_->start();
+    }
+
     void runFor(Duration time)
     {
         queue_.runUntil(queue_.now() + time);
@@ -254,4 +263,38 @@
     EXPECT_LE(rig.sent_ - before, std::size_t{195 * 10 * 36});
 }
 
+/** \brief Nodes that are restarted at once in a fleet. */
+struct QuickRestart
+{
+    const char *name_;
+    std::size_t nodes_;
+    std::size_t restarted_;
+};
+
+class RestartedNodes : public testing::TestWithParam<QuickRestart>
+{
+};
+
+// Guards against nodes that do not learn of a restart, because the node is back before it would count as dead.
+TEST_P(RestartedNodes, CountAsLostAtAllOthers)
+{
+    FleetRig rig(GetParam().nodes_);
+    const Time before = rig.queue_.now();
+    for (std::size_t i = 0; i < GetParam().restarted_; ++i) {
+        rig.restart(i);
+    }
+    rig.runFor(std::chrono::milliseconds(1'500));
+    for (std::size_t i = GetParam().restarted_; i < GetParam().nodes_; ++i) {
+        const Fleet &fleet = *rig.nodes_["node" + std::to_string(i)].fleet_;
+        EXPECT_EQ(fleet.lostSince(before), GetParam().restarted_) << "node" << i;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         RestartedNodes,
+                         testing::Values(QuickRestart{"OneOfTen", 10, 1},
+                                         QuickRestart{"ThreeOfThirty", 30, 3},
+                                         QuickRestart{"ThreeOfEightyEight", 88, 3}),
+                         [](const testing::TestParamInfo<QuickRestart> &info) { return info.param.name_; });
+
 } // namespace filbertgw::test
--- a/test/gateway/forgottenturns.cpp
+++ b/test/gateway/forgottenturns.cpp
@@ -1,5 +1,8 @@
 #include "serialprogram.h"
 
+#include "core/stablehash.h"
+#include "ledger/grantwitness.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -187,4 +190,64 @@
                            }}),
     [](const testing::TestParamInfo<ForgottenTurnsCase> &info) { return info.param.name_; });
 
+namespace {
+
+/** The nodes that decide about the program without the store: its coordinator and the replicas. */
+std::vector<std::size_t> decidersOf(const SerialProgram &program)
+{
+    std::vector<std::pair<std::uint64_t, std::size_t>> ranked;
+    for (std::size_t node = 0; node < program.rig_.nodes_.size(); ++node) {
+        ranked.emplace_back(stableHash("node" + std::to_string(node) + "/p"), node);
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<std::size_t> deciders;
+    for (std::size_t i = 0; i < GrantWitness::maxCopies; ++i) {
+        deciders.push_back(ranked[i].second);
+    }
+    return deciders;
+}
+
+/** Those nodes are killed shortly before the store is back, and are up again before they would count as dead. */
+void restartDeciders(SerialProgram &program, std::size_t next)
+{
+    const std::vector<std::size_t> deciders = decidersOf(program);
+    program.runOtherProgram();
+    program.rig_.store_.down_ = true;
+    program.rig_.run(milliseconds(1'400));
+    for (int turns = 0; turns < 3; ++turns) {
+        program.turnAt(deciders.front());
+    }
+    program.rig_.run(milliseconds(2'000));
+    for (const std::size_t node : deciders) {
+        program.rig_.kill(node);
+    }
+    program.rig_.run(milliseconds(100));
+    for (const std::size_t node : deciders) {
+        program.rig_.restart(node);
+    }
+    program.rig_.run(milliseconds(150));
+    program.rig_.store_.down_ = false;
+    program.rig_.run(seconds(6));
+    for (int turns = 0; turns < 20 && !program.isSpent_; ++turns) {
+        program.turnAt(next);
+    }
+}
+
+std::function<void(SerialProgram &)> restartDecidersThenAskNode(std::size_t node)
+{
+    return [node](SerialProgram &program) { restartDeciders(program, node); };
+}
+
+} // namespace
+
+INSTANTIATE_TEST_SUITE_P(DecidersRestarted,
+                         ForgottenTurns,
+                         testing::Values(ForgottenTurnsCase{"Of20Ask0", 20, 7, restartDecidersThenAskNode(0)},
+                                         ForgottenTurnsCase{"Of30Ask0", 30, 7, restartDecidersThenAskNode(0)},
+                                         ForgottenTurnsCase{"Of30Ask1", 30, 7, restartDecidersThenAskNode(1)},
+                                         ForgottenTurnsCase{"Of30Ask2", 30, 7, restartDecidersThenAskNode(2)},
+                                         ForgottenTurnsCase{"Of30Ask13", 30, 7, restartDecidersThenAskNode(13)},
+                                         ForgottenTurnsCase{"Of60Ask29", 60, 7, restartDecidersThenAskNode(29)}),
+                         [](const testing::TestParamInfo<ForgottenTurnsCase> &info) { return info.param.name_; });
+
 } // namespace filbertgw::test
