Do not divide the fleet into groups by the names of former nodes

Cause: records of nodes stay in the store. A node that starts counts each name for 15 s from its read. With 17 names of former nodes it took the fleet for a large one, divided it into groups and reported to a part of the others only, who do not divide it and pass nothing on. Half of them did not hear it, so that two nodes coordinated the quota. The test shows it without the quota: with 17 former names the node is not alive to some others for 15 s, without them it is at once.

Change: a name counts for the groups for 0.5 s after its read, then only if the node was heard of. While it is not known of some nodes whether they are gone, the starting node also announces itself to all in turn, without the load that summaries of its group contain. What a majority counts is as before.

Tried before and dropped: to count only nodes that were heard of, with direct reports until there are enough (LoadReports Nodes195: load counted twice); to count names for 2 s (live nodes counted as lost, since the restarted node took the place of the one that sends a summary).

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -36,6 +36,8 @@
 constexpr std::uint64_t roundsPerAccounts = 8;
 /** Accounts of each service in the summary of a group; the others are summed. */
 constexpr std::size_t maxSummaryAccounts = 16;
+/** A node whose record was read counts for the groups for so long if nothing is heard of it: it may be gone. */
+constexpr Duration groupingDelay{500'000};
 /** Endpoints that fail requests in the summary of a group. */
 constexpr std::size_t maxSummaryOutcomes = 64;
 
@@ -106,6 +108,8 @@
     void updateTargets();
     void reportToDirectTargets(const NodeReport &report);
     void reportToGroups(const NodeReport &report);
+    /** \brief Tells nodes of other groups that this one is alive, in case they divide the fleet otherwise. */
+    void announce(const NodeReport &report);
     void applyIntroduction(const FleetMember &node);
     void applyReport(internal::KnownNode &sender, FleetMessage message);
     void applySummary(const FleetMessage &message);
@@ -119,6 +123,7 @@
     Duration livenessTimeout() const;
     bool isAlive(const internal::KnownNode &node) const;
     bool isCounted(const internal::KnownNode &node) const;
+    bool wasHeardLately(const internal::KnownNode &node) const;
     bool isReporting(const internal::KnownNode &node) const;
     void publishLiveness();
     std::optional<FleetMember> choose(const std::string &program, bool requireCurrent, bool includeSelf) const;
@@ -132,6 +137,9 @@
     std::map<std::string, internal::KnownNode> nodes_; ///< Other nodes, by name.
     std::vector<const FleetMember *> directTargets_; ///< Nodes that get direct reports, round robin.
     std::size_t nextTarget_ = 0; ///< Index into directTargets_.
+    /** All nodes, while it is not known of some whether they are gone: others may divide the fleet otherwise. */
+    std::vector<const FleetMember *> announcementTargets_;
+    std::size_t nextAnnouncement_ = 0; ///< Index into announcementTargets_.
     std::optional<FleetGroups> groups_; ///< Not set in a small fleet.
     std::vector<const FleetMember *> groupedNodes_; ///< The nodes that groups_ was built from.
     std::uint64_t round_ = 0; ///< Number of reports to groups.
@@ -330,21 +338,36 @@
     return largestLoads(sumOfLoads(load), internal::maxSummaryAccounts);
 }
 
-/** Determines the direct targets and, in a large fleet, the groups. */
+/**
+ * Determines the direct targets and, in a large fleet, the groups.
+ *
+ * Records of former nodes stay in the store. A node that has started reads them all and can't tell at once which nodes
+ * are gone, while the others know that. Until then it also announces itself without groups.
+ */
 void Fleet::Private::updateTargets()
 {
-    std::vector<const internal::KnownNode *> counted;
+    std::vector<const FleetMember *> grouped;
+    std::vector<const internal::KnownNode *> present;
+    directTargets_.clear();
+    announcementTargets_.clear();
     for (const std::pair<const std::string, internal::KnownNode> &entry : nodes_) {
-        if (isCounted(entry.second)) {
-            counted.push_back(&entry.second);
+        const internal::KnownNode &node = entry.second;
+        if (!isCounted(node)) {
+            continue;
+        }
+        announcementTargets_.push_back(&node.member_);
+        if (wasHeardLately(node) || hooks_.now_() - node.learnedAt_ <= internal::groupingDelay) {
+            present.push_back(&node);
         }
     }
-    directTargets_.clear();
-    std::vector<const FleetMember *> grouped;
-    const bool isLarge = counted.size() > settings_.maxDirectTargets_ && !settings_.self_.domain_.empty();
-    for (const internal::KnownNode *node : counted) {
+    const bool isLarge = present.size() > settings_.maxDirectTargets_ && !settings_.self_.domain_.empty();
+    for (const internal::KnownNode *node : present) {
         (isLarge && !node->member_.domain_.empty() ? grouped : directTargets_).push_back(&node->member_);
     }
+    const auto isHeard = [this](const auto &entry) { return !isCounted(entry.second) || wasHeardLately(entry.second); };
+    if (std::all_of(nodes_.begin(), nodes_.end(), isHeard)) {
+        announcementTargets_.clear();
+    }
     if (grouped == groupedNodes_) {
         return;
     }
@@ -368,6 +391,28 @@
     nextTarget_ = (nextTarget_ + count) % directTargets_.size();
 }
 
+void Fleet::Private::announce(const NodeReport &report)
+{
+    if (announcementTargets_.empty()) {
+        return;
+    }
+    NodeReport state; // Without what summaries of the group contain, so that nothing counts twice.
+    state.ledger_ = report.ledger_;
+    state.reachesEndpoints_ = report.reachesEndpoints_;
+    state.configurationVersion_ = report.configurationVersion_;
+    state.mayMissGrants_ = report.mayMissGrants_;
+    const std::string datagram = encode(makeMessage(state));
+    const std::size_t count = std::min(announcementTargets_.size(), settings_.maxDirectTargets_);
+    for (std::size_t i = 0; i < count; ++i) {
+        const FleetMember &target = *announcementTargets_[nextAnnouncement_++ % announcementTargets_.size()];
+        const bool getsReports =
+            std::find(directTargets_.begin(), directTargets_.end(), &target) != directTargets_.end();
+        if (!getsReports && !(groups_ && groups_->isPeer(target.name_))) {
+            send(target, datagram);
+        }
+    }
+}
+
 void Fleet::Private::reportToGroups(const NodeReport &report)
 {
     if (!groups_) {
@@ -398,11 +443,12 @@
         listCompleteAt_ = hooks_.now_();
     }
     updateTargets();
-    if (!directTargets_.empty() || groups_) {
+    if (!directTargets_.empty() || !announcementTargets_.empty() || groups_) {
         ++reports_;
         const NodeReport report = currentReport();
         reportToDirectTargets(report);
         reportToGroups(report);
+        announce(report);
         while (cachedParts_.size() >= roundsToReach(directTargets_.size())) {
             cachedParts_.pop_front();
         }
@@ -476,6 +522,11 @@
     return hooks_.now_() - std::max(node.heardAt_, node.learnedAt_) <= internal::forgetTimeout;
 }
 
+bool Fleet::Private::wasHeardLately(const internal::KnownNode &node) const
+{
+    return node.wasHeard_ && hooks_.now_() - node.heardAt_ <= internal::forgetTimeout;
+}
+
 /** True if the last report of a peer is recent enough for the summary of the group. */
 bool Fleet::Private::isReporting(const internal::KnownNode &node) const
 {
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -82,8 +82,9 @@
                 return;
             }
             queue_.after(datagramDelay, [this, address, datagram] {
-                if (!nodes_.at(address).isIsolated_) {
-                    nodes_.at(address).fleet_->onDatagram(datagram);
+                const auto receiver = nodes_.find(address);
+                if (receiver != nodes_.end() && !receiver->second.isIsolated_) {
+                    receiver->second.fleet_->onDatagram(datagram);
                 }
             });
         };
@@ -263,22 +264,36 @@
     EXPECT_LE(rig.sent_ - before, std::size_t{195 * 10 * 36});
 }
 
-/** \brief Nodes that are restarted at once in a fleet. */
+/** \brief Nodes that are restarted at once in a fleet, beside names of former nodes in the record store. */
 struct QuickRestart
 {
     const char *name_;
     std::size_t nodes_;
     std::size_t restarted_;
+    std::size_t formerNodes_;
 };
 
 class RestartedNodes : public testing::TestWithParam<QuickRestart>
 {
+protected:
+    static void putFormerNodes(FleetRig &rig)
+    {
+        for (std::size_t i = 0; i < GetParam().formerNodes_; ++i) {
+            const std::string name = "former" + std::to_string(i);
+            const std::string domain = "domain" + std::to_string(i % 5);
+            const std::string record =
+                R"({"datagrams":")" + name + R"(","links":")" + name + R"(","domain":")" + domain + "\"}";
+            rig.store_.put(PartitionId{"nodes", 0}, name, record);
+        }
+        rig.runFor(std::chrono::seconds(30)); // They have been forgotten by then.
+    }
 };
 
 // Guards against nodes that do not learn of a restart, because the node is back before it would count as dead.
 TEST_P(RestartedNodes, CountAsLostAtAllOthers)
 {
     FleetRig rig(GetParam().nodes_);
+    putFormerNodes(rig);
     const Time before = rig.queue_.now();
     for (std::size_t i = 0; i < GetParam().restarted_; ++i) {
         rig.restart(i);
@@ -290,11 +305,36 @@
     }
 }
 
+// Guards against a restarted node that part of the others do not hear, because it counts names of former nodes.
+TEST_P(RestartedNodes, AreAliveAtAllOthers)
+{
+    FleetRig rig(GetParam().nodes_);
+    putFormerNodes(rig);
+    for (std::size_t i = 0; i < GetParam().restarted_; ++i) {
+        rig.restart(i);
+    }
+    rig.runFor(std::chrono::milliseconds(500));
+    for (std::size_t round = 0; round < 30; ++round) {
+        rig.runFor(std::chrono::milliseconds(500));
+        std::size_t deaf = 0;
+        for (std::size_t i = GetParam().restarted_; i < GetParam().nodes_; ++i) {
+            const Fleet &fleet = *rig.nodes_["node" + std::to_string(i)].fleet_;
+            for (std::size_t restarted = 0; restarted < GetParam().restarted_; ++restarted) {
+                deaf += fleet.findAlive("node" + std::to_string(restarted)) ? 0 : 1;
+            }
+        }
+        EXPECT_EQ(deaf, 0U) << "pairs of nodes in round " << round;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Table,
                          RestartedNodes,
-                         testing::Values(QuickRestart{"OneOfTen", 10, 1},
-                                         QuickRestart{"ThreeOfThirty", 30, 3},
-                                         QuickRestart{"ThreeOfEightyEight", 88, 3}),
+                         testing::Values(QuickRestart{"OneOfTen", 10, 1, 0},
+                                         QuickRestart{"OneOfTenAfterFormerNodes", 10, 1, 17},
+                                         QuickRestart{"OneOfTenAfterManyFormerNodes", 10, 1, 300},
+                                         QuickRestart{"ThreeOfThirty", 30, 3, 0},
+                                         QuickRestart{"ThreeOfThirtyAfterFormerNodes", 30, 3, 100},
+                                         QuickRestart{"ThreeOfEightyEight", 88, 3, 0}),
                          [](const testing::TestParamInfo<QuickRestart> &info) { return info.param.name_; });
 
 } // namespace filbertgw::test
