Name what nodes know of each other by the field's terms

GrantWitness becomes MissedGrantDetector, a witness a peer that misses no grants, and what is "heard of" a node what was last seen of it: lastSeenAt_, wasSeen_, markSeen(), SeenMember, seenWithin(). Names of log events, fields of messages and records are unchanged, and so is the behaviour.

--- a/src/accounts/quotacontroller.cpp
+++ b/src/accounts/quotacontroller.cpp
@@ -190,7 +190,7 @@
 {
     const auto found = suspicions_.find(node.name_);
     return found != suspicions_.end() && found->second.isDead_
-        && node.heardAt_ <= found->second.since_ + internal::reportDelay;
+        && node.lastSeenAt_ <= found->second.since_ + internal::reportDelay;
 }
 
 bool QuotaController::isPassedOver(const QuotaNode &node) const
@@ -200,7 +200,7 @@
         return false;
     }
     // A process that goes on reporting is busy, not frozen or gone: it still grants permits to others.
-    const bool isBusy = !found->second.isUnable_ && node.heardAt_ > found->second.since_ + internal::reportDelay;
+    const bool isBusy = !found->second.isUnable_ && node.lastSeenAt_ > found->second.since_ + internal::reportDelay;
     return (hooks_.now_() < found->second.until_ && !isBusy) || isProvenDead(node);
 }
 
--- a/src/accounts/quotacontroller.h
+++ b/src/accounts/quotacontroller.h
@@ -21,8 +21,8 @@
 {
     std::string name_;
     std::string address_; ///< For requests of other nodes.
-    Time heardAt_{0};
-    bool isAlive_ = false; ///< Heard of lately.
+    Time lastSeenAt_{0};
+    bool isAlive_ = false; ///< Seen lately.
 };
 
 /** \brief Result of a connection attempt to a node that has not answered. */
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -21,7 +21,7 @@
 
 const char *const nodeStream = "nodes";
 constexpr Duration registrationRetryDelay{500'000};
-/** A node that was not heard of for this long is no longer counted as known. */
+/** A node that was not seen for this long is no longer counted as known. */
 constexpr Duration forgetTimeout{15'000'000};
 
 /** A summary may tell this long afterwards that a member has started. */
@@ -36,7 +36,7 @@
 constexpr std::uint64_t roundsPerAccounts = 8;
 /** Accounts of each service in the summary of a group; the others are summed. */
 constexpr std::size_t maxSummaryAccounts = 16;
-/** A node whose record was read counts for the groups for so long if nothing is heard of it: it may be gone. */
+/** A node whose record was read counts for the groups for so long if it was not seen: it may be gone. */
 constexpr Duration groupingDelay{500'000};
 /** Endpoints that fail requests in the summary of a group. */
 constexpr std::size_t maxSummaryOutcomes = 64;
@@ -45,8 +45,8 @@
 {
     FleetMember member_;
     Time learnedAt_{0}; ///< When its record was read, or its introduction received.
-    Time heardAt_{0}; ///< Last report of the node itself, or of its group with the node as a live member.
-    bool wasHeard_ = false; ///< heardAt_ is set.
+    Time lastSeenAt_{0}; ///< Last report of the node itself, or of its group with the node as a live member.
+    bool wasSeen_ = false; ///< lastSeenAt_ is set.
     bool publishedAlive_ = false; ///< Liveness as last passed to onLivenessChanged_.
     Time lostAt_{0}; ///< When it was last found to be dead or to have been restarted; 0 if it never was.
     bool introducesItself_ = true; ///< Its last report contained its addresses, as for some time after a start.
@@ -57,25 +57,25 @@
     NodeReport report_; ///< That report, without prompt parts, crashes, limits and origins.
     Time accountsReportedAt_{0}; ///< Arrival of report_.accounts_, which are kept until the next ones.
 
-    void markHeard(Time now, const LedgerState &ledger, bool reachesEndpoints)
+    void markSeen(Time now, const LedgerState &ledger, bool reachesEndpoints)
     {
-        heardAt_ = now;
-        wasHeard_ = true;
+        lastSeenAt_ = now;
+        wasSeen_ = true;
         ledger_ = ledger;
         reachesEndpoints_ = reachesEndpoints;
     }
-    /** \brief Its own report has arrived; called before markHeard(). */
+    /** \brief Its own report has arrived; called before markSeen(). */
     void reportedItself(Time now, bool introducesItself)
     {
-        if (introducesItself && wasHeard_ && !introducesItself_) {
+        if (introducesItself && wasSeen_ && !introducesItself_) {
             lostAt_ = now;
         }
         setIntroducesItself(now, introducesItself);
     }
-    /** \brief A summary of its group has arrived; called before markHeard(). */
+    /** \brief A summary of its group has arrived; called before markSeen(). */
     void reportedByGroup(Time now, bool hasStarted)
     {
-        const bool isLate = wasHeard_ && now - runningSince_ <= summaryDelay;
+        const bool isLate = wasSeen_ && now - runningSince_ <= summaryDelay;
         if (!hasStarted || !isLate) {
             reportedItself(now, hasStarted);
         }
@@ -123,7 +123,7 @@
     Duration livenessTimeout() const;
     bool isAlive(const internal::KnownNode &node) const;
     bool isCounted(const internal::KnownNode &node) const;
-    bool wasHeardLately(const internal::KnownNode &node) const;
+    bool wasSeenLately(const internal::KnownNode &node) const;
     bool isReporting(const internal::KnownNode &node) const;
     void publishLiveness();
     std::optional<FleetMember> choose(const std::string &program, bool requireCurrent, bool includeSelf) const;
@@ -356,7 +356,7 @@
             continue;
         }
         announcementTargets_.push_back(&node.member_);
-        if (wasHeardLately(node) || hooks_.now_() - node.learnedAt_ <= internal::groupingDelay) {
+        if (wasSeenLately(node) || hooks_.now_() - node.learnedAt_ <= internal::groupingDelay) {
             present.push_back(&node);
         }
     }
@@ -364,8 +364,8 @@
     for (const internal::KnownNode *node : present) {
         (isLarge && !node->member_.domain_.empty() ? grouped : directTargets_).push_back(&node->member_);
     }
-    const auto isHeard = [this](const auto &entry) { return !isCounted(entry.second) || wasHeardLately(entry.second); };
-    if (std::all_of(nodes_.begin(), nodes_.end(), isHeard)) {
+    const auto isSeen = [this](const auto &entry) { return !isCounted(entry.second) || wasSeenLately(entry.second); };
+    if (std::all_of(nodes_.begin(), nodes_.end(), isSeen)) {
         announcementTargets_.clear();
     }
     if (grouped == groupedNodes_) {
@@ -492,7 +492,7 @@
             if (member.name_ != message.sender_) {
                 known->second.reportedByGroup(hooks_.now_(), member.hasStarted_);
             }
-            known->second.markHeard(hooks_.now_(), member.ledger_, member.reachesEndpoints_);
+            known->second.markSeen(hooks_.now_(), member.ledger_, member.reachesEndpoints_);
         }
     }
     // If the number of groups in the domain has changed, clear the reports of the former groups.
@@ -503,7 +503,7 @@
     hooks_.onReport_(group.name(), message.report_);
 }
 
-/** Time within which each live node is heard of, even if some of its reports are lost. */
+/** Time within which each live node is seen, even if some of its reports are lost. */
 Duration Fleet::Private::livenessTimeout() const
 {
     const std::size_t slowest =
@@ -514,17 +514,17 @@
 
 bool Fleet::Private::isAlive(const internal::KnownNode &node) const
 {
-    return node.wasHeard_ && hooks_.now_() - node.heardAt_ <= livenessTimeout();
+    return node.wasSeen_ && hooks_.now_() - node.lastSeenAt_ <= livenessTimeout();
 }
 
 bool Fleet::Private::isCounted(const internal::KnownNode &node) const
 {
-    return hooks_.now_() - std::max(node.heardAt_, node.learnedAt_) <= internal::forgetTimeout;
+    return hooks_.now_() - std::max(node.lastSeenAt_, node.learnedAt_) <= internal::forgetTimeout;
 }
 
-bool Fleet::Private::wasHeardLately(const internal::KnownNode &node) const
+bool Fleet::Private::wasSeenLately(const internal::KnownNode &node) const
 {
-    return node.wasHeard_ && hooks_.now_() - node.heardAt_ <= internal::forgetTimeout;
+    return node.wasSeen_ && hooks_.now_() - node.lastSeenAt_ <= internal::forgetTimeout;
 }
 
 /** True if the last report of a peer is recent enough for the summary of the group. */
@@ -645,7 +645,7 @@
         return;
     }
     sender->second.reportedItself(d_->hooks_.now_(), message->introduction_.has_value());
-    sender->second.markHeard(d_->hooks_.now_(), message->report_.ledger_, message->report_.reachesEndpoints_);
+    sender->second.markSeen(d_->hooks_.now_(), message->report_.ledger_, message->report_.reachesEndpoints_);
     if (message->report_.configurationVersion_ > 0 && d_->hooks_.onConfigurationOffered_) {
         d_->hooks_.onConfigurationOffered_(sender->second.member_, message->report_.configurationVersion_);
     }
@@ -675,7 +675,7 @@
     const std::uint64_t own = internal::weightOf(d_->settings_.self_, program);
     const auto mayHaveCoordinated = [since, own, &program](const auto &entry) {
         const internal::KnownNode &node = entry.second;
-        return node.wasHeard_ && node.heardAt_ >= since && internal::weightOf(node.member_, program) > own;
+        return node.wasSeen_ && node.lastSeenAt_ >= since && internal::weightOf(node.member_, program) > own;
     };
     return d_->startedAt_ <= since && std::none_of(d_->nodes_.begin(), d_->nodes_.end(), mayHaveCoordinated);
 }
@@ -714,11 +714,11 @@
 {
     return static_cast<std::size_t>(
         std::count_if(d_->nodes_.begin(), d_->nodes_.end(), [this, since](const auto &entry) {
-            return entry.second.wasHeard_ && entry.second.heardAt_ >= since && !d_->isAlive(entry.second);
+            return entry.second.wasSeen_ && entry.second.lastSeenAt_ >= since && !d_->isAlive(entry.second);
         }));
 }
 
-bool Fleet::hasGrantWitness() const
+bool Fleet::hasPeerWithAllGrants() const
 {
     return std::any_of(d_->nodes_.begin(), d_->nodes_.end(), [this](const auto &entry) {
         const internal::KnownNode &node = entry.second;
@@ -776,14 +776,14 @@
     });
 }
 
-std::vector<HeardMember> Fleet::heardWithin(Duration window) const
+std::vector<SeenMember> Fleet::seenWithin(Duration window) const
 {
-    std::vector<HeardMember> members;
+    std::vector<SeenMember> members;
     const Time since = d_->hooks_.now_() - window;
     for (const std::pair<const std::string, internal::KnownNode> &entry : d_->nodes_) {
         const internal::KnownNode &node = entry.second;
-        if (node.wasHeard_ && node.heardAt_ >= since) {
-            members.push_back(HeardMember{node.member_, node.heardAt_, d_->isAlive(node)});
+        if (node.wasSeen_ && node.lastSeenAt_ >= since) {
+            members.push_back(SeenMember{node.member_, node.lastSeenAt_, d_->isAlive(node)});
         }
     }
     return members;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -27,11 +27,11 @@
     std::function<void(const FleetMember &node, std::uint64_t version)> onConfigurationOffered_;
 };
 
-/** \brief Another node, and when it was last heard of. */
-struct HeardMember
+/** \brief Another node, and when it was last seen. */
+struct SeenMember
 {
     FleetMember member_;
-    Time heardAt_{0}; ///< By its own report or its group's.
+    Time lastSeenAt_{0}; ///< By its own report or its group's.
     bool isAlive_ = false;
 };
 
@@ -39,7 +39,7 @@
 {
     FleetMember self_;
     Duration reportPeriod_{100'000};
-    /** A node is alive if heard of within this time; extended in a large fleet, where reports are less frequent. */
+    /** A node is alive if seen within this time; extended in a large fleet, where reports are less frequent. */
     Duration livenessTimeout_{1'000'000};
     Duration summaryTimeout_{500'000}; ///< Age up to which a peer's report is included in the summary of the group.
     Duration introductionPeriod_{3'000'000}; ///< For this time after its start a node's reports contain its addresses.
@@ -87,10 +87,10 @@
     std::vector<FleetMember> successorsOf(const std::string &program, std::size_t count) const;
     /** \brief Number of other nodes that were lost, or restarted, at or after a time. */
     std::size_t lostSince(Time since) const;
-    /** \brief Number of other nodes that are not alive, and were heard of at or after a time. */
+    /** \brief Number of other nodes that are not alive, and were seen at or after a time. */
     std::size_t missingSince(Time since) const;
     /** \brief True if a live node with a complete ledger reports that it misses no grants of an outage. */
-    bool hasGrantWitness() const;
+    bool hasPeerWithAllGrants() const;
     /** \brief The other node that becomes coordinator of a program if this one dies. */
     std::optional<FleetMember> backupCoordinatorOf(const std::string &program) const;
     /**
@@ -116,12 +116,12 @@
      * Nodes whose ledger has not been complete since their start are ignored: they have granted nothing.
      */
     bool allGrantsRecorded() const;
-    /** \brief The other nodes that were heard of within \p window, in order of their names. */
-    std::vector<HeardMember> heardWithin(Duration window) const;
+    /** \brief The other nodes that were seen within \p window, in order of their names. */
+    std::vector<SeenMember> seenWithin(Duration window) const;
     /** \brief Finds a node by name, if it is alive. */
     std::optional<FleetMember> findAlive(const std::string &name) const;
     bool isSelf(const FleetMember &member) const;
-    /** \brief Number of other nodes that were discovered or heard of lately. */
+    /** \brief Number of other nodes that were discovered or seen lately. */
     std::size_t known() const;
     /** \brief Number of other nodes that are alive. */
     std::size_t alive() const;
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -42,7 +42,7 @@
     std::uint64_t configurationVersion_ = 0; ///< That the sender offers to others; 0 for none. \sa ConfigurationPeers
     /** Running requests by account; not in every report, and never without client accounts. */
     std::optional<std::vector<AccountLoad>> accounts_;
-    bool mayMissGrants_ = false; ///< \sa GrantWitness
+    bool mayMissGrants_ = false; ///< \sa MissedGrantDetector
 };
 
 /** \brief One of several groups into which the nodes of a failure domain are divided. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -70,7 +70,7 @@
           [this] { return ledger_.isReachable(); },
           fleet_)
     , turns_(turnStoreHooks(), settings_.turns_)
-    , grantWitness_(grantWitnessHooks())
+    , missedGrants_(missedGrantHooks())
     , budget_(budgetHooks(), ledger_)
     , admission_(settings_.admission_)
     , accountAdmission_(hooks_.now_, settings_.accountAdmission_)
@@ -382,9 +382,9 @@
     }
 }
 
-GrantWitnessHooks Gateway::Private::grantWitnessHooks()
+MissedGrantDetectorHooks Gateway::Private::missedGrantHooks()
 {
-    GrantWitnessHooks hooks;
+    MissedGrantDetectorHooks hooks;
     hooks.now_ = hooks_.now_;
     hooks.isComplete_ = [this] { return ledger_.isComplete(); };
     hooks.hasRecords_ = [this] { return ledger_.hasRecords(); };
@@ -392,7 +392,7 @@
     hooks.alive_ = [this] { return fleet_.alive(); };
     hooks.lostSince_ = [this](Time since) { return fleet_.lostSince(since); };
     hooks.missingSince_ = [this](Time since) { return fleet_.missingSince(since); };
-    hooks.hasWitness_ = [this] { return fleet_.hasGrantWitness(); };
+    hooks.hasInformedPeer_ = [this] { return fleet_.hasPeerWithAllGrants(); };
     return hooks;
 }
 
@@ -416,11 +416,11 @@
     };
     nodes.isSelf_ = [this](const FleetMember &member) { return fleet_.isSelf(member); };
     nodes.mayMissGrants_ = [this] {
-        grantWitness_.update();
-        return grantWitness_.mayMissGrants();
+        missedGrants_.update();
+        return missedGrants_.mayMissGrants();
     };
-    nodes.maySpendReserves_ = [this] { return grantWitness_.maySpendReserves(); };
-    nodes.copies_ = [this] { return grantWitness_.copies(); };
+    nodes.maySpendReserves_ = [this] { return missedGrants_.maySpendReserves(); };
+    nodes.copies_ = [this] { return missedGrants_.copies(); };
     return hooks;
 }
 
@@ -442,7 +442,7 @@
         report.outcomes_ = outliers_.localOutcomes();
         report.ejections_ = outliers_.takeAnnouncements();
         report.origins_ = origins_.takeAnnouncements();
-        report.mayMissGrants_ = grantWitness_.mayMissGrants();
+        report.mayMissGrants_ = missedGrants_.mayMissGrants();
         report.reachesEndpoints_ = !reachability_.isCutOff() && !stopping_;
         report.configurationVersion_ = configurationPeers_.offeredVersion();
         if (routing_ && routing_->accounts() != nullptr) {
@@ -621,12 +621,12 @@
     }
 }
 
-void Gateway::Private::updateGrantWitness()
+void Gateway::Private::updateMissedGrants()
 {
-    grantWitness_.update();
-    if (std::exchange(mayHaveMissedGrants_, grantWitness_.mayMissGrants()) != grantWitness_.mayMissGrants()) {
-        hooks_.logEvent_(grantWitness_.mayMissGrants() ? "grants_may_be_missed" : "grants_known",
-                         {{"peers_alive", fleet_.alive()}, {"copies", grantWitness_.copies()}});
+    missedGrants_.update();
+    if (std::exchange(mayHaveMissedGrants_, missedGrants_.mayMissGrants()) != missedGrants_.mayMissGrants()) {
+        hooks_.logEvent_(missedGrants_.mayMissGrants() ? "grants_may_be_missed" : "grants_known",
+                         {{"peers_alive", fleet_.alive()}, {"copies", missedGrants_.copies()}});
     }
 }
 
@@ -638,7 +638,7 @@
         lastLedgerCurrent_ = hooks_.now_();
     }
     logLedgerStateChange();
-    updateGrantWitness();
+    updateMissedGrants();
     budget_.releaseReserves();
     if (!ledger_.isReachable()) {
         pace_.reset();
@@ -828,7 +828,7 @@
             {"peers_alive", d_->fleet_.alive()},
             {"programs", d_->ledger_.programCount()},
             {"ledger_current", d_->ledger_.isCurrent()},
-            {"may_miss_grants", d_->grantWitness_.mayMissGrants()},
+            {"may_miss_grants", d_->missedGrants_.mayMissGrants()},
             {"cached_turn_bytes", d_->turns_.cachedBytes()},
             {"endpoints_placed", d_->placement_.endpoints()},
             {"engines", d_->placement_.engines().state()},
--- a/src/gateway/gatewayprivate.h
+++ b/src/gateway/gatewayprivate.h
@@ -5,7 +5,7 @@
 #include "endpoints/incarnationcheck.h"
 #include "fleet/relayedstore.h"
 #include "gateway/gateway.h"
-#include "ledger/grantwitness.h"
+#include "ledger/missedgrantdetector.h"
 
 #include <unordered_map>
 #include <unordered_set>
@@ -34,7 +34,7 @@
     /** \brief Logs when the ledger becomes current or outdated. */
     void logLedgerStateChange();
     /** \brief Logs when it changes whether this node may miss grants of an outage. */
-    void updateGrantWitness();
+    void updateMissedGrants();
     /** \brief Logs the estimates of the engine models, which explain placements and refusals. */
     void logEngineTimings();
     /** \brief Share of the new programs of a service that Admission refuses, by priority. */
@@ -44,7 +44,7 @@
     /** \brief Load of a service from the requests of all nodes. */
     ServiceLoad loadOf(const std::string &service);
     FleetHooks fleetHooks();
-    GrantWitnessHooks grantWitnessHooks();
+    MissedGrantDetectorHooks missedGrantHooks();
     BudgetControllerHooks budgetHooks();
     TurnStoreHooks turnStoreHooks();
     CacheDiscoveryHooks cacheDiscoveryHooks();
@@ -114,7 +114,7 @@
     StreamOutputs outputs_;
     RelayedStore relayedStore_;
     TurnStore turns_;
-    GrantWitness grantWitness_;
+    MissedGrantDetector missedGrants_;
     BudgetController budget_;
     Admission admission_;
     AccountAdmission accountAdmission_;
@@ -128,7 +128,7 @@
     std::size_t bufferedBytes_ = 0; ///< Of the unfinished answers of all calls.
     std::uint64_t housekeepingRuns_ = 0;
     Time lastLedgerCurrent_{0}; ///< When the ledger was last current.
-    bool mayHaveMissedGrants_ = true; ///< At the last call of updateGrantWitness().
+    bool mayHaveMissedGrants_ = true; ///< At the last call of updateMissedGrants().
     bool ledgerWasCurrent_ = false; ///< At the last call of logLedgerStateChange().
     bool hasQuotas_ = false; ///< An account of the configuration in force has a quota.
     bool stopping_ = false;
--- a/src/gateway/quotacall.cpp
+++ b/src/gateway/quotacall.cpp
@@ -97,8 +97,8 @@
     hooks.self_ = settings_.fleet_.self_.name_;
     hooks.nodes_ = [this](Duration window) {
         std::vector<QuotaNode> nodes;
-        for (const HeardMember &heard : fleet_.heardWithin(window)) {
-            nodes.push_back(QuotaNode{heard.member_.name_, heard.member_.linkAddress_, heard.heardAt_, heard.isAlive_});
+        for (const SeenMember &seen : fleet_.seenWithin(window)) {
+            nodes.push_back(QuotaNode{seen.member_.name_, seen.member_.linkAddress_, seen.lastSeenAt_, seen.isAlive_});
         }
         return nodes;
     };
--- a/src/ledger/budgetcontroller.h
+++ b/src/ledger/budgetcontroller.h
@@ -62,14 +62,14 @@
 {
     std::function<std::optional<FleetMember>(const std::string &name)> findAlive_;
     std::function<std::optional<FleetMember>(const std::string &program)> withCurrentLedger_;
-    /** \brief The node that decides on a program without the store; nothing unless most known nodes are heard. */
+    /** \brief The node that decides on a program without the store; nothing unless most known nodes are alive. */
     std::function<std::optional<FleetMember>(const std::string &program)> coordinatorOf_;
     std::function<std::optional<FleetMember>(const std::string &program)> backupCoordinatorOf_;
     std::function<std::vector<FleetMember>(const std::string &program, std::size_t count)> successorsOf_;
     std::function<bool(const std::string &program, Duration window)> hasCoordinated_;
     std::function<bool(const FleetMember &member)> isSelf_;
-    std::function<bool()> mayMissGrants_; ///< \sa GrantWitness
-    std::function<bool()> maySpendReserves_; ///< \sa GrantWitness
+    std::function<bool()> mayMissGrants_; ///< \sa MissedGrantDetector
+    std::function<bool()> maySpendReserves_; ///< \sa MissedGrantDetector
     std::function<std::size_t()> copies_; ///< Number of nodes that keep what is granted without the store.
 };
 
--- a/src/ledger/grantwitness.cpp
+++ b/src/ledger/missedgrantdetector.cpp
@@ -1,16 +1,16 @@
-#include "ledger/grantwitness.h"
+#include "ledger/missedgrantdetector.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace filbertgw {
 
-GrantWitness::GrantWitness(GrantWitnessHooks hooks)
+MissedGrantDetector::MissedGrantDetector(MissedGrantDetectorHooks hooks)
     : hooks_(std::move(hooks))
 {
 }
 
-void GrantWitness::update()
+void MissedGrantDetector::update()
 {
     const Time now = hooks_.now_();
     if (completeAt_ == Time{0} && hooks_.isComplete_()) {
@@ -39,24 +39,24 @@
     }
 }
 
-bool GrantWitness::isResolved(Time since) const
+bool MissedGrantDetector::isResolved(Time since) const
 {
     const Duration age = hooks_.now_() - since;
-    return age >= programLifetime || (age >= witnessDelay && hooks_.hasWitness_());
+    return age >= programLifetime || (age >= informedPeerDelay && hooks_.hasInformedPeer_());
 }
 
-bool GrantWitness::mayMissGrants() const
+bool MissedGrantDetector::mayMissGrants() const
 {
     return missesPast_ || lossAt_ != Time{0};
 }
 
-bool GrantWitness::maySpendReserves() const
+bool MissedGrantDetector::maySpendReserves() const
 {
     const std::size_t missing = hooks_.missingSince_(hooks_.now_() - programLifetime);
     return !mayMissGrants() && missing < std::min(maxCopies, hooks_.alive_() + 1);
 }
 
-std::size_t GrantWitness::copies() const
+std::size_t MissedGrantDetector::copies() const
 {
     const std::size_t lost = outageSince_ == Time{0} ? 0 : hooks_.lostSince_(outageSince_);
     return std::min(maxCopies, hooks_.alive_() + lost + 1);
--- a/src/ledger/grantwitness.h
+++ b/src/ledger/missedgrantdetector.h
@@ -1,5 +1,5 @@
-#ifndef FILBERTGW_LEDGER_GRANTWITNESS_H
-#define FILBERTGW_LEDGER_GRANTWITNESS_H
+#ifndef FILBERTGW_LEDGER_MISSEDGRANTDETECTOR_H
+#define FILBERTGW_LEDGER_MISSEDGRANTDETECTOR_H
 
 #include "core/time.h"
 
@@ -8,8 +8,8 @@
 
 namespace filbertgw {
 
-/** \brief Dependencies of a GrantWitness. */
-struct GrantWitnessHooks
+/** \brief Dependencies of a MissedGrantDetector. */
+struct MissedGrantDetectorHooks
 {
     Clock now_; ///< Includes the time during which the VM is suspended.
     std::function<bool()> isComplete_; ///< The ledger has been read to its end once.
@@ -18,8 +18,8 @@
     std::function<bool()> isRecorded_;
     std::function<std::size_t()> alive_; ///< Number of other live nodes.
     std::function<std::size_t(Time since)> lostSince_; ///< Number of nodes that were lost or restarted since a time.
-    std::function<std::size_t(Time since)> missingSince_; ///< Nodes that are not alive and were heard of since a time.
-    std::function<bool()> hasWitness_; ///< A live node reports that it misses no grants.
+    std::function<std::size_t(Time since)> missingSince_; ///< Nodes that are not alive and were seen since a time.
+    std::function<bool()> hasInformedPeer_; ///< A live node reports that it misses no grants.
 };
 
 /**
@@ -30,15 +30,16 @@
  *
  * \sa BudgetController
  */
-class GrantWitness
+class MissedGrantDetector
 {
 public:
-    explicit GrantWitness(GrantWitnessHooks hooks);
+    explicit MissedGrantDetector(MissedGrantDetectorHooks hooks);
 
-    /** \brief Time after which a program that was not heard of has ended; the ledger removes its records then. */
+    /** \brief Time after which a program without requests has ended; the ledger removes its records then. */
     static constexpr Duration programLifetime{120'000'000};
-    /** \brief A witness is believed after this time, when it must have noticed the loss of other nodes itself. */
-    static constexpr Duration witnessDelay{3'000'000};
+    /** \brief A peer that reports to miss no grants is relied on after this time, when it must have noticed the loss of
+     * other nodes itself. */
+    static constexpr Duration informedPeerDelay{3'000'000};
     /** \brief An outage that is noticed now may have begun this long ago; it ends this long after all is recorded. */
     static constexpr Duration outageMargin{2'000'000};
     /** \brief Nodes that keep the spending of a program in an outage, if there are as many. */
@@ -61,7 +62,7 @@
     /** \brief True if grants that may have been missed at \p since no longer matter, or a live node knows them. */
     bool isResolved(Time since) const;
 
-    GrantWitnessHooks hooks_;
+    MissedGrantDetectorHooks hooks_;
     Time completeAt_{0}; ///< When the ledger was first complete.
     bool missesPast_ = true; ///< No live node may know what was granted before the start of this node.
     Time outageSince_{0}; ///< Begin of the outage that lasts; 0 if there is none.
--- a/src/ledger/outageprograms.h
+++ b/src/ledger/outageprograms.h
@@ -22,7 +22,7 @@
 public:
     explicit OutagePrograms(Clock now);
 
-    /** \brief Time without a turn after which a program is forgotten. \sa GrantWitness::programLifetime */
+    /** \brief Time without a turn after which a program is forgotten. \sa MissedGrantDetector::programLifetime */
     static constexpr Duration lifetime{120'000'000};
     /** \brief Time after which a turn counts as ended, since the message about its end may be lost. */
     static constexpr Duration turnLifetime{30'000'000};
--- a/test/accounts/quotafleet.cpp
+++ b/test/accounts/quotafleet.cpp
@@ -11,7 +11,7 @@
 constexpr Duration networkDelay{1'000};
 constexpr Duration reportPeriod{100'000};
 constexpr Duration livenessTimeout{1'000'000};
-/** Time from the start of a node until it has read the list of nodes and heard of all. */
+/** Time from the start of a node until it has read the list of nodes and seen all. */
 constexpr Duration discoveryTime{400'000};
 /** Time from a permit to the sending of the request. */
 constexpr Duration placementTime{2'000};
@@ -140,7 +140,7 @@
     return nodes_[from]->group_ == nodes_[to]->group_;
 }
 
-Time QuotaFleet::heardAt(std::size_t at, std::size_t of) const
+Time QuotaFleet::lastSeenAt(std::size_t at, std::size_t of) const
 {
     const Node &receiver = *nodes_[at];
     const Node &sender = *nodes_[of];
@@ -165,11 +165,11 @@
         if (i == node || nodes_[i]->starts_ == 0) {
             continue;
         }
-        const Time heard = heardAt(node, i);
+        const Time seen = lastSeenAt(node, i);
         // A node knows others only from reports since its own start.
-        if (heard >= nodes_[node]->startedAt_ && queue_.now() - heard <= window) {
+        if (seen >= nodes_[node]->startedAt_ && queue_.now() - seen <= window) {
             nodes.push_back(
-                QuotaNode{nodes_[i]->name_, std::to_string(i), heard, queue_.now() - heard <= livenessTimeout});
+                QuotaNode{nodes_[i]->name_, std::to_string(i), seen, queue_.now() - seen <= livenessTimeout});
         }
     }
     return nodes;
--- a/test/accounts/quotafleet.h
+++ b/test/accounts/quotafleet.h
@@ -39,7 +39,7 @@
 /**
  * \brief QuotaControllers in virtual time, with nodes that are killed, frozen, partitioned and added.
  *
- * Reports are modelled: a node knows when it last heard of another one, and takes it to be alive for 1 s after that.
+ * Reports are modelled: a node knows when it last saw another one, and takes it to be alive for 1 s after that.
  */
 class QuotaFleet
 {
@@ -91,7 +91,7 @@
 
     std::unique_ptr<QuotaController> makeController(std::size_t node);
     std::vector<QuotaNode> view(std::size_t node, Duration window) const;
-    Time heardAt(std::size_t at, std::size_t of) const;
+    Time lastSeenAt(std::size_t at, std::size_t of) const;
     bool reaches(std::size_t from, std::size_t to) const;
     void tick(std::size_t node, std::uint64_t starts);
     void atNode(std::size_t node, std::function<void()> action);
--- a/test/gateway/forgottenturns.cpp
+++ b/test/gateway/forgottenturns.cpp
@@ -1,7 +1,7 @@
 #include "serialprogram.h"
 
 #include "core/stablehash.h"
-#include "ledger/grantwitness.h"
+#include "ledger/missedgrantdetector.h"
 
 #include <gtest/gtest.h>
 
@@ -201,7 +201,7 @@
     }
     std::sort(ranked.rbegin(), ranked.rend());
     std::vector<std::size_t> deciders;
-    for (std::size_t i = 0; i < GrantWitness::maxCopies; ++i) {
+    for (std::size_t i = 0; i < MissedGrantDetector::maxCopies; ++i) {
         deciders.push_back(ranked[i].second);
     }
     return deciders;
--- a/test/gateway/grantwitness.cpp
+++ b/test/gateway/missedgrantdetector.cpp
@@ -1,4 +1,4 @@
-#include "ledger/grantwitness.h"
+#include "ledger/missedgrantdetector.h"
 
 #include <gtest/gtest.h>
 
@@ -8,28 +8,28 @@
 
 using std::chrono::seconds;
 
-/** \brief A GrantWitness and what it is told. */
-struct WitnessRig
+/** \brief A MissedGrantDetector and what it is told. */
+struct DetectorRig
 {
-    explicit WitnessRig(bool hasRecords)
+    explicit DetectorRig(bool hasRecords)
         : hasRecords_(hasRecords)
-        , witness_(GrantWitnessHooks{[this] { return now_; },
-                                     [] { return true; },
-                                     [this] { return hasRecords_; },
-                                     [this] { return isRecorded_; },
-                                     [this] { return alive_; },
-                                     [this](Time since) { return lostAt_ >= since ? lost_ : 0; },
-                                     [this](Time since) { return lostAt_ >= since ? lost_ : 0; },
-                                     [this] { return hasWitness_; }})
+        , detector_(MissedGrantDetectorHooks{[this] { return now_; },
+                                             [] { return true; },
+                                             [this] { return hasRecords_; },
+                                             [this] { return isRecorded_; },
+                                             [this] { return alive_; },
+                                             [this](Time since) { return lostAt_ >= since ? lost_ : 0; },
+                                             [this](Time since) { return lostAt_ >= since ? lost_ : 0; },
+                                             [this] { return hasInformedPeer_; }})
     {
     }
 
     bool mayMissAfter(Duration time)
     {
         for (const Time ends = now_ + time; now_ < ends; now_ += std::chrono::milliseconds(100)) {
-            witness_.update();
+            detector_.update();
         }
-        return witness_.mayMissGrants();
+        return detector_.mayMissGrants();
     }
 
     void lose(std::size_t nodes)
@@ -45,45 +45,45 @@
     std::size_t alive_ = 6;
     std::size_t lost_ = 0;
     Time lostAt_{0};
-    bool hasWitness_ = false;
-    GrantWitness witness_;
+    bool hasInformedPeer_ = false;
+    MissedGrantDetector detector_;
 };
 
 } // namespace
 
 // Guards against a new deployment that charges programs for outages that it can't have had.
-TEST(GrantWitness, EmptyLedgerHasNoPast)
+TEST(MissedGrantDetector, EmptyLedgerHasNoPast)
 {
-    WitnessRig rig(false);
+    DetectorRig rig(false);
     EXPECT_FALSE(rig.mayMissAfter(std::chrono::milliseconds(200)));
 }
 
 // Guards against nodes that start after the loss of all others and take what they do not know for not granted, and
 // against a doubt that outlasts the programs or the word of a node that knows.
-TEST(GrantWitness, StartedNodeMayMissGrantsUntilAWitnessOrTheEndOfAllPrograms)
+TEST(MissedGrantDetector, StartedNodeMayMissGrantsUntilAnInformedPeerOrTheEndOfAllPrograms)
 {
-    WitnessRig alone(true);
+    DetectorRig alone(true);
     EXPECT_TRUE(alone.mayMissAfter(seconds(119)));
     EXPECT_FALSE(alone.mayMissAfter(seconds(2)));
-    WitnessRig vouchedFor(true);
-    vouchedFor.hasWitness_ = true;
+    DetectorRig vouchedFor(true);
+    vouchedFor.hasInformedPeer_ = true;
     EXPECT_TRUE(vouchedFor.mayMissAfter(seconds(2)));
     EXPECT_FALSE(vouchedFor.mayMissAfter(seconds(2)));
 }
 
 // Guards against two sides of a partition that both spend the reserve of a program.
-TEST(GrantWitness, OneSideOfAPartitionSpendsReserves)
+TEST(MissedGrantDetector, OneSideOfAPartitionSpendsReserves)
 {
     for (std::size_t nodes = 1; nodes <= 12; ++nodes) {
         for (std::size_t other = 0; other <= nodes / 2; ++other) {
-            WitnessRig larger(false);
-            WitnessRig smaller(false);
+            DetectorRig larger(false);
+            DetectorRig smaller(false);
             larger.alive_ = smaller.alive_ = nodes - 1;
             larger.lose(other);
             smaller.lose(std::min(nodes - other, nodes - 1));
             larger.mayMissAfter(seconds(20));
             smaller.mayMissAfter(seconds(20));
-            const bool both = larger.witness_.maySpendReserves() && smaller.witness_.maySpendReserves();
+            const bool both = larger.detector_.maySpendReserves() && smaller.detector_.maySpendReserves();
             EXPECT_TRUE(!both || other == 0) << nodes << " nodes, " << other;
         }
     }
@@ -98,14 +98,14 @@
     bool mayMiss_;
 };
 
-class GrantWitnessLoss : public testing::TestWithParam<LossCase>
+class MissedGrantsAfterLoss : public testing::TestWithParam<LossCase>
 {
 };
 
 // Guards against survivors that rely on copies of which all may be lost, and against doubts without an outage.
-TEST_P(GrantWitnessLoss, CountsCopies)
+TEST_P(MissedGrantsAfterLoss, CountsCopies)
 {
-    WitnessRig rig(false);
+    DetectorRig rig(false);
     rig.mayMissAfter(seconds(1));
     rig.isRecorded_ = !GetParam().inOutage_;
     rig.mayMissAfter(seconds(3));
@@ -117,7 +117,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Table,
-                         GrantWitnessLoss,
+                         MissedGrantsAfterLoss,
                          testing::Values(LossCase{"TwoInAnOutage", 2, true, false},
                                          LossCase{"ThreeInAnOutage", 3, true, true},
                                          LossCase{"ThreeInCalm", 3, false, false}),
