--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -24,9 +24,6 @@
 /** A node that was not seen for this long is no longer counted as known. */
 constexpr Duration forgetTimeout{15'000'000};
 
-/** A summary may tell this long afterwards that a member has started. */
-constexpr Duration summaryDelay{1'000'000};
-
 /** Consecutive reports of a live node that may be lost. */
 constexpr std::size_t reportsPerLivenessTimeout = 3;
 /** One in this many summaries lists the members of the group; an idle node sends one in this many reports. */
@@ -50,7 +47,6 @@
     bool publishedAlive_ = false; ///< Liveness as last passed to onLivenessChanged_.
     Time lostAt_{0}; ///< When it was last found to be dead or to have been restarted; 0 if it never was.
     bool introducesItself_ = true; ///< Its last report contained its addresses, as for some time after a start.
-    Time runningSince_{0}; ///< When that was last found to be over.
     LedgerState ledger_;
     bool reachesEndpoints_ = true;
     Time reportedAt_{0}; ///< Arrival of the last report that it sent to this node itself.
@@ -64,31 +60,6 @@
         ledger_ = ledger;
         reachesEndpoints_ = reachesEndpoints;
     }
-    /** \brief Its own report has arrived; called before markSeen(). */
-    void reportedItself(Time now, bool introducesItself)
-    {
-        if (introducesItself && wasSeen_ && !introducesItself_) {
-            lostAt_ = now;
-        }
-        setIntroducesItself(now, introducesItself);
-    }
-    /** \brief A summary of its group has arrived; called before markSeen(). */
-    void reportedByGroup(Time now, bool hasStarted)
-    {
-        const bool isLate = wasSeen_ && now - runningSince_ <= summaryDelay;
-        if (!hasStarted || !isLate) {
-            reportedItself(now, hasStarted);
-        }
-    }
-
-private:
-    void setIntroducesItself(Time now, bool introducesItself)
-    {
-        if (introducesItself_ && !introducesItself) {
-            runningSince_ = now;
-        }
-        introducesItself_ = introducesItself;
-    }
 };
 
 /** Rendezvous hash: of several nodes the one with the highest weight for a key is chosen. */
@@ -270,8 +241,7 @@
         }
         ++message.report_.nodes_;
         if (withMembers) {
-            message.members_.push_back(
-                GroupMember{peer->name_, node.ledger_, node.reachesEndpoints_, node.introducesItself_});
+            message.members_.push_back(GroupMember{peer->name_, node.ledger_, node.reachesEndpoints_});
         }
         for (const std::pair<std::string, std::uint32_t> &entry : node.report_.load_) {
             load[entry.first] += entry.second;
@@ -489,9 +459,6 @@
     for (const GroupMember &member : message.members_) {
         const auto known = nodes_.find(member.name_);
         if (known != nodes_.end()) {
-            if (member.name_ != message.sender_) {
-                known->second.reportedByGroup(hooks_.now_(), member.hasStarted_);
-            }
             known->second.markSeen(hooks_.now_(), member.ledger_, member.reachesEndpoints_);
         }
     }
@@ -644,7 +611,11 @@
     if (sender == d_->nodes_.end()) {
         return;
     }
-    sender->second.reportedItself(d_->hooks_.now_(), message->introduction_.has_value());
+    const bool wasRunning = sender->second.wasSeen_ && !sender->second.introducesItself_;
+    sender->second.introducesItself_ = message->introduction_.has_value();
+    if (wasRunning && sender->second.introducesItself_) {
+        sender->second.lostAt_ = d_->hooks_.now_();
+    }
     sender->second.markSeen(d_->hooks_.now_(), message->report_.ledger_, message->report_.reachesEndpoints_);
     if (message->report_.configurationVersion_ > 0 && d_->hooks_.onConfigurationOffered_) {
         d_->hooks_.onConfigurationOffered_(sender->second.member_, message->report_.configurationVersion_);
--- a/src/fleet/fleetmessage.cpp
+++ b/src/fleet/fleetmessage.cpp
@@ -27,7 +27,6 @@
 const char *const ejectionsKey = "j";
 const char *const originsKey = "o";
 const char *const cutOffKey = "e"; ///< Nodes that reach no endpoint: the sender, or members of its group.
-const char *const startedKey = "b"; ///< Members that have started recently; the version before does not send it.
 const char *const configurationKey = "f"; ///< Version that the sender offers; only with client accounts.
 const char *const accountsKey = "a";
 const char *const missesGrantsKey = "w"; ///< Only sent if true; nodes of the version before neither send nor read it.
@@ -233,13 +232,6 @@
     }
 }
 
-void applyStarted(const nlohmann::json &names, FleetMessage &message)
-{
-    for (GroupMember &member : message.members_) {
-        member.hasStarted_ = std::find(names.begin(), names.end(), member.name_) != names.end();
-    }
-}
-
 std::optional<FleetGroup> decodeGroup(const nlohmann::json &entry)
 {
     const bool isGroup = isTuple(entry, 4) && entry[0].is_string() && entry[1].is_number_unsigned()
@@ -308,15 +300,6 @@
     if (!cutOff.empty()) {
         body[internal::cutOffKey] = std::move(cutOff);
     }
-    nlohmann::json started = nlohmann::json::array();
-    for (const GroupMember &member : message.members_) {
-        if (member.hasStarted_) {
-            started.push_back(member.name_);
-        }
-    }
-    if (!started.empty()) {
-        body[internal::startedKey] = std::move(started);
-    }
     if (!message.report_.outcomes_.empty()) {
         body[internal::outcomesKey] = internal::encodeOutcomes(message.report_.outcomes_);
     }
@@ -411,9 +394,6 @@
     if (internal::hasArray(body, internal::cutOffKey)) {
         internal::applyCutOff(body[internal::cutOffKey], message);
     }
-    if (internal::hasArray(body, internal::startedKey)) {
-        internal::applyStarted(body[internal::startedKey], message);
-    }
     if (internal::hasString(body, internal::datagramAddressKey)
         && internal::hasString(body, internal::linkAddressKey)) {
         message.introduction_ = FleetMember{message.sender_,
--- a/src/fleet/fleetmessage.h
+++ b/src/fleet/fleetmessage.h
@@ -61,7 +61,6 @@
     std::string name_;
     LedgerState ledger_;
     bool reachesEndpoints_ = true; ///< \sa NodeReport::reachesEndpoints_
-    bool hasStarted_ = false; ///< It has started recently: its own reports contain its addresses.
 };
 
 /** \brief A datagram between nodes. */
