Find in one pass whether all known nodes were seen

Fleet::updateTargets() went over all nodes a second time to decide whether announcements are needed.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -318,6 +318,7 @@
 {
     std::vector<const FleetMember *> grouped;
     std::vector<const internal::KnownNode *> present;
+    bool areAllSeen = true;
     directTargets_.clear();
     announcementTargets_.clear();
     for (const std::pair<const std::string, internal::KnownNode> &entry : nodes_) {
@@ -325,8 +326,10 @@
         if (!isCounted(node)) {
             continue;
         }
+        const bool isSeen = wasSeenLately(node);
+        areAllSeen = areAllSeen && isSeen;
         announcementTargets_.push_back(&node.member_);
-        if (wasSeenLately(node) || hooks_.now_() - node.learnedAt_ <= internal::groupingDelay) {
+        if (isSeen || hooks_.now_() - node.learnedAt_ <= internal::groupingDelay) {
             present.push_back(&node);
         }
     }
@@ -334,8 +337,7 @@
     for (const internal::KnownNode *node : present) {
         (isLarge && !node->member_.domain_.empty() ? grouped : directTargets_).push_back(&node->member_);
     }
-    const auto isSeen = [this](const auto &entry) { return !isCounted(entry.second) || wasSeenLately(entry.second); };
-    if (std::all_of(nodes_.begin(), nodes_.end(), isSeen)) {
+    if (areAllSeen) {
         announcementTargets_.clear();
     }
     if (grouped == groupedNodes_) {
