--- a/review/standins-3/standins.cpp
+++ b/review/standins-3/standins.cpp
@@ -403,21 +403,25 @@
     return text + "Content-Type: " + type + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-Answer ask(const std::string &host,
-           std::uint16_t port,
-           const std::string &method,
-           const std::string &target,
-           const Headers &headers,
-           const std::string &body,
-           double timeout)
+Client::Client(const std::string &host, std::uint16_t port)
+{
+    const int descriptor = connectTo(host, port, 1.0);
+    if (descriptor >= 0) {
+        connection_ = std::make_unique<Connection>(descriptor);
+    }
+}
+
+Answer Client::ask(const std::string &method,
+                   const std::string &target,
+                   const Headers &headers,
+                   const std::string &body,
+                   double timeout)
 {
     const double started = now();
     Answer answer;
-    const int descriptor = connectTo(host, port, std::min(timeout, 1.0));
-    if (descriptor < 0) {
+    if (!connection_) {
         return answer;
     }
-    Connection connection(descriptor);
     std::string text = method + ' ' + target + " HTTP/1.1\r\n";
     for (const std::pair<std::string, std::string> &header : headers) {
         text += header.first + ": " + header.second + "\r\n";
@@ -425,16 +429,30 @@
     if (!body.empty() || method != "GET") {
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
-    connection.write(text + "\r\n" + body);
+    connection_->write(text + "\r\n" + body);
     Message message;
-    answer.isWhole_ = connection.read(message, started + timeout, true);
+    answer.isWhole_ = connection_->read(message, started + timeout, true);
     answer.status_ = message.status_;
     answer.headers_ = message.headers_;
     answer.body_ = message.body_;
     answer.time_ = now() - started;
+    if (!answer.isWhole_ || message.header("connection") == "close") {
+        connection_.reset();
+    }
     return answer;
 }
 
+Answer ask(const std::string &host,
+           std::uint16_t port,
+           const std::string &method,
+           const std::string &target,
+           const Headers &headers,
+           const std::string &body,
+           double timeout)
+{
+    return Client(host, port).ask(method, target, headers, body, timeout);
+}
+
 Store::Store(const std::string &host, std::uint16_t port)
     : server_(std::make_unique<Server>(
         host, port, [this](Connection &connection, const Message &request) { return serve(connection, request); }))
@@ -743,6 +761,31 @@
     return ::waitid(P_PID, static_cast<id_t>(pids_[node]), &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == 0;
 }
 
+std::size_t Deployment::residentKilobytes(std::size_t node) const
+{
+    std::ifstream file("/proc/" + std::to_string(pids_[node]) + "/statm");
+    std::size_t size = 0;
+    std::size_t resident = 0;
+    file >> size >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE)) / 1024;
+}
+
+bool Deployment::killIfOverMemory(std::size_t node)
+{
+    if (pids_[node] == 0 || residentKilobytes(node) <= std::size_t{memoryMb_} * 1024) {
+        return false;
+    }
+    ::kill(pids_[node], SIGKILL);
+    ::waitpid(pids_[node], nullptr, 0);
+    pids_[node] = 0;
+    return true;
+}
+
+bool Deployment::startAgain(std::size_t node)
+{
+    return startNode(node);
+}
+
 bool Deployment::start()
 {
     bool isStarted = true;
--- a/review/standins-3/standins.h
+++ b/review/standins-3/standins.h
@@ -115,6 +115,22 @@
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
+/** \brief A connection of a client that is kept for several requests. */
+class Client
+{
+public:
+    Client(const std::string &host, std::uint16_t port);
+    /** \return status 0 if the connection is of no use any more */
+    Answer ask(const std::string &method,
+               const std::string &target,
+               const Headers &headers,
+               const std::string &body,
+               double timeout);
+
+private:
+    std::unique_ptr<Connection> connection_;
+};
+
 /** \brief Sends one request on a connection of its own. */
 Answer ask(const std::string &host,
            std::uint16_t port,
@@ -223,6 +239,13 @@
     bool waitUntilReady(double timeout);
     pid_t pid(std::size_t node) const;
     bool isRunning(std::size_t node) const;
+    /** \brief Kills a process that uses more memory than its settings allow, as the platform does. \return true if so
+     */
+    bool killIfOverMemory(std::size_t node);
+    /** \brief Starts a node that was killed. */
+    bool startAgain(std::size_t node);
+    /** \brief Resident memory in kB. */
+    std::size_t residentKilobytes(std::size_t node) const;
     std::size_t size() const;
     const std::string &folder() const;
 
