--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,13 +5,17 @@
 cd "$(dirname "$0")/.."
 out=target/review-3
 mkdir -p "$out"
+builds=()
 for source in review/1[1-4]/case.cpp; do
-    [ -f "$source" ] || continue
     name=case-$(basename "$(dirname "$source")")
-    g++ -std=c++17 -O1 -Wall -Wextra -pthread "$source" review/standins-3/standins.cpp -o "$out/$name.new" && mv "$out/$name.new" "$out/$name" &
+    (g++ -std=c++17 -O1 -Wall -Wextra -pthread "$source" review/standins-3/standins.cpp -o "$out/$name.new" \
+        && mv "$out/$name.new" "$out/$name") &
+    builds+=($!)
 done
-wait
-ls "$out"/case-*
+for build in "${builds[@]}"; do
+    wait "$build"
+done
+ls "$out"/case-1[1-4]
 if ! command -v python3 >/dev/null; then
     echo "python3 is missing: case 15 can't run"
     exit 1
