--- a/review/standins-3/standins.cpp
+++ b/review/standins-3/standins.cpp
@@ -682,8 +682,7 @@
     : memoryMb_(memoryMb)
     , pids_(nodes, 0)
 {
-    const char *const temporary = std::getenv("TMPDIR");
-    folder_ = std::string(temporary != nullptr ? temporary : "/tmp") + "/filbertgw-review-" + newId();
+    folder_ = (std::filesystem::temp_directory_path() / ("filbertgw-review-" + newId())).string();
     std::filesystem::create_directories(folder_);
     const unsigned process = static_cast<unsigned>(::getpid());
     base_ = "127." + std::to_string(1 + process % 200) + '.' + std::to_string(1 + process / 200 % 200) + '.';
