--- a/review/standins-3/standins.cpp
+++ b/review/standins-3/standins.cpp
@@ -29,6 +29,7 @@
 constexpr double idleSeconds = 120.0;
 constexpr std::size_t longestPage = 1024 * 1024;
 constexpr std::size_t mostItems = 500;
+constexpr std::size_t repeatsKept = 5;
 constexpr std::size_t peerPorts = 16;
 const std::string keyedPrefix = "keyed.";
 const std::vector<std::string> zones{"za", "zb", "zc"};
@@ -519,20 +520,27 @@
     sleepUntil(doneAt);
     const std::lock_guard<std::mutex> lock(mutex_);
     Partition &target = partition(query);
-    if (query.count("producer") > 0) {
-        std::pair<std::uint64_t, std::optional<std::uint64_t>> &producer = target.producers_[textIn(query, "producer")];
+    const bool hasProducer = query.count("producer") > 0;
+    const std::uint64_t sequence = numberIn(query, "sequence");
+    if (hasProducer) {
+        Producer &producer = target.producers_[textIn(query, "producer")];
         const std::uint64_t epoch = numberIn(query, "epoch");
-        const std::uint64_t sequence = numberIn(query, "sequence");
-        if (epoch < producer.first) {
+        if (epoch < producer.epoch_) {
             return response(409, {}, R"({"why":"fenced"})");
         }
-        const bool isNext = epoch > producer.first || !producer.second || sequence == *producer.second + 1;
-        if (!isNext) {
-            return response(409, {}, R"({"why":"seq","sequence":)" + std::to_string(*producer.second + 1) + '}');
+        if (epoch > producer.epoch_) {
+            producer = Producer();
+            producer.epoch_ = epoch;
+        }
+        const auto repeated = producer.responses_.find(sequence);
+        if (repeated != producer.responses_.end()) {
+            return repeated->second;
+        }
+        if (producer.last_ && sequence != *producer.last_ + 1) {
+            return response(409, {}, R"({"why":"seq","sequence":)" + std::to_string(*producer.last_ + 1) + '}');
         }
-        producer = {epoch, sequence};
     }
-    const std::size_t offset = target.records_.size();
+    const std::string offset = std::to_string(target.records_.size());
     for (std::size_t at = 0; at + 4 <= body.size();) {
         std::size_t size = 0;
         for (std::size_t i = 0; i < 4; ++i) {
@@ -542,8 +550,17 @@
         at += 4 + size;
     }
     changed_.notify_all();
-    return response(
-        200, {}, "{\"offset\":" + std::to_string(offset) + ",\"end\":" + std::to_string(target.records_.size()) + '}');
+    const std::string end = std::to_string(target.records_.size());
+    const std::string answer = response(200, {}, "{\"offset\":" + offset + ",\"end\":" + end + '}');
+    if (hasProducer) {
+        Producer &producer = target.producers_[textIn(query, "producer")];
+        producer.last_ = sequence;
+        producer.responses_[sequence] = answer;
+        if (producer.responses_.size() > repeatsKept) {
+            producer.responses_.erase(producer.responses_.begin());
+        }
+    }
+    return answer;
 }
 
 std::string Store::read(const Query &query)
--- a/review/standins-3/standins.h
+++ b/review/standins-3/standins.h
@@ -150,11 +150,18 @@
     void put(const std::string &topic, const std::string &key, const std::optional<std::string> &value);
 
 private:
+    /** \brief Appends of a writer; a repeat of one of the last five gets its first response again. */
+    struct Producer
+    {
+        std::uint64_t epoch_ = 0;
+        std::optional<std::uint64_t> last_;
+        std::map<std::uint64_t, std::string> responses_; ///< By sequence number.
+    };
     struct Partition
     {
         std::vector<std::string> records_;
         std::map<std::string, std::pair<std::string, std::uint64_t>> newest_; ///< Value and offset.
-        std::map<std::string, std::pair<std::uint64_t, std::optional<std::uint64_t>>> producers_; ///< Epoch, last.
+        std::map<std::string, Producer> producers_;
         double freeAt_ = 0.0;
     };
     using Query = std::map<std::string, std::string>;
